--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,5 @@
+export default {
+  files: ['packages/*/dist/test/**/*.test.js'],
+  timeout: '60s',
+  workerThreads: false,
+};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** Parts of the operators' command line that other tools use. */
+export { renderTimeline } from './timeline-picture.js';
--- /dev/null
+++ b/packages/clock/src/index.ts
@@ -0,0 +1,8 @@
+/** Time and seeded randomness. Every other package takes both through these interfaces. */
+export type { Clock, Timer } from './clock.js';
+export { SystemClock } from './system-clock.js';
+export { VirtualClock } from './virtual-clock.js';
+export { HostClock } from './host-clock.js';
+export { Random, hashSeed } from './random.js';
+export { jittered, Backoff, type BackoffOptions } from './backoff.js';
+export { Notifier } from './notifier.js';
--- /dev/null
+++ b/packages/clock/src/virtual-clock.ts
@@ -0,0 +1,63 @@
+import { Heap } from 'heap-js';
+import { sleepOn, type Clock, type Timer } from './clock.js';
+
+interface PendingTimer {
+  readonly dueMs: number;
+  readonly order: number;
+  callback: (() => void) | undefined;
+}
+
+/**
+ * Discrete-event time. Between two timers all pending promise work runs to its end, so a run is a
+ * function of its inputs alone and goes as fast as the machine allows.
+ */
+export class VirtualClock implements Clock {
+  readonly #queue = new Heap<PendingTimer>((a, b) => a.dueMs - b.dueMs || a.order - b.order);
+  #nowMs = 0;
+  #order = 0;
+
+  now(): number {
+    return this.#nowMs;
+  }
+
+  wallTime(): number {
+    return this.#nowMs;
+  }
+
+  setTimer(delayMs: number, callback: () => void): Timer {
+    const entry: PendingTimer = { dueMs: this.#nowMs + Math.max(0, delayMs), order: this.#order, callback };
+    this.#order += 1;
+    this.#queue.push(entry);
+    return {
+      cancel: () => {
+        entry.callback = undefined;
+      },
+    };
+  }
+
+  sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+    return sleepOn(this, delayMs, signal);
+  }
+
+  /** Runs timers in order until `untilMs`, then sets the time to it. */
+  async runUntil(untilMs: number): Promise<void> {
+    await settle();
+    for (;;) {
+      const next = this.#queue.peek();
+      if (next === undefined || next.dueMs > untilMs) break;
+      this.#queue.pop();
+      if (next.callback === undefined) continue;
+      this.#nowMs = next.dueMs;
+      next.callback();
+      await settle();
+    }
+    this.#nowMs = Math.max(this.#nowMs, untilMs);
+  }
+}
+
+/** Lets every queued microtask run: the check phase of the event loop starts only after them. */
+function settle(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,23 @@
+/** Revisions of the configuration: form, comparison, planning and spreading. */
+export {
+  HEAD_KEY,
+  chunkKey,
+  headSchema,
+  type RevisionHead,
+  splitConfiguration,
+  joinConfiguration,
+  planDigest,
+  publishable,
+  type Publishable,
+  type RevisionError,
+  GENESIS,
+} from './revision.js';
+export { planChange, type Plan, type PlanStep, type FleetView, type PlannedEngine } from './plan.js';
+export { checkIntent, type IntentProblem } from './intent-check.js';
+export { formatPlan } from './plan-text.js';
+export {
+  ConfigurationFollower,
+  type FollowerOptions,
+  type PeerConfigurationSource,
+} from './configuration-follower.js';
+export { RevisionStore, type AcceptOutcome, revisionStamp, stampRevision } from './revision-store.js';
--- /dev/null
+++ b/packages/configuration/test/revision-store.test.ts
@@ -0,0 +1,119 @@
+import test from 'ava';
+import { configurationSchema, type Configuration } from '@canvasridge/domain';
+import { RevisionStore, publishable, type Publishable } from '../src/index.js';
+
+function configuration(adapterNames: readonly string[]): Configuration {
+  return configurationSchema.parse({
+    bases: [{ name: 'llama' }],
+    adapters: adapterNames.map((name) => ({ name, base: 'llama', versions: ['v1'] })),
+    engines: [{ id: 'engine-1', url: 'http://127.0.0.1:1', base: 'llama', zone: 'z', slots: 4, maxBatch: 8 }],
+    callers: [{ name: 'c', team: 't', keySha256: ['a'.repeat(64)], requestsPerSecond: 1, concurrency: 1 }],
+  });
+}
+
+function chunksOf(published: Publishable): Map<string, string> {
+  return new Map(
+    published.documents.map((document) => [document.key.replace('canvasridge/chunk/', ''), document.value]),
+  );
+}
+
+const GENESIS = { revision: 0, digest: '0'.repeat(64) };
+const first = publishable(configuration(['a']), GENESIS);
+const second = publishable(configuration(['a', 'b']), first.head);
+const rival = publishable(configuration(['a', 'c']), first.head);
+const third = publishable(configuration(['a', 'b', 'd']), second.head);
+const thirdOnRival = publishable(configuration(['a', 'c', 'd']), rival.head);
+
+function accept(store: RevisionStore, published: Publishable, sourceVersion: number): string {
+  return store.accept(published.head, sourceVersion, chunksOf(published)).match(
+    (index) => `revision ${index.revision}`,
+    (refusal) => refusal.kind,
+  );
+}
+
+interface Step {
+  readonly published: Publishable;
+  readonly sourceVersion: number;
+  readonly expected: string;
+}
+
+const sequences: readonly { name: string; steps: readonly Step[] }[] = [
+  {
+    name: 'revisions in order come into force',
+    steps: [
+      { published: first, sourceVersion: 1, expected: 'revision 1' },
+      { published: second, sourceVersion: 2, expected: 'revision 2' },
+      { published: third, sourceVersion: 3, expected: 'revision 3' },
+    ],
+  },
+  {
+    name: 'a lower revision is ignored',
+    steps: [
+      { published: second, sourceVersion: 2, expected: 'revision 2' },
+      { published: first, sourceVersion: 1, expected: 'older' },
+    ],
+  },
+  {
+    name: 'of two operators who raced, the one who published first holds',
+    steps: [
+      { published: second, sourceVersion: 2, expected: 'revision 2' },
+      { published: rival, sourceVersion: 3, expected: 'conflict-lost' },
+    ],
+  },
+  {
+    name: 'a node that saw the second of two racing operators goes over to the first',
+    steps: [
+      { published: rival, sourceVersion: 3, expected: 'revision 2' },
+      { published: second, sourceVersion: 2, expected: 'revision 2' },
+    ],
+  },
+  {
+    name: 'a revision planned against another predecessor is held back',
+    steps: [
+      { published: second, sourceVersion: 2, expected: 'revision 2' },
+      { published: thirdOnRival, sourceVersion: 4, expected: 'plan-mismatch' },
+    ],
+  },
+  {
+    name: 'a confirmed digest that is not that of the plan is held back',
+    steps: [
+      {
+        published: { ...first, head: { ...first.head, planDigest: 'f'.repeat(64) } },
+        sourceVersion: 1,
+        expected: 'plan-mismatch',
+      },
+    ],
+  },
+  {
+    name: 'an intent that cannot be met is held back',
+    steps: [
+      {
+        published: publishable({ ...configuration(['a']), engines: [] }, GENESIS),
+        sourceVersion: 1,
+        expected: 'intent-unmet',
+      },
+    ],
+  },
+];
+
+for (const { name, steps } of sequences) {
+  test(name, (t) => {
+    const store = new RevisionStore();
+    for (const step of steps) t.is(accept(store, step.published, step.sourceVersion), step.expected);
+  });
+}
+
+test('changing one adapter of many changes one chunk', (t) => {
+  const names = Array.from({ length: 6000 }, (_unused, index) => `adapter-${index}`);
+  const before = publishable(configuration(names), GENESIS);
+  const after = publishable(configuration([...names, 'one-more']), before.head);
+  t.true(before.head.chunks.length > 2);
+  t.is(after.head.chunks.filter((chunk) => !before.head.chunks.includes(chunk)).length, 1);
+});
+
+test('a damaged chunk is not put in force', (t) => {
+  const store = new RevisionStore();
+  const chunks = new Map([...chunksOf(first)].map(([key, value]) => [key, `${value} `]));
+  t.is(store.accept(first.head, 1, chunks)._unsafeUnwrapErr().kind, 'chunk-damaged');
+  t.is(store.revision, 0);
+});
--- /dev/null
+++ b/packages/domain/src/ports/service-client.ts
@@ -0,0 +1,37 @@
+import type { ResultAsync } from 'neverthrow';
+import type { StreamSink } from './engine-client.js';
+
+/** A call to a plain service. */
+export interface ServiceRequest {
+  readonly requestId: string;
+  readonly method: string;
+  /** Path and query below the service's root. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+}
+
+export interface ServiceReply {
+  readonly status: number;
+}
+
+/** Why a call failed. */
+export type ServiceError =
+  | { readonly kind: 'unreachable'; readonly executed: 'no'; readonly detail: string }
+  | {
+      readonly kind: 'broken';
+      readonly executed: 'unknown';
+      readonly started: boolean;
+      readonly detail: string;
+    }
+  | { readonly kind: 'cancelled'; readonly executed: 'unknown'; readonly started: boolean };
+
+/** Back ends of plain services. */
+export interface ServiceClient {
+  call(
+    backEndUrl: string,
+    request: ServiceRequest,
+    sink: StreamSink,
+    signal: AbortSignal,
+  ): ResultAsync<ServiceReply, ServiceError>;
+}
--- /dev/null
+++ b/packages/load/src/index.ts
@@ -0,0 +1,2 @@
+/** Load and experiment tool. */
+export { main } from './main.js';
--- /dev/null
+++ b/packages/load/src/main.ts
@@ -0,0 +1,9 @@
+import { runCommand } from '@canvasridge/settings';
+import { demoCommand } from './commands/demo.js';
+
+const VERSION = '0.1.0';
+
+/** Entry point of `canvasridge-load`. Returns the exit code. */
+export function main(argv: readonly string[]): Promise<number> {
+  return runCommand('canvasridge-load', VERSION, [demoCommand], argv);
+}
--- /dev/null
+++ b/packages/load/src/processes/deployment.ts
@@ -0,0 +1,228 @@
+import { createHash } from 'node:crypto';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { publishable, type RevisionHead } from '@canvasridge/configuration';
+import { configurationSchema, type Configuration } from '@canvasridge/domain';
+import type { Fault, StandinRecords } from '@canvasridge/standin';
+import type { NodeStatus } from '@canvasridge/node';
+import { request } from 'undici';
+import type { z } from 'zod';
+import { endAll, launch, type LaunchedProcess } from './launcher.js';
+
+/** A small deployment of real processes on loopback. */
+export interface DeploymentPlan {
+  readonly nodes: readonly { readonly id: string; readonly zone: string }[];
+  readonly engines: readonly {
+    readonly id: string;
+    readonly zone: string;
+    readonly base: string;
+    readonly slots: number;
+    readonly maxBatch: number;
+    readonly checksFence: boolean;
+  }[];
+  readonly services: readonly {
+    readonly name: string;
+    readonly zone: string;
+    readonly notRepeatable: readonly { readonly method: 'POST'; readonly path: string }[];
+  }[];
+  readonly adapters: Configuration['adapters'];
+  readonly bases: readonly string[];
+  readonly callers: z.input<typeof configurationSchema>['callers'];
+  readonly tuning: z.input<typeof configurationSchema>['tuning'];
+  readonly weightStore: {
+    readonly loadsPerSecond: number;
+    readonly concurrency: number;
+    readonly loadMs: number;
+  };
+  readonly machineListLagMs: number;
+  readonly lingerSeconds: number;
+  readonly engineBehaviour?: Readonly<Record<string, number>>;
+}
+
+const LOOPBACK = '127.0.0.1:0';
+const PEER_KEY = 'loopback-peer-key-0001';
+export const ADMIN_KEY = 'loopback-admin-key-0001';
+const READY_LIMIT_MS = 20_000;
+const POLL_MS = 100;
+
+export function keyDigest(key: string): string {
+  return createHash('sha256').update(key).digest('hex');
+}
+
+/** Running deployment with the handles that experiments need. */
+export class Deployment {
+  readonly plan: DeploymentPlan;
+  readonly nodes = new Map<string, LaunchedProcess>();
+  readonly directory: string;
+  #standin: LaunchedProcess | undefined;
+  #head: RevisionHead | undefined;
+
+  private constructor(plan: DeploymentPlan, directory: string) {
+    this.plan = plan;
+    this.directory = directory;
+  }
+
+  static async start(plan: DeploymentPlan, progress: (text: string) => void): Promise<Deployment> {
+    const deployment = new Deployment(plan, await mkdtemp(join(tmpdir(), 'canvasridge-')));
+    progress(
+      `starting the emulator: ${plan.engines.length} engines, ${plan.services.length} service back ends`,
+    );
+    deployment.#standin = await deployment.#launchStandin();
+    await deployment.publish(deployment.configuration());
+    progress(`published revision 1: ${plan.adapters.length} adapters, ${plan.callers.length} callers`);
+    await Promise.all(plan.nodes.map((node) => deployment.startNode(node.id, node.zone)));
+    progress(`started ${plan.nodes.length} nodes; waiting until every engine has an owner`);
+    await deployment.#waitForOwners();
+    return deployment;
+  }
+
+  get platformUrl(): string {
+    const url = this.#standin?.ready.platformUrl;
+    return typeof url === 'string' ? url : '';
+  }
+
+  /** Callers' URLs of all nodes that were started. */
+  callerUrls(): string[] {
+    return [...this.nodes.values()].map((node) => String(node.ready.callersUrl));
+  }
+
+  async startNode(id: string, zone: string): Promise<void> {
+    const settings = {
+      node: { id, zone },
+      listen: { callers: LOOPBACK, peers: LOOPBACK, gossip: LOOPBACK },
+      platform: { configurationUrl: this.platformUrl, machineListUrl: this.platformUrl },
+      peerKey: PEER_KEY,
+      adminKey: ADMIN_KEY,
+      drain: { lingerSeconds: this.plan.lingerSeconds, limitSeconds: 60 },
+    };
+    const launched = await this.#launch('node', id, settings);
+    this.nodes.set(id, launched);
+    const machine = { id, role: 'entry', state: 'live', gossip: String(launched.ready.gossip) } as const;
+    await this.fault({ machineListLagMs: 0 });
+    await this.fault({ machine });
+    await this.fault({ machineListLagMs: this.plan.machineListLagMs });
+  }
+
+  async fault(fault: Fault): Promise<void> {
+    await this.#post(`${this.platformUrl}/operator/faults`, fault);
+  }
+
+  /** Publishes a configuration as the next revision, as an operator would. */
+  async publish(configuration: Configuration): Promise<void> {
+    const previous = this.#head ?? { revision: 0, digest: '0'.repeat(64) };
+    const { head, documents } = publishable(configuration, previous);
+    for (const document of documents) await this.#post(`${this.platformUrl}/operator/publish`, document);
+    this.#head = head;
+  }
+
+  configuration(): Configuration {
+    const { plan } = this;
+    const engineUrls = (this.#standin?.ready.engineUrls ?? {}) as Record<string, string>;
+    const serviceUrls = (this.#standin?.ready.serviceUrls ?? []) as { name: string; url: string }[];
+    const names = [...new Set(plan.services.map((service) => service.name))];
+    return configurationSchema.parse({
+      bases: plan.bases.map((name) => ({ name })),
+      adapters: plan.adapters,
+      engines: plan.engines.map((engine) => ({
+        ...engine,
+        machine: `m-${engine.id}`,
+        url: engineUrls[engine.id],
+      })),
+      services: names.map((name) => ({
+        name,
+        notRepeatable: plan.services.find((service) => service.name === name)?.notRepeatable,
+        backEnds: plan.services.flatMap((service, index) =>
+          service.name === name
+            ? [{ url: serviceUrls[index]?.url ?? '', zone: service.zone, machine: `m-${name}-${index}` }]
+            : [],
+        ),
+      })),
+      callers: plan.callers,
+      tuning: plan.tuning,
+    });
+  }
+
+  async records(): Promise<StandinRecords> {
+    return (await this.#get(`${this.platformUrl}/records`)) as StandinRecords;
+  }
+
+  async status(id: string): Promise<NodeStatus | undefined> {
+    const node = this.nodes.get(id);
+    if (node === undefined) return undefined;
+    try {
+      return (await this.#get(`${String(node.ready.peersUrl)}/admin/status`)) as NodeStatus;
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** Timeline of every process that answers. */
+  async timelines(): Promise<unknown[]> {
+    const urls = [
+      `${this.platformUrl}/timeline`,
+      ...[...this.nodes.values()].map((node) => `${String(node.ready.peersUrl)}/admin/timeline`),
+    ];
+    const dumps = await Promise.all(urls.map((url) => this.#get(url).catch(() => undefined)));
+    return dumps.filter((dump) => dump !== undefined);
+  }
+
+  async stop(): Promise<void> {
+    await endAll([...this.nodes.values(), ...(this.#standin === undefined ? [] : [this.#standin])]);
+    await rm(this.directory, { recursive: true, force: true });
+  }
+
+  async #launchStandin(): Promise<LaunchedProcess> {
+    const { plan } = this;
+    return this.#launch('standin', 'standin', {
+      listen: LOOPBACK,
+      engines: plan.engines.map(({ id, base, slots, maxBatch, checksFence }) => ({
+        id,
+        base,
+        slots,
+        maxBatch,
+        checksFence,
+        listen: LOOPBACK,
+        behaviour: plan.engineBehaviour ?? {},
+      })),
+      services: plan.services.map(({ name }) => ({ name, listen: LOOPBACK })),
+      weightStore: plan.weightStore,
+      machines: { lagMs: plan.machineListLagMs, list: [] },
+    });
+  }
+
+  async #launch(binary: 'node' | 'standin', name: string, settings: unknown): Promise<LaunchedProcess> {
+    const file = join(this.directory, `${name}.json`);
+    await writeFile(file, JSON.stringify(settings, null, 2));
+    return launch(binary, name, file, join(this.directory, `${name}.log`));
+  }
+
+  async #waitForOwners(): Promise<void> {
+    const until = Date.now() + READY_LIMIT_MS;
+    while (Date.now() < until) {
+      const statuses = await Promise.all(this.plan.nodes.map((node) => this.status(node.id)));
+      const owned = new Set(
+        statuses.flatMap((status) => (status?.engines ?? []).map((engine) => engine.engineId)),
+      );
+      const views = statuses.every((status) => status?.members.length === this.plan.nodes.length);
+      if (owned.size === this.plan.engines.length && views) return;
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+    throw new Error('not every engine found an owner; see the logs of the nodes');
+  }
+
+  async #get(url: string): Promise<unknown> {
+    const response = await request(url, { headers: { authorization: `Bearer ${ADMIN_KEY}` } });
+    return response.body.json();
+  }
+
+  async #post(url: string, body: unknown): Promise<void> {
+    const response = await request(url, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+    });
+    const text = await response.body.text();
+    if (response.statusCode !== 200) throw new Error(`${url}: ${response.statusCode} ${text}`);
+  }
+}
--- /dev/null
+++ b/packages/membership/src/codec.ts
@@ -0,0 +1,149 @@
+import { pack, unpack } from 'msgpackr';
+import { z } from 'zod';
+import type { MemberIdentity, MemberState } from './member.js';
+
+/**
+ * Messages between nodes, as MessagePack arrays. Positions are listed at the schemas; everything
+ * that arrives is checked, and what does not match is dropped.
+ */
+const text = z.string().max(256);
+const stateCode = z.int().min(0).max(4);
+const STATES: readonly MemberState[] = ['alive', 'suspect', 'draining', 'dead', 'left'];
+
+/** [0, id, incarnation, state, age of the suspicion in ms] */
+const memberStateUpdate = z.tuple([z.literal(0), text, z.int().min(0), stateCode, z.int().min(0)]);
+/** [1, id, incarnation, state, zone, region, gossip, peerUrl, callerUrl, processToken] */
+const memberUpdate = z.tuple([
+  z.literal(1),
+  text,
+  z.int().min(0),
+  stateCode,
+  text,
+  text,
+  text,
+  text,
+  text,
+  text,
+]);
+/** [2, owner, key, version, value] */
+const recordUpdate = z.tuple([z.literal(2), text, text, z.number().min(0), z.unknown()]);
+const update = z.union([memberStateUpdate, memberUpdate, recordUpdate]);
+
+/** [kind, sender, sender's revision, sequence, target, updates] */
+const message = z.tuple([
+  z.enum(['ping', 'ack', 'ping-request', 'gossip', 'digest', 'digest-reply']),
+  text,
+  z.int().min(0),
+  z.int().min(0),
+  text,
+  z.array(update).max(2000),
+]);
+
+/** News about a member without its addresses. */
+export interface MemberStateUpdate {
+  readonly kind: 'member-state';
+  readonly id: string;
+  readonly incarnation: number;
+  readonly state: MemberState;
+  /** How long ago the suspicion began, so that all nodes end it at about the same time. */
+  readonly suspicionAgeMs: number;
+}
+
+/** News about a member with all that it tells of itself. */
+export interface MemberUpdate {
+  readonly kind: 'member';
+  readonly identity: MemberIdentity;
+  readonly incarnation: number;
+  readonly state: MemberState;
+}
+
+/** A value published by one node under a key; the highest version holds. */
+export interface RecordUpdate {
+  readonly kind: 'record';
+  readonly owner: string;
+  readonly key: string;
+  readonly version: number;
+  readonly value: unknown;
+}
+
+export type Update = MemberStateUpdate | MemberUpdate | RecordUpdate;
+
+export type MessageKind = 'ping' | 'ack' | 'ping-request' | 'gossip' | 'digest' | 'digest-reply';
+
+export interface GossipMessage {
+  readonly kind: MessageKind;
+  readonly sender: string;
+  /** Configuration revision in force at the sender. */
+  readonly revision: number;
+  readonly sequence: number;
+  /** Member to probe, for `ping-request`; digest text, for `digest`; otherwise empty. */
+  readonly target: string;
+  readonly updates: readonly EncodedUpdate[];
+}
+
+/** An update in the form in which it is sent. */
+export type EncodedUpdate = readonly unknown[];
+
+export function encodeUpdate(news: Update): EncodedUpdate {
+  switch (news.kind) {
+    case 'member-state':
+      return [0, news.id, news.incarnation, STATES.indexOf(news.state), Math.round(news.suspicionAgeMs)];
+    case 'member': {
+      const { id, zone, region, gossip, peerUrl, callerUrl, processToken } = news.identity;
+      const state = STATES.indexOf(news.state);
+      return [1, id, news.incarnation, state, zone, region, gossip, peerUrl, callerUrl, processToken];
+    }
+    case 'record':
+      return [2, news.owner, news.key, news.version, news.value];
+  }
+}
+
+export function encodedSize(encoded: EncodedUpdate): number {
+  return pack(encoded).length;
+}
+
+export function encodeMessage(content: GossipMessage): Uint8Array {
+  return pack([
+    content.kind,
+    content.sender,
+    content.revision,
+    content.sequence,
+    content.target,
+    content.updates,
+  ]);
+}
+
+/** The message and its updates, or undefined when the bytes are no message. Never throws. */
+export function decodeMessage(bytes: Uint8Array): { message: GossipMessage; updates: Update[] } | undefined {
+  let value: unknown;
+  try {
+    value = unpack(bytes);
+  } catch {
+    return undefined;
+  }
+  const checked = message.safeParse(value);
+  if (!checked.success) return undefined;
+  const [kind, sender, revision, sequence, target, encoded] = checked.data;
+  return {
+    message: { kind, sender, revision, sequence, target, updates: encoded },
+    updates: encoded.map(decodeUpdate),
+  };
+}
+
+function decodeUpdate(encoded: z.infer<typeof update>): Update {
+  switch (encoded[0]) {
+    case 0: {
+      const [, id, incarnation, state, suspicionAgeMs] = encoded;
+      return { kind: 'member-state', id, incarnation, state: STATES[state] ?? 'alive', suspicionAgeMs };
+    }
+    case 1: {
+      const [, id, incarnation, state, zone, region, gossip, peerUrl, callerUrl, processToken] = encoded;
+      const identity = { id, zone, region, gossip, peerUrl, callerUrl, processToken };
+      return { kind: 'member', identity, incarnation, state: STATES[state] ?? 'alive' };
+    }
+    case 2: {
+      const [, owner, key, version, value] = encoded;
+      return { kind: 'record', owner, key, version, value };
+    }
+  }
+}
--- /dev/null
+++ b/packages/membership/src/membership.ts
@@ -0,0 +1,499 @@
+import { hashSeed, jittered, type Clock, type Random, type Timer } from '@canvasridge/clock';
+import type { Telemetry } from '@canvasridge/telemetry';
+import { BroadcastQueue } from './broadcast-queue.js';
+import {
+  decodeMessage,
+  encodeMessage,
+  encodeUpdate,
+  encodedSize,
+  type EncodedUpdate,
+  type GossipMessage,
+  type MessageKind,
+  type Update,
+} from './codec.js';
+import type { DatagramTransport } from './datagram-transport.js';
+import { isPresent, type Member, type MemberIdentity, type MemberState } from './member.js';
+import { MemberTable } from './member-table.js';
+import { RecordTable, type PublishedRecord } from './record-table.js';
+import { DEFAULT_MEMBERSHIP_TIMING, type MembershipTiming } from './timing.js';
+
+/** What a node wants to hear from its membership. */
+export interface MembershipEvents {
+  /** A member's state changed; `before` is undefined for a new one. */
+  onMember?(member: Member, before: MemberState | undefined): void;
+  /** A peer has a configuration revision, seen on any message of it. */
+  onRevision?(member: Member, revision: number): void;
+  onRecord?(record: PublishedRecord): void;
+}
+
+export interface MembershipOptions {
+  readonly identity: MemberIdentity;
+  readonly transport: DatagramTransport;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly telemetry: Telemetry;
+  readonly events: MembershipEvents;
+  /** Addresses to contact while no member is known: from settings and from the machine list. */
+  readonly seeds: () => readonly string[];
+  /** Configuration revision in force here. */
+  readonly revision: () => number;
+  readonly timing?: MembershipTiming;
+}
+
+const TRANSMISSION_FACTOR = 3;
+const ZERO_AGE = 0;
+const PAUSE_FACTOR = 3;
+
+/**
+ * SWIM membership (Das, Gupta, Motivala, 2002) with suspicion and incarnations, and gossip of
+ * small records. Three tasks run: probing, pushing fresh news, comparing digests.
+ */
+export class Membership {
+  readonly identity: MemberIdentity;
+  readonly #options: MembershipOptions;
+  readonly #timing: MembershipTiming;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #table: MemberTable;
+  readonly #records = new RecordTable();
+  readonly #queue = new BroadcastQueue();
+  readonly #awaitedAcks = new Map<number, () => void>();
+  readonly #stop = new AbortController();
+  #probeOrder: string[] = [];
+  #incarnation: number;
+  #state: MemberState = 'alive';
+  #recordVersion: number;
+  #sequence = 0;
+  #lastProbeAtMs: number;
+
+  constructor(options: MembershipOptions) {
+    this.identity = options.identity;
+    this.#options = options;
+    this.#timing = options.timing ?? DEFAULT_MEMBERSHIP_TIMING;
+    this.#clock = options.clock;
+    this.#random = options.random;
+    this.#lastProbeAtMs = options.clock.now();
+    // A restarted process must override what is known of the one before: wall time gives it a higher start.
+    this.#incarnation = Math.floor(options.clock.wallTime() / 1000) + 1;
+    this.#recordVersion = Math.floor(options.clock.wallTime());
+    this.#table = new MemberTable({
+      clock: options.clock,
+      suspicionMs: this.#timing.suspicionMs,
+      forgetMs: this.#timing.forgetMs,
+      onChange: (member, before) => this.#memberChanged(member, before),
+    });
+    options.transport.onMessage((from, bytes) => this.#receive(from, bytes));
+  }
+
+  start(): void {
+    this.#announceSelf();
+    void this.#probeTask();
+    void this.#gossipTask();
+    void this.#synchronisationTask();
+  }
+
+  /** Stops all tasks without telling anybody, as a crash would. */
+  stop(): void {
+    this.#stop.abort();
+    this.#options.transport.close();
+  }
+
+  /** Announces that this node takes no new work, yet still serves what it has. */
+  drain(): void {
+    this.#state = 'draining';
+    this.#incarnation += 1;
+    this.#announceSelf();
+    this.#pushToMany();
+  }
+
+  /** Announces the departure to several members at once. */
+  leave(): void {
+    this.#state = 'left';
+    this.#incarnation += 1;
+    this.#announceSelf();
+    this.#pushToMany();
+  }
+
+  /** Tells a few members at once, in place of waiting for the next period. */
+  pushNow(): void {
+    for (const member of this.#someMembers(this.#timing.gossipFanout)) this.#send(member.gossip, 'gossip');
+  }
+
+  /** Publishes `value` under `key`; it replaces this node's earlier value. */
+  publish(key: string, value: unknown): void {
+    this.#recordVersion += 1;
+    const update = {
+      kind: 'record',
+      owner: this.identity.id,
+      key,
+      version: this.#recordVersion,
+      value,
+    } as const;
+    this.#records.merge(update);
+    this.#broadcast(`record/${update.owner}/${key}`, update);
+  }
+
+  records(): Iterable<PublishedRecord> {
+    return this.#records.all();
+  }
+
+  recordsOf(owner: string): Iterable<PublishedRecord> {
+    return this.#records.of(owner);
+  }
+
+  self(): Member {
+    return { ...this.identity, incarnation: this.#incarnation, state: this.#state };
+  }
+
+  /** A member by name, this node included. */
+  get(id: string): Member | undefined {
+    return id === this.identity.id ? this.self() : this.#table.get(id);
+  }
+
+  /** All members believed present, this node included. */
+  present(): Member[] {
+    const others = this.#table.present();
+    return isPresent(this.#state) ? [...others, this.self()] : others;
+  }
+
+  // --- tasks -------------------------------------------------------------------------------------
+
+  async #probeTask(): Promise<void> {
+    await this.#clock.sleep(this.#random.next() * this.#timing.probePeriodMs, this.#stop.signal);
+    while (!this.#stop.signal.aborted) {
+      const startedAtMs = this.#clock.now();
+      this.#noticePause(startedAtMs);
+      this.#contactSeeds();
+      const target = this.#nextProbeTarget();
+      if (target !== undefined) void this.#probe(target);
+      for (const forgotten of this.#table.forgetOld()) this.#records.forget(forgotten);
+      this.#lastProbeAtMs = startedAtMs;
+      await this.#clock.sleep(this.#timing.probePeriodMs, this.#stop.signal);
+    }
+  }
+
+  async #gossipTask(): Promise<void> {
+    await this.#clock.sleep(this.#random.next() * this.#timing.gossipPeriodMs, this.#stop.signal);
+    while (!this.#stop.signal.aborted) {
+      if (this.#queue.size > 0) this.pushNow();
+      await this.#clock.sleep(this.#timing.gossipPeriodMs, this.#stop.signal);
+    }
+  }
+
+  async #synchronisationTask(): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      await this.#clock.sleep(
+        jittered(this.#timing.synchronisationPeriodMs, this.#random),
+        this.#stop.signal,
+      );
+      const partner = this.#random.pick(this.#table.present());
+      if (partner !== undefined) this.#send(partner.gossip, 'digest', 0, this.#digest());
+    }
+  }
+
+  // --- failure detection -------------------------------------------------------------------------
+
+  /** After a pause all members look silent; none of them must be blamed for it. */
+  #noticePause(nowMs: number): void {
+    if (nowMs - this.#lastProbeAtMs < PAUSE_FACTOR * this.#timing.probePeriodMs) return;
+    this.#awaitedAcks.clear();
+    this.#options.telemetry.event('warn', 'membership.paused', this.identity.id, {
+      pausedMs: Math.round(nowMs - this.#lastProbeAtMs),
+    });
+    this.#incarnation += 1;
+    this.#announceSelf();
+  }
+
+  #nextProbeTarget(): Member | undefined {
+    // Round-robin over a shuffled list bounds the time until every member has been probed (SWIM, 4.3).
+    for (;;) {
+      const id = this.#probeOrder.pop();
+      if (id === undefined) break;
+      const member = this.#table.get(id);
+      if (member !== undefined && isPresent(member.state)) return member;
+    }
+    this.#probeOrder = this.#random.shuffle(this.#table.present().map((member) => member.id));
+    const first = this.#probeOrder.pop();
+    return first === undefined ? undefined : this.#table.get(first);
+  }
+
+  async #probe(target: Member): Promise<void> {
+    const startedAtMs = this.#clock.now();
+    if (await this.#ping(target.gossip, this.#timing.probeTimeoutMs)) return;
+    const helpers = this.#someMembers(this.#timing.indirectProbes, target.id);
+    const leftMs = this.#timing.probePeriodMs - this.#timing.probeTimeoutMs;
+    const answered = this.#awaitAck((sequence) => {
+      for (const helper of helpers) this.#send(helper.gossip, 'ping-request', sequence, target.gossip);
+      this.#send(target.gossip, 'ping', sequence);
+    }, leftMs);
+    if (await answered) return;
+    if (this.#stop.signal.aborted) return;
+    // A process that slept meanwhile learnt nothing about the target.
+    if (this.#clock.now() - startedAtMs > 2 * this.#timing.probePeriodMs) return;
+    this.#suspect(target);
+  }
+
+  #ping(address: string, timeoutMs: number): Promise<boolean> {
+    return this.#awaitAck((sequence) => this.#send(address, 'ping', sequence), timeoutMs);
+  }
+
+  #awaitAck(request: (sequence: number) => void, timeoutMs: number): Promise<boolean> {
+    this.#sequence += 1;
+    const sequence = this.#sequence;
+    return new Promise((resolve) => {
+      const timer: Timer = this.#clock.setTimer(timeoutMs, () => {
+        this.#awaitedAcks.delete(sequence);
+        resolve(false);
+      });
+      this.#awaitedAcks.set(sequence, () => {
+        timer.cancel();
+        this.#awaitedAcks.delete(sequence);
+        resolve(true);
+      });
+      request(sequence);
+    });
+  }
+
+  #suspect(target: Member): void {
+    const known = this.#table.get(target.id);
+    if (known === undefined || known.incarnation !== target.incarnation) return;
+    this.#table.mergeState(target.id, known.incarnation, 'suspect', ZERO_AGE);
+  }
+
+  // --- receiving ---------------------------------------------------------------------------------
+
+  #receive(from: string, bytes: Uint8Array): void {
+    if (this.#stop.signal.aborted) return;
+    const decoded = decodeMessage(bytes);
+    if (decoded === undefined) return;
+    for (const update of decoded.updates) this.#apply(update);
+    this.#answer(from, decoded.message);
+    const sender = this.#table.get(decoded.message.sender);
+    if (sender !== undefined) this.#options.events.onRevision?.(sender, decoded.message.revision);
+  }
+
+  #answer(from: string, message: GossipMessage): void {
+    switch (message.kind) {
+      case 'ping':
+        this.#introduceTo(message.sender, from);
+        this.#send(from, 'ack', message.sequence);
+        return;
+      case 'ack':
+        this.#awaitedAcks.get(message.sequence)?.();
+        return;
+      case 'ping-request':
+        void this.#ping(message.target, this.#timing.probeTimeoutMs).then((alive) => {
+          if (alive) this.#send(from, 'ack', message.sequence);
+        });
+        return;
+      case 'digest':
+        if (message.target !== this.#digest()) this.#sendWholeState(from, 'digest-reply');
+        return;
+      case 'digest-reply':
+        return;
+      case 'gossip':
+        return;
+    }
+  }
+
+  /** A sender that is not known here, or is believed gone, is told so and introduces itself. */
+  #introduceTo(sender: string, address: string): void {
+    const known = this.#table.get(sender);
+    if (known !== undefined && isPresent(known.state)) return;
+    if (known === undefined) {
+      this.#sendWholeState(address, 'digest-reply');
+      return;
+    }
+    const verdict = encodeUpdate({
+      kind: 'member-state',
+      id: sender,
+      incarnation: known.incarnation,
+      state: known.state,
+      suspicionAgeMs: ZERO_AGE,
+    });
+    this.#sendUpdates(address, 'gossip', 0, '', [verdict]);
+  }
+
+  #apply(update: Update): void {
+    switch (update.kind) {
+      case 'member':
+        if (update.identity.id === this.identity.id)
+          this.#refute(update.incarnation, update.state, update.identity);
+        else this.#table.mergeMember(update.identity, update.incarnation, update.state);
+        return;
+      case 'member-state':
+        if (update.id === this.identity.id) this.#refute(update.incarnation, update.state, this.identity);
+        else this.#table.mergeState(update.id, update.incarnation, update.state, update.suspicionAgeMs);
+        return;
+      case 'record':
+        this.#applyRecord(update);
+        return;
+    }
+  }
+
+  #applyRecord(update: Update & { kind: 'record' }): void {
+    if (update.owner === this.identity.id) {
+      // Left over from the process before this one: go above it, so that news of this one prevail.
+      this.#recordVersion = Math.max(this.#recordVersion, update.version);
+      return;
+    }
+    if (!this.#records.merge(update)) return;
+    this.#broadcast(`record/${update.owner}/${update.key}`, update);
+    this.#options.events.onRecord?.(update);
+  }
+
+  /** Answers news about this node itself that are wrong or older than it. */
+  #refute(incarnation: number, state: MemberState, identity: MemberIdentity): void {
+    if (this.#state === 'left') return;
+    const sameProcess = identity.processToken === this.identity.processToken;
+    const agrees = state === this.#state && sameProcess;
+    if (incarnation < this.#incarnation || (incarnation === this.#incarnation && agrees)) return;
+    this.#incarnation = incarnation + 1;
+    this.#announceSelf();
+  }
+
+  // --- sending -----------------------------------------------------------------------------------
+
+  #memberChanged(member: Member, before: MemberState | undefined): void {
+    if (before === undefined || before !== member.state) {
+      this.#options.telemetry.event('info', 'membership.changed', member.id, {
+        state: member.state,
+        before: before ?? 'unknown',
+        incarnation: member.incarnation,
+      });
+    }
+    const announcesAddresses = member.state === 'alive' || member.state === 'draining';
+    const topic = `member/${member.id}`;
+    if (announcesAddresses) {
+      const { incarnation, state } = member;
+      this.#broadcast(topic, { kind: 'member', identity: member, incarnation, state });
+    } else {
+      this.#queue.add(topic, () => this.#encodeState(member));
+    }
+    this.#options.events.onMember?.(member, before);
+  }
+
+  #encodeState(member: Member): EncodedUpdate {
+    return encodeUpdate({
+      kind: 'member-state',
+      id: member.id,
+      incarnation: member.incarnation,
+      state: member.state,
+      suspicionAgeMs: this.#table.suspicionAgeMs(member.id),
+    });
+  }
+
+  #announceSelf(): void {
+    this.#broadcast(`member/${this.identity.id}`, this.#selfUpdate());
+  }
+
+  #selfUpdate(): Update {
+    return { kind: 'member', identity: this.identity, incarnation: this.#incarnation, state: this.#state };
+  }
+
+  #broadcast(topic: string, update: Update): void {
+    const encoded = encodeUpdate(update);
+    this.#queue.add(topic, () => encoded);
+  }
+
+  #transmissions(): number {
+    return TRANSMISSION_FACTOR + Math.ceil(Math.log2(this.#table.present().length + 2));
+  }
+
+  #someMembers(count: number, except = ''): Member[] {
+    const candidates = this.#table.present().filter((member) => member.id !== except);
+    const chosen: Member[] = [];
+    while (chosen.length < count && candidates.length > 0) {
+      const index = this.#random.integer(candidates.length);
+      const [member] = candidates.splice(index, 1);
+      if (member !== undefined) chosen.push(member);
+    }
+    return chosen;
+  }
+
+  #pushToMany(): void {
+    const many = Math.min(this.#table.present().length, 2 * this.#transmissions());
+    for (const member of this.#someMembers(many)) this.#send(member.gossip, 'gossip');
+  }
+
+  /** With few members known, seeds are asked: at the start, and after a partition that outlived memory. */
+  #contactSeeds(): void {
+    const known = new Set(this.#table.present().map((member) => member.gossip));
+    const unknown = this.#options
+      .seeds()
+      .filter((address) => address !== this.identity.gossip && !known.has(address));
+    const seed = this.#random.pick(unknown);
+    if (seed === undefined) return;
+    const self = encodeUpdate(this.#selfUpdate());
+    this.#sequence += 1;
+    this.#sendUpdates(seed, 'ping', this.#sequence, '', [self]);
+  }
+
+  #send(address: string, kind: MessageKind, sequence = 0, target = ''): void {
+    const updates = this.#queue.take(this.#timing.datagramBytes, this.#transmissions());
+    this.#sendUpdates(address, kind, sequence, target, updates);
+  }
+
+  #sendUpdates(
+    address: string,
+    kind: MessageKind,
+    sequence: number,
+    target: string,
+    updates: readonly EncodedUpdate[],
+  ): void {
+    const revision = this.#options.revision();
+    const message = { kind, sender: this.identity.id, revision, sequence, target, updates };
+    this.#options.transport.send(address, encodeMessage(message));
+  }
+
+  // --- comparing whole tables --------------------------------------------------------------------
+
+  /** A short text that is the same on two nodes exactly when they know the same. */
+  #digest(): string {
+    const members = this.#allMembers().map((member) => `${member.id}/${member.incarnation}/${member.state}`);
+    const records = [...this.#records.highestVersions()].map(([owner, version]) => `${owner}#${version}`);
+    return String(hashSeed([...members, ...records].sort().join(',')));
+  }
+
+  #allMembers(): Member[] {
+    return [...this.#table.all().filter((member) => isPresent(member.state)), this.self()];
+  }
+
+  /** Sends members and records in as many datagrams as they need. */
+  #sendWholeState(address: string, kind: MessageKind): void {
+    const updates = [...this.#memberUpdates(), ...this.#recordUpdates()];
+    let batch: EncodedUpdate[] = [];
+    let bytes = 0;
+    for (const update of updates) {
+      const size = encodedSize(update);
+      if (bytes + size > this.#timing.datagramBytes && batch.length > 0) {
+        this.#sendUpdates(address, kind, 0, '', batch);
+        batch = [];
+        bytes = 0;
+      }
+      batch.push(update);
+      bytes += size;
+    }
+    this.#sendUpdates(address, kind, 0, '', batch);
+  }
+
+  #memberUpdates(): EncodedUpdate[] {
+    return this.#table
+      .all()
+      .map((member) =>
+        isPresent(member.state)
+          ? encodeUpdate({
+              kind: 'member',
+              identity: member,
+              incarnation: member.incarnation,
+              state: member.state,
+            })
+          : this.#encodeState(member),
+      )
+      .concat([encodeUpdate(this.#selfUpdate())]);
+  }
+
+  #recordUpdates(): EncodedUpdate[] {
+    return [...this.#records.all()].map((record) => encodeUpdate({ kind: 'record', ...record }));
+  }
+}
--- /dev/null
+++ b/packages/membership/src/udp-transport.ts
@@ -0,0 +1,78 @@
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import { createSocket, type Socket } from 'node:dgram';
+import { isIPv6 } from 'node:net';
+import { err, ok, type Result } from 'neverthrow';
+import type { DatagramTransport } from './datagram-transport.js';
+
+const SEAL_BYTES = 8;
+
+export interface UdpTransportError {
+  readonly kind: 'cannot-bind';
+  readonly address: string;
+  readonly reason: string;
+}
+
+/**
+ * Datagrams over UDP. Each ends with the first 8 bytes of its HMAC-SHA256 under the key that the
+ * nodes share, so stray or forged datagrams are dropped before they are decoded.
+ */
+export class UdpTransport implements DatagramTransport {
+  readonly localAddress: string;
+  readonly #socket: Socket;
+  readonly #key: string;
+
+  private constructor(socket: Socket, key: string) {
+    this.#socket = socket;
+    this.#key = key;
+    const bound = socket.address();
+    this.localAddress = formatAddress(bound.address, bound.port);
+  }
+
+  /** Binds to `host:port`; port 0 lets the system choose. */
+  static bind(host: string, port: number, key: string): Promise<Result<UdpTransport, UdpTransportError>> {
+    const socket = createSocket(isIPv6(host) ? 'udp6' : 'udp4');
+    return new Promise((resolve) => {
+      socket.once('error', (cause) => {
+        resolve(err({ kind: 'cannot-bind', address: `${host}:${port}`, reason: cause.message }));
+      });
+      socket.bind(port, host, () => {
+        socket.removeAllListeners('error');
+        socket.on('error', () => undefined); // a failed send is a lost datagram, which the protocol expects
+        resolve(ok(new UdpTransport(socket, key)));
+      });
+    });
+  }
+
+  send(address: string, bytes: Uint8Array): void {
+    const separator = address.lastIndexOf(':');
+    const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
+    const port = Number(address.slice(separator + 1));
+    this.#socket.send([bytes, this.#seal(bytes)], port, host, () => undefined);
+  }
+
+  onMessage(receiver: (fromAddress: string, bytes: Uint8Array) => void): void {
+    this.#socket.on('message', (datagram, remote) => {
+      const content = this.#open(datagram);
+      if (content !== undefined) receiver(formatAddress(remote.address, remote.port), content);
+    });
+  }
+
+  close(): void {
+    this.#socket.close();
+  }
+
+  #seal(bytes: Uint8Array): Buffer {
+    return createHmac('sha256', this.#key).update(bytes).digest().subarray(0, SEAL_BYTES);
+  }
+
+  #open(datagram: Buffer): Uint8Array | undefined {
+    if (datagram.length <= SEAL_BYTES) return undefined;
+    const content = datagram.subarray(0, datagram.length - SEAL_BYTES);
+    const seal = datagram.subarray(datagram.length - SEAL_BYTES);
+    return timingSafeEqual(seal, this.#seal(content)) ? content : undefined;
+  }
+}
+
+function formatAddress(host: string, port: number): string {
+  return isIPv6(host) ? `[${host}]:${port}` : `${host}:${port}`;
+}
--- /dev/null
+++ b/packages/node/src/control/admin-service.ts
@@ -0,0 +1,136 @@
+import { configurationSchema, problem, type Problem } from '@canvasridge/domain';
+import type { ConfigurationFollower, Plan } from '@canvasridge/configuration';
+import { planChange } from '@canvasridge/configuration';
+import type { Member } from '@canvasridge/membership';
+import { describeIssues } from '@canvasridge/settings';
+import type { Telemetry, TimelineDump } from '@canvasridge/telemetry';
+import { err, ok, type Result } from 'neverthrow';
+import type { EngineFleet } from './engine-fleet.js';
+
+export interface AdminServiceOptions {
+  readonly self: () => Member;
+  readonly present: () => readonly Member[];
+  readonly follower: ConfigurationFollower;
+  readonly fleet: EngineFleet;
+  readonly telemetry: Telemetry;
+  readonly state: () => string;
+  readonly activeRequests: () => number;
+  readonly completedRequests: () => number;
+  readonly drain: () => void;
+}
+
+/** An engine that a node owns, as `canvasridge status` shows it. */
+export interface OwnedEngineStatus {
+  readonly engineId: string;
+  readonly running: number;
+  readonly queued: number;
+  readonly maxBatch: number;
+  readonly slots: number;
+  readonly adapters: readonly { readonly key: string; readonly state: string; readonly running: number }[];
+}
+
+/** Answer of `GET /admin/status`. */
+export interface NodeStatus {
+  readonly node: string;
+  readonly zone: string;
+  readonly region: string;
+  readonly state: string;
+  readonly revision: number;
+  readonly digest: string;
+  readonly held: { readonly revision: number; readonly reason: string } | null;
+  readonly activeRequests: number;
+  readonly completedRequests: number;
+  readonly members: readonly {
+    readonly id: string;
+    readonly zone: string;
+    readonly state: string;
+    readonly peerUrl: string;
+  }[];
+  readonly engines: readonly OwnedEngineStatus[];
+}
+
+/** What operators ask a node. */
+export class AdminService {
+  readonly #options: AdminServiceOptions;
+
+  constructor(options: AdminServiceOptions) {
+    this.#options = options;
+  }
+
+  status(): NodeStatus {
+    const { self, present, follower, state, activeRequests, completedRequests } = this.#options;
+    const { id, zone, region } = self();
+    const members = present().map((member) => ({
+      id: member.id,
+      zone: member.zone,
+      state: member.state,
+      peerUrl: member.peerUrl,
+    }));
+    return {
+      node: id,
+      zone,
+      region,
+      state: state(),
+      revision: follower.store.revision,
+      digest: follower.store.head?.digest ?? '',
+      held: follower.store.held ?? null,
+      activeRequests: activeRequests(),
+      completedRequests: completedRequests(),
+      members: members.sort((a, b) => (a.id < b.id ? -1 : 1)),
+      engines: this.#engines(),
+    };
+  }
+
+  timeline(): TimelineDump {
+    return this.#options.telemetry.ring.dump();
+  }
+
+  /** The configuration in force, with what a next revision must follow. */
+  configuration(): unknown {
+    const { store } = this.#options.follower;
+    return {
+      revision: store.revision,
+      digest: store.head?.digest ?? null,
+      configuration: store.index?.configuration ?? null,
+    };
+  }
+
+  /** What a document would change, given what this node knows of the fleet. */
+  plan(document: unknown): Result<Plan, Problem> {
+    const checked = configurationSchema.safeParse(document);
+    if (!checked.success) {
+      const issues = describeIssues(document, checked.error);
+      const detail = issues
+        .map((issue) => `${issue.path}: found ${issue.found}; ${issue.problem}`)
+        .join('\n');
+      return err(problem('malformed-request', 'no', { detail }));
+    }
+    const { store } = this.#options.follower;
+    const base =
+      store.head === undefined
+        ? undefined
+        : { revision: store.revision, digest: store.head.digest, configuration: store.index?.configuration };
+    const engines = this.#engines().map((engine) => ({
+      engineId: engine.engineId,
+      loaded: engine.adapters.map((adapter) => adapter.key),
+    }));
+    return ok(planChange(base, checked.data, { engines }));
+  }
+
+  drain(): void {
+    this.#options.drain();
+  }
+
+  #engines(): OwnedEngineStatus[] {
+    return this.#options.fleet.owned().map((scheduler) => ({
+      engineId: scheduler.engine.id,
+      running: scheduler.inFlight,
+      queued: scheduler.queued,
+      maxBatch: scheduler.engine.maxBatch,
+      slots: scheduler.engine.slots,
+      adapters: scheduler
+        .slots()
+        .map((slot) => ({ key: slot.key, state: slot.state, running: slot.inFlight })),
+    }));
+  }
+}
--- /dev/null
+++ b/packages/node/src/http/exchange.ts
@@ -0,0 +1,38 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { StreamSink } from '@canvasridge/domain';
+import type { InboundRequest, RequestEnd } from '../requests/inbound.js';
+import { readBody } from './body.js';
+import { ResponseSink, writeProblem } from './response-sink.js';
+
+/** Answers one request through a sink. */
+export type Handler = (inbound: InboundRequest, sink: StreamSink, signal: AbortSignal) => Promise<RequestEnd>;
+
+/**
+ * One HTTP exchange, from the body to the end of the answer. Written on `node:http` itself: an answer
+ * through web streams costs more than all the rest of the path (docs/design/streaming-path.md).
+ */
+export async function answerExchange(
+  request: IncomingMessage,
+  response: ServerResponse,
+  bodyLimit: number,
+  handler: Handler,
+): Promise<void> {
+  const gone = new AbortController();
+  response.on('close', () => {
+    if (!response.writableFinished) gone.abort();
+  });
+  const body = await readBody(request, bodyLimit);
+  if (body.isErr()) {
+    response.setHeader('connection', 'close');
+    writeProblem(response, body.error);
+    return;
+  }
+  const inbound: InboundRequest = {
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    headers: request.headers as Record<string, string | undefined>,
+    body: body.value,
+  };
+  const sink = new ResponseSink(response);
+  sink.finish(await handler(inbound, sink, gone.signal));
+}
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,8 @@
+/** The entry node, for its binary and for experiments that run it on a simulated network. */
+export { EntryNode, type NodeOptions, type NodePorts, type NodeState } from './node.js';
+export { startNodeProcess, type NodeProcess, type StartError } from './process.js';
+export { nodeSettingsSchema, type NodeSettings } from './settings.js';
+export { type InboundRequest, type RequestEnd } from './requests/inbound.js';
+export type { NodeStatus, OwnedEngineStatus } from './control/admin-service.js';
+export { EngineScheduler, type EngineWork, type SchedulerError } from './scheduling/engine-scheduler.js';
+export { TicketQueue } from './scheduling/ticket-queue.js';
--- /dev/null
+++ b/packages/node/src/node.ts
@@ -0,0 +1,401 @@
+import { CallerLimits, RequestKeys, RetryBudget } from '@canvasridge/admission';
+import type { Clock, Random } from '@canvasridge/clock';
+import { ConfigurationFollower, headSchema } from '@canvasridge/configuration';
+import type {
+  ConfigurationIndex,
+  ConfigurationSource,
+  EngineClient,
+  EngineDefinition,
+  MachineList,
+  ServiceClient,
+} from '@canvasridge/domain';
+import {
+  Membership,
+  PeerRpcServer,
+  type DatagramTransport,
+  type Member,
+  type MemberIdentity,
+  type MembershipTiming,
+  type PeerCaller,
+} from '@canvasridge/membership';
+import {
+  OwnershipManager,
+  DEFAULT_OWNERSHIP_TIMING,
+  grantParams,
+  releaseParams,
+  ungrantParams,
+  type OwnershipTiming,
+} from '@canvasridge/ownership';
+import { rankByRendezvous } from '@canvasridge/placement';
+import type { ForwardClient } from '@canvasridge/platform';
+import type { Telemetry } from '@canvasridge/telemetry';
+import { z } from 'zod';
+import { AdminService } from './control/admin-service.js';
+import { EngineFleet } from './control/engine-fleet.js';
+import { MachineWatch } from './control/machine-watch.js';
+import { Directory } from './requests/directory.js';
+import { ForwardHandler } from './requests/forward-handler.js';
+import { GenerationRouter } from './requests/generation-router.js';
+import { KeyProtocol, keyOutcomeParams, transferKeyParams } from './requests/key-protocol.js';
+import { RequestService } from './requests/request-service.js';
+import { ServiceRouter } from './requests/service-router.js';
+import { StreamTokens } from './requests/stream-tokens.js';
+import { LoadGrants, acquireLoadParams, finishLoadParams } from './scheduling/load-grants.js';
+
+/** Everything outside of a node. Production binds it to sockets, experiments to a simulated network. */
+export interface NodePorts {
+  readonly transport: DatagramTransport;
+  readonly peers: PeerCaller;
+  readonly forward: ForwardClient;
+  readonly configuration: ConfigurationSource;
+  readonly machines: MachineList;
+  readonly services: ServiceClient;
+  readonly newEngineClient: (engine: EngineDefinition) => EngineClient;
+}
+
+export interface NodeOptions {
+  readonly identity: MemberIdentity;
+  readonly seeds: readonly string[];
+  readonly peerKey: string;
+  readonly ports: NodePorts;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly telemetry: Telemetry;
+  readonly ownershipTiming?: OwnershipTiming;
+  readonly membershipTiming?: MembershipTiming;
+}
+
+export type NodeState = 'starting' | 'ready' | 'draining' | 'closed';
+
+const WATCHERS_PER_ZONE = 2;
+const CALL_TIMEOUT_MS = 3000;
+const DRAIN_CHECK_MS = 100;
+
+const headAnswer = z.strictObject({ head: headSchema.nullable(), sourceVersion: z.number() });
+const chunkAnswer = z.strictObject({ text: z.string().nullable() });
+
+/** One entry node: membership, configuration, ownership of engines, and the path of requests. */
+export class EntryNode {
+  readonly rpc = new PeerRpcServer();
+  readonly membership: Membership;
+  readonly follower: ConfigurationFollower;
+  readonly fleet: EngineFleet;
+  readonly ownership: OwnershipManager;
+  readonly requests: RequestService;
+  readonly forwardHandler: ForwardHandler;
+  readonly directory: Directory;
+  readonly admin: AdminService;
+  readonly #options: NodeOptions;
+  readonly #machines: MachineWatch;
+  readonly #grants: LoadGrants;
+  readonly #keys: KeyProtocol;
+  #state: NodeState = 'starting';
+  #requestCount = 0;
+
+  constructor(options: NodeOptions) {
+    this.#options = options;
+    const { clock, random, telemetry, ports } = options;
+    this.#machines = this.#newMachineWatch();
+    this.membership = this.#newMembership();
+    this.follower = this.#newFollower();
+    this.#grants = this.#newGrants();
+    this.fleet = this.#newFleet();
+    this.ownership = this.#newOwnership();
+    this.fleet.bind(this.ownership);
+    const self = (): Member => this.membership.self();
+    const member = (id: string): Member | undefined => this.membership.get(id);
+    const present = (): Member[] => this.membership.present();
+    const keys = new RequestKeys(clock);
+    this.#keys = new KeyProtocol({
+      self,
+      member,
+      caller: ports.peers,
+      keys,
+      delegated: new RequestKeys(clock),
+    });
+    const streams = new StreamTokens(options.peerKey);
+    const budget = new RetryBudget();
+    const common = { budget, clock, random, telemetry };
+    this.requests = new RequestService({
+      index: () => this.follower.store.index,
+      limits: new CallerLimits(clock, () => 1),
+      generations: new GenerationRouter({
+        ...common,
+        fleet: this.fleet,
+        forward: ports.forward,
+        streams,
+        newEngineRequestId: (requestId) => this.#newEngineRequestId(requestId),
+      }),
+      services: new ServiceRouter({
+        ...common,
+        client: ports.services,
+        zone: options.identity.zone,
+        isLeaving: (machine) => this.#isLeaving(machine),
+      }),
+      keys: this.#keys,
+      streams,
+      clientOf: (engine) => this.fleet.clientOf(engine),
+      clock,
+      telemetry,
+      newRequestId: () => this.#newRequestId(),
+    });
+    this.forwardHandler = new ForwardHandler({
+      fleet: this.fleet,
+      index: () => this.follower.store.index,
+      clock,
+    });
+    this.directory = new Directory({
+      requests: this.requests,
+      fleet: this.fleet,
+      keys: this.#keys,
+      self,
+      present,
+    });
+    this.admin = new AdminService({
+      self,
+      present,
+      follower: this.follower,
+      fleet: this.fleet,
+      telemetry,
+      state: () => this.#state,
+      activeRequests: () => this.requests.active + this.forwardHandler.active,
+      completedRequests: () => this.requests.completed,
+      drain: () => this.drain(),
+    });
+    this.#registerMethods();
+  }
+
+  get state(): NodeState {
+    return this.#state;
+  }
+
+  /** Largest body that callers may send, in bytes. */
+  get bodyLimit(): number {
+    const fallback = 1_048_576;
+    return this.follower.store.index?.tuning.maxBodyBytes ?? fallback;
+  }
+
+  start(): void {
+    this.#machines.start();
+    this.membership.start();
+    this.follower.start();
+  }
+
+  /** Announces that the node is leaving: directory answers and ownership move to others. */
+  drain(): void {
+    if (this.#state === 'draining' || this.#state === 'closed') return;
+    this.#state = 'draining';
+    this.#options.telemetry.event('info', 'node.draining', this.membership.identity.id);
+    this.membership.drain();
+    this.ownership.reconcile();
+  }
+
+  /**
+   * Planned stop. Requests that still arrive are served for `lingerMs`, since callers may hold an older
+   * directory answer; then no more are taken, and the node ends when the last one has been answered.
+   */
+  async stop(lingerMs: number, limitMs: number): Promise<void> {
+    const { clock } = this.#options;
+    const startedAtMs = clock.now();
+    this.drain();
+    await clock.sleep(lingerMs);
+    this.#state = 'closed';
+    while (!this.#idle() && clock.now() - startedAtMs < limitMs) await clock.sleep(DRAIN_CHECK_MS);
+    this.ownership.stop();
+    this.membership.leave();
+    await clock.sleep(DRAIN_CHECK_MS);
+    this.kill();
+  }
+
+  /** Ends all tasks at once, telling nobody. */
+  kill(): void {
+    this.#state = 'closed';
+    this.follower.stop();
+    this.#machines.stop();
+    this.membership.stop();
+    this.ownership.stop();
+  }
+
+  #idle(): boolean {
+    return this.requests.active === 0 && this.forwardHandler.active === 0;
+  }
+
+  // --- parts -------------------------------------------------------------------------------------
+
+  #newMachineWatch(): MachineWatch {
+    const { ports, clock, random, telemetry } = this.#options;
+    const onChange = (): void => {
+      this.fleet.machinesChanged();
+      this.ownership.reconcile();
+    };
+    return new MachineWatch({ list: ports.machines, clock, random, telemetry, onChange });
+  }
+
+  #newMembership(): Membership {
+    const { identity, ports, clock, random, telemetry, seeds, membershipTiming } = this.#options;
+    return new Membership({
+      identity,
+      transport: ports.transport,
+      clock,
+      random,
+      telemetry,
+      seeds: () => [...seeds, ...this.#machines.seeds()],
+      revision: () => this.follower.store.stamp,
+      ...(membershipTiming === undefined ? {} : { timing: membershipTiming }),
+      events: {
+        onMember: (member) => this.#memberChanged(member),
+        onRevision: (member, stamp) => void this.follower.heardOf(member.id, stamp),
+        onRecord: (record) => this.fleet.view.update(record),
+      },
+    });
+  }
+
+  #memberChanged(member: Member): void {
+    if (member.state === 'dead' || member.state === 'left') this.fleet.view.forgetOwner(member.id);
+    else for (const record of this.membership.recordsOf(member.id)) this.fleet.view.update(record);
+    this.ownership.reconcile();
+    this.#options.telemetry.metrics.gauge('membership.alive', this.membership.present().length);
+  }
+
+  #newFollower(): ConfigurationFollower {
+    const { ports, clock, random, telemetry } = this.#options;
+    const peerUrl = (id: string): string | undefined => this.membership.get(id)?.peerUrl;
+    return new ConfigurationFollower({
+      source: ports.configuration,
+      peers: {
+        head: async (peerId) => {
+          const url = peerUrl(peerId);
+          if (url === undefined) return undefined;
+          const answer = await ports.peers.call(url, 'configuration.head', {}, headAnswer, CALL_TIMEOUT_MS);
+          if (answer.isErr() || answer.value.head === null) return undefined;
+          return { head: answer.value.head, sourceVersion: answer.value.sourceVersion };
+        },
+        chunk: async (peerId, sha256) => {
+          const url = peerUrl(peerId);
+          if (url === undefined) return undefined;
+          const params = { sha256 };
+          const answer = await ports.peers.call(
+            url,
+            'configuration.chunk',
+            params,
+            chunkAnswer,
+            CALL_TIMEOUT_MS,
+          );
+          return answer.isOk() ? (answer.value.text ?? undefined) : undefined;
+        },
+      },
+      clock,
+      random,
+      telemetry,
+      isWatcher: () => this.#isWatcher(),
+      onRevision: (index) => this.#revisionInForce(index),
+    });
+  }
+
+  /** The few members of each zone with the highest scores hold the watch on the configuration service. */
+  #isWatcher(): boolean {
+    const { id, zone } = this.membership.identity;
+    const near = this.membership.present().filter((member) => member.zone === zone);
+    const ranked = rankByRendezvous('configuration-watch', near, (member) => member.id);
+    return ranked.slice(0, WATCHERS_PER_ZONE).some((member) => member.id === id);
+  }
+
+  #revisionInForce(index: ConfigurationIndex): void {
+    if (this.#state === 'starting') this.#state = 'ready';
+    this.fleet.configure(index);
+    this.membership.pushNow();
+  }
+
+  #newGrants(): LoadGrants {
+    const { clock, ports } = this.#options;
+    return new LoadGrants({
+      clock,
+      caller: ports.peers,
+      self: () => this.membership.self(),
+      present: () => this.membership.present(),
+      limits: () => {
+        const tuning = this.follower.store.index?.tuning;
+        return {
+          loadsPerSecond: tuning?.weightStoreLoadsPerSecond ?? 1,
+          concurrency: tuning?.weightStoreConcurrency ?? 1,
+        };
+      },
+      reachableShare: () => this.#shareOfEngines((engine) => this.fleet.ownerOf(engine.id) !== undefined),
+      ownShare: () => this.#shareOfEngines((engine) => this.fleet.schedulerOf(engine.id) !== undefined),
+    });
+  }
+
+  #shareOfEngines(counts: (engine: EngineDefinition) => boolean): number {
+    const engines = this.follower.store.index?.configuration.engines ?? [];
+    return engines.length === 0 ? 1 : engines.filter(counts).length / engines.length;
+  }
+
+  #newFleet(): EngineFleet {
+    const { clock, telemetry, ports, ownershipTiming } = this.#options;
+    return new EngineFleet({
+      clock,
+      telemetry,
+      timing: ownershipTiming ?? DEFAULT_OWNERSHIP_TIMING,
+      self: () => this.membership.self(),
+      member: (id) => this.membership.get(id),
+      isLeaving: (machine) => this.#isLeaving(machine),
+      newClient: ports.newEngineClient,
+      acquireLoad: (wish, signal) => this.#grants.acquire(wish, signal),
+      publish: (key, value) => this.membership.publish(key, value),
+    });
+  }
+
+  #newOwnership(): OwnershipManager {
+    const { clock, random, telemetry, ports, ownershipTiming } = this.#options;
+    return new OwnershipManager({
+      self: () => this.membership.self(),
+      present: () => this.membership.present(),
+      member: (id) => this.membership.get(id),
+      listedNodes: () => this.#machines.entryNodes(),
+      caller: ports.peers,
+      clientOf: (engine) => this.fleet.clientOf(engine),
+      clock,
+      random,
+      telemetry,
+      timing: ownershipTiming ?? DEFAULT_OWNERSHIP_TIMING,
+      events: {
+        onHeld: (ownership, state) => this.fleet.held(ownership, state),
+        onLost: (ownership) => this.fleet.lost(ownership),
+        wantsNewFence: (engineId) => this.fleet.wantsNewFence(engineId),
+      },
+    });
+  }
+
+  #isLeaving(machine: string | undefined): boolean {
+    return this.#machines.isLeaving(machine) || this.follower.store.index?.isLeaving(machine) === true;
+  }
+
+  #registerMethods(): void {
+    const { rpc, ownership, follower } = this;
+    rpc.register('ownership.release', releaseParams, (params) => ownership.handleRelease(params));
+    rpc.register('ownership.grant', grantParams, (params) => ownership.handleGrant(params));
+    rpc.register('ownership.ungrant', ungrantParams, (params) => ownership.handleUngrant(params));
+    rpc.register('weights.acquire', acquireLoadParams, (params) => this.#grants.handleAcquire(params));
+    rpc.register('weights.finish', finishLoadParams, (params) => this.#grants.handleFinish(params));
+    rpc.register('keys.transfer', transferKeyParams, (params) => this.#keys.handleTransfer(params));
+    rpc.register('keys.outcome', keyOutcomeParams, (params) => this.#keys.handleOutcome(params));
+    rpc.register('configuration.head', z.object({}), () => ({
+      head: follower.store.head ?? null,
+      sourceVersion: follower.store.sourceVersion,
+    }));
+    rpc.register('configuration.chunk', z.object({ sha256: z.string() }), ({ sha256 }) => ({
+      text: follower.store.chunk(sha256) ?? null,
+    }));
+  }
+
+  #newRequestId(): string {
+    this.#requestCount += 1;
+    return `${this.membership.identity.id}-${this.membership.identity.processToken}-${this.#requestCount}`;
+  }
+
+  /** Unique for each attempt, so that a resumed stream is that of exactly this attempt. */
+  #newEngineRequestId(requestId: string): string {
+    this.#requestCount += 1;
+    return `${requestId}.${this.membership.identity.processToken}${this.#requestCount}`;
+  }
+}
--- /dev/null
+++ b/packages/node/src/requests/inbound.ts
@@ -0,0 +1,159 @@
+import type { CallerDefinition, Problem, StreamSink } from '@canvasridge/domain';
+import { Header, Priority, problem, type PriorityName } from '@canvasridge/domain';
+import { err, ok, type Result } from 'neverthrow';
+
+/** A request of a caller, before anything has been decided. Header names are lower-case. */
+export interface InboundRequest {
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string | undefined>>;
+  readonly body: Uint8Array;
+}
+
+/** What a caller asked for in headers. */
+export interface RequestOptions {
+  readonly requestId: string;
+  /** Monotonic time of the deadline, in milliseconds. */
+  readonly deadlineAtMs: number;
+  readonly priority: number;
+  readonly repeatable: boolean;
+  readonly key: string | undefined;
+  readonly home: string | undefined;
+  /** Whether the caller may come back for the stream after a broken connection. */
+  readonly resumable: boolean;
+}
+
+const REQUEST_ID = /^[\w.:-]{1,64}$/;
+const KEY = /^[\x21-\x7e]{1,128}$/;
+const LONGEST_DEADLINE_MS = 3_600_000;
+
+type HeaderResult<T> = Result<T, Problem>;
+
+/** Reads the headers; each mistake names the header and what it may hold. */
+export function readOptions(
+  headers: InboundRequest['headers'],
+  caller: CallerDefinition,
+  nowMs: number,
+  defaultDeadlineMs: number,
+  newRequestId: () => string,
+): HeaderResult<RequestOptions> {
+  const requestId = headers[Header.requestId] ?? newRequestId();
+  if (!REQUEST_ID.test(requestId))
+    return invalid(Header.requestId, requestId, '1 to 64 letters, digits, "._:-"');
+  const deadline = readDeadline(headers[Header.deadlineMs], defaultDeadlineMs);
+  if (deadline.isErr()) return err(deadline.error);
+  const priority = readPriority(headers[Header.priority], caller);
+  if (priority.isErr()) return err(priority.error);
+  const repeatable = headers[Header.repeatable] ?? 'yes';
+  if (repeatable !== 'yes' && repeatable !== 'no')
+    return invalid(Header.repeatable, repeatable, '"yes" or "no"');
+  const key = headers[Header.idempotencyKey];
+  if (key !== undefined && !KEY.test(key))
+    return invalid(Header.idempotencyKey, key, '1 to 128 printable characters');
+  return ok({
+    requestId,
+    deadlineAtMs: nowMs + deadline.value,
+    priority: priority.value,
+    repeatable: repeatable === 'yes',
+    key,
+    home: headers[Header.home],
+    resumable: headers[Header.resumable] === 'yes',
+  });
+}
+
+function readDeadline(text: string | undefined, defaultMs: number): HeaderResult<number> {
+  if (text === undefined) return ok(defaultMs);
+  const value = Number(text);
+  if (!Number.isFinite(value) || value > LONGEST_DEADLINE_MS || text.trim() === '') {
+    return invalid(Header.deadlineMs, text, `milliseconds left, at most ${LONGEST_DEADLINE_MS}`);
+  }
+  if (value <= 0)
+    return err(problem('deadline-passed', 'no', { detail: `${Header.deadlineMs}: found ${text}` }));
+  return ok(value);
+}
+
+/** A caller may lower the priority that the configuration gives it, not raise it. */
+function readPriority(text: string | undefined, caller: CallerDefinition): HeaderResult<number> {
+  const highest = Priority[caller.priority];
+  if (text === undefined) return ok(highest);
+  if (!(text in Priority)) return invalid(Header.priority, text, Object.keys(Priority).join(', '));
+  return ok(Math.min(highest, Priority[text as PriorityName]));
+}
+
+function invalid<T>(name: string, found: string, expected: string): HeaderResult<T> {
+  return err(
+    problem('invalid-header', 'no', {
+      detail: `${name}: found "${found.slice(0, 80)}", expected ${expected}`,
+    }),
+  );
+}
+
+/** How a request ended, for the one that answers the caller. */
+export type RequestEnd =
+  /** The whole answer was passed to the sink. */
+  | { readonly kind: 'completed' }
+  /** Nothing was passed to the sink; the problem document is the answer. */
+  | { readonly kind: 'refused'; readonly problem: Problem }
+  /** The answer broke off after it had started; the document tells the caller so. */
+  | { readonly kind: 'broken-off'; readonly problem: Problem };
+
+export function refused(document: Problem): RequestEnd {
+  return { kind: 'refused', problem: document };
+}
+
+/** A sink that knows whether an answer has started, and adds headers to it. */
+export class RelaySink implements StreamSink {
+  readonly #target: StreamSink;
+  readonly #headers: Record<string, string>;
+  readonly #observer: ((chunk: Uint8Array) => void) | undefined;
+  #started = false;
+  #status = 0;
+  #answerHeaders: Readonly<Record<string, string>> = {};
+
+  /** @param observer sees each chunk that is passed on */
+  constructor(
+    target: StreamSink,
+    headers: Readonly<Record<string, string>>,
+    observer?: (chunk: Uint8Array) => void,
+  ) {
+    this.#target = target;
+    this.#headers = { ...headers };
+    this.#observer = observer;
+  }
+
+  /** Adds a header to the answer, unless it has started. */
+  setHeader(name: string, value: string): void {
+    this.#headers[name] = value;
+  }
+
+  get started(): boolean {
+    return this.#started;
+  }
+
+  get status(): number {
+    return this.#status;
+  }
+
+  get answerHeaders(): Readonly<Record<string, string>> {
+    return this.#answerHeaders;
+  }
+
+  /** A resumed stream starts again on another connection; the caller has its headers already. */
+  start(status: number, headers: Readonly<Record<string, string>>): void {
+    if (this.#started) return;
+    this.#started = true;
+    this.#status = status;
+    this.#answerHeaders = { ...headers, ...this.#headers };
+    this.#target.start(status, this.#answerHeaders);
+  }
+
+  write(chunk: Uint8Array): boolean {
+    this.#observer?.(chunk);
+    return this.#target.write(chunk);
+  }
+
+  waitForDrain(): Promise<void> {
+    return this.#target.waitForDrain();
+  }
+}
--- /dev/null
+++ b/packages/node/src/scheduling/adapter-loader.ts
@@ -0,0 +1,187 @@
+import type { Clock } from '@canvasridge/clock';
+import type { EngineClient, EngineDefinition } from '@canvasridge/domain';
+import type { EngineOwnership } from '@canvasridge/ownership';
+import { chooseVictim, type EvictionCandidate, type LoadGrant, type LoadWish } from '@canvasridge/placement';
+import type { Telemetry } from '@canvasridge/telemetry';
+import { isIdle, newSlot, type Slot } from './slot.js';
+import type { SlotSet } from './slot-set.js';
+
+export interface AdapterLoaderOptions {
+  readonly engine: EngineDefinition;
+  readonly client: EngineClient;
+  readonly ownership: EngineOwnership;
+  readonly slots: SlotSet;
+  readonly clock: Clock;
+  readonly telemetry: Telemetry;
+  readonly acquireLoad: (wish: LoadWish, signal: AbortSignal) => Promise<LoadGrant | undefined>;
+  /** Waiting requests for an adapter, weighted by priority. */
+  readonly waitingWeight: (key: string) => number;
+  readonly evictionCandidate: (slot: Slot) => EvictionCandidate;
+  /** Called when a load has ended; `loaded` tells how, `tookMs` how long it took. */
+  readonly onLoadEnd: (key: string, outcome: LoadOutcome, tookMs: number) => void;
+  readonly onChange: () => void;
+}
+
+export type LoadOutcome = 'loaded' | 'failed' | 'abandoned';
+
+/** A load that has waited this long for a slot makes a busy one drain. */
+const DRAIN_PATIENCE_MS = 400;
+const LOAD_ATTEMPTS = 3;
+const LOAD_RETRY_MS = 300;
+const IDLE_CHECK_MS = 100;
+
+/** Loads and drops adapters of one owned engine: one task for each load. */
+export class AdapterLoader {
+  readonly #options: AdapterLoaderOptions;
+  readonly #clock: Clock;
+  readonly #tasks = new Map<string, AbortController>();
+
+  constructor(options: AdapterLoaderOptions) {
+    this.#options = options;
+    this.#clock = options.clock;
+  }
+
+  get active(): number {
+    return this.#tasks.size;
+  }
+
+  isLoading(key: string): boolean {
+    return this.#tasks.has(key);
+  }
+
+  /** Loads at once: no more than slots that can be had, and at least one, which waits for a slot. */
+  get limit(): number {
+    return Math.max(1, Math.min(this.#options.engine.slots, this.#options.slots.reclaimable));
+  }
+
+  start(key: string): void {
+    const abort = new AbortController();
+    this.#tasks.set(key, abort);
+    void this.#load(key, abort);
+  }
+
+  /** Nobody waits for the adapter any more. */
+  cancel(key: string): void {
+    this.#tasks.get(key)?.abort();
+  }
+
+  cancelAll(): void {
+    for (const abort of this.#tasks.values()) abort.abort();
+    this.#tasks.clear();
+  }
+
+  /** Drops an idle adapter. Returns when the engine has answered. */
+  async unload(slot: Slot): Promise<void> {
+    const { client, ownership, slots, telemetry } = this.#options;
+    if (!ownership.mayUnload || !isIdle(slot)) {
+      await this.#clock.sleep(IDLE_CHECK_MS);
+      return;
+    }
+    // From here on no request is sent for it, so it stays idle until the engine has dropped it.
+    slot.state = 'unloading';
+    const order = { kind: 'unload', adapter: slot.adapter, version: slot.version } as const;
+    const answer = await client.order(ownership.fence, order);
+    telemetry.metrics.count('adapter.unloads');
+    if (answer.isOk() && answer.value.kind === 'done') {
+      slots.remove(slot, this.#clock.now());
+      return;
+    }
+    // Unknown whether it arrived, or will: only a higher fence rules out that it strikes later.
+    ownership.abandon('an unload had no answer');
+  }
+
+  async #load(key: string, abort: AbortController): Promise<void> {
+    const startedAtMs = this.#clock.now();
+    const loaded = await this.#tryLoads(key, abort.signal);
+    if (this.#tasks.get(key) === abort) this.#tasks.delete(key);
+    const failure = abort.signal.aborted ? 'abandoned' : 'failed';
+    this.#options.onLoadEnd(key, loaded ? 'loaded' : failure, this.#clock.now() - startedAtMs);
+  }
+
+  async #tryLoads(key: string, signal: AbortSignal): Promise<boolean> {
+    for (let attempt = 0; attempt < LOAD_ATTEMPTS && !signal.aborted; attempt += 1) {
+      if (attempt > 0) await this.#clock.sleep(LOAD_RETRY_MS * attempt, signal);
+      const weight = this.#options.waitingWeight(key);
+      const grant = await this.#options.acquireLoad(
+        { engineId: this.#options.engine.id, key, weight },
+        signal,
+      );
+      if (grant === undefined) return false;
+      const done = (await this.#makeRoom(signal)) && (await this.#orderLoad(key));
+      grant.finish();
+      if (done) return true;
+    }
+    return false;
+  }
+
+  /** Frees a slot, waiting for one to become idle; false when the load is no longer wanted. */
+  async #makeRoom(signal: AbortSignal): Promise<boolean> {
+    const { slots, ownership } = this.#options;
+    const startedAtMs = this.#clock.now();
+    while (!signal.aborted && ownership.held) {
+      if (!slots.full) return true;
+      const victim = this.#victim();
+      if (victim !== undefined) {
+        await this.unload(victim);
+        continue;
+      }
+      if (this.#clock.now() - startedAtMs > DRAIN_PATIENCE_MS) this.#drainOne();
+      await this.#clock.sleep(IDLE_CHECK_MS, signal);
+    }
+    return false;
+  }
+
+  #victim(): Slot | undefined {
+    const idle = this.#options.slots.all().filter(isIdle);
+    const drained = idle.find((slot) => slot.draining);
+    if (drained !== undefined) return drained;
+    const unwanted = idle.filter((slot) => this.#options.waitingWeight(slot.key) === 0);
+    return this.#cheapest(unwanted);
+  }
+
+  /** All slots are busy: the one in least demand takes no more requests, so that it becomes idle. */
+  #drainOne(): void {
+    const ready = this.#options.slots.all().filter((slot) => slot.state === 'ready');
+    if (ready.some((slot) => slot.draining)) return;
+    const slot = this.#cheapest(ready);
+    if (slot !== undefined) slot.draining = true;
+  }
+
+  #cheapest(slots: readonly Slot[]): Slot | undefined {
+    const chosen = chooseVictim(slots.map((slot) => this.#options.evictionCandidate(slot)));
+    return chosen === undefined ? undefined : this.#options.slots.get(chosen.key);
+  }
+
+  async #orderLoad(key: string): Promise<boolean> {
+    const { client, ownership, slots, telemetry, engine } = this.#options;
+    if (!ownership.held || slots.get(key) !== undefined || slots.full) return false;
+    const at = key.lastIndexOf('@');
+    const slot = newSlot(
+      { adapter: key.slice(0, at), version: key.slice(at + 1) },
+      'loading',
+      this.#clock.now(),
+    );
+    slots.add(slot, this.#clock.now());
+    this.#options.onChange();
+    const { fence, incarnation } = ownership;
+    telemetry.metrics.count('adapter.loads');
+    const answer = await client.order(fence, { kind: 'load', adapter: slot.adapter, version: slot.version });
+    const current = slots.get(key) === slot;
+    if (
+      current &&
+      answer.isOk() &&
+      answer.value.kind === 'done' &&
+      answer.value.incarnation === incarnation
+    ) {
+      slot.state = 'ready';
+      return true;
+    }
+    slots.remove(slot, this.#clock.now());
+    telemetry.metrics.count('adapter.load_failures');
+    const reason = answer.isErr() ? answer.error.kind : answer.value.kind;
+    telemetry.event('warn', 'adapter.load-failed', key, { engine: engine.id, reason });
+    if (answer.isErr()) ownership.abandon('a load had no answer');
+    else if (answer.value.kind === 'stale-fence') ownership.fenceRefused(fence);
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/index.ts
@@ -0,0 +1,12 @@
+/** Which node gives orders to an engine. */
+export { desiredOwner } from './desired-owner.js';
+export { EngineOwnership, type EngineOwnershipOptions, type OwnedState } from './engine-ownership.js';
+export {
+  OwnershipManager,
+  type OwnershipManagerOptions,
+  releaseParams,
+  grantParams,
+  ungrantParams,
+} from './ownership-manager.js';
+export { WitnessTable, chooseWitnesses } from './witness-table.js';
+export { DEFAULT_OWNERSHIP_TIMING, type OwnershipTiming } from './timing.js';
--- /dev/null
+++ b/packages/ownership/src/ownership-manager.ts
@@ -0,0 +1,211 @@
+import type { Random } from '@canvasridge/clock';
+import { type Clock } from '@canvasridge/clock';
+import type { EngineClient, EngineDefinition } from '@canvasridge/domain';
+import type { Member, PeerCaller } from '@canvasridge/membership';
+import type { Telemetry } from '@canvasridge/telemetry';
+import { z } from 'zod';
+import { desiredOwner } from './desired-owner.js';
+import { EngineOwnership, type OwnedState } from './engine-ownership.js';
+import type { OwnershipTiming } from './timing.js';
+import { WitnessTable, chooseWitnesses } from './witness-table.js';
+
+/** What the rest of the node does with owned engines. */
+export interface OwnershipEvents {
+  onHeld(ownership: EngineOwnership, state: OwnedState): void;
+  onLost(ownership: EngineOwnership, reason: string): void;
+  /** Whether work of this node on the engine was left with an unknown outcome. */
+  wantsNewFence(engineId: string): boolean;
+}
+
+export interface OwnershipManagerOptions {
+  readonly self: () => Member;
+  /** Members believed present, this node included. */
+  readonly present: () => readonly Member[];
+  readonly member: (id: string) => Member | undefined;
+  /** Names of all entry nodes that the platform lists, live or not. */
+  readonly listedNodes: () => readonly string[];
+  readonly caller: PeerCaller;
+  readonly clientOf: (engine: EngineDefinition) => EngineClient;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly telemetry: Telemetry;
+  readonly timing: OwnershipTiming;
+  readonly events: OwnershipEvents;
+}
+
+const RELEASE_TIMEOUT_MS = 1000;
+const GRANT_TIMEOUT_MS = 700;
+
+const booleanAnswer = z.strictObject({ done: z.boolean() });
+
+/** Parameters of the methods that peers call. */
+export const releaseParams = z.strictObject({ engineId: z.string(), requester: z.string() });
+export const grantParams = z.strictObject({
+  engineId: z.string(),
+  holder: z.string(),
+  leaseMs: z.number().min(0).max(60_000),
+});
+export const ungrantParams = z.strictObject({ engineId: z.string(), holder: z.string() });
+
+/** Runs an {@link EngineOwnership} for each engine that this node owns or should own. */
+export class OwnershipManager {
+  readonly #options: OwnershipManagerOptions;
+  readonly #owned = new Map<string, EngineOwnership>();
+  readonly #witnessTable: WitnessTable;
+  readonly #holder: string;
+  #engines: readonly EngineDefinition[] = [];
+  #desired = new Map<string, string>();
+  #stopped = false;
+
+  constructor(options: OwnershipManagerOptions) {
+    this.#options = options;
+    const self = options.self();
+    this.#holder = `${self.id}~${self.processToken}`;
+    this.#witnessTable = new WitnessTable(options.clock, options.timing.witnessLeaseMs);
+  }
+
+  get(engineId: string): EngineOwnership | undefined {
+    return this.#owned.get(engineId);
+  }
+
+  owned(): readonly EngineOwnership[] {
+    return [...this.#owned.values()].filter((ownership) => ownership.held);
+  }
+
+  /** Member that should own the engine, by this node's view. */
+  desiredOwnerOf(engineId: string): string | undefined {
+    return this.#desired.get(engineId);
+  }
+
+  setEngines(engines: readonly EngineDefinition[]): void {
+    this.#engines = engines;
+    this.reconcile();
+  }
+
+  /** Works out again which engines this node should own. Called when members or engines change. */
+  reconcile(): void {
+    if (this.#stopped) return;
+    const present = this.#options.present();
+    this.#desired = new Map();
+    for (const engine of this.#engines) {
+      const owner = desiredOwner(engine, present);
+      if (owner !== undefined) this.#desired.set(engine.id, owner.id);
+    }
+    this.#dropRemoved();
+    for (const engine of this.#engines) this.#ensureTask(engine);
+  }
+
+  /** Gives up every engine and ends all tasks. */
+  stop(): void {
+    this.#stopped = true;
+    for (const ownership of this.#owned.values()) ownership.stop();
+  }
+
+  /** A peer that should own an engine asks for it. */
+  handleRelease(params: z.infer<typeof releaseParams>): z.infer<typeof booleanAnswer> {
+    const ownership = this.#owned.get(params.engineId);
+    if (ownership === undefined || !ownership.held) return { done: true };
+    // Only when this node agrees on who should own it: two views must not throw an engine to and fro.
+    if (this.#desired.get(params.engineId) === this.#options.self().id) return { done: false };
+    ownership.release(`handed to ${params.requester}`);
+    return { done: true };
+  }
+
+  handleGrant(params: z.infer<typeof grantParams>): z.infer<typeof booleanAnswer> {
+    return { done: this.#witnessTable.grant(params.engineId, params.holder, params.leaseMs) };
+  }
+
+  handleUngrant(params: z.infer<typeof ungrantParams>): z.infer<typeof booleanAnswer> {
+    this.#witnessTable.release(params.engineId, params.holder);
+    return { done: true };
+  }
+
+  #dropRemoved(): void {
+    const known = new Map(this.#engines.map((engine) => [engine.id, engine]));
+    for (const [id, ownership] of this.#owned) {
+      const engine = known.get(id);
+      if (engine !== undefined && engine.url === ownership.engine.url) continue;
+      ownership.stop();
+      this.#owned.delete(id);
+    }
+  }
+
+  #ensureTask(engine: EngineDefinition): void {
+    const existing = this.#owned.get(engine.id);
+    if (existing !== undefined) {
+      existing.wake();
+      return;
+    }
+    if (this.#desired.get(engine.id) !== this.#options.self().id) return;
+    const ownership = this.#newOwnership(engine);
+    this.#owned.set(engine.id, ownership);
+    ownership.start();
+  }
+
+  #newOwnership(engine: EngineDefinition): EngineOwnership {
+    const { events, clock, telemetry, timing, clientOf } = this.#options;
+    const ownership: EngineOwnership = new EngineOwnership({
+      engine,
+      client: clientOf(engine),
+      clock,
+      random: this.#options.random,
+      telemetry,
+      timing,
+      holder: this.#holder,
+      isDesired: () => this.#desired.get(engine.id) === this.#options.self().id,
+      requestRelease: (holder) => this.#requestRelease(engine.id, holder),
+      witnesses: {
+        acquire: (engineId, leaseMs) => this.#acquireFromWitnesses(engineId, leaseMs),
+        release: (engineId) => this.#releaseWitnesses(engineId),
+      },
+      wantsNewFence: () => events.wantsNewFence(engine.id),
+      onHeld: (state) => events.onHeld(ownership, state),
+      onLost: (reason) => events.onLost(ownership, reason),
+    });
+    return ownership;
+  }
+
+  async #requestRelease(engineId: string, holder: string): Promise<boolean> {
+    const [nodeId = '', processToken = ''] = holder.split('~');
+    const self = this.#options.self();
+    // An earlier process of this very node is gone: this one has its address.
+    if (nodeId === self.id) return true;
+    const member = this.#options.member(nodeId);
+    if (member === undefined || member.state === 'dead' || member.state === 'left') return false;
+    if (member.processToken !== processToken) return true;
+    const params = { engineId, requester: self.id };
+    const answer = await this.#call(member, 'ownership.release', params, RELEASE_TIMEOUT_MS);
+    return answer;
+  }
+
+  async #acquireFromWitnesses(engineId: string, leaseMs: number): Promise<boolean> {
+    const witnesses = chooseWitnesses(engineId, this.#options.listedNodes());
+    if (witnesses.length === 0) return false;
+    const params = { engineId, holder: this.#holder, leaseMs };
+    const votes = await Promise.all(witnesses.map((id) => this.#askWitness(id, params)));
+    const granted = votes.filter((vote) => vote).length;
+    return granted > witnesses.length / 2;
+  }
+
+  async #askWitness(id: string, params: z.infer<typeof grantParams>): Promise<boolean> {
+    if (id === this.#options.self().id) return this.handleGrant(params).done;
+    const member = this.#options.member(id);
+    if (member === undefined) return false;
+    return this.#call(member, 'ownership.grant', params, GRANT_TIMEOUT_MS);
+  }
+
+  #releaseWitnesses(engineId: string): void {
+    const params = { engineId, holder: this.#holder };
+    this.#witnessTable.release(engineId, this.#holder);
+    for (const id of chooseWitnesses(engineId, this.#options.listedNodes())) {
+      const member = this.#options.member(id);
+      if (member === undefined || id === this.#options.self().id) continue;
+      void this.#call(member, 'ownership.ungrant', params, GRANT_TIMEOUT_MS);
+    }
+  }
+
+  async #call(member: Member, method: string, params: unknown, timeoutMs: number): Promise<boolean> {
+    const answer = await this.#options.caller.call(member.peerUrl, method, params, booleanAnswer, timeoutMs);
+    return answer.isOk() && answer.value.done;
+  }
+}
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,7 @@
+/** Where adapters and engines belong, and what a choice costs in seconds. */
+export { hash32, rendezvousScore, rankByRendezvous, highestRendezvous } from './rendezvous.js';
+export { AdapterCandidates } from './adapter-candidates.js';
+export { DemandTracker } from './demand-tracker.js';
+export { chooseVictim, type EvictionCandidate } from './eviction.js';
+export { estimateSeconds, chooseEngine, type EngineOutlook, type RouteEstimate } from './route-cost.js';
+export { LoadQueue, type LoadGrant, type LoadWish } from './load-queue.js';
--- /dev/null
+++ b/packages/platform/src/http-agent.ts
@@ -0,0 +1,17 @@
+import { Agent } from 'undici';
+
+const CONNECTIONS_PER_ORIGIN = 1024;
+const CONNECT_TIMEOUT_MS = 1500;
+const KEEP_ALIVE_MS = 15_000;
+
+/** Connection pools for one kind of back end. Body and header waits are bounded by request deadlines. */
+export function newHttpAgent(): Agent {
+  return new Agent({
+    connections: CONNECTIONS_PER_ORIGIN,
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
--- /dev/null
+++ b/packages/platform/src/http-machine-list.ts
@@ -0,0 +1,44 @@
+import type { Machine, MachineList, MachineListError } from '@canvasridge/domain';
+import { ResultAsync, err, ok, type Result } from 'neverthrow';
+import { request as httpRequest, type Dispatcher } from 'undici';
+import { z } from 'zod';
+
+const machinesSchema = z.array(
+  z.object({
+    id: z.string(),
+    role: z.enum(['entry', 'back-end']),
+    state: z.enum(['live', 'leaving']),
+    gossip: z.string().optional(),
+  }),
+);
+
+const TIMEOUT_MS = 3000;
+
+/** The platform's machine list over HTTP: `GET /machines`. */
+export class HttpMachineList implements MachineList {
+  readonly #url: string;
+  readonly #dispatcher: Dispatcher;
+
+  constructor(url: string, dispatcher: Dispatcher) {
+    this.#url = url.replace(/\/$/, '');
+    this.#dispatcher = dispatcher;
+  }
+
+  list(): ResultAsync<readonly Machine[], MachineListError> {
+    return new ResultAsync(this.#list());
+  }
+
+  async #list(): Promise<Result<readonly Machine[], MachineListError>> {
+    try {
+      const response = await httpRequest(`${this.#url}/machines`, {
+        dispatcher: this.#dispatcher,
+        signal: AbortSignal.timeout(TIMEOUT_MS),
+      });
+      const checked = machinesSchema.safeParse(await response.body.json());
+      if (checked.success) return ok(checked.data);
+      return err({ kind: 'unavailable', detail: checked.error.message });
+    } catch (cause) {
+      return err({ kind: 'unavailable', detail: (cause as Error).message });
+    }
+  }
+}
--- /dev/null
+++ b/packages/platform/src/stream-exchange.ts
@@ -0,0 +1,166 @@
+import type { StreamSink } from '@canvasridge/domain';
+import type { Dispatcher } from 'undici';
+import { EventStreamTracker } from './event-stream-tracker.js';
+
+/** A whole answer was passed to the sink, or one that the sink was not shown because of its status. */
+export interface ExchangeEnd {
+  readonly kind: 'answered' | 'refused';
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  /** Body of a refused answer, cut at a limit. */
+  readonly refusal: string;
+  readonly lastEventId: number;
+}
+
+/** The exchange broke. `sent` tells whether the request may have reached the other side. */
+export interface ExchangeFailure {
+  readonly kind: 'failed';
+  readonly sent: boolean;
+  /** Whether the sink has been given the start of an answer. */
+  readonly started: boolean;
+  readonly lastEventId: number;
+  readonly detail: string;
+}
+
+export interface ExchangeOptions {
+  readonly origin: string;
+  readonly path: string;
+  readonly method: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array | undefined;
+  /** Which answers go to the sink; others are collected as a refusal. */
+  readonly passesStatus: (status: number) => boolean;
+  readonly afterEventId?: number;
+}
+
+const REFUSAL_LIMIT = 8192;
+
+/**
+ * One HTTP exchange whose answer streams into a sink with back pressure. Uses undici's dispatch
+ * interface, since a readable stream for each answer costs about as much as all else on the path.
+ * Never rejects.
+ */
+export function streamExchange(
+  dispatcher: Dispatcher,
+  options: ExchangeOptions,
+  sink: StreamSink,
+  signal: AbortSignal,
+): Promise<ExchangeEnd | ExchangeFailure> {
+  return new Promise((resolve) => {
+    const handler = new ExchangeHandler(options, sink, signal, resolve);
+    if (signal.aborted) {
+      handler.failBeforeSending('cancelled');
+      return;
+    }
+    dispatcher.dispatch(
+      {
+        origin: options.origin,
+        path: options.path,
+        method: options.method,
+        headers: options.headers as Record<string, string>,
+        body: options.body ?? null,
+      },
+      handler,
+    );
+  });
+}
+
+class ExchangeHandler implements Dispatcher.DispatchHandler {
+  readonly #options: ExchangeOptions;
+  readonly #sink: StreamSink;
+  readonly #signal: AbortSignal;
+  readonly #resolve: (outcome: ExchangeEnd | ExchangeFailure) => void;
+  readonly #abort = (): void => this.#controller?.abort(new Error('cancelled'));
+  #controller: Dispatcher.DispatchController | undefined;
+  #tracker: EventStreamTracker | undefined;
+  #sent = false;
+  #started = false;
+  #status = 0;
+  #headers: Readonly<Record<string, string>> = {};
+  #refusal = '';
+
+  constructor(
+    options: ExchangeOptions,
+    sink: StreamSink,
+    signal: AbortSignal,
+    resolve: (outcome: ExchangeEnd | ExchangeFailure) => void,
+  ) {
+    this.#options = options;
+    this.#sink = sink;
+    this.#signal = signal;
+    this.#resolve = resolve;
+    signal.addEventListener('abort', this.#abort, { once: true });
+  }
+
+  /** Undici calls this when a connection is ready, right before the request is written. */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#signal.aborted) {
+      controller.abort(new Error('cancelled'));
+      return;
+    }
+    this.#sent = true;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    this.#status = status;
+    this.#headers = flattenHeaders(headers);
+    if (!this.#options.passesStatus(status)) return;
+    this.#started = true;
+    const isEventStream = this.#headers['content-type']?.startsWith('text/event-stream') === true;
+    if (isEventStream) this.#tracker = new EventStreamTracker(this.#options.afterEventId);
+    this.#sink.start(status, this.#headers);
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.#started) {
+      if (this.#refusal.length < REFUSAL_LIMIT) this.#refusal += chunk.toString('utf8');
+      return;
+    }
+    const whole = this.#tracker === undefined ? chunk : this.#tracker.push(chunk);
+    if (whole.length === 0 || this.#sink.write(whole)) return;
+    controller.pause();
+    void this.#sink.waitForDrain().then(() => controller.resume());
+  }
+
+  onResponseEnd(): void {
+    this.#finish({
+      kind: this.#started ? 'answered' : 'refused',
+      status: this.#status,
+      headers: this.#headers,
+      refusal: this.#refusal,
+      lastEventId: this.#tracker?.lastEventId ?? -1,
+    });
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.#fail(error.message);
+  }
+
+  failBeforeSending(detail: string): void {
+    this.#fail(detail);
+  }
+
+  #fail(detail: string): void {
+    const lastEventId = this.#tracker?.lastEventId ?? this.#options.afterEventId ?? -1;
+    this.#finish({ kind: 'failed', sent: this.#sent, started: this.#started, lastEventId, detail });
+  }
+
+  #finish(outcome: ExchangeEnd | ExchangeFailure): void {
+    this.#signal.removeEventListener('abort', this.#abort);
+    this.#resolve(outcome);
+  }
+}
+
+function flattenHeaders(headers: Record<string, string | string[] | undefined>): Record<string, string> {
+  const flat: Record<string, string> = {};
+  for (const name in headers) {
+    const value = headers[name];
+    if (value !== undefined) flat[name] = typeof value === 'string' ? value : value.join(', ');
+  }
+  return flat;
+}
--- /dev/null
+++ b/packages/settings/src/document.ts
@@ -0,0 +1,89 @@
+import { readFile } from 'node:fs/promises';
+import { err, ok, type Result } from 'neverthrow';
+import type { z } from 'zod';
+
+/** One value that the schema does not allow. */
+export interface DocumentIssue {
+  /** Path inside the document, such as `engines[2].slots`; `(root)` for the document itself. */
+  readonly path: string;
+  readonly problem: string;
+  readonly found: string;
+}
+
+/** Why a settings or configuration file cannot be used. */
+export type SettingsError =
+  | { readonly kind: 'unreadable'; readonly file: string; readonly reason: string }
+  | { readonly kind: 'not-json'; readonly file: string; readonly reason: string }
+  | { readonly kind: 'invalid'; readonly file: string; readonly issues: readonly DocumentIssue[] };
+
+const FOUND_LIMIT = 60;
+
+/** Reads a JSON file and checks it against `schema`. */
+export async function readJsonFile<T>(file: string, schema: z.ZodType<T>): Promise<Result<T, SettingsError>> {
+  let text: string;
+  try {
+    text = await readFile(file, 'utf8');
+  } catch (cause) {
+    return err({ kind: 'unreadable', file, reason: (cause as NodeJS.ErrnoException).code ?? String(cause) });
+  }
+  return parseDocument(file, text, schema);
+}
+
+/** Checks JSON text; `file` names it in errors. */
+export function parseDocument<T>(file: string, text: string, schema: z.ZodType<T>): Result<T, SettingsError> {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (cause) {
+    return err({ kind: 'not-json', file, reason: (cause as Error).message });
+  }
+  const checked = schema.safeParse(value);
+  if (checked.success) return ok(checked.data);
+  return err({ kind: 'invalid', file, issues: describeIssues(value, checked.error) });
+}
+
+/** Path, problem and found value of each violation. */
+export function describeIssues(value: unknown, error: z.ZodError): DocumentIssue[] {
+  return error.issues.map((issue) => ({
+    path: formatPath(issue.path),
+    problem: issue.message,
+    found: formatFound(valueAt(value, issue.path)),
+  }));
+}
+
+/** One line per problem, each naming the file, the path, what was found and what is allowed. */
+export function formatSettingsError(error: SettingsError): string {
+  switch (error.kind) {
+    case 'unreadable':
+      return `${error.file}: cannot be read (${error.reason}); give the path of a readable JSON file`;
+    case 'not-json':
+      return `${error.file}: is not JSON (${error.reason})`;
+    case 'invalid':
+      return error.issues
+        .map((issue) => `${error.file}: ${issue.path}: found ${issue.found}; ${issue.problem}`)
+        .join('\n');
+  }
+}
+
+function formatPath(path: readonly PropertyKey[]): string {
+  const text = path
+    .map((part) => (typeof part === 'number' ? `[${part}]` : `.${String(part)}`))
+    .join('')
+    .replace(/^\./, '');
+  return text === '' ? '(root)' : text;
+}
+
+function valueAt(value: unknown, path: readonly PropertyKey[]): unknown {
+  let current = value;
+  for (const part of path) {
+    if (typeof current !== 'object' || current === null) return undefined;
+    current = (current as Record<PropertyKey, unknown>)[part];
+  }
+  return current;
+}
+
+function formatFound(value: unknown): string {
+  if (value === undefined) return 'nothing';
+  const text = JSON.stringify(value);
+  return text.length > FOUND_LIMIT ? `${text.slice(0, FOUND_LIMIT)}…` : text;
+}
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,18 @@
+/** Settings files checked by schema, and the frame that all command lines share. */
+export {
+  readJsonFile,
+  parseDocument,
+  describeIssues,
+  type SettingsError,
+  formatSettingsError,
+} from './document.js';
+export {
+  runCommand,
+  ExitCode,
+  UsageError,
+  type CommandInput,
+  type CommandDefinition,
+  type CommandOutcome,
+  type OptionDefinition,
+} from './command-line.js';
+export { listenAddress, type ListenAddress, parseHostPort, type HostPort } from './addresses.js';
--- /dev/null
+++ b/packages/settings/test/document.test.ts
@@ -0,0 +1,37 @@
+import test from 'ava';
+import { z } from 'zod';
+import { formatSettingsError, parseDocument, parseHostPort } from '../src/index.js';
+
+const schema = z.strictObject({ list: z.array(z.strictObject({ size: z.int().min(1) })) });
+
+const badDocuments: readonly { name: string; text: string; expected: readonly string[] }[] = [
+  { name: 'not JSON', text: '{', expected: ['s.json', 'is not JSON'] },
+  {
+    name: 'a wrong number',
+    text: '{"list":[{"size":0}]}',
+    expected: ['s.json: list[0].size', 'found 0', '>=1'],
+  },
+  { name: 'a missing field', text: '{}', expected: ['s.json: list', 'found nothing'] },
+  { name: 'an unknown field', text: '{"list":[],"lost":1}', expected: ['(root)', 'lost'] },
+];
+
+for (const { name, text, expected } of badDocuments) {
+  test(`an error for ${name} names file, path, what was found and what is allowed`, (t) => {
+    const message = parseDocument('s.json', text, schema).match(() => '', formatSettingsError);
+    for (const part of expected) t.true(message.includes(part), `${message} should hold ${part}`);
+  });
+}
+
+const addresses: readonly [string, ReturnType<typeof parseHostPort>][] = [
+  ['127.0.0.1:80', { host: '127.0.0.1', port: 80 }],
+  ['[::1]:9', { host: '::1', port: 9 }],
+  ['localhost:80', undefined],
+  ['127.0.0.1', undefined],
+  ['127.0.0.1:70000', undefined],
+];
+
+for (const [text, expected] of addresses) {
+  test(`the address ${text} is read as ${JSON.stringify(expected) ?? 'nothing'}`, (t) => {
+    t.deepEqual(parseHostPort(text), expected);
+  });
+}
--- /dev/null
+++ b/packages/standin/src/process.ts
@@ -0,0 +1,66 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { getRequestListener } from '@hono/node-server';
+import { SystemClock } from '@canvasridge/clock';
+import type { HostPort } from '@canvasridge/settings';
+import { engineListener } from './engine/engine-http.js';
+import { platformApplication } from './platform/platform-http.js';
+import { serviceListener } from './service/service-http.js';
+import type { StandinSettings } from './settings.js';
+import { Standin } from './standin.js';
+
+/** Where the faces of an emulator listen. */
+export interface StandinProcess {
+  readonly standin: Standin;
+  readonly platformUrl: string;
+  readonly engineUrls: Readonly<Record<string, string>>;
+  readonly serviceUrls: readonly { readonly name: string; readonly url: string }[];
+  readonly stop: () => Promise<void>;
+}
+
+type Listener = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** Starts the emulator with all its HTTP faces in this process. Rejects when an address is taken. */
+export async function startStandinProcess(settings: StandinSettings): Promise<StandinProcess> {
+  const standin = new Standin(settings, new SystemClock());
+  const servers: Server[] = [];
+  const open = async (listener: Listener, address: HostPort): Promise<string> => {
+    const server = createServer({ keepAliveTimeout: 30_000 }, listener);
+    servers.push(server);
+    return listen(server, address);
+  };
+  const engineUrls: Record<string, string> = {};
+  for (const definition of settings.engines) {
+    const engine = standin.engines.get(definition.id);
+    if (engine !== undefined)
+      engineUrls[definition.id] = await open(engineListener(engine), definition.listen);
+  }
+  const serviceUrls: { name: string; url: string }[] = [];
+  for (const [index, definition] of settings.services.entries()) {
+    const service = standin.services[index];
+    if (service === undefined) continue;
+    serviceUrls.push({ name: definition.name, url: await open(serviceListener(service), definition.listen) });
+  }
+  const applicationListener = getRequestListener(platformApplication(standin).fetch);
+  const platformUrl = await open(
+    (request, response) => void applicationListener(request, response),
+    settings.listen,
+  );
+  const stop = async (): Promise<void> => {
+    for (const server of servers) {
+      server.closeAllConnections();
+      await new Promise<void>((resolve) => server.close(() => resolve()));
+    }
+  };
+  return { standin, platformUrl, engineUrls, serviceUrls, stop };
+}
+
+function listen(server: Server, address: HostPort): Promise<string> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(address.port, address.host, () => {
+      const { address: host, port } = server.address() as AddressInfo;
+      resolve(`http://${host}:${port}`);
+    });
+  });
+}
--- /dev/null
+++ b/packages/telemetry/src/event-logger.ts
@@ -0,0 +1,42 @@
+import { createConsola, type ConsolaInstance } from 'consola';
+
+/** Values of one log line. Undefined values are left out. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
+
+const LEVEL_NUMBERS: Readonly<Record<LogLevel, number>> = { error: 0, warn: 1, info: 3, debug: 4 };
+const PLAIN_VALUE = /^[\w.:/@%+-]+$/;
+
+/** `key=value` pairs in the given order; values with other than plain characters are JSON-quoted. */
+export function formatFields(fields: LogFields): string {
+  const parts: string[] = [];
+  for (const [key, value] of Object.entries(fields)) {
+    if (value === undefined) continue;
+    const text = String(value);
+    parts.push(`${key}=${PLAIN_VALUE.test(text) ? text : JSON.stringify(text)}`);
+  }
+  return parts.join(' ');
+}
+
+/** Writes one line of key=value pairs for each event to standard error. */
+export class EventLogger {
+  readonly #consola: ConsolaInstance;
+  readonly #process: string;
+
+  /** @param processName goes into every line as `process=` */
+  constructor(processName: string, level: LogLevel) {
+    this.#process = processName;
+    this.#consola = createConsola({
+      level: LEVEL_NUMBERS[level],
+      reporters: [{ log: (entry) => void process.stderr.write(`${String(entry.args[0])}\n`) }],
+    });
+  }
+
+  log(level: LogLevel, event: string, fields: LogFields = {}): void {
+    if (LEVEL_NUMBERS[level] > this.#consola.level) return;
+    const time = new Date().toISOString();
+    const line = formatFields({ time, level, process: this.#process, event, ...fields });
+    this.#consola[level](line);
+  }
+}
--- /dev/null
+++ b/packages/telemetry/src/telemetry.ts
@@ -0,0 +1,48 @@
+import type { Clock } from '@canvasridge/clock';
+import type { EventLogger } from './event-logger.js';
+import { type LogFields, type LogLevel } from './event-logger.js';
+import { EventRing, type TimelineEvent } from './event-ring.js';
+import { NullMetrics, type Metrics } from './metrics.js';
+
+const DEFAULT_RING_CAPACITY = 4096;
+
+/** Log, metrics and timeline of one process, handed to each part of it. */
+export class Telemetry {
+  readonly ring: EventRing;
+  readonly metrics: Metrics;
+  readonly #clock: Clock;
+  readonly #logger: EventLogger | undefined;
+
+  constructor(options: {
+    readonly processName: string;
+    readonly clock: Clock;
+    readonly logger?: EventLogger | undefined;
+    readonly metrics?: Metrics;
+    readonly ringCapacity?: number;
+  }) {
+    this.#clock = options.clock;
+    this.#logger = options.logger;
+    this.metrics = options.metrics ?? new NullMetrics();
+    this.ring = new EventRing(options.processName, options.ringCapacity ?? DEFAULT_RING_CAPACITY);
+  }
+
+  /** Logs an event and puts it on the timeline. */
+  event(level: LogLevel, name: string, subject: string, fields: LogFields = {}): void {
+    this.#logger?.log(level, name, { subject, ...fields });
+    const detail = Object.entries(fields)
+      .filter(([, value]) => value !== undefined)
+      .map(([key, value]) => `${key}=${String(value)}`)
+      .join(' ');
+    this.ring.record({ atMs: this.#clock.wallTime(), name, subject, detail });
+  }
+
+  /** Puts a step of a request on the timeline, without a log line. */
+  step(name: string, requestId: string, subject: string, startedAtMs?: number): void {
+    const nowMs = this.#clock.wallTime();
+    const event: TimelineEvent =
+      startedAtMs === undefined
+        ? { atMs: nowMs, name, requestId, subject }
+        : { atMs: startedAtMs, durationMs: nowMs - startedAtMs, name, requestId, subject };
+    this.ring.record(event);
+  }
+}
