Add the benchmark against a bare pass-through, and a direct path through the scheduler

Cause: the node's streaming path had not been measured against plain hono and undici. Change: canvasridge-load bench alternates node and pass-through over the same engines; requests that nobody waits before take a place without a ticket; candidates are ranked by mixing two hashes instead of hashing each pair.

--- /dev/null
+++ b/packages/load/src/bench/pass-through.ts
@@ -0,0 +1,27 @@
+import { serve } from '@hono/node-server';
+import { Hono } from 'hono';
+import { Agent, request } from 'undici';
+
+/**
+ * The baseline: hono and undici as anyone would write them in a few lines, without queues, limits,
+ * adapters or owners. Run as `pass-through.js ENGINE_URL...`; prints its address.
+ */
+const engines = process.argv.slice(2);
+const agent = new Agent({ connections: 1024 });
+
+const app = new Hono();
+app.post('/v1/completions', async (context) => {
+  const engine = engines[Number(context.req.header('x-engine'))];
+  const upstream = await request(`${engine}/v1/completions`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: await context.req.text(),
+    dispatcher: agent,
+  });
+  const headers = { 'content-type': String(upstream.headers['content-type']) };
+  return new Response(upstream.body, { status: upstream.statusCode, headers });
+});
+
+serve({ fetch: app.fetch, hostname: '127.0.0.1', port: 0 }, ({ port }) => {
+  process.stdout.write(`${JSON.stringify({ ready: true, url: `http://127.0.0.1:${port}` })}\n`);
+});
--- a/packages/load/src/processes/deployment.ts
+++ b/packages/load/src/processes/deployment.ts
@@ -37,6 +37,8 @@
   };
   readonly machineListLagMs: number;
   readonly lingerSeconds: number;
+  /** Each engine in a process of its own, where one process would limit a measurement. */
+  readonly enginesApart?: boolean;
   readonly engineBehaviour?: Readonly<Record<string, number>>;
 }
 
@@ -56,6 +58,7 @@
   readonly nodes = new Map<string, LaunchedProcess>();
   readonly directory: string;
   #standin: LaunchedProcess | undefined;
+  readonly #engineProcesses: LaunchedProcess[] = [];
   #head: RevisionHead | undefined;
 
   private constructor(plan: DeploymentPlan, directory: string) {
@@ -68,7 +71,11 @@
     progress(
       `starting the emulator: ${plan.engines.length} engines, ${plan.services.length} service back ends`,
     );
-    deployment.#standin = await deployment.#launchStandin();
+    deployment.#standin = await deployment.#launchStandin(
+      'standin',
+      plan.enginesApart === true ? [] : plan.engines,
+    );
+    if (plan.enginesApart === true) await deployment.#launchEnginesApart();
     await deployment.publish(deployment.configuration());
     progress(`published revision 1: ${plan.adapters.length} adapters, ${plan.callers.length} callers`);
     await Promise.all(plan.nodes.map((node) => deployment.startNode(node.id, node.zone)));
@@ -87,6 +94,10 @@
     return [...this.nodes.values()].map((node) => String(node.ready.callersUrl));
   }
 
+  engineUrls(): string[] {
+    return Object.values(this.#engineUrlsById());
+  }
+
   async startNode(id: string, zone: string): Promise<void> {
     const settings = {
       node: { id, zone },
@@ -118,7 +129,7 @@
 
   configuration(): Configuration {
     const { plan } = this;
-    const engineUrls = (this.#standin?.ready.engineUrls ?? {}) as Record<string, string>;
+    const engineUrls = this.#engineUrlsById();
     const serviceUrls = (this.#standin?.ready.serviceUrls ?? []) as { name: string; url: string }[];
     const names = [...new Set(plan.services.map((service) => service.name))];
     return configurationSchema.parse({
@@ -168,15 +179,30 @@
   }
 
   async stop(): Promise<void> {
-    await endAll([...this.nodes.values(), ...(this.#standin === undefined ? [] : [this.#standin])]);
+    const standins = this.#standin === undefined ? [] : [this.#standin];
+    await endAll([...this.nodes.values(), ...standins, ...this.#engineProcesses]);
     await rm(this.directory, { recursive: true, force: true });
   }
 
-  async #launchStandin(): Promise<LaunchedProcess> {
+  #engineUrlsById(): Record<string, string> {
+    const urls: Record<string, string> = {};
+    for (const launched of [this.#standin, ...this.#engineProcesses]) {
+      Object.assign(urls, launched?.ready.engineUrls ?? {});
+    }
+    return urls;
+  }
+
+  async #launchEnginesApart(): Promise<void> {
+    for (const engine of this.plan.engines) {
+      this.#engineProcesses.push(await this.#launchStandin(engine.id, [engine]));
+    }
+  }
+
+  async #launchStandin(name: string, engines: DeploymentPlan['engines']): Promise<LaunchedProcess> {
     const { plan } = this;
-    return this.#launch('standin', 'standin', {
+    return this.#launch('standin', name, {
       listen: LOOPBACK,
-      engines: plan.engines.map(({ id, base, slots, maxBatch, checksFence }) => ({
+      engines: engines.map(({ id, base, slots, maxBatch, checksFence }) => ({
         id,
         base,
         slots,
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -62,6 +62,7 @@
   #probeOrder: string[] = [];
   #incarnation: number;
   #state: MemberState = 'alive';
+  #selfMember: Member | undefined;
   #recordVersion: number;
   #sequence = 0;
   #lastProbeAtMs: number;
@@ -142,7 +143,11 @@
   }
 
   self(): Member {
-    return { ...this.identity, incarnation: this.#incarnation, state: this.#state };
+    const known = this.#selfMember;
+    if (known?.incarnation === this.#incarnation && known.state === this.#state) return known;
+    const member = { ...this.identity, incarnation: this.#incarnation, state: this.#state };
+    this.#selfMember = member;
+    return member;
   }
 
   /** A member by name, this node included. */
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -6,3 +6,4 @@
 export type { NodeStatus, OwnedEngineStatus } from './control/admin-service.js';
 export { EngineScheduler, type EngineWork, type SchedulerError } from './scheduling/engine-scheduler.js';
 export { TicketQueue } from './scheduling/ticket-queue.js';
+export { EngineFleet } from './control/engine-fleet.js';
--- a/packages/node/src/scheduling/engine-scheduler.ts
+++ b/packages/node/src/scheduling/engine-scheduler.ts
@@ -85,6 +85,8 @@
   readonly #demand: DemandTracker;
   #inFlight = 0;
   #reporting = false;
+  /** Whether slots drain, or may have to: set by loads, claims and configuration. */
+  #drainingMayChange = true;
 
   constructor(options: EngineSchedulerOptions) {
     this.engine = options.engine;
@@ -130,6 +132,10 @@
     return this.#slots.all().some((slot) => (slot.foreign?.provedAtFence ?? 0) > fence);
   }
 
+  get #placeLimit(): number {
+    return this.engine.maxBatch + PIPELINE_MARGIN;
+  }
+
   get #takesWork(): boolean {
     return this.#options.ownership.held && !this.#options.isLeaving();
   }
@@ -144,16 +150,11 @@
     if (this.#queue.length >= this.#options.queueLimit()) return err({ kind: 'queue-full', executed: 'no' });
     const key = adapterKey(work.request.model);
     this.#demand.add(key);
+    const free = this.#takeFreePlace(key);
+    if (free !== undefined) return this.#dispatch(work, free, 0, sink, signal);
     const { turn, ticket } = await this.#waitForTurn(work, key, signal);
     if (turn !== 'go') return err({ kind: turn, executed: 'no' });
-    const { slot } = ticket;
-    // The place is already counted; what has happened since is checked right before sending.
-    if (slot === undefined || !this.#options.ownership.held || signal.aborted) {
-      this.#finish(slot);
-      return err({ kind: signal.aborted ? 'cancelled' : 'not-owner', executed: 'no' });
-    }
-    work.onDispatch?.(ticket.stallMs);
-    return this.#run(work, slot, sink, signal);
+    return this.#dispatch(work, ticket.slot, ticket.stallMs, sink, signal);
   }
 
   /** This node has claimed the engine: takes over what it holds. */
@@ -162,6 +163,7 @@
     const report = state.report.incarnation === state.incarnation ? state.report : undefined;
     const foreign = { provedAtFence: state.fence, provedAfterMs: nowMs + this.#options.orderTimeoutMs };
     this.#slots.adopt(report, foreign, nowMs);
+    this.#drainingMayChange = true;
     this.#pump();
     this.#options.onChange();
   }
@@ -176,6 +178,7 @@
 
   /** The configuration changed: adapter versions no longer served are dropped once idle. */
   configurationChanged(): void {
+    this.#drainingMayChange = true;
     this.#pump();
   }
 
@@ -220,8 +223,8 @@
       for (const ticket of this.#queue.takeAll()) ticket.resolve('not-owner');
       return;
     }
-    this.#updateDraining();
-    while (this.#inFlight < this.engine.maxBatch + PIPELINE_MARGIN) {
+    if (this.#drainingMayChange) this.#updateDraining();
+    while (this.#inFlight < this.#placeLimit) {
       const ticket = this.#queue.takeNext((key) => this.#accepts(key));
       if (ticket === undefined) break;
       this.#place(ticket);
@@ -237,27 +240,57 @@
 
   #place(ticket: Ticket): void {
     const slot = this.#slots.get(ticket.key);
-    if (slot !== undefined) {
-      slot.inFlight += 1;
-      slot.lastUsedAtMs = this.#clock.now();
-    }
+    if (slot === undefined) this.#inFlight += 1;
+    else this.#occupy(slot);
     ticket.slot = slot;
-    this.#inFlight += 1;
     ticket.resolve('go');
   }
 
   /** A version no longer served drains and is dropped; one that drained for a load that ended serves again. */
   #updateDraining(): void {
+    this.#drainingMayChange = false;
     for (const slot of this.#slots.all()) {
       const served = this.#options.isServed(slot.adapter, slot.version);
       if (!served) slot.draining = true;
       else if (this.#loader.active === 0) slot.draining = false;
+      if (slot.draining) this.#drainingMayChange = true;
       if (!served && isIdle(slot)) void this.#loader.unload(slot).then(() => this.#options.onChange());
     }
   }
 
   // --- running -----------------------------------------------------------------------------------
 
+  /** The common case: nobody waits, the adapter is there and the batch has room. */
+  #takeFreePlace(key: string): Slot | undefined {
+    if (this.#queue.length > 0 || this.#inFlight >= this.#placeLimit) return undefined;
+    const slot = this.#slots.get(key);
+    if (slot?.state !== 'ready' || slot.draining) return undefined;
+    this.#occupy(slot);
+    return slot;
+  }
+
+  /** Sends a request whose place is already counted; what has happened since is checked right before. */
+  #dispatch(
+    work: EngineWork,
+    slot: Slot | undefined,
+    stallMs: number,
+    sink: StreamSink,
+    signal: AbortSignal,
+  ): Promise<Result<GenerationEnd, SchedulerError>> {
+    if (slot === undefined || !this.#options.ownership.held || signal.aborted) {
+      this.#finish(slot);
+      return Promise.resolve(err({ kind: signal.aborted ? 'cancelled' : 'not-owner', executed: 'no' }));
+    }
+    work.onDispatch?.(stallMs);
+    return this.#run(work, slot, sink, signal);
+  }
+
+  #occupy(slot: Slot): void {
+    slot.inFlight += 1;
+    slot.lastUsedAtMs = this.#clock.now();
+    this.#inFlight += 1;
+  }
+
   async #run(
     work: EngineWork,
     slot: Slot,
@@ -348,6 +381,7 @@
       telemetry.step('adapter.load', key, this.engine.id, this.#clock.wallTime() - tookMs);
     }
     if (outcome === 'failed') for (const ticket of this.#queue.takeAll(key)) ticket.resolve('load-failed');
+    this.#drainingMayChange = true;
     this.#pump();
     onChange();
   }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,5 +1,5 @@
 /** Where adapters and engines belong, and what a choice costs in seconds. */
-export { hash32, rendezvousScore, rankByRendezvous, highestRendezvous } from './rendezvous.js';
+export { hash32, rendezvousScore, mixScores, rankByRendezvous, highestRendezvous } from './rendezvous.js';
 export { AdapterCandidates } from './adapter-candidates.js';
 export { DemandTracker } from './demand-tracker.js';
 export { chooseVictim, type EvictionCandidate } from './eviction.js';
--- a/packages/placement/src/rendezvous.ts
+++ b/packages/placement/src/rendezvous.ts
@@ -12,6 +12,17 @@
   return hasher.h32(`${key}\u0000${candidate}`);
 }
 
+const MIX_1 = 0x85ebca6b;
+const MIX_2 = 0xc2b2ae35;
+
+/** Score from two hashes, by the finalizer of MurmurHash3: as even as hashing both texts, at a fraction of its cost. */
+export function mixScores(keyHash: number, candidateHash: number): number {
+  let mixed = keyHash ^ Math.imul(candidateHash, MIX_1);
+  mixed = Math.imul(mixed ^ (mixed >>> 16), MIX_1);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), MIX_2);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+
 /** Candidates by falling score; ties go to the smaller name, so that all nodes agree. */
 export function rankByRendezvous<T>(key: string, candidates: readonly T[], nameOf: (item: T) => string): T[] {
   return candidates
