--- a/packages/clock/src/virtual-clock.ts
+++ b/packages/clock/src/virtual-clock.ts
@@ -1,6 +1,9 @@
 import { Heap } from 'heap-js';
 import { sleepOn, type Clock, type Timer } from './clock.js';
 
+/** Wall time at virtual time 0, so that runs see plausible dates. */
+const WALL_EPOCH_MS = Date.UTC(2026, 6, 1);
+
 interface PendingTimer {
   readonly dueMs: number;
   readonly order: number;
@@ -21,7 +24,7 @@
   }
 
   wallTime(): number {
-    return this.#nowMs;
+    return WALL_EPOCH_MS + this.#nowMs;
   }
 
   setTimer(delayMs: number, callback: () => void): Timer {
--- a/packages/configuration/src/configuration-follower.ts
+++ b/packages/configuration/src/configuration-follower.ts
@@ -24,6 +24,8 @@
   readonly telemetry: Telemetry;
   /** Whether this node is one of the few of its zone that hold a watch on the service. */
   readonly isWatcher: () => boolean;
+  /** Where the revision in force is kept; a fresh one by default. */
+  readonly store?: RevisionStore | undefined;
   /** Called after each revision put in force. */
   readonly onRevision: (index: ConfigurationIndex) => void;
 }
@@ -41,7 +43,7 @@
  * revisions from peers. A lower revision is ignored wherever it comes from.
  */
 export class ConfigurationFollower {
-  readonly store = new RevisionStore();
+  readonly store: RevisionStore;
   readonly #options: FollowerOptions;
   readonly #stop = new AbortController();
   readonly #changed = new Notifier();
@@ -51,6 +53,7 @@
 
   constructor(options: FollowerOptions) {
     this.#options = options;
+    this.store = options.store ?? new RevisionStore();
     this.#backoff = new Backoff(RETRY, options.random);
   }
 
--- a/packages/configuration/src/revision-store.ts
+++ b/packages/configuration/src/revision-store.ts
@@ -35,8 +35,8 @@
 
 /**
  * The revision in force on a node. Accepts only what follows from it: a higher revision whose plan was
- * confirmed against the one in force. Two documents of the same revision number come from operators
- * who raced; the one published first holds on every node.
+ * confirmed against the one in force. Of operators who raced, the one who published first holds: the
+ * other's head has a service version that it does not name, which every node sees without the first.
  */
 export class RevisionStore {
   #inForce: InForce | undefined;
@@ -81,6 +81,9 @@
     if (head.planDigest !== expected) {
       return this.#hold(head, 'the confirmed digest is not that of the plan for this document');
     }
+    if (head.serviceVersion !== sourceVersion) {
+      return this.#hold(head, `another revision was published before it, as version ${head.serviceVersion}`);
+    }
     if (current === undefined) return ok();
     if (head.revision < current.head.revision) return err({ kind: 'older', inForce: current.head.revision });
     if (head.revision === current.head.revision) return examineSameNumber(head, sourceVersion, current);
--- a/packages/configuration/src/revision.ts
+++ b/packages/configuration/src/revision.ts
@@ -21,6 +21,11 @@
   digest: digestText,
   previousRevision: z.int().min(0),
   previousDigest: digestText,
+  /**
+   * Version that the configuration service gives to this head, if nobody published in between. A head
+   * that got another version was confirmed without knowing of the one before it, and no node accepts it.
+   */
+  serviceVersion: z.int().min(1),
   /** Digest of the plan that the operator confirmed. */
   planDigest: digestText,
   chunks: z.array(digestText).min(1).max(1024),
@@ -130,10 +135,14 @@
   readonly documents: readonly { readonly key: string; readonly value: string }[];
 }
 
-/** Documents for `configuration` as the revision after `previous`. */
+/**
+ * Documents for `configuration` as the revision after `previous`.
+ * @param serviceVersion version of the head that the configuration service holds now, 0 for none
+ */
 export function publishable(
   configuration: Configuration,
   previous: { readonly revision: number; readonly digest: string },
+  serviceVersion: number,
 ): Publishable {
   const { digest, chunks } = splitConfiguration(configuration);
   const head: RevisionHead = {
@@ -141,6 +150,7 @@
     digest,
     previousRevision: previous.revision,
     previousDigest: previous.digest,
+    serviceVersion: serviceVersion + 1,
     planDigest: planDigest(previous.revision, previous.digest, digest),
     chunks: [...chunks.keys()],
   };
--- a/packages/domain/src/ports/configuration-source.ts
+++ b/packages/domain/src/ports/configuration-source.ts
@@ -1,6 +1,6 @@
 import type { ResultAsync } from 'neverthrow';
 
-/** A value of the configuration service with the service's own version of it. */
+/** A value with the service's version of its key: 1 at the first publication, one more at each next. */
 export interface SourceValue {
   readonly value: string;
   readonly version: number;
--- a/packages/load/src/commands/demo.ts
+++ b/packages/load/src/commands/demo.ts
@@ -4,7 +4,8 @@
 import { renderTimeline } from '@canvasridge/cli';
 import type { TimelineDump } from '@canvasridge/telemetry';
 import type { Call, CallResult } from '../callers/call.js';
-import { HttpCaller } from '../callers/http-caller.js';
+import { Caller } from '../callers/caller.js';
+import { HttpCallerTransport } from '../callers/http-caller.js';
 import { PROMISE_COUNTS, judge, type Verdict } from '../callers/verdict.js';
 import { Zipf } from '../callers/zipf.js';
 import { Deployment, keyDigest, type DeploymentPlan } from '../processes/deployment.js';
@@ -100,7 +101,10 @@
 
 /** Open-loop callers for the length of the demo, with the failures at their times. */
 async function drive(deployment: Deployment, seed: number): Promise<CallResult[]> {
-  const callers = CALLERS.map(({ key, zone }) => new HttpCaller(key, zone, () => deployment.callerUrls()));
+  const transports = CALLERS.map(
+    ({ key, zone }) => new HttpCallerTransport(key, zone, () => deployment.callerUrls()),
+  );
+  const callers = transports.map((transport) => new Caller(transport));
   const startedAtMs = performance.now();
   const failures = scheduleFailures(deployment);
   const results: CallResult[] = [];
@@ -108,7 +112,7 @@
   for (const { call, atMs, callerIndex } of generateCalls(seed)) {
     const waitMs = startedAtMs + atMs - performance.now();
     if (waitMs > 0) await new Promise((resolve) => setTimeout(resolve, waitMs));
-    const caller = callers[callerIndex] as HttpCaller;
+    const caller = callers[callerIndex] as Caller;
     running.push(caller.run(call).then((result) => void results.push(result)));
     if (running.length % (REQUESTS_PER_SECOND * 2) === 0) {
       say(
@@ -119,7 +123,7 @@
   await failures;
   await Promise.all(running);
   say(`${Math.round((performance.now() - startedAtMs) / 1000)} s: all ${results.length} ended`);
-  await Promise.all(callers.map((caller) => caller.close()));
+  await Promise.all(transports.map((transport) => transport.close()));
   return results;
 }
 
--- a/packages/load/src/processes/deployment.ts
+++ b/packages/load/src/processes/deployment.ts
@@ -122,7 +122,7 @@
   /** Publishes a configuration as the next revision, as an operator would. */
   async publish(configuration: Configuration): Promise<void> {
     const previous = this.#head ?? { revision: 0, digest: '0'.repeat(64) };
-    const { head, documents } = publishable(configuration, previous);
+    const { head, documents } = publishable(configuration, previous, this.#head?.serviceVersion ?? 0);
     for (const document of documents) await this.#post(`${this.platformUrl}/operator/publish`, document);
     this.#head = head;
   }
--- a/packages/membership/src/codec.ts
+++ b/packages/membership/src/codec.ts
@@ -31,7 +31,7 @@
 
 /** [kind, sender, sender's revision, sequence, target, updates] */
 const message = z.tuple([
-  z.enum(['ping', 'ack', 'ping-request', 'gossip', 'digest', 'digest-reply']),
+  z.enum(['ping', 'ack', 'ping-request', 'gossip', 'join', 'digest', 'state']),
   text,
   z.int().min(0),
   z.int().min(0),
@@ -68,7 +68,7 @@
 
 export type Update = MemberStateUpdate | MemberUpdate | RecordUpdate;
 
-export type MessageKind = 'ping' | 'ack' | 'ping-request' | 'gossip' | 'digest' | 'digest-reply';
+export type MessageKind = 'ping' | 'ack' | 'ping-request' | 'gossip' | 'join' | 'digest' | 'state';
 
 export interface GossipMessage {
   readonly kind: MessageKind;
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -43,6 +43,7 @@
 const TRANSMISSION_FACTOR = 3;
 const ZERO_AGE = 0;
 const PAUSE_FACTOR = 3;
+const REJOIN_PERIOD_MS = 8000;
 
 /**
  * SWIM membership (Das, Gupta, Motivala, 2002) with suspicion and incarnations, and gossip of
@@ -66,6 +67,7 @@
   #recordVersion: number;
   #sequence = 0;
   #lastProbeAtMs: number;
+  #nextJoinAtMs = 0;
 
   constructor(options: MembershipOptions) {
     this.identity = options.identity;
@@ -291,22 +293,25 @@
           if (alive) this.#send(from, 'ack', message.sequence);
         });
         return;
+      case 'join':
+        this.#sendWholeState(from, 'state');
+        return;
       case 'digest':
-        if (message.target !== this.#digest()) this.#sendWholeState(from, 'digest-reply');
+        if (message.target !== this.#digest()) this.#sendWholeState(from, 'state');
         return;
-      case 'digest-reply':
+      case 'state':
         return;
       case 'gossip':
         return;
     }
   }
 
-  /** A sender that is not known here, or is believed gone, is told so and introduces itself. */
+  /** A sender that is believed gone is told so, and refutes; one that is not known here learns of this node. */
   #introduceTo(sender: string, address: string): void {
     const known = this.#table.get(sender);
     if (known !== undefined && isPresent(known.state)) return;
     if (known === undefined) {
-      this.#sendWholeState(address, 'digest-reply');
+      this.#sendUpdates(address, 'gossip', 0, '', [encodeUpdate(this.#selfUpdate())]);
       return;
     }
     const verdict = encodeUpdate({
@@ -421,8 +426,16 @@
     for (const member of this.#someMembers(many)) this.#send(member.gossip, 'gossip');
   }
 
-  /** With few members known, seeds are asked: at the start, and after a partition that outlived memory. */
+  /**
+   * Joins through a listed address that is not known as a member: at the start, and after a partition
+   * in which both sides gave each other up. Once members are known this is seldom, since a machine that
+   * is gone may stay listed for long.
+   */
   #contactSeeds(): void {
+    const nowMs = this.#clock.now();
+    const alone = this.#table.present().length === 0;
+    if (!alone && nowMs < this.#nextJoinAtMs) return;
+    this.#nextJoinAtMs = nowMs + jittered(REJOIN_PERIOD_MS, this.#random);
     const known = new Set(this.#table.present().map((member) => member.gossip));
     const unknown = this.#options
       .seeds()
@@ -430,8 +443,7 @@
     const seed = this.#random.pick(unknown);
     if (seed === undefined) return;
     const self = encodeUpdate(this.#selfUpdate());
-    this.#sequence += 1;
-    this.#sendUpdates(seed, 'ping', this.#sequence, '', [self]);
+    this.#sendUpdates(seed, 'join', 0, '', [self]);
   }
 
   #send(address: string, kind: MessageKind, sequence = 0, target = ''): void {
--- a/packages/node/src/http/exchange.ts
+++ b/packages/node/src/http/exchange.ts
@@ -2,7 +2,7 @@
 import type { StreamSink } from '@canvasridge/domain';
 import type { InboundRequest, RequestEnd } from '../requests/inbound.js';
 import { readBody } from './body.js';
-import { ResponseSink, writeProblem } from './response-sink.js';
+import { ResponseSink, writeProblem, type BreakStyle } from './response-sink.js';
 
 /** Answers one request through a sink. */
 export type Handler = (inbound: InboundRequest, sink: StreamSink, signal: AbortSignal) => Promise<RequestEnd>;
@@ -16,6 +16,7 @@
   response: ServerResponse,
   bodyLimit: number,
   handler: Handler,
+  onBreak: BreakStyle = 'tell',
 ): Promise<void> {
   const gone = new AbortController();
   response.on('close', () => {
@@ -33,6 +34,6 @@
     headers: request.headers as Record<string, string | undefined>,
     body: body.value,
   };
-  const sink = new ResponseSink(response);
+  const sink = new ResponseSink(response, onBreak);
   sink.finish(await handler(inbound, sink, gone.signal));
 }
--- a/packages/node/src/http/peer-server.ts
+++ b/packages/node/src/http/peer-server.ts
@@ -7,7 +7,7 @@
 import type { AdminService } from '../control/admin-service.js';
 import type { ForwardHandler } from '../requests/forward-handler.js';
 import { problemResponse } from './caller-server.js';
-import { answerExchange } from './exchange.js';
+import { answerExchange, type Handler } from './exchange.js';
 import { writeProblem } from './response-sink.js';
 
 export interface PeerServerOptions {
@@ -35,9 +35,8 @@
       return;
     }
     const { forward } = options;
-    void answerExchange(request, response, options.bodyLimit(), (inbound, sink, signal) =>
-      forward.handle(inbound, sink, signal),
-    );
+    const handler: Handler = (inbound, sink, signal) => forward.handle(inbound, sink, signal);
+    void answerExchange(request, response, options.bodyLimit(), handler, 'cut');
   };
 }
 
--- a/packages/node/src/http/response-sink.ts
+++ b/packages/node/src/http/response-sink.ts
@@ -13,12 +13,20 @@
   'date',
 ]);
 
+/**
+ * What is done with an answer that breaks off after its start: callers are told in an event where the
+ * format has one; towards a peer the connection is cut, so that it can resume the stream itself.
+ */
+export type BreakStyle = 'tell' | 'cut';
+
 /** An answer on an HTTP connection. */
 export class ResponseSink implements StreamSink {
   readonly #response: ServerResponse;
+  readonly #onBreak: BreakStyle;
 
-  constructor(response: ServerResponse) {
+  constructor(response: ServerResponse, onBreak: BreakStyle) {
     this.#response = response;
+    this.#onBreak = onBreak;
   }
 
   start(status: number, headers: Readonly<Record<string, string>>): void {
@@ -60,6 +68,7 @@
       return;
     }
     if (!response.headersSent) writeProblem(response, end.problem);
+    else if (this.#onBreak === 'cut') response.destroy();
     else breakOff(response, end.problem);
   }
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,6 +1,6 @@
 import { CallerLimits, RequestKeys, RetryBudget } from '@canvasridge/admission';
 import type { Clock, Random } from '@canvasridge/clock';
-import { ConfigurationFollower, headSchema } from '@canvasridge/configuration';
+import { ConfigurationFollower, headSchema, type RevisionStore } from '@canvasridge/configuration';
 import type {
   ConfigurationIndex,
   ConfigurationSource,
@@ -63,6 +63,7 @@
   readonly telemetry: Telemetry;
   readonly ownershipTiming?: OwnershipTiming;
   readonly membershipTiming?: MembershipTiming;
+  readonly revisionStore?: RevisionStore;
 }
 
 export type NodeState = 'starting' | 'ready' | 'draining' | 'closed';
@@ -287,6 +288,7 @@
       clock,
       random,
       telemetry,
+      store: this.#options.revisionStore,
       isWatcher: () => this.#isWatcher(),
       onRevision: (index) => this.#revisionInForce(index),
     });
--- a/packages/node/src/requests/generation-router.ts
+++ b/packages/node/src/requests/generation-router.ts
@@ -217,7 +217,7 @@
     const backoff = new Backoff(RESUME_BACKOFF, random);
     let position = lastEventId;
     // A single answer, not a stream of events, has no position to go on from.
-    if (position < 0) return { kind: 'unknown', lastEventId: position };
+    if (!sink.isEventStream) return { kind: 'unknown', lastEventId: position };
     for (let attempt = 0; attempt < RESUME_ATTEMPTS && !signal.aborted; attempt += 1) {
       await clock.sleep(backoff.nextDelayMs(), signal);
       const result = await client.resume(engineRequestId, position, sink, signal);
--- a/packages/node/src/requests/inbound.ts
+++ b/packages/node/src/requests/inbound.ts
@@ -131,6 +131,10 @@
     return this.#started;
   }
 
+  get isEventStream(): boolean {
+    return this.#answerHeaders['content-type']?.startsWith('text/event-stream') === true;
+  }
+
   get status(): number {
     return this.#status;
   }
--- a/packages/platform/src/http-engine-client.ts
+++ b/packages/platform/src/http-engine-client.ts
@@ -16,6 +16,9 @@
 import { streamExchange, type ExchangeEnd, type ExchangeFailure } from './stream-exchange.js';
 
 const REPORT_TIMEOUT_MS = 2000;
+/** Loads wait for the weight store; every other order is answered at once. */
+const LOAD_TIMEOUT_MS = 60_000;
+const ORDER_TIMEOUT_MS = 2500;
 const OK_STATUS = 200;
 
 const refusalSchema = z.object({ reason: z.string(), currentFence: z.number().optional() });
@@ -68,7 +71,9 @@
 
   order(fence: number, order: EngineOrder, signal?: AbortSignal): ResultAsync<EngineOrderReply, EngineError> {
     const body = JSON.stringify({ fence, order });
-    return new ResultAsync(this.#json('POST', '/control/orders', orderReplySchema, body, signal));
+    const limit = AbortSignal.timeout(order.kind === 'load' ? LOAD_TIMEOUT_MS : ORDER_TIMEOUT_MS);
+    const bounded = signal === undefined ? limit : AbortSignal.any([signal, limit]);
+    return new ResultAsync(this.#json('POST', '/control/orders', orderReplySchema, body, bounded));
   }
 
   report(): ResultAsync<EngineReport, EngineError> {
@@ -143,7 +148,7 @@
     path: string,
     schema: z.ZodType<T>,
     body: string | undefined,
-    signal: AbortSignal | undefined,
+    signal: AbortSignal,
   ): Promise<Result<T, EngineError>> {
     try {
       const response = await httpRequest(`${this.#url}${path}`, {
@@ -151,7 +156,7 @@
         body: body ?? null,
         headers: { 'content-type': 'application/json' },
         dispatcher: this.#dispatcher,
-        ...(signal === undefined ? {} : { signal }),
+        signal,
       });
       const checked = schema.safeParse(await response.body.json());
       if (checked.success) return ok(checked.data);
