--- /dev/null
+++ b/packages/cli/src/commands/confirm.ts
@@ -0,0 +1,83 @@
+import { mkdir, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { publishable, type Publishable } from '@canvasridge/configuration';
+import { ExitCode, UsageError, type CommandDefinition } from '@canvasridge/settings';
+import { planAgainstFleet } from './plan.js';
+import { NODE_OPTIONS, adminClient, complain, failed, fileArgument, readIntent, say } from './shared.js';
+
+export const confirmCommand: CommandDefinition = {
+  name: 'confirm',
+  summary:
+    'Writes the documents of a planned revision, for the operator to publish. The system itself writes nothing.',
+  positionals: 'FILE',
+  maximumPositionals: 1,
+  options: {
+    ...NODE_OPTIONS,
+    'plan-digest': { type: 'string', help: 'digest that "canvasridge plan" printed', placeholder: 'DIGEST' },
+    'service-version': {
+      type: 'string',
+      help: 'version of canvasridge/head in the configuration service now; by default that of the revision in force',
+      placeholder: 'N',
+    },
+    output: {
+      type: 'string',
+      help: 'folder for the documents; without it they are printed as JSON',
+      placeholder: 'DIR',
+    },
+  },
+  run: async (input) => {
+    const intent = await readIntent(fileArgument(input));
+    if (intent === undefined) return ExitCode.usage;
+    const digest = input.text('plan-digest');
+    if (digest === undefined)
+      throw new UsageError('--plan-digest is missing: run "canvasridge plan FILE" and read it');
+    const planned = await planAgainstFleet(adminClient(input), intent);
+    if (planned.isErr()) return failed(planned.error);
+    const { plan, inForce, disagreeing } = planned.value;
+    const refusal = refuse(plan.digest, digest, plan.problems.length, disagreeing);
+    if (refusal !== undefined) {
+      complain(refusal);
+      return ExitCode.failure;
+    }
+    const serviceVersion =
+      input.text('service-version') === undefined
+        ? inForce.serviceVersion
+        : input.number('service-version', 0, Number.MAX_SAFE_INTEGER);
+    const previous = { revision: inForce.revision, digest: inForce.digest ?? '0'.repeat(64) };
+    await write(publishable(intent, previous, serviceVersion), input.text('output'));
+    return ExitCode.success;
+  },
+};
+
+function refuse(
+  found: string,
+  confirmed: string,
+  problems: number,
+  disagreeing: readonly string[],
+): string | undefined {
+  if (found !== confirmed) {
+    return `--plan-digest: the plan is now ${found}: the document or the revision in force has changed; plan again`;
+  }
+  if (problems > 0)
+    return `the plan has ${problems} intents that cannot be met; "canvasridge plan" lists them`;
+  if (disagreeing.length > 0)
+    return `${disagreeing.join(', ')}: another revision is in force there; plan again`;
+  return undefined;
+}
+
+async function write(published: Publishable, folder: string | undefined): Promise<void> {
+  if (folder === undefined) {
+    say(JSON.stringify(published.documents));
+    return;
+  }
+  await mkdir(folder, { recursive: true });
+  for (const [index, document] of published.documents.entries()) {
+    const file = join(
+      folder,
+      `${String(index + 1).padStart(4, '0')}-${document.key.replaceAll('/', '_')}.json`,
+    );
+    await writeFile(file, document.value);
+    say(`${file}\n  publish as ${document.key}`);
+  }
+  say(`revision ${published.head.revision}: publish in this order; the head comes last`);
+}
--- /dev/null
+++ b/packages/cli/src/commands/shared.ts
@@ -0,0 +1,56 @@
+import { configurationSchema, type Configuration } from '@canvasridge/domain';
+import {
+  ExitCode,
+  UsageError,
+  formatSettingsError,
+  readJsonFile,
+  type CommandInput,
+  type OptionDefinition,
+} from '@canvasridge/settings';
+import { AdminClient, formatAdminError, type AdminError } from '../admin-client.js';
+
+/** Options of every command that asks nodes. */
+export const NODE_OPTIONS = {
+  node: { type: 'string', help: "peers' URL of any node; CANVASRIDGE_NODE otherwise", placeholder: 'URL' },
+  'admin-key': { type: 'string', help: 'admin key; CANVASRIDGE_ADMIN_KEY otherwise', placeholder: 'KEY' },
+} as const satisfies Record<string, OptionDefinition>;
+
+/** The node and key that a command was given, from options or environment. */
+export function adminClient(input: CommandInput): AdminClient {
+  const url = input.text('node') ?? process.env.CANVASRIDGE_NODE;
+  const key = input.text('admin-key') ?? process.env.CANVASRIDGE_ADMIN_KEY;
+  if (url === undefined || !URL.canParse(url)) {
+    throw new UsageError(`--node: found "${url ?? 'nothing'}", expected a URL such as http://10.0.0.1:8081`);
+  }
+  if (key === undefined)
+    throw new UsageError('--admin-key: found nothing, expected the adminKey of the node settings');
+  return new AdminClient(url, key);
+}
+
+/** The one file that a command is given. */
+export function fileArgument(input: CommandInput): string {
+  const [file] = input.positionals;
+  if (file === undefined) throw new UsageError('FILE is missing: give the path of a configuration document');
+  return file;
+}
+
+/** Reads an intent; prints what is wrong with it and returns undefined when it cannot be used. */
+export async function readIntent(file: string): Promise<Configuration | undefined> {
+  const document = await readJsonFile(file, configurationSchema);
+  if (document.isOk()) return document.value;
+  complain(formatSettingsError(document.error));
+  return undefined;
+}
+
+export function say(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+export function complain(text: string): void {
+  process.stderr.write(`${text}\n`);
+}
+
+export function failed(error: AdminError): number {
+  complain(formatAdminError(error));
+  return ExitCode.failure;
+}
--- a/packages/clock/src/notifier.ts
+++ b/packages/clock/src/notifier.ts
@@ -1,16 +1,31 @@
+import type { Clock } from './clock.js';
+
 /** Wakes tasks that wait for a change. Each call of `notify` ends the waits that began before it. */
 export class Notifier {
-  #waiters: (() => void)[] = [];
+  readonly #waiters = new Set<() => void>();
 
   wait(): Promise<void> {
     return new Promise((resolve) => {
-      this.#waiters.push(resolve);
+      this.#waiters.add(resolve);
+    });
+  }
+
+  /** Waits for `notify`, or for `delayMs` milliseconds. */
+  waitUpTo(clock: Pick<Clock, 'setTimer'>, delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = (): void => {
+        this.#waiters.delete(finish);
+        timer.cancel();
+        resolve();
+      };
+      const timer = clock.setTimer(delayMs, finish);
+      this.#waiters.add(finish);
     });
   }
 
   notify(): void {
-    const waiters = this.#waiters;
-    this.#waiters = [];
+    const waiters = [...this.#waiters];
+    this.#waiters.clear();
     for (const wake of waiters) wake();
   }
 }
--- a/packages/load/src/callers/caller.ts
+++ b/packages/load/src/callers/caller.ts
@@ -133,7 +133,8 @@
     };
     const path = isService(call) ? call.target : '/v1/completions';
     const raw = await this.#transport.send({ url, path, headers, body: bodyOf(call) }, onFirstByte);
-    if ('kind' in raw) return { kind: raw.kind, text: '', servedModel: '', loadStallMs: 0, problem: undefined };
+    if ('kind' in raw)
+      return { kind: raw.kind, text: '', servedModel: '', loadStallMs: 0, problem: undefined };
     return readAnswer(raw);
   }
 }
@@ -164,7 +165,8 @@
   };
   if (status !== 200) return { kind: 'problem', ...common, problem: JSON.parse(text) as Problem };
   const failure = /event: error\ndata: (.*)\n\n$/.exec(text);
-  if (failure?.[1] !== undefined) return { kind: 'problem', ...common, problem: JSON.parse(failure[1]) as Problem };
+  if (failure?.[1] !== undefined)
+    return { kind: 'problem', ...common, problem: JSON.parse(failure[1]) as Problem };
   return { kind: 'answered', ...common, problem: undefined };
 }
 
--- a/packages/load/src/callers/http-caller.ts
+++ b/packages/load/src/callers/http-caller.ts
@@ -1,5 +1,12 @@
 import { Agent, request } from 'undici';
-import { CALLER_DEADLINE_MS, type CallerTransport, type Endpoints, type RawAnswer, type RawFailure, type RawRequest } from './caller.js';
+import {
+  CALLER_DEADLINE_MS,
+  type CallerTransport,
+  type Endpoints,
+  type RawAnswer,
+  type RawFailure,
+  type RawRequest,
+} from './caller.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
 const CONNECTIONS = 512;
@@ -73,7 +80,11 @@
         if (text === '') onFirstByte();
         text += String(chunk);
       }
-      return { status: response.statusCode, headers: response.headers as Record<string, string | undefined>, text };
+      return {
+        status: response.statusCode,
+        headers: response.headers as Record<string, string | undefined>,
+        text,
+      };
     } catch (cause) {
       const code = (cause as NodeJS.ErrnoException).code ?? '';
       return { kind: NOT_SENT_CODES.has(code) ? 'not-sent' : 'broken' };
--- a/packages/load/src/deployments/deployments.ts
+++ b/packages/load/src/deployments/deployments.ts
@@ -7,7 +7,11 @@
   readonly name: string;
   readonly nodes: readonly NodeSpec[];
   readonly configuration: Configuration;
-  readonly weightStore: { readonly loadsPerSecond: number; readonly concurrency: number; readonly loadMs: number };
+  readonly weightStore: {
+    readonly loadsPerSecond: number;
+    readonly concurrency: number;
+    readonly loadMs: number;
+  };
   readonly callers: readonly { readonly name: string; readonly key: string; readonly zone: string }[];
   /** Adapter popularity, as the exponent of a Zipf distribution. */
   readonly popularityExponent: number;
@@ -87,7 +91,11 @@
     zone: zoneOf(index),
     region: name,
   }));
-  const callers = shape.callers.map((caller, index) => ({ name: caller, key: `${caller}-key`, zone: zoneOf(index) }));
+  const callers = shape.callers.map((caller, index) => ({
+    name: caller,
+    key: `${caller}-key`,
+    zone: zoneOf(index),
+  }));
   const configuration = configurationSchema.parse({
     bases: BASES.map((base) => ({ name: base })),
     adapters: Array.from({ length: sizes.adapters }, (_unused, index) => ({
--- a/packages/load/src/faults/breaks.ts
+++ b/packages/load/src/faults/breaks.ts
@@ -38,7 +38,7 @@
     promise: 'never-unload-serving',
     what: 'leases on engines that check no fences are believed to last ten times as long, and no order to be late',
     changes: { ownershipTiming: { clockSkew: -9, orderTimeoutMs: 0 } },
-    faults: ['pause-node', 'partition', 'kill-node', 'stop-node'],
+    faults: ['pause-node', 'pause-node', 'pause-node', 'popularity-jump', 'popularity-jump'],
   },
   {
     name: 'resume-position',
@@ -99,7 +99,11 @@
     this.inner = inner;
   }
 
-  generate(request: Parameters<EngineClient['generate']>[0], sink: StreamSink, signal: AbortSignal): Generated {
+  generate(
+    request: Parameters<EngineClient['generate']>[0],
+    sink: StreamSink,
+    signal: AbortSignal,
+  ): Generated {
     return this.inner.generate(request, sink, signal);
   }
 
@@ -117,11 +121,17 @@
 }
 
 class FirstVersionClient extends PassingClient {
-  override generate(request: Parameters<EngineClient['generate']>[0], sink: StreamSink, signal: AbortSignal): Generated {
+  override generate(
+    request: Parameters<EngineClient['generate']>[0],
+    sink: StreamSink,
+    signal: AbortSignal,
+  ): Generated {
     return this.inner.generate({ ...request, model: { ...request.model, version: 'v1' } }, sink, signal);
   }
 
-  override order(...[fence, order, signal]: Parameters<EngineClient['order']>): ReturnType<EngineClient['order']> {
+  override order(
+    ...[fence, order, signal]: Parameters<EngineClient['order']>
+  ): ReturnType<EngineClient['order']> {
     const changed = 'version' in order ? { ...order, version: 'v1' } : order;
     return this.inner.order(fence, changed, signal);
   }
@@ -131,8 +141,6 @@
   override report(): ReturnType<EngineClient['report']> {
     return this.inner.report().map((report) => ({
       ...report,
-      fence: Number.MAX_SAFE_INTEGER,
-      snapshotAgeMs: -1e9,
       adapters: report.adapters.map((adapter) => ({ ...adapter, running: 0 })),
     }));
   }
@@ -145,7 +153,11 @@
 }
 
 class OptimisticClient extends PassingClient {
-  override generate(request: Parameters<EngineClient['generate']>[0], sink: StreamSink, signal: AbortSignal): Generated {
+  override generate(
+    request: Parameters<EngineClient['generate']>[0],
+    sink: StreamSink,
+    signal: AbortSignal,
+  ): Generated {
     return this.inner
       .generate(request, sink, signal)
       .mapErr((error) =>
@@ -174,4 +186,3 @@
     return ok();
   }
 }
-
--- a/packages/load/src/faults/checker.ts
+++ b/packages/load/src/faults/checker.ts
@@ -90,13 +90,23 @@
   const verdict = judge(results, records);
   const found = emptyResults();
   const completed = results.filter((result) => result.outcome === 'completed');
-  note(found['right-adapter'], completed.length, namesOf(results, (result) => result.wrongModel));
+  note(
+    found['right-adapter'],
+    completed.length,
+    namesOf(results, (result) => result.wrongModel),
+  );
   const unloads = records.engines.reduce((sum, engine) => sum + engine.unloads, 0);
   const unloaded = records.engines.flatMap((engine) =>
-    engine.unloadedWhileRunning.map(({ adapter, atMs, by }) => `${engine.id} ${adapter} at ${Math.round(atMs)} by ${by}`),
+    engine.unloadedWhileRunning.map(
+      ({ adapter, atMs, by }) => `${engine.id} ${adapter} at ${Math.round(atMs)} by ${by}`,
+    ),
   );
   note(found['never-unload-serving'], unloads, unloaded);
-  note(found['whole-answer'], results.length, namesOf(results, (result) => result.outcome === 'lost' || result.wrongText));
+  note(
+    found['whole-answer'],
+    results.length,
+    namesOf(results, (result) => result.outcome === 'lost' || result.wrongText),
+  );
   const told = results.flatMap((result) => result.attempts.filter((attempt) => attempt.told === 'no'));
   note(found['true-refusals'], told.length, repeat('refusal of an executed request', verdict.falseRefusals));
   const once = results.filter((result) => result.call.kind.endsWith('-once'));
@@ -129,7 +139,9 @@
     const executions = fleet.standin.engines.get(engineId)?.record.executions ?? [];
     return executions
       .filter((execution) => execution.atMs > atMs + LEAVING_GRACE_MS)
-      .map((execution) => `${engineId} got ${execution.requestId} ${Math.round(execution.atMs - atMs)} ms after`);
+      .map(
+        (execution) => `${engineId} got ${execution.requestId} ${Math.round(execution.atMs - atMs)} ms after`,
+      );
   });
 }
 
--- a/packages/load/src/faults/injector.ts
+++ b/packages/load/src/faults/injector.ts
@@ -94,7 +94,10 @@
         engineFaults.latestMs = LATEST_ORDER_MS;
         return () => (engineFaults.lateOrders = 0);
       case 'lossy-network':
-        Object.assign(network.behaviour, { datagramLoss: HEAVY_LOSS, datagramDuplication: HEAVY_DUPLICATION });
+        Object.assign(network.behaviour, {
+          datagramLoss: HEAVY_LOSS,
+          datagramDuplication: HEAVY_DUPLICATION,
+        });
         return () => Object.assign(network.behaviour, { datagramLoss: 0.01, datagramDuplication: 0.01 });
       case 'configuration-down':
         standin.configuration.setMode('down');
@@ -147,10 +150,12 @@
   #stopNode(id: string): undefined {
     const { clock } = this.#fleet;
     this.log.plannedStops += 1;
-    void this.#fleet.stopPlanned(id, this.#lingerMs, this.#lingerMs === 0 ? 0 : STOP_LIMIT_MS).then((running) => {
-      this.log.requestsCutByPlannedStops += running;
-      clock.setTimer(RESTART_DELAY_MS, () => this.#restart(id));
-    });
+    void this.#fleet
+      .stopPlanned(id, this.#lingerMs, this.#lingerMs === 0 ? 0 : STOP_LIMIT_MS)
+      .then((running) => {
+        this.log.requestsCutByPlannedStops += running;
+        clock.setTimer(RESTART_DELAY_MS, () => this.#restart(id));
+      });
     return undefined;
   }
 
@@ -195,8 +200,11 @@
   /** A change of what is in force: some adapters get another version. */
   #changed(): Configuration {
     this.#changes += 1;
-    const inForce = this.#fleet.processes().find((process) => process.node.follower.store.index !== undefined);
-    const { adapters, ...rest } = inForce?.node.follower.store.index?.configuration ?? this.#model.configuration;
+    const inForce = this.#fleet
+      .processes()
+      .find((process) => process.node.follower.store.index !== undefined);
+    const { adapters, ...rest } =
+      inForce?.node.follower.store.index?.configuration ?? this.#model.configuration;
     const first = (this.#changes * RENAMED_ADAPTERS) % adapters.length;
     const next = adapters.map((adapter, index) =>
       index >= first && index < first + RENAMED_ADAPTERS
--- a/packages/load/src/faults/run.ts
+++ b/packages/load/src/faults/run.ts
@@ -1,4 +1,5 @@
 import { Random } from '@canvasridge/clock';
+import type { Configuration } from '@canvasridge/domain';
 import type { TimelineDump } from '@canvasridge/telemetry';
 import type { Call, CallResult } from '../callers/call.js';
 import { Caller } from '../callers/caller.js';
@@ -31,6 +32,10 @@
 
 const TRAFFIC_FROM_MS = 6000;
 const OBSERVE_MS = 250;
+/** Longer than any lease, and over while traffic still runs. */
+const LONG_PAUSE = { atMs: 12_000, lastsMs: 16_000 } as const;
+/** Share of generations that are long, so that they outlast a change of owner. */
+const LONG_SHARE = 0.15;
 const CLOCK_SKEW = 0.01;
 
 /** One seeded run: a deployment under traffic and faults, judged at the end. */
@@ -92,7 +97,11 @@
       const place = wanted.indexOf(fault.kind);
       if (place === -1) continue;
       wanted.splice(place, 1);
-      added.push(fault);
+      added.push(
+        fault.kind === 'pause-node'
+          ? { ...fault, atMs: LONG_PAUSE.atMs, lastsMs: LONG_PAUSE.lastsMs }
+          : fault,
+      );
     }
   }
   return [...faults, ...added];
@@ -111,10 +120,14 @@
     return new Caller(new SimulatedCallerTransport(fleet, host, key, zone));
   });
   const popularity = new Zipf(model.configuration.adapters.length, model.popularityExponent);
+  const served = (): Configuration => {
+    const index = random.pick(fleet.processes())?.node.follower.store.index;
+    return index?.configuration ?? model.configuration;
+  };
   let number = 0;
   const next = (): void => {
     if (fleet.clock.now() >= TRAFFIC_UNTIL_MS) return;
-    const call = newCall(number, random, popularity, model, injector.log.popularityShift);
+    const call = newCall(number, random, popularity, model, served(), injector.log.popularityShift);
     number += 1;
     const caller = random.pick(callers);
     void caller?.run(call).then((result) => results.push(result));
@@ -134,15 +147,26 @@
   'generation-once',
 ] as const;
 
-function newCall(number: number, random: Random, popularity: Zipf, model: DeploymentModel, shift: number): Call {
+function newCall(
+  number: number,
+  random: Random,
+  popularity: Zipf,
+  model: DeploymentModel,
+  served: Configuration,
+  shift: number,
+): Call {
   const id = `call-${number}`;
   const kind = random.pick(CALL_KINDS) ?? 'stream';
   const prompt = `request ${number} of this run`;
   const paths = servicePaths(model);
   if (kind === 'service') return { id, kind, target: paths.repeatable, prompt, maxTokens: 0 };
   if (kind === 'service-once') return { id, kind, target: paths.once, prompt, maxTokens: 0 };
-  const { adapters } = model.configuration;
+  const { adapters } = served;
   const adapter = adapters[(popularity.sample(random) + shift) % adapters.length];
-  const target = `${adapter?.base ?? ''}:${adapter?.name ?? ''}@${adapter?.versions[0] ?? ''}`;
-  return { id, kind, target, prompt, maxTokens: 4 + random.integer(40) };
+  const target = `${adapter?.base ?? ''}:${adapter?.name ?? ''}@${random.pick(adapter?.versions ?? []) ?? ''}`;
+  return { id, kind, target, prompt, maxTokens: drawLength(random) };
+}
+
+function drawLength(random: Random): number {
+  return random.next() < LONG_SHARE ? 150 + random.integer(250) : 4 + random.integer(40);
 }
--- a/packages/load/src/faults/schedule.ts
+++ b/packages/load/src/faults/schedule.ts
@@ -62,7 +62,12 @@
   return faults.sort((a, b) => a.atMs - b.atMs);
 }
 
-const ONE_AT_A_TIME: ReadonlySet<FaultKind> = new Set(['kill-node', 'pause-node', 'stop-node', 'engine-leaves']);
+const ONE_AT_A_TIME: ReadonlySet<FaultKind> = new Set([
+  'kill-node',
+  'pause-node',
+  'stop-node',
+  'engine-leaves',
+]);
 
 function drawTargets(kind: FaultKind, random: Random, model: DeploymentModel): string[] {
   const nodes = model.nodes.map((node) => node.id);
--- a/packages/load/src/simulation/peer-ports.ts
+++ b/packages/load/src/simulation/peer-ports.ts
@@ -1,5 +1,10 @@
 import { Header, type StreamSink } from '@canvasridge/domain';
-import { readAnswer, type DatagramTransport, type PeerCallError, type PeerCaller } from '@canvasridge/membership';
+import {
+  readAnswer,
+  type DatagramTransport,
+  type PeerCallError,
+  type PeerCaller,
+} from '@canvasridge/membership';
 import type { EntryNode, RequestEnd } from '@canvasridge/node';
 import type { ForwardClient, ForwardError, ForwardedRequest } from '@canvasridge/platform';
 import { createJSONRPCRequest, type JSONRPCResponse } from 'json-rpc-2.0';
@@ -48,7 +53,13 @@
   readonly #peers: PeerLookup;
   receive: Receiver = () => undefined;
 
-  constructor(network: SimulatedNetwork, host: Host, address: string, peers: PeerLookup, meter: TrafficMeter) {
+  constructor(
+    network: SimulatedNetwork,
+    host: Host,
+    address: string,
+    peers: PeerLookup,
+    meter: TrafficMeter,
+  ) {
     this.#network = network;
     this.#host = host;
     this.localAddress = address;
@@ -252,4 +263,3 @@
     return this.#sink.waitForDrain();
   }
 }
-
--- a/packages/membership/src/broadcast-queue.ts
+++ b/packages/membership/src/broadcast-queue.ts
@@ -4,6 +4,7 @@
   readonly topic: string;
   readonly encode: () => EncodedUpdate;
   readonly bytes: number;
+  readonly transmissions: () => number;
   sent: number;
 }
 
@@ -18,13 +19,16 @@
     return this.#items.size;
   }
 
-  /** @param encode called at each sending, so that ages in the update are current */
-  add(topic: string, encode: () => EncodedUpdate): void {
-    this.#items.set(topic, { topic, encode, bytes: encodedSize(encode()), sent: 0 });
+  /**
+   * @param transmissions how often it is sent in all
+   * @param encode called at each sending, so that ages in the update are current
+   */
+  add(topic: string, transmissions: () => number, encode: () => EncodedUpdate): void {
+    this.#items.set(topic, { topic, encode, bytes: encodedSize(encode()), transmissions, sent: 0 });
   }
 
   /** The updates for one datagram of at most `byteLimit` bytes. */
-  take(byteLimit: number, transmissions: number): EncodedUpdate[] {
+  take(byteLimit: number): EncodedUpdate[] {
     if (this.#items.size === 0) return [];
     const ordered = [...this.#items.values()].sort((a, b) => a.sent - b.sent);
     const taken: EncodedUpdate[] = [];
@@ -34,7 +38,7 @@
       bytes += item.bytes;
       taken.push(item.encode());
       item.sent += 1;
-      if (item.sent >= transmissions) this.#items.delete(item.topic);
+      if (item.sent >= item.transmissions()) this.#items.delete(item.topic);
     }
     return taken;
   }
--- a/packages/membership/src/codec.ts
+++ b/packages/membership/src/codec.ts
@@ -27,11 +27,13 @@
 ]);
 /** [2, owner, key, version, value] */
 const recordUpdate = z.tuple([z.literal(2), text, text, z.number().min(0), z.unknown()]);
-const update = z.union([memberStateUpdate, memberUpdate, recordUpdate]);
+/** [3, id, incarnation, state, highest version of its records] */
+const versionUpdate = z.tuple([z.literal(3), text, z.int().min(0), stateCode, z.number().min(0)]);
+const update = z.union([memberStateUpdate, memberUpdate, recordUpdate, versionUpdate]);
 
 /** [kind, sender, sender's revision, sequence, target, updates] */
 const message = z.tuple([
-  z.enum(['ping', 'ack', 'ping-request', 'gossip', 'join', 'digest', 'state']),
+  z.enum(['ping', 'ack', 'ping-request', 'gossip', 'join', 'digest', 'versions', 'state']),
   text,
   z.int().min(0),
   z.int().min(0),
@@ -66,9 +68,19 @@
   readonly value: unknown;
 }
 
-export type Update = MemberStateUpdate | MemberUpdate | RecordUpdate;
+/** What a node knows of another, without the content: for comparing. */
+export interface VersionUpdate {
+  readonly kind: 'version';
+  readonly id: string;
+  readonly incarnation: number;
+  readonly state: MemberState;
+  readonly recordVersion: number;
+}
+
+export type Update = MemberStateUpdate | MemberUpdate | RecordUpdate | VersionUpdate;
 
-export type MessageKind = 'ping' | 'ack' | 'ping-request' | 'gossip' | 'join' | 'digest' | 'state';
+export type MessageKind =
+  'ping' | 'ack' | 'ping-request' | 'gossip' | 'join' | 'digest' | 'versions' | 'state';
 
 export interface GossipMessage {
   readonly kind: MessageKind;
@@ -95,6 +107,8 @@
     }
     case 'record':
       return [2, news.owner, news.key, news.version, news.value];
+    case 'version':
+      return [3, news.id, news.incarnation, STATES.indexOf(news.state), news.recordVersion];
   }
 }
 
@@ -145,5 +159,9 @@
       const [, owner, key, version, value] = encoded;
       return { kind: 'record', owner, key, version, value };
     }
+    case 3: {
+      const [, id, incarnation, state, recordVersion] = encoded;
+      return { kind: 'version', id, incarnation, state: STATES[state] ?? 'alive', recordVersion };
+    }
   }
 }
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -10,9 +10,10 @@
   type GossipMessage,
   type MessageKind,
   type Update,
+  type VersionUpdate,
 } from './codec.js';
 import type { DatagramTransport } from './datagram-transport.js';
-import { isPresent, type Member, type MemberIdentity, type MemberState } from './member.js';
+import { isPresent, overrides, type Member, type MemberIdentity, type MemberState } from './member.js';
 import { MemberTable } from './member-table.js';
 import { RecordTable, type PublishedRecord } from './record-table.js';
 import { DEFAULT_MEMBERSHIP_TIMING, type MembershipTiming } from './timing.js';
@@ -41,6 +42,7 @@
 }
 
 const TRANSMISSION_FACTOR = 3;
+const RECORD_TRANSMISSIONS = 4;
 const ZERO_AGE = 0;
 const PAUSE_FACTOR = 3;
 const REJOIN_PERIOD_MS = 8000;
@@ -274,6 +276,7 @@
     const decoded = decodeMessage(bytes);
     if (decoded === undefined) return;
     for (const update of decoded.updates) this.#apply(update);
+    this.#compareVersions(from, decoded.updates);
     this.#answer(from, decoded.message);
     const sender = this.#table.get(decoded.message.sender);
     if (sender !== undefined) this.#options.events.onRevision?.(sender, decoded.message.revision);
@@ -297,10 +300,10 @@
         this.#sendWholeState(from, 'state');
         return;
       case 'digest':
-        if (message.target !== this.#digest()) this.#sendWholeState(from, 'state');
+        if (message.target !== this.#digest()) this.#sendAll(from, 'versions', this.#versions());
         return;
+      case 'versions':
       case 'state':
-        return;
       case 'gossip':
         return;
     }
@@ -338,6 +341,8 @@
       case 'record':
         this.#applyRecord(update);
         return;
+      case 'version':
+        return;
     }
   }
 
@@ -378,7 +383,7 @@
       const { incarnation, state } = member;
       this.#broadcast(topic, { kind: 'member', identity: member, incarnation, state });
     } else {
-      this.#queue.add(topic, () => this.#encodeState(member));
+      this.#queue.add(topic, this.#transmissions, () => this.#encodeState(member));
     }
     this.#options.events.onMember?.(member, before);
   }
@@ -403,12 +408,12 @@
 
   #broadcast(topic: string, update: Update): void {
     const encoded = encodeUpdate(update);
-    this.#queue.add(topic, () => encoded);
+    const transmissions = update.kind === 'record' ? recordTransmissions : this.#transmissions;
+    this.#queue.add(topic, transmissions, () => encoded);
   }
 
-  #transmissions(): number {
-    return TRANSMISSION_FACTOR + Math.ceil(Math.log2(this.#table.present().length + 2));
-  }
+  readonly #transmissions = (): number =>
+    TRANSMISSION_FACTOR + Math.ceil(Math.log2(this.#table.present().length + 2));
 
   #someMembers(count: number, except = ''): Member[] {
     const candidates = this.#table.present().filter((member) => member.id !== except);
@@ -447,7 +452,7 @@
   }
 
   #send(address: string, kind: MessageKind, sequence = 0, target = ''): void {
-    const updates = this.#queue.take(this.#timing.datagramBytes, this.#transmissions());
+    const updates = this.#queue.take(this.#timing.datagramBytes);
     this.#sendUpdates(address, kind, sequence, target, updates);
   }
 
@@ -463,22 +468,76 @@
     this.#options.transport.send(address, encodeMessage(message));
   }
 
-  // --- comparing whole tables --------------------------------------------------------------------
+  // --- comparing what is known --------------------------------------------------------------------
 
-  /** A short text that is the same on two nodes exactly when they know the same. */
+  /** A short text that is the same on two nodes that know the same. */
   #digest(): string {
-    const members = this.#allMembers().map((member) => `${member.id}/${member.incarnation}/${member.state}`);
-    const records = [...this.#records.highestVersions()].map(([owner, version]) => `${owner}#${version}`);
-    return String(hashSeed([...members, ...records].sort().join(',')));
+    const versions = this.#versions().map((version) => version.slice(1).join('/'));
+    return String(hashSeed(versions.sort().join(',')));
+  }
+
+  #versions(): EncodedUpdate[] {
+    const present = this.#table.all().filter((member) => isPresent(member.state));
+    return [...present, this.self()].map((member) => this.#versionOf(member));
+  }
+
+  #versionOf(member: Member): EncodedUpdate {
+    const { id, incarnation, state } = member;
+    return encodeUpdate({
+      kind: 'version',
+      id,
+      incarnation,
+      state,
+      recordVersion: this.#records.highestVersion(id),
+    });
   }
 
-  #allMembers(): Member[] {
-    return [...this.#table.all().filter((member) => isPresent(member.state)), this.self()];
+  /**
+   * Answers a list of versions: sends what is newer here, and lists what is newer there, which the other
+   * side answers in the same way. Ends, since what is sent is then equal on both sides.
+   */
+  #compareVersions(from: string, updates: readonly Update[]): void {
+    const newerHere: EncodedUpdate[] = [];
+    const newerThere: EncodedUpdate[] = [];
+    for (const update of updates) {
+      if (update.kind === 'version') this.#compareVersion(update, newerHere, newerThere);
+    }
+    if (newerHere.length > 0) this.#sendAll(from, 'state', newerHere);
+    if (newerThere.length > 0) this.#sendAll(from, 'versions', newerThere);
   }
 
-  /** Sends members and records in as many datagrams as they need. */
+  #compareVersion(theirs: VersionUpdate, newerHere: EncodedUpdate[], newerThere: EncodedUpdate[]): void {
+    const { id, incarnation, state, recordVersion } = theirs;
+    const mine = this.get(id);
+    if (mine === undefined) {
+      newerThere.push(
+        encodeUpdate({ kind: 'version', id, incarnation: 0, state: 'alive', recordVersion: 0 }),
+      );
+      return;
+    }
+    if (overrides(mine.incarnation, mine.state, theirs)) newerHere.push(this.#encodeMember(mine));
+    for (const record of this.#records.of(id)) {
+      if (record.version > recordVersion) newerHere.push(encodeUpdate({ kind: 'record', ...record }));
+    }
+    const behind = overrides(incarnation, state, mine) || recordVersion > this.#records.highestVersion(id);
+    if (behind && id !== this.identity.id) newerThere.push(this.#versionOf(mine));
+  }
+
+  #encodeMember(member: Member): EncodedUpdate {
+    const { incarnation, state } = member;
+    if (!isPresent(state)) return this.#encodeState(member);
+    return encodeUpdate({ kind: 'member', identity: member, incarnation, state });
+  }
+
+  /** Members and records as a whole, for one that joins. */
   #sendWholeState(address: string, kind: MessageKind): void {
-    const updates = [...this.#memberUpdates(), ...this.#recordUpdates()];
+    const members = [...this.#table.all(), this.self()].map((member) => this.#encodeMember(member));
+    const records = [...this.#records.all()].map((record) => encodeUpdate({ kind: 'record', ...record }));
+    this.#sendAll(address, kind, [...members, ...records]);
+  }
+
+  /** Sends updates in as many datagrams as they need. */
+  #sendAll(address: string, kind: MessageKind, updates: readonly EncodedUpdate[]): void {
     let batch: EncodedUpdate[] = [];
     let bytes = 0;
     for (const update of updates) {
@@ -493,24 +552,9 @@
     }
     this.#sendUpdates(address, kind, 0, '', batch);
   }
+}
 
-  #memberUpdates(): EncodedUpdate[] {
-    return this.#table
-      .all()
-      .map((member) =>
-        isPresent(member.state)
-          ? encodeUpdate({
-              kind: 'member',
-              identity: member,
-              incarnation: member.incarnation,
-              state: member.state,
-            })
-          : this.#encodeState(member),
-      )
-      .concat([encodeUpdate(this.#selfUpdate())]);
-  }
-
-  #recordUpdates(): EncodedUpdate[] {
-    return [...this.#records.all()].map((record) => encodeUpdate({ kind: 'record', ...record }));
-  }
+/** Records are hints for routing: a few forwards reach nearly all nodes, comparing repairs the rest. */
+function recordTransmissions(): number {
+  return RECORD_TRANSMISSIONS;
 }
--- a/packages/membership/src/record-table.ts
+++ b/packages/membership/src/record-table.ts
@@ -42,12 +42,10 @@
     return this.#byOwner.get(owner)?.values() ?? [];
   }
 
-  /** Highest version of each owner, for comparing tables. */
-  highestVersions(): Map<string, number> {
-    const highest = new Map<string, number>();
-    for (const record of this.all()) {
-      highest.set(record.owner, Math.max(highest.get(record.owner) ?? 0, record.version));
-    }
+  /** Highest version among the records of one owner, 0 for none. */
+  highestVersion(owner: string): number {
+    let highest = 0;
+    for (const record of this.of(owner)) highest = Math.max(highest, record.version);
     return highest;
   }
 }
--- a/packages/membership/src/timing.ts
+++ b/packages/membership/src/timing.ts
@@ -11,7 +11,7 @@
   /** Period in which fresh news are pushed to random members. */
   readonly gossipPeriodMs: number;
   readonly gossipFanout: number;
-  /** Period of the exchange of whole digests with one member. */
+  /** Period in which what is known is compared with one member. */
   readonly synchronisationPeriodMs: number;
   /** Dead and left members are kept this long, so that old news of them are recognised. */
   readonly forgetMs: number;
@@ -24,9 +24,9 @@
   probeTimeoutMs: 300,
   indirectProbes: 3,
   suspicionMs: 3000,
-  gossipPeriodMs: 200,
+  gossipPeriodMs: 400,
   gossipFanout: 2,
-  synchronisationPeriodMs: 30_000,
+  synchronisationPeriodMs: 45_000,
   forgetMs: 120_000,
   datagramBytes: 1100,
 };
--- a/packages/node/src/control/admin-service.ts
+++ b/packages/node/src/control/admin-service.ts
@@ -91,6 +91,7 @@
     return {
       revision: store.revision,
       digest: store.head?.digest ?? null,
+      serviceVersion: store.sourceVersion,
       configuration: store.index?.configuration ?? null,
     };
   }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -227,7 +227,7 @@
     const { ports, clock, random, telemetry } = this.#options;
     const onChange = (): void => {
       this.fleet.machinesChanged();
-      this.ownership.reconcile();
+      this.ownership.reconcileSoon();
     };
     return new MachineWatch({ list: ports.machines, clock, random, telemetry, onChange });
   }
@@ -254,7 +254,7 @@
   #memberChanged(member: Member): void {
     if (member.state === 'dead' || member.state === 'left') this.fleet.view.forgetOwner(member.id);
     else for (const record of this.membership.recordsOf(member.id)) this.fleet.view.update(record);
-    this.ownership.reconcile();
+    this.ownership.reconcileSoon();
     this.#options.telemetry.metrics.gauge('membership.alive', this.membership.present().length);
   }
 
--- a/packages/ownership/src/engine-ownership.ts
+++ b/packages/ownership/src/engine-ownership.ts
@@ -127,9 +127,8 @@
     }
   }
 
-  async #pause(delayMs: number): Promise<void> {
-    const sleeping = this.#clock.sleep(jittered(delayMs, this.#options.random), this.#stop.signal);
-    await Promise.race([sleeping, this.#wake.wait()]);
+  #pause(delayMs: number): Promise<void> {
+    return this.#wake.waitUpTo(this.#clock, jittered(delayMs, this.#options.random));
   }
 
   // --- acquiring ---------------------------------------------------------------------------------
@@ -198,7 +197,7 @@
 
   async #keep(): Promise<void> {
     const { timing } = this.#options;
-    await this.#clock.sleep(jittered(timing.renewPeriodMs, this.#options.random) / 1.5, this.#stop.signal);
+    await this.#clock.sleep(jittered(timing.renewPeriodMs, this.#options.random), this.#stop.signal);
     if (!this.#held || this.#stop.signal.aborted) return;
     if (!this.held) return this.#lose('lease ended');
     // Also while another node should own the engine: it asks for the release, and until then this one serves.
--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -1,5 +1,5 @@
 /** Which node gives orders to an engine. */
-export { desiredOwner } from './desired-owner.js';
+export { assignOwners } from './desired-owner.js';
 export { EngineOwnership, type EngineOwnershipOptions, type OwnedState } from './engine-ownership.js';
 export {
   OwnershipManager,
--- a/packages/ownership/src/ownership-manager.ts
+++ b/packages/ownership/src/ownership-manager.ts
@@ -4,7 +4,7 @@
 import type { Member, PeerCaller } from '@canvasridge/membership';
 import type { Telemetry } from '@canvasridge/telemetry';
 import { z } from 'zod';
-import { desiredOwner } from './desired-owner.js';
+import { assignOwners } from './desired-owner.js';
 import { EngineOwnership, type OwnedState } from './engine-ownership.js';
 import type { OwnershipTiming } from './timing.js';
 import { WitnessTable, chooseWitnesses } from './witness-table.js';
@@ -33,6 +33,7 @@
   readonly events: OwnershipEvents;
 }
 
+const RECONCILE_DELAY_MS = 100;
 const RELEASE_TIMEOUT_MS = 1000;
 const GRANT_TIMEOUT_MS = 700;
 
@@ -54,8 +55,9 @@
   readonly #witnessTable: WitnessTable;
   readonly #holder: string;
   #engines: readonly EngineDefinition[] = [];
-  #desired = new Map<string, string>();
+  #desired: ReadonlyMap<string, string> = new Map();
   #stopped = false;
+  #pending = false;
 
   constructor(options: OwnershipManagerOptions) {
     this.#options = options;
@@ -82,15 +84,20 @@
     this.reconcile();
   }
 
-  /** Works out again which engines this node should own. Called when members or engines change. */
+  /** Works out soon which engines this node should own; several changes at once are taken together. */
+  reconcileSoon(): void {
+    if (this.#pending || this.#stopped) return;
+    this.#pending = true;
+    this.#options.clock.setTimer(RECONCILE_DELAY_MS, () => {
+      this.#pending = false;
+      this.reconcile();
+    });
+  }
+
+  /** Works out now which engines this node should own. */
   reconcile(): void {
     if (this.#stopped) return;
-    const present = this.#options.present();
-    this.#desired = new Map();
-    for (const engine of this.#engines) {
-      const owner = desiredOwner(engine, present);
-      if (owner !== undefined) this.#desired.set(engine.id, owner.id);
-    }
+    this.#desired = assignOwners(this.#engines, this.#options.present());
     this.#dropRemoved();
     for (const engine of this.#engines) this.#ensureTask(engine);
   }
--- a/packages/ownership/src/timing.ts
+++ b/packages/ownership/src/timing.ts
@@ -13,8 +13,8 @@
 }
 
 export const DEFAULT_OWNERSHIP_TIMING: OwnershipTiming = {
-  leaseMs: 4000,
-  renewPeriodMs: 1300,
+  leaseMs: 6000,
+  renewPeriodMs: 2000,
   witnessLeaseMs: 9000,
   clockSkew: 0.05,
   orderTimeoutMs: 3000,
