Hand over engines that check no fences, and let only the named process give its keys out

Excluded: lost witnesses (their grants were renewed in time) and the epoch of the home (it was current). Change: an owner known from gossip is asked to let go; keys.transfer carries the whole home and is answered only by the process it names.

--- a/packages/load/src/callers/verdict.ts
+++ b/packages/load/src/callers/verdict.ts
@@ -60,6 +60,20 @@
   };
 }
 
+/** Calls that may run once and ran more often, with what their attempts were told. */
+export function describeDuplicates(results: readonly CallResult[], records: StandinRecords): string[] {
+  const executions = countExecutions(records);
+  return results
+    .filter((result) => isOnce(result.call) && executionsOf(result, executions) > 1)
+    .map(({ call, attempts }) => {
+      const told = attempts.map(
+        (attempt) =>
+          `${attempt.requestId} ran ${executions.get(attempt.requestId) ?? 0} times, told ${attempt.told}`,
+      );
+      return `${call.id} (${call.kind}): ${told.join('; ')}`;
+    });
+}
+
 export function quantile(sorted: readonly number[], share: number): number {
   return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
 }
--- a/packages/load/src/faults/breaks.ts
+++ b/packages/load/src/faults/breaks.ts
@@ -15,6 +15,8 @@
   /** Faults that are added to each schedule, so that the missing safeguard is needed. */
   readonly faults: readonly FaultKind[];
   readonly lingerMs?: number;
+  /** Traffic that the missing safeguard needs to show. */
+  readonly requestsPerSecond?: number;
 }
 
 /** All breaks; `--list-breaks` prints them. */
@@ -31,7 +33,8 @@
     promise: 'never-unload-serving',
     what: 'reports are believed to show every adapter idle',
     changes: { engine: (client) => new IdleReportClient(client) },
-    faults: ['pause-node', 'kill-node', 'stop-node'],
+    faults: ['stop-node', 'stop-node', 'stop-node', 'popularity-jump', 'popularity-jump'],
+    requestsPerSecond: 40,
   },
   {
     name: 'witness-lease',
--- a/packages/load/src/faults/checker.ts
+++ b/packages/load/src/faults/checker.ts
@@ -1,5 +1,5 @@
 import type { CallResult } from '../callers/call.js';
-import { judge } from '../callers/verdict.js';
+import { describeDuplicates, judge } from '../callers/verdict.js';
 import type { RevisionHead } from '@canvasridge/configuration';
 import type { SimulatedFleet } from '../simulation/fleet.js';
 import type { InjectionLog } from './injector.js';
@@ -110,7 +110,7 @@
   const told = results.flatMap((result) => result.attempts.filter((attempt) => attempt.told === 'no'));
   note(found['true-refusals'], told.length, repeat('refusal of an executed request', verdict.falseRefusals));
   const once = results.filter((result) => result.call.kind.endsWith('-once'));
-  note(found['at-most-once'], once.length, repeat('request ran more than once', verdict.duplicated));
+  note(found['at-most-once'], once.length, describeDuplicates(results, records));
   note(found['leaving-back-ends'], log.leavingEngines.size, lateExecutions(fleet, log));
   note(found['planned-stops'], log.plannedStops, repeat('request cut', log.requestsCutByPlannedStops));
   note(found.configuration, revisions.checks, [...revisions.reverts, ...divergedNodes(fleet, revisions)]);
--- a/packages/load/src/faults/run.ts
+++ b/packages/load/src/faults/run.ts
@@ -113,7 +113,8 @@
   injector: FaultInjector,
   results: CallResult[],
 ): void {
-  const { model, seed, requestsPerSecond } = options;
+  const { model, seed } = options;
+  const requestsPerSecond = options.broken?.requestsPerSecond ?? options.requestsPerSecond;
   const random = Random.derive(seed, 'traffic');
   const callers = model.callers.map(({ name, key, zone }) => {
     const host = fleet.network.newHost(`caller-${name}`);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -354,6 +354,7 @@
       present: () => this.membership.present(),
       member: (id) => this.membership.get(id),
       listedNodes: () => this.#machines.entryNodes(),
+      knownOwner: (engineId) => this.fleet.view.ownerOf(engineId),
       caller: ports.peers,
       clientOf: (engine) => this.fleet.clientOf(engine),
       clock,
--- a/packages/node/src/requests/key-protocol.ts
+++ b/packages/node/src/requests/key-protocol.ts
@@ -12,7 +12,7 @@
 import { z } from 'zod';
 
 /** Parameters and answers of the methods that peers call. */
-export const transferKeyParams = z.strictObject({ epoch: z.int(), key: z.string(), process: z.string() });
+export const transferKeyParams = z.strictObject({ home: z.string(), key: z.string(), process: z.string() });
 export const keyOutcomeParams = z.strictObject({ home: z.string(), key: z.string() });
 
 const transferAnswer = z.strictObject({ transfer: z.enum(KEY_TRANSFERS), process: z.string() });
@@ -106,7 +106,7 @@
     const { member, caller, self } = this.#options;
     const peer = member(home.nodeId);
     if (peer === undefined || peer.processToken !== home.processToken) return undefined;
-    const params = { epoch: home.epoch, key, process: processName(self()) };
+    const params = { home: formatHome(home), key, process: processName(self()) };
     const answer = await caller.call(peer.peerUrl, 'keys.transfer', params, transferAnswer, CALL_TIMEOUT_MS);
     return answer.isOk() ? answer.value : undefined;
   }
@@ -128,10 +128,16 @@
 
   // --- calls of peers ----------------------------------------------------------------------------
 
+  /**
+   * The caller of this may believe in a process that this one has replaced at its address; only the very
+   * process that the home names can hand its keys out.
+   */
   handleTransfer(params: z.infer<typeof transferKeyParams>): z.infer<typeof transferAnswer> {
     const { keys, self } = this.#options;
-    const transfer = keys.transfer(params.epoch, params.key, params.process);
-    const process = keys.delegateOf(params.epoch, params.key) ?? processName(self());
+    const home = parseHome(params.home);
+    if (home === undefined || !isHere(home, self())) return { transfer: 'unknown', process: '' };
+    const transfer = keys.transfer(home.epoch, params.key, params.process);
+    const process = keys.delegateOf(home.epoch, params.key) ?? processName(self());
     return { transfer, process };
   }
 
@@ -139,14 +145,17 @@
     const home = parseHome(params.home);
     if (home === undefined) return toWire({ kind: 'unknown' });
     const { keys, delegated, self } = this.#options;
-    const here = home.nodeId === self().id && home.processToken === self().processToken;
-    const outcome = here
+    const outcome = isHere(home, self())
       ? keys.outcomeOf(home.epoch, params.key)
       : delegated.outcomeOf(home.epoch, delegatedKey(params.home, params.key));
     return toWire((await outcome) ?? { kind: 'unknown' });
   }
 }
 
+function isHere(home: HomeToken, self: Member): boolean {
+  return home.nodeId === self.id && home.processToken === self.processToken;
+}
+
 function processName(member: Member): string {
   return `${member.id}~${member.processToken}`;
 }
--- a/packages/ownership/src/engine-ownership.ts
+++ b/packages/ownership/src/engine-ownership.ts
@@ -24,6 +24,8 @@
   readonly isDesired: () => boolean;
   /** Asks the present holder to let go; true when it has, or when it is certainly gone. */
   readonly requestRelease: (holder: string) => Promise<boolean>;
+  /** Asks the node that is known to own the engine, where the engine itself does not tell its holder. */
+  readonly requestReleaseOfOwner: () => Promise<boolean>;
   /** For engines that do not check fences: asks the witnesses for a lease. */
   readonly witnesses: {
     acquire(engineId: string, leaseMs: number): Promise<boolean>;
@@ -156,7 +158,11 @@
   async #acquireFromWitnesses(): Promise<boolean> {
     const { timing, witnesses } = this.#options;
     const startedAtMs = this.#clock.now();
-    if (!(await witnesses.acquire(this.engine.id, timing.witnessLeaseMs))) return false;
+    if (!(await witnesses.acquire(this.engine.id, timing.witnessLeaseMs))) {
+      // The owner gives its lease up at the witnesses when it lets go; the next try then finds it free.
+      await this.#options.requestReleaseOfOwner();
+      return false;
+    }
     this.#leaseUntilMs = startedAtMs + timing.witnessLeaseMs * (1 - timing.clockSkew);
     return true;
   }
--- a/packages/ownership/src/ownership-manager.ts
+++ b/packages/ownership/src/ownership-manager.ts
@@ -24,6 +24,8 @@
   readonly member: (id: string) => Member | undefined;
   /** Names of all entry nodes that the platform lists, live or not. */
   readonly listedNodes: () => readonly string[];
+  /** Node that publishes itself as the owner of an engine, if any. */
+  readonly knownOwner: (engineId: string) => string | undefined;
   readonly caller: PeerCaller;
   readonly clientOf: (engine: EngineDefinition) => EngineClient;
   readonly clock: Clock;
@@ -161,6 +163,7 @@
       holder: this.#holder,
       isDesired: () => this.#desired.get(engine.id) === this.#options.self().id,
       requestRelease: (holder) => this.#requestRelease(engine.id, holder),
+      requestReleaseOfOwner: () => this.#requestReleaseOfOwner(engine.id),
       witnesses: {
         acquire: (engineId, leaseMs) => this.#acquireFromWitnesses(engineId, leaseMs),
         release: (engineId) => this.#releaseWitnesses(engineId),
@@ -185,6 +188,13 @@
     return answer;
   }
 
+  async #requestReleaseOfOwner(engineId: string): Promise<boolean> {
+    const self = this.#options.self();
+    const owner = this.#options.member(this.#options.knownOwner(engineId) ?? self.id);
+    if (owner === undefined || owner.id === self.id) return false;
+    return this.#call(owner, 'ownership.release', { engineId, requester: self.id }, RELEASE_TIMEOUT_MS);
+  }
+
   async #acquireFromWitnesses(engineId: string, leaseMs: number): Promise<boolean> {
     const witnesses = chooseWitnesses(engineId, this.#options.listedNodes());
     if (witnesses.length === 0) return false;
