--- a/packages/load/src/main.ts
+++ b/packages/load/src/main.ts
@@ -8,7 +8,15 @@
 import { scaleCommand } from './commands/scale.js';
 
 const VERSION = '0.1.0';
-const COMMANDS = [demoCommand, benchCommand, faultsCommand, scaleCommand, examplesCommand, publishCommand];
+const COMMANDS = [
+  demoCommand,
+  benchCommand,
+  faultsCommand,
+  scaleCommand,
+  capacityCommand,
+  examplesCommand,
+  publishCommand,
+];
 
 /** Entry point of `canvasridge-load`. Returns the exit code. */
 export function main(argv: readonly string[]): Promise<number> {
