--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -46,6 +46,7 @@
 const ZERO_AGE = 0;
 const PAUSE_FACTOR = 3;
 const REJOIN_PERIOD_MS = 8000;
+const START_SPAN_MS = 10_000;
 
 /**
  * SWIM membership (Das, Gupta, Motivala, 2002) with suspicion and incarnations, and gossip of
@@ -70,6 +71,7 @@
   #sequence = 0;
   #lastProbeAtMs: number;
   #nextJoinAtMs = 0;
+  readonly #startedAtMs: number;
 
   constructor(options: MembershipOptions) {
     this.identity = options.identity;
@@ -78,6 +80,7 @@
     this.#clock = options.clock;
     this.#random = options.random;
     this.#lastProbeAtMs = options.clock.now();
+    this.#startedAtMs = options.clock.now();
     // A restarted process must override what is known of the one before: wall time gives it a higher start.
     this.#incarnation = Math.floor(options.clock.wallTime() / 1000) + 1;
     this.#recordVersion = Math.floor(options.clock.wallTime());
@@ -433,14 +436,15 @@
 
   /**
    * Joins through a listed address that is not known as a member: at the start, and after a partition
-   * in which both sides gave each other up. Once members are known this is seldom, since a machine that
-   * is gone may stay listed for long.
+   * in which both sides gave each other up. Nodes that start together may first form several groups, so
+   * a young one asks in each period; later this is seldom, since a gone machine may stay listed for long.
    */
   #contactSeeds(): void {
     const nowMs = this.#clock.now();
     const alone = this.#table.present().length === 0;
     if (!alone && nowMs < this.#nextJoinAtMs) return;
-    this.#nextJoinAtMs = nowMs + jittered(REJOIN_PERIOD_MS, this.#random);
+    const starting = nowMs - this.#startedAtMs < START_SPAN_MS;
+    this.#nextJoinAtMs = nowMs + (starting ? 0 : jittered(REJOIN_PERIOD_MS, this.#random));
     const known = new Set(this.#table.present().map((member) => member.gossip));
     const unknown = this.#options
       .seeds()
