--- a/packages/node/src/control/engine-fleet.ts
+++ b/packages/node/src/control/engine-fleet.ts
@@ -53,6 +53,7 @@
   readonly #publishPending = new Set<string>();
   #ownership: OwnershipManager | undefined;
   #index: ConfigurationIndex | undefined;
+  #pinned: ReadonlyMap<string, readonly string[]> = new Map();
   #candidates: AdapterCandidates | undefined;
   #loadSeconds = INITIAL_LOAD_SECONDS;
   #serviceSeconds = INITIAL_SERVICE_SECONDS;
@@ -73,6 +74,7 @@
   configure(index: ConfigurationIndex): void {
     this.#index = index;
     this.#candidates = new AdapterCandidates(index);
+    this.#pinned = pinsByEngine(index, this.#candidates);
     this.#ownership?.setEngines(index.configuration.engines);
     for (const scheduler of this.#schedulers.values()) scheduler.configurationChanged();
   }
@@ -208,7 +210,7 @@
       queueLimit: () => this.#index?.tuning.queueLimitPerEngine ?? 0,
       isLeaving: () =>
         this.#options.isLeaving(engine.machine) || this.#index?.isLeaving(engine.machine) === true,
-      isPinned: (adapter) => (this.#index?.adapter(engine.base, adapter)?.pinnedReplicas ?? 0) > 0,
+      pinnedKeys: () => this.#pinned.get(engine.id) ?? [],
       isReplicated: (key) => this.#isHeldElsewhere(engine, key),
       isServed: (adapter, version) =>
         this.#index?.adapter(engine.base, adapter)?.versions.includes(version) === true,
@@ -251,6 +253,9 @@
     const fence = this.#ownership?.get(engineId)?.fence ?? 0;
     if (scheduler === undefined) return [0, 0, 0, 0, []];
     const { maxBatch } = scheduler.engine;
+    const { metrics } = this.#options.telemetry;
+    metrics.gauge('engine.batch', scheduler.inFlight, [`engine:${engineId}`]);
+    metrics.gauge('engine.queue', scheduler.queued, [`engine:${engineId}`]);
     const loaded = scheduler.slots().filter((slot) => slot.state === 'ready' && !slot.draining);
     const hashes = loaded.map((slot) => hash32(slot.key)).sort((a, b) => a - b);
     // Counts go out in coarse steps, so that they do not make news of every request.
@@ -260,3 +265,19 @@
     return [fence, running, queued, Math.min(1, scheduler.reclaimableSlots), hashes];
   }
 }
+
+/** The newest version of each pinned adapter, at its first candidates: every node works out the same. */
+function pinsByEngine(
+  index: ConfigurationIndex,
+  candidates: AdapterCandidates,
+): ReadonlyMap<string, readonly string[]> {
+  const pins = new Map<string, string[]>();
+  for (const { base, name, versions, pinnedReplicas = 0 } of index.configuration.adapters) {
+    if (pinnedReplicas === 0) continue;
+    const key = adapterKey({ adapter: name, version: versions.at(-1) ?? '' });
+    for (const engine of candidates.of(base, name).slice(0, pinnedReplicas)) {
+      pins.set(engine.id, [...(pins.get(engine.id) ?? []), key]);
+    }
+  }
+  return pins;
+}
--- a/packages/node/src/requests/inbound.ts
+++ b/packages/node/src/requests/inbound.ts
@@ -107,6 +107,8 @@
   readonly #target: StreamSink;
   readonly #headers: Record<string, string>;
   readonly #observer: ((chunk: Uint8Array) => void) | undefined;
+  /** Called once, when the answer starts. */
+  onStart: ((headers: Readonly<Record<string, string>>) => void) | undefined;
   #started = false;
   #status = 0;
   #answerHeaders: Readonly<Record<string, string>> = {};
@@ -149,6 +151,7 @@
     this.#started = true;
     this.#status = status;
     this.#answerHeaders = { ...headers, ...this.#headers };
+    this.onStart?.(this.#answerHeaders);
     this.#target.start(status, this.#answerHeaders);
   }
 
--- a/packages/node/src/requests/request-service.ts
+++ b/packages/node/src/requests/request-service.ts
@@ -229,7 +229,7 @@
     run: Run,
   ): Promise<RequestEnd> {
     const { key, home } = admitted.options;
-    if (!needsKey) return run(new RelaySink(sink, headers));
+    if (!needsKey) return run(this.#observed(new RelaySink(sink, headers)));
     if (key === undefined || home === undefined) {
       const detail = `send "${Header.idempotencyKey}" and "${Header.home}"; GET /v1/endpoints gives a home`;
       return refused(problem('key-required', 'no', { detail }));
@@ -243,12 +243,24 @@
     if (decision.kind === 'full') return refused(problem('overloaded', 'no', { retryAfterSeconds: 1 }));
     if (decision.kind === 'outcome') return replay(decision.outcome, sink, headers);
     const recording = new AnswerRecording();
-    const relay = new RelaySink(sink, headers, (chunk) => recording.add(chunk));
+    const relay = this.#observed(new RelaySink(sink, headers, (chunk) => recording.add(chunk)));
     const end = await run(relay);
     decision.settle(recording.outcome(end, relay));
     return end;
   }
 
+  /** Measures the time to the start of the answer, and the load stall that the answer names. */
+  #observed(relay: RelaySink): RelaySink {
+    const { clock, telemetry } = this.#options;
+    const startedAtMs = clock.now();
+    relay.onStart = (answerHeaders) => {
+      telemetry.metrics.timing('request.first_token', clock.now() - startedAtMs);
+      const stallMs = answerHeaders[Header.loadStallMs];
+      if (stallMs !== undefined) telemetry.metrics.timing('request.load_stall', Number(stallMs));
+    };
+    return relay;
+  }
+
   #refuse(failure: Problem | RequestEnd): RequestEnd {
     const end = 'code' in failure ? refused(failure) : failure;
     if (end.kind === 'completed') return end;
--- a/packages/node/src/scheduling/engine-scheduler.ts
+++ b/packages/node/src/scheduling/engine-scheduler.ts
@@ -48,7 +48,8 @@
   readonly queueLimit: () => number;
   /** Whether the engine's machine is leaving: it gets no new work. */
   readonly isLeaving: () => boolean;
-  readonly isPinned: (adapter: string) => boolean;
+  /** Adapter versions that this engine holds even while nobody asks for them. */
+  readonly pinnedKeys: () => readonly string[];
   /** Whether another engine is known to hold the adapter. */
   readonly isReplicated: (key: string) => boolean;
   /** Whether the configuration in force still serves an adapter version. */
@@ -62,6 +63,7 @@
 
 const DEMAND_HALF_LIFE_MS = 30_000;
 const REPORT_PERIOD_MS = 700;
+const PIN_RETRY_MS = 10_000;
 /** Requests sent beyond the batch, so that the engine never waits for the next one. */
 const PIPELINE_MARGIN = 2;
 
@@ -85,6 +87,7 @@
   readonly #demand: DemandTracker;
   #inFlight = 0;
   #reporting = false;
+  #pinsNotBeforeMs = 0;
   /** Whether slots drain, or may have to: set by loads, claims and configuration. */
   #drainingMayChange = true;
 
@@ -341,7 +344,6 @@
   // --- loading -----------------------------------------------------------------------------------
 
   #startLoads(): void {
-    if (this.#queue.length === 0) return;
     for (const key of this.#wantedKeys()) {
       if (this.#loader.active >= this.#loader.limit) return;
       this.#loader.start(key);
@@ -355,7 +357,17 @@
       if (this.#slots.get(key) !== undefined || this.#loader.isLoading(key)) continue;
       wanted.push({ key, weight: this.#waitingWeight(key) });
     }
-    return wanted.sort((a, b) => b.weight - a.weight).map((entry) => entry.key);
+    const waitedFor = wanted.sort((a, b) => b.weight - a.weight).map((entry) => entry.key);
+    return [...waitedFor, ...this.#missingPins()];
+  }
+
+  /** Pinned adapters that are not there: loaded when no request waits for a load, and seldom after a failure. */
+  #missingPins(): string[] {
+    if (this.#clock.now() < this.#pinsNotBeforeMs) return [];
+    return this.#options
+      .pinnedKeys()
+      .filter((key) => this.#slots.get(key) === undefined && !this.#loader.isLoading(key))
+      .filter((key) => this.#queue.lengthOf(key) === 0);
   }
 
   #waitingWeight(key: string): number {
@@ -367,7 +379,7 @@
       key: slot.key,
       demand: this.#demand.rate(slot.key),
       lastUsedAtMs: slot.lastUsedAtMs,
-      pinned: this.#options.isPinned(slot.adapter),
+      pinned: this.#options.pinnedKeys().includes(slot.key),
       replicated: this.#options.isReplicated(slot.key),
     };
   }
@@ -380,6 +392,7 @@
       onLoadTime(tookMs);
       telemetry.step('adapter.load', key, this.engine.id, this.#clock.wallTime() - tookMs);
     }
+    if (outcome === 'failed') this.#pinsNotBeforeMs = this.#clock.now() + PIN_RETRY_MS;
     if (outcome === 'failed') for (const ticket of this.#queue.takeAll(key)) ticket.resolve('load-failed');
     this.#drainingMayChange = true;
     this.#pump();
