--- a/packages/load/src/faults/breaks.ts
+++ b/packages/load/src/faults/breaks.ts
@@ -42,6 +42,7 @@
     what: 'leases on engines that check no fences are believed to last ten times as long, and no order to be late',
     changes: { ownershipTiming: { clockSkew: -9, orderTimeoutMs: 0 } },
     faults: ['pause-node', 'pause-node', 'pause-node', 'popularity-jump', 'popularity-jump'],
+    requestsPerSecond: 40,
   },
   {
     name: 'resume-position',
--- a/packages/load/test/faults.test.ts
+++ b/packages/load/test/faults.test.ts
@@ -1,16 +1,16 @@
 import test from 'ava';
 import { buildDeployment, type DeploymentName } from '../src/deployments/deployments.js';
 import { BREAKS } from '../src/faults/breaks.js';
+import { runCampaign } from '../src/faults/campaign.js';
 import { PROMISES } from '../src/faults/checker.js';
 import { runFaults, type FaultRunResult } from '../src/faults/run.js';
 
 const RATE = 15;
 const ADAPTERS = 300;
 
-function run(deployment: DeploymentName, seed: number, breakName?: string): Promise<FaultRunResult> {
+function run(deployment: DeploymentName, seed: number): Promise<FaultRunResult> {
   const model = buildDeployment(deployment, { adapters: ADAPTERS });
-  const broken = BREAKS.find((candidate) => candidate.name === breakName);
-  return runFaults({ model, seed, broken, requestsPerSecond: RATE });
+  return runFaults({ model, seed, requestsPerSecond: RATE });
 }
 
 function violations(result: FaultRunResult): string[] {
@@ -44,30 +44,29 @@
   t.deepEqual({ ...first, timelines: [] }, { ...second, timelines: [] });
 });
 
-/** Each safeguard taken out of action must show; the seed is one at which it does, within the 200 allowed. */
-const brokenSeeds: readonly { name: string; seed: number }[] = [
-  { name: 'served-model', seed: 4 },
-  { name: 'idle-proof', seed: 38 },
-  { name: 'witness-lease', seed: 18 },
-  { name: 'resume-position', seed: 1 },
-  { name: 'unknown-outcome', seed: 8 },
-  { name: 'key-home', seed: 8 },
-  { name: 'leaving-machines', seed: 3 },
-  { name: 'drain', seed: 1 },
-  { name: 'plan-base', seed: 8 },
-];
+/**
+ * Each safeguard taken out of action must show within so many seeds. The rare ones need a change of owner
+ * while a long generation runs, and a load at that moment.
+ */
+const SEEDS_ALLOWED = 200;
+const CAMPAIGN_LIMIT_MS = 400_000;
+const THREADS = 4;
 
-test('every safeguard that can be taken out of action is in the table', (t) => {
-  t.deepEqual(
-    brokenSeeds.map((entry) => entry.name),
-    BREAKS.map((entry) => entry.name),
+for (const broken of BREAKS) {
+  test.serial(
+    `without the safeguard "${broken.name}" the checker finds a violation of ${broken.promise}`,
+    async (t) => {
+      t.timeout(CAMPAIGN_LIMIT_MS);
+      const result = await runCampaign({
+        deployment: 'imena',
+        adapters: ADAPTERS,
+        seeds: Array.from({ length: SEEDS_ALLOWED }, (_unused, index) => index + 1),
+        broken: broken.name,
+        requestsPerSecond: RATE,
+        threads: THREADS,
+        until: (run) => run.promises[broken.promise].violations > 0,
+      });
+      t.true(result.promises[broken.promise].violations > 0, `${result.runs} seeds without a violation`);
+    },
   );
-});
-
-for (const { name, seed } of brokenSeeds) {
-  const broken = BREAKS.find((candidate) => candidate.name === name);
-  test(`without the safeguard "${name}" the checker finds a violation of ${broken?.promise ?? ''}`, async (t) => {
-    const result = await run('imena', seed, name);
-    t.true(broken !== undefined && result.promises[broken.promise].violations > 0);
-  });
 }
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -16,3 +16,4 @@
   type OptionDefinition,
 } from './command-line.js';
 export { listenAddress, type ListenAddress, parseHostPort, type HostPort } from './addresses.js';
+export { settingsCommand, stopSignal, type SettingsCommand } from './settings-command.js';
--- /dev/null
+++ b/packages/settings/src/settings-command.ts
@@ -0,0 +1,45 @@
+import type { z } from 'zod';
+import { ExitCode, UsageError, type CommandDefinition, type CommandInput } from './command-line.js';
+import { formatSettingsError, readJsonFile } from './document.js';
+
+/** A binary that runs on one settings file until it is told to stop. */
+export interface SettingsCommand<T> {
+  readonly summary: string;
+  readonly schema: z.ZodType<T>;
+  /** Runs with checked settings; returns the exit code. `file` names them in errors. */
+  readonly run: (settings: T, file: string) => Promise<number>;
+}
+
+/** The command of such a binary: `--settings FILE`, and `--check` to check the file only. */
+export function settingsCommand<T>(command: SettingsCommand<T>): CommandDefinition {
+  return {
+    name: '',
+    summary: command.summary,
+    options: {
+      settings: { type: 'string', short: 's', help: 'settings file, JSON', placeholder: 'FILE' },
+      check: { type: 'boolean', help: 'check the settings file and exit' },
+    },
+    run: (input) => runWithSettings(command, input),
+  };
+}
+
+async function runWithSettings<T>(command: SettingsCommand<T>, input: CommandInput): Promise<number> {
+  const file = input.text('settings');
+  if (file === undefined) throw new UsageError('--settings is missing: give the path of the settings file');
+  const settings = await readJsonFile(file, command.schema);
+  if (settings.isErr()) {
+    process.stderr.write(`${formatSettingsError(settings.error)}\n`);
+    return ExitCode.usage;
+  }
+  if (!input.flag('check')) return command.run(settings.value, file);
+  process.stdout.write(`${file}: valid\n`);
+  return ExitCode.success;
+}
+
+/** Resolves at SIGTERM or SIGINT. */
+export function stopSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    process.once('SIGTERM', () => resolve());
+    process.once('SIGINT', () => resolve());
+  });
+}
