Give requests that wait beside a refused key hand-over its true outcome

Cause: the new end-to-end test sent one key to its home and to another node at once. At the other node the first copy asked the home, was told that the key ran there, and freed the key as not executed; the second copy, waiting beside it, then answered executed no for a request that had run: a false refusal. Faults in virtual time had not shown it, since callers there send copies one after the other. Change: who waits gets what the home answers; only then is the key freed. Conclusion: resends that overlap get one truthful answer.

--- a/packages/admission/src/request-keys.ts
+++ b/packages/admission/src/request-keys.ts
@@ -20,7 +20,7 @@
 /** What a request with a key may do. */
 export type KeyClaim =
   /** The only one that may run it; must call `settle` in the end. */
-  | { readonly kind: 'run'; settle(outcome: KeyOutcome): void }
+  | { readonly kind: 'run'; settle(outcome: KeyOutcome, remember?: boolean): void }
   | { readonly kind: 'wait'; readonly outcome: Promise<KeyOutcome> }
   /** Another process was given the key before. */
   | { readonly kind: 'elsewhere'; readonly process: string }
@@ -110,9 +110,9 @@
       resolve = settled;
     });
     this.#add(table, key, { outcome, delegate: undefined });
-    const settle = (result: KeyOutcome): void => {
-      // Proof that nothing ran frees the key; every other outcome is remembered.
-      if (result.kind === 'not-executed') this.#remove(table, key);
+    // Proof that nothing ran frees the key; every other outcome is remembered, unless another process does.
+    const settle = (result: KeyOutcome, remember = result.kind !== 'not-executed'): void => {
+      if (!remember) this.#remove(table, key);
       resolve(result);
     };
     return { kind: 'run', settle };
--- a/packages/load/src/bench/load-worker.ts
+++ b/packages/load/src/bench/load-worker.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { parentPort, workerData } from 'node:worker_threads';
 import type { StreamSink } from '@canvasridge/domain';
 import { newHttpAgent, streamExchange } from '@canvasridge/platform';
@@ -36,6 +37,7 @@
   let failed = 0;
   let tokens = 0;
   const never = new AbortController().signal;
+  setMaxListeners(0, never); // one listener for each request that runs
   const client = async (): Promise<void> => {
     while (performance.now() < untilMs) {
       const sentAtMs = performance.now();
--- a/packages/load/src/processes/deployment.ts
+++ b/packages/load/src/processes/deployment.ts
@@ -230,7 +230,9 @@
       const owned = new Set(
         statuses.flatMap((status) => (status?.engines ?? []).map((engine) => engine.engineId)),
       );
-      const views = statuses.every((status) => status?.members.length === this.plan.nodes.length);
+      const views = statuses.every(
+        (status) => status?.state === 'ready' && status.members.length === this.plan.nodes.length,
+      );
       if (owned.size === this.plan.engines.length && views) return;
       await new Promise((resolve) => setTimeout(resolve, POLL_MS));
     }
--- a/packages/node/src/requests/key-protocol.ts
+++ b/packages/node/src/requests/key-protocol.ts
@@ -36,13 +36,18 @@
 
 /** What a keyed request may do, after the home has been asked. */
 export type KeyDecision =
-  | { readonly kind: 'run'; settle(outcome: KeyOutcome): void }
-  | { readonly kind: 'outcome'; readonly outcome: KeyOutcome }
+  | { readonly kind: 'run'; settle(outcome: KeyOutcome, remember?: boolean): void }
+  | OutcomeDecision
   | { readonly kind: 'full' };
 
+interface OutcomeDecision {
+  readonly kind: 'outcome';
+  readonly outcome: KeyOutcome;
+}
+
 const CALL_TIMEOUT_MS = 2000;
 const OUTCOME_TIMEOUT_MS = 60_000;
-const UNKNOWN: KeyDecision = { kind: 'outcome', outcome: { kind: 'unknown' } };
+const UNKNOWN: OutcomeDecision = { kind: 'outcome', outcome: { kind: 'unknown' } };
 
 /**
  * Decides who may run a request that is not repeatable. The home named by the caller remembers the key;
@@ -77,8 +82,17 @@
     if (claim.kind !== 'run') return this.#fromClaim(claim, homeText, key);
     const transfer = await this.#askForKey(home, key);
     if (transfer?.transfer === 'granted') return claim;
-    // This process does not run it; it may ask again for the same key.
-    claim.settle({ kind: 'not-executed' });
+    // This process does not run it, and may ask again later; whoever waits here meanwhile gets the same answer.
+    const decision = await this.#decideRefused(transfer, homeText, key);
+    claim.settle(decision.kind === 'outcome' ? decision.outcome : { kind: 'not-executed' }, false);
+    return decision;
+  }
+
+  async #decideRefused(
+    transfer: { readonly transfer: KeyTransfer; readonly process: string } | undefined,
+    homeText: string,
+    key: string,
+  ): Promise<OutcomeDecision | { readonly kind: 'full' }> {
     if (transfer === undefined || transfer.transfer === 'unknown') return UNKNOWN;
     if (transfer.transfer === 'full') return { kind: 'full' };
     return this.#outcomeFrom(transfer.process, homeText, key);
@@ -111,7 +125,7 @@
     return answer.isOk() ? answer.value : undefined;
   }
 
-  async #outcomeFrom(process: string, home: string, key: string): Promise<KeyDecision> {
+  async #outcomeFrom(process: string, home: string, key: string): Promise<OutcomeDecision> {
     const [nodeId = '', processToken = ''] = process.split('~');
     const peer = this.#options.member(nodeId);
     if (peer === undefined || peer.processToken !== processToken) return UNKNOWN;
