Split the simulated ports by what they reach

Change: exchange.ts holds one remote exchange, engine-ports.ts the engines, platform-ports.ts services, configuration and machine list. Nothing else.

--- a/packages/load/src/simulation/ports.ts
+++ b/packages/load/src/simulation/engine-ports.ts
@@ -1,6 +1,4 @@
 import type {
-  ConfigurationSource,
-  ConfigurationSourceError,
   EngineClient,
   EngineError,
   EngineOrder,
@@ -8,27 +6,13 @@
   EngineReport,
   EngineRequest,
   GenerationEnd,
-  MachineList,
-  MachineListError,
-  Machine,
-  ServiceClient,
-  ServiceError,
-  ServiceReply,
-  ServiceRequest,
-  SourceValue,
   StreamSink,
 } from '@canvasridge/domain';
 import { Header } from '@canvasridge/domain';
-import type {
-  ConfigurationServiceEmulator,
-  EngineEmulator,
-  MachineListEmulator,
-  Sequence,
-  SequenceListener,
-  ServiceEmulator,
-} from '@canvasridge/standin';
+import type { EngineEmulator, Sequence, SequenceListener } from '@canvasridge/standin';
 import { answerToken } from '@canvasridge/standin';
 import { ResultAsync, err, ok, type Result } from 'neverthrow';
+import { exchange } from './exchange.js';
 import type { Connection, Host, SimulatedNetwork } from './network.js';
 
 /** Time limit of an order other than a load, as in the HTTP binding. */
@@ -49,40 +33,6 @@
 
 const BROKEN = { kind: 'broken', executed: 'unknown', lastEventId: -1, detail: 'simulated' } as const;
 
-/** One remote exchange: ends once, by an answer, a break, a timeout or an abort. */
-function exchange<T>(
-  network: SimulatedNetwork,
-  client: Host,
-  server: Host,
-  start: (connection: Connection, answer: (value: T) => void) => void,
-  onFailure: (sent: boolean) => T,
-  timeoutMs?: number,
-  signal?: AbortSignal,
-): Promise<T> {
-  return new Promise((resolve) => {
-    if (signal?.aborted === true) return resolve(onFailure(false));
-    const connection = network.connect(client, server);
-    if (connection === undefined) {
-      client.clock.setTimer(network.delayMs() * 2, () => resolve(onFailure(false)));
-      return;
-    }
-    const finish = (value: T): void => {
-      timer?.cancel();
-      signal?.removeEventListener('abort', aborted);
-      connection.close();
-      resolve(value);
-    };
-    const aborted = (): void => {
-      connection.break();
-      finish(onFailure(true));
-    };
-    const timer = timeoutMs === undefined ? undefined : client.clock.setTimer(timeoutMs, aborted);
-    signal?.addEventListener('abort', aborted, { once: true });
-    connection.onClientBreak = () => finish(onFailure(true));
-    start(connection, finish);
-  });
-}
-
 /** An emulated engine over the simulated network. */
 export class SimulatedEngineClient implements EngineClient {
   readonly #network: SimulatedNetwork;
@@ -353,145 +303,3 @@
     text += answerToken(sequence.promptHash, index);
   return JSON.stringify({ model: sequence.model, choices: [{ index: 0, text }] });
 }
-
-/** Emulated services over the simulated network, by the URL of their back end. */
-export class SimulatedServiceClient implements ServiceClient {
-  readonly #network: SimulatedNetwork;
-  readonly #node: Host;
-  readonly #backEnds: ReadonlyMap<string, { readonly host: Host; readonly service: ServiceEmulator }>;
-
-  constructor(
-    network: SimulatedNetwork,
-    node: Host,
-    backEnds: ReadonlyMap<string, { readonly host: Host; readonly service: ServiceEmulator }>,
-  ) {
-    this.#network = network;
-    this.#node = node;
-    this.#backEnds = backEnds;
-  }
-
-  call(
-    backEndUrl: string,
-    request: ServiceRequest,
-    sink: StreamSink,
-    signal: AbortSignal,
-  ): ResultAsync<ServiceReply, ServiceError> {
-    return new ResultAsync(this.#call(backEndUrl, request, sink, signal));
-  }
-
-  #call(
-    backEndUrl: string,
-    request: ServiceRequest,
-    sink: StreamSink,
-    signal: AbortSignal,
-  ): Promise<Result<ServiceReply, ServiceError>> {
-    const backEnd = this.#backEnds.get(backEndUrl);
-    if (backEnd === undefined) {
-      return Promise.resolve(err({ kind: 'unreachable', executed: 'no', detail: 'no such back end' }));
-    }
-    const { service, host } = backEnd;
-    const key = request.headers[Header.idempotencyKey] ?? '';
-    const execution = { requestId: request.requestId, key, path: request.path };
-    return exchange<Result<ServiceReply, ServiceError>>(
-      this.#network,
-      this.#node,
-      host,
-      (connection, answer) =>
-        connection.toServer(() => {
-          if (!service.reachable) return connection.break();
-          void service.call(execution, Buffer.from(request.body).toString('utf8')).then((text) => {
-            if (text === undefined) return connection.break();
-            connection.toClient(() => {
-              sink.start(200, { 'content-type': 'application/json' });
-              sink.write(Buffer.from(text));
-              answer(ok({ status: 200 }));
-            });
-          });
-        }),
-      (sent) => {
-        if (!sent) return err({ kind: 'unreachable', executed: 'no', detail: 'simulated' });
-        const kind = signal.aborted ? 'cancelled' : 'broken';
-        if (kind === 'cancelled') return err({ kind, executed: 'unknown', started: false });
-        return err({ kind, executed: 'unknown', started: false, detail: 'simulated' });
-      },
-      undefined,
-      signal,
-    );
-  }
-}
-
-/** The emulated configuration service over the simulated network. */
-export class SimulatedConfigurationSource implements ConfigurationSource {
-  readonly #network: SimulatedNetwork;
-  readonly #node: Host;
-  readonly #platform: Host;
-  readonly #service: ConfigurationServiceEmulator;
-
-  constructor(network: SimulatedNetwork, node: Host, platform: Host, service: ConfigurationServiceEmulator) {
-    this.#network = network;
-    this.#node = node;
-    this.#platform = platform;
-    this.#service = service;
-  }
-
-  get(key: string): ResultAsync<SourceValue, ConfigurationSourceError> {
-    return this.#ask(() => Promise.resolve(this.#service.get(key)), REPORT_TIMEOUT_MS);
-  }
-
-  watch(
-    key: string,
-    afterVersion: number,
-    waitMs: number,
-  ): ResultAsync<SourceValue, ConfigurationSourceError> {
-    return this.#ask(() => this.#service.watch(key, afterVersion, waitMs), waitMs + REPORT_TIMEOUT_MS);
-  }
-
-  #ask(
-    read: () => Promise<Result<SourceValue, ConfigurationSourceError>>,
-    timeoutMs: number,
-  ): ResultAsync<SourceValue, ConfigurationSourceError> {
-    const answered = exchange<Result<SourceValue, ConfigurationSourceError>>(
-      this.#network,
-      this.#node,
-      this.#platform,
-      (connection, answer) =>
-        connection.toServer(() => void read().then((value) => connection.toClient(() => answer(value)))),
-      () => err({ kind: 'unavailable', detail: 'simulated' }),
-      timeoutMs,
-    );
-    return new ResultAsync(answered);
-  }
-}
-
-/** The emulated machine list over the simulated network. */
-export class SimulatedMachineList implements MachineList {
-  readonly #network: SimulatedNetwork;
-  readonly #node: Host;
-  readonly #platform: Host;
-  readonly #machines: MachineListEmulator;
-
-  constructor(network: SimulatedNetwork, node: Host, platform: Host, machines: MachineListEmulator) {
-    this.#network = network;
-    this.#node = node;
-    this.#platform = platform;
-    this.#machines = machines;
-  }
-
-  list(): ResultAsync<readonly Machine[], MachineListError> {
-    const answered = exchange<Result<readonly Machine[], MachineListError>>(
-      this.#network,
-      this.#node,
-      this.#platform,
-      (connection, answer) =>
-        connection.toServer(() => {
-          const machines = this.#machines.list();
-          connection.toClient(() => answer(ok(machines)));
-        }),
-      () => err({ kind: 'unavailable', detail: 'simulated' }),
-      REPORT_TIMEOUT_MS,
-    );
-    return new ResultAsync(answered);
-  }
-}
-
-export { exchange };
--- a/packages/load/src/simulation/fleet.ts
+++ b/packages/load/src/simulation/fleet.ts
@@ -20,13 +20,12 @@
   type NodePeer,
   type PeerLookup,
 } from './peer-ports.js';
+import { SimulatedEngineClient, type EngineLinkFaults } from './engine-ports.js';
 import {
   SimulatedConfigurationSource,
-  SimulatedEngineClient,
   SimulatedMachineList,
   SimulatedServiceClient,
-  type EngineLinkFaults,
-} from './ports.js';
+} from './platform-ports.js';
 
 /** A node of the fleet. */
 export interface NodeSpec {
--- a/packages/load/src/simulation/peer-ports.ts
+++ b/packages/load/src/simulation/peer-ports.ts
@@ -11,7 +11,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { z } from 'zod';
 import type { Connection, Host, SimulatedNetwork } from './network.js';
-import { exchange } from './ports.js';
+import { exchange } from './exchange.js';
 
 /** A running node process of the simulation. */
 export interface NodePeer {
