--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,10 +2,10 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'reports/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'journal/**', '**/node_modules/**', 'reports/**'] },
   js.configs.recommended,
   {
-    files: ['packages/*/src/**/*.ts', 'packages/*/test/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'packages/*/test/**/*.ts', 'platform/{src,test}/**/*.ts'],
     extends: [...tseslint.configs.recommendedTypeChecked],
     languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
     rules: {
--- /dev/null
+++ b/packages/gateway/src/backends/picker.ts
@@ -0,0 +1,35 @@
+import type { BackendDescription, BackendService, HttpRoute } from '@canvasridge/serving';
+import type { UseOutcome } from '@canvasridge/slots';
+import type { GenerationFacts } from '../request/dialect.js';
+
+/** What a picker knows of the request that wants a backend. */
+export interface PickContext {
+  /** Unique over all requests and their attempts. */
+  readonly id: string;
+  readonly route: HttpRoute;
+  readonly service: BackendService;
+  readonly generation: GenerationFacts | undefined;
+  /** Milliseconds since the client's request arrived. */
+  readonly ageMs: number;
+  /** Milliseconds after arrival at which the request is of no more use. */
+  readonly timeoutMs: number;
+  /** Backends that were tried before. */
+  readonly excluded: readonly string[];
+}
+
+export type PickResult =
+  | {
+      readonly kind: 'picked';
+      readonly backend: BackendDescription;
+      /** How the backend was chosen, for logs. */
+      readonly how: string;
+      /** To be called once, when the attempt has ended. */
+      readonly finish: (outcome: UseOutcome) => void;
+    }
+  | { readonly kind: 'none'; readonly reason: string; readonly retryAfterMs: number | undefined };
+
+/** Chooses a backend for each attempt of a request. Policies differ by the kind of service. */
+export interface BackendPicker {
+  /** `cancelled` ends a wait at once. */
+  pick(context: PickContext, cancelled: AbortSignal): Promise<PickResult>;
+}
--- /dev/null
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -0,0 +1,131 @@
+import type { Clock } from '@canvasridge/clock';
+import { adapterKey, type BackendDescription, type FleetState } from '@canvasridge/serving';
+import type { SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
+import type { BackendPicker, PickContext, PickResult } from './picker.js';
+
+/** Asks the node that leads a pool for slots. */
+export interface SlotSource {
+  /** Undefined when no leader can be asked now. */
+  acquire(pool: string, request: SlotRequest, cancelled: AbortSignal): Promise<SlotDecision | undefined>;
+  release(pool: string, requestId: string, outcome: UseOutcome): void;
+}
+
+/** How long an engine is believed to have an adapter that it served. */
+const SEEN_MS = 4000;
+const NO_LEADER_RETRY_MS = 1200;
+
+interface Sighting {
+  readonly backendId: string;
+  readonly atMs: number;
+}
+
+/**
+ * For model engines: the leader of the pool names an engine that has the adapter loaded. While no leader
+ * answers, a request may still go to an engine that served the adapter just now or is listed with it.
+ */
+export class SlotPicker implements BackendPicker {
+  readonly #fleet: FleetState;
+  readonly #slots: SlotSource;
+  readonly #clock: Clock;
+  readonly #sightings = new Map<string, Sighting>();
+  readonly #running = new Map<string, number>();
+
+  constructor(fleet: FleetState, slots: SlotSource, clock: Clock) {
+    this.#fleet = fleet;
+    this.#slots = slots;
+    this.#clock = clock;
+  }
+
+  async pick(context: PickContext, cancelled: AbortSignal): Promise<PickResult> {
+    const { generation } = context;
+    if (generation === undefined) return { kind: 'none', reason: 'no-model-named', retryAfterMs: undefined };
+    const request: SlotRequest = {
+      id: context.id,
+      model: generation.model,
+      adapter: generation.adapter,
+      priority: context.route.priority,
+      objectiveMs: context.route.objectiveMs,
+      ageMs: context.ageMs,
+      timeoutMs: context.timeoutMs,
+      excluded: context.excluded,
+      tokens: generation.tokens,
+    };
+    const pool = context.service.name;
+    const decision = await this.#slots.acquire(pool, request, cancelled);
+    if (decision === undefined) return this.#withoutLeader(context, request);
+    if (decision.kind === 'refused') {
+      return { kind: 'none', reason: decision.reason, retryAfterMs: decision.retryAfterMs };
+    }
+    const backend = this.#granted(pool, decision);
+    return {
+      kind: 'picked',
+      backend,
+      how: 'granted',
+      finish: (outcome) => {
+        this.#slots.release(pool, request.id, outcome);
+        if (outcome === 'served') this.#saw(request, backend.id);
+      },
+    };
+  }
+
+  /** The leader may know an engine that is not listed here yet. */
+  #granted(service: string, decision: SlotDecision & { kind: 'granted' }): BackendDescription {
+    const listed = this.#fleet.backend(decision.backendId);
+    if (listed !== undefined) return listed;
+    const { backendId: id, address } = decision;
+    return { id, service, address, zone: '', state: 'ready', slots: 1, models: [] };
+  }
+
+  #withoutLeader(context: PickContext, request: SlotRequest): PickResult {
+    const backend = this.#bestSeen(context, request);
+    if (backend === undefined) {
+      return { kind: 'none', reason: 'no-pool-leader', retryAfterMs: NO_LEADER_RETRY_MS };
+    }
+    this.#running.set(backend.id, (this.#running.get(backend.id) ?? 0) + 1);
+    const finish = (outcome: UseOutcome): void => {
+      this.#running.set(backend.id, (this.#running.get(backend.id) ?? 1) - 1);
+      if (outcome === 'served') this.#saw(request, backend.id);
+      else if (outcome === 'not-present') this.#sightings.delete(sightingKey(request));
+    };
+    return { kind: 'picked', backend, how: 'seen', finish };
+  }
+
+  #bestSeen(context: PickContext, request: SlotRequest): BackendDescription | undefined {
+    const sighting = this.#sightings.get(sightingKey(request));
+    let best: BackendDescription | undefined;
+    let bestRunning = Infinity;
+    for (const backend of this.#fleet.backendsOf(context.service.name)) {
+      if (backend.state !== 'ready' || request.excluded.includes(backend.id)) continue;
+      const isSeen = sighting?.backendId === backend.id && this.#clock.now() - sighting.atMs < SEEN_MS;
+      if (!isSeen && !this.#isListed(backend, request)) continue;
+      const running = this.#running.get(backend.id) ?? 0;
+      if (running >= bestRunning) continue;
+      best = backend;
+      bestRunning = running;
+    }
+    return best;
+  }
+
+  #isListed(backend: BackendDescription, request: SlotRequest): boolean {
+    const model = backend.models.find((held) => held.name === request.model);
+    if (model === undefined || request.adapter === undefined) return model !== undefined;
+    const held = model.adapters.find((adapter) => adapter.name === request.adapter);
+    return held !== undefined && held.version >= this.#fleet.adapterVersion(request.model, request.adapter);
+  }
+
+  #saw(request: SlotRequest, backendId: string): void {
+    this.#sightings.set(sightingKey(request), { backendId, atMs: this.#clock.now() });
+    if (this.#sightings.size > SIGHTINGS_KEPT) this.#dropOldest();
+  }
+
+  #dropOldest(): void {
+    const oldest = this.#sightings.keys().next();
+    if (oldest.done !== true) this.#sightings.delete(oldest.value);
+  }
+}
+
+const SIGHTINGS_KEPT = 2048;
+
+function sightingKey(request: SlotRequest): string {
+  return request.adapter === undefined ? request.model : adapterKey(request.model, request.adapter);
+}
--- /dev/null
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -0,0 +1,196 @@
+import { hashSeed, type Clock, type Random } from '@canvasridge/clock';
+import {
+  DEFAULT_MEMBERSHIP_TIMING,
+  Membership,
+  type DatagramTransport,
+  type Member,
+  type MembershipTiming,
+} from '@canvasridge/membership';
+import { PeerSight, type LeadershipPeers, type PoolClaim } from '@canvasridge/slots';
+import type { Telemetry } from '@canvasridge/telemetry';
+
+export interface ClusterOptions {
+  readonly nodeId: string;
+  readonly zone: string;
+  readonly region: string;
+  /** `IP:port` of gossip (UDP) and of calls between nodes (TCP). */
+  readonly peerAddress: string;
+  /** `IP:port` for callers. */
+  readonly frontAddress: string;
+  readonly processToken: string;
+  readonly transport: DatagramTransport;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly telemetry: Telemetry;
+  /** Peer addresses from the settings; they may be stale. */
+  readonly seeds: () => readonly string[];
+  readonly configurationVersion: () => number;
+  /** A peer shows a configuration version. */
+  readonly onPeerVersion: (peerAddress: string, version: number) => void;
+}
+
+/** Quicker than the defaults for large fleets: a dead leader holds up loads. */
+const TIMING: MembershipTiming = {
+  ...DEFAULT_MEMBERSHIP_TIMING,
+  probePeriodMs: 400,
+  probeTimeoutMs: 150,
+  suspicionMs: 900,
+  gossipPeriodMs: 200,
+  gossipFanout: 3,
+  synchronisationPeriodMs: 4000,
+};
+
+/** A node that never met another acts alone only after this time. */
+const ALONE_AFTER_MS = 12_000;
+const REMEMBERED_ADDRESSES = 512;
+const CLAIM_PREFIX = 'lead/';
+/** The count of nodes is the largest seen within this time. */
+const NODE_COUNT_WINDOW_MS = 30_000;
+
+interface ClaimRecord {
+  readonly epoch: number;
+  readonly token: string;
+}
+
+/** The other nodes, as this one sees them. */
+export class Cluster implements LeadershipPeers {
+  readonly #options: ClusterOptions;
+  readonly #membership: Membership;
+  readonly #sight: PeerSight;
+  readonly #addresses = new Set<string>();
+  #nodeCount = 1;
+  #nodeCountAtMs = 0;
+  #leaving = false;
+
+  constructor(options: ClusterOptions) {
+    this.#options = options;
+    this.#sight = new PeerSight(options.clock, options.nodeId, ALONE_AFTER_MS);
+    const { peerAddress, frontAddress } = options;
+    this.#membership = new Membership({
+      identity: {
+        id: options.nodeId,
+        zone: options.zone,
+        region: options.region,
+        gossip: peerAddress,
+        peerUrl: peerAddress,
+        callerUrl: frontAddress,
+        processToken: options.processToken,
+      },
+      transport: options.transport,
+      clock: options.clock,
+      random: options.random,
+      telemetry: options.telemetry,
+      events: {
+        onMember: (member) => this.#remember(member),
+        onRevision: (member, revision) => options.onPeerVersion(member.peerUrl, revision),
+      },
+      seeds: () => [...options.seeds(), ...this.#addresses],
+      revision: options.configurationVersion,
+      timing: TIMING,
+    });
+  }
+
+  get selfId(): string {
+    return this.#options.nodeId;
+  }
+
+  start(): void {
+    this.#membership.start();
+  }
+
+  /** Looks at the members anew; to be called a few times a second. */
+  update(): void {
+    const nowMs = this.#options.clock.now();
+    const others = this.#others();
+    const departed = this.#membership.departed();
+    this.#sight.update(
+      others.filter((member) => member.state !== 'suspect').map((member) => member.id),
+      departed,
+    );
+    const count = others.length + 1;
+    if (count >= this.#nodeCount || nowMs - this.#nodeCountAtMs > NODE_COUNT_WINDOW_MS) {
+      this.#nodeCount = count;
+      this.#nodeCountAtMs = nowMs;
+    }
+  }
+
+  /** Tells the others that this node takes no new work. */
+  drain(): void {
+    this.#leaving = true;
+    this.#membership.drain();
+  }
+
+  leave(): void {
+    this.#membership.leave();
+  }
+
+  stop(): void {
+    this.#membership.stop();
+  }
+
+  /** Nodes among which shared budgets are divided. */
+  get nodeCount(): number {
+    return this.#nodeCount;
+  }
+
+  /** Members believed to serve, this node included unless it is stopping. */
+  serving(): Member[] {
+    return this.#membership.present().filter((member) => member.state === 'alive');
+  }
+
+  peerAddress(id: string): string | undefined {
+    return this.#membership.get(id)?.peerUrl;
+  }
+
+  /** Peer addresses of members that answer. */
+  peerAddresses(): string[] {
+    return this.#others()
+      .filter((member) => member.state === 'alive')
+      .map((member) => member.peerUrl);
+  }
+
+  candidates(pool: string): readonly string[] {
+    const able = this.#membership.present().filter((member) => member.state === 'alive');
+    return able
+      .map((member) => ({ id: member.id, score: hashSeed(`${pool}/${member.id}`) }))
+      .sort((a, b) => b.score - a.score || (a.id < b.id ? -1 : 1))
+      .map((entry) => entry.id);
+  }
+
+  claims(pool: string): readonly PoolClaim[] {
+    const key = CLAIM_PREFIX + pool;
+    const claims: PoolClaim[] = [];
+    for (const record of this.#membership.records()) {
+      if (record.key !== key || record.owner === this.selfId) continue;
+      const claim = record.value as ClaimRecord | null;
+      const member = this.#membership.get(record.owner);
+      // A claim of the process before a restart says nothing of the one that runs now.
+      if (claim === null || member === undefined || member.processToken !== claim.token) continue;
+      if (member.state === 'alive' || member.state === 'suspect') {
+        claims.push({ memberId: record.owner, epoch: claim.epoch });
+      }
+    }
+    return claims;
+  }
+
+  publishClaim(pool: string, epoch: number | undefined): void {
+    const claim: ClaimRecord | null =
+      epoch === undefined ? null : { epoch, token: this.#options.processToken };
+    this.#membership.publish(CLAIM_PREFIX + pool, claim);
+    this.#membership.pushNow();
+  }
+
+  seesMost(): boolean {
+    return !this.#leaving && this.#sight.seesMost();
+  }
+
+  #others(): Member[] {
+    return this.#membership.present().filter((member) => member.id !== this.selfId);
+  }
+
+  /** Every address ever heard of stays a place to ask, since seeds alone may not lead back after a partition. */
+  #remember(member: Member): void {
+    if (member.state === 'left') this.#addresses.delete(member.gossip);
+    else if (this.#addresses.size < REMEMBERED_ADDRESSES) this.#addresses.add(member.gossip);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -0,0 +1,337 @@
+import type { Clock } from '@canvasridge/clock';
+import type { FleetState } from '@canvasridge/serving';
+import {
+  PauseDetector,
+  PoolLeadership,
+  SlotPool,
+  type EngineControl,
+  type OrderHolder,
+  type SlotDecision,
+  type SlotRequest,
+  type SlotTiming,
+  type UseOutcome,
+} from '@canvasridge/slots';
+import type { Telemetry } from '@canvasridge/telemetry';
+import type { SlotSource } from '../backends/slot-picker.js';
+import type { PeerConnection } from '../peers/peer-connection.js';
+import type { PeerNetwork } from '../peers/peer-network.js';
+import type { Cluster } from './cluster.js';
+
+export const ACQUIRE_METHOD = 'slots.acquire';
+export const DECIDED_METHOD = 'slots.decided';
+export const CANCEL_METHOD = 'slots.cancel';
+export const RELEASE_METHOD = 'slots.release';
+
+/** Params of {@link ACQUIRE_METHOD}. The answer is a {@link AcquireReply}; a queued one is decided later. */
+export interface AcquireParams {
+  readonly pool: string;
+  readonly request: SlotRequest;
+}
+
+export type AcquireReply =
+  | { readonly kind: 'decided'; readonly decision: SlotDecision }
+  | { readonly kind: 'queued' }
+  | { readonly kind: 'not-leader' };
+
+export interface ReleaseParams {
+  readonly pool: string;
+  readonly requestId: string;
+  readonly outcome: UseOutcome;
+}
+
+const TICK_MS = 150;
+/** A leader acknowledges within this time, or is taken to be out of reach. */
+const ACKNOWLEDGE_TIMEOUT_MS = 250;
+/** A leader that gave no sign is not asked again for this long. */
+const AVOID_LEADER_MS = 400;
+/** A queued request whose leader says nothing more is decided here after its timeout and this margin. */
+const DECISION_MARGIN_MS = 50;
+
+interface PoolEntry {
+  readonly leadership: PoolLeadership;
+  pool: SlotPool | undefined;
+}
+
+interface RemoteUse {
+  readonly pool: string;
+  readonly requestId: string;
+}
+
+/** Leads the pools that fall to this node, and asks other nodes for slots of the pools that they lead. */
+export class SlotService implements SlotSource {
+  readonly #options: SlotServiceOptions;
+  readonly #pools = new Map<string, PoolEntry>();
+  readonly #queued = new Map<string, (decision: SlotDecision | undefined) => void>();
+  readonly #remote = new Map<PeerConnection, Map<string, RemoteUse>>();
+  readonly #pauses: PauseDetector;
+  #avoidLeaderUntilMs = 0;
+  #stopped = false;
+  #permitted = false;
+
+  constructor(options: SlotServiceOptions) {
+    this.#options = options;
+    this.#pauses = new PauseDetector(options.clock, options.timing.leaseMs / 3);
+    this.#pauses.onPause((pausedMs) => {
+      options.telemetry.event('warn', 'process.paused', 'self', { pausedMs: Math.round(pausedMs) });
+      for (const entry of this.#pools.values()) entry.pool?.resetLeases('process was paused');
+    });
+    options.fleet.onChange((change) => this.#fleetChanged(change));
+  }
+
+  start(): void {
+    this.#pauses.start();
+    void this.#run();
+  }
+
+  /** Gives up all pools. */
+  resign(): void {
+    this.#stopped = true;
+    for (const entry of this.#pools.values()) {
+      entry.leadership.resign();
+      this.#updateRole(entry);
+    }
+    this.#pauses.stop();
+  }
+
+  /** Figures of the pools that this node leads. */
+  describe(): { pool: string; engines: number; held: number; waiting: number; running: number }[] {
+    const rows = [];
+    for (const [pool, entry] of this.#pools)
+      if (entry.pool !== undefined) rows.push({ pool, ...entry.pool.describe() });
+    return rows;
+  }
+
+  // --- asking ------------------------------------------------------------------------------------
+
+  async acquire(
+    poolName: string,
+    request: SlotRequest,
+    cancelled: AbortSignal,
+  ): Promise<SlotDecision | undefined> {
+    const entry = this.#pools.get(poolName);
+    const leader = entry?.leadership.leader;
+    if (entry === undefined || leader === undefined) return undefined;
+    if (entry.pool !== undefined) return this.#acquireHere(entry.pool, request, cancelled);
+    const address = this.#options.cluster.peerAddress(leader);
+    if (address === undefined || this.#options.clock.now() < this.#avoidLeaderUntilMs) return undefined;
+    return this.#acquireThere(address, poolName, request, cancelled);
+  }
+
+  release(poolName: string, requestId: string, outcome: UseOutcome): void {
+    const entry = this.#pools.get(poolName);
+    if (entry?.pool !== undefined) {
+      entry.pool.release(requestId, outcome);
+      return;
+    }
+    const leader = entry?.leadership.leader;
+    const address = leader === undefined ? undefined : this.#options.cluster.peerAddress(leader);
+    if (address === undefined) return;
+    const params: ReleaseParams = { pool: poolName, requestId, outcome };
+    this.#options.network.to(address).notify(RELEASE_METHOD, params);
+  }
+
+  #acquireHere(pool: SlotPool, request: SlotRequest, cancelled: AbortSignal): Promise<SlotDecision> {
+    return new Promise((resolve) => {
+      const onCancel = (): void => {
+        pool.cancel(request.id);
+        resolve(cancelledDecision(request.id));
+      };
+      cancelled.addEventListener('abort', onCancel, { once: true });
+      pool.acquire(request, (decision) => {
+        cancelled.removeEventListener('abort', onCancel);
+        resolve(decision);
+      });
+    });
+  }
+
+  async #acquireThere(
+    address: string,
+    poolName: string,
+    request: SlotRequest,
+    cancelled: AbortSignal,
+  ): Promise<SlotDecision | undefined> {
+    const { network, clock } = this.#options;
+    const peer = network.to(address);
+    const decided = this.#awaitDecision(request, cancelled, () =>
+      peer.notify(CANCEL_METHOD, { pool: poolName, requestId: request.id, outcome: 'cancelled' }),
+    );
+    const params: AcquireParams = { pool: poolName, request };
+    const reply = (await peer.call(ACQUIRE_METHOD, params, ACKNOWLEDGE_TIMEOUT_MS)) as
+      AcquireReply | undefined;
+    if (reply === undefined) {
+      this.#avoidLeaderUntilMs = clock.now() + AVOID_LEADER_MS;
+      network.drop(address);
+    }
+    if (reply?.kind === 'queued') return decided;
+    this.#queued.get(request.id)?.(reply?.kind === 'decided' ? reply.decision : undefined);
+    return decided;
+  }
+
+  #awaitDecision(
+    request: SlotRequest,
+    cancelled: AbortSignal,
+    onCancel: () => void,
+  ): Promise<SlotDecision | undefined> {
+    const { clock } = this.#options;
+    return new Promise((resolve) => {
+      const finish = (decision: SlotDecision | undefined): void => {
+        if (!this.#queued.delete(request.id)) return;
+        timer.cancel();
+        cancelled.removeEventListener('abort', abort);
+        resolve(decision);
+      };
+      const abort = (): void => {
+        onCancel();
+        finish(cancelledDecision(request.id));
+      };
+      const limitMs = Math.max(request.timeoutMs - request.ageMs, 0) + DECISION_MARGIN_MS;
+      const timer = clock.setTimer(limitMs, () => finish(undefined));
+      cancelled.addEventListener('abort', abort, { once: true });
+      this.#queued.set(request.id, finish);
+    });
+  }
+
+  /** A decision of the leader about a request that was queued there. */
+  onDecided(decision: SlotDecision): void {
+    const finish = this.#queued.get(decision.requestId);
+    if (finish !== undefined) finish(decision);
+  }
+
+  // --- answering ---------------------------------------------------------------------------------
+
+  onAcquire(params: AcquireParams, peer: PeerConnection): AcquireReply {
+    const pool = this.#pools.get(params.pool)?.pool;
+    if (pool === undefined) return { kind: 'not-leader' };
+    const { id: requestId } = params.request;
+    this.#usesOf(peer).set(requestId, { pool: params.pool, requestId });
+    let immediate: SlotDecision | undefined;
+    let answered = false;
+    pool.acquire(params.request, (decision) => {
+      if (decision.kind === 'refused') this.#remote.get(peer)?.delete(requestId);
+      if (!answered) immediate = decision;
+      else peer.notify(DECIDED_METHOD, decision);
+    });
+    answered = true;
+    return immediate === undefined ? { kind: 'queued' } : { kind: 'decided', decision: immediate };
+  }
+
+  onCancel(params: ReleaseParams, peer: PeerConnection): void {
+    const pool = this.#pools.get(params.pool)?.pool;
+    this.#remote.get(peer)?.delete(params.requestId);
+    pool?.cancel(params.requestId);
+    pool?.release(params.requestId, 'cancelled');
+  }
+
+  onRelease(params: ReleaseParams, peer: PeerConnection): void {
+    this.#remote.get(peer)?.delete(params.requestId);
+    this.#pools.get(params.pool)?.pool?.release(params.requestId, params.outcome);
+  }
+
+  /** A node whose connection ended can't tell any more when its requests end. */
+  onPeerClosed(peer: PeerConnection): void {
+    const uses = this.#remote.get(peer);
+    this.#remote.delete(peer);
+    for (const { pool, requestId } of uses?.values() ?? []) {
+      this.#pools.get(pool)?.pool?.cancel(requestId);
+      this.#pools.get(pool)?.pool?.release(requestId, 'cancelled');
+    }
+  }
+
+  #usesOf(peer: PeerConnection): Map<string, RemoteUse> {
+    let uses = this.#remote.get(peer);
+    if (uses === undefined) {
+      uses = new Map();
+      this.#remote.set(peer, uses);
+    }
+    return uses;
+  }
+
+  // --- leading -----------------------------------------------------------------------------------
+
+  async #run(): Promise<void> {
+    while (!this.#stopped) {
+      this.#tick();
+      await this.#options.clock.sleep(TICK_MS);
+    }
+  }
+
+  #tick(): void {
+    const { cluster, fleet } = this.#options;
+    cluster.update();
+    const permitted = cluster.seesMost();
+    if (!permitted && this.#permitted) {
+      for (const entry of this.#pools.values()) entry.pool?.resetLeases('out of sight of most nodes');
+    }
+    this.#permitted = permitted;
+    for (const service of fleet.routes?.configuration.services ?? []) {
+      if (service.engine === undefined) continue;
+      const entry = this.#entry(service.name);
+      entry.leadership.update();
+      this.#updateRole(entry, service.name);
+    }
+  }
+
+  #entry(pool: string): PoolEntry {
+    let entry = this.#pools.get(pool);
+    if (entry === undefined) {
+      const { cluster, clock, telemetry } = this.#options;
+      entry = { leadership: new PoolLeadership(pool, cluster, clock, telemetry), pool: undefined };
+      this.#pools.set(pool, entry);
+    }
+    return entry;
+  }
+
+  #updateRole(entry: PoolEntry, name = ''): void {
+    if (entry.leadership.isLeader === (entry.pool !== undefined)) return;
+    if (!entry.leadership.isLeader) {
+      entry.pool?.close();
+      entry.pool = undefined;
+      return;
+    }
+    const { clock, control, timing, holder, telemetry, fleet } = this.#options;
+    entry.pool = new SlotPool({
+      service: name,
+      clock,
+      control,
+      timing,
+      holder,
+      telemetry,
+      mayOrder: () => this.#mayOrder(),
+      adapterVersion: (model, adapter) => fleet.adapterVersion(model, adapter),
+    });
+    this.#setEngines(name, entry.pool);
+  }
+
+  #mayOrder(): boolean {
+    return !this.#stopped && this.#permitted && !this.#pauses.check();
+  }
+
+  #fleetChanged(change: string): void {
+    for (const [name, { pool }] of this.#pools) {
+      if (pool === undefined) continue;
+      if (change === 'adapter-version') pool.schedule();
+      else this.#setEngines(name, pool);
+    }
+  }
+
+  #setEngines(name: string, pool: SlotPool): void {
+    const { fleet } = this.#options;
+    const profile = fleet.routes?.service(name)?.engine;
+    if (profile !== undefined) pool.setEngines(fleet.backendsOf(name), profile);
+  }
+}
+
+export interface SlotServiceOptions {
+  readonly clock: Clock;
+  readonly fleet: FleetState;
+  readonly cluster: Cluster;
+  readonly network: PeerNetwork;
+  readonly control: EngineControl;
+  readonly timing: SlotTiming;
+  readonly holder: OrderHolder;
+  readonly telemetry: Telemetry;
+}
+
+function cancelledDecision(requestId: string): SlotDecision {
+  return { kind: 'refused', requestId, reason: 'stopping', retryAfterMs: 0 };
+}
--- /dev/null
+++ b/packages/gateway/src/cluster/state-exchange.ts
@@ -0,0 +1,98 @@
+import type { Clock, Random } from '@canvasridge/clock';
+import type { FleetSnapshot, FleetState } from '@canvasridge/serving';
+import type { Telemetry } from '@canvasridge/telemetry';
+import type { PeerNetwork } from '../peers/peer-network.js';
+
+const CALL_TIMEOUT_MS = 1500;
+/** Pause between two looks at peers while the store gives this node no answers. */
+const POLL_PERIOD_MS = 600;
+
+export const SNAPSHOT_METHOD = 'fleet.snapshot';
+
+/** Params of {@link SNAPSHOT_METHOD}: what the asking node knows already. */
+export interface SnapshotRequest {
+  readonly configurationVersion: number;
+  readonly backendsRevision: number;
+}
+
+/** Learns published state from peers: when one shows a newer configuration, and while the store is silent. */
+export class StateExchange {
+  readonly #fleet: FleetState;
+  readonly #network: PeerNetwork;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #telemetry: Telemetry;
+  readonly #peers: () => readonly string[];
+  readonly #asking = new Set<string>();
+  #sourceAnswers = false;
+  #stopped = false;
+
+  constructor(options: {
+    readonly fleet: FleetState;
+    readonly network: PeerNetwork;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly telemetry: Telemetry;
+    /** Peer addresses that may be asked. */
+    readonly peers: () => readonly string[];
+  }) {
+    this.#fleet = options.fleet;
+    this.#network = options.network;
+    this.#clock = options.clock;
+    this.#random = options.random;
+    this.#telemetry = options.telemetry;
+    this.#peers = options.peers;
+  }
+
+  start(): void {
+    void this.#poll();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** Whether the published state can be read directly at present. */
+  set sourceAnswers(answers: boolean) {
+    if (answers === this.#sourceAnswers) return;
+    this.#sourceAnswers = answers;
+    this.#telemetry.event(answers ? 'info' : 'warn', 'store.dependency', 'store', {
+      state: answers ? 'regained' : 'lost',
+    });
+  }
+
+  peerShows(address: string, version: number): void {
+    if (version > this.#fleet.configurationVersion) void this.#ask(address);
+  }
+
+  async #poll(): Promise<void> {
+    while (!this.#stopped) {
+      if (!this.#sourceAnswers) {
+        const peer = this.#random.pick(this.#peers());
+        if (peer !== undefined) await this.#ask(peer);
+      }
+      await this.#clock.sleep(POLL_PERIOD_MS);
+    }
+  }
+
+  async #ask(address: string): Promise<void> {
+    if (this.#asking.has(address)) return;
+    this.#asking.add(address);
+    const known: SnapshotRequest = {
+      configurationVersion: this.#fleet.configurationVersion,
+      backendsRevision: this.#fleet.backendsRevision,
+    };
+    const answer = await this.#network.to(address).call(SNAPSHOT_METHOD, known, CALL_TIMEOUT_MS);
+    this.#asking.delete(address);
+    if (answer === undefined || answer === null) return;
+    this.#fleet.merge(answer as FleetSnapshot);
+  }
+}
+
+/** The answer to a peer: nothing if it knows as much. */
+export function snapshotFor(fleet: FleetState, known: SnapshotRequest): FleetSnapshot | null {
+  const isNewer =
+    fleet.configurationVersion > known.configurationVersion ||
+    fleet.backendsRevision > known.backendsRevision;
+  return isNewer ? fleet.snapshot() : null;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -0,0 +1,47 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 1, 2, 4, 8, 16];
+
+/** Figures of a gateway, read as text from its metrics address. docs/reference/metrics.md lists the same rows. */
+export class GatewayMetrics {
+  readonly registry = new Registry();
+  readonly requests = new Counter({
+    name: 'canvasridge_requests_total',
+    help: 'Requests that ended, by kind of route and status given to the client (0: broken off or client left)',
+    labelNames: ['route_kind', 'status'],
+    registers: [this.registry],
+  });
+  readonly retries = new Counter({
+    name: 'canvasridge_retries_total',
+    help: 'Sends to another backend, by service',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
+  readonly firstByte = new Histogram({
+    name: 'canvasridge_first_byte_seconds',
+    help: 'Arrival of a request to the first byte of its answer',
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+  readonly configurationVersion = new Gauge({
+    name: 'canvasridge_configuration_version',
+    help: 'Version of the configuration in force, 0 for none',
+    registers: [this.registry],
+  });
+  readonly members = new Gauge({
+    name: 'canvasridge_members',
+    help: 'Nodes believed present, this one included',
+    registers: [this.registry],
+  });
+  readonly poolWaiting = new Gauge({
+    name: 'canvasridge_pool_waiting',
+    help: 'Requests that wait for a slot of a pool that this node leads',
+    labelNames: ['pool'],
+    registers: [this.registry],
+  });
+  readonly droppedLines = new Gauge({
+    name: 'canvasridge_log_lines_dropped',
+    help: 'Log lines left out since the start',
+    registers: [this.registry],
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/gateway-node.ts
@@ -0,0 +1,270 @@
+import { randomBytes } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Random, hashSeed, type Clock } from '@canvasridge/clock';
+import { UdpTransport } from '@canvasridge/membership';
+import type { FleetState } from '@canvasridge/serving';
+import type { EngineControl, SlotTiming } from '@canvasridge/slots';
+import type { Telemetry } from '@canvasridge/telemetry';
+import { err, ok, type Result } from 'neverthrow';
+import { BackendConnections } from './backends/backend-connections.js';
+import { LeastLoadedPicker } from './backends/least-loaded-picker.js';
+import { RetryBudget, type RetryBudgetOptions } from './backends/retry-budget.js';
+import { SlotPicker } from './backends/slot-picker.js';
+import { ClientServer, type ListenError } from './client-server.js';
+import { Cluster } from './cluster/cluster.js';
+import { Directory } from './cluster/directory.js';
+import {
+  ACQUIRE_METHOD,
+  CANCEL_METHOD,
+  DECIDED_METHOD,
+  RELEASE_METHOD,
+  SlotService,
+  type AcquireParams,
+  type ReleaseParams,
+} from './cluster/slot-service.js';
+import {
+  SNAPSHOT_METHOD,
+  StateExchange,
+  snapshotFor,
+  type SnapshotRequest,
+} from './cluster/state-exchange.js';
+import { GatewayMetrics } from './gateway-metrics.js';
+import { PeerNetwork } from './peers/peer-network.js';
+import type { PeerMethods } from './peers/peer-connection.js';
+import type { RequestDialect } from './request/dialect.js';
+import { Exchange, type ExchangeContext } from './request/exchange.js';
+import type { SlotDecision } from '@canvasridge/slots';
+
+/** Where a gateway listens and who it is. */
+export interface GatewaySettings {
+  readonly nodeId: string;
+  readonly zone: string;
+  readonly region: string;
+  readonly ip: string;
+  readonly frontPort: number;
+  /** Gossip over UDP and calls between nodes over TCP. */
+  readonly peerPort: number;
+  readonly peerKey: string;
+  readonly retryBudget: RetryBudgetOptions;
+  readonly slotTiming: SlotTiming;
+  /** Time from the signal to stop until the process has to be gone. */
+  readonly stopGraceMs: number;
+}
+
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  /** Peer addresses to ask; may change. */
+  readonly seeds: () => readonly string[];
+  readonly clock: Clock;
+  readonly telemetry: Telemetry;
+  readonly dialect: RequestDialect;
+  readonly control: EngineControl;
+  readonly fleet: FleetState;
+}
+
+/** Part of the grace time in which new requests are still taken, as callers learn late. */
+const ACCEPT_SHARE = 0.31;
+/** Time kept back from the grace time. */
+const STOP_MARGIN_MS = 350;
+const STOP_POLL_MS = 50;
+const TOKEN_BYTES = 6;
+const METRICS_PERIOD_MS = 1000;
+
+/** An entry node that passes requests on to backends unaltered. */
+export class GatewayNode {
+  readonly fleet: FleetState;
+  readonly metrics = new GatewayMetrics();
+  readonly directory: Directory;
+  readonly #options: GatewayOptions;
+  readonly #cluster: Cluster;
+  readonly #network: PeerNetwork;
+  readonly #slots: SlotService;
+  readonly #exchange: StateExchange;
+  readonly #connections = new BackendConnections();
+  readonly #clients: ClientServer;
+  readonly #budgets = new Map<string, RetryBudget>();
+  readonly #context: ExchangeContext;
+  #running = 0;
+  #stopping = false;
+  #nextId = 0;
+
+  private constructor(options: GatewayOptions, transport: UdpTransport) {
+    this.#options = options;
+    this.fleet = options.fleet;
+    const { settings, clock, telemetry } = options;
+    const processToken = randomBytes(TOKEN_BYTES).toString('hex');
+    const random = new Random(hashSeed(processToken));
+    this.#network = new PeerNetwork(this.#methods(), (peer) => this.#slots.onPeerClosed(peer));
+    this.#cluster = new Cluster({
+      nodeId: settings.nodeId,
+      zone: settings.zone,
+      region: settings.region,
+      peerAddress: `${settings.ip}:${settings.peerPort}`,
+      frontAddress: `${settings.ip}:${settings.frontPort}`,
+      processToken,
+      transport,
+      clock,
+      random,
+      telemetry,
+      seeds: options.seeds,
+      configurationVersion: () => this.fleet.configurationVersion,
+      onPeerVersion: (address, version) => this.#exchange.peerShows(address, version),
+    });
+    this.directory = new Directory(this.#cluster);
+    const peers = (): string[] => this.#cluster.peerAddresses();
+    const { fleet } = this;
+    this.#exchange = new StateExchange({ fleet, network: this.#network, clock, random, telemetry, peers });
+    this.#slots = new SlotService({
+      clock,
+      fleet,
+      cluster: this.#cluster,
+      network: this.#network,
+      control: options.control,
+      timing: settings.slotTiming,
+      holder: { name: settings.nodeId, number: ipNumber(settings.ip) },
+      telemetry,
+    });
+    this.#context = {
+      clock,
+      dialect: options.dialect,
+      fleet,
+      connections: this.#connections,
+      plainPicker: new LeastLoadedPicker(fleet, clock, random),
+      enginePicker: new SlotPicker(fleet, this.#slots, clock),
+      budget: (service) => this.#budget(service),
+      nodes: () => this.#cluster.nodeCount,
+      isStopping: () => this.#stopping,
+      nextId: () => `${processToken}/${(this.#nextId += 1)}`,
+      random: () => random.next(),
+      telemetry,
+      metrics: this.metrics,
+    };
+    this.#clients = new ClientServer((request, response) => this.#serve(request, response));
+    fleet.onChange((change) => this.#fleetChanged(change));
+  }
+
+  /** Binds sockets and starts all tasks. */
+  static async start(options: GatewayOptions): Promise<Result<GatewayNode, ListenError>> {
+    const { settings } = options;
+    const transport = await UdpTransport.bind(settings.ip, settings.peerPort, settings.peerKey);
+    if (transport.isErr()) {
+      const { address, reason } = transport.error;
+      return err({ kind: 'cannot-listen', field: 'listen.control', address, reason });
+    }
+    const node = new GatewayNode(options, transport.value);
+    const peers = await node.#network.listen(settings.ip, settings.peerPort);
+    if (peers.isErr()) return err({ ...peers.error, field: 'listen.control' });
+    const front = await node.#clients.listen('listen.front', settings.ip, settings.frontPort);
+    if (front.isErr()) return err(front.error);
+    node.#cluster.start();
+    node.#exchange.start();
+    node.#slots.start();
+    void node.#updateMetrics();
+    return ok(node);
+  }
+
+  /** Whether clients should be sent here. */
+  get ready(): boolean {
+    return !this.#stopping && this.fleet.routes !== undefined;
+  }
+
+  /** Whether the published state can be read directly; otherwise it is learnt from peers. */
+  sourceAnswers(answers: boolean): void {
+    this.#exchange.sourceAnswers = answers;
+  }
+
+  /** Planned stop: leaves the directory, serves what it has, and resolves before the grace time is over. */
+  async stop(): Promise<void> {
+    const { clock, settings, telemetry } = { ...this.#options };
+    const startedMs = clock.now();
+    this.#stopping = true;
+    telemetry.event('info', 'process.stopping', settings.nodeId, { running: this.#running });
+    this.#slots.resign();
+    this.#cluster.drain();
+    await clock.sleep(settings.stopGraceMs * ACCEPT_SHARE);
+    this.#clients.stopAccepting();
+    const endMs = startedMs + settings.stopGraceMs - STOP_MARGIN_MS;
+    while (this.#running > 0 && clock.now() < endMs) {
+      await clock.sleep(STOP_POLL_MS);
+      this.#clients.closeIdle();
+    }
+    telemetry.event('info', 'process.stopped', settings.nodeId, { brokenOff: this.#running });
+    this.#cluster.leave();
+    await clock.sleep(STOP_POLL_MS);
+    this.close();
+  }
+
+  /** Ends at once, as a crash would. */
+  close(): void {
+    this.#exchange.stop();
+    this.#cluster.stop();
+    this.#network.close();
+    this.#clients.closeAll();
+    this.#connections.close();
+  }
+
+  #serve(request: IncomingMessage, response: ServerResponse): void {
+    this.#running += 1;
+    const exchange = new Exchange(this.#context, request, response);
+    exchange
+      .run()
+      .catch((cause: unknown) => {
+        this.#options.telemetry.event('error', 'request.defect', 'exchange', { detail: String(cause) });
+        response.destroy();
+      })
+      .finally(() => {
+        this.#running -= 1;
+      });
+  }
+
+  #methods(): PeerMethods {
+    return {
+      [SNAPSHOT_METHOD]: (params) => snapshotFor(this.fleet, params as SnapshotRequest),
+      [ACQUIRE_METHOD]: (params, peer) => this.#slots.onAcquire(params as AcquireParams, peer),
+      [CANCEL_METHOD]: (params, peer) => this.#slots.onCancel(params as ReleaseParams, peer),
+      [RELEASE_METHOD]: (params, peer) => this.#slots.onRelease(params as ReleaseParams, peer),
+      [DECIDED_METHOD]: (params) => this.#slots.onDecided(params as SlotDecision),
+    };
+  }
+
+  #budget(service: string): RetryBudget {
+    let budget = this.#budgets.get(service);
+    if (budget === undefined) {
+      const { clock, settings } = this.#options;
+      budget = new RetryBudget(clock, settings.retryBudget, () => this.#cluster.nodeCount);
+      this.#budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  #fleetChanged(change: string): void {
+    if (change === 'backends') {
+      this.#connections.retain((id) => this.fleet.backend(id) !== undefined);
+      return;
+    }
+    const configuration = this.fleet.routes?.configuration;
+    if (change !== 'configuration' || configuration === undefined) return;
+    this.#clients.applyLimits(configuration.limits);
+    this.metrics.configurationVersion.set(configuration.version);
+    this.#options.telemetry.event('info', 'configuration.applied', 'configuration', {
+      version: configuration.version,
+      routes: configuration.routes.length,
+    });
+  }
+
+  async #updateMetrics(): Promise<void> {
+    while (!this.#stopping) {
+      this.metrics.members.set(this.#cluster.serving().length);
+      for (const row of this.#slots.describe()) {
+        this.metrics.poolWaiting.set({ pool: row.pool }, row.waiting);
+        this.#options.telemetry.event('info', 'pool.state', row.pool, row);
+      }
+      await this.#options.clock.sleep(METRICS_PERIOD_MS);
+    }
+  }
+}
+
+/** An IPv4 address as a number, different for every machine. */
+function ipNumber(ip: string): number {
+  return ip.split('.').reduce((number, part) => number * 256 + Number(part), 0);
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,15 @@
+/** The entry node that passes requests on to backends unaltered, and the policies by which it chooses them. */
+export { GatewayNode, type GatewayOptions, type GatewaySettings } from './gateway-node.js';
+export { listen, type ListenError } from './client-server.js';
+export { Directory } from './cluster/directory.js';
+export type { RetryBudgetOptions } from './backends/retry-budget.js';
+export { RetryBudget } from './backends/retry-budget.js';
+export { GatewayMetrics } from './gateway-metrics.js';
+export type {
+  AnswerFacts,
+  AnswerHeaders,
+  ForwardFacts,
+  GenerationFacts,
+  RequestDialect,
+  RequestFacts,
+} from './request/dialect.js';
--- /dev/null
+++ b/packages/gateway/src/peers/peer-network.ts
@@ -0,0 +1,80 @@
+import { connect, createServer, type Server, type Socket } from 'node:net';
+import { err, ok, type Result } from 'neverthrow';
+import { PeerConnection, type PeerMethods } from './peer-connection.js';
+
+const CONNECT_TIMEOUT_MS = 400;
+
+export interface PeerListenError {
+  readonly kind: 'cannot-listen';
+  readonly address: string;
+  readonly reason: string;
+}
+
+/** Accepts connections of peers, and keeps one to each peer that is called. */
+export class PeerNetwork {
+  readonly #methods: PeerMethods;
+  readonly #outgoing = new Map<string, PeerConnection>();
+  readonly #incoming = new Set<Socket>();
+  readonly #onClose: (peer: PeerConnection) => void;
+  #server: Server | undefined;
+
+  /** @param onClose called when a connection that a peer opened has ended */
+  constructor(methods: PeerMethods, onClose: (peer: PeerConnection) => void) {
+    this.#methods = methods;
+    this.#onClose = onClose;
+  }
+
+  listen(host: string, port: number): Promise<Result<number, PeerListenError>> {
+    const server = createServer((socket) => this.#accept(socket));
+    this.#server = server;
+    return new Promise((resolve) => {
+      server.once('error', (cause) => {
+        resolve(err({ kind: 'cannot-listen', address: `${host}:${port}`, reason: cause.message }));
+      });
+      server.listen(port, host, () => {
+        const bound = server.address();
+        resolve(ok(typeof bound === 'object' && bound !== null ? bound.port : port));
+      });
+    });
+  }
+
+  /** The connection to a peer, opened if there is none. */
+  to(address: string): PeerConnection {
+    const known = this.#outgoing.get(address);
+    if (known !== undefined && !known.closed) return known;
+    const separator = address.lastIndexOf(':');
+    const socket = connect({
+      host: address.slice(0, separator),
+      port: Number(address.slice(separator + 1)),
+      keepAlive: true,
+      keepAliveInitialDelay: 1000,
+    });
+    const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
+    socket.once('connect', () => clearTimeout(timer));
+    socket.once('close', () => clearTimeout(timer));
+    const connection = new PeerConnection(socket, this.#methods, () => {
+      if (this.#outgoing.get(address) === connection) this.#outgoing.delete(address);
+    });
+    this.#outgoing.set(address, connection);
+    return connection;
+  }
+
+  /** Drops the connection to a peer that gave no sign. */
+  drop(address: string): void {
+    this.#outgoing.get(address)?.close();
+  }
+
+  close(): void {
+    this.#server?.close();
+    for (const connection of this.#outgoing.values()) connection.close();
+    for (const socket of this.#incoming) socket.destroy();
+  }
+
+  #accept(socket: Socket): void {
+    this.#incoming.add(socket);
+    const connection = new PeerConnection(socket, this.#methods, () => {
+      this.#incoming.delete(socket);
+      this.#onClose(connection);
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -0,0 +1,234 @@
+import type { Clock, Timer } from '@canvasridge/clock';
+import { EventStreamTracker } from '@canvasridge/http-bindings';
+import type { Dispatcher } from 'undici';
+import type { AnswerSink } from './answer-sink.js';
+import type { AnswerHeaders, RequestDialect } from './dialect.js';
+
+/**
+ * How one attempt at a backend ended:
+ * `complete`: the whole answer was passed on; `failure`: the backend's own failure, kept back;
+ * `not-run`: the request has not run there and never will; `broken`: it may have run, and its answer is not
+ * whole; `cancelled`: given up here.
+ */
+export type AttemptOutcome =
+  | { readonly kind: 'complete'; readonly status: number }
+  | {
+      readonly kind: 'failure';
+      readonly status: number;
+      readonly headers: AnswerHeaders;
+      readonly body: Buffer;
+    }
+  | { readonly kind: 'not-run'; readonly reason: NotRunReason }
+  | { readonly kind: 'broken'; readonly detail: string }
+  | { readonly kind: 'cancelled' };
+
+export type NotRunReason = 'unreachable' | 'refused' | 'not-present';
+
+export interface AttemptOptions {
+  readonly dispatcher: Dispatcher;
+  readonly dialect: RequestDialect;
+  readonly clock: Clock;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: string[];
+  readonly body: Buffer;
+  readonly attemptId: string;
+  /** Whether the answer is a series of events, which pass on one by one. */
+  readonly stream: boolean;
+  /** Id of the last event that the client has, -1 for none. */
+  readonly lastEventId: number;
+  /** Longest wait for the first byte or event, and between events; undefined for no limit of its own. */
+  readonly silenceMs: number | undefined;
+}
+
+const MISDIRECTED = 421;
+/** Answers up to this size are passed on only when they are whole. */
+const WHOLE_ANSWER_BYTES = 262_144;
+const STATUS_SUCCESS_END = 300;
+
+/**
+ * One request to one backend. Answers that are no events are passed on when they are whole, so that a broken
+ * one can be tried elsewhere; of events only whole ones are passed on. An answer that does not name the
+ * request's attempt belongs to another request: it is dropped with its connection.
+ */
+export class BackendAttempt implements Dispatcher.DispatchHandler {
+  readonly #options: AttemptOptions;
+  readonly #sink: AnswerSink;
+  readonly #tracker: EventStreamTracker;
+  #resolve: (outcome: AttemptOutcome) => void = () => undefined;
+  #controller: Dispatcher.DispatchController | undefined;
+  #settled = false;
+  #cancelled = false;
+  #sent = false;
+  #status = 0;
+  #headers: AnswerHeaders = {};
+  #isSuccess = false;
+  #notRun = false;
+  #chunks: Buffer[] = [];
+  #size = 0;
+  #passing = false;
+  #silence: Timer | undefined;
+
+  constructor(options: AttemptOptions, sink: AnswerSink) {
+    this.#options = options;
+    this.#sink = sink;
+    this.#tracker = new EventStreamTracker(options.lastEventId);
+  }
+
+  /** Whether the request may have reached the backend. */
+  get sent(): boolean {
+    return this.#sent;
+  }
+
+  get lastEventId(): number {
+    return this.#tracker.lastEventId;
+  }
+
+  run(): Promise<AttemptOutcome> {
+    const { dispatcher, method, path, headers, body } = this.#options;
+    return new Promise((resolve) => {
+      this.#resolve = resolve;
+      this.#watchSilence();
+      dispatcher.dispatch({ method: method, path, headers, body: body.length === 0 ? null : body }, this);
+    });
+  }
+
+  /** Gives the attempt up; the backend's connection is closed, so that it stops its work. */
+  cancel(): void {
+    this.#cancelled = true;
+    this.#controller?.abort(new Error('cancelled'));
+    this.#finish({ kind: 'cancelled' });
+  }
+
+  /** Undici calls this when a connection is ready, right before the request is written. */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#cancelled || this.#settled) {
+      controller.abort(new Error('cancelled'));
+      return;
+    }
+    this.#sent = true;
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    const { dialect, attemptId } = this.#options;
+    const facts = dialect.readAnswer(status, headers);
+    this.#status = status;
+    this.#headers = headers;
+    this.#notRun = facts.notRun;
+    this.#isSuccess = status < STATUS_SUCCESS_END;
+    if (facts.attemptId !== undefined && facts.attemptId !== attemptId) {
+      this.#reject(controller, 'answer to another request');
+    } else if (this.#isSuccess && (!facts.signed || facts.attemptId === undefined)) {
+      this.#reject(controller, 'success without the mark of a backend');
+    } else if (this.#isSuccess && headers['content-encoding'] !== undefined) {
+      this.#reject(controller, 'encoded answer');
+    } else if (!this.#isStream) this.#silence?.cancel();
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.#settled) return;
+    const bytes = this.#isStream ? this.#tracker.push(chunk) : chunk;
+    if (bytes.length === 0) return;
+    if (this.#isStream) this.#watchSilence();
+    if (this.#passing) {
+      this.#pass(controller, bytes);
+      return;
+    }
+    this.#chunks.push(bytes);
+    this.#size += bytes.length;
+    if (this.#isStream || (this.#isSuccess && this.#size > WHOLE_ANSWER_BYTES))
+      this.#startPassing(controller);
+  }
+
+  onResponseEnd(): void {
+    if (this.#settled) return;
+    if (this.#notRun) this.#finish({ kind: 'not-run', reason: this.#notRunReason() });
+    else if (!this.#isSuccess) this.#finish(this.#failure());
+    else if (this.#isStream && this.#tracker.hasPartialEvent) {
+      this.#finish({ kind: 'broken', detail: 'ended within an event' });
+    } else this.#complete();
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    if (this.#cancelled) this.#finish({ kind: 'cancelled' });
+    else if (!this.#sent) this.#finish({ kind: 'not-run', reason: 'unreachable' });
+    else if (this.#notRun) this.#finish({ kind: 'not-run', reason: this.#notRunReason() });
+    else this.#finish({ kind: 'broken', detail: error.message });
+  }
+
+  get #isStream(): boolean {
+    return this.#options.stream && this.#isSuccess;
+  }
+
+  #notRunReason(): NotRunReason {
+    return this.#status === MISDIRECTED ? 'not-present' : 'refused';
+  }
+
+  #failure(): AttemptOutcome {
+    return {
+      kind: 'failure',
+      status: this.#status,
+      headers: this.#headers,
+      body: Buffer.concat(this.#chunks),
+    };
+  }
+
+  #complete(): void {
+    if (this.#passing) this.#sink.end();
+    else if (this.#isStream) {
+      if (!this.#sink.started) this.#sink.start(this.#status, this.#headers, undefined);
+      this.#sink.end();
+    } else {
+      this.#sink.start(this.#status, this.#headers, this.#size);
+      this.#sink.end(Buffer.concat(this.#chunks));
+    }
+    this.#finish({ kind: 'complete', status: this.#status });
+  }
+
+  #startPassing(controller: Dispatcher.DispatchController): void {
+    this.#passing = true;
+    if (!this.#sink.started) this.#sink.start(this.#status, this.#headers, undefined);
+    for (const chunk of this.#chunks) this.#pass(controller, chunk);
+    this.#chunks = [];
+  }
+
+  #pass(controller: Dispatcher.DispatchController, bytes: Buffer): void {
+    if (this.#sink.write(bytes)) return;
+    controller.pause();
+    this.#silence?.cancel();
+    this.#sink.onDrain(() => {
+      if (this.#settled) return;
+      this.#watchSilence();
+      controller.resume();
+    });
+  }
+
+  #reject(controller: Dispatcher.DispatchController, detail: string): void {
+    this.#finish({ kind: 'broken', detail });
+    controller.abort(new Error(detail));
+  }
+
+  #watchSilence(): void {
+    const { silenceMs, clock } = this.#options;
+    if (silenceMs === undefined) return;
+    this.#silence?.cancel();
+    this.#silence = clock.setTimer(silenceMs, () => {
+      this.#finish(
+        this.#sent ? { kind: 'broken', detail: 'silent' } : { kind: 'not-run', reason: 'unreachable' },
+      );
+      this.#controller?.abort(new Error('silent'));
+    });
+  }
+
+  #finish(outcome: AttemptOutcome): void {
+    if (this.#settled) return;
+    this.#settled = true;
+    this.#silence?.cancel();
+    this.#resolve(outcome);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/request/exchange.ts
@@ -0,0 +1,351 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Clock } from '@canvasridge/clock';
+import { pickService, type BackendService, type FleetState, type HttpRoute } from '@canvasridge/serving';
+import type { UseOutcome } from '@canvasridge/slots';
+import type { Telemetry } from '@canvasridge/telemetry';
+import type { BackendConnections } from '../backends/backend-connections.js';
+import type { BackendPicker, PickResult } from '../backends/picker.js';
+import type { RetryBudget } from '../backends/retry-budget.js';
+import type { GatewayMetrics } from '../gateway-metrics.js';
+import { AnswerSink } from './answer-sink.js';
+import { BackendAttempt, type AttemptOutcome } from './backend-attempt.js';
+import { readBody } from './body.js';
+import type { RequestDialect, RequestFacts } from './dialect.js';
+import { retryAfterOf, statusOf, type FinalAnswer } from './final-answer.js';
+
+/** What all exchanges of a node share. */
+export interface ExchangeContext {
+  readonly clock: Clock;
+  readonly dialect: RequestDialect;
+  readonly fleet: FleetState;
+  readonly connections: BackendConnections;
+  readonly plainPicker: BackendPicker;
+  readonly enginePicker: BackendPicker;
+  readonly budget: (service: string) => RetryBudget;
+  readonly nodes: () => number;
+  readonly isStopping: () => boolean;
+  readonly nextId: () => string;
+  readonly random: () => number;
+  readonly telemetry: Telemetry;
+  readonly metrics: GatewayMetrics;
+}
+
+/** Sends of one request at the most, those that were refused included. */
+const MOST_SENDS = 5;
+/** Time kept back for the answer's way to the client, so that its deadline is not passed on whole. */
+const RETURN_MARGIN_MS = 10;
+/** An attempt of a repeatable request is tried elsewhere after this many objectives without a sign. */
+const SILENT_OBJECTIVES = 2;
+const LEAST_SILENCE_MS = 250;
+const MOST_SILENCE_MS = 1500;
+
+/** One client request from its head to its end. */
+export class Exchange {
+  readonly #context: ExchangeContext;
+  readonly #request: IncomingMessage;
+  readonly #sink: AnswerSink;
+  readonly #facts: RequestFacts;
+  readonly #arrivedMs: number;
+  readonly #cancel = new AbortController();
+  #route: HttpRoute | undefined;
+  #body: Buffer = EMPTY;
+  #attempt: BackendAttempt | undefined;
+  #ended = false;
+  #mayHaveRun = false;
+  #sends = 0;
+  #runs = 0;
+  #excluded: string[] = [];
+  #lastEventId = -1;
+  #backendId = '';
+  #how = '';
+
+  constructor(context: ExchangeContext, request: IncomingMessage, response: ServerResponse) {
+    this.#context = context;
+    this.#request = request;
+    this.#arrivedMs = context.clock.now();
+    this.#facts = context.dialect.readRequest(request.headers);
+    this.#lastEventId = this.#facts.lastEventId ?? -1;
+    this.#sink = new AnswerSink(response, context.isStopping);
+    response.on('close', () => {
+      if (!response.writableFinished) this.#clientLeft();
+    });
+  }
+
+  /** Serves the request; resolves when its last answer was given. */
+  async run(): Promise<void> {
+    const routes = this.#context.fleet.routes;
+    if (routes === undefined) {
+      this.#answer({ kind: 'not-ready' });
+      return;
+    }
+    const target = this.#request.url ?? '';
+    const route = routes.find(this.#request.headers.host ?? '', target);
+    if (route === undefined) {
+      this.#answer({ kind: 'no-route' });
+      return;
+    }
+    this.#route = route;
+    const service = routes.service(pickService(route.services, this.#context.random()) ?? '');
+    if (service === undefined) {
+      this.#answer({ kind: 'not-run', reason: 'unknown-service', retryAfterMs: undefined });
+      return;
+    }
+    const timer = this.#context.clock.setTimer(this.#timeoutMs(route), () => this.#timedOut());
+    const body = await readBody(this.#request, routes.configuration.limits.maxBodyBytes);
+    if (body.isErr()) {
+      if (body.error.kind === 'too-large') this.#answer({ kind: 'body-too-large' });
+    } else {
+      this.#body = body.value;
+      await this.#serve(route, service);
+    }
+    timer.cancel();
+  }
+
+  async #serve(route: HttpRoute, service: BackendService): Promise<void> {
+    this.#context.budget(service.name).countRequest();
+    while (!this.#ended) {
+      const picked = await this.#pick(route, service);
+      if (this.#ended) {
+        if (picked.kind === 'picked') picked.finish('cancelled');
+        return;
+      }
+      if (picked.kind === 'none') {
+        this.#refuse(picked.reason, picked.retryAfterMs);
+        return;
+      }
+      const outcome = await this.#send(route, service, picked);
+      picked.finish(useOutcomeOf(outcome));
+      if (this.#ended || this.#isFinal(outcome, route)) return;
+      if (!this.#mayRetry(route, service, outcome)) return;
+    }
+  }
+
+  #pick(route: HttpRoute, service: BackendService): Promise<PickResult> {
+    const picker = service.engine === undefined ? this.#context.plainPicker : this.#context.enginePicker;
+    const context = {
+      id: this.#context.nextId(),
+      route,
+      service,
+      generation: this.#facts.generation,
+      ageMs: this.#ageMs(),
+      timeoutMs: this.#timeoutMs(route),
+      excluded: this.#excluded,
+    };
+    return picker.pick(context, this.#cancel.signal);
+  }
+
+  async #send(
+    route: HttpRoute,
+    service: BackendService,
+    picked: PickResult & { kind: 'picked' },
+  ): Promise<AttemptOutcome> {
+    const { backend } = picked;
+    const { dialect, connections, clock } = this.#context;
+    this.#backendId = backend.id;
+    this.#how = picked.how;
+    this.#sends += 1;
+    const lastEventId = this.#lastEventId >= 0 ? this.#lastEventId : undefined;
+    const attempt = new BackendAttempt(
+      {
+        dispatcher: connections.dispatcher(backend, service.maxConnections, this.#context.nodes()),
+        dialect,
+        clock,
+        method: this.#request.method ?? 'GET',
+        path: this.#request.url ?? '/',
+        headers: dialect.forwardHeaders(this.#request.rawHeaders, {
+          deadlineMs: Math.max(1, Math.floor(this.#leftMs(route) - RETURN_MARGIN_MS)),
+          backendId: backend.id,
+          lastEventId,
+          priority: service.engine === undefined ? undefined : route.priority,
+        }),
+        body: this.#body,
+        attemptId: this.#facts.attemptId ?? '',
+        stream: route.kind === 'stream',
+        lastEventId: this.#lastEventId,
+        silenceMs: this.#silenceMs(route),
+      },
+      this.#sink,
+    );
+    this.#attempt = attempt;
+    const outcome = await attempt.run();
+    this.#attempt = undefined;
+    this.#lastEventId = attempt.lastEventId;
+    if (outcome.kind !== 'not-run') {
+      this.#mayHaveRun ||= attempt.sent;
+      this.#runs += 1;
+    }
+    return outcome;
+  }
+
+  /** Ends the exchange if the outcome ends it. */
+  #isFinal(outcome: AttemptOutcome, route: HttpRoute): boolean {
+    switch (outcome.kind) {
+      case 'complete':
+        this.#finished('complete', outcome.status);
+        return true;
+      case 'cancelled':
+        return true;
+      case 'failure':
+        if (this.#isRepeatable(route) && this.#runs < route.attempts && !this.#sink.started) return false;
+        this.#passFailure(outcome);
+        return true;
+      case 'not-run':
+      case 'broken':
+        return false;
+    }
+  }
+
+  #passFailure(outcome: AttemptOutcome & { kind: 'failure' }): void {
+    if (this.#sink.started) {
+      this.#breakOff('failure after a part of a stream');
+      return;
+    }
+    this.#sink.start(outcome.status, outcome.headers, outcome.body.length);
+    this.#sink.end(outcome.body);
+    this.#finished('backend-failure', outcome.status);
+  }
+
+  /** Whether another send is allowed and of use; gives the final answer if not. */
+  #mayRetry(route: HttpRoute, service: BackendService, outcome: AttemptOutcome): boolean {
+    const repeats = outcome.kind !== 'not-run';
+    if (repeats && (!this.#isRepeatable(route) || this.#runs >= route.attempts)) {
+      this.#giveUp(outcome);
+      return false;
+    }
+    if (this.#sends >= MOST_SENDS || !this.#context.budget(service.name).take()) {
+      this.#giveUp(outcome);
+      return false;
+    }
+    const isMissingAdapter = outcome.kind === 'not-run' && outcome.reason === 'not-present';
+    if (!isMissingAdapter) this.#excluded = [...this.#excluded, this.#backendId];
+    this.#context.metrics.retries.inc({ service: service.name });
+    this.#context.telemetry.event('info', 'request.retried', this.#facts.attemptId ?? '', {
+      after: outcome.kind,
+      detail: detailOf(outcome),
+      backend: this.#backendId,
+      ageMs: Math.round(this.#ageMs()),
+    });
+    return true;
+  }
+
+  #giveUp(outcome: AttemptOutcome): void {
+    if (this.#sink.started) this.#breakOff(detailOf(outcome));
+    else if (outcome.kind === 'failure') this.#passFailure(outcome);
+    else if (this.#mayHaveRun) this.#answer({ kind: 'outcome-unknown', detail: detailOf(outcome) });
+    else this.#refuse(detailOf(outcome), RETRY_AFTER_REFUSAL_MS);
+  }
+
+  #refuse(reason: string, retryAfterMs: number | undefined): void {
+    if (this.#sink.started) this.#breakOff(reason);
+    else if (this.#mayHaveRun) this.#answer({ kind: 'outcome-unknown', detail: reason });
+    else this.#answer({ kind: 'not-run', reason, retryAfterMs });
+  }
+
+  #timedOut(): void {
+    if (this.#ended) return;
+    const mayHaveRun = this.#mayHaveRun || this.#attempt?.sent === true;
+    if (this.#sink.started) this.#breakOff('timed out');
+    else this.#answer({ kind: 'timed-out', mayHaveRun });
+    this.#stopWork();
+  }
+
+  #clientLeft(): void {
+    if (this.#ended) return;
+    this.#finished('client-left', 0);
+    this.#stopWork();
+  }
+
+  #stopWork(): void {
+    this.#cancel.abort();
+    this.#attempt?.cancel();
+  }
+
+  #breakOff(detail: string): void {
+    this.#sink.breakOff();
+    this.#finished(`broken-off: ${detail}`, 0);
+  }
+
+  #answer(answer: FinalAnswer): void {
+    if (this.#ended) return;
+    const status = statusOf(answer);
+    const headers = this.#context.dialect.refusalHeaders(retryAfterOf(answer));
+    this.#sink.answer(status, headers, `${answer.kind}\n`);
+    const detail = 'reason' in answer ? answer.reason : 'detail' in answer ? answer.detail : '';
+    this.#finished(detail === '' ? answer.kind : `${answer.kind}: ${detail}`, status);
+  }
+
+  #finished(outcome: string, status: number): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    const { telemetry, metrics, fleet } = this.#context;
+    const ageMs = this.#ageMs();
+    const firstByteMs = this.#sink.firstByteMs;
+    metrics.requests.inc({ route_kind: this.#route?.kind ?? 'none', status: String(status) });
+    if (firstByteMs !== undefined) metrics.firstByte.observe((firstByteMs - this.#arrivedMs) / 1000);
+    telemetry.event('info', 'request.finished', this.#facts.attemptId ?? 'none', {
+      outcome,
+      status,
+      route: this.#route?.name,
+      adapter: this.#facts.generation?.adapter,
+      backend: this.#backendId === '' ? undefined : this.#backendId,
+      how: this.#how === '' ? undefined : this.#how,
+      sends: this.#sends,
+      ageMs: Math.round(ageMs),
+      firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs - this.#arrivedMs),
+      configuration: fleet.configurationVersion,
+    });
+  }
+
+  #isRepeatable(route: HttpRoute): boolean {
+    return route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
+  }
+
+  #silenceMs(route: HttpRoute): number | undefined {
+    if (!this.#isRepeatable(route) || this.#runs + 1 >= route.attempts) return undefined;
+    const wanted = route.objectiveMs * SILENT_OBJECTIVES;
+    return Math.min(Math.max(wanted, LEAST_SILENCE_MS), MOST_SILENCE_MS);
+  }
+
+  #timeoutMs(route: HttpRoute): number {
+    return Math.min(route.timeoutMs, this.#facts.deadlineMs ?? Infinity);
+  }
+
+  #leftMs(route: HttpRoute): number {
+    return this.#timeoutMs(route) - this.#ageMs();
+  }
+
+  #ageMs(): number {
+    return this.#context.clock.now() - this.#arrivedMs;
+  }
+}
+
+const EMPTY: Buffer = Buffer.alloc(0);
+const RETRY_AFTER_REFUSAL_MS = 300;
+
+function useOutcomeOf(outcome: AttemptOutcome): UseOutcome {
+  switch (outcome.kind) {
+    case 'complete':
+      return 'served';
+    case 'cancelled':
+      return 'cancelled';
+    case 'failure':
+    case 'broken':
+      return 'failed';
+    case 'not-run':
+      return outcome.reason === 'not-present' ? 'not-present' : 'refused';
+  }
+}
+
+function detailOf(outcome: AttemptOutcome): string {
+  switch (outcome.kind) {
+    case 'not-run':
+      return outcome.reason;
+    case 'broken':
+      return outcome.detail;
+    case 'failure':
+      return `status ${outcome.status}`;
+    case 'complete':
+    case 'cancelled':
+      return outcome.kind;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/request/final-answer.ts
@@ -0,0 +1,36 @@
+/** Answers that the gateway gives of its own, with a code that is stable and listed in docs/reference/errors.md. */
+export type FinalAnswer =
+  | { readonly kind: 'no-route' }
+  | { readonly kind: 'bad-request'; readonly detail: string }
+  | { readonly kind: 'body-too-large' }
+  | { readonly kind: 'not-ready' }
+  | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number | undefined }
+  | { readonly kind: 'outcome-unknown'; readonly detail: string }
+  | { readonly kind: 'timed-out'; readonly mayHaveRun: boolean };
+
+/** Status of an answer. 429 and 503 promise that the request has not run and never will. */
+export function statusOf(answer: FinalAnswer): number {
+  switch (answer.kind) {
+    case 'no-route':
+      return 404;
+    case 'bad-request':
+      return 400;
+    case 'body-too-large':
+      return 413;
+    case 'not-ready':
+    case 'not-run':
+      return 503;
+    case 'outcome-unknown':
+      return 502;
+    case 'timed-out':
+      return answer.mayHaveRun ? 504 : 503;
+  }
+}
+
+/** Milliseconds after which the client may come back, where that makes sense. */
+export function retryAfterOf(answer: FinalAnswer): number | undefined {
+  if (answer.kind === 'not-run') return answer.retryAfterMs;
+  return answer.kind === 'not-ready' ? NOT_READY_RETRY_MS : undefined;
+}
+
+const NOT_READY_RETRY_MS = 500;
--- a/packages/platform/src/event-stream-tracker.ts
+++ b/packages/http-bindings/src/event-stream-tracker.ts
@@ -18,6 +18,11 @@
     this.lastEventId = lastEventId;
   }
 
+  /** Whether the beginning of an event is held back. */
+  get hasPartialEvent(): boolean {
+    return this.#rest.length > 0;
+  }
+
   /** The bytes that complete events; what follows the last event end is kept back. */
   push(chunk: Buffer): Buffer {
     if (this.#rest.length === 0 && endsEvent(chunk)) return this.#passed(chunk);
--- a/packages/load/src/bench/load-worker.ts
+++ b/packages/load/src/bench/load-worker.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import { parentPort, workerData } from 'node:worker_threads';
 import type { StreamSink } from '@canvasridge/domain';
-import { newHttpAgent, streamExchange } from '@canvasridge/platform';
+import { newHttpAgent, streamExchange } from '@canvasridge/http-bindings';
 
 /** What a load worker is told to do. */
 export interface LoadOrder {
--- a/packages/load/src/simulation/peer-ports.ts
+++ b/packages/load/src/simulation/peer-ports.ts
@@ -6,7 +6,7 @@
   type PeerCaller,
 } from '@canvasridge/membership';
 import type { EntryNode, RequestEnd } from '@canvasridge/node';
-import type { ForwardClient, ForwardError, ForwardedRequest } from '@canvasridge/platform';
+import type { ForwardClient, ForwardError, ForwardedRequest } from '@canvasridge/http-bindings';
 import { createJSONRPCRequest, type JSONRPCResponse } from 'json-rpc-2.0';
 import { err, ok, type Result } from 'neverthrow';
 import type { z } from 'zod';
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -168,6 +168,14 @@
     return isPresent(this.#state) ? [...others, this.self()] : others;
   }
 
+  /** Names of members that announced that they leave or have left. */
+  departed(): string[] {
+    return this.#table
+      .all()
+      .filter((member) => member.state === 'left' || member.state === 'draining')
+      .map((member) => member.id);
+  }
+
   // --- tasks -------------------------------------------------------------------------------------
 
   async #probeTask(): Promise<void> {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -27,7 +27,7 @@
   type OwnershipTiming,
 } from '@canvasridge/ownership';
 import { rankByRendezvous } from '@canvasridge/placement';
-import type { ForwardClient } from '@canvasridge/platform';
+import type { ForwardClient } from '@canvasridge/http-bindings';
 import type { Telemetry } from '@canvasridge/telemetry';
 import { z } from 'zod';
 import { AdminService } from './control/admin-service.js';
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -10,7 +10,7 @@
   HttpMachineList,
   HttpServiceClient,
   newHttpAgent,
-} from '@canvasridge/platform';
+} from '@canvasridge/http-bindings';
 import type { HostPort } from '@canvasridge/settings';
 import { EventLogger, NullMetrics, StatsdMetrics, Telemetry, type Metrics } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
--- a/packages/node/src/requests/generation-router.ts
+++ b/packages/node/src/requests/generation-router.ts
@@ -11,7 +11,7 @@
   type ProblemCode,
 } from '@canvasridge/domain';
 import type { RetryBudget } from '@canvasridge/admission';
-import type { ForwardClient, ForwardError } from '@canvasridge/platform';
+import type { ForwardClient, ForwardError } from '@canvasridge/http-bindings';
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { EngineChoice, EngineFleet } from '../control/engine-fleet.js';
 import type { SchedulerError } from '../scheduling/engine-scheduler.js';
--- /dev/null
+++ b/packages/serving/src/backend.ts
@@ -0,0 +1,30 @@
+/** An adapter of a base model, in one version. */
+export interface HeldAdapter {
+  readonly name: string;
+  readonly version: number;
+}
+
+/** A base model that a backend holds, with the adapters loaded on it. */
+export interface HeldModel {
+  readonly name: string;
+  readonly adapters: readonly HeldAdapter[];
+}
+
+/** What a backend says of itself in the published list; up to some seconds old. */
+export interface BackendDescription {
+  /** Changes with each start of the backend's process. */
+  readonly id: string;
+  readonly service: string;
+  /** `IP:port`. */
+  readonly address: string;
+  readonly zone: string;
+  readonly state: 'ready' | 'draining';
+  /** Requests that run together. */
+  readonly slots: number;
+  readonly models: readonly HeldModel[];
+}
+
+/** Key of an adapter among all adapters of all models. */
+export function adapterKey(model: string, adapter: string): string {
+  return `${model}/${adapter}`;
+}
--- /dev/null
+++ b/packages/serving/src/index.ts
@@ -0,0 +1,20 @@
+/** Routes, services, backends, and what a node knows of the published state. */
+export type {
+  BackendService,
+  EngineProfile,
+  HttpRoute,
+  ModelProfile,
+  RequestLimits,
+  RouteKind,
+  ServingConfiguration,
+  WeightedService,
+} from './configuration.js';
+export { RouteTable, pickService } from './route-table.js';
+export { adapterKey, type BackendDescription, type HeldAdapter, type HeldModel } from './backend.js';
+export {
+  FleetState,
+  type AdapterVersion,
+  type FleetChange,
+  type FleetSnapshot,
+  type Revised,
+} from './fleet-state.js';
--- /dev/null
+++ b/packages/slots/src/engine-control.ts
@@ -0,0 +1,50 @@
+import type { BackendDescription, HeldModel } from '@canvasridge/serving';
+
+/** An adapter that is on its way to an engine. */
+export interface PendingAdapter {
+  readonly model: string;
+  readonly adapter: string;
+}
+
+/** What an engine says of itself when asked; some hundred milliseconds old. */
+export interface EngineReport {
+  /** Orders taken since the engine started. */
+  readonly orderCount: number;
+  /** A model is being loaded or unloaded. */
+  readonly busy: boolean;
+  readonly models: readonly HeldModel[];
+  readonly pending: readonly PendingAdapter[];
+}
+
+/** What an order is about: a whole model, or one adapter of it. */
+export interface OrderSubject {
+  readonly action: 'load' | 'unload';
+  readonly model: string;
+  readonly adapter: string | undefined;
+}
+
+export interface EngineOrder extends OrderSubject {
+  /** The engine takes the order only if it has taken this many before. */
+  readonly expectedCount: number;
+  readonly holder: string;
+  readonly fence: number;
+}
+
+/**
+ * Answer to an order: `accepted` is being carried out, `done` was carried out at once or held already,
+ * `conflict` was not taken since the count differs or another order is under way, `unknown` may have been taken.
+ */
+export type OrderReply =
+  | { readonly kind: 'accepted' }
+  | { readonly kind: 'done' }
+  | { readonly kind: 'conflict' }
+  | { readonly kind: 'other-instance' }
+  | { readonly kind: 'rejected'; readonly detail: string }
+  | { readonly kind: 'unknown'; readonly detail: string };
+
+/** Calls to engines. None of them rejects. */
+export interface EngineControl {
+  /** Undefined when the engine gave no usable answer. */
+  report(backend: BackendDescription): Promise<EngineReport | undefined>;
+  order(backend: BackendDescription, order: EngineOrder): Promise<OrderReply>;
+}
--- /dev/null
+++ b/packages/slots/src/engine-slots.ts
@@ -0,0 +1,143 @@
+import { adapterKey, type BackendDescription, type EngineProfile } from '@canvasridge/serving';
+import { LRUCache } from 'lru-cache';
+import type { EngineReport } from './engine-control.js';
+
+/** `unloading` includes adapters whose fate is not known; they take a slot until a report shows otherwise. */
+export type SlotState = 'loading' | 'loaded' | 'unloading';
+
+/** One adapter on one engine. */
+export interface AdapterSlot {
+  readonly key: string;
+  readonly model: string;
+  readonly adapter: string;
+  version: number;
+  state: SlotState;
+  /** Requests that were sent to use it and have not ended. */
+  users: number;
+  lastUsedMs: number;
+  /** When its load was ordered; 0 if it was found loaded. */
+  orderedMs: number;
+  /** Whether the engine was thought to have it in its memory when the load was ordered. */
+  warm: boolean;
+  /** When the published version moved beyond this one; 0 while it has not. */
+  outdatedSinceMs: number;
+}
+
+/** Adapters that an engine keeps in its memory beside the loaded ones, as far as is known. */
+const REMEMBERED_ADAPTERS = 32;
+
+/** What one node believes of the models, adapters and requests on one engine. */
+export class EngineSlots {
+  backend: BackendDescription;
+  profile: EngineProfile;
+  readonly slots = new Map<string, AdapterSlot>();
+  readonly models = new Set<string>();
+  /** Requests sent here that have not ended. */
+  running = 0;
+  /** A model is being loaded or unloaded. */
+  busy = false;
+  /** No new requests before this time, after failures. */
+  avoidUntilMs = 0;
+  readonly #remembered = new LRUCache<string, true>({ max: REMEMBERED_ADAPTERS });
+
+  constructor(backend: BackendDescription, profile: EngineProfile) {
+    this.backend = backend;
+    this.profile = profile;
+    for (const model of backend.models) this.models.add(model.name);
+  }
+
+  /** Takes over what a report shows. Users of adapters that stay are kept. */
+  adopt(report: EngineReport, nowMs: number): void {
+    this.busy = report.busy;
+    this.models.clear();
+    const present = new Set<string>();
+    for (const model of report.models) {
+      this.models.add(model.name);
+      for (const { name, version } of model.adapters) {
+        const key = adapterKey(model.name, name);
+        present.add(key);
+        this.#adoptSlot(key, model.name, name, version, 'loaded', nowMs);
+      }
+    }
+    for (const { model, adapter } of report.pending) {
+      const key = adapterKey(model, adapter);
+      if (present.has(key)) continue;
+      present.add(key);
+      this.#adoptSlot(key, model, adapter, 0, 'loading', nowMs);
+    }
+    for (const key of [...this.slots.keys()]) if (!present.has(key)) this.slots.delete(key);
+  }
+
+  get(key: string): AdapterSlot | undefined {
+    return this.slots.get(key);
+  }
+
+  reserve(model: string, adapter: string, version: number, nowMs: number): AdapterSlot {
+    const key = adapterKey(model, adapter);
+    const slot: AdapterSlot = {
+      key,
+      model,
+      adapter,
+      version,
+      state: 'loading',
+      users: 0,
+      lastUsedMs: nowMs,
+      orderedMs: nowMs,
+      warm: this.remembers(key),
+      outdatedSinceMs: 0,
+    };
+    this.slots.set(key, slot);
+    return slot;
+  }
+
+  remove(key: string): void {
+    this.slots.delete(key);
+    this.#remembered.set(key, true);
+  }
+
+  remembers(key: string): boolean {
+    return this.#remembered.has(key);
+  }
+
+  get loadingCount(): number {
+    let count = 0;
+    for (const slot of this.slots.values()) if (slot.state === 'loading') count += 1;
+    return count;
+  }
+
+  /** Whether one more adapter fits beside those that are here or on their way. */
+  hasRoomFor(model: string): boolean {
+    if (this.slots.size >= this.profile.adapterSlots) return false;
+    return this.usedMb() + this.#adapterMb(model) <= this.profile.memoryMb;
+  }
+
+  usedMb(): number {
+    let used = 0;
+    for (const model of this.profile.models) if (this.models.has(model.name)) used += model.sizeMb;
+    for (const slot of this.slots.values()) used += this.#adapterMb(slot.model);
+    return used;
+  }
+
+  #adapterMb(model: string): number {
+    return this.profile.models.find((profile) => profile.name === model)?.adapterMb ?? 0;
+  }
+
+  #adoptSlot(
+    key: string,
+    model: string,
+    adapter: string,
+    version: number,
+    state: SlotState,
+    nowMs: number,
+  ): void {
+    const known = this.slots.get(key);
+    if (known === undefined) {
+      const slot = this.reserve(model, adapter, version, nowMs);
+      slot.state = state;
+      slot.orderedMs = 0;
+      return;
+    }
+    known.state = state;
+    if (version > 0) known.version = version;
+  }
+}
--- /dev/null
+++ b/packages/slots/src/index.ts
@@ -0,0 +1,16 @@
+/** Adapter slots of model engines: who may give orders, and which request gets which slot. */
+export type {
+  EngineControl,
+  EngineOrder,
+  EngineReport,
+  OrderReply,
+  OrderSubject,
+  PendingAdapter,
+} from './engine-control.js';
+export { OrderLease, type NotHeld, type OrderHolder, type OrderLeaseOptions } from './order-lease.js';
+export { PauseDetector } from './pause-detector.js';
+export { SlotPool, type SlotPoolOptions } from './slot-pool.js';
+export type { RefusalReason, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
+export { DEFAULT_SLOT_TIMING, type SlotTiming } from './timing.js';
+export { PoolLeadership, type LeadershipPeers, type PoolClaim } from './pool-leadership.js';
+export { PeerSight } from './peer-sight.js';
--- /dev/null
+++ b/packages/slots/src/order-lease.ts
@@ -0,0 +1,223 @@
+import { Notifier, type Clock } from '@canvasridge/clock';
+import type { BackendDescription } from '@canvasridge/serving';
+import type { Telemetry } from '@canvasridge/telemetry';
+import type { EngineControl, EngineReport, OrderReply, OrderSubject } from './engine-control.js';
+import type { SlotTiming } from './timing.js';
+
+/** Room for the part of a fence that is the holder's own. */
+const HOLDER_RANGE = 2 ** 32;
+
+export interface OrderHolder {
+  readonly name: string;
+  /** Different for every machine, from 0 to 2^32 - 1. */
+  readonly number: number;
+}
+
+export interface OrderLeaseOptions {
+  readonly backend: BackendDescription;
+  readonly control: EngineControl;
+  readonly clock: Clock;
+  readonly timing: SlotTiming;
+  readonly holder: OrderHolder;
+  readonly telemetry: Telemetry;
+  /** Whether this node may give orders at all; asked before each. */
+  readonly mayOrder: () => boolean;
+  /** A report was read from which the state of the engine is to be taken over. */
+  readonly onReport: (report: EngineReport) => void;
+}
+
+type LeaseState =
+  | { readonly kind: 'observing'; readonly count: number | undefined; readonly sinceMs: number }
+  | { readonly kind: 'held'; readonly nextCount: number }
+  | { readonly kind: 'settling'; readonly possibleCounts: readonly number[]; readonly sinceMs: number }
+  | { readonly kind: 'closed' };
+
+/** The order was not sent, since this node does not hold the engine (now). */
+export interface NotHeld {
+  readonly kind: 'not-held';
+}
+
+/**
+ * The right to give orders to one engine that checks no fences, without any memory outside of it. The
+ * engine's count of orders is the register: a node becomes holder when the count has stood still for a lease,
+ * as its own reports show, and each order names the count that it expects. So the order of another holder is
+ * either seen while waiting, or makes the next order here fail. The fence is the expected count with the
+ * holder's own number below it: it rises with each order taken, and no two holders ever use the same.
+ */
+export class OrderLease {
+  readonly #options: OrderLeaseOptions;
+  readonly #changed = new Notifier();
+  #state: LeaseState = { kind: 'observing', count: undefined, sinceMs: 0 };
+  #turn: Promise<void> = Promise.resolve();
+
+  constructor(options: OrderLeaseOptions) {
+    this.#options = options;
+    void this.#run();
+  }
+
+  get held(): boolean {
+    return this.#state.kind === 'held';
+  }
+
+  /** Stops for good. */
+  close(): void {
+    this.#enter({ kind: 'closed' });
+  }
+
+  /** Forgets what was known, as after a pause: the lease has to be observed again. */
+  reset(reason: string): void {
+    if (this.#state.kind === 'closed') return;
+    this.#logLost(reason);
+    this.#enter({ kind: 'observing', count: undefined, sinceMs: 0 });
+  }
+
+  /** Reads the engine's state again before the next order. */
+  settle(): void {
+    if (this.#state.kind !== 'held') return;
+    this.#enter({
+      kind: 'settling',
+      possibleCounts: [this.#state.nextCount],
+      sinceMs: this.#options.clock.now(),
+    });
+  }
+
+  /** Gives one order; orders to one engine follow one another. */
+  async order(subject: OrderSubject): Promise<OrderReply | NotHeld> {
+    const previous = this.#turn;
+    let finish = (): void => undefined;
+    this.#turn = new Promise((resolve) => {
+      finish = resolve;
+    });
+    await previous;
+    try {
+      return await this.#send(subject);
+    } finally {
+      finish();
+    }
+  }
+
+  async #send(subject: OrderSubject): Promise<OrderReply | NotHeld> {
+    const { backend, control, holder, mayOrder, clock, telemetry } = this.#options;
+    if (!mayOrder() || this.#state.kind !== 'held') return { kind: 'not-held' };
+    const expectedCount = this.#state.nextCount;
+    const fence = expectedCount * HOLDER_RANGE + holder.number;
+    const startedMs = clock.now();
+    const reply = await control.order(backend, { ...subject, expectedCount, holder: holder.name, fence });
+    telemetry.event('info', 'order.answered', backend.id, {
+      action: subject.action,
+      adapter: subject.adapter,
+      expectedCount,
+      reply: reply.kind,
+      tookMs: Math.round(clock.now() - startedMs),
+    });
+    this.#learn(subject, reply, expectedCount);
+    return reply;
+  }
+
+  #learn(subject: OrderSubject, reply: OrderReply, expectedCount: number): void {
+    // A reset or close while the answer was on its way stands.
+    if (this.#state.kind !== 'held' || this.#state.nextCount !== expectedCount) return;
+    const sinceMs = this.#options.clock.now();
+    switch (reply.kind) {
+      case 'accepted':
+        this.#state = { kind: 'held', nextCount: expectedCount + 1 };
+        return;
+      case 'done':
+        // An unload is counted when it is done; a load that was not needed is not.
+        if (subject.action === 'unload') this.#state = { kind: 'held', nextCount: expectedCount + 1 };
+        return;
+      case 'conflict':
+        this.#enter({ kind: 'settling', possibleCounts: [expectedCount], sinceMs });
+        return;
+      case 'unknown':
+        this.#enter({ kind: 'settling', possibleCounts: [expectedCount, expectedCount + 1], sinceMs });
+        return;
+      case 'rejected':
+        return;
+      case 'other-instance':
+        this.close();
+        return;
+    }
+  }
+
+  async #run(): Promise<void> {
+    for (;;) {
+      const state = this.#state;
+      switch (state.kind) {
+        case 'closed':
+          return;
+        case 'held':
+          await this.#changed.wait();
+          break;
+        case 'observing':
+          await this.#observe(state);
+          break;
+        case 'settling':
+          await this.#settled(state);
+          break;
+      }
+    }
+  }
+
+  async #observe(state: LeaseState & { kind: 'observing' }): Promise<void> {
+    const { clock, timing, backend, control, mayOrder } = this.#options;
+    const askedMs = clock.now();
+    const report = mayOrder() ? await control.report(backend) : undefined;
+    if (this.#state !== state) return;
+    if (report === undefined) {
+      this.#state = { kind: 'observing', count: undefined, sinceMs: 0 };
+      await this.#changed.waitUpTo(clock, timing.observePeriodMs);
+      return;
+    }
+    const unchanged = report.orderCount === state.count;
+    const sinceMs = unchanged ? state.sinceMs : askedMs;
+    const leftMs = sinceMs + timing.leaseMs + timing.leaseMarginMs - askedMs;
+    if (unchanged && leftMs <= 0) {
+      this.#take(report, 'observed');
+      return;
+    }
+    this.#options.onReport(report);
+    this.#state = { kind: 'observing', count: report.orderCount, sinceMs };
+    await this.#changed.waitUpTo(clock, Math.min(timing.observePeriodMs, Math.max(leftMs, 1)));
+  }
+
+  async #settled(state: LeaseState & { kind: 'settling' }): Promise<void> {
+    const { clock, timing, backend, control } = this.#options;
+    const leftMs = state.sinceMs + timing.settleMs - clock.now();
+    if (leftMs > 0) {
+      await this.#changed.waitUpTo(clock, leftMs);
+      return;
+    }
+    const report = await control.report(backend);
+    if (this.#state !== state) return;
+    if (report === undefined) {
+      await this.#changed.waitUpTo(clock, timing.observePeriodMs);
+      return;
+    }
+    if (state.possibleCounts.includes(report.orderCount)) {
+      this.#take(report, 'settled');
+      return;
+    }
+    this.#logLost(`count is ${report.orderCount}, expected ${state.possibleCounts.join(' or ')}`);
+    this.#state = { kind: 'observing', count: report.orderCount, sinceMs: clock.now() };
+  }
+
+  #take(report: EngineReport, how: string): void {
+    this.#state = { kind: 'held', nextCount: report.orderCount };
+    this.#options.telemetry.event('info', 'order-lease.held', this.#options.backend.id, {
+      how,
+      orderCount: report.orderCount,
+    });
+    this.#options.onReport(report);
+  }
+
+  #logLost(reason: string): void {
+    if (this.#state.kind === 'observing') return;
+    this.#options.telemetry.event('warn', 'order-lease.lost', this.#options.backend.id, { reason });
+  }
+
+  #enter(state: LeaseState): void {
+    this.#state = state;
+    this.#changed.notify();
+  }
+}
--- /dev/null
+++ b/packages/slots/src/pool-leadership.ts
@@ -0,0 +1,111 @@
+import type { Clock } from '@canvasridge/clock';
+import type { Telemetry } from '@canvasridge/telemetry';
+
+/** A member's claim to lead a pool. */
+export interface PoolClaim {
+  readonly memberId: string;
+  /** Of two claims the one with the higher epoch rules, then the smaller id. */
+  readonly epoch: number;
+}
+
+/** What the election needs of the membership. */
+export interface LeadershipPeers {
+  readonly selfId: string;
+  /** Members that may lead, this node included unless it is stopping; the preferred one first. */
+  candidates(pool: string): readonly string[];
+  /** Claims of members that are present. */
+  claims(pool: string): readonly PoolClaim[];
+  /** Publishes this node's claim, or withdraws it. */
+  publishClaim(pool: string, epoch: number | undefined): void;
+  seesMost(): boolean;
+}
+
+/** How long a node has to be the first candidate before it claims. */
+const CLAIM_AFTER_MS = 500;
+
+/**
+ * Chooses the node that hands out the slots of one pool. A claim stands as long as its member is present, so
+ * nodes that come back do not take a pool away. Two leaders at a time waste work and do no harm: orders are
+ * kept apart by {@link OrderLease}.
+ */
+export class PoolLeadership {
+  readonly #pool: string;
+  readonly #peers: LeadershipPeers;
+  readonly #clock: Clock;
+  readonly #telemetry: Telemetry;
+  #ownEpoch: number | undefined;
+  #highestEpoch = 0;
+  #firstSinceMs: number | undefined;
+  #leader: string | undefined;
+
+  constructor(pool: string, peers: LeadershipPeers, clock: Clock, telemetry: Telemetry) {
+    this.#pool = pool;
+    this.#peers = peers;
+    this.#clock = clock;
+    this.#telemetry = telemetry;
+  }
+
+  /** The member to ask for slots, if one is known. */
+  get leader(): string | undefined {
+    return this.#leader;
+  }
+
+  get isLeader(): boolean {
+    return this.#leader === this.#peers.selfId;
+  }
+
+  /** Looks at the claims; to be called a few times a second. Returns whether the leader changed. */
+  update(): boolean {
+    const ruling = this.#rulingClaim();
+    if (this.#ownEpoch !== undefined && ruling?.memberId !== this.#peers.selfId) this.#withdraw();
+    if (ruling === undefined) this.#claimInTurn();
+    else this.#firstSinceMs = undefined;
+    return this.#setLeader(this.#ownEpoch === undefined ? ruling?.memberId : this.#peers.selfId);
+  }
+
+  /** Gives the pool up, as on a planned stop. */
+  resign(): void {
+    if (this.#ownEpoch !== undefined) this.#withdraw();
+    this.#setLeader(undefined);
+  }
+
+  #rulingClaim(): PoolClaim | undefined {
+    const claims = [...this.#peers.claims(this.#pool)];
+    for (const claim of claims) this.#highestEpoch = Math.max(this.#highestEpoch, claim.epoch);
+    if (this.#ownEpoch !== undefined) claims.push({ memberId: this.#peers.selfId, epoch: this.#ownEpoch });
+    return claims.reduce<PoolClaim | undefined>((best, claim) => {
+      if (best === undefined || claim.epoch > best.epoch) return claim;
+      return claim.epoch === best.epoch && claim.memberId < best.memberId ? claim : best;
+    }, undefined);
+  }
+
+  #claimInTurn(): void {
+    const nowMs = this.#clock.now();
+    const isFirst = this.#peers.candidates(this.#pool)[0] === this.#peers.selfId;
+    if (!isFirst || !this.#peers.seesMost()) {
+      this.#firstSinceMs = undefined;
+      return;
+    }
+    this.#firstSinceMs ??= nowMs;
+    if (nowMs - this.#firstSinceMs < CLAIM_AFTER_MS) return;
+    // Clocks of machines differ and jump, so an epoch only counts on from what was seen.
+    this.#highestEpoch += 1;
+    this.#ownEpoch = this.#highestEpoch;
+    this.#peers.publishClaim(this.#pool, this.#ownEpoch);
+  }
+
+  #withdraw(): void {
+    this.#ownEpoch = undefined;
+    this.#peers.publishClaim(this.#pool, undefined);
+  }
+
+  #setLeader(leader: string | undefined): boolean {
+    if (leader === this.#leader) return false;
+    this.#telemetry.event('info', 'pool.leader', this.#pool, {
+      leader: leader ?? 'none',
+      before: this.#leader ?? 'none',
+    });
+    this.#leader = leader;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/slots/src/slot-request.ts
@@ -0,0 +1,40 @@
+/** A request that wants to run on an engine of a pool. Times are in milliseconds. */
+export interface SlotRequest {
+  /** Unique among requests and their attempts. */
+  readonly id: string;
+  readonly model: string;
+  /** Undefined for the base model itself. */
+  readonly adapter: string | undefined;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  readonly objectiveMs: number;
+  /** Time since the client's request arrived. */
+  readonly ageMs: number;
+  /** Time after which an answer is of no use, counted as `ageMs` is. */
+  readonly timeoutMs: number;
+  /** Engines that it was sent to before. */
+  readonly excluded: readonly string[];
+  /** Prompt and expected output, in tokens. */
+  readonly tokens: number;
+}
+
+/** Why no engine was given. */
+export type RefusalReason = 'no-slot-in-time' | 'no-engine' | 'stopping';
+
+export type SlotDecision =
+  | {
+      readonly kind: 'granted';
+      readonly requestId: string;
+      readonly backendId: string;
+      readonly address: string;
+    }
+  | {
+      readonly kind: 'refused';
+      readonly requestId: string;
+      readonly reason: RefusalReason;
+      /** When a slot may be free. */
+      readonly retryAfterMs: number;
+    };
+
+/** How a request that was granted a slot ended, as far as the engine is concerned. */
+export type UseOutcome = 'served' | 'not-present' | 'refused' | 'failed' | 'cancelled';
--- /dev/null
+++ b/packages/slots/src/slot-turnover.ts
@@ -0,0 +1,29 @@
+import type { Clock } from '@canvasridge/clock';
+
+const WEIGHT = 0.1;
+const INITIAL_GAP_MS = 50;
+const LONGEST_GAP_MS = 2000;
+
+/** Mean time between two moments at which a slot of the pool becomes idle. */
+export class SlotTurnover {
+  readonly #clock: Clock;
+  #lastMs: number | undefined;
+  #gapMs = INITIAL_GAP_MS;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  freed(): void {
+    const nowMs = this.#clock.now();
+    if (this.#lastMs !== undefined) {
+      const gapMs = Math.min(nowMs - this.#lastMs, LONGEST_GAP_MS);
+      this.#gapMs += WEIGHT * (gapMs - this.#gapMs);
+    }
+    this.#lastMs = nowMs;
+  }
+
+  meanGapMs(): number {
+    return this.#gapMs;
+  }
+}
--- /dev/null
+++ b/packages/slots/src/store-load-budget.ts
@@ -0,0 +1,36 @@
+import type { Clock } from '@canvasridge/clock';
+
+/** Part of the weight store's rate that is used: another node may have used some of it just before. */
+const SHARE = 0.8;
+const BURST = 2;
+
+/** Limits how often whole models are fetched from the weight store. */
+export class StoreLoadBudget {
+  readonly #clock: Clock;
+  #ratePerMs = 0;
+  #tokens = BURST;
+  #atMs: number;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.#atMs = clock.now();
+  }
+
+  setRate(perSecond: number): void {
+    this.#refill();
+    this.#ratePerMs = (SHARE * perSecond) / 1000;
+  }
+
+  take(): boolean {
+    this.#refill();
+    if (this.#tokens < 1) return false;
+    this.#tokens -= 1;
+    return true;
+  }
+
+  #refill(): void {
+    const nowMs = this.#clock.now();
+    this.#tokens = Math.min(BURST, this.#tokens + (nowMs - this.#atMs) * this.#ratePerMs);
+    this.#atMs = nowMs;
+  }
+}
--- /dev/null
+++ b/packages/slots/src/waiting-list.ts
@@ -0,0 +1,47 @@
+import type { SlotDecision, SlotRequest } from './slot-request.js';
+
+/** A request that waits for a slot. */
+export interface WaitingRequest {
+  readonly request: SlotRequest;
+  /** Arrival of the client's request on this node's clock. */
+  readonly arrivedMs: number;
+  readonly decide: (decision: SlotDecision) => void;
+}
+
+/**
+ * Requests that wait, most urgent first: those that can still meet their objective, by priority and then
+ * arrival, before those that are late already.
+ */
+export class WaitingList {
+  readonly #byId = new Map<string, WaitingRequest>();
+
+  get size(): number {
+    return this.#byId.size;
+  }
+
+  add(waiting: WaitingRequest): void {
+    this.#byId.set(waiting.request.id, waiting);
+  }
+
+  remove(id: string): WaitingRequest | undefined {
+    const waiting = this.#byId.get(id);
+    this.#byId.delete(id);
+    return waiting;
+  }
+
+  get(id: string): WaitingRequest | undefined {
+    return this.#byId.get(id);
+  }
+
+  inOrder(nowMs: number): WaitingRequest[] {
+    const isLate = (entry: WaitingRequest): number =>
+      nowMs - entry.arrivedMs > entry.request.objectiveMs ? 1 : 0;
+    return [...this.#byId.values()].sort(
+      (a, b) => isLate(a) - isLate(b) || a.request.priority - b.request.priority || a.arrivedMs - b.arrivedMs,
+    );
+  }
+
+  all(): WaitingRequest[] {
+    return [...this.#byId.values()];
+  }
+}
--- a/packages/telemetry/src/event-logger.ts
+++ b/packages/telemetry/src/event-logger.ts
@@ -19,17 +19,24 @@
   return parts.join(' ');
 }
 
-/** Writes one line of key=value pairs for each event to standard error. */
+/** Writes one line of key=value pairs for each event. */
 export class EventLogger {
   readonly #consola: ConsolaInstance;
   readonly #process: string;
 
-  /** @param processName goes into every line as `process=` */
-  constructor(processName: string, level: LogLevel) {
+  /**
+   * @param processName goes into every line as `process=`
+   * @param writeLine where lines go; standard error if absent
+   */
+  constructor(
+    processName: string,
+    level: LogLevel,
+    writeLine: (line: string) => void = writeToStandardError,
+  ) {
     this.#process = processName;
     this.#consola = createConsola({
       level: LEVEL_NUMBERS[level],
-      reporters: [{ log: (entry) => void process.stderr.write(`${String(entry.args[0])}\n`) }],
+      reporters: [{ log: (entry) => writeLine(String(entry.args[0])) }],
     });
   }
 
@@ -40,3 +47,7 @@
     this.#consola[level](line);
   }
 }
+
+function writeToStandardError(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -3,3 +3,4 @@
 export { StatsdMetrics, NullMetrics, type Metrics, type MetricName, METRICS } from './metrics.js';
 export { EventRing, type TimelineEvent, type TimelineDump } from './event-ring.js';
 export { Telemetry } from './telemetry.js';
+export { LineSink, DEFAULT_LINE_SINK_LIMITS, type LineSinkLimits } from './line-sink.js';
