Load adapters where an engine remembers them; take a reset for a broken answer

Cause 3: the guess of load times grew by each failure of one burst (252 to 846 ms while loads took 250, measured from reports). Change: memory of each engine's adapters on every node, fetch only if no engine has it or none gets free in 0.35 of the objective; one connection object for each socket that knows of resets; one growth for each cause.

--- a/packages/gateway/src/backends/backend-connections.ts
+++ b/packages/gateway/src/backends/backend-connections.ts
@@ -1,55 +1,79 @@
-import { Pool, type Dispatcher } from 'undici';
 import type { BackendDescription } from '@canvasridge/serving';
+import { BackendConnection, type ConnectionTiming } from './backend-connection.js';
 
-const CONNECT_TIMEOUT_MS = 600;
-/** Idle time of a connection whose backend names none. */
-const KEEP_ALIVE_MS = 4000;
-/** A connection is given up this long before its backend would close it. */
-const KEEP_ALIVE_MARGIN_MS = 600;
-/** Longest time that a backend's own word is believed. */
-const KEEP_ALIVE_MAXIMUM_MS = 60_000;
+const TIMING: ConnectionTiming = {
+  connectTimeoutMs: 600,
+  keepAliveMs: 4000,
+  keepAliveMarginMs: 600,
+  keepAliveMaximumMs: 60_000,
+};
 const FEWEST_CONNECTIONS = 4;
 /** Part of a backend's connections that the nodes together use. */
 const CONNECTION_SHARE = 0.8;
 
-/** Kept connections to each backend, one pool for each start of a backend. */
+interface Pool {
+  readonly idle: BackendConnection[];
+  readonly all: Set<BackendConnection>;
+  listed: boolean;
+}
+
+/** Kept connections to each backend, by the start of its process. */
 export class BackendConnections {
   readonly #pools = new Map<string, Pool>();
 
-  /** @param nodes nodes that share the backend's connections */
-  dispatcher(backend: BackendDescription, maxConnections: number, nodes: number): Dispatcher {
-    const known = this.#pools.get(backend.id);
-    if (known !== undefined) return known;
-    const connections = Math.max(
-      FEWEST_CONNECTIONS,
-      Math.floor((maxConnections * CONNECTION_SHARE) / Math.max(nodes, 1)),
-    );
-    const pool = new Pool(`http://${backend.address}`, {
-      connections,
-      pipelining: 1,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      keepAliveMaxTimeout: KEEP_ALIVE_MAXIMUM_MS,
-      connect: { timeout: CONNECT_TIMEOUT_MS, noDelay: true, keepAlive: true, keepAliveInitialDelay: 1000 },
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      maxResponseSize: -1,
-    });
-    this.#pools.set(backend.id, pool);
-    return pool;
+  /**
+   * A connection for one request, to be given back by `release`. Undefined when this node has its share.
+   * @param nodes nodes that share the backend's connections
+   */
+  take(backend: BackendDescription, maxConnections: number, nodes: number): BackendConnection | undefined {
+    const pool = this.#pool(backend.id);
+    const idle = pool.idle.pop();
+    if (idle !== undefined) return idle;
+    const share = Math.floor((maxConnections * CONNECTION_SHARE) / Math.max(nodes, 1));
+    if (pool.all.size >= Math.max(FEWEST_CONNECTIONS, share)) return undefined;
+    const connection = new BackendConnection(backend.address, TIMING, (ended) => discard(pool, ended));
+    pool.all.add(connection);
+    return connection;
+  }
+
+  /** Gives a connection back; one that showed anything odd is closed. */
+  release(backendId: string, connection: BackendConnection, reusable: boolean): void {
+    const pool = this.#pools.get(backendId);
+    if (pool?.all.has(connection) !== true || !pool.listed || !reusable || !connection.connected) {
+      if (pool !== undefined) discard(pool, connection);
+      connection.destroy();
+      return;
+    }
+    pool.idle.push(connection);
   }
 
   /** Lets go of backends that are gone; requests under way end as they would. */
   retain(isListed: (id: string) => boolean): void {
     for (const [id, pool] of this.#pools) {
       if (isListed(id)) continue;
+      pool.listed = false;
+      for (const connection of pool.idle.splice(0)) connection.destroy();
       this.#pools.delete(id);
-      void pool.close().catch(() => undefined);
     }
   }
 
   close(): void {
-    for (const pool of this.#pools.values()) void pool.destroy().catch(() => undefined);
+    for (const { all } of this.#pools.values()) for (const connection of all) connection.destroy();
     this.#pools.clear();
   }
+
+  #pool(id: string): Pool {
+    let pool = this.#pools.get(id);
+    if (pool === undefined) {
+      pool = { idle: [], all: new Set(), listed: true };
+      this.#pools.set(id, pool);
+    }
+    return pool;
+  }
+}
+
+function discard(pool: Pool, connection: BackendConnection): void {
+  pool.all.delete(connection);
+  const index = pool.idle.indexOf(connection);
+  if (index !== -1) pool.idle.splice(index, 1);
 }
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -1,7 +1,9 @@
 import type { Clock } from '@canvasridge/clock';
-import type { FleetState } from '@canvasridge/serving';
+import type { BackendDescription, FleetState } from '@canvasridge/serving';
 import {
+  AdapterMemory,
   PauseDetector,
+  type PoolFigures,
   PoolLeadership,
   SlotPool,
   type EngineControl,
@@ -64,6 +66,7 @@
   readonly #queued = new Map<string, (decision: SlotDecision | undefined) => void>();
   readonly #remote = new Map<PeerConnection, Map<string, RemoteUse>>();
   readonly #pauses: PauseDetector;
+  readonly #memory = new AdapterMemory();
   #avoidLeaderUntilMs = 0;
   #stopped = false;
   #permitted = false;
@@ -94,7 +97,7 @@
   }
 
   /** Figures of the pools that this node leads. */
-  describe(): { pool: string; engines: number; held: number; waiting: number; running: number }[] {
+  describe(): (PoolFigures & { pool: string })[] {
     const rows = [];
     for (const [pool, entry] of this.#pools)
       if (entry.pool !== undefined) rows.push({ pool, ...entry.pool.describe() });
@@ -297,6 +300,7 @@
       holder,
       telemetry,
       mayOrder: () => this.#mayOrder(),
+      memory: this.#memory,
       adapterVersion: (model, adapter) => fleet.adapterVersion(model, adapter),
     });
     this.#setEngines(name, entry.pool);
@@ -307,6 +311,7 @@
   }
 
   #fleetChanged(change: string): void {
+    if (change === 'backends') this.#memory.observe(this.#listedBackends());
     for (const [name, { pool }] of this.#pools) {
       if (pool === undefined) continue;
       if (change === 'adapter-version') pool.schedule();
@@ -314,6 +319,10 @@
     }
   }
 
+  *#listedBackends(): Iterable<BackendDescription> {
+    for (const { value } of this.#options.fleet.allBackends()) yield value;
+  }
+
   #setEngines(name: string, pool: SlotPool): void {
     const { fleet } = this.#options;
     const profile = fleet.routes?.service(name)?.engine;
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -257,7 +257,7 @@
       this.metrics.members.set(this.#cluster.serving().length);
       for (const row of this.#slots.describe()) {
         this.metrics.poolWaiting.set({ pool: row.pool }, row.waiting);
-        this.#options.telemetry.event('info', 'pool.state', row.pool, row);
+        this.#options.telemetry.event('info', 'pool.state', row.pool, { ...row });
       }
       await this.#options.clock.sleep(METRICS_PERIOD_MS);
     }
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -1,6 +1,7 @@
 import type { Clock, Timer } from '@canvasridge/clock';
 import { EventStreamTracker } from '@canvasridge/http-bindings';
 import type { Dispatcher } from 'undici';
+import type { BackendConnection } from '../backends/backend-connection.js';
 import type { AnswerSink } from './answer-sink.js';
 import type { AnswerHeaders, RequestDialect } from './dialect.js';
 
@@ -22,10 +23,10 @@
   | { readonly kind: 'broken'; readonly detail: string }
   | { readonly kind: 'cancelled' };
 
-export type NotRunReason = 'unreachable' | 'refused' | 'not-present';
+export type NotRunReason = 'unreachable' | 'refused' | 'not-present' | 'no-connection';
 
 export interface AttemptOptions {
-  readonly dispatcher: Dispatcher;
+  readonly connection: BackendConnection;
   readonly dialect: RequestDialect;
   readonly clock: Clock;
   readonly method: string;
@@ -85,11 +86,11 @@
   }
 
   run(): Promise<AttemptOutcome> {
-    const { dispatcher, method, path, headers, body } = this.#options;
+    const { connection, method, path, headers, body } = this.#options;
     return new Promise((resolve) => {
       this.#resolve = resolve;
       this.#watchSilence();
-      dispatcher.dispatch({ method: method, path, headers, body: body.length === 0 ? null : body }, this);
+      connection.dispatcher.dispatch({ method: method, path, headers, body: body.length === 0 ? null : body }, this);
     });
   }
 
@@ -147,7 +148,9 @@
 
   onResponseEnd(): void {
     if (this.#settled) return;
-    if (this.#notRun) this.#finish({ kind: 'not-run', reason: this.#notRunReason() });
+    if (this.#options.connection.wasReset) {
+      this.#finish({ kind: 'broken', detail: 'reset within an answer without length' });
+    } else if (this.#notRun) this.#finish({ kind: 'not-run', reason: this.#notRunReason() });
     else if (!this.#isSuccess) this.#finish(this.#failure());
     else if (this.#isStream && this.#tracker.hasPartialEvent) {
       this.#finish({ kind: 'broken', detail: 'ended within an event' });
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -144,10 +144,12 @@
     this.#backendId = backend.id;
     this.#how = picked.how;
     this.#sends += 1;
+    const connection = connections.take(backend, service.maxConnections, this.#context.nodes());
+    if (connection === undefined) return { kind: 'not-run', reason: 'no-connection' };
     const lastEventId = this.#lastEventId >= 0 ? this.#lastEventId : undefined;
     const attempt = new BackendAttempt(
       {
-        dispatcher: connections.dispatcher(backend, service.maxConnections, this.#context.nodes()),
+        connection,
         dialect,
         clock,
         method: this.#request.method ?? 'GET',
@@ -169,6 +171,8 @@
     this.#attempt = attempt;
     const outcome = await attempt.run();
     this.#attempt = undefined;
+    const isWhole = outcome.kind === 'complete' || outcome.kind === 'failure' || outcome.kind === 'not-run';
+    connections.release(backend.id, connection, isWhole);
     this.#lastEventId = attempt.lastEventId;
     if (outcome.kind !== 'not-run') {
       this.#mayHaveRun ||= attempt.sent;
--- a/packages/slots/src/engine-slots.ts
+++ b/packages/slots/src/engine-slots.ts
@@ -1,5 +1,4 @@
 import { adapterKey, type BackendDescription, type EngineProfile } from '@canvasridge/serving';
-import { LRUCache } from 'lru-cache';
 import type { EngineReport } from './engine-control.js';
 
 /** `unloading` includes adapters whose fate is not known; they take a slot until a report shows otherwise. */
@@ -23,9 +22,6 @@
   outdatedSinceMs: number;
 }
 
-/** Adapters that an engine keeps in its memory beside the loaded ones, as far as is known. */
-const REMEMBERED_ADAPTERS = 32;
-
 /** What one node believes of the models, adapters and requests on one engine. */
 export class EngineSlots {
   backend: BackendDescription;
@@ -38,7 +34,6 @@
   busy = false;
   /** No new requests before this time, after failures. */
   avoidUntilMs = 0;
-  readonly #remembered = new LRUCache<string, true>({ max: REMEMBERED_ADAPTERS });
 
   constructor(backend: BackendDescription, profile: EngineProfile) {
     this.backend = backend;
@@ -72,7 +67,7 @@
     return this.slots.get(key);
   }
 
-  reserve(model: string, adapter: string, version: number, nowMs: number): AdapterSlot {
+  reserve(model: string, adapter: string, version: number, warm: boolean, nowMs: number): AdapterSlot {
     const key = adapterKey(model, adapter);
     const slot: AdapterSlot = {
       key,
@@ -83,7 +78,7 @@
       users: 0,
       lastUsedMs: nowMs,
       orderedMs: nowMs,
-      warm: this.remembers(key),
+      warm,
       outdatedSinceMs: 0,
     };
     this.slots.set(key, slot);
@@ -92,11 +87,6 @@
 
   remove(key: string): void {
     this.slots.delete(key);
-    this.#remembered.set(key, true);
-  }
-
-  remembers(key: string): boolean {
-    return this.#remembered.has(key);
   }
 
   get loadingCount(): number {
@@ -132,7 +122,7 @@
   ): void {
     const known = this.slots.get(key);
     if (known === undefined) {
-      const slot = this.reserve(model, adapter, version, nowMs);
+      const slot = this.reserve(model, adapter, version, true, nowMs);
       slot.state = state;
       slot.orderedMs = 0;
       return;
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -9,7 +9,8 @@
 } from './engine-control.js';
 export { OrderLease, type NotHeld, type OrderHolder, type OrderLeaseOptions } from './order-lease.js';
 export { PauseDetector } from './pause-detector.js';
-export { SlotPool, type SlotPoolOptions } from './slot-pool.js';
+export { AdapterMemory } from './adapter-memory.js';
+export { SlotPool, type PoolFigures, type SlotPoolOptions } from './slot-pool.js';
 export type { RefusalReason, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
 export { DEFAULT_SLOT_TIMING, type SlotTiming } from './timing.js';
 export { PoolLeadership, type LeadershipPeers, type PoolClaim } from './pool-leadership.js';
--- /dev/null
+++ b/packages/slots/src/load-placement.ts
@@ -0,0 +1,102 @@
+import type { AdapterDemand } from './adapter-demand.js';
+import type { AdapterMemory } from './adapter-memory.js';
+import type { AdapterSlot, EngineSlots } from './engine-slots.js';
+
+/** An engine that may load an adapter now, and the adapter that has to make way for it, if any. */
+export interface LoadChoice {
+  readonly slots: EngineSlots;
+  readonly victim: AdapterSlot | undefined;
+  /** Whether the engine likely has the adapter in its memory. */
+  readonly warm: boolean;
+}
+
+/** The request for which an adapter is to be loaded, and what is expected of loads now. */
+export interface LoadDemand {
+  readonly model: string;
+  readonly key: string;
+  readonly ageMs: number;
+  readonly objectiveMs: number;
+  /** Whether the weight store has room for one more fetch. */
+  readonly mayFetch: boolean;
+  readonly coldLoadMs: number;
+  readonly warmLoadMs: number;
+}
+
+/** Part of the objective for which a request waits for an engine that has its adapter in memory. */
+const HOME_PATIENCE_SHARE = 0.35;
+/** What is added to the cost of a place for each request that runs there, and each load under way, in ms. */
+const RUNNING_COST_MS = 4;
+const LOADING_COST_MS = 40;
+const EVICTION_COST_MS = 25;
+
+/**
+ * Chooses where an adapter is loaded. An engine that likely has it in memory is best; a fetch from the weight
+ * store is dear, so it is made only if no engine has the adapter, or if none of those gets a free slot in
+ * time, and only if it still helps the request to meet its objective.
+ */
+export function chooseLoad(
+  able: readonly EngineSlots[],
+  homes: readonly EngineSlots[],
+  demand: LoadDemand,
+  popularity: AdapterDemand,
+  memory: AdapterMemory,
+): LoadChoice | undefined {
+  let best: LoadChoice | undefined;
+  let bestCost = Infinity;
+  const mayFetch = isFetchWorthwhile(demand, homes.length > 0);
+  for (const slots of able) {
+    const warm = memory.has(slots.backend.id, demand.key);
+    if (!warm && !mayFetch) continue;
+    const room = makeRoom(slots, demand, popularity);
+    if (room === undefined) continue;
+    const cost = costOf(slots, room.victim, warm, demand, popularity);
+    if (cost >= bestCost) continue;
+    best = { slots, victim: room.victim, warm };
+    bestCost = cost;
+  }
+  return best;
+}
+
+function isFetchWorthwhile(demand: LoadDemand, hasHome: boolean): boolean {
+  if (!demand.mayFetch || demand.ageMs + demand.coldLoadMs > demand.objectiveMs) return false;
+  return !hasHome || demand.ageMs >= demand.objectiveMs * HOME_PATIENCE_SHARE;
+}
+
+/** A free slot, or the idle adapter that gives way. Undefined if there is neither. */
+function makeRoom(
+  slots: EngineSlots,
+  demand: LoadDemand,
+  popularity: AdapterDemand,
+): { victim: AdapterSlot | undefined } | undefined {
+  const present = slots.get(demand.key);
+  if (present === undefined && slots.hasRoomFor(demand.model)) return { victim: undefined };
+  const victim = present ?? leastWanted(slots, popularity);
+  if (victim === undefined || victim.users > 0 || victim.state !== 'loaded') return undefined;
+  return { victim };
+}
+
+function leastWanted(slots: EngineSlots, popularity: AdapterDemand): AdapterSlot | undefined {
+  let best: AdapterSlot | undefined;
+  let bestRate = Infinity;
+  for (const slot of slots.slots.values()) {
+    if (slot.users > 0 || slot.state !== 'loaded') continue;
+    const rate = popularity.rate(slot.key);
+    const isOlder = best !== undefined && rate === bestRate && slot.lastUsedMs < best.lastUsedMs;
+    if (rate >= bestRate && !isOlder) continue;
+    best = slot;
+    bestRate = rate;
+  }
+  return best;
+}
+
+function costOf(
+  slots: EngineSlots,
+  victim: AdapterSlot | undefined,
+  warm: boolean,
+  demand: LoadDemand,
+  popularity: AdapterDemand,
+): number {
+  const loadMs = warm ? demand.warmLoadMs : demand.coldLoadMs;
+  const evictionMs = victim === undefined ? 0 : Math.min(popularity.rate(victim.key), 4) * EVICTION_COST_MS;
+  return loadMs + evictionMs + RUNNING_COST_MS * slots.running + LOADING_COST_MS * slots.loadingCount;
+}
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -2,8 +2,10 @@
 import { adapterKey, type BackendDescription, type EngineProfile } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
 import { AdapterDemand } from './adapter-demand.js';
+import type { AdapterMemory } from './adapter-memory.js';
 import type { EngineControl, EngineReport } from './engine-control.js';
 import { EngineSlots, type AdapterSlot } from './engine-slots.js';
+import { chooseLoad, type LoadChoice, type LoadDemand } from './load-placement.js';
 import { LoadTime } from './load-time.js';
 import { OrderLease, type OrderHolder } from './order-lease.js';
 import type { SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
@@ -20,12 +22,27 @@
   readonly holder: OrderHolder;
   readonly telemetry: Telemetry;
   readonly mayOrder: () => boolean;
+  readonly memory: AdapterMemory;
   /** The version of an adapter that was published, 0 if none was. */
   readonly adapterVersion: (model: string, adapter: string) => number;
 }
 
+/** Figures of a pool for logs and metrics. */
+export interface PoolFigures {
+  readonly engines: number;
+  readonly held: number;
+  readonly waiting: number;
+  readonly running: number;
+  /** Present guess of how long a fetch from the weight store takes. */
+  readonly coldLoadMs: number;
+  /** Mean time between two slots that become idle. */
+  readonly gapMs: number;
+}
+
 /** Adapters that one engine is asked to fetch at the same time. */
 const LOADS_PER_ENGINE = 3;
+/** Fetches from the weight store at the same time; more of them slow each other down (measured: from 14 on). */
+const FETCHES_AT_ONCE = 12;
 /** Requests on one engine beyond which another copy of an adapter is worth its slot. */
 const CROWDED_ENGINE = 40;
 /** Time after which an adapter of an older version serves no new requests. */
@@ -71,8 +88,8 @@
     this.#options = options;
     this.#demand = new AdapterDemand(options.clock);
     this.#turnover = new SlotTurnover(options.clock);
-    this.#coldTime = new LoadTime(options.timing.coldLoadMs);
-    this.#warmTime = new LoadTime(options.timing.warmLoadMs);
+    this.#coldTime = new LoadTime(options.clock, options.timing.coldLoadMs);
+    this.#warmTime = new LoadTime(options.clock, options.timing.warmLoadMs);
     this.#storeLoads = new StoreLoadBudget(options.clock);
   }
 
@@ -158,7 +175,7 @@
   }
 
   /** Figures for logs and metrics. */
-  describe(): { engines: number; held: number; waiting: number; running: number } {
+  describe(): PoolFigures {
     let held = 0;
     for (const { lease } of this.#engines.values()) if (lease.held) held += 1;
     return {
@@ -166,6 +183,8 @@
       held,
       waiting: this.#waiting.size,
       running: this.#uses.size,
+      coldLoadMs: Math.round(this.#coldTime.guessMs),
+      gapMs: Math.round(this.#turnover.meanGapMs()),
     };
   }
 
@@ -192,7 +211,7 @@
       return;
     }
     if (!this.#isLoading(key, request.excluded))
-      this.#startLoad(request.model, request.adapter, request, nowMs);
+      this.#startLoad(request.model, request.adapter, waiting, nowMs);
     if (engine !== undefined && engine.slots.running < engine.slots.backend.slots) {
       this.#grant(waiting, engine, engine.slots.get(key), nowMs);
     }
@@ -205,6 +224,7 @@
     if (slot !== undefined) {
       slot.users += 1;
       slot.lastUsedMs = nowMs;
+      this.#options.memory.note(engine.slots.backend.id, slot.key);
     }
     const { id, address } = engine.slots.backend;
     this.#uses.set(request.id, { engineId: id, slot, startedMs: nowMs });
@@ -222,7 +242,7 @@
   ): EngineEntry | undefined {
     let best: EngineEntry | undefined;
     for (const entry of this.#engines.values()) {
-      if (!this.#isServing(entry, request, nowMs) || !suits(entry)) continue;
+      if (!this.#isServing(entry, request) || !suits(entry)) continue;
       if (best === undefined || this.#load(entry, nowMs) < this.#load(best, nowMs)) best = entry;
     }
     return best;
@@ -233,7 +253,7 @@
     return entry.slots.running + avoided;
   }
 
-  #isServing(entry: EngineEntry, request: SlotRequest, _nowMs: number): boolean {
+  #isServing(entry: EngineEntry, request: SlotRequest): boolean {
     const { backend } = entry.slots;
     return backend.state === 'ready' && !request.excluded.includes(backend.id);
   }
@@ -262,59 +282,42 @@
 
   // --- loads -------------------------------------------------------------------------------------
 
-  #startLoad(model: string, adapter: string, request: SlotRequest, nowMs: number): void {
+  #startLoad(model: string, adapter: string, waiting: WaitingRequest, nowMs: number): void {
+    const { request } = waiting;
     const key = adapterKey(model, adapter);
-    let best: { entry: EngineEntry; victim: AdapterSlot | undefined; cost: number } | undefined;
+    const { memory } = this.#options;
+    const able: EngineSlots[] = [];
+    const homes: EngineSlots[] = [];
     for (const entry of this.#engines.values()) {
-      if (!this.#canLoad(entry, model, request, nowMs)) continue;
-      const outdated = entry.slots.get(key);
-      const roomy = outdated === undefined && entry.slots.hasRoomFor(model);
-      const victim = outdated ?? (roomy ? undefined : this.#victim(entry));
-      if (!roomy && (victim === undefined || victim.users > 0 || victim.state !== 'loaded')) continue;
-      const cost = this.#loadCost(entry, key, victim, nowMs);
-      if (best === undefined || cost < best.cost) best = { entry, victim, cost };
-    }
-    if (best === undefined) return;
-    void this.#replace(best.entry, best.victim, model, adapter);
-  }
-
-  #canLoad(entry: EngineEntry, model: string, request: SlotRequest, nowMs: number): boolean {
-    const { slots, lease } = entry;
-    if (!lease.held || slots.busy || !slots.models.has(model)) return false;
-    if (!this.#isServing(entry, request, nowMs) || slots.avoidUntilMs > nowMs) return false;
-    return slots.loadingCount < LOADS_PER_ENGINE;
-  }
-
-  /** Expected milliseconds lost by loading here: the load itself, what is evicted, and a busier engine. */
-  #loadCost(entry: EngineEntry, key: string, victim: AdapterSlot | undefined, _nowMs: number): number {
-    const loadMs = entry.slots.remembers(key) ? this.#warmTime.guessMs : this.#coldTime.guessMs;
-    const evictionMs = victim === undefined ? 0 : this.#demand.rate(victim.key) * this.#warmTime.guessMs * 10;
-    return loadMs + evictionMs + 4 * entry.slots.running + 20 * entry.slots.loadingCount;
-  }
-
-  /** The idle adapter that is least in demand. */
-  #victim(entry: EngineEntry): AdapterSlot | undefined {
-    let best: AdapterSlot | undefined;
-    let bestRate = Infinity;
-    for (const slot of entry.slots.slots.values()) {
-      if (slot.users > 0 || slot.state !== 'loaded') continue;
-      const rate = this.#demand.rate(slot.key) + slot.lastUsedMs * 1e-12;
-      if (rate >= bestRate) continue;
-      best = slot;
-      bestRate = rate;
+      const { slots, lease } = entry;
+      if (!this.#isServing(entry, request) || !lease.held || !slots.models.has(model)) continue;
+      if (memory.has(slots.backend.id, key)) homes.push(slots);
+      if (!slots.busy && slots.avoidUntilMs <= nowMs && slots.loadingCount < LOADS_PER_ENGINE) able.push(slots);
     }
-    return best;
+    const demand: LoadDemand = {
+      model,
+      key,
+      ageMs: nowMs - waiting.arrivedMs,
+      objectiveMs: request.objectiveMs,
+      mayFetch: this.#fetches() < FETCHES_AT_ONCE,
+      coldLoadMs: this.#coldTime.guessMs,
+      warmLoadMs: this.#warmTime.guessMs,
+    };
+    const choice = chooseLoad(able, homes, demand, this.#demand, memory);
+    const entry = choice === undefined ? undefined : this.#engines.get(choice.slots.backend.id);
+    if (choice !== undefined && entry !== undefined) void this.#replace(entry, choice, model, adapter);
   }
 
   async #replace(
     entry: EngineEntry,
-    victim: AdapterSlot | undefined,
+    choice: LoadChoice,
     model: string,
     adapter: string,
   ): Promise<void> {
     const { slots, lease } = entry;
+    const { victim, warm } = choice;
     const key = adapterKey(model, adapter);
-    const { clock } = this.#options;
+    const { clock, memory } = this.#options;
     if (victim !== undefined) {
       victim.state = 'unloading';
       const reply = await lease.order({ action: 'unload', model: victim.model, adapter: victim.adapter });
@@ -331,9 +334,10 @@
       }
     }
     const version = this.#options.adapterVersion(model, adapter);
-    const slot = slots.reserve(model, adapter, version, clock.now());
+    const slot = slots.reserve(model, adapter, version, warm, clock.now());
     const reply = await lease.order({ action: 'load', model, adapter });
     if (reply.kind === 'accepted' || reply.kind === 'done') {
+      memory.note(slots.backend.id, key);
       const guess = slot.warm ? this.#warmTime.guessMs : this.#coldTime.guessMs;
       const leftMs = reply.kind === 'done' ? 0 : slot.orderedMs + guess - clock.now();
       this.#after(Math.max(leftMs, 0), () => this.#arrived(slot));
@@ -344,6 +348,15 @@
     this.schedule();
   }
 
+  /** Fetches from the weight store under way, on all engines. */
+  #fetches(): number {
+    let count = 0;
+    for (const { slots } of this.#engines.values()) {
+      for (const slot of slots.slots.values()) if (slot.state === 'loading' && !slot.warm) count += 1;
+    }
+    return count;
+  }
+
   #arrived(slot: AdapterSlot): void {
     if (slot.state !== 'loading') return;
     slot.state = 'loaded';
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -11,9 +11,8 @@
   platform: 'node',
   format: 'esm',
   target: 'node20',
-  minify: true,
   external: ['msgpackr-extract'],
   banner: {
-    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+    js: "import { createRequire as requireFrom } from 'node:module'; const require = requireFrom(import.meta.url);",
   },
 });
