Order only about adapters that are certain; follow the next leader while stopping; tests of slots and exchanges

Change: an adapter gives way only after a request ran on it, a report showed it or 3 s passed; a fence never falls below one this process used; a stopping node follows the next leader; silence counts by what the backend says to others.

--- a/packages/gateway/src/backends/backend-connection.ts
+++ b/packages/gateway/src/backends/backend-connection.ts
@@ -20,7 +20,11 @@
   #wasReset = false;
   #connected = false;
 
-  constructor(address: string, timing: ConnectionTiming, onDisconnect: (connection: BackendConnection) => void) {
+  constructor(
+    address: string,
+    timing: ConnectionTiming,
+    onDisconnect: (connection: BackendConnection) => void,
+  ) {
     const connector = buildConnector({
       timeout: timing.connectTimeoutMs,
       keepAlive: true,
@@ -38,7 +42,7 @@
           // A failed connect gives no socket: null by its type, undefined in fact.
           const [failure, socket] = result;
           if (failure === null && socket !== null) this.#watch(socket);
-          (callback as (...given: typeof result) => void)(...result);
+          (callback)(...result);
         });
       },
     });
--- a/packages/gateway/src/backends/backend-connections.ts
+++ b/packages/gateway/src/backends/backend-connections.ts
@@ -15,6 +15,8 @@
   readonly idle: BackendConnection[];
   readonly all: Set<BackendConnection>;
   listed: boolean;
+  /** When anything was last received from the backend, on the node's clock. */
+  heardMs: number;
 }
 
 /** Kept connections to each backend, by the start of its process. */
@@ -47,6 +49,16 @@
     pool.idle.push(connection);
   }
 
+  /** The backend sent something. */
+  heard(backendId: string, nowMs: number): void {
+    const pool = this.#pools.get(backendId);
+    if (pool !== undefined) pool.heardMs = nowMs;
+  }
+
+  heardMs(backendId: string): number {
+    return this.#pools.get(backendId)?.heardMs ?? 0;
+  }
+
   /** Lets go of backends that are gone; requests under way end as they would. */
   retain(isListed: (id: string) => boolean): void {
     for (const [id, pool] of this.#pools) {
@@ -65,7 +77,7 @@
   #pool(id: string): Pool {
     let pool = this.#pools.get(id);
     if (pool === undefined) {
-      pool = { idle: [], all: new Set(), listed: true };
+      pool = { idle: [], all: new Set(), listed: true, heardMs: 0 };
       this.#pools.set(id, pool);
     }
     return pool;
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -69,6 +69,7 @@
   readonly #memory = new AdapterMemory();
   #avoidLeaderUntilMs = 0;
   #stopped = false;
+  #resigned = false;
   #permitted = false;
 
   constructor(options: SlotServiceOptions) {
@@ -86,13 +87,17 @@
     void this.#run();
   }
 
-  /** Gives up all pools. */
+  /** Gives up all pools and takes no other; slots can still be asked for. */
   resign(): void {
-    this.#stopped = true;
+    this.#resigned = true;
     for (const entry of this.#pools.values()) {
       entry.leadership.resign();
       this.#updateRole(entry);
     }
+  }
+
+  stop(): void {
+    this.#stopped = true;
     this.#pauses.stop();
   }
 
@@ -307,7 +312,7 @@
   }
 
   #mayOrder(): boolean {
-    return !this.#stopped && this.#permitted && !this.#pauses.check();
+    return !this.#resigned && this.#permitted && !this.#pauses.check();
   }
 
   #fleetChanged(change: string): void {
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -197,6 +197,7 @@
   /** Ends at once, as a crash would. */
   close(): void {
     this.#exchange.stop();
+    this.#slots.stop();
     this.#cluster.stop();
     this.#network.close();
     this.#clients.closeAll();
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -34,12 +34,25 @@
   readonly headers: string[];
   readonly body: Buffer;
   readonly attemptId: string;
+  /** Called whenever the backend sent something. */
+  readonly onHeard: () => void;
   /** Whether the answer is a series of events, which pass on one by one. */
   readonly stream: boolean;
   /** Id of the last event that the client has, -1 for none. */
   readonly lastEventId: number;
-  /** Longest wait for the first byte or event, and between events; undefined for no limit of its own. */
-  readonly silenceMs: number | undefined;
+  /** When an attempt that says nothing is given up; undefined for no limit of its own. */
+  readonly silence: SilenceLimit | undefined;
+}
+
+/**
+ * How long an attempt may say nothing, in milliseconds: `firstMs` if its backend says nothing to other
+ * requests either, `mostMs` in any case.
+ */
+export interface SilenceLimit {
+  readonly firstMs: number;
+  readonly mostMs: number;
+  /** When this node last received anything from the backend. */
+  readonly backendHeardMs: () => number;
 }
 
 const MISDIRECTED = 421;
@@ -90,7 +103,10 @@
     return new Promise((resolve) => {
       this.#resolve = resolve;
       this.#watchSilence();
-      connection.dispatcher.dispatch({ method: method, path, headers, body: body.length === 0 ? null : body }, this);
+      connection.dispatcher.dispatch(
+        { method: method, path, headers, body: body.length === 0 ? null : body },
+        this,
+      );
     });
   }
 
@@ -132,6 +148,7 @@
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#options.onHeard();
     if (this.#settled) return;
     const bytes = this.#isStream ? this.#tracker.push(chunk) : chunk;
     if (bytes.length === 0) return;
@@ -217,17 +234,24 @@
   }
 
   #watchSilence(): void {
-    const { silenceMs, clock } = this.#options;
-    if (silenceMs === undefined) return;
+    const { silence, clock } = this.#options;
+    if (silence === undefined) return;
     this.#silence?.cancel();
-    this.#silence = clock.setTimer(silenceMs, () => {
-      this.#finish(
-        this.#sent ? { kind: 'broken', detail: 'silent' } : { kind: 'not-run', reason: 'unreachable' },
-      );
-      this.#controller?.abort(new Error('silent'));
+    const sinceMs = clock.now();
+    this.#silence = clock.setTimer(silence.firstMs, () => {
+      if (silence.backendHeardMs() <= sinceMs) this.#giveUpSilent();
+      else this.#silence = clock.setTimer(silence.mostMs - silence.firstMs, () => this.#giveUpSilent());
     });
   }
 
+  #giveUpSilent(): void {
+    const outcome: AttemptOutcome = this.#sent
+      ? { kind: 'broken', detail: 'silent' }
+      : { kind: 'not-run', reason: 'unreachable' };
+    this.#finish(outcome);
+    this.#controller?.abort(new Error('silent'));
+  }
+
   #finish(outcome: AttemptOutcome): void {
     if (this.#settled) return;
     this.#settled = true;
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -8,7 +8,7 @@
 import type { RetryBudget } from '../backends/retry-budget.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
 import { AnswerSink } from './answer-sink.js';
-import { BackendAttempt, type AttemptOutcome } from './backend-attempt.js';
+import { BackendAttempt, type AttemptOutcome, type SilenceLimit } from './backend-attempt.js';
 import { readBody } from './body.js';
 import type { RequestDialect, RequestFacts } from './dialect.js';
 import { retryAfterOf, statusOf, type FinalAnswer } from './final-answer.js';
@@ -37,7 +37,9 @@
 /** An attempt of a repeatable request is tried elsewhere after this many objectives without a sign. */
 const SILENT_OBJECTIVES = 2;
 const LEAST_SILENCE_MS = 250;
-const MOST_SILENCE_MS = 1500;
+const MOST_SILENCE_MS = 1300;
+/** What is added while the backend answers other requests. */
+const BUSY_SILENCE_MS = 1000;
 
 /** One client request from its head to its end. */
 export class Exchange {
@@ -164,7 +166,8 @@
         attemptId: this.#facts.attemptId ?? '',
         stream: route.kind === 'stream',
         lastEventId: this.#lastEventId,
-        silenceMs: this.#silenceMs(route),
+        silence: this.#silence(route, backend.id),
+        onHeard: () => connections.heard(backend.id, clock.now()),
       },
       this.#sink,
     );
@@ -304,10 +307,12 @@
     return route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
   }
 
-  #silenceMs(route: HttpRoute): number | undefined {
+  #silence(route: HttpRoute, backendId: string): SilenceLimit | undefined {
     if (!this.#isRepeatable(route) || this.#runs + 1 >= route.attempts) return undefined;
-    const wanted = route.objectiveMs * SILENT_OBJECTIVES;
-    return Math.min(Math.max(wanted, LEAST_SILENCE_MS), MOST_SILENCE_MS);
+    const wantedMs = Math.max(route.objectiveMs * SILENT_OBJECTIVES, LEAST_SILENCE_MS);
+    const firstMs = Math.min(wantedMs, MOST_SILENCE_MS);
+    const backendHeardMs = (): number => this.#context.connections.heardMs(backendId);
+    return { firstMs, mostMs: Math.max(wantedMs, firstMs) + BUSY_SILENCE_MS, backendHeardMs };
   }
 
   #timeoutMs(route: HttpRoute): number {
--- /dev/null
+++ b/packages/gateway/test/harness.ts
@@ -0,0 +1,183 @@
+import { createServer, request, type IncomingMessage, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { Random, SystemClock } from '@canvasridge/clock';
+import { FleetState, type HttpRoute, type RouteKind, type ServingConfiguration } from '@canvasridge/serving';
+import { Telemetry } from '@canvasridge/telemetry';
+import { BackendConnections } from '../src/backends/backend-connections.js';
+import { LeastLoadedPicker } from '../src/backends/least-loaded-picker.js';
+import { RetryBudget } from '../src/backends/retry-budget.js';
+import { GatewayMetrics } from '../src/gateway-metrics.js';
+import type { RequestDialect } from '../src/request/dialect.js';
+import { Exchange, type ExchangeContext } from '../src/request/exchange.js';
+import { RawBackend, type RawAnswer } from './raw-backend.js';
+
+/** A dialect for tests; header names differ from those of any platform. */
+const dialect: RequestDialect = {
+  readRequest: (headers) => ({
+    attemptId: headers['attempt-id'] as string | undefined,
+    deadlineMs: headers['deadline'] === undefined ? undefined : Number(headers['deadline']),
+    lastEventId: undefined,
+    generation: undefined,
+  }),
+  forwardHeaders: (rawHeaders, facts) => [
+    ...rawHeaders.filter(
+      (_, index) => !/^(connection|content-length)$/i.test(rawHeaders[index - (index % 2)] ?? ''),
+    ),
+    'backend',
+    facts.backendId,
+    'left',
+    String(facts.deadlineMs),
+    ...(facts.lastEventId === undefined ? [] : ['last-event-id', String(facts.lastEventId)]),
+  ],
+  readAnswer: (status, headers) => ({
+    notRun: headers['not-run'] !== undefined || status === 421,
+    attemptId: headers['attempt-id'] as string | undefined,
+    signed: headers['response-stamp'] !== undefined,
+  }),
+  refusalHeaders: (retryAfterMs) =>
+    retryAfterMs === undefined ? {} : { 'retry-after': (retryAfterMs / 1000).toFixed(3) },
+};
+
+export const SERVICE = 'api';
+export const HOST = 'a.example';
+
+export interface RouteChanges {
+  readonly kind?: RouteKind;
+  readonly attempts?: number;
+  readonly resumable?: boolean;
+  readonly timeoutMs?: number;
+  readonly objectiveMs?: number;
+}
+
+/** What a client saw. */
+export interface Seen {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  /** Whether the answer ended as its framing says. */
+  readonly whole: boolean;
+}
+
+/** An exchange between real sockets: a client, the code under test, and backends that answer as told. */
+export class Harness {
+  readonly fleet = new FleetState();
+  readonly lines: string[] = [];
+  readonly #connections = new BackendConnections();
+  readonly #backends: RawBackend[] = [];
+  readonly #server: Server;
+
+  private constructor(context: (harness: Harness) => ExchangeContext) {
+    const shared = context(this);
+    this.#server = createServer((incoming, response) => {
+      void new Exchange(shared, incoming, response).run();
+    });
+  }
+
+  static async start(changes: RouteChanges, answers: readonly RawAnswer[]): Promise<Harness> {
+    const clock = new SystemClock();
+    const harness = new Harness((self) => self.#context(clock));
+    harness.fleet.applyConfiguration(configuration(changes));
+    for (const [index, answer] of answers.entries()) {
+      const backend = await RawBackend.start(answer);
+      harness.#backends.push(backend);
+      harness.fleet.applyBackend(index + 1, backend.description(`i${index + 1}`, SERVICE));
+    }
+    await new Promise<void>((resolve) => harness.#server.listen(0, '127.0.0.1', resolve));
+    return harness;
+  }
+
+  get backends(): readonly RawBackend[] {
+    return this.#backends;
+  }
+
+  /** Heads that reached any backend. */
+  get sends(): number {
+    return this.#backends.reduce((sum, backend) => sum + backend.heads.length, 0);
+  }
+
+  call(
+    attemptId: string,
+    path = '/x/',
+    body = 'question',
+    headers: Record<string, string> = {},
+  ): Promise<Seen> {
+    const { port } = this.#server.address() as AddressInfo;
+    return new Promise((resolve) => {
+      const outgoing = request(
+        {
+          host: '127.0.0.1',
+          port,
+          method: 'POST',
+          path,
+          headers: { host: HOST, 'attempt-id': attemptId, ...headers },
+          agent: false,
+        },
+        (incoming) => {
+          let text = '';
+          incoming.setEncoding('utf8');
+          incoming.on('data', (part: string) => {
+            text += part;
+          });
+          incoming.on('error', () => undefined);
+          incoming.on('close', () => {
+            const { statusCode = 0, headers: seen, complete } = incoming;
+            resolve({ status: statusCode, headers: seen, body: text, whole: complete });
+          });
+        },
+      );
+      outgoing.on('error', () => resolve({ status: 0, headers: {}, body: '', whole: false }));
+      outgoing.end(body);
+    });
+  }
+
+  stop(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+    this.#connections.close();
+    for (const backend of this.#backends) backend.stop();
+  }
+
+  #context(clock: SystemClock): ExchangeContext {
+    const random = new Random(1);
+    const picker = new LeastLoadedPicker(this.fleet, clock, random);
+    const budget = new RetryBudget(clock, { ratio: 0.2, windowMs: 10_000, slack: 50 }, () => 1);
+    let nextId = 0;
+    return {
+      clock,
+      dialect,
+      fleet: this.fleet,
+      connections: this.#connections,
+      plainPicker: picker,
+      enginePicker: picker,
+      budget: () => budget,
+      nodes: () => 1,
+      isStopping: () => false,
+      nextId: () => String((nextId += 1)),
+      random: () => random.next(),
+      telemetry: new Telemetry({ processName: 'test', clock }),
+      metrics: new GatewayMetrics(),
+    };
+  }
+}
+
+function configuration(changes: RouteChanges): ServingConfiguration {
+  const route: HttpRoute = {
+    name: 'r',
+    host: HOST,
+    pathPrefix: '/x/',
+    kind: 'idempotent',
+    services: [{ service: SERVICE, weight: 1 }],
+    timeoutMs: 4000,
+    objectiveMs: 1000,
+    priority: 1,
+    attempts: 2,
+    resumable: false,
+    ...changes,
+  };
+  return {
+    version: 1,
+    routes: [route],
+    services: [{ name: SERVICE, maxConnections: 50, engine: undefined }],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
+  };
+}
--- a/packages/slots/src/engine-control.ts
+++ b/packages/slots/src/engine-control.ts
@@ -4,6 +4,8 @@
 export interface PendingAdapter {
   readonly model: string;
   readonly adapter: string;
+  /** 0 if it is not told. */
+  readonly version: number;
 }
 
 /** What an engine says of itself when asked; some hundred milliseconds old. */
--- a/packages/slots/src/engine-slots.ts
+++ b/packages/slots/src/engine-slots.ts
@@ -16,12 +16,17 @@
   lastUsedMs: number;
   /** When its load was ordered; 0 if it was found loaded. */
   orderedMs: number;
+  /** Whether a request ran on it or a report showed it. An order about one still on its way may not count. */
+  confirmed: boolean;
   /** Whether the engine was thought to have it in its memory when the load was ordered. */
   warm: boolean;
   /** When the published version moved beyond this one; 0 while it has not. */
   outdatedSinceMs: number;
 }
 
+/** A load that was ordered so long ago has ended, whether a request ran on it or not. */
+const CERTAIN_AFTER_MS = 3000;
+
 /** What one node believes of the models, adapters and requests on one engine. */
 export class EngineSlots {
   backend: BackendDescription;
@@ -54,11 +59,11 @@
         this.#adoptSlot(key, model.name, name, version, 'loaded', nowMs);
       }
     }
-    for (const { model, adapter } of report.pending) {
+    for (const { model, adapter, version } of report.pending) {
       const key = adapterKey(model, adapter);
       if (present.has(key)) continue;
       present.add(key);
-      this.#adoptSlot(key, model, adapter, 0, 'loading', nowMs);
+      this.#adoptSlot(key, model, adapter, version, 'loading', nowMs);
     }
     for (const key of [...this.slots.keys()]) if (!present.has(key)) this.slots.delete(key);
   }
@@ -78,6 +83,7 @@
       users: 0,
       lastUsedMs: nowMs,
       orderedMs: nowMs,
+      confirmed: false,
       warm,
       outdatedSinceMs: 0,
     };
@@ -95,6 +101,12 @@
     return count;
   }
 
+  /** Whether an adapter may give way now. */
+  isEvictable(slot: AdapterSlot, nowMs: number): boolean {
+    if (slot.users > 0 || slot.state !== 'loaded') return false;
+    return slot.confirmed || nowMs - slot.orderedMs > CERTAIN_AFTER_MS;
+  }
+
   /** Whether one more adapter fits beside those that are here or on their way. */
   hasRoomFor(model: string): boolean {
     if (this.slots.size >= this.profile.adapterSlots) return false;
@@ -124,9 +136,12 @@
     if (known === undefined) {
       const slot = this.reserve(model, adapter, version, true, nowMs);
       slot.state = state;
+      slot.confirmed = state === 'loaded';
       slot.orderedMs = 0;
       return;
     }
+    // A report may be older than the order that it does not show.
+    if (state === 'loaded') known.confirmed = true;
     known.state = state;
     if (version > 0) known.version = version;
   }
--- a/packages/slots/src/load-placement.ts
+++ b/packages/slots/src/load-placement.ts
@@ -14,6 +14,7 @@
 export interface LoadDemand {
   readonly model: string;
   readonly key: string;
+  readonly nowMs: number;
   readonly ageMs: number;
   readonly objectiveMs: number;
   /** Whether the weight store has room for one more fetch. */
@@ -70,16 +71,16 @@
 ): { victim: AdapterSlot | undefined } | undefined {
   const present = slots.get(demand.key);
   if (present === undefined && slots.hasRoomFor(demand.model)) return { victim: undefined };
-  const victim = present ?? leastWanted(slots, popularity);
-  if (victim === undefined || victim.users > 0 || victim.state !== 'loaded') return undefined;
+  const victim = present ?? leastWanted(slots, popularity, demand.nowMs);
+  if (victim === undefined || !slots.isEvictable(victim, demand.nowMs)) return undefined;
   return { victim };
 }
 
-function leastWanted(slots: EngineSlots, popularity: AdapterDemand): AdapterSlot | undefined {
+function leastWanted(slots: EngineSlots, popularity: AdapterDemand, nowMs: number): AdapterSlot | undefined {
   let best: AdapterSlot | undefined;
   let bestRate = Infinity;
   for (const slot of slots.slots.values()) {
-    if (slot.users > 0 || slot.state !== 'loaded') continue;
+    if (!slots.isEvictable(slot, nowMs)) continue;
     const rate = popularity.rate(slot.key);
     const isOlder = best !== undefined && rate === bestRate && slot.lastUsedMs < best.lastUsedMs;
     if (rate >= bestRate && !isOlder) continue;
--- a/packages/slots/src/order-lease.ts
+++ b/packages/slots/src/order-lease.ts
@@ -49,6 +49,7 @@
   readonly #changed = new Notifier();
   #state: LeaseState = { kind: 'observing', count: undefined, sinceMs: 0 };
   #turn: Promise<void> = Promise.resolve();
+  #highestFence = 0;
 
   constructor(options: OrderLeaseOptions) {
     this.#options = options;
@@ -100,7 +101,8 @@
     const { backend, control, holder, mayOrder, clock, telemetry } = this.#options;
     if (!mayOrder() || this.#state.kind !== 'held') return { kind: 'not-held' };
     const expectedCount = this.#state.nextCount;
-    const fence = expectedCount * HOLDER_RANGE + holder.number;
+    const fence = Math.max(expectedCount * HOLDER_RANGE + holder.number, this.#highestFence);
+    this.#highestFence = fence;
     const startedMs = clock.now();
     const reply = await control.order(backend, { ...subject, expectedCount, holder: holder.name, fence });
     telemetry.event('info', 'order.answered', backend.id, {
--- a/packages/slots/src/pool-leadership.ts
+++ b/packages/slots/src/pool-leadership.ts
@@ -63,9 +63,10 @@
     return this.#setLeader(this.#ownEpoch === undefined ? ruling?.memberId : this.#peers.selfId);
   }
 
-  /** Gives the pool up, as on a planned stop. */
+  /** Gives the pool up, as on a planned stop; the next leader is followed. */
   resign(): void {
-    if (this.#ownEpoch !== undefined) this.#withdraw();
+    if (this.#ownEpoch === undefined) return;
+    this.#withdraw();
     this.#setLeader(undefined);
   }
 
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -262,7 +262,7 @@
   #isUsable(slot: AdapterSlot, nowMs: number): boolean {
     if (slot.state !== 'loaded') return false;
     const published = this.#options.adapterVersion(slot.model, slot.adapter);
-    if (slot.version >= published || slot.version === 0) return true;
+    if (slot.version >= published) return true;
     if (slot.outdatedSinceMs === 0) slot.outdatedSinceMs = nowMs;
     return slot.users > 0 && nowMs - slot.outdatedSinceMs < OUTDATED_GRACE_MS;
   }
@@ -292,11 +292,13 @@
       const { slots, lease } = entry;
       if (!this.#isServing(entry, request) || !lease.held || !slots.models.has(model)) continue;
       if (memory.has(slots.backend.id, key)) homes.push(slots);
-      if (!slots.busy && slots.avoidUntilMs <= nowMs && slots.loadingCount < LOADS_PER_ENGINE) able.push(slots);
+      if (!slots.busy && slots.avoidUntilMs <= nowMs && slots.loadingCount < LOADS_PER_ENGINE)
+        able.push(slots);
     }
     const demand: LoadDemand = {
       model,
       key,
+      nowMs,
       ageMs: nowMs - waiting.arrivedMs,
       objectiveMs: request.objectiveMs,
       mayFetch: this.#fetches() < FETCHES_AT_ONCE,
@@ -308,12 +310,7 @@
     if (choice !== undefined && entry !== undefined) void this.#replace(entry, choice, model, adapter);
   }
 
-  async #replace(
-    entry: EngineEntry,
-    choice: LoadChoice,
-    model: string,
-    adapter: string,
-  ): Promise<void> {
+  async #replace(entry: EngineEntry, choice: LoadChoice, model: string, adapter: string): Promise<void> {
     const { slots, lease } = entry;
     const { victim, warm } = choice;
     const key = adapterKey(model, adapter);
@@ -365,7 +362,9 @@
 
   #loadWasLongEnough(use: Use): void {
     const { slot } = use;
-    if (slot === undefined || slot.orderedMs === 0) return;
+    if (slot === undefined) return;
+    slot.confirmed = true;
+    if (slot.orderedMs === 0) return;
     (slot.warm ? this.#warmTime : this.#coldTime).longEnough();
     slot.orderedMs = 0;
   }
@@ -385,8 +384,15 @@
       entry.lease.settle();
       return;
     }
-    (slot.warm ? this.#warmTime : this.#coldTime).tooShort();
     slot.state = 'loading';
+    if (slot.warm) {
+      // It was not in the engine's memory after all, and is being fetched.
+      slot.warm = false;
+      const leftMs = slot.orderedMs + this.#coldTime.guessMs - nowMs;
+      this.#after(Math.max(leftMs, RETRY_PRESENCE_MS), () => this.#arrived(slot));
+      return;
+    }
+    this.#coldTime.tooShort();
     this.#after(RETRY_PRESENCE_MS, () => this.#arrived(slot));
   }
 
--- /dev/null
+++ b/packages/slots/test/simulated-engines.ts
@@ -0,0 +1,147 @@
+import type { Clock } from '@canvasridge/clock';
+import type { BackendDescription, EngineProfile } from '@canvasridge/serving';
+import type { EngineControl, EngineOrder, EngineReport, OrderReply } from '../src/index.js';
+
+/** Times of a simulated engine, in milliseconds. */
+const ONE_WAY_MS = 2;
+const REPORT_LAG_MS = 200;
+const COLD_LOAD_MS = 250;
+const WARM_LOAD_MS = 25;
+export const LEASE_MS = 3000;
+
+export const MODEL = 'base';
+export const PROFILE: EngineProfile = {
+  models: [{ name: MODEL, sizeMb: 16_000, adapterMb: 14 }],
+  adapterSlots: 3,
+  memoryMb: 16_500,
+  batchSlots: 96,
+  storeLoadsPerSecond: 2,
+};
+
+interface TakenOrder {
+  readonly atMs: number;
+  readonly order: EngineOrder;
+}
+
+/**
+ * An engine that checks no fences, as the platform's do: it counts the orders it takes, names a repeated
+ * load or unload done without counting it, reports with a lag, and falls when told to hold too much.
+ */
+export class SimulatedEngine {
+  readonly description: BackendDescription;
+  readonly taken: TakenOrder[] = [];
+  readonly violations: string[] = [];
+  /** Loses answers to orders while true; the orders are taken. */
+  losesAnswers = false;
+  reachable = true;
+  readonly #clock: Clock;
+  readonly #adapters = new Map<string, { readyAtMs: number }>();
+  readonly #remembered = new Set<string>();
+  readonly #history: { atMs: number; report: EngineReport }[] = [];
+  #count = 0;
+
+  constructor(clock: Clock, id: string) {
+    this.#clock = clock;
+    this.description = {
+      id,
+      service: 'llm',
+      address: `${id}:1`,
+      zone: 'a',
+      state: 'ready',
+      slots: PROFILE.batchSlots,
+      models: [{ name: MODEL, adapters: [] }],
+    };
+    this.#remember();
+  }
+
+  /** Whether a request for the adapter would run now. */
+  serves(adapter: string): boolean {
+    const held = this.#adapters.get(adapter);
+    return held !== undefined && held.readyAtMs <= this.#clock.now();
+  }
+
+  async report(): Promise<EngineReport | undefined> {
+    await this.#clock.sleep(2 * ONE_WAY_MS);
+    if (!this.reachable) return undefined;
+    const shownMs = this.#clock.now() - REPORT_LAG_MS;
+    return this.#history.findLast((entry) => entry.atMs <= shownMs)?.report ?? this.#history[0]?.report;
+  }
+
+  async order(order: EngineOrder): Promise<OrderReply> {
+    await this.#clock.sleep(ONE_WAY_MS);
+    if (!this.reachable) {
+      await this.#clock.sleep(600);
+      return { kind: 'unknown', detail: 'no answer' };
+    }
+    const reply = this.#take(order);
+    await this.#clock.sleep(ONE_WAY_MS);
+    return this.losesAnswers ? { kind: 'unknown', detail: 'answer lost' } : reply;
+  }
+
+  #take(order: EngineOrder): OrderReply {
+    const adapter = order.adapter ?? '';
+    const held = this.#adapters.get(adapter);
+    if (order.action === 'load' && held !== undefined) {
+      return { kind: held.readyAtMs > this.#clock.now() ? 'accepted' : 'done' };
+    }
+    if (order.action === 'unload' && (held === undefined || held.readyAtMs > this.#clock.now())) {
+      return { kind: 'done' };
+    }
+    if (order.expectedCount !== this.#count) return { kind: 'conflict' };
+    this.#judge(order);
+    this.#count += 1;
+    if (order.action === 'unload') this.#adapters.delete(adapter);
+    else this.#load(adapter);
+    this.#remember();
+    return { kind: order.action === 'unload' ? 'done' : 'accepted' };
+  }
+
+  #load(adapter: string): void {
+    const loadMs = this.#remembered.has(adapter) ? WARM_LOAD_MS : COLD_LOAD_MS;
+    this.#adapters.set(adapter, { readyAtMs: this.#clock.now() + loadMs });
+    this.#remembered.add(adapter);
+    if (this.#adapters.size > PROFILE.adapterSlots) this.violations.push(`LIMIT: ${adapter} is one too many`);
+  }
+
+  /** The users' rule on holders: no turns within a lease, no shared fence, no lower fence after a higher one. */
+  #judge(order: EngineOrder): void {
+    const last = this.taken.at(-1);
+    const atMs = this.#clock.now();
+    this.taken.push({ atMs, order });
+    if (last === undefined) return;
+    if (order.fence < last.order.fence) this.violations.push(`ONE: fence fell at ${atMs}`);
+    if (order.holder === last.order.holder) return;
+    if (order.fence === last.order.fence) this.violations.push(`ONE: fence of two holders at ${atMs}`);
+    if (atMs - last.atMs < LEASE_MS) this.violations.push(`ONE: turns within the lease at ${atMs}`);
+  }
+
+  #remember(): void {
+    const adapters = [];
+    const pending = [];
+    for (const [name, held] of this.#adapters) {
+      if (held.readyAtMs <= this.#clock.now()) adapters.push({ name, version: 1 });
+      else pending.push({ model: MODEL, adapter: name, version: 1 });
+    }
+    const models = [{ name: MODEL, adapters }];
+    const report = { orderCount: this.#count, busy: false, models, pending };
+    this.#history.push({ atMs: this.#clock.now(), report });
+  }
+}
+
+/** Calls to a set of simulated engines. */
+export class SimulatedControl implements EngineControl {
+  readonly #engines: ReadonlyMap<string, SimulatedEngine>;
+
+  constructor(engines: readonly SimulatedEngine[]) {
+    this.#engines = new Map(engines.map((engine) => [engine.description.id, engine]));
+  }
+
+  async report(backend: BackendDescription): Promise<EngineReport | undefined> {
+    return this.#engines.get(backend.id)?.report();
+  }
+
+  async order(backend: BackendDescription, order: EngineOrder): Promise<OrderReply> {
+    const engine = this.#engines.get(backend.id);
+    return engine === undefined ? { kind: 'other-instance' } : engine.order(order);
+  }
+}
--- /dev/null
+++ b/packages/slots/test/slot-pool.test.ts
@@ -0,0 +1,195 @@
+import { Random, VirtualClock } from '@canvasridge/clock';
+import { Telemetry } from '@canvasridge/telemetry';
+import test from 'ava';
+import {
+  AdapterMemory,
+  DEFAULT_SLOT_TIMING,
+  SlotPool,
+  type SlotDecision,
+  type SlotRequest,
+  type UseOutcome,
+} from '../src/index.js';
+import { LEASE_MS, MODEL, PROFILE, SimulatedControl, SimulatedEngine } from './simulated-engines.js';
+
+const HELD_MS = 5000;
+
+function newPool(
+  clock: VirtualClock,
+  engines: readonly SimulatedEngine[],
+  number = 1,
+  versions: ReadonlyMap<string, number> = new Map(),
+): SlotPool {
+  const pool = new SlotPool({
+    service: 'llm',
+    clock,
+    control: new SimulatedControl(engines),
+    timing: { ...DEFAULT_SLOT_TIMING, leaseMs: LEASE_MS },
+    holder: { name: `node-${number}`, number },
+    telemetry: new Telemetry({ processName: 'test', clock }),
+    mayOrder: () => true,
+    memory: new AdapterMemory(),
+    adapterVersion: (_model, adapter) => versions.get(adapter) ?? 0,
+  });
+  pool.setEngines(
+    engines.map((engine) => engine.description),
+    PROFILE,
+  );
+  return pool;
+}
+
+let nextId = 0;
+
+function request(adapter: string | undefined, changes: Partial<SlotRequest> = {}): SlotRequest {
+  nextId += 1;
+  return {
+    id: `r${nextId}`,
+    model: MODEL,
+    adapter,
+    priority: 1,
+    objectiveMs: 1000,
+    ageMs: 0,
+    timeoutMs: 5000,
+    excluded: [],
+    tokens: 1000,
+    ...changes,
+  };
+}
+
+test('a request waits until its adapter is loaded and gets the engine that holds it', async (t) => {
+  const clock = new VirtualClock();
+  const engines = [new SimulatedEngine(clock, 'e1'), new SimulatedEngine(clock, 'e2')];
+  const pool = newPool(clock, engines);
+  await clock.runUntil(HELD_MS);
+  let decision: SlotDecision | undefined;
+  pool.acquire(request('x'), (given) => {
+    decision = given;
+  });
+  t.is(decision, undefined);
+  await clock.runUntil(HELD_MS + 400);
+  if (decision?.kind !== 'granted') return t.fail('not granted');
+  const { backendId } = decision;
+  t.true(engines.find((engine) => engine.description.id === backendId)?.serves('x'));
+});
+
+test('an adapter in use is never unloaded, and no engine is told to hold too many', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e1');
+  const pool = newPool(clock, [engine]);
+  await clock.runUntil(HELD_MS);
+  const granted: string[] = [];
+  for (const adapter of ['a', 'b', 'c', 'd']) {
+    pool.acquire(request(adapter), (decision) => {
+      if (decision.kind === 'granted') granted.push(decision.requestId);
+    });
+  }
+  await clock.runUntil(HELD_MS + 600);
+  t.is(granted.length, PROFILE.adapterSlots);
+  t.is(engine.taken.filter(({ order }) => order.action === 'unload').length, 0);
+  pool.release(granted[0] ?? '', 'served');
+  await clock.runUntil(HELD_MS + 1500);
+  t.is(engine.taken.filter(({ order }) => order.action === 'unload').length, 1);
+  t.deepEqual(engine.violations, []);
+});
+
+test('a request that can not get a slot in time is refused early, with the time to come back', async (t) => {
+  const clock = new VirtualClock();
+  const pool = newPool(clock, [new SimulatedEngine(clock, 'e1')]);
+  await clock.runUntil(HELD_MS);
+  for (const adapter of ['a', 'b', 'c'])
+    pool.acquire(request(adapter, { timeoutMs: 60_000 }), () => undefined);
+  await clock.runUntil(HELD_MS + 500);
+  const refusals: { decision: SlotDecision; atMs: number }[] = [];
+  for (let index = 0; index < 20; index += 1) {
+    pool.acquire(request(`x${index}`), (decision) => refusals.push({ decision, atMs: clock.now() }));
+  }
+  await clock.runUntil(HELD_MS + 760);
+  t.true(refusals.length > 0);
+  for (const { decision } of refusals) {
+    if (decision.kind !== 'refused') return t.fail('granted');
+    t.true(decision.retryAfterMs > 0);
+  }
+});
+
+test('a new version is loaded in place of the old one, and the old one is not used for long', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e1');
+  const versions = new Map<string, number>();
+  const pool = newPool(clock, [engine], 1, versions);
+  await clock.runUntil(HELD_MS);
+  let first = '';
+  pool.acquire(request('x'), (decision) => {
+    first = decision.requestId;
+  });
+  await clock.runUntil(HELD_MS + 500);
+  pool.release(first, 'served');
+  versions.set('x', 2);
+  let granted = false;
+  pool.acquire(request('x'), (decision) => {
+    granted = decision.kind === 'granted';
+  });
+  t.false(granted);
+  await clock.runUntil(HELD_MS + 1200);
+  t.true(granted);
+  t.deepEqual(
+    engine.taken.map(({ order }) => order.action),
+    ['load', 'unload', 'load'],
+  );
+});
+
+test('a grant that came too early is corrected and asked for again', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e1');
+  const pool = newPool(clock, [engine]);
+  await clock.runUntil(HELD_MS);
+  let first = '';
+  pool.acquire(request('x'), (decision) => {
+    first = decision.requestId;
+  });
+  await clock.runUntil(HELD_MS + 400);
+  pool.release(first, 'not-present');
+  let granted = false;
+  pool.acquire(request('x'), (decision) => {
+    granted = decision.kind === 'granted';
+  });
+  t.false(granted);
+  await clock.runUntil(HELD_MS + 500);
+  t.true(granted);
+});
+
+/** A pool under random load and faults; returns the violations that the engines saw. */
+async function soak(seed: number): Promise<readonly string[]> {
+  const clock = new VirtualClock();
+  const random = new Random(seed);
+  const engines = [1, 2, 3].map((number) => new SimulatedEngine(clock, `e${number}`));
+  let pool = newPool(clock, engines, 1);
+  let leader = 1;
+  const outcomes: readonly UseOutcome[] = ['served', 'served', 'served', 'failed', 'cancelled'];
+  for (let atMs = HELD_MS; atMs < 60_000; atMs += 20 + random.integer(120)) {
+    await clock.runUntil(atMs);
+    const adapter = `a${Math.floor(random.exponential(6))}`;
+    const current = pool;
+    const ask = request(adapter);
+    current.acquire(ask, (decision) => {
+      if (decision.kind !== 'granted') return;
+      const engine = engines.find(({ description }) => description.id === decision.backendId);
+      const outcome = engine?.serves(adapter) === true ? (random.pick(outcomes) ?? 'served') : 'not-present';
+      clock.setTimer(random.exponential(400), () => current.release(ask.id, outcome));
+    });
+    const engine = random.pick(engines);
+    if (engine !== undefined && random.next() < 0.02) engine.losesAnswers = !engine.losesAnswers;
+    if (random.next() < 0.004) {
+      // The leader ends without a word, and another node takes its place at once.
+      pool.close();
+      leader += 1;
+      pool = newPool(clock, engines, leader % 7);
+    }
+  }
+  pool.close();
+  return engines.flatMap((engine) => engine.violations);
+}
+
+for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+  test(`no holder breaks the rules of engines under lost answers and changing leaders, seed ${seed}`, async (t) => {
+    t.deepEqual(await soak(seed), []);
+  });
+}
