--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ['packages/*/dist/test/**/*.test.js'],
+  files: ['packages/*/dist/test/**/*.test.js', 'platform/dist/test/**/*.test.js'],
   timeout: '60s',
   workerThreads: false,
 };
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -49,9 +49,15 @@
 /** A queued request whose leader says nothing more is decided here after its timeout and this margin. */
 const DECISION_MARGIN_MS = 50;
 
+/** For a while after their start the first few candidates observe, as any of them may soon have to lead. */
+const YOUNG_MS = 8000;
+const YOUNG_OBSERVERS = 3;
+
 interface PoolEntry {
   readonly leadership: PoolLeadership;
+  /** Kept while this node leads, or observes since it is next to lead. */
   pool: SlotPool | undefined;
+  leading: boolean;
 }
 
 interface RemoteUse {
@@ -68,12 +74,14 @@
   readonly #pauses: PauseDetector;
   readonly #memory = new AdapterMemory();
   #avoidLeaderUntilMs = 0;
+  readonly #startedMs: number;
   #stopped = false;
   #resigned = false;
   #permitted = false;
 
   constructor(options: SlotServiceOptions) {
     this.#options = options;
+    this.#startedMs = options.clock.now();
     this.#pauses = new PauseDetector(options.clock, options.timing.leaseMs / 3);
     this.#pauses.onPause((pausedMs) => {
       options.telemetry.event('warn', 'process.paused', 'self', { pausedMs: Math.round(pausedMs) });
@@ -92,7 +100,7 @@
     this.#resigned = true;
     for (const entry of this.#pools.values()) {
       entry.leadership.resign();
-      this.#updateRole(entry);
+      this.#endRole(entry);
     }
   }
 
@@ -105,7 +113,7 @@
   describe(): (PoolFigures & { pool: string })[] {
     const rows = [];
     for (const [pool, entry] of this.#pools)
-      if (entry.pool !== undefined) rows.push({ pool, ...entry.pool.describe() });
+      if (entry.pool !== undefined && entry.leading) rows.push({ pool, ...entry.pool.describe() });
     return rows;
   }
 
@@ -119,7 +127,7 @@
     const entry = this.#pools.get(poolName);
     const leader = entry?.leadership.leader;
     if (entry === undefined || leader === undefined) return undefined;
-    if (entry.pool !== undefined) return this.#acquireHere(entry.pool, request, cancelled);
+    if (entry.pool !== undefined && entry.leading) return this.#acquireHere(entry.pool, request, cancelled);
     const address = this.#options.cluster.peerAddress(leader);
     if (address === undefined || this.#options.clock.now() < this.#avoidLeaderUntilMs) return undefined;
     return this.#acquireThere(address, poolName, request, cancelled);
@@ -127,7 +135,7 @@
 
   release(poolName: string, requestId: string, outcome: UseOutcome): void {
     const entry = this.#pools.get(poolName);
-    if (entry?.pool !== undefined) {
+    if (entry?.pool !== undefined && entry.leading) {
       entry.pool.release(requestId, outcome);
       return;
     }
@@ -208,8 +216,9 @@
   // --- answering ---------------------------------------------------------------------------------
 
   onAcquire(params: AcquireParams, peer: PeerConnection): AcquireReply {
-    const pool = this.#pools.get(params.pool)?.pool;
-    if (pool === undefined) return { kind: 'not-leader' };
+    const entry = this.#pools.get(params.pool);
+    const pool = entry?.pool;
+    if (entry?.leading !== true || pool === undefined) return { kind: 'not-leader' };
     const { id: requestId } = params.request;
     this.#usesOf(peer).set(requestId, { pool: params.pool, requestId });
     let immediate: SlotDecision | undefined;
@@ -283,32 +292,63 @@
     let entry = this.#pools.get(pool);
     if (entry === undefined) {
       const { cluster, clock, telemetry } = this.#options;
-      entry = { leadership: new PoolLeadership(pool, cluster, clock, telemetry), pool: undefined };
+      entry = {
+        leadership: new PoolLeadership(pool, cluster, clock, telemetry),
+        pool: undefined,
+        leading: false,
+      };
       this.#pools.set(pool, entry);
     }
     return entry;
   }
 
-  #updateRole(entry: PoolEntry, name = ''): void {
-    if (entry.leadership.isLeader === (entry.pool !== undefined)) return;
-    if (!entry.leadership.isLeader) {
-      entry.pool?.close();
-      entry.pool = undefined;
+  /** Starts, keeps or ends this node's part in a pool. */
+  #updateRole(entry: PoolEntry, name: string): void {
+    const leads = entry.leadership.isLeader;
+    if (entry.leading && !leads) this.#endRole(entry);
+    const observes = leads || this.#observes(name);
+    if (!observes) {
+      if (entry.pool !== undefined) this.#endRole(entry);
       return;
     }
+    entry.pool ??= this.#newPool(name, entry);
+    if (!leads || entry.leading) return;
+    entry.leading = true;
+    entry.pool.lead();
+  }
+
+  #endRole(entry: PoolEntry): void {
+    entry.leading = false;
+    entry.pool?.close();
+    entry.pool = undefined;
+  }
+
+  /** Whether this node is next to lead, or started so lately that it may be. */
+  #observes(name: string): boolean {
+    const { cluster, clock } = this.#options;
+    if (this.#resigned) return false;
+    const leader = this.#pools.get(name)?.leadership.leader;
+    const followers = cluster.candidates(name).filter((id) => id !== leader);
+    const isYoung = clock.now() - this.#startedMs < YOUNG_MS;
+    return followers.slice(0, isYoung ? YOUNG_OBSERVERS : 1).includes(cluster.selfId);
+  }
+
+  #newPool(name: string, entry: PoolEntry): SlotPool {
     const { clock, control, timing, holder, telemetry, fleet } = this.#options;
-    entry.pool = new SlotPool({
+    const pool = new SlotPool({
       service: name,
       clock,
       control,
       timing,
       holder,
       telemetry,
-      mayOrder: () => this.#mayOrder(),
+      mayOrder: () => entry.leading && this.#mayOrder(),
+      mayObserve: () => !this.#resigned,
       memory: this.#memory,
       adapterVersion: (model, adapter) => fleet.adapterVersion(model, adapter),
     });
-    this.#setEngines(name, entry.pool);
+    this.#setEngines(name, pool);
+    return pool;
   }
 
   #mayOrder(): boolean {
--- a/packages/slots/src/order-lease.ts
+++ b/packages/slots/src/order-lease.ts
@@ -22,6 +22,8 @@
   readonly telemetry: Telemetry;
   /** Whether this node may give orders at all; asked before each. */
   readonly mayOrder: () => boolean;
+  /** Whether this node reads reports, so as to become holder without delay once it may order. */
+  readonly mayObserve: () => boolean;
   /** A report was read from which the state of the engine is to be taken over. */
   readonly onReport: (report: EngineReport) => void;
 }
@@ -60,6 +62,11 @@
     return this.#state.kind === 'held';
   }
 
+  /** Looks again at once, since this node may order now. */
+  wake(): void {
+    if (this.#state.kind === 'observing') this.#changed.notify();
+  }
+
   /** Stops for good. */
   close(): void {
     this.#enter({ kind: 'closed' });
@@ -162,9 +169,9 @@
   }
 
   async #observe(state: LeaseState & { kind: 'observing' }): Promise<void> {
-    const { clock, timing, backend, control, mayOrder } = this.#options;
+    const { clock, timing, backend, control, mayOrder, mayObserve } = this.#options;
     const askedMs = clock.now();
-    const report = mayOrder() ? await control.report(backend) : undefined;
+    const report = mayObserve() ? await control.report(backend) : undefined;
     if (this.#state !== state) return;
     if (report === undefined) {
       this.#state = { kind: 'observing', count: undefined, sinceMs: 0 };
@@ -174,13 +181,14 @@
     const unchanged = report.orderCount === state.count;
     const sinceMs = unchanged ? state.sinceMs : askedMs;
     const leftMs = sinceMs + timing.leaseMs + timing.leaseMarginMs - askedMs;
-    if (unchanged && leftMs <= 0) {
+    if (unchanged && leftMs <= 0 && mayOrder()) {
       this.#take(report, 'observed');
       return;
     }
     this.#options.onReport(report);
     this.#state = { kind: 'observing', count: report.orderCount, sinceMs };
-    await this.#changed.waitUpTo(clock, Math.min(timing.observePeriodMs, Math.max(leftMs, 1)));
+    const pauseMs = leftMs > 0 ? Math.min(timing.observePeriodMs, leftMs) : timing.observePeriodMs;
+    await this.#changed.waitUpTo(clock, pauseMs);
   }
 
   async #settled(state: LeaseState & { kind: 'settling' }): Promise<void> {
--- a/packages/slots/src/pool-leadership.ts
+++ b/packages/slots/src/pool-leadership.ts
@@ -21,7 +21,7 @@
 }
 
 /** How long a node has to be the first candidate before it claims. */
-const CLAIM_AFTER_MS = 500;
+const CLAIM_AFTER_MS = 300;
 
 /**
  * Chooses the node that hands out the slots of one pool. A claim stands as long as its member is present, so
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -22,6 +22,7 @@
   readonly holder: OrderHolder;
   readonly telemetry: Telemetry;
   readonly mayOrder: () => boolean;
+  readonly mayObserve: () => boolean;
   readonly memory: AdapterMemory;
   /** The version of an adapter that was published, 0 if none was. */
   readonly adapterVersion: (model: string, adapter: string) => number;
@@ -115,6 +116,11 @@
     this.schedule();
   }
 
+  /** This node leads the pool from now on: leases that were observed long enough are taken at once. */
+  lead(): void {
+    for (const { lease } of this.#engines.values()) lease.wake();
+  }
+
   /** Ends the lease of every engine until it has been observed again. */
   resetLeases(reason: string): void {
     for (const { lease } of this.#engines.values()) lease.reset(reason);
@@ -492,13 +498,23 @@
 
   #addEngine(backend: BackendDescription, profile: EngineProfile): void {
     const slots = new EngineSlots(backend, profile);
-    const { clock, control, timing, holder, telemetry, mayOrder } = this.#options;
+    const { clock, control, timing, holder, telemetry, mayOrder, mayObserve } = this.#options;
     const onReport = (report: EngineReport): void => {
       slots.adopt(report, clock.now());
       this.#awaitPending(slots);
       this.schedule();
     };
-    const lease = new OrderLease({ backend, control, clock, timing, holder, telemetry, mayOrder, onReport });
+    const lease = new OrderLease({
+      backend,
+      control,
+      clock,
+      timing,
+      holder,
+      telemetry,
+      mayOrder,
+      mayObserve,
+      onReport,
+    });
     this.#engines.set(backend.id, { slots, lease });
   }
 
--- a/packages/slots/src/timing.ts
+++ b/packages/slots/src/timing.ts
@@ -14,7 +14,7 @@
 }
 
 export const DEFAULT_SLOT_TIMING: Omit<SlotTiming, 'leaseMs'> = {
-  leaseMarginMs: 400,
+  leaseMarginMs: 200,
   observePeriodMs: 700,
   settleMs: 700,
   coldLoadMs: 260,
--- a/packages/slots/test/order-lease.test.ts
+++ b/packages/slots/test/order-lease.test.ts
@@ -21,6 +21,7 @@
     holder: { name: `node-${number}`, number },
     telemetry: new Telemetry({ processName: 'test', clock }),
     mayOrder,
+    mayObserve: () => true,
     onReport: (report) => reports.push(report),
   });
   return { lease, reports };
@@ -134,3 +135,16 @@
   await clock.runUntil(10_000);
   t.true(lease.held);
 });
+
+test('a node that only observes becomes holder at once when it may order', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e');
+  let may = false;
+  const { lease } = newLease(clock, engine, 1, () => may);
+  await clock.runUntil(10_000);
+  t.false(lease.held);
+  may = true;
+  lease.wake();
+  await clock.runUntil(10_100);
+  t.true(lease.held);
+});
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -27,6 +27,7 @@
     holder: { name: `node-${number}`, number },
     telemetry: new Telemetry({ processName: 'test', clock }),
     mayOrder: () => true,
+    mayObserve: () => true,
     memory: new AdapterMemory(),
     adapterVersion: (_model, adapter) => versions.get(adapter) ?? 0,
   });
