--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -60,6 +60,8 @@
   readonly dialect: RequestDialect;
   readonly control: EngineControl;
   readonly fleet: FleetState;
+  /** Log lines left out so far. */
+  readonly droppedLines: () => number;
 }
 
 /** Part of the grace time in which new requests are still taken, as callers learn late. */
@@ -255,6 +257,7 @@
 
   async #updateMetrics(): Promise<void> {
     while (!this.#stopping) {
+      this.metrics.droppedLines.set(this.#options.droppedLines());
       this.metrics.members.set(this.#cluster.serving().length);
       for (const row of this.#slots.describe()) {
         this.metrics.poolWaiting.set({ pool: row.pool }, row.waiting);
