--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -13,7 +13,7 @@
 import { SlotTurnover } from './slot-turnover.js';
 import { StoreLoadBudget } from './store-load-budget.js';
 import type { SlotTiming } from './timing.js';
-import { WaitingList, type WaitingRequest } from './waiting-list.js';
+import { USEFUL_SHARE, WaitingList, type WaitingRequest } from './waiting-list.js';
 
 export interface SlotPoolOptions {
   readonly service: string;
@@ -62,7 +62,6 @@
 /** A load that is late beyond this many times its guess is looked up in a report. */
 const LOST_ADAPTER_MS = 2500;
 const RETRY_WITHOUT_ENGINE_MS = 1000;
-const MILLISECONDS_PER_TOKEN = 0.12;
 /** Prompt work that weighs as much as one more running request. */
 const WORK_PER_RUNNING_MS = 25;
 
@@ -481,8 +480,7 @@
     const nowMs = this.#options.clock.now();
     const ahead = this.#waiting.inOrder(nowMs).indexOf(waiting);
     const waitMs = (ahead + 1) * this.#turnover.meanGapMs() + this.#coldTime.guessMs;
-    const readMs = request.tokens * MILLISECONDS_PER_TOKEN;
-    if (nowMs - waiting.arrivedMs + waitMs + readMs <= request.objectiveMs) return;
+    if (nowMs - waiting.arrivedMs + waitMs <= request.objectiveMs * USEFUL_SHARE) return;
     this.#waiting.remove(requestId);
     this.#refuse(waiting, 'no-slot-in-time', waitMs);
   }
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -1,5 +1,8 @@
 import type { SlotDecision, SlotRequest } from './slot-request.js';
 
+/** Part of the objective after which a request that still waits misses it: the engine has yet to read its prompt. */
+export const USEFUL_SHARE = 0.62;
+
 /** A request that waits for a slot. */
 export interface WaitingRequest {
   readonly request: SlotRequest;
@@ -12,7 +15,7 @@
 
 /**
  * Requests that wait, most urgent first: those that can still meet their objective, by priority and then
- * arrival, before those that are late already.
+ * arrival, before those that cannot.
  */
 export class WaitingList {
   readonly #byId = new Map<string, WaitingRequest>();
@@ -37,7 +40,7 @@
 
   inOrder(nowMs: number): WaitingRequest[] {
     const isLate = (entry: WaitingRequest): number =>
-      nowMs - entry.arrivedMs > entry.request.objectiveMs ? 1 : 0;
+      nowMs - entry.arrivedMs > entry.request.objectiveMs * USEFUL_SHARE ? 1 : 0;
     return [...this.#byId.values()].sort(
       (a, b) =>
         isLate(a) - isLate(b) ||
