--- a/packages/slots/src/refused-requests.ts
+++ b/packages/slots/src/refused-requests.ts
@@ -5,24 +5,32 @@
 const RETURN_WITHIN_MS = 6000;
 const REMEMBERED = 4096;
 
+/** How a request was refused before: early enough for a timely answer to its next attempt, or late. */
+export type EarlierRefusal = 'early' | 'late';
+
+interface Refusal {
+  readonly atMs: number;
+  readonly how: EarlierRefusal;
+}
+
 /** Remembers requests that were refused, to know them when their clients come back. */
 export class RefusedRequests {
   readonly #clock: Clock;
-  readonly #refusedMs = new LRUCache<string, number>({ max: REMEMBERED });
+  readonly #refusals = new LRUCache<string, Refusal>({ max: REMEMBERED });
 
   constructor(clock: Clock) {
     this.#clock = clock;
   }
 
-  note(promptKey: string | undefined): void {
-    if (promptKey !== undefined) this.#refusedMs.set(promptKey, this.#clock.now());
+  note(promptKey: string | undefined, how: EarlierRefusal): void {
+    if (promptKey !== undefined) this.#refusals.set(promptKey, { atMs: this.#clock.now(), how });
   }
 
-  /** Whether such a request was refused just before; true once for each refusal. */
-  take(promptKey: string | undefined): boolean {
-    const refusedMs = promptKey === undefined ? undefined : this.#refusedMs.get(promptKey);
-    if (promptKey === undefined || refusedMs === undefined) return false;
-    this.#refusedMs.delete(promptKey);
-    return this.#clock.now() - refusedMs < RETURN_WITHIN_MS;
+  /** How such a request was refused just before, if it was; told once for each refusal. */
+  take(promptKey: string | undefined): EarlierRefusal | undefined {
+    const refusal = promptKey === undefined ? undefined : this.#refusals.get(promptKey);
+    if (promptKey === undefined || refusal === undefined) return undefined;
+    this.#refusals.delete(promptKey);
+    return this.#clock.now() - refusal.atMs < RETURN_WITHIN_MS ? refusal.how : undefined;
   }
 }
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -53,6 +53,8 @@
 const OUTDATED_GRACE_MS = 1500;
 /** A refusal has to be known to the client within this part of its objective. */
 const EARLY_REFUSAL_SHARE = 0.2;
+/** A refusal up to this part of the objective counts as early. */
+const EARLY_SHARE = 0.25;
 /** Part of its time after which a request that still waits is given up: what is left has to be of use elsewhere. */
 const LONGEST_WAIT_SHARE = 0.97;
 const AVOID_AFTER_FAILURE_MS = 1500;
@@ -145,8 +147,11 @@
   /** Asks for an engine; `decide` is called once, maybe before this returns. */
   acquire(request: SlotRequest, decide: (decision: SlotDecision) => void): void {
     const nowMs = this.#options.clock.now();
-    const returned = this.#refused.take(request.promptKey);
-    const waiting: WaitingRequest = { request, arrivedMs: nowMs - request.ageMs, returned, decide };
+    const refusal = this.#refused.take(request.promptKey);
+    // One that was refused late can't be answered in time any more, whatever its new attempt says.
+    const lostMs = refusal === 'late' ? request.objectiveMs : 0;
+    const arrivedMs = nowMs - request.ageMs - lostMs;
+    const waiting: WaitingRequest = { request, arrivedMs, returned: refusal !== undefined, decide };
     if (this.#closed) {
       this.#refuse(waiting, 'stopping', 0);
       return;
@@ -502,7 +507,9 @@
     reason: 'no-slot-in-time' | 'no-engine' | 'stopping',
     retryAfterMs: number,
   ): void {
-    this.#refused.note(waiting.request.promptKey);
+    const { promptKey, objectiveMs } = waiting.request;
+    const ageMs = this.#options.clock.now() - waiting.arrivedMs;
+    this.#refused.note(promptKey, ageMs <= objectiveMs * EARLY_SHARE ? 'early' : 'late');
     waiting.decide({ kind: 'refused', requestId: waiting.request.id, reason, retryAfterMs });
   }
 
