Let every candidate claim a pool in its turn; rank restarted nodes first on all nodes alike

Change: the mark of a restart travels with the member; the n-th candidate claims 150 + 600 n ms after the last claim went; requests wait up to a fifth of their objective for a leader, and ask the next one when theirs is giving up. Test: candidates ranked differently.

--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -43,8 +43,8 @@
 /** A node that never met another acts alone only after this time. */
 const ALONE_AFTER_MS = 12_000;
 const REMEMBERED_ADDRESSES = 512;
-/** How long a planned restart of some nodes is taken to be one of all. */
-const PLANNED_RESTART_MS = 60_000;
+/** Begins the token of a process that is not the first on its machine. */
+export const RESTARTED_PREFIX = 'restarted-';
 const CLAIM_PREFIX = 'lead/';
 /** The count of nodes is the largest seen within this time. */
 const NODE_COUNT_WINDOW_MS = 30_000;
@@ -60,7 +60,6 @@
   readonly #membership: Membership;
   readonly #sight: PeerSight;
   readonly #addresses = new Set<string>();
-  readonly #leftMs = new Map<string, number>();
   #nodeCount = 1;
   #nodeCountAtMs = 0;
   #leaving = false;
@@ -152,17 +151,18 @@
       .map((member) => member.peerUrl);
   }
 
-  /** Nodes that were restarted as planned of late come first: they are done while others may follow. */
+  /** Nodes whose process was restarted come first: in a rolling restart they are done. The same on all nodes. */
   candidates(pool: string): readonly string[] {
-    const nowMs = this.#options.clock.now();
     const able = this.#membership.present().filter((member) => member.state === 'alive');
     return able
-      .map(({ id }) => {
-        const leftMs = this.#leftMs.get(id);
-        const isDone = leftMs !== undefined && nowMs - leftMs < PLANNED_RESTART_MS;
-        return { id, isDone, score: hashSeed(`${pool}/${id}`) };
-      })
-      .sort((a, b) => Number(b.isDone) - Number(a.isDone) || b.score - a.score || (a.id < b.id ? -1 : 1))
+      .map(({ id, processToken }) => ({
+        id,
+        restarted: processToken.startsWith(RESTARTED_PREFIX),
+        score: hashSeed(`${pool}/${id}`),
+      }))
+      .sort(
+        (a, b) => Number(b.restarted) - Number(a.restarted) || b.score - a.score || (a.id < b.id ? -1 : 1),
+      )
       .map((entry) => entry.id);
   }
 
@@ -204,9 +204,7 @@
 
   /** Every address ever heard of stays a place to ask, since seeds alone may not lead back after a partition. */
   #remember(member: Member): void {
-    const { id, state } = member;
-    if (state === 'left' || state === 'draining') this.#leftMs.set(id, this.#options.clock.now());
-    if (state === 'left') this.#addresses.delete(member.gossip);
+    if (member.state === 'left') this.#addresses.delete(member.gossip);
     else if (this.#addresses.size < REMEMBERED_ADDRESSES) this.#addresses.add(member.gossip);
   }
 }
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@canvasridge/clock';
+import { Notifier, type Clock } from '@canvasridge/clock';
 import type { BackendDescription, FleetState } from '@canvasridge/serving';
 import {
   AdapterMemory,
@@ -41,7 +41,10 @@
   readonly outcome: UseOutcome;
 }
 
-const TICK_MS = 150;
+const TICK_MS = 100;
+const MOST_LEADERS_ASKED = 3;
+/** Part of its objective for which a request waits while no leader is known. */
+const LEADER_WAIT_SHARE = 0.2;
 /** A leader acknowledges within this time, or is taken to be out of reach. */
 const ACKNOWLEDGE_TIMEOUT_MS = 250;
 /** A leader that gave no sign is not asked again for this long. */
@@ -74,6 +77,7 @@
   readonly #remote = new Map<PeerConnection, Map<string, RemoteUse>>();
   readonly #pauses: PauseDetector;
   readonly #memory = new AdapterMemory();
+  readonly #leaderChanged = new Notifier();
   #avoidLeaderUntilMs = 0;
   readonly #startedMs: number;
   #stopped = false;
@@ -120,20 +124,49 @@
 
   // --- asking ------------------------------------------------------------------------------------
 
+  /** Asks the leader; where that one is just giving its pool up, the next one. */
   async acquire(
     poolName: string,
     request: SlotRequest,
     cancelled: AbortSignal,
+  ): Promise<SlotDecision | undefined> {
+    const { clock } = this.#options;
+    const askedMs = clock.now();
+    for (let asked = 1; ; asked += 1) {
+      const aged = { ...request, ageMs: request.ageMs + clock.now() - askedMs };
+      const decision = await this.#acquireOnce(poolName, aged, cancelled);
+      const isStopping = decision?.kind === 'refused' && decision.reason === 'stopping';
+      if (!isStopping || cancelled.aborted || asked === MOST_LEADERS_ASKED) return decision;
+      await clock.sleep(TICK_MS);
+    }
+  }
+
+  async #acquireOnce(
+    poolName: string,
+    request: SlotRequest,
+    cancelled: AbortSignal,
   ): Promise<SlotDecision | undefined> {
     const entry = this.#pools.get(poolName);
-    const leader = entry?.leadership.leader;
-    if (entry === undefined || leader === undefined) return undefined;
+    if (entry === undefined) return undefined;
+    const leader = await this.#awaitLeader(entry, request);
+    if (cancelled.aborted) return cancelledDecision(request.id);
+    if (leader === undefined) return undefined;
     if (entry.pool !== undefined && entry.leading) return this.#acquireHere(entry.pool, request, cancelled);
     const address = this.#options.cluster.peerAddress(leader);
     if (address === undefined || this.#options.clock.now() < this.#avoidLeaderUntilMs) return undefined;
     return this.#acquireThere(address, poolName, request, cancelled);
   }
 
+  /** The leader, or undefined if none is known in time for an early refusal. */
+  async #awaitLeader(entry: PoolEntry, request: SlotRequest): Promise<string | undefined> {
+    const { clock } = this.#options;
+    const untilMs = clock.now() + request.objectiveMs * LEADER_WAIT_SHARE - request.ageMs;
+    while (entry.leadership.leader === undefined && clock.now() < untilMs) {
+      await this.#leaderChanged.waitUpTo(clock, untilMs - clock.now());
+    }
+    return entry.leadership.leader;
+  }
+
   release(poolName: string, requestId: string, outcome: UseOutcome): void {
     const entry = this.#pools.get(poolName);
     if (entry?.pool !== undefined && entry.leading) {
@@ -284,7 +317,7 @@
     for (const service of fleet.routes?.configuration.services ?? []) {
       if (service.engine === undefined) continue;
       const entry = this.#entry(service.name);
-      entry.leadership.update();
+      if (entry.leadership.update()) this.#leaderChanged.notify();
       this.#updateRole(entry, service.name);
     }
   }
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -11,7 +11,7 @@
 import { RetryBudget, type RetryBudgetOptions } from './backends/retry-budget.js';
 import { SlotPicker } from './backends/slot-picker.js';
 import { ClientServer, type ListenError } from './client-server.js';
-import { Cluster } from './cluster/cluster.js';
+import { Cluster, RESTARTED_PREFIX } from './cluster/cluster.js';
 import { Directory } from './cluster/directory.js';
 import {
   ACQUIRE_METHOD,
@@ -49,6 +49,8 @@
   readonly slotTiming: SlotTiming;
   /** Time from the signal to stop until the process has to be gone. */
   readonly stopGraceMs: number;
+  /** Whether the whole system starts for the first time. */
+  readonly firstStart: boolean;
 }
 
 export interface GatewayOptions {
@@ -94,7 +96,8 @@
     this.#options = options;
     this.fleet = options.fleet;
     const { settings, clock, telemetry } = options;
-    const processToken = randomBytes(TOKEN_BYTES).toString('hex');
+    const prefix = settings.firstStart ? '' : RESTARTED_PREFIX;
+    const processToken = prefix + randomBytes(TOKEN_BYTES).toString('hex');
     const random = new Random(hashSeed(processToken));
     this.#network = new PeerNetwork(this.#methods(), (peer) => this.#slots.onPeerClosed(peer));
     this.#cluster = new Cluster({
--- a/packages/slots/src/pool-leadership.ts
+++ b/packages/slots/src/pool-leadership.ts
@@ -20,8 +20,9 @@
   seesMost(): boolean;
 }
 
-/** How long a node has to be the first candidate before it claims. */
-const CLAIM_AFTER_MS = 300;
+/** How long the first candidate sees no claim before it claims, and how much longer each one after it. */
+const CLAIM_AFTER_MS = 150;
+const CLAIM_STEP_MS = 600;
 
 /**
  * Chooses the node that hands out the slots of one pool. A claim stands as long as its member is present, so
@@ -35,7 +36,7 @@
   readonly #telemetry: Telemetry;
   #ownEpoch: number | undefined;
   #highestEpoch = 0;
-  #firstSinceMs: number | undefined;
+  #unclaimedSinceMs: number | undefined;
   #leader: string | undefined;
 
   constructor(pool: string, peers: LeadershipPeers, clock: Clock, telemetry: Telemetry) {
@@ -59,7 +60,7 @@
     const ruling = this.#rulingClaim();
     if (this.#ownEpoch !== undefined && ruling?.memberId !== this.#peers.selfId) this.#withdraw();
     if (ruling === undefined) this.#claimInTurn();
-    else this.#firstSinceMs = undefined;
+    else this.#unclaimedSinceMs = undefined;
     return this.#setLeader(this.#ownEpoch === undefined ? ruling?.memberId : this.#peers.selfId);
   }
 
@@ -82,13 +83,14 @@
 
   #claimInTurn(): void {
     const nowMs = this.#clock.now();
-    const isFirst = this.#peers.candidates(this.#pool)[0] === this.#peers.selfId;
-    if (!isFirst || !this.#peers.seesMost()) {
-      this.#firstSinceMs = undefined;
+    // Nodes may rank candidates differently for a while, so the later ones claim too when nobody does.
+    const rank = this.#peers.candidates(this.#pool).indexOf(this.#peers.selfId);
+    if (rank === -1 || !this.#peers.seesMost()) {
+      this.#unclaimedSinceMs = undefined;
       return;
     }
-    this.#firstSinceMs ??= nowMs;
-    if (nowMs - this.#firstSinceMs < CLAIM_AFTER_MS) return;
+    this.#unclaimedSinceMs ??= nowMs;
+    if (nowMs - this.#unclaimedSinceMs < CLAIM_AFTER_MS + rank * CLAIM_STEP_MS) return;
     // Clocks of machines differ and jump, so an epoch only counts on from what was seen.
     this.#highestEpoch += 1;
     this.#ownEpoch = this.#highestEpoch;
--- a/packages/slots/test/leadership.test.ts
+++ b/packages/slots/test/leadership.test.ts
@@ -109,3 +109,33 @@
   t.deepEqual(seen, [4000]);
   t.false(detector.check());
 });
+
+test('nodes that rank candidates differently still get a leader', async (t) => {
+  const clock = new VirtualClock();
+  const claims = new Map<string, PoolClaim>();
+  const telemetry = new Telemetry({ processName: 'test', clock });
+  const leaderships = ['a', 'b', 'c'].map((selfId, index, ids) => {
+    const others = [...ids.slice(index + 1), ...ids.slice(0, index)];
+    return new PoolLeadership(
+      'llm',
+      {
+        selfId,
+        candidates: () => [...others, selfId],
+        claims: () => [...claims.values()],
+        publishClaim: (_pool, epoch) => {
+          if (epoch === undefined) claims.delete(selfId);
+          else claims.set(selfId, { memberId: selfId, epoch });
+        },
+        seesMost: () => true,
+      },
+      clock,
+      telemetry,
+    );
+  });
+  for (let atMs = 0; atMs <= 3000; atMs += 100) {
+    await clock.runUntil(atMs);
+    for (const leadership of leaderships) leadership.update();
+  }
+  t.deepEqual(new Set(leaderships.map(({ leader }) => leader)).size, 1);
+  t.not(leaderships[0]?.leader, undefined);
+});
