--- /dev/null
+++ b/packages/slots/src/engine-entry.ts
@@ -0,0 +1,8 @@
+import type { EngineSlots } from './engine-slots.js';
+import type { OrderLease } from './order-lease.js';
+
+/** An engine of a pool: what is believed of it, and the right to give it orders. */
+export interface EngineEntry {
+  readonly slots: EngineSlots;
+  readonly lease: OrderLease;
+}
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -2,16 +2,17 @@
 import { adapterKey, type BackendDescription, type EngineProfile } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
 import { AdapterDemand } from './adapter-demand.js';
+import { AdapterLoader } from './adapter-loader.js';
 import type { AdapterMemory } from './adapter-memory.js';
 import type { EngineControl, EngineReport } from './engine-control.js';
+import type { EngineEntry } from './engine-entry.js';
 import { EngineSlots, type AdapterSlot } from './engine-slots.js';
-import { chooseLoad, type LoadChoice, type LoadDemand } from './load-placement.js';
-import { LoadTime } from './load-time.js';
+import { chooseLoad, type LoadDemand } from './load-placement.js';
+import { ModelLoader } from './model-loader.js';
 import { OrderLease, type OrderHolder } from './order-lease.js';
 import { RefusedRequests } from './refused-requests.js';
 import type { SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
 import { SlotTurnover } from './slot-turnover.js';
-import { StoreLoadBudget } from './store-load-budget.js';
 import type { SlotTiming } from './timing.js';
 import { USEFUL_SHARE, WaitingList, type WaitingRequest } from './waiting-list.js';
 
@@ -58,20 +59,10 @@
 /** Part of its time after which a request that still waits is given up: what is left has to be of use elsewhere. */
 const LONGEST_WAIT_SHARE = 0.97;
 const AVOID_AFTER_FAILURE_MS = 1500;
-const RETRY_PRESENCE_MS = 50;
-/** An adapter that a report shows on its way is tried after this time. */
-const ADOPTED_ARRIVAL_MS = 150;
-/** A load that is late beyond this many times its guess is looked up in a report. */
-const LOST_ADAPTER_MS = 2500;
 const RETRY_WITHOUT_ENGINE_MS = 1000;
 /** Prompt work that weighs as much as one more running request. */
 const WORK_PER_RUNNING_MS = 25;
 
-interface EngineEntry {
-  readonly slots: EngineSlots;
-  readonly lease: OrderLease;
-}
-
 interface Use {
   readonly engineId: string;
   readonly slot: AdapterSlot | undefined;
@@ -89,10 +80,9 @@
   readonly #uses = new Map<string, Use>();
   readonly #demand: AdapterDemand;
   readonly #turnover: SlotTurnover;
-  readonly #coldTime: LoadTime;
-  readonly #warmTime: LoadTime;
+  readonly #adapters: AdapterLoader;
+  readonly #models: ModelLoader;
   readonly #timers = new Set<Timer>();
-  readonly #storeLoads: StoreLoadBudget;
   readonly #refused: RefusedRequests;
   #closed = false;
 
@@ -100,9 +90,12 @@
     this.#options = options;
     this.#demand = new AdapterDemand(options.clock);
     this.#turnover = new SlotTurnover(options.clock);
-    this.#coldTime = new LoadTime(options.clock, options.timing.coldLoadMs);
-    this.#warmTime = new LoadTime(options.clock, options.timing.warmLoadMs);
-    this.#storeLoads = new StoreLoadBudget(options.clock);
+    const { clock, timing, memory, adapterVersion } = options;
+    const after = (delayMs: number, action: () => void): void => this.#after(delayMs, action);
+    const onChange = (): void => this.schedule();
+    this.#adapters = new AdapterLoader({ clock, timing, memory, adapterVersion, after, onChange });
+    const engines = (): Iterable<EngineEntry> => this.#engines.values();
+    this.#models = new ModelLoader({ clock, engines, pollMs: timing.observePeriodMs, after, onChange });
     this.#refused = new RefusedRequests(options.clock);
   }
 
@@ -114,7 +107,7 @@
       entry.lease.close();
       this.#engines.delete(id);
     }
-    this.#storeLoads.setRate(profile.storeLoadsPerSecond);
+    this.#models.setRate(profile.storeLoadsPerSecond);
     for (const backend of backends) {
       const entry = this.#engines.get(backend.id);
       if (entry === undefined) this.#addEngine(backend, profile);
@@ -181,10 +174,10 @@
     if (use.slot !== undefined) this.#endSlotUse(use.slot, nowMs);
     if (entry !== undefined) {
       entry.slots.running -= 1;
-      if (outcome === 'not-present') this.#notPresent(entry, use, nowMs);
+      if (outcome === 'not-present') this.#notPresent(entry, use.slot, nowMs);
       else if (outcome === 'failed' || outcome === 'refused') {
         entry.slots.avoidUntilMs = nowMs + AVOID_AFTER_FAILURE_MS;
-      } else if (outcome === 'served' && use.slot !== undefined) this.#loadWasLongEnough(use);
+      } else if (outcome === 'served' && use.slot !== undefined) this.#adapters.served(use.slot);
     }
     this.schedule();
   }
@@ -194,7 +187,7 @@
     if (this.#closed) return;
     const nowMs = this.#options.clock.now();
     for (const waiting of this.#waiting.inOrder(nowMs)) this.#place(waiting, nowMs);
-    this.#loadMissingModels();
+    this.#models.loadMissing();
   }
 
   /** Figures for logs and metrics. */
@@ -206,7 +199,7 @@
       held,
       waiting: this.#waiting.size,
       running: this.#uses.size,
-      coldLoadMs: Math.round(this.#coldTime.guessMs),
+      coldLoadMs: Math.round(this.#adapters.coldLoadMs),
       gapMs: Math.round(this.#turnover.meanGapMs()),
     };
   }
@@ -326,59 +319,12 @@
       ageMs: nowMs - waiting.arrivedMs,
       objectiveMs: request.objectiveMs,
       mayFetch: this.#fetches() < FETCHES_AT_ONCE,
-      coldLoadMs: this.#coldTime.guessMs,
-      warmLoadMs: this.#warmTime.guessMs,
+      coldLoadMs: this.#adapters.coldLoadMs,
+      warmLoadMs: this.#adapters.warmLoadMs,
     };
     const choice = chooseLoad(able, homes, demand, this.#demand, memory);
     const entry = choice === undefined ? undefined : this.#engines.get(choice.slots.backend.id);
-    if (choice !== undefined && entry !== undefined) void this.#replace(entry, choice, model, adapter);
-  }
-
-  /** Loads an adapter, in place of another one if need be. Its slot is taken from the first moment on. */
-  async #replace(entry: EngineEntry, choice: LoadChoice, model: string, adapter: string): Promise<void> {
-    const { slots, lease } = entry;
-    const { victim, warm } = choice;
-    const { clock, memory, adapterVersion } = this.#options;
-    if (victim !== undefined) victim.state = 'unloading';
-    const isNewVersion = victim !== undefined && victim.model === model && victim.adapter === adapter;
-    const early = isNewVersion ? undefined : slots.reserve(model, adapter, 0, warm, clock.now());
-    if (victim !== undefined && !(await this.#makeWay(entry, victim))) {
-      if (early !== undefined) slots.removeIfSame(early);
-      return;
-    }
-    const slot = early ?? slots.reserve(model, adapter, 0, warm, clock.now());
-    // A report that was read meanwhile may have changed what is here.
-    if (slots.get(slot.key) !== slot || !slots.isWithinLimits()) {
-      slots.removeIfSame(slot);
-      this.schedule();
-      return;
-    }
-    slot.version = adapterVersion(model, adapter);
-    slot.orderedMs = clock.now();
-    const reply = await lease.order({ action: 'load', model, adapter });
-    if (reply.kind === 'accepted' || reply.kind === 'done') {
-      memory.note(slots.backend.id, slot.key);
-      const guessMs = slot.warm ? this.#warmTime.guessMs : this.#coldTime.guessMs;
-      const leftMs = reply.kind === 'done' ? 0 : slot.orderedMs + guessMs - clock.now();
-      this.#after(Math.max(leftMs, 0), () => this.#arrived(slot));
-    } else if (reply.kind !== 'unknown') {
-      slots.removeIfSame(slot);
-      this.schedule();
-    }
-  }
-
-  /** Unloads an adapter. Returns whether it is gone. */
-  async #makeWay(entry: EngineEntry, victim: AdapterSlot): Promise<boolean> {
-    const { slots, lease } = entry;
-    const reply = await lease.order({ action: 'unload', model: victim.model, adapter: victim.adapter });
-    if (reply.kind === 'done') {
-      slots.removeIfSame(victim);
-      return true;
-    }
-    if (reply.kind === 'not-held') victim.state = 'loaded';
-    // Still in use, or its fate is unknown: it takes its slot until a report shows otherwise.
-    else lease.settle();
-    return false;
+    if (choice !== undefined && entry !== undefined) void this.#adapters.load(entry, choice, model, adapter);
   }
 
   /** Fetches from the weight store under way, on all engines. */
@@ -390,81 +336,14 @@
     return count;
   }
 
-  #arrived(slot: AdapterSlot): void {
-    if (slot.state !== 'loading') return;
-    slot.state = 'loaded';
-    this.schedule();
-  }
-
-  #loadWasLongEnough(use: Use): void {
-    const { slot } = use;
-    if (slot === undefined) return;
-    slot.confirmed = true;
-    if (slot.orderedMs === 0) return;
-    (slot.warm ? this.#warmTime : this.#coldTime).longEnough();
-    slot.orderedMs = 0;
-  }
-
-  /** The engine did not have what it was thought to have: too early, or it lost it. */
-  #notPresent(entry: EngineEntry, use: Use, nowMs: number): void {
-    const { slot } = use;
-    if (slot === undefined) {
-      entry.lease.settle();
-      entry.slots.avoidUntilMs = nowMs + AVOID_AFTER_FAILURE_MS;
-      return;
-    }
-    if (entry.slots.get(slot.key) !== slot || slot.state !== 'loaded') return;
-    const isRecent = slot.orderedMs > 0 && nowMs - slot.orderedMs < LOST_ADAPTER_MS;
-    if (!isRecent) {
-      slot.state = 'unloading';
-      entry.lease.settle();
-      return;
-    }
-    slot.state = 'loading';
-    if (slot.warm) {
-      // It was not in the engine's memory after all, and is being fetched.
-      slot.warm = false;
-      const leftMs = slot.orderedMs + this.#coldTime.guessMs - nowMs;
-      this.#after(Math.max(leftMs, RETRY_PRESENCE_MS), () => this.#arrived(slot));
+  /** The engine did not have what it was thought to have. */
+  #notPresent(entry: EngineEntry, slot: AdapterSlot | undefined, nowMs: number): void {
+    if (slot !== undefined) {
+      this.#adapters.missing(entry, slot);
       return;
     }
-    this.#coldTime.tooShort();
-    this.#after(RETRY_PRESENCE_MS, () => this.#arrived(slot));
-  }
-
-  #loadMissingModels(): void {
-    for (const { slots, lease } of this.#engines.values()) {
-      if (!lease.held || slots.busy || slots.models.size > 0 || slots.backend.state !== 'ready') continue;
-      const model = this.#scarcestModel(slots.profile);
-      if (model === undefined || !this.#storeLoads.take()) continue;
-      slots.busy = true;
-      void lease
-        .order({ action: 'load', model, adapter: undefined })
-        .then(() => this.#pollModel(slots, lease));
-    }
-  }
-
-  #pollModel(slots: EngineSlots, lease: OrderLease): void {
-    this.#after(this.#options.timing.observePeriodMs, () => {
-      if (slots.busy) {
-        lease.settle();
-        this.#pollModel(slots, lease);
-      } else this.schedule();
-    });
-  }
-
-  #scarcestModel(profile: EngineProfile): string | undefined {
-    let scarcest: string | undefined;
-    let fewest = Infinity;
-    for (const { name, sizeMb } of profile.models) {
-      if (sizeMb > profile.memoryMb) continue;
-      let holders = 0;
-      for (const { slots } of this.#engines.values()) if (slots.models.has(name)) holders += 1;
-      if (holders >= fewest) continue;
-      scarcest = name;
-      fewest = holders;
-    }
-    return scarcest;
+    entry.lease.settle();
+    entry.slots.avoidUntilMs = nowMs + AVOID_AFTER_FAILURE_MS;
   }
 
   // --- refusals ----------------------------------------------------------------------------------
@@ -484,7 +363,7 @@
       return;
     const nowMs = this.#options.clock.now();
     const ahead = this.#waiting.inOrder(nowMs).indexOf(waiting);
-    const waitMs = (ahead + 1) * this.#turnover.meanGapMs() + this.#coldTime.guessMs;
+    const waitMs = (ahead + 1) * this.#turnover.meanGapMs() + this.#adapters.coldLoadMs;
     if (nowMs - waiting.arrivedMs + waitMs <= request.objectiveMs * USEFUL_SHARE) return;
     this.#waiting.remove(requestId);
     this.#refuse(waiting, 'no-slot-in-time', waitMs);
@@ -521,7 +400,7 @@
     const { mayOrder, mayObserve, mayTakeUnused } = this.#options;
     const onReport = (report: EngineReport): void => {
       slots.adopt(report, clock.now());
-      this.#awaitPending(slots);
+      this.#adapters.awaitPending(slots);
       this.schedule();
     };
     const lease = new OrderLease({
@@ -539,13 +418,6 @@
     this.#engines.set(backend.id, { slots, lease });
   }
 
-  /** Adapters that a report shows on their way arrive without an order from here. */
-  #awaitPending(slots: EngineSlots): void {
-    for (const slot of slots.slots.values()) {
-      if (slot.state === 'loading') this.#after(ADOPTED_ARRIVAL_MS, () => this.#arrived(slot));
-    }
-  }
-
   #after(delayMs: number, action: () => void): void {
     const timer = this.#options.clock.setTimer(delayMs, () => {
       this.#timers.delete(timer);
