--- a/packages/slots/src/load-placement.ts
+++ b/packages/slots/src/load-placement.ts
@@ -24,7 +24,7 @@
 }
 
 /** Part of the objective for which a request waits for an engine that has its adapter in memory. */
-const HOME_PATIENCE_SHARE = 0.35;
+const HOME_PATIENCE_SHARE = 0.5;
 /** What is added to the cost of a place for each request that runs there, and each load under way, in ms. */
 const RUNNING_COST_MS = 4;
 const LOADING_COST_MS = 40;
