--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -4,6 +4,7 @@
 export { nodeSettingsSchema, type NodeSettings } from './settings.js';
 export { type InboundRequest, type RequestEnd } from './requests/inbound.js';
 export type { NodeStatus, OwnedEngineStatus } from './control/admin-service.js';
-export { EngineScheduler, type EngineWork, type SchedulerError } from './scheduling/engine-scheduler.js';
+export { EngineScheduler } from './scheduling/engine-scheduler.js';
+export type { EngineWork, SchedulerError } from './scheduling/engine-work.js';
 export { TicketQueue } from './scheduling/ticket-queue.js';
 export { EngineFleet } from './control/engine-fleet.js';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -18,14 +18,7 @@
   type MembershipTiming,
   type PeerCaller,
 } from '@canvasridge/membership';
-import {
-  OwnershipManager,
-  DEFAULT_OWNERSHIP_TIMING,
-  grantParams,
-  releaseParams,
-  ungrantParams,
-  type OwnershipTiming,
-} from '@canvasridge/ownership';
+import { OwnershipManager, DEFAULT_OWNERSHIP_TIMING, type OwnershipTiming } from '@canvasridge/ownership';
 import { rankByRendezvous } from '@canvasridge/placement';
 import type { ForwardClient } from '@canvasridge/http-bindings';
 import type { Telemetry } from '@canvasridge/telemetry';
@@ -36,11 +29,12 @@
 import { Directory } from './requests/directory.js';
 import { ForwardHandler } from './requests/forward-handler.js';
 import { GenerationRouter } from './requests/generation-router.js';
-import { KeyProtocol, keyOutcomeParams, transferKeyParams } from './requests/key-protocol.js';
+import { KeyProtocol } from './requests/key-protocol.js';
 import { RequestService } from './requests/request-service.js';
 import { ServiceRouter } from './requests/service-router.js';
 import { StreamTokens } from './requests/stream-tokens.js';
-import { LoadGrants, acquireLoadParams, finishLoadParams } from './scheduling/load-grants.js';
+import { registerPeerMethods } from './peer-methods.js';
+import { LoadGrants } from './scheduling/load-grants.js';
 
 /** Everything outside of a node. Production binds it to sockets, experiments to a simulated network. */
 export interface NodePorts {
@@ -163,7 +157,12 @@
       completedRequests: () => this.requests.completed,
       drain: () => this.drain(),
     });
-    this.#registerMethods();
+    registerPeerMethods(this.rpc, {
+      ownership: this.ownership,
+      follower: this.follower,
+      grants: this.#grants,
+      keys: this.#keys,
+    });
   }
 
   get state(): NodeState {
@@ -373,24 +372,6 @@
     return this.#machines.isLeaving(machine) || this.follower.store.index?.isLeaving(machine) === true;
   }
 
-  #registerMethods(): void {
-    const { rpc, ownership, follower } = this;
-    rpc.register('ownership.release', releaseParams, (params) => ownership.handleRelease(params));
-    rpc.register('ownership.grant', grantParams, (params) => ownership.handleGrant(params));
-    rpc.register('ownership.ungrant', ungrantParams, (params) => ownership.handleUngrant(params));
-    rpc.register('weights.acquire', acquireLoadParams, (params) => this.#grants.handleAcquire(params));
-    rpc.register('weights.finish', finishLoadParams, (params) => this.#grants.handleFinish(params));
-    rpc.register('keys.transfer', transferKeyParams, (params) => this.#keys.handleTransfer(params));
-    rpc.register('keys.outcome', keyOutcomeParams, (params) => this.#keys.handleOutcome(params));
-    rpc.register('configuration.head', z.object({}), () => ({
-      head: follower.store.head ?? null,
-      sourceVersion: follower.store.sourceVersion,
-    }));
-    rpc.register('configuration.chunk', z.object({ sha256: z.string() }), ({ sha256 }) => ({
-      text: follower.store.chunk(sha256) ?? null,
-    }));
-  }
-
   #newRequestId(): string {
     this.#requestCount += 1;
     return `${this.membership.identity.id}-${this.membership.identity.processToken}-${this.#requestCount}`;
--- a/packages/node/src/requests/forward-handler.ts
+++ b/packages/node/src/requests/forward-handler.ts
@@ -9,7 +9,7 @@
   type StreamSink,
 } from '@canvasridge/domain';
 import type { EngineFleet } from '../control/engine-fleet.js';
-import type { SchedulerError } from '../scheduling/engine-scheduler.js';
+import type { SchedulerError } from '../scheduling/engine-work.js';
 import { RelaySink, refused, type InboundRequest, type RequestEnd } from './inbound.js';
 
 export interface ForwardHandlerOptions {
--- a/packages/node/src/requests/generation-router.ts
+++ b/packages/node/src/requests/generation-router.ts
@@ -14,7 +14,7 @@
 import type { ForwardClient, ForwardError } from '@canvasridge/http-bindings';
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { EngineChoice, EngineFleet } from '../control/engine-fleet.js';
-import type { SchedulerError } from '../scheduling/engine-scheduler.js';
+import type { SchedulerError } from '../scheduling/engine-work.js';
 import type { RelaySink, RequestEnd, RequestOptions } from './inbound.js';
 import { refused } from './inbound.js';
 import type { StreamTokens } from './stream-tokens.js';
