Load a copy of an adapter in demand when prompts pile up before its engine

Excluded: slots (idle ones were there), the weight store (a fetch took 0.26 s). Change: a request looks for another engine from 150 ms of prompts ahead on, if a load there is quicker, and waits at the leader from 450 ms on. The pool's figures tell slots in use, idle, loading and backlogs; request.finished tells when its backend was picked.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -60,6 +60,8 @@
   #lastEventId = -1;
   #backendId = '';
   #how = '';
+  /** Age at which the last backend was picked. */
+  #pickedMs: number | undefined;
 
   constructor(context: ExchangeContext, request: IncomingMessage, response: ServerResponse) {
     this.#context = context;
@@ -145,6 +147,7 @@
     const { dialect, connections, clock } = this.#context;
     this.#backendId = backend.id;
     this.#how = picked.how;
+    this.#pickedMs = this.#ageMs();
     this.#sends += 1;
     const connection = connections.take(backend, service.maxConnections, this.#context.nodes());
     if (connection === undefined) return { kind: 'not-run', reason: 'no-connection' };
@@ -297,6 +300,7 @@
       backend: this.#backendId === '' ? undefined : this.#backendId,
       how: this.#how === '' ? undefined : this.#how,
       sends: this.#sends,
+      pickedMs: this.#pickedMs === undefined ? undefined : Math.round(this.#pickedMs),
       ageMs: Math.round(ageMs),
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs - this.#arrivedMs),
       configuration: fleet.configurationVersion,
--- a/packages/slots/src/load-placement.ts
+++ b/packages/slots/src/load-placement.ts
@@ -17,6 +17,8 @@
   readonly nowMs: number;
   readonly ageMs: number;
   readonly objectiveMs: number;
+  /** Time after which the request could start on an engine that has the adapter; Infinity if none has it. */
+  readonly quickerThanMs: number;
   /** Whether the weight store has room for one more fetch. */
   readonly mayFetch: boolean;
   readonly coldLoadMs: number;
@@ -43,7 +45,7 @@
   memory: AdapterMemory,
 ): LoadChoice | undefined {
   let best: LoadChoice | undefined;
-  let bestCost = Infinity;
+  let bestCost = demand.quickerThanMs;
   const mayFetch = isFetchWorthwhile(demand, homes.length > 0);
   for (const slots of able) {
     const warm = memory.has(slots.backend.id, demand.key);
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -38,6 +38,13 @@
   readonly held: number;
   readonly waiting: number;
   readonly running: number;
+  /** Adapters with requests, without, and on their way. */
+  readonly slotsInUse: number;
+  readonly slotsIdle: number;
+  readonly slotsLoading: number;
+  /** Longest and shortest backlog of prompts of an engine. */
+  readonly mostBacklogMs: number;
+  readonly leastBacklogMs: number;
   /** Present guess of how long a fetch from the weight store takes. */
   readonly coldLoadMs: number;
   /** Mean time between two slots that become idle. */
@@ -48,8 +55,14 @@
 const LOADS_PER_ENGINE = 3;
 /** Fetches from the weight store at the same time; more of them slow each other down (measured: from 14 on). */
 const FETCHES_AT_ONCE = 12;
-/** Requests on one engine beyond which another copy of an adapter is worth its slot. */
+/** Requests on one engine beyond which it takes more only when no other engine gets the adapter: its memory fills up. */
 const CROWDED_ENGINE = 40;
+/** Prompts ahead of a request, in ms, up to which no other engine is looked for. */
+const SHORT_BACKLOG_MS = 150;
+/** Prompts ahead, in ms, from which a request waits here, where it can still go to another engine. */
+const LONG_BACKLOG_MS = 450;
+/** How long after a request was held back for a long backlog it is looked at again. */
+const BACKLOG_POLL_MS = 40;
 /** Time after which an adapter of an older version serves no new requests. */
 const OUTDATED_GRACE_MS = 1500;
 /** A refusal has to be known to the client within this part of its objective. */
@@ -84,6 +97,7 @@
   readonly #models: ModelLoader;
   readonly #timers = new Set<Timer>();
   readonly #refused: RefusedRequests;
+  #looksAgain = false;
   #closed = false;
 
   constructor(options: SlotPoolOptions) {
@@ -192,13 +206,21 @@
 
   /** Figures for logs and metrics. */
   describe(): PoolFigures {
-    let held = 0;
-    for (const { lease } of this.#engines.values()) if (lease.held) held += 1;
+    const nowMs = this.#options.clock.now();
+    const entries = [...this.#engines.values()];
+    const held = entries.filter(({ lease }) => lease.held).length;
+    const slots = entries.flatMap((entry) => [...entry.slots.slots.values()]);
+    const backlogs = entries.map((entry) => Math.round(entry.slots.workMs(nowMs)));
     return {
       engines: this.#engines.size,
       held,
       waiting: this.#waiting.size,
       running: this.#uses.size,
+      slotsInUse: slots.filter((slot) => slot.users > 0).length,
+      slotsIdle: slots.filter((slot) => slot.users === 0 && slot.state === 'loaded').length,
+      slotsLoading: slots.filter((slot) => slot.state === 'loading').length,
+      mostBacklogMs: Math.max(0, ...backlogs),
+      leastBacklogMs: backlogs.length === 0 ? 0 : Math.min(...backlogs),
       coldLoadMs: Math.round(this.#adapters.coldLoadMs),
       gapMs: Math.round(this.#turnover.meanGapMs()),
     };
@@ -222,15 +244,37 @@
       const slot = entry.slots.get(key);
       return slot !== undefined && this.#isUsable(slot, nowMs);
     });
-    if (engine !== undefined && engine.slots.running < CROWDED_ENGINE) {
+    const backlogMs = engine === undefined ? Infinity : this.#backlogMs(engine, nowMs);
+    if (engine !== undefined && backlogMs <= SHORT_BACKLOG_MS) {
       this.#grant(waiting, engine, engine.slots.get(key), nowMs);
       return;
     }
     if (!this.#isLoading(key, request.excluded))
-      this.#startLoad(request.model, request.adapter, waiting, nowMs);
-    if (engine !== undefined && engine.slots.running < engine.slots.backend.slots) {
-      this.#grant(waiting, engine, engine.slots.get(key), nowMs);
+      this.#startLoad(request.model, request.adapter, waiting, backlogMs, nowMs);
+    if (engine === undefined) return;
+    if (backlogMs > LONG_BACKLOG_MS) {
+      this.#lookAgainLater();
+      return;
     }
+    this.#grant(waiting, engine, engine.slots.get(key), nowMs);
+  }
+
+  /** How long an engine is busy with the prompts before a new one; a full engine counts as busy for long. */
+  #backlogMs(entry: EngineEntry, nowMs: number): number {
+    const { slots } = entry;
+    if (slots.running >= slots.backend.slots) return Infinity;
+    const crowdedMs = slots.running < CROWDED_ENGINE ? 0 : SHORT_BACKLOG_MS + 1;
+    return Math.max(slots.workMs(nowMs), crowdedMs);
+  }
+
+  /** Backlogs shrink without an event, so requests that are held back for one are looked at again. */
+  #lookAgainLater(): void {
+    if (this.#looksAgain) return;
+    this.#looksAgain = true;
+    this.#after(BACKLOG_POLL_MS, () => {
+      this.#looksAgain = false;
+      this.schedule();
+    });
   }
 
   #grant(waiting: WaitingRequest, engine: EngineEntry, slot: AdapterSlot | undefined, nowMs: number): void {
@@ -299,7 +343,14 @@
 
   // --- loads -------------------------------------------------------------------------------------
 
-  #startLoad(model: string, adapter: string, waiting: WaitingRequest, nowMs: number): void {
+  /** @param backlogMs the shortest backlog of an engine that has the adapter: a copy must be quicker */
+  #startLoad(
+    model: string,
+    adapter: string,
+    waiting: WaitingRequest,
+    backlogMs: number,
+    nowMs: number,
+  ): void {
     const { request } = waiting;
     const key = adapterKey(model, adapter);
     const { memory } = this.#options;
@@ -308,6 +359,7 @@
     for (const entry of this.#engines.values()) {
       const { slots, lease } = entry;
       if (!this.#isServing(entry, request) || !lease.held || !slots.models.has(model)) continue;
+      if (this.#holds(entry, key)) continue;
       if (memory.has(slots.backend.id, key)) homes.push(slots);
       if (!slots.busy && slots.avoidUntilMs <= nowMs && slots.loadingCount < LOADS_PER_ENGINE)
         able.push(slots);
@@ -318,6 +370,7 @@
       nowMs,
       ageMs: nowMs - waiting.arrivedMs,
       objectiveMs: request.objectiveMs,
+      quickerThanMs: backlogMs,
       mayFetch: this.#fetches() < FETCHES_AT_ONCE,
       coldLoadMs: this.#adapters.coldLoadMs,
       warmLoadMs: this.#adapters.warmLoadMs,
@@ -327,6 +380,13 @@
     if (choice !== undefined && entry !== undefined) void this.#adapters.load(entry, choice, model, adapter);
   }
 
+  /** Whether an engine has an adapter that is still good, so that another load there adds nothing. */
+  #holds(entry: EngineEntry, key: string): boolean {
+    const slot = entry.slots.get(key);
+    if (slot === undefined || slot.state !== 'loaded') return false;
+    return slot.version >= this.#options.adapterVersion(slot.model, slot.adapter);
+  }
+
   /** Fetches from the weight store under way, on all engines. */
   #fetches(): number {
     let count = 0;
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -253,3 +253,20 @@
     t.deepEqual(await soak(seed), []);
   });
 }
+
+test('an adapter in great demand is loaded on a second engine before the prompts on the first one pile up', async (t) => {
+  const clock = new VirtualClock();
+  const engines = [new SimulatedEngine(clock, 'e1'), new SimulatedEngine(clock, 'e2')];
+  const pool = newPool(clock, engines);
+  await clock.runUntil(HELD_MS);
+  const granted: string[] = [];
+  const ask = (): void =>
+    pool.acquire(request('x', { tokens: 3000 }), (decision) => {
+      if (decision.kind === 'granted') granted.push(decision.backendId);
+    });
+  for (let index = 0; index < 12; index += 1) ask();
+  await clock.runUntil(HELD_MS + 700);
+  t.deepEqual([...new Set(granted)].sort(), ['e1', 'e2']);
+  await clock.runUntil(HELD_MS + 3000);
+  t.is(granted.length, 12);
+});
