Order waiting requests by the moment until which they have to start

Change: order by the moment until which a request has to start, 60 ms for each step of priority. Its test fails before.

--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -3,6 +3,11 @@
 /** Part of the objective after which a request that still waits misses it: the engine has yet to read its prompt. */
 export const USEFUL_SHARE = 0.62;
 
+/** A request of one priority lower may start this much later than others that arrived with it. */
+const PRIORITY_STEP_MS = 60;
+/** One that comes back after a refusal goes this much before others: a second refusal costs more. */
+const RETURNED_BONUS_MS = 150;
+
 /** A request that waits for a slot. */
 export interface WaitingRequest {
   readonly request: SlotRequest;
@@ -14,8 +19,9 @@
 }
 
 /**
- * Requests that wait, most urgent first: those that can still meet their objective, by priority and then
- * arrival, before those that cannot.
+ * Requests that wait, most urgent first: those that can still meet their objective before those that cannot,
+ * each by the moment until which it has to start. Priority shifts that moment only a little: with strict
+ * priority the long streams of one kind took all slots, and a kind of short ones waited until it was late.
  */
 export class WaitingList {
   readonly #byId = new Map<string, WaitingRequest>();
@@ -43,10 +49,7 @@
       nowMs - entry.arrivedMs > entry.request.objectiveMs * USEFUL_SHARE ? 1 : 0;
     return [...this.#byId.values()].sort(
       (a, b) =>
-        isLate(a) - isLate(b) ||
-        a.request.priority - b.request.priority ||
-        Number(b.returned) - Number(a.returned) ||
-        a.arrivedMs - b.arrivedMs,
+        isLate(a) - isLate(b) || startByMs(a) - startByMs(b) || a.request.priority - b.request.priority,
     );
   }
 
@@ -54,3 +57,9 @@
     return [...this.#byId.values()];
   }
 }
+
+/** Moment until which a request has to start. */
+function startByMs({ request, arrivedMs, returned }: WaitingRequest): number {
+  const bonusMs = returned ? RETURNED_BONUS_MS : 0;
+  return arrivedMs + request.objectiveMs * USEFUL_SHARE + request.priority * PRIORITY_STEP_MS - bonusMs;
+}
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -5,6 +5,7 @@
   AdapterMemory,
   DEFAULT_SLOT_TIMING,
   SlotPool,
+  WaitingList,
   type SlotDecision,
   type SlotRequest,
   type UseOutcome,
@@ -270,3 +271,21 @@
   await clock.runUntil(HELD_MS + 3000);
   t.is(granted.length, 12);
 });
+
+test('among requests of one objective, an earlier one of lower priority is not overtaken for long', (t) => {
+  const list = new WaitingList();
+  const add = (id: string, arrivedMs: number, priority: number): void =>
+    list.add({
+      request: request('x', { id, priority }),
+      arrivedMs,
+      returned: false,
+      decide: () => undefined,
+    });
+  add('later-urgent', 400, 0);
+  add('earlier', 100, 2);
+  add('together-urgent', 100, 0);
+  t.deepEqual(
+    list.inOrder(450).map(({ request: { id } }) => id),
+    ['together-urgent', 'earlier', 'later-urgent'],
+  );
+});
