--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -4,6 +4,7 @@
 import {
   AdapterMemory,
   DEFAULT_SLOT_TIMING,
+  EngineSlots,
   SlotPool,
   WaitingList,
   type SlotDecision,
@@ -289,3 +290,16 @@
     ['together-urgent', 'earlier', 'later-urgent'],
   );
 });
+
+test('one failure keeps an engine from loads for a moment, several in a row for longer', (t) => {
+  const clock = new VirtualClock();
+  const slots = new EngineSlots(new SimulatedEngine(clock, 'e1').description, PROFILE);
+  slots.failed(0);
+  t.is(slots.avoidUntilMs, 200);
+  slots.failed(100);
+  slots.failed(100);
+  t.is(slots.avoidUntilMs, 900);
+  slots.served();
+  slots.failed(1000);
+  t.is(slots.avoidUntilMs, 1200);
+});
