--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -69,9 +69,13 @@
 const EARLY_REFUSAL_SHARE = 0.2;
 /** A refusal up to this part of the objective counts as early. */
 const EARLY_SHARE = 0.25;
+/** Part of its time after which a request is given up if it is not likely to run in what is left. */
+const HALFWAY_SHARE = 0.45;
 /** Part of its time after which a request that still waits is given up: what is left has to be of use elsewhere. */
 const LONGEST_WAIT_SHARE = 0.97;
 const RETRY_WITHOUT_ENGINE_MS = 1000;
+/** A wait is short if it takes up to this part of what is left of a request's time. */
+const SOON_SHARE = 0.5;
 /** Prompt work that weighs as much as one more running request. */
 const WORK_PER_RUNNING_MS = 25;
 
@@ -168,8 +172,13 @@
     if (this.#waiting.get(request.id) === undefined) return;
     const untilEarlyMs = request.objectiveMs * EARLY_REFUSAL_SHARE - request.ageMs;
     this.#after(Math.max(untilEarlyMs, 1), () => this.#refuseIfHopeless(request.id));
-    const untilGivenUpMs = request.timeoutMs * LONGEST_WAIT_SHARE - request.ageMs;
-    this.#after(Math.max(untilGivenUpMs, 1), () => this.#giveUp(request.id));
+    this.#afterAge(request, HALFWAY_SHARE, () => this.#giveUpIfHopeless(request.id));
+    this.#afterAge(request, LONGEST_WAIT_SHARE, () => this.#giveUp(request.id));
+  }
+
+  /** Calls back when a part of a request's time is over. */
+  #afterAge(request: SlotRequest, share: number, action: () => void): void {
+    this.#after(Math.max(request.timeoutMs * share - request.ageMs, 1), action);
   }
 
   /** The client went away, or the request is served in another way. */
@@ -425,13 +434,32 @@
     if (request.adapter !== undefined && this.#isLoading(adapterKey(request.model, request.adapter), []))
       return;
     const nowMs = this.#options.clock.now();
-    const ahead = this.#waiting.inOrder(nowMs).indexOf(waiting);
-    const waitMs = (ahead + 1) * this.#turnover.meanGapMs() + this.#adapters.coldLoadMs;
+    const waitMs = this.#expectedWaitMs(waiting);
     if (nowMs - waiting.arrivedMs + waitMs <= request.objectiveMs * USEFUL_SHARE) return;
     this.#waiting.remove(requestId);
     this.#refuse(waiting, 'no-slot-in-time', waitMs);
   }
 
+  /**
+   * Gives a late request up while the client still has time for another attempt, unless its turn comes soon.
+   * To hold it to its end and fail then is the worst for the client.
+   */
+  #giveUpIfHopeless(requestId: string): void {
+    const waiting = this.#waiting.get(requestId);
+    if (waiting === undefined) return;
+    const { request } = waiting;
+    if (request.adapter !== undefined && this.#isLoading(adapterKey(request.model, request.adapter), []))
+      return;
+    const leftMs = request.timeoutMs * (LONGEST_WAIT_SHARE - HALFWAY_SHARE);
+    if (this.#expectedWaitMs(waiting) > leftMs * SOON_SHARE) this.#giveUp(requestId);
+  }
+
+  /** How long until the turn of a request that waits, and its load. */
+  #expectedWaitMs(waiting: WaitingRequest): number {
+    const ahead = this.#waiting.inOrder(this.#options.clock.now()).indexOf(waiting);
+    return (ahead + 1) * this.#turnover.meanGapMs() + this.#adapters.coldLoadMs;
+  }
+
   #giveUp(requestId: string): void {
     const waiting = this.#waiting.remove(requestId);
     if (waiting !== undefined) this.#refuse(waiting, 'no-slot-in-time', RETRY_WITHOUT_ENGINE_MS);
