Let a few nodes of a large fleet read the store for the others

Change: in fleets of more than 16 nodes six read it, with leaders and their next; the others ask these for what matters to routing. Stale readers are passed over, and a node that finds no fresh one reads itself. Tests: state-follower (6 cases).

--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -114,6 +114,12 @@
     this.#pauses.stop();
   }
 
+  /** Whether this node leads a pool or observes one since it may have to. */
+  get takesPart(): boolean {
+    for (const { pool } of this.#pools.values()) if (pool !== undefined) return true;
+    return false;
+  }
+
   /** Figures of the pools that this node leads. */
   describe(): (PoolFigures & { pool: string })[] {
     const rows = [];
--- a/packages/gateway/src/cluster/state-exchange.ts
+++ b/packages/gateway/src/cluster/state-exchange.ts
@@ -7,6 +7,9 @@
 /** Pause between two looks at peers while the store gives this node no answers. */
 const POLL_PERIOD_MS = 600;
 
+/** Peers asked at the same time: with a new version in a large fleet, many show it at once. */
+const MOST_ASKED = 2;
+
 export const SNAPSHOT_METHOD = 'fleet.snapshot';
 
 /** Params of {@link SNAPSHOT_METHOD}: what the asking node knows already. */
@@ -76,7 +79,7 @@
   }
 
   async #ask(address: string): Promise<void> {
-    if (this.#asking.has(address)) return;
+    if (this.#asking.has(address) || this.#asking.size >= MOST_ASKED) return;
     this.#asking.add(address);
     const known: SnapshotRequest = {
       configurationVersion: this.#fleet.configurationVersion,
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -28,6 +28,7 @@
   snapshotFor,
   type SnapshotRequest,
 } from './cluster/state-exchange.js';
+import { FOLLOW_METHOD, StateFollower, type FollowRequest } from './cluster/state-follower.js';
 import { GatewayMetrics } from './gateway-metrics.js';
 import { PeerNetwork } from './peers/peer-network.js';
 import type { PeerMethods } from './peers/peer-connection.js';
@@ -47,6 +48,8 @@
   readonly peerKey: string;
   readonly retryBudget: RetryBudgetOptions;
   readonly slotTiming: SlotTiming;
+  /** Time within which each node has to know that a backend leaves. */
+  readonly drainMs: number;
   /** Time from the signal to stop until the process has to be gone. */
   readonly stopGraceMs: number;
   /** Whether the whole system starts for the first time. */
@@ -73,6 +76,8 @@
 const STOP_POLL_MS = 50;
 const TOKEN_BYTES = 6;
 const METRICS_PERIOD_MS = 1000;
+/** Part of the time in which a leaving backend must be known that lies between two questions to readers. */
+const FOLLOW_SHARE = 0.2;
 
 /** An entry node that passes requests on to backends unaltered. */
 export class GatewayNode {
@@ -84,6 +89,7 @@
   readonly #network: PeerNetwork;
   readonly #slots: SlotService;
   readonly #exchange: StateExchange;
+  readonly #follower: StateFollower;
   readonly #connections = new BackendConnections();
   readonly #clients: ClientServer;
   readonly #budgets = new Map<string, RetryBudget>();
@@ -119,6 +125,18 @@
     const peers = (): string[] => this.#cluster.peerAddresses();
     const { fleet } = this;
     this.#exchange = new StateExchange({ fleet, network: this.#network, clock, random, telemetry, peers });
+    this.#follower = new StateFollower({
+      clock,
+      fleet,
+      network: this.#network,
+      telemetry,
+      selfId: settings.nodeId,
+      nodeCount: () => this.#cluster.nodeCount,
+      ranked: () => this.#cluster.candidates(READERS_POOL),
+      peerAddress: (id) => this.#cluster.peerAddress(id),
+      needsWholeState: () => this.#slots.takesPart,
+      pollMs: settings.drainMs * FOLLOW_SHARE,
+    });
     this.#slots = new SlotService({
       clock,
       fleet,
@@ -163,6 +181,7 @@
     if (front.isErr()) return err(front.error);
     node.#cluster.start();
     node.#exchange.start();
+    node.#follower.start();
     node.#slots.start();
     void node.#updateMetrics();
     return ok(node);
@@ -178,6 +197,16 @@
     this.#exchange.sourceAnswers = answers;
   }
 
+  /** Whether this node reads the published state itself; otherwise others do so for it. */
+  get readsSource(): boolean {
+    return this.#follower.reads;
+  }
+
+  /** The list of backends was read just now, or is known not to have changed. */
+  sourceHeard(): void {
+    this.#follower.heard();
+  }
+
   /** Planned stop: leaves the directory, serves what it has, and resolves before the grace time is over. */
   async stop(): Promise<void> {
     const { clock, settings, telemetry } = { ...this.#options };
@@ -202,6 +231,7 @@
   /** Ends at once, as a crash would. */
   close(): void {
     this.#exchange.stop();
+    this.#follower.stop();
     this.#slots.stop();
     this.#cluster.stop();
     this.#network.close();
@@ -226,6 +256,7 @@
   #methods(): PeerMethods {
     return {
       [SNAPSHOT_METHOD]: (params) => snapshotFor(this.fleet, params as SnapshotRequest),
+      [FOLLOW_METHOD]: (params) => this.#follower.answer(params as FollowRequest),
       [ACQUIRE_METHOD]: (params, peer) => this.#slots.onAcquire(params as AcquireParams, peer),
       [CANCEL_METHOD]: (params, peer) => this.#slots.onCancel(params as ReleaseParams, peer),
       [RELEASE_METHOD]: (params, peer) => this.#slots.onRelease(params as ReleaseParams, peer),
@@ -271,6 +302,9 @@
   }
 }
 
+/** Name under which nodes are ranked as readers of the published state. */
+const READERS_POOL = 'published-state';
+
 /** An IPv4 address as a number, different for every machine. */
 function ipNumber(ip: string): number {
   return ip.split('.').reduce((number, part) => number * 256 + Number(part), 0);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,13 @@
 /** The entry node that passes requests on to backends unaltered, and the policies by which it chooses them. */
 export { GatewayNode, type GatewayOptions, type GatewaySettings } from './gateway-node.js';
 export { listen, type ListenError } from './client-server.js';
+export {
+  StateFollower,
+  type FollowAnswer,
+  type FollowRequest,
+  type PeerCaller,
+  type StateFollowerOptions,
+} from './cluster/state-follower.js';
 export { Directory } from './cluster/directory.js';
 export type { RetryBudgetOptions } from './backends/retry-budget.js';
 export { RetryBudget } from './backends/retry-budget.js';
--- /dev/null
+++ b/packages/gateway/test/state-follower.test.ts
@@ -0,0 +1,148 @@
+import { VirtualClock } from '@canvasridge/clock';
+import { FleetState, type BackendDescription, type ServingConfiguration } from '@canvasridge/serving';
+import { Telemetry } from '@canvasridge/telemetry';
+import test from 'ava';
+import { StateFollower, type FollowAnswer, type FollowRequest } from '../src/index.js';
+
+const POLL_MS = 400;
+const CONFIGURATION: ServingConfiguration = {
+  version: 3,
+  routes: [],
+  services: [],
+  limits: { maxHeaderBytes: 8192, maxBodyBytes: 65_536, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
+};
+
+function backend(id: string, state: 'ready' | 'draining', adapters: readonly string[]): BackendDescription {
+  const held = adapters.map((name) => ({ name, version: 1 }));
+  return {
+    id,
+    service: 'llm',
+    address: '127.0.0.1:1',
+    zone: 'z',
+    state,
+    slots: 4,
+    models: [{ name: 'base', adapters: held }],
+  };
+}
+
+/** A fleet in which only the first `readers` nodes of `count` answer; the node under test is the last one. */
+class Fleet {
+  readonly clock = new VirtualClock();
+  readonly own = new FleetState();
+  readonly published = new FleetState();
+  readonly asked: string[] = [];
+  readonly follower: StateFollower;
+  fresh: (id: string) => boolean = () => true;
+  silent = false;
+
+  constructor(count: number) {
+    const ids = Array.from({ length: count }, (_, index) => `node-${index}`);
+    const reader = new StateFollower({ ...this.#options(ids, ids[0] ?? ''), fleet: this.published });
+    this.published.applyConfiguration(CONFIGURATION);
+    this.published.confirmOperatorState(10);
+    this.published.replaceBackends(10, [{ revision: 5, value: backend('e1', 'ready', ['a']) }]);
+    this.follower = new StateFollower({
+      ...this.#options(ids, ids.at(-1) ?? ''),
+      fleet: this.own,
+      network: {
+        to: (address) => ({
+          call: (_method, params) => {
+            this.asked.push(address);
+            if (this.silent) return Promise.resolve(undefined);
+            const answer: FollowAnswer = {
+              ...reader.answer(params as FollowRequest),
+              fresh: this.fresh(address),
+            };
+            return Promise.resolve(JSON.parse(JSON.stringify(answer)));
+          },
+        }),
+      },
+    });
+  }
+
+  /** The node reads the store by itself once, as after its start. */
+  readOnce(): void {
+    this.own.applyConfiguration(CONFIGURATION);
+    this.own.replaceBackends(9, [{ revision: 5, value: backend('e1', 'ready', ['a']) }]);
+  }
+
+  #options(ids: readonly string[], selfId: string) {
+    return {
+      clock: this.clock,
+      network: { to: () => ({ call: () => Promise.resolve(undefined) }) },
+      telemetry: new Telemetry({ processName: 'test', clock: this.clock }),
+      selfId,
+      nodeCount: () => ids.length,
+      ranked: () => ids,
+      peerAddress: (id: string) => id,
+      needsWholeState: () => false,
+      pollMs: POLL_MS,
+    };
+  }
+}
+
+test('each node of a small fleet reads the store, and asks nobody', async (t) => {
+  const fleet = new Fleet(9);
+  fleet.readOnce();
+  fleet.follower.start();
+  await fleet.clock.runUntil(5000);
+  t.true(fleet.follower.reads);
+  t.deepEqual(fleet.asked, []);
+});
+
+test('in a large fleet a node follows readers, and learns that a backend leaves', async (t) => {
+  const fleet = new Fleet(40);
+  fleet.readOnce();
+  fleet.follower.start();
+  await fleet.clock.runUntil(1000);
+  t.false(fleet.follower.reads);
+  fleet.published.applyBackend(12, backend('e1', 'draining', ['a']));
+  await fleet.clock.runUntil(1000 + 2 * POLL_MS);
+  t.is(fleet.own.backend('e1')?.state, 'draining');
+  t.true(new Set(fleet.asked).size > 1);
+  t.true(fleet.asked.every((id) => Number(id.slice('node-'.length)) < 6));
+});
+
+test('a node that knows no configuration and gets no answer reads the store itself', async (t) => {
+  const fleet = new Fleet(40);
+  fleet.silent = true;
+  fleet.follower.start();
+  await fleet.clock.runUntil(100);
+  t.true(fleet.follower.reads);
+});
+
+test('a reader that did not hear from the store is passed over, and without any the node reads itself', async (t) => {
+  const fleet = new Fleet(40);
+  fleet.readOnce();
+  fleet.fresh = (id) => id === 'node-3';
+  fleet.follower.start();
+  await fleet.clock.runUntil(6000);
+  t.false(fleet.follower.reads);
+  fleet.fresh = () => false;
+  await fleet.clock.runUntil(8000);
+  t.true(fleet.follower.reads);
+  fleet.fresh = () => true;
+  await fleet.clock.runUntil(9000);
+  t.false(fleet.follower.reads);
+});
+
+test('adapters that come and go on a backend are no change for followers', (t) => {
+  const state = new FleetState();
+  state.applyBackend(5, backend('e1', 'ready', ['a']));
+  state.applyBackend(6, backend('e1', 'ready', ['a', 'b']));
+  t.is(state.routingRevision, 5);
+  state.applyBackend(7, backend('e1', 'draining', ['a', 'b']));
+  t.is(state.routingRevision, 7);
+  state.removeBackend(9, 'e1');
+  t.is(state.routingRevision, 9);
+});
+
+test('a whole entry takes the place of a partial one of the same revision', (t) => {
+  const published = new FleetState();
+  published.replaceBackends(8, [{ revision: 5, value: backend('e1', 'ready', ['a']) }]);
+  const own = new FleetState();
+  own.applyListing(published.listing());
+  t.deepEqual(own.backend('e1')?.models, [{ name: 'base', adapters: [] }]);
+  own.replaceBackends(9, [{ revision: 5, value: backend('e1', 'ready', ['a']) }]);
+  t.is(own.backend('e1')?.models[0]?.adapters.length, 1);
+});
--- a/packages/serving/src/fleet-state.ts
+++ b/packages/serving/src/fleet-state.ts
@@ -6,6 +6,8 @@
 export interface Revised<T> {
   readonly revision: number;
   readonly value: T;
+  /** Some of what was written is left out, so that the whole entry of the same revision rules. */
+  readonly partial?: boolean;
 }
 
 /** The published version of an adapter. */
@@ -24,6 +26,23 @@
   readonly backends: readonly Revised<BackendDescription>[];
 }
 
+/** What a node needs for routing of the list of backends: all but the adapters that they hold. */
+export interface BackendListing {
+  /** Revision up to which the list is complete. */
+  readonly revision: number;
+  /** Revision of the last change in it that matters for routing. */
+  readonly routingRevision: number;
+  readonly backends: readonly Revised<BackendDescription>[];
+}
+
+/** What operators published beside the list of backends. */
+export interface OperatorState {
+  /** Revision of the newest entry that is part of it. */
+  readonly revision: number;
+  readonly configuration: ServingConfiguration | undefined;
+  readonly adapterVersions: readonly AdapterVersion[];
+}
+
 export type FleetChange = 'configuration' | 'adapter-version' | 'backends';
 
 type ChangeListener = (change: FleetChange) => void;
@@ -39,6 +58,8 @@
   readonly #adapterVersions = new Map<string, AdapterVersion>();
   #routes: RouteTable | undefined;
   #backendsRevision = 0;
+  #routingRevision = 0;
+  #operatorRevision = 0;
 
   onChange(listener: ChangeListener): void {
     this.#listeners.push(listener);
@@ -58,6 +79,21 @@
     return this.#backendsRevision;
   }
 
+  /** Revision of the last change in the list of backends that matters for routing. */
+  get routingRevision(): number {
+    return this.#routingRevision;
+  }
+
+  /** Revision of the newest entry of the operators that is known. */
+  get operatorRevision(): number {
+    return this.#operatorRevision;
+  }
+
+  /** An entry of the operators was taken over that stands at this revision. */
+  confirmOperatorState(revision: number): void {
+    this.#operatorRevision = Math.max(this.#operatorRevision, revision);
+  }
+
   backend(id: string): BackendDescription | undefined {
     return this.#backends.get(id)?.value;
   }
@@ -93,15 +129,15 @@
 
   applyBackend(revision: number, value: BackendDescription): void {
     const known = this.#backends.get(value.id);
-    if (known !== undefined && known.revision >= revision) return;
-    this.#backends.set(value.id, { revision, value });
+    if (known !== undefined && !supersedes({ revision, value }, known)) return;
+    this.#take({ revision, value }, known);
     this.#backendsChanged(revision);
   }
 
   removeBackend(revision: number, id: string): void {
     const known = this.#backends.get(id);
     if (known === undefined || known.revision >= revision) return;
-    this.#backends.delete(id);
+    this.#remove(id, revision);
     this.#backendsChanged(revision);
   }
 
@@ -110,11 +146,11 @@
     if (revision < this.#backendsRevision) return;
     const listed = new Set(entries.map((entry) => entry.value.id));
     for (const [id, known] of this.#backends) {
-      if (!listed.has(id) && known.revision <= revision) this.#backends.delete(id);
+      if (!listed.has(id) && known.revision <= revision) this.#remove(id, revision);
     }
     for (const entry of entries) {
       const known = this.#backends.get(entry.value.id);
-      if (known === undefined || known.revision < entry.revision) this.#backends.set(entry.value.id, entry);
+      if (known === undefined || supersedes(entry, known)) this.#take(entry, known);
     }
     this.#backendsChanged(revision);
   }
@@ -124,6 +160,35 @@
     this.#backendsRevision = Math.max(this.#backendsRevision, revision);
   }
 
+  /** What peers need that do not read the list of backends themselves. */
+  listing(): BackendListing {
+    return {
+      revision: this.#backendsRevision,
+      routingRevision: this.#routingRevision,
+      backends: [...this.#backends.values()].map(withoutAdapters),
+    };
+  }
+
+  /** Takes over the listing of a peer that reads the list of backends. */
+  applyListing(listing: BackendListing): void {
+    this.replaceBackends(listing.revision, listing.backends);
+    this.#routingRevision = Math.max(this.#routingRevision, listing.routingRevision);
+  }
+
+  operatorState(): OperatorState {
+    return {
+      revision: this.#operatorRevision,
+      configuration: this.#routes?.configuration,
+      adapterVersions: [...this.#adapterVersions.values()],
+    };
+  }
+
+  applyOperatorState(state: OperatorState): void {
+    if (state.configuration !== undefined) this.applyConfiguration(state.configuration);
+    for (const published of state.adapterVersions) this.applyAdapterVersion(published);
+    this.confirmOperatorState(state.revision);
+  }
+
   snapshot(): FleetSnapshot {
     return {
       configuration: this.#routes?.configuration,
@@ -142,6 +207,20 @@
     }
   }
 
+  #take(entry: Revised<BackendDescription>, known: Revised<BackendDescription> | undefined): void {
+    this.#backends.set(entry.value.id, entry);
+    if (known === undefined || !routesAlike(entry.value, known.value)) this.#routingChanged(entry.revision);
+  }
+
+  #remove(id: string, revision: number): void {
+    this.#backends.delete(id);
+    this.#routingChanged(revision);
+  }
+
+  #routingChanged(revision: number): void {
+    this.#routingRevision = Math.max(this.#routingRevision, revision);
+  }
+
   #backendsChanged(revision: number): void {
     this.#backendsRevision = Math.max(this.#backendsRevision, revision);
     this.#backendsByService.clear();
@@ -157,3 +236,26 @@
     for (const listener of this.#listeners) listener(change);
   }
 }
+
+function supersedes(entry: Revised<BackendDescription>, known: Revised<BackendDescription>): boolean {
+  if (entry.revision !== known.revision) return entry.revision > known.revision;
+  return known.partial === true && entry.partial !== true;
+}
+
+/** Whether two descriptions of a backend are the same but for the adapters that it holds. */
+function routesAlike(a: BackendDescription, b: BackendDescription): boolean {
+  return (
+    a.service === b.service &&
+    a.address === b.address &&
+    a.zone === b.zone &&
+    a.state === b.state &&
+    a.slots === b.slots &&
+    a.models.length === b.models.length &&
+    a.models.every((model, index) => model.name === b.models[index]?.name)
+  );
+}
+
+function withoutAdapters({ revision, value }: Revised<BackendDescription>): Revised<BackendDescription> {
+  const models = value.models.map(({ name }) => ({ name, adapters: [] }));
+  return { revision, value: { ...value, models }, partial: true };
+}
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -14,7 +14,9 @@
 export {
   FleetState,
   type AdapterVersion,
+  type BackendListing,
   type FleetChange,
   type FleetSnapshot,
+  type OperatorState,
   type Revised,
 } from './fleet-state.js';
