--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -11,6 +11,7 @@
 } from './configuration.js';
 export { RouteTable, pickService } from './route-table.js';
 export { adapterKey, type BackendDescription, type HeldAdapter, type HeldModel } from './backend.js';
+export { BackendLapses } from './backend-lapses.js';
 export {
   FleetState,
   type AdapterVersion,
--- a/packages/slots/src/engine-entry.ts
+++ b/packages/slots/src/engine-entry.ts
@@ -5,4 +5,6 @@
 export interface EngineEntry {
   readonly slots: EngineSlots;
   readonly lease: OrderLease;
+  /** When it left the published list; undefined while it is listed. It is given no work meanwhile. */
+  unlistedSinceMs: number | undefined;
 }
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -74,6 +74,8 @@
 /** Part of its time after which a request that still waits is given up: what is left has to be of use elsewhere. */
 const LONGEST_WAIT_SHARE = 0.97;
 const RETRY_WITHOUT_ENGINE_MS = 1000;
+/** How long an engine that left the list is remembered. */
+const KEPT_UNLISTED_MS = 8000;
 /** A wait is short if it takes up to this part of what is left of a request's time. */
 const SOON_SHARE = 0.5;
 /** Prompt work that weighs as much as one more running request. */
@@ -111,7 +113,7 @@
     const after = (delayMs: number, action: () => void): void => this.#after(delayMs, action);
     const onChange = (): void => this.schedule();
     this.#adapters = new AdapterLoader({ clock, timing, memory, adapterVersion, after, onChange });
-    const engines = (): Iterable<EngineEntry> => this.#engines.values();
+    const engines = (): Iterable<EngineEntry> => this.#listed();
     this.#models = new ModelLoader({ clock, engines, pollMs: timing.observePeriodMs, after, onChange });
     this.#refused = new RefusedRequests(options.clock);
   }
@@ -120,9 +122,8 @@
   setEngines(backends: readonly BackendDescription[], profile: EngineProfile): void {
     const listed = new Set(backends.map((backend) => backend.id));
     for (const [id, entry] of this.#engines) {
-      if (listed.has(id)) continue;
-      entry.lease.close();
-      this.#engines.delete(id);
+      if (listed.has(id)) entry.unlistedSinceMs = undefined;
+      else if (entry.unlistedSinceMs === undefined) this.#unlist(id, entry);
     }
     this.#models.setRate(profile.storeLoadsPerSecond);
     for (const backend of backends) {
@@ -214,12 +215,12 @@
   /** Figures for logs and metrics. */
   describe(): PoolFigures {
     const nowMs = this.#options.clock.now();
-    const entries = [...this.#engines.values()];
+    const entries = this.#listed();
     const held = entries.filter(({ lease }) => lease.held).length;
     const slots = entries.flatMap((entry) => [...entry.slots.slots.values()]);
     const backlogs = entries.map((entry) => Math.round(entry.slots.workMs(nowMs)));
     return {
-      engines: this.#engines.size,
+      engines: entries.length,
       held,
       waiting: this.#waiting.size,
       running: this.#uses.size,
@@ -323,7 +324,11 @@
 
   #isServing(entry: EngineEntry, request: SlotRequest): boolean {
     const { backend } = entry.slots;
-    return backend.state === 'ready' && !request.excluded.includes(backend.id);
+    return (
+      entry.unlistedSinceMs === undefined &&
+      backend.state === 'ready' &&
+      !request.excluded.includes(backend.id)
+    );
   }
 
   /** An adapter whose version was overtaken serves on for a short while, until a newer one is loaded. */
@@ -467,7 +472,9 @@
 
   #hasEngines(request: SlotRequest): boolean {
     for (const entry of this.#engines.values()) {
-      if (entry.slots.models.has(request.model) && entry.slots.backend.state === 'ready') return true;
+      const { models, backend } = entry.slots;
+      if (entry.unlistedSinceMs !== undefined) continue;
+      if (models.has(request.model) && backend.state === 'ready') return true;
     }
     return false;
   }
@@ -483,6 +490,24 @@
     waiting.decide({ kind: 'refused', requestId: waiting.request.id, reason, retryAfterMs });
   }
 
+  #listed(): EngineEntry[] {
+    return [...this.#engines.values()].filter((entry) => entry.unlistedSinceMs === undefined);
+  }
+
+  /**
+   * Keeps an engine that is not listed any more for a while, without giving it work: entries also lapse while
+   * the publishing store is away, and the right to order would have to be observed anew when they are back.
+   */
+  #unlist(id: string, entry: EngineEntry): void {
+    const sinceMs = this.#options.clock.now();
+    entry.unlistedSinceMs = sinceMs;
+    this.#after(KEPT_UNLISTED_MS, () => {
+      if (entry.unlistedSinceMs !== sinceMs) return;
+      entry.lease.close();
+      this.#engines.delete(id);
+    });
+  }
+
   // --- engines -----------------------------------------------------------------------------------
 
   #addEngine(backend: BackendDescription, profile: EngineProfile): void {
@@ -502,11 +527,12 @@
       holder,
       telemetry,
       mayOrder,
-      mayObserve,
+      mayObserve: () => mayObserve() && this.#engines.get(backend.id)?.unlistedSinceMs === undefined,
       mayTakeUnused,
       onReport,
     });
-    this.#engines.set(backend.id, { slots, lease });
+    const entry: EngineEntry = { slots, lease, unlistedSinceMs: undefined };
+    this.#engines.set(backend.id, entry);
   }
 
   #after(delayMs: number, action: () => void): void {
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -303,3 +303,22 @@
   slots.failed(1000);
   t.is(slots.avoidUntilMs, 1200);
 });
+
+test('an engine that leaves the list for a moment is still held when it is back, and got no work meanwhile', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e1');
+  const pool = newPool(clock, [engine]);
+  await clock.runUntil(HELD_MS);
+  t.is(pool.describe().held, 1);
+  pool.setEngines([], PROFILE);
+  let granted = false;
+  pool.acquire(request('x'), (decision) => {
+    granted = decision.kind === 'granted';
+  });
+  await clock.runUntil(HELD_MS + 150);
+  t.deepEqual([pool.describe().engines, granted, engine.taken.length], [0, false, 0]);
+  pool.setEngines([engine.description], PROFILE);
+  t.is(pool.describe().held, 1);
+  await clock.runUntil(HELD_MS + 600);
+  t.true(granted);
+});
