--- a/packages/slots/src/engine-slots.ts
+++ b/packages/slots/src/engine-slots.ts
@@ -34,10 +34,6 @@
 /** A load that was ordered so long ago has ended, whether a request ran on it or not. */
 const CERTAIN_AFTER_MS = 3000;
 
-/** Pause after a failure, doubled with each further one in a row. */
-const FIRST_AVOIDANCE_MS = 200;
-const LONGEST_AVOIDANCE_MS = 1600;
-
 /** What one node believes of the models, adapters and requests on one engine. */
 export class EngineSlots {
   backend: BackendDescription;
@@ -48,10 +44,9 @@
   running = 0;
   /** A model is being loaded or unloaded. */
   busy = false;
-  /** Few new requests and no loads before this time, after failures. */
+  /** No new requests before this time, after failures. */
   avoidUntilMs = 0;
 
-  #failures = 0;
   #workMs = 0;
   #workAtMs = 0;
 
@@ -61,21 +56,6 @@
     for (const model of backend.models) this.models.add(model.name);
   }
 
-  /**
-   * A request failed here. One failure among many good answers says little, while each more in a row says that
-   * the engine is gone or ill.
-   */
-  failed(nowMs: number): void {
-    this.#failures += 1;
-    const pauseMs = Math.min(FIRST_AVOIDANCE_MS * 2 ** (this.#failures - 1), LONGEST_AVOIDANCE_MS);
-    this.avoidUntilMs = nowMs + pauseMs;
-  }
-
-  /** A request was served here. */
-  served(): void {
-    this.#failures = 0;
-  }
-
   /** A request was sent here whose prompt has to be read. */
   addWork(tokens: number, nowMs: number): void {
     this.#workMs = this.workMs(nowMs) + tokens * PROMPT_MS_PER_TOKEN;
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -12,7 +12,6 @@
 export { AdapterMemory } from './adapter-memory.js';
 export { SlotPool, type PoolFigures, type SlotPoolOptions } from './slot-pool.js';
 export { WaitingList } from './waiting-list.js';
-export { EngineSlots } from './engine-slots.js';
 export type { RefusalReason, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
 export { DEFAULT_SLOT_TIMING, type SlotTiming } from './timing.js';
 export { PoolLeadership, type LeadershipPeers, type PoolClaim } from './pool-leadership.js';
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -73,6 +73,7 @@
 const HALFWAY_SHARE = 0.45;
 /** Part of its time after which a request that still waits is given up: what is left has to be of use elsewhere. */
 const LONGEST_WAIT_SHARE = 0.97;
+const AVOID_AFTER_FAILURE_MS = 1500;
 const RETRY_WITHOUT_ENGINE_MS = 1000;
 /** How long an engine that left the list is remembered. */
 const KEPT_UNLISTED_MS = 8000;
@@ -198,8 +199,9 @@
     if (entry !== undefined) {
       entry.slots.running -= 1;
       if (outcome === 'not-present') this.#notPresent(entry, use.slot, nowMs);
-      else if (outcome === 'failed' || outcome === 'refused') entry.slots.failed(nowMs);
-      else if (outcome === 'served') this.#served(entry, use.slot);
+      else if (outcome === 'failed' || outcome === 'refused') {
+        entry.slots.avoidUntilMs = nowMs + AVOID_AFTER_FAILURE_MS;
+      } else if (outcome === 'served' && use.slot !== undefined) this.#adapters.served(use.slot);
     }
     this.schedule();
   }
@@ -408,11 +410,6 @@
     return count;
   }
 
-  #served(entry: EngineEntry, slot: AdapterSlot | undefined): void {
-    entry.slots.served();
-    if (slot !== undefined) this.#adapters.served(slot);
-  }
-
   /** The engine did not have what it was thought to have. */
   #notPresent(entry: EngineEntry, slot: AdapterSlot | undefined, nowMs: number): void {
     if (slot !== undefined) {
@@ -420,7 +417,7 @@
       return;
     }
     entry.lease.settle();
-    entry.slots.failed(nowMs);
+    entry.slots.avoidUntilMs = nowMs + AVOID_AFTER_FAILURE_MS;
   }
 
   // --- refusals ----------------------------------------------------------------------------------
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -4,7 +4,6 @@
 import {
   AdapterMemory,
   DEFAULT_SLOT_TIMING,
-  EngineSlots,
   SlotPool,
   WaitingList,
   type SlotDecision,
@@ -291,19 +290,6 @@
   );
 });
 
-test('one failure keeps an engine from loads for a moment, several in a row for longer', (t) => {
-  const clock = new VirtualClock();
-  const slots = new EngineSlots(new SimulatedEngine(clock, 'e1').description, PROFILE);
-  slots.failed(0);
-  t.is(slots.avoidUntilMs, 200);
-  slots.failed(100);
-  slots.failed(100);
-  t.is(slots.avoidUntilMs, 900);
-  slots.served();
-  slots.failed(1000);
-  t.is(slots.avoidUntilMs, 1200);
-});
-
 test('an engine that leaves the list for a moment is still held when it is back, and got no work meanwhile', async (t) => {
   const clock = new VirtualClock();
   const engine = new SimulatedEngine(clock, 'e1');
