--- a/packages/slots/src/engine-slots.ts
+++ b/packages/slots/src/engine-slots.ts
@@ -32,7 +32,7 @@
  */
 const PROMPT_SHARE = 1.1;
 /** A load that was ordered so long ago has ended, whether a request ran on it or not. */
-const CERTAIN_AFTER_MS = 3000;
+const CERTAIN_AFTER_MS = 1200;
 
 /** What one node believes of the models, adapters and requests on one engine. */
 export class EngineSlots {
