Tell refused clients when loads will be possible again

Cause: after a change of leader nothing can be loaded for up to 3.2 s, and refusals named a wait worked out from the turnover of slots. Change: the wait counts the time until the first lease is held. Its test fails before.

--- a/packages/slots/src/order-lease.ts
+++ b/packages/slots/src/order-lease.ts
@@ -64,6 +64,23 @@
     return this.#state.kind === 'held';
   }
 
+  /** How long until this node becomes holder, in milliseconds, if nothing comes between. Infinity if closed. */
+  get heldInMs(): number {
+    const state = this.#state;
+    const { timing, clock } = this.#options;
+    switch (state.kind) {
+      case 'held':
+      case 'settling':
+        return 0;
+      case 'observing': {
+        const leaseMs = timing.leaseMs + timing.leaseMarginMs;
+        return state.count === undefined ? leaseMs : Math.max(state.sinceMs + leaseMs - clock.now(), 0);
+      }
+      case 'closed':
+        return Infinity;
+    }
+  }
+
   /** Looks again at once, since this node may order now. */
   wake(): void {
     if (this.#state.kind === 'observing') this.#changed.notify();
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -459,7 +459,14 @@
   /** How long until the turn of a request that waits, and its load. */
   #expectedWaitMs(waiting: WaitingRequest): number {
     const ahead = this.#waiting.inOrder(this.#options.clock.now()).indexOf(waiting);
-    return (ahead + 1) * this.#turnover.meanGapMs() + this.#adapters.coldLoadMs;
+    const turnMs = (ahead + 1) * this.#turnover.meanGapMs();
+    return Math.max(turnMs, this.#untilFirstOrderMs()) + this.#adapters.coldLoadMs;
+  }
+
+  /** How long until this node may load adapters on any engine; 0 while no engine is listed. */
+  #untilFirstOrderMs(): number {
+    const untilMs = Math.min(...this.#listed().map(({ lease }) => lease.heldInMs));
+    return Number.isFinite(untilMs) ? untilMs : 0;
   }
 
   #giveUp(requestId: string): void {
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -308,3 +308,16 @@
   await clock.runUntil(HELD_MS + 600);
   t.true(granted);
 });
+
+test('while no load can be ordered, a refusal tells when that will be possible', async (t) => {
+  const clock = new VirtualClock();
+  const pool = newPool(clock, [new SimulatedEngine(clock, 'e1')]);
+  await clock.runUntil(500);
+  let decision: SlotDecision | undefined;
+  pool.acquire(request('x'), (given) => {
+    decision = given;
+  });
+  await clock.runUntil(500 + 260);
+  if (decision?.kind !== 'refused') return t.fail('not refused');
+  t.true(decision.retryAfterMs > 2000 && decision.retryAfterMs < LEASE_MS + 1000);
+});
