--- /dev/null
+++ b/packages/slots/src/engine-choice.ts
@@ -0,0 +1,87 @@
+import { adapterKey } from '@canvasridge/serving';
+import type { EngineEntry } from './engine-entry.js';
+import type { EngineRegistry } from './engine-registry.js';
+import type { AdapterSlot } from './engine-slots.js';
+import type { SlotRequest } from './slot-request.js';
+
+/** Requests on one engine beyond which it takes more only when no other engine gets the adapter: its memory fills up. */
+const CROWDED_ENGINE = 40;
+/** Prompts ahead of a request, in ms, up to which no other engine is looked for. */
+export const SHORT_BACKLOG_MS = 150;
+/** Prompt work that weighs as much as one more running request. */
+const WORK_PER_RUNNING_MS = 25;
+/** Time after which an adapter of an older version serves no new requests. */
+const OUTDATED_GRACE_MS = 1500;
+
+/** The version of an adapter that was published, 0 if none was. */
+export type PublishedVersion = (model: string, adapter: string) => number;
+
+/** Chooses among the engines that can run a request now. */
+export class EngineChoice {
+  readonly #engines: EngineRegistry;
+  readonly #publishedVersion: PublishedVersion;
+
+  constructor(engines: EngineRegistry, publishedVersion: PublishedVersion) {
+    this.#engines = engines;
+    this.#publishedVersion = publishedVersion;
+  }
+
+  /** The least busy engine that has what the request needs. */
+  best(request: SlotRequest, nowMs: number): EngineEntry | undefined {
+    let best: EngineEntry | undefined;
+    for (const entry of this.#engines.serving(request)) {
+      if (!this.#suits(entry, request, nowMs)) continue;
+      if (best === undefined || load(entry, nowMs) < load(best, nowMs)) best = entry;
+    }
+    return best;
+  }
+
+  /** Whether the adapter is on its way to an engine that may run the request. */
+  isLoading(request: SlotRequest): boolean {
+    if (request.adapter === undefined) return false;
+    const key = adapterKey(request.model, request.adapter);
+    for (const { slots } of this.#engines.all()) {
+      const isUsable = !request.excluded.includes(slots.backend.id);
+      if (isUsable && slots.get(key)?.state === 'loading') return true;
+    }
+    return false;
+  }
+
+  /** Whether an engine has an adapter that is still good, so that another load there adds nothing. */
+  holds(entry: EngineEntry, key: string): boolean {
+    const slot = entry.slots.get(key);
+    return slot?.state === 'loaded' && this.#isCurrent(slot);
+  }
+
+  #suits(entry: EngineEntry, request: SlotRequest, nowMs: number): boolean {
+    const { slots } = entry;
+    if (request.adapter === undefined) return slots.models.has(request.model) && !slots.busy;
+    const slot = slots.get(adapterKey(request.model, request.adapter));
+    return slot !== undefined && this.#isUsable(slot, nowMs);
+  }
+
+  /** An adapter whose version was overtaken serves on for a short while, until a newer one is loaded. */
+  #isUsable(slot: AdapterSlot, nowMs: number): boolean {
+    if (slot.state !== 'loaded') return false;
+    if (this.#isCurrent(slot)) return true;
+    if (slot.outdatedSinceMs === 0) slot.outdatedSinceMs = nowMs;
+    return slot.users > 0 && nowMs - slot.outdatedSinceMs < OUTDATED_GRACE_MS;
+  }
+
+  #isCurrent(slot: AdapterSlot): boolean {
+    return slot.version >= this.#publishedVersion(slot.model, slot.adapter);
+  }
+}
+
+/** How long an engine is busy with the prompts before a new one; a full engine counts as busy for ever. */
+export function backlogMs(entry: EngineEntry, nowMs: number): number {
+  const { slots } = entry;
+  if (slots.running >= slots.backend.slots) return Infinity;
+  const crowdedMs = slots.running < CROWDED_ENGINE ? 0 : SHORT_BACKLOG_MS + 1;
+  return Math.max(slots.workMs(nowMs), crowdedMs);
+}
+
+function load(entry: EngineEntry, nowMs: number): number {
+  const avoided = entry.slots.avoidUntilMs > nowMs ? CROWDED_ENGINE / 2 : 0;
+  return entry.slots.running + avoided + entry.slots.workMs(nowMs) / WORK_PER_RUNNING_MS;
+}
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -10,7 +10,8 @@
 export { OrderLease, type NotHeld, type OrderHolder, type OrderLeaseOptions } from './order-lease.js';
 export { PauseDetector } from './pause-detector.js';
 export { AdapterMemory } from './adapter-memory.js';
-export { SlotPool, type PoolFigures, type SlotPoolOptions } from './slot-pool.js';
+export type { PoolFigures } from './pool-figures.js';
+export { SlotPool, type SlotPoolOptions } from './slot-pool.js';
 export { WaitingList } from './waiting-list.js';
 export type { RefusalReason, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
 export { DEFAULT_SLOT_TIMING, type SlotTiming } from './timing.js';
