--- /dev/null
+++ b/packages/gateway/src/cluster/slot-protocol.ts
@@ -0,0 +1,29 @@
+import type { SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
+
+/** JSON-RPC methods by which nodes ask the leader of a pool for slots. */
+export const ACQUIRE_METHOD = 'slots.acquire';
+export const DECIDED_METHOD = 'slots.decided';
+export const CANCEL_METHOD = 'slots.cancel';
+export const RELEASE_METHOD = 'slots.release';
+
+/** Params of {@link ACQUIRE_METHOD}. The answer is a {@link AcquireReply}; a queued one is decided later. */
+export interface AcquireParams {
+  readonly pool: string;
+  readonly request: SlotRequest;
+}
+
+export type AcquireReply =
+  | { readonly kind: 'decided'; readonly decision: SlotDecision }
+  | { readonly kind: 'queued' }
+  | { readonly kind: 'not-leader' };
+
+export interface ReleaseParams {
+  readonly pool: string;
+  readonly requestId: string;
+  readonly outcome: UseOutcome;
+}
+
+/** What a request that is not wanted any more is told; nobody reads it. */
+export function cancelledDecision(requestId: string): SlotDecision {
+  return { kind: 'refused', requestId, reason: 'stopping', retryAfterMs: 0 };
+}
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -18,40 +18,20 @@
 import type { PeerConnection } from '../peers/peer-connection.js';
 import type { PeerNetwork } from '../peers/peer-network.js';
 import type { Cluster } from './cluster.js';
-
-export const ACQUIRE_METHOD = 'slots.acquire';
-export const DECIDED_METHOD = 'slots.decided';
-export const CANCEL_METHOD = 'slots.cancel';
-export const RELEASE_METHOD = 'slots.release';
-
-/** Params of {@link ACQUIRE_METHOD}. The answer is a {@link AcquireReply}; a queued one is decided later. */
-export interface AcquireParams {
-  readonly pool: string;
-  readonly request: SlotRequest;
-}
-
-export type AcquireReply =
-  | { readonly kind: 'decided'; readonly decision: SlotDecision }
-  | { readonly kind: 'queued' }
-  | { readonly kind: 'not-leader' };
-
-export interface ReleaseParams {
-  readonly pool: string;
-  readonly requestId: string;
-  readonly outcome: UseOutcome;
-}
+import { RemoteSlots } from './remote-slots.js';
+import {
+  DECIDED_METHOD,
+  RELEASE_METHOD,
+  cancelledDecision,
+  type AcquireParams,
+  type AcquireReply,
+  type ReleaseParams,
+} from './slot-protocol.js';
 
 const TICK_MS = 100;
 const MOST_LEADERS_ASKED = 3;
 /** Part of its objective for which a request waits while no leader is known. */
 const LEADER_WAIT_SHARE = 0.2;
-/** A leader acknowledges within this time, or is taken to be out of reach. */
-const ACKNOWLEDGE_TIMEOUT_MS = 250;
-/** A leader that gave no sign is not asked again for this long. */
-const AVOID_LEADER_MS = 400;
-/** A queued request whose leader says nothing more is decided here after its timeout and this margin. */
-const DECISION_MARGIN_MS = 50;
-
 /** For a while after their start the first few candidates observe, as any of them may soon have to lead. */
 const YOUNG_MS = 8000;
 const YOUNG_OBSERVERS = 3;
@@ -73,12 +53,11 @@
 export class SlotService implements SlotSource {
   readonly #options: SlotServiceOptions;
   readonly #pools = new Map<string, PoolEntry>();
-  readonly #queued = new Map<string, (decision: SlotDecision | undefined) => void>();
+  readonly #asked: RemoteSlots;
   readonly #remote = new Map<PeerConnection, Map<string, RemoteUse>>();
   readonly #pauses: PauseDetector;
   readonly #memory = new AdapterMemory();
   readonly #leaderChanged = new Notifier();
-  #avoidLeaderUntilMs = 0;
   readonly #startedMs: number;
   #stopped = false;
   #resigned = false;
@@ -86,6 +65,7 @@
 
   constructor(options: SlotServiceOptions) {
     this.#options = options;
+    this.#asked = new RemoteSlots(options.clock, options.network);
     this.#startedMs = options.clock.now();
     this.#pauses = new PauseDetector(options.clock, options.timing.leaseMs / 3);
     this.#pauses.onPause((pausedMs) => {
@@ -159,8 +139,7 @@
     if (leader === undefined) return undefined;
     if (entry.pool !== undefined && entry.leading) return this.#acquireHere(entry.pool, request, cancelled);
     const address = this.#options.cluster.peerAddress(leader);
-    if (address === undefined || this.#options.clock.now() < this.#avoidLeaderUntilMs) return undefined;
-    return this.#acquireThere(address, poolName, request, cancelled);
+    return address === undefined ? undefined : this.#asked.acquire(address, poolName, request, cancelled);
   }
 
   /** The leader, or undefined if none is known in time for an early refusal. */
@@ -200,57 +179,9 @@
     });
   }
 
-  async #acquireThere(
-    address: string,
-    poolName: string,
-    request: SlotRequest,
-    cancelled: AbortSignal,
-  ): Promise<SlotDecision | undefined> {
-    const { network, clock } = this.#options;
-    const peer = network.to(address);
-    const decided = this.#awaitDecision(request, cancelled, () =>
-      peer.notify(CANCEL_METHOD, { pool: poolName, requestId: request.id, outcome: 'cancelled' }),
-    );
-    const params: AcquireParams = { pool: poolName, request };
-    const reply = (await peer.call(ACQUIRE_METHOD, params, ACKNOWLEDGE_TIMEOUT_MS)) as
-      AcquireReply | undefined;
-    if (reply === undefined) {
-      this.#avoidLeaderUntilMs = clock.now() + AVOID_LEADER_MS;
-      network.drop(address);
-    }
-    if (reply?.kind === 'queued') return decided;
-    this.#queued.get(request.id)?.(reply?.kind === 'decided' ? reply.decision : undefined);
-    return decided;
-  }
-
-  #awaitDecision(
-    request: SlotRequest,
-    cancelled: AbortSignal,
-    onCancel: () => void,
-  ): Promise<SlotDecision | undefined> {
-    const { clock } = this.#options;
-    return new Promise((resolve) => {
-      const finish = (decision: SlotDecision | undefined): void => {
-        if (!this.#queued.delete(request.id)) return;
-        timer.cancel();
-        cancelled.removeEventListener('abort', abort);
-        resolve(decision);
-      };
-      const abort = (): void => {
-        onCancel();
-        finish(cancelledDecision(request.id));
-      };
-      const limitMs = Math.max(request.timeoutMs - request.ageMs, 0) + DECISION_MARGIN_MS;
-      const timer = clock.setTimer(limitMs, () => finish(undefined));
-      cancelled.addEventListener('abort', abort, { once: true });
-      this.#queued.set(request.id, finish);
-    });
-  }
-
-  /** A decision of the leader about a request that was queued there. */
+  /** A decision of another leader about a request that was queued there. */
   onDecided(decision: SlotDecision): void {
-    const finish = this.#queued.get(decision.requestId);
-    if (finish !== undefined) finish(decision);
+    this.#asked.onDecided(decision);
   }
 
   // --- answering ---------------------------------------------------------------------------------
@@ -435,7 +366,3 @@
   readonly holder: OrderHolder;
   readonly telemetry: Telemetry;
 }
-
-function cancelledDecision(requestId: string): SlotDecision {
-  return { kind: 'refused', requestId, reason: 'stopping', retryAfterMs: 0 };
-}
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -18,10 +18,10 @@
   CANCEL_METHOD,
   DECIDED_METHOD,
   RELEASE_METHOD,
-  SlotService,
   type AcquireParams,
   type ReleaseParams,
-} from './cluster/slot-service.js';
+} from './cluster/slot-protocol.js';
+import { SlotService } from './cluster/slot-service.js';
 import {
   SNAPSHOT_METHOD,
   StateExchange,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,3 +20,4 @@
   RequestDialect,
   RequestFacts,
 } from './request/dialect.js';
+export { connectionNames, passesOn } from './request/hop-headers.js';
