--- /dev/null
+++ b/packages/gateway/test/departures.test.ts
@@ -0,0 +1,66 @@
+/** Clients that leave before their answer, and nodes that do not know what is served yet. */
+import test from 'ava';
+import { Harness } from './harness.js';
+import { chunk, streamHead, success, type RawAnswer } from './raw-backend.js';
+
+interface Watched {
+  readonly answer: RawAnswer;
+  /** The request has reached the backend. */
+  readonly arrived: Promise<void>;
+  /** The backend's connection was closed from the other side. */
+  readonly closed: Promise<void>;
+}
+
+/** A backend that begins as told and then works on, until its connection is closed. */
+function working(begin: RawAnswer): Watched {
+  let arrive = (): void => undefined;
+  let close = (): void => undefined;
+  const arrived = new Promise<void>((resolve) => {
+    arrive = resolve;
+  });
+  const closed = new Promise<void>((resolve) => {
+    close = resolve;
+  });
+  const answer: RawAnswer = (socket, attemptId, head) => {
+    socket.once('close', close);
+    begin(socket, attemptId, head);
+    arrive();
+  };
+  return { answer, arrived, closed };
+}
+
+const begins: readonly (readonly [name: string, begin: RawAnswer])[] = [
+  ['before the first byte', () => undefined],
+  [
+    'within a stream',
+    (socket, attemptId) => socket.write(streamHead(attemptId) + chunk('id: 1\ndata: e1\n\n')),
+  ],
+];
+
+/** With one attempt nothing but the client's departure ends the work; with more, no other backend may be asked. */
+const cases = begins.flatMap(([name, begin]) => [1, 3].map((attempts) => ({ name, begin, attempts })));
+
+for (const { name, begin, attempts } of cases) {
+  test(`a client that leaves ${name} ends the work of its backend, of ${attempts} allowed`, async (t) => {
+    const first = working(begin);
+    const second = working(begin);
+    const harness = await Harness.start({ kind: 'stream', resumable: true, attempts }, [
+      first.answer,
+      second.answer,
+    ]);
+    t.teardown(() => harness.stop());
+    const arrived = Promise.race([first.arrived, second.arrived]);
+    await harness.callAndLeave('a1', arrived);
+    await Promise.race([first.closed, second.closed]);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    t.is(harness.sends, 1);
+  });
+}
+
+test('a node that knows no configuration says that nothing ran, not that there is no route', async (t) => {
+  const harness = await Harness.start(undefined, [(socket, id) => socket.write(success(id, 'answer'))]);
+  t.teardown(() => harness.stop());
+  const seen = await harness.call('a1');
+  t.is(seen.status, 503);
+  t.is(harness.sends, 0);
+});
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -73,10 +73,11 @@
     });
   }
 
-  static async start(changes: RouteChanges, answers: readonly RawAnswer[]): Promise<Harness> {
+  /** @param changes undefined for a node that knows no configuration yet */
+  static async start(changes: RouteChanges | undefined, answers: readonly RawAnswer[]): Promise<Harness> {
     const clock = new SystemClock();
     const harness = new Harness((self) => self.#context(clock));
-    harness.fleet.applyConfiguration(configuration(changes));
+    if (changes !== undefined) harness.fleet.applyConfiguration(configuration(changes));
     for (const [index, answer] of answers.entries()) {
       const backend = await RawBackend.start(answer);
       harness.#backends.push(backend);
@@ -130,6 +131,17 @@
     });
   }
 
+  /** Sends a request and closes its connection when `until` resolves. */
+  async callAndLeave(attemptId: string, until: Promise<void>): Promise<void> {
+    const { port } = this.#server.address() as AddressInfo;
+    const headers = { host: HOST, 'attempt-id': attemptId };
+    const outgoing = request({ host: '127.0.0.1', port, method: 'POST', path: '/x/', headers, agent: false });
+    outgoing.on('error', () => undefined);
+    outgoing.end('question');
+    await until;
+    outgoing.destroy();
+  }
+
   stop(): void {
     this.#server.closeAllConnections();
     this.#server.close();
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -8,6 +8,7 @@
   PendingAdapter,
 } from './engine-control.js';
 export { OrderLease, type NotHeld, type OrderHolder, type OrderLeaseOptions } from './order-lease.js';
+export { StoreLoadBudget } from './store-load-budget.js';
 export { PauseDetector } from './pause-detector.js';
 export { AdapterMemory } from './adapter-memory.js';
 export type { PoolFigures } from './pool-figures.js';
