Ask again when the leader that queued a request is lost or replaced

Change: it is told to ask again when the connection ends or another node leads. Tests: remote-slots.

--- a/packages/gateway/src/cluster/remote-slots.ts
+++ b/packages/gateway/src/cluster/remote-slots.ts
@@ -1,6 +1,5 @@
 import type { Clock } from '@canvasridge/clock';
 import type { SlotDecision, SlotRequest } from '@canvasridge/slots';
-import type { PeerNetwork } from '../peers/peer-network.js';
 import {
   ACQUIRE_METHOD,
   CANCEL_METHOD,
@@ -16,14 +15,38 @@
 /** A queued request whose leader says nothing more is decided here after its timeout and this margin. */
 const DECISION_MARGIN_MS = 50;
 
-/** Asks another node, the leader of a pool, for slots, and waits for what it decides. */
+/** Kept connections to other nodes. */
+export interface LeaderNetwork {
+  to(address: string): LeaderConnection;
+  drop(address: string): void;
+}
+
+/** A connection to the node that leads a pool. */
+export interface LeaderConnection {
+  call(method: string, params: unknown, timeoutMs: number): Promise<unknown>;
+  notify(method: string, params: unknown): void;
+  /** Calls back once when the connection ends. Returns what takes the listener away. */
+  onClosed(listener: () => void): () => void;
+}
+
+interface Queued {
+  readonly pool: string;
+  readonly address: string;
+  readonly cancel: () => void;
+  readonly finish: (decision: SlotDecision | undefined) => void;
+}
+
+/**
+ * Asks another node, the leader of a pool, for slots, and waits for what it decides. A leader that is lost or
+ * replaced decides nothing any more: what waits for it is told to ask again.
+ */
 export class RemoteSlots {
   readonly #clock: Clock;
-  readonly #network: PeerNetwork;
-  readonly #queued = new Map<string, (decision: SlotDecision | undefined) => void>();
+  readonly #network: LeaderNetwork;
+  readonly #queued = new Map<string, Queued>();
   #avoidLeaderUntilMs = 0;
 
-  constructor(clock: Clock, network: PeerNetwork) {
+  constructor(clock: Clock, network: LeaderNetwork) {
     this.#clock = clock;
     this.#network = network;
   }
@@ -37,9 +60,7 @@
   ): Promise<SlotDecision | undefined> {
     if (this.#clock.now() < this.#avoidLeaderUntilMs) return undefined;
     const peer = this.#network.to(address);
-    const decided = this.#awaitDecision(request, cancelled, () =>
-      peer.notify(CANCEL_METHOD, { pool, requestId: request.id, outcome: 'cancelled' }),
-    );
+    const decided = this.#awaitDecision(address, peer, pool, request, cancelled);
     const params: AcquireParams = { pool, request };
     const reply = (await peer.call(ACQUIRE_METHOD, params, ACKNOWLEDGE_TIMEOUT_MS)) as
       AcquireReply | undefined;
@@ -48,35 +69,47 @@
       this.#network.drop(address);
     }
     if (reply?.kind === 'queued') return decided;
-    this.#queued.get(request.id)?.(reply?.kind === 'decided' ? reply.decision : undefined);
+    this.#queued.get(request.id)?.finish(reply?.kind === 'decided' ? reply.decision : undefined);
     return decided;
   }
 
   /** A decision of the leader about a request that was queued there. */
   onDecided(decision: SlotDecision): void {
-    this.#queued.get(decision.requestId)?.(decision);
+    this.#queued.get(decision.requestId)?.finish(decision);
+  }
+
+  /** A pool is led from another address now, or from none that is known. */
+  leaderChanged(pool: string, address: string | undefined): void {
+    for (const queued of [...this.#queued.values()]) {
+      if (queued.pool === pool && queued.address !== address) queued.cancel();
+    }
   }
 
   #awaitDecision(
+    address: string,
+    peer: LeaderConnection,
+    pool: string,
     request: SlotRequest,
     cancelled: AbortSignal,
-    onCancel: () => void,
   ): Promise<SlotDecision | undefined> {
+    const { id } = request;
     return new Promise((resolve) => {
       const finish = (decision: SlotDecision | undefined): void => {
-        if (!this.#queued.delete(request.id)) return;
+        if (!this.#queued.delete(id)) return;
         timer.cancel();
-        cancelled.removeEventListener('abort', abort);
+        forgetPeer();
+        cancelled.removeEventListener('abort', cancel);
         resolve(decision);
       };
-      const abort = (): void => {
-        onCancel();
-        finish(cancelledDecision(request.id));
+      const cancel = (): void => {
+        peer.notify(CANCEL_METHOD, { pool, requestId: id, outcome: 'cancelled' });
+        finish(cancelledDecision(id));
       };
       const limitMs = Math.max(request.timeoutMs - request.ageMs, 0) + DECISION_MARGIN_MS;
       const timer = this.#clock.setTimer(limitMs, () => finish(undefined));
-      cancelled.addEventListener('abort', abort, { once: true });
-      this.#queued.set(request.id, finish);
+      const forgetPeer = peer.onClosed(() => finish(cancelledDecision(id)));
+      cancelled.addEventListener('abort', cancel, { once: true });
+      this.#queued.set(id, { pool, address, cancel, finish });
     });
   }
 }
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -254,11 +254,20 @@
     for (const service of fleet.routes?.configuration.services ?? []) {
       if (service.engine === undefined) continue;
       const entry = this.#entry(service.name);
-      if (entry.leadership.update()) this.#leaderChanged.notify();
+      if (entry.leadership.update()) this.#followLeader(service.name, entry);
       this.#updateRole(entry, service.name);
     }
   }
 
+  #followLeader(pool: string, entry: PoolEntry): void {
+    const { leader } = entry.leadership;
+    this.#asked.leaderChanged(
+      pool,
+      leader === undefined ? undefined : this.#options.cluster.peerAddress(leader),
+    );
+    this.#leaderChanged.notify();
+  }
+
   #entry(pool: string): PoolEntry {
     let entry = this.#pools.get(pool);
     if (entry === undefined) {
--- a/packages/gateway/src/peers/peer-connection.ts
+++ b/packages/gateway/src/peers/peer-connection.ts
@@ -9,6 +9,7 @@
 export class PeerConnection {
   readonly #socket: Socket;
   readonly #rpc: JSONRPCServerAndClient;
+  readonly #closeListeners = new Set<() => void>();
   #closed = false;
 
   constructor(socket: Socket, methods: PeerMethods, onClose: () => void) {
@@ -27,6 +28,7 @@
     socket.on('close', () => {
       this.#closed = true;
       this.#rpc.rejectAllPendingRequests('connection closed');
+      for (const listener of [...this.#closeListeners]) listener();
       onClose();
     });
   }
@@ -45,6 +47,12 @@
     }
   }
 
+  /** Calls back once when the connection ends. Returns what takes the listener away. */
+  onClosed(listener: () => void): () => void {
+    this.#closeListeners.add(listener);
+    return () => this.#closeListeners.delete(listener);
+  }
+
   notify(method: string, params: unknown): void {
     if (!this.#closed) this.#rpc.notify(method, params);
   }
--- /dev/null
+++ b/packages/gateway/test/remote-slots.test.ts
@@ -0,0 +1,88 @@
+import { VirtualClock } from '@canvasridge/clock';
+import type { SlotDecision, SlotRequest } from '@canvasridge/slots';
+import test from 'ava';
+import { RemoteSlots, type LeaderConnection } from '../src/index.js';
+
+const LEADER = '10.0.0.1:1';
+
+/** A leader that queues all that it is asked for. */
+class QueueingLeader implements LeaderConnection {
+  readonly notified: string[] = [];
+  readonly #listeners = new Set<() => void>();
+
+  call(): Promise<unknown> {
+    return Promise.resolve({ kind: 'queued' });
+  }
+
+  notify(method: string): void {
+    this.notified.push(method);
+  }
+
+  onClosed(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  close(): void {
+    for (const listener of [...this.#listeners]) listener();
+  }
+}
+
+const REQUEST: SlotRequest = {
+  id: 'r1',
+  model: 'base',
+  adapter: 'a',
+  priority: 0,
+  objectiveMs: 1000,
+  ageMs: 0,
+  timeoutMs: 5000,
+  excluded: [],
+  tokens: 10,
+  promptKey: undefined,
+};
+
+async function ask(): Promise<{
+  leader: QueueingLeader;
+  slots: RemoteSlots;
+  decisions: (SlotDecision | undefined)[];
+  settle: () => Promise<void>;
+}> {
+  const clock = new VirtualClock();
+  const leader = new QueueingLeader();
+  const slots = new RemoteSlots(clock, { to: () => leader, drop: () => undefined });
+  const decisions: (SlotDecision | undefined)[] = [];
+  void slots
+    .acquire(LEADER, 'llm', REQUEST, new AbortController().signal)
+    .then((decision) => decisions.push(decision));
+  const settle = (): Promise<void> => clock.runUntil(clock.now() + 1);
+  await settle();
+  return { leader, slots, decisions, settle };
+}
+
+test('what waits for a leader whose connection ends asks again', async (t) => {
+  const { leader, decisions, settle } = await ask();
+  t.deepEqual(decisions, []);
+  leader.close();
+  await settle();
+  t.like(decisions[0], { kind: 'refused', reason: 'stopping' });
+});
+
+test('what waits for a leader that was replaced is cancelled there and asks again', async (t) => {
+  const { leader, slots, decisions, settle } = await ask();
+  slots.leaderChanged('llm', LEADER);
+  await settle();
+  t.deepEqual(decisions, []);
+  slots.leaderChanged('llm', '10.0.0.2:1');
+  await settle();
+  t.like(decisions[0], { kind: 'refused', reason: 'stopping' });
+  t.is(leader.notified.length, 1);
+});
+
+test('a decision of the leader ends the wait once', async (t) => {
+  const { leader, slots, decisions, settle } = await ask();
+  slots.onDecided({ kind: 'granted', requestId: 'r1', backendId: 'e1', address: '10.0.1.1:1' });
+  leader.close();
+  await settle();
+  t.is(decisions.length, 1);
+  t.like(decisions[0], { kind: 'granted' });
+});
