--- a/packages/gateway/src/backends/picker.ts
+++ b/packages/gateway/src/backends/picker.ts
@@ -13,6 +13,8 @@
   readonly ageMs: number;
   /** Milliseconds after arrival at which the request is of no more use. */
   readonly timeoutMs: number;
+  /** Milliseconds after arrival at which the client is gone if it got nothing more by then. */
+  readonly startWithinMs: number;
   /** Backends that were tried before. */
   readonly excluded: readonly string[];
 }
--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -47,6 +47,7 @@
       objectiveMs: context.route.objectiveMs,
       ageMs: context.ageMs,
       timeoutMs: context.timeoutMs,
+      startWithinMs: context.startWithinMs,
       excluded: context.excluded,
       tokens: generation.tokens,
       promptKey: generation.promptKey,
--- a/packages/gateway/src/cluster/remote-slots.ts
+++ b/packages/gateway/src/cluster/remote-slots.ts
@@ -105,7 +105,7 @@
         peer.notify(CANCEL_METHOD, { pool, requestId: id, outcome: 'cancelled' });
         finish(cancelledDecision(id));
       };
-      const limitMs = Math.max(request.timeoutMs - request.ageMs, 0) + DECISION_MARGIN_MS;
+      const limitMs = Math.max(request.startWithinMs - request.ageMs, 0) + DECISION_MARGIN_MS;
       const timer = this.#clock.setTimer(limitMs, () => finish(undefined));
       const forgetPeer = peer.onClosed(() => finish(cancelledDecision(id)));
       cancelled.addEventListener('abort', cancel, { once: true });
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -133,6 +133,7 @@
       generation: this.#facts.generation,
       ageMs: this.#ageMs(),
       timeoutMs: this.#timeoutMs(route),
+      startWithinMs: this.#startWithinMs(route),
       excluded: this.#excluded,
     };
     return picker.pick(context, this.#cancel.signal);
@@ -323,6 +324,12 @@
     return Math.min(route.timeoutMs, this.#facts.deadlineMs ?? Infinity);
   }
 
+  /** Clients give a stream up that shows no event for long, whatever their deadline. */
+  #startWithinMs(route: HttpRoute): number {
+    const sinceMs = this.#sink.started ? this.#ageMs() : 0;
+    return Math.min(this.#timeoutMs(route), sinceMs + (route.patienceMs ?? Infinity));
+  }
+
   #leftMs(route: HttpRoute): number {
     return this.#timeoutMs(route) - this.#ageMs();
   }
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -180,6 +180,7 @@
     kind: 'idempotent',
     services: [{ service: SERVICE, weight: 1 }],
     timeoutMs: 4000,
+    patienceMs: undefined,
     objectiveMs: 1000,
     priority: 1,
     attempts: 2,
--- a/packages/gateway/test/remote-slots.test.ts
+++ b/packages/gateway/test/remote-slots.test.ts
@@ -36,6 +36,7 @@
   objectiveMs: 1000,
   ageMs: 0,
   timeoutMs: 5000,
+  startWithinMs: 5000,
   excluded: [],
   tokens: 10,
   promptKey: undefined,
--- a/packages/serving/src/configuration.ts
+++ b/packages/serving/src/configuration.ts
@@ -20,6 +20,8 @@
   readonly services: readonly WeightedService[];
   /** Longest time that a request is held. */
   readonly timeoutMs: number;
+  /** Time without an event after which clients give a stream up; undefined for answers in one piece. */
+  readonly patienceMs: number | undefined;
   /** Time to the answer, or to the first event of a stream, that the operator aims for. */
   readonly objectiveMs: number;
   /** 0 is the most urgent. */
--- a/packages/serving/test/route-table.test.ts
+++ b/packages/serving/test/route-table.test.ts
@@ -9,6 +9,7 @@
     kind: 'idempotent',
     services: [{ service: 'api', weight: 1 }],
     timeoutMs: 1000,
+    patienceMs: undefined,
     objectiveMs: 200,
     priority: 1,
     attempts: 2,
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -149,9 +149,9 @@
     this.#afterAge(request, LONGEST_WAIT_SHARE, () => this.#giveUp(request.id));
   }
 
-  /** Calls back when a part of a request's time is over. */
+  /** Calls back when a part of the time in which a request has to start is over. */
   #afterAge(request: SlotRequest, share: number, action: () => void): void {
-    this.#after(Math.max(request.timeoutMs * share - request.ageMs, 1), action);
+    this.#after(Math.max(request.startWithinMs * share - request.ageMs, 1), action);
   }
 
   /** The client went away, or the request is served in another way. */
@@ -343,7 +343,7 @@
     if (waiting === undefined) return;
     const { request } = waiting;
     if (this.#choice.isLoading(request)) return;
-    const leftMs = request.timeoutMs * (LONGEST_WAIT_SHARE - HALFWAY_SHARE);
+    const leftMs = request.startWithinMs * (LONGEST_WAIT_SHARE - HALFWAY_SHARE);
     if (this.#expectedWaitMs(waiting) > leftMs * SOON_SHARE) this.#giveUp(requestId);
   }
 
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -12,6 +12,8 @@
   readonly ageMs: number;
   /** Time after which an answer is of no use, counted as `ageMs` is. */
   readonly timeoutMs: number;
+  /** Time after which the client is gone if it got nothing, counted in the same way. */
+  readonly startWithinMs: number;
   /** Engines that it was sent to before. */
   readonly excluded: readonly string[];
   /** Prompt and expected output, in tokens. */
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -52,6 +52,7 @@
     objectiveMs: 1000,
     ageMs: 0,
     timeoutMs: 5000,
+    startWithinMs: changes.timeoutMs ?? 5000,
     excluded: [],
     tokens: 1000,
     promptKey: undefined,
@@ -321,3 +322,19 @@
   if (decision?.kind !== 'refused') return t.fail('not refused');
   t.true(decision.retryAfterMs > 2000 && decision.retryAfterMs < LEASE_MS + 1000);
 });
+
+test('a request that waits is given up before its client is gone, whatever its deadline', async (t) => {
+  const clock = new VirtualClock();
+  const pool = newPool(clock, [new SimulatedEngine(clock, 'e1')]);
+  await clock.runUntil(HELD_MS);
+  for (const adapter of ['a', 'b', 'c', 'd', 'e', 'f']) {
+    pool.acquire(request(adapter, { timeoutMs: 60_000, objectiveMs: 5000 }), () => undefined);
+  }
+  await clock.runUntil(HELD_MS + 900);
+  const refusedMs: number[] = [];
+  const ask = request('x', { objectiveMs: 60_000, timeoutMs: 60_000, startWithinMs: 4000 });
+  pool.acquire(ask, () => refusedMs.push(clock.now() - HELD_MS - 900));
+  await clock.runUntil(HELD_MS + 900 + 4000);
+  t.is(refusedMs.length, 1);
+  t.true((refusedMs[0] ?? Infinity) < 4000);
+});
