Look at a pool's changes together, over an index; keep busy leaders

Change: changes within 4 ms are looked at together over an index of slots; a leader that sends anything is waited for; as many fetches at once as engines, 12 at least. Tests: remote-slots, the soak of slot-pool.

--- a/packages/gateway/src/cluster/remote-slots.ts
+++ b/packages/gateway/src/cluster/remote-slots.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@canvasridge/clock';
+import type { Clock, Timer } from '@canvasridge/clock';
 import type { SlotDecision, SlotRequest } from '@canvasridge/slots';
 import {
   ACQUIRE_METHOD,
@@ -8,8 +8,10 @@
   type AcquireReply,
 } from './slot-protocol.js';
 
-/** A leader acknowledges within this time, or is taken to be out of reach. */
-const ACKNOWLEDGE_TIMEOUT_MS = 250;
+/** A leader that sends nothing at all for this long after a question is taken to be out of reach. */
+const SILENCE_MS = 400;
+/** A leader that sends other things acknowledges within this time. */
+const ACKNOWLEDGE_TIMEOUT_MS = 1500;
 /** A leader that gave no sign is not asked again for this long. */
 const AVOID_LEADER_MS = 400;
 /** A queued request whose leader says nothing more is decided here after its timeout and this margin. */
@@ -25,6 +27,8 @@
 export interface LeaderConnection {
   call(method: string, params: unknown, timeoutMs: number): Promise<unknown>;
   notify(method: string, params: unknown): void;
+  /** Messages received so far. */
+  readonly received: number;
   /** Calls back once when the connection ends. Returns what takes the listener away. */
   onClosed(listener: () => void): () => void;
 }
@@ -62,12 +66,10 @@
     const peer = this.#network.to(address);
     const decided = this.#awaitDecision(address, peer, pool, request, cancelled);
     const params: AcquireParams = { pool, request };
+    const watch = this.#watchSilence(address, peer);
     const reply = (await peer.call(ACQUIRE_METHOD, params, ACKNOWLEDGE_TIMEOUT_MS)) as
       AcquireReply | undefined;
-    if (reply === undefined) {
-      this.#avoidLeaderUntilMs = this.#clock.now() + AVOID_LEADER_MS;
-      this.#network.drop(address);
-    }
+    watch.cancel();
     if (reply?.kind === 'queued') return decided;
     this.#queued.get(request.id)?.finish(reply?.kind === 'decided' ? reply.decision : undefined);
     return decided;
@@ -85,6 +87,19 @@
     }
   }
 
+  /**
+   * Drops the connection to a leader that is silent. One that is merely busy is left alone: with its connection
+   * it would lose all that this node was granted.
+   */
+  #watchSilence(address: string, peer: LeaderConnection): Timer {
+    const receivedBefore = peer.received;
+    return this.#clock.setTimer(SILENCE_MS, () => {
+      if (peer.received !== receivedBefore) return;
+      this.#avoidLeaderUntilMs = this.#clock.now() + AVOID_LEADER_MS;
+      this.#network.drop(address);
+    });
+  }
+
   #awaitDecision(
     address: string,
     peer: LeaderConnection,
--- a/packages/gateway/src/peers/peer-connection.ts
+++ b/packages/gateway/src/peers/peer-connection.ts
@@ -11,6 +11,7 @@
   readonly #rpc: JSONRPCServerAndClient;
   readonly #closeListeners = new Set<() => void>();
   #closed = false;
+  #received = 0;
 
   constructor(socket: Socket, methods: PeerMethods, onClose: () => void) {
     this.#socket = socket;
@@ -22,6 +23,7 @@
     this.#rpc = new JSONRPCServerAndClient(server, client, { errorListener: () => undefined });
     socket.setNoDelay(true);
     readFrames(socket, (value) => {
+      this.#received += 1;
       this.#rpc.receiveAndSend(value as never).catch(() => undefined);
     });
     socket.on('error', () => undefined);
@@ -33,6 +35,11 @@
     });
   }
 
+  /** Messages received so far. */
+  get received(): number {
+    return this.#received;
+  }
+
   get closed(): boolean {
     return this.#closed;
   }
--- a/packages/gateway/test/remote-slots.test.ts
+++ b/packages/gateway/test/remote-slots.test.ts
@@ -8,10 +8,12 @@
 /** A leader that queues all that it is asked for. */
 class QueueingLeader implements LeaderConnection {
   readonly notified: string[] = [];
+  received = 0;
+  answers = true;
   readonly #listeners = new Set<() => void>();
 
   call(): Promise<unknown> {
-    return Promise.resolve({ kind: 'queued' });
+    return this.answers ? Promise.resolve({ kind: 'queued' }) : new Promise(() => undefined);
   }
 
   notify(method: string): void {
@@ -87,3 +89,20 @@
   t.is(decisions.length, 1);
   t.like(decisions[0], { kind: 'granted' });
 });
+
+for (const { name, received, drops } of [
+  { name: 'a leader that is silent is dropped', received: 0, drops: 1 },
+  { name: 'a leader that is slow but sends other things is kept', received: 3, drops: 0 },
+]) {
+  test(name, async (t) => {
+    const clock = new VirtualClock();
+    const leader = new QueueingLeader();
+    leader.answers = false;
+    const dropped: string[] = [];
+    const slots = new RemoteSlots(clock, { to: () => leader, drop: (address) => dropped.push(address) });
+    void slots.acquire(LEADER, 'llm', REQUEST, new AbortController().signal);
+    leader.received = received;
+    await clock.runUntil(1000);
+    t.is(dropped.length, drops);
+  });
+}
--- a/packages/slots/src/engine-choice.ts
+++ b/packages/slots/src/engine-choice.ts
@@ -2,6 +2,7 @@
 import type { EngineEntry } from './engine-entry.js';
 import type { EngineRegistry } from './engine-registry.js';
 import type { AdapterSlot } from './engine-slots.js';
+import type { PoolIndex } from './pool-index.js';
 import type { SlotRequest } from './slot-request.js';
 
 /** Requests on one engine beyond which it takes more only when no other engine gets the adapter: its memory fills up. */
@@ -27,24 +28,24 @@
   }
 
   /** The least busy engine that has what the request needs. */
-  best(request: SlotRequest, nowMs: number): EngineEntry | undefined {
+  best(request: SlotRequest, index: PoolIndex, nowMs: number): EngineEntry | undefined {
     let best: EngineEntry | undefined;
-    for (const entry of this.#engines.serving(request)) {
-      if (!this.#suits(entry, request, nowMs)) continue;
+    for (const entry of this.#candidates(request, index)) {
+      if (!this.#engines.mayServe(entry, request) || !this.#suits(entry, request, nowMs)) continue;
       if (best === undefined || load(entry, nowMs) < load(best, nowMs)) best = entry;
     }
     return best;
   }
 
   /** Whether the adapter is on its way to an engine that may run the request. */
-  isLoading(request: SlotRequest): boolean {
+  isLoading(request: SlotRequest, index: PoolIndex): boolean {
     if (request.adapter === undefined) return false;
     const key = adapterKey(request.model, request.adapter);
-    for (const { slots } of this.#engines.all()) {
-      const isUsable = !request.excluded.includes(slots.backend.id);
-      if (isUsable && slots.get(key)?.state === 'loading') return true;
-    }
-    return false;
+    return index
+      .loading(key)
+      .some(
+        ({ slots }) => !request.excluded.includes(slots.backend.id) && slots.get(key)?.state === 'loading',
+      );
   }
 
   /** Whether an engine has an adapter that is still good, so that another load there adds nothing. */
@@ -53,6 +54,11 @@
     return slot?.state === 'loaded' && this.#isCurrent(slot);
   }
 
+  #candidates(request: SlotRequest, index: PoolIndex): Iterable<EngineEntry> {
+    if (request.adapter === undefined) return this.#engines.all();
+    return index.holders(adapterKey(request.model, request.adapter));
+  }
+
   #suits(entry: EngineEntry, request: SlotRequest, nowMs: number): boolean {
     const { slots } = entry;
     if (request.adapter === undefined) return slots.models.has(request.model) && !slots.busy;
--- a/packages/slots/src/engine-registry.ts
+++ b/packages/slots/src/engine-registry.ts
@@ -41,11 +41,9 @@
     return this.#engines.get(id);
   }
 
-  /** Engines that may be given the request. */
-  *serving(request: SlotRequest): Iterable<EngineEntry> {
-    for (const entry of this.#engines.values()) {
-      if (isReady(entry) && !request.excluded.includes(entry.slots.backend.id)) yield entry;
-    }
+  /** Whether an engine may be given the request. */
+  mayServe(entry: EngineEntry, request: SlotRequest): boolean {
+    return isReady(entry) && !request.excluded.includes(entry.slots.backend.id);
   }
 
   /** Whether any engine that takes requests holds the model. */
--- a/packages/slots/src/load-placement.ts
+++ b/packages/slots/src/load-placement.ts
@@ -19,6 +19,8 @@
   readonly objectiveMs: number;
   /** Time after which the request could start on an engine that has the adapter; Infinity if none has it. */
   readonly quickerThanMs: number;
+  /** Whether an engine likely has the adapter in memory. */
+  readonly hasHome: boolean;
   /** Whether the weight store has room for one more fetch. */
   readonly mayFetch: boolean;
   readonly coldLoadMs: number;
@@ -39,14 +41,13 @@
  */
 export function chooseLoad(
   able: readonly EngineSlots[],
-  homes: readonly EngineSlots[],
   demand: LoadDemand,
   popularity: AdapterDemand,
   memory: AdapterMemory,
 ): LoadChoice | undefined {
   let best: LoadChoice | undefined;
   let bestCost = demand.quickerThanMs;
-  const mayFetch = isFetchWorthwhile(demand, homes.length > 0);
+  const mayFetch = isFetchWorthwhile(demand);
   for (const slots of able) {
     const warm = memory.has(slots.backend.id, demand.key);
     if (!warm && !mayFetch) continue;
@@ -60,9 +61,9 @@
   return best;
 }
 
-function isFetchWorthwhile(demand: LoadDemand, hasHome: boolean): boolean {
+function isFetchWorthwhile(demand: LoadDemand): boolean {
   if (!demand.mayFetch || demand.ageMs + demand.coldLoadMs > demand.objectiveMs) return false;
-  return !hasHome || demand.ageMs >= demand.objectiveMs * HOME_PATIENCE_SHARE;
+  return !demand.hasHome || demand.ageMs >= demand.objectiveMs * HOME_PATIENCE_SHARE;
 }
 
 /** A free slot, or the idle adapter that gives way. Undefined if there is neither. */
--- /dev/null
+++ b/packages/slots/src/pool-index.ts
@@ -0,0 +1,70 @@
+import type { EngineEntry } from './engine-entry.js';
+
+/** Adapters that one engine is asked to fetch at the same time. */
+const LOADS_PER_ENGINE = 3;
+
+/**
+ * Where adapters are, and which engines can load one, at one moment. Built once for many requests that wait,
+ * as each would have to look at all slots of all engines. States that change while it is used are read again
+ * from the engines by those who use it.
+ */
+export class PoolIndex {
+  readonly #holders = new Map<string, EngineEntry[]>();
+  readonly #loading = new Map<string, EngineEntry[]>();
+  readonly #able: EngineEntry[] = [];
+  #fetches = 0;
+
+  constructor(entries: Iterable<EngineEntry>, nowMs: number) {
+    for (const entry of entries) this.#addEngine(entry, nowMs);
+  }
+
+  /** Engines that had the adapter loaded. */
+  holders(key: string): readonly EngineEntry[] {
+    return this.#holders.get(key) ?? [];
+  }
+
+  /** Engines to which the adapter was on its way. */
+  loading(key: string): readonly EngineEntry[] {
+    return this.#loading.get(key) ?? [];
+  }
+
+  /** Engines that could take one more adapter. */
+  get able(): readonly EngineEntry[] {
+    return this.#able;
+  }
+
+  /** Fetches from the weight store under way, on all engines. */
+  get fetches(): number {
+    return this.#fetches;
+  }
+
+  /** A load was ordered. */
+  loadStarted(key: string, entry: EngineEntry, isFetch: boolean): void {
+    append(this.#loading, key, entry);
+    if (isFetch) this.#fetches += 1;
+  }
+
+  #addEngine(entry: EngineEntry, nowMs: number): void {
+    const { slots, lease } = entry;
+    let canTake = slots.slots.size < slots.profile.adapterSlots;
+    for (const slot of slots.slots.values()) {
+      if (slot.state === 'loaded') append(this.#holders, slot.key, entry);
+      else if (slot.state === 'loading') append(this.#loading, slot.key, entry);
+      if (slot.state === 'loading' && !slot.warm) this.#fetches += 1;
+      canTake ||= slots.isEvictable(slot, nowMs);
+    }
+    const isFree = lease.held && !slots.busy && slots.avoidUntilMs <= nowMs;
+    if (canTake && isFree && canLoadMore(entry)) this.#able.push(entry);
+  }
+}
+
+/** Whether an engine may be asked for one more adapter beside those on their way. */
+export function canLoadMore(entry: EngineEntry): boolean {
+  return entry.slots.loadingCount < LOADS_PER_ENGINE;
+}
+
+function append(map: Map<string, EngineEntry[]>, key: string, entry: EngineEntry): void {
+  const known = map.get(key);
+  if (known === undefined) map.set(key, [entry]);
+  else known.push(entry);
+}
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -12,6 +12,7 @@
 import { chooseLoad, type LoadDemand } from './load-placement.js';
 import { ModelLoader } from './model-loader.js';
 import type { OrderHolder } from './order-lease.js';
+import { PoolIndex, canLoadMore } from './pool-index.js';
 import { describeEngines, type PoolFigures } from './pool-figures.js';
 import { RefusedRequests } from './refused-requests.js';
 import type { RefusalReason, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
@@ -35,10 +36,10 @@
   readonly adapterVersion: (model: string, adapter: string) => number;
 }
 
-/** Adapters that one engine is asked to fetch at the same time. */
-const LOADS_PER_ENGINE = 3;
-/** Fetches from the weight store at the same time; more of them slow each other down (measured: from 14 on). */
-const FETCHES_AT_ONCE = 12;
+/** Fetches from the weight store at the same time; more of them slow each other down (measured with 6 engines: from 14 on). */
+const LEAST_FETCHES_AT_ONCE = 12;
+/** Changes within this time are looked at together. */
+const SCHEDULE_DELAY_MS = 4;
 /** Prompts ahead, in ms, from which a request waits here, where it can still go to another engine. */
 const LONG_BACKLOG_MS = 450;
 /** How long after a request was held back for a long backlog it is looked at again. */
@@ -81,6 +82,7 @@
   readonly #timers = new Set<Timer>();
   readonly #refused: RefusedRequests;
   #looksAgain = false;
+  #scheduled = false;
   #closed = false;
 
   constructor(options: SlotPoolOptions) {
@@ -141,7 +143,7 @@
     }
     if (request.adapter !== undefined) this.#demand.count(adapterKey(request.model, request.adapter));
     this.#waiting.add(waiting);
-    this.schedule();
+    this.#place(waiting, this.#index(), nowMs);
     if (this.#waiting.get(request.id) === undefined) return;
     const untilEarlyMs = request.objectiveMs * EARLY_REFUSAL_SHARE - request.ageMs;
     this.#after(Math.max(untilEarlyMs, 1), () => this.#refuseIfHopeless(request.id));
@@ -177,14 +179,27 @@
     this.schedule();
   }
 
-  /** Gives what waits to what is free. Called after every change. */
+  /** Gives what waits to what is free, soon: changes that come close together are looked at once. */
   schedule(): void {
-    if (this.#closed) return;
+    if (this.#closed || this.#scheduled) return;
+    this.#scheduled = true;
+    this.#after(SCHEDULE_DELAY_MS, () => {
+      this.#scheduled = false;
+      this.#placeAll();
+    });
+  }
+
+  #placeAll(): void {
     const nowMs = this.#options.clock.now();
-    for (const waiting of this.#waiting.inOrder(nowMs)) this.#place(waiting, nowMs);
+    const index = this.#index();
+    for (const waiting of this.#waiting.inOrder(nowMs)) this.#place(waiting, index, nowMs);
     this.#models.loadMissing();
   }
 
+  #index(): PoolIndex {
+    return new PoolIndex(this.#engines.all(), this.#options.clock.now());
+  }
+
   /** Figures for logs and metrics. */
   describe(): PoolFigures {
     return {
@@ -198,9 +213,9 @@
 
   // --- grants ------------------------------------------------------------------------------------
 
-  #place(waiting: WaitingRequest, nowMs: number): void {
+  #place(waiting: WaitingRequest, index: PoolIndex, nowMs: number): void {
     const { request } = waiting;
-    const engine = this.#choice.best(request, nowMs);
+    const engine = this.#choice.best(request, index, nowMs);
     if (request.adapter === undefined) {
       if (engine !== undefined) this.#grant(waiting, engine, undefined, nowMs);
       return;
@@ -211,7 +226,7 @@
       this.#grant(waiting, engine, slot, nowMs);
       return;
     }
-    if (!this.#choice.isLoading(request)) this.#startLoad(request.model, request.adapter, waiting, aheadMs);
+    if (!this.#choice.isLoading(request, index)) this.#startLoad(waiting, index, aheadMs);
     if (engine === undefined) return;
     if (aheadMs > LONG_BACKLOG_MS) this.#lookAgainLater();
     else this.#grant(waiting, engine, slot, nowMs);
@@ -223,7 +238,7 @@
     this.#looksAgain = true;
     this.#after(BACKLOG_POLL_MS, () => {
       this.#looksAgain = false;
-      this.schedule();
+      this.#placeAll();
     });
   }
 
@@ -255,52 +270,43 @@
   // --- loads -------------------------------------------------------------------------------------
 
   /** @param aheadMs the shortest backlog of an engine that has the adapter: a copy must be quicker */
-  #startLoad(model: string, adapter: string, waiting: WaitingRequest, aheadMs: number): void {
+  #startLoad({ request, arrivedMs }: WaitingRequest, index: PoolIndex, aheadMs: number): void {
+    const { model, adapter } = request;
     const { memory, clock } = this.#options;
+    if (adapter === undefined || index.able.length === 0) return;
     const nowMs = clock.now();
     const key = adapterKey(model, adapter);
-    const candidates = this.#loadCandidates(waiting.request, key, nowMs);
+    const isCandidate = (entry: EngineEntry): boolean =>
+      this.#engines.mayServe(entry, request) &&
+      entry.slots.models.has(model) &&
+      !this.#choice.holds(entry, key);
+    const able = index.able.filter((entry) => isCandidate(entry) && canLoadMore(entry));
+    const hasHome = this.#engines
+      .listed()
+      .some((entry) => memory.has(entry.slots.backend.id, key) && entry.lease.held && isCandidate(entry));
     const demand: LoadDemand = {
       model,
       key,
       nowMs,
-      ageMs: nowMs - waiting.arrivedMs,
-      objectiveMs: waiting.request.objectiveMs,
+      ageMs: nowMs - arrivedMs,
+      objectiveMs: request.objectiveMs,
       quickerThanMs: aheadMs,
-      mayFetch: this.#fetches() < FETCHES_AT_ONCE,
+      hasHome,
+      mayFetch: index.fetches < this.#fetchesAtOnce(),
       coldLoadMs: this.#adapters.coldLoadMs,
       warmLoadMs: this.#adapters.warmLoadMs,
     };
-    const choice = chooseLoad(candidates.able, candidates.homes, demand, this.#demand, memory);
+    const slots = able.map((entry) => entry.slots);
+    const choice = chooseLoad(slots, demand, this.#demand, memory);
     const entry = choice === undefined ? undefined : this.#engines.get(choice.slots.backend.id);
-    if (choice !== undefined && entry !== undefined) void this.#adapters.load(entry, choice, model, adapter);
+    if (choice === undefined || entry === undefined) return;
+    index.loadStarted(key, entry, !choice.warm);
+    void this.#adapters.load(entry, choice, model, adapter);
   }
 
-  /** Engines that lack the adapter: those that can load it now, and those that have it in memory. */
-  #loadCandidates(
-    request: SlotRequest,
-    key: string,
-    nowMs: number,
-  ): { able: EngineSlots[]; homes: EngineSlots[] } {
-    const able: EngineSlots[] = [];
-    const homes: EngineSlots[] = [];
-    for (const entry of this.#engines.serving(request)) {
-      const { slots, lease } = entry;
-      if (!lease.held || !slots.models.has(request.model) || this.#choice.holds(entry, key)) continue;
-      if (this.#options.memory.has(slots.backend.id, key)) homes.push(slots);
-      const isFree = !slots.busy && slots.avoidUntilMs <= nowMs;
-      if (isFree && slots.loadingCount < LOADS_PER_ENGINE) able.push(slots);
-    }
-    return { able, homes };
-  }
-
-  /** Fetches from the weight store under way, on all engines. */
-  #fetches(): number {
-    let count = 0;
-    for (const { slots } of this.#engines.all()) {
-      for (const slot of slots.slots.values()) if (slot.state === 'loading' && !slot.warm) count += 1;
-    }
-    return count;
+  /** Fetches that do not slow each other down: their bound grows with the engines that they go to. */
+  #fetchesAtOnce(): number {
+    return Math.max(LEAST_FETCHES_AT_ONCE, this.#engines.listed().length);
   }
 
   /** The engine did not have what it was thought to have. */
@@ -326,7 +332,7 @@
       this.#refuse(waiting, 'no-engine', RETRY_WITHOUT_ENGINE_MS);
       return;
     }
-    if (this.#choice.isLoading(request)) return;
+    if (this.#choice.isLoading(request, this.#index())) return;
     const nowMs = this.#options.clock.now();
     const waitMs = this.#expectedWaitMs(waiting);
     if (nowMs - waiting.arrivedMs + waitMs <= request.objectiveMs * USEFUL_SHARE) return;
@@ -342,7 +348,7 @@
     const waiting = this.#waiting.get(requestId);
     if (waiting === undefined) return;
     const { request } = waiting;
-    if (this.#choice.isLoading(request)) return;
+    if (this.#choice.isLoading(request, this.#index())) return;
     const leftMs = request.startWithinMs * (LONGEST_WAIT_SHARE - HALFWAY_SHARE);
     if (this.#expectedWaitMs(waiting) > leftMs * SOON_SHARE) this.#giveUp(requestId);
   }
