--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -12,7 +12,7 @@
 import { RawBackend, type RawAnswer } from './raw-backend.js';
 
 /** A dialect for tests; header names differ from those of any platform. */
-const dialect: RequestDialect = {
+export const dialect: RequestDialect = {
   readRequest: (headers) => ({
     attemptId: headers['attempt-id'] as string | undefined,
     deadlineMs: headers['deadline'] === undefined ? undefined : Number(headers['deadline']),
@@ -172,7 +172,8 @@
   }
 }
 
-function configuration(changes: RouteChanges): ServingConfiguration {
+/** One route, to one plain service. */
+export function configuration(changes: RouteChanges): ServingConfiguration {
   const route: HttpRoute = {
     name: 'r',
     host: HOST,
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -60,6 +60,14 @@
   };
 }
 
+/** Requests that take all adapter slots of one engine, and keep them. */
+async function fillSlots(clock: VirtualClock, pool: SlotPool): Promise<void> {
+  for (const adapter of ['a', 'b', 'c', 'd', 'e', 'f']) {
+    pool.acquire(request(adapter, { timeoutMs: 60_000, objectiveMs: 5000 }), () => undefined);
+  }
+  await clock.runUntil(HELD_MS + 900);
+}
+
 test('a request waits until its adapter is loaded and gets the engine that holds it', async (t) => {
   const clock = new VirtualClock();
   const engines = [new SimulatedEngine(clock, 'e1'), new SimulatedEngine(clock, 'e2')];
@@ -100,10 +108,7 @@
   const clock = new VirtualClock();
   const pool = newPool(clock, [new SimulatedEngine(clock, 'e1')]);
   await clock.runUntil(HELD_MS);
-  for (const adapter of ['a', 'b', 'c', 'd', 'e', 'f']) {
-    pool.acquire(request(adapter, { timeoutMs: 60_000, objectiveMs: 5000 }), () => undefined);
-  }
-  await clock.runUntil(HELD_MS + 900);
+  await fillSlots(clock, pool);
   const refusals: { decision: SlotDecision; atMs: number }[] = [];
   for (let index = 0; index < 20; index += 1) {
     pool.acquire(request(`x${index}`), (decision) => refusals.push({ decision, atMs: clock.now() }));
@@ -166,10 +171,7 @@
   const clock = new VirtualClock();
   const pool = newPool(clock, [new SimulatedEngine(clock, 'e1')]);
   await clock.runUntil(HELD_MS);
-  for (const adapter of ['a', 'b', 'c', 'd', 'e', 'f']) {
-    pool.acquire(request(adapter, { timeoutMs: 60_000, objectiveMs: 5000 }), () => undefined);
-  }
-  await clock.runUntil(HELD_MS + 900);
+  await fillSlots(clock, pool);
   const kinds: string[] = [];
   const ask = (): void =>
     pool.acquire(request('x', { promptKey: 'p:1', objectiveMs: 300 }), (decision) =>
@@ -327,10 +329,7 @@
   const clock = new VirtualClock();
   const pool = newPool(clock, [new SimulatedEngine(clock, 'e1')]);
   await clock.runUntil(HELD_MS);
-  for (const adapter of ['a', 'b', 'c', 'd', 'e', 'f']) {
-    pool.acquire(request(adapter, { timeoutMs: 60_000, objectiveMs: 5000 }), () => undefined);
-  }
-  await clock.runUntil(HELD_MS + 900);
+  await fillSlots(clock, pool);
   const refusedMs: number[] = [];
   const ask = request('x', { objectiveMs: 60_000, timeoutMs: 60_000, startWithinMs: 4000 });
   pool.acquire(ask, () => refusedMs.push(clock.now() - HELD_MS - 900));
