Test that the lines alone explain a request that was refused, broken off or late

Cause: the way of docs/OPERATIONS.md from an id to a cause had no test. The explanation is made from log lines only, in a harness over real sockets.

--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import { Random, SystemClock } from '@canvasridge/clock';
 import { FleetState, type HttpRoute, type RouteKind, type ServingConfiguration } from '@canvasridge/serving';
-import { Telemetry } from '@canvasridge/telemetry';
+import { EventLogger, Telemetry } from '@canvasridge/telemetry';
 import { BackendConnections } from '../src/backends/backend-connections.js';
 import { LeastLoadedPicker } from '../src/backends/least-loaded-picker.js';
 import { RetryBudget } from '../src/backends/retry-budget.js';
@@ -61,6 +61,7 @@
 /** An exchange between real sockets: a client, the code under test, and backends that answer as told. */
 export class Harness {
   readonly fleet = new FleetState();
+  /** Log lines of the node. */
   readonly lines: string[] = [];
   readonly #connections = new BackendConnections();
   readonly #backends: RawBackend[] = [];
@@ -166,7 +167,11 @@
       isStopping: () => false,
       nextId: () => String((nextId += 1)),
       random: () => random.next(),
-      telemetry: new Telemetry({ processName: 'test', clock }),
+      telemetry: new Telemetry({
+        processName: 'test',
+        clock,
+        logger: new EventLogger('test', 'info', (line) => this.lines.push(line)),
+      }),
       metrics: new GatewayMetrics(),
     };
   }
