Learn how fast engines read prompts, and count backlogs from answers

Change: nodes tell the leader when an answer has begun; an engine's backlog is the prompts of which nothing came back, its speed their length over the time it was busy, with its fellows' speed as prior and a half-life of 1.2 s of reading. The moment by which a request has to start comes from its own prompt, not from a share of the objective. Thresholds in ms became shares of the objective, the crowded engine a share of its batch.

--- a/packages/gateway/src/backends/least-loaded-picker.ts
+++ b/packages/gateway/src/backends/least-loaded-picker.ts
@@ -44,7 +44,7 @@
     record.running += 1;
     const startedMs = this.#clock.now();
     const finish = (outcome: UseOutcome): void => this.#finished(record, startedMs, outcome);
-    return Promise.resolve({ kind: 'picked', backend, how: 'least-loaded', finish });
+    return Promise.resolve({ kind: 'picked', backend, how: 'least-loaded', started: ignore, finish });
   }
 
   #best(context: PickContext): BackendDescription | undefined {
@@ -98,3 +98,8 @@
     }
   }
 }
+
+/** How long a backend takes to begin is not looked at here. */
+function ignore(): void {
+  return;
+}
--- a/packages/gateway/src/backends/picker.ts
+++ b/packages/gateway/src/backends/picker.ts
@@ -25,6 +25,8 @@
       readonly backend: BackendDescription;
       /** How the backend was chosen, for logs. */
       readonly how: string;
+      /** To be called once, when the backend has begun its answer. */
+      readonly started: () => void;
       /** To be called once, when the attempt has ended. */
       readonly finish: (outcome: UseOutcome) => void;
     }
--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -7,6 +7,8 @@
 export interface SlotSource {
   /** Undefined when no leader can be asked now. */
   acquire(pool: string, request: SlotRequest, cancelled: AbortSignal): Promise<SlotDecision | undefined>;
+  /** The engine has begun its answer. */
+  started(pool: string, requestId: string): void;
   release(pool: string, requestId: string, outcome: UseOutcome): void;
 }
 
@@ -49,7 +51,7 @@
       timeoutMs: context.timeoutMs,
       startWithinMs: context.startWithinMs,
       excluded: context.excluded,
-      tokens: generation.tokens,
+      promptTokens: generation.promptTokens,
       promptKey: generation.promptKey,
     };
     const pool = context.service.name;
@@ -63,6 +65,7 @@
       kind: 'picked',
       backend,
       how: 'granted',
+      started: () => this.#slots.started(pool, request.id),
       finish: (outcome) => {
         this.#slots.release(pool, request.id, outcome);
         if (outcome === 'served') this.#saw(request, backend.id);
@@ -89,7 +92,7 @@
       if (outcome === 'served') this.#saw(request, backend.id);
       else if (outcome === 'not-present') this.#sightings.delete(sightingKey(request));
     };
-    return { kind: 'picked', backend, how: 'seen', finish };
+    return { kind: 'picked', backend, how: 'seen', started: () => undefined, finish };
   }
 
   #bestSeen(context: PickContext, request: SlotRequest): BackendDescription | undefined {
--- a/packages/gateway/src/cluster/slot-protocol.ts
+++ b/packages/gateway/src/cluster/slot-protocol.ts
@@ -4,6 +4,7 @@
 export const ACQUIRE_METHOD = 'slots.acquire';
 export const DECIDED_METHOD = 'slots.decided';
 export const CANCEL_METHOD = 'slots.cancel';
+export const STARTED_METHOD = 'slots.started';
 export const RELEASE_METHOD = 'slots.release';
 
 /** Params of {@link ACQUIRE_METHOD}. The answer is a {@link AcquireReply}; a queued one is decided later. */
@@ -17,6 +18,12 @@
   | { readonly kind: 'queued' }
   | { readonly kind: 'not-leader' };
 
+/** Params of {@link STARTED_METHOD}: engines have begun to answer these requests. */
+export interface StartedParams {
+  readonly pool: string;
+  readonly requestIds: readonly string[];
+}
+
 export interface ReleaseParams {
   readonly pool: string;
   readonly requestId: string;
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -22,13 +22,17 @@
 import {
   DECIDED_METHOD,
   RELEASE_METHOD,
+  STARTED_METHOD,
   cancelledDecision,
   type AcquireParams,
   type AcquireReply,
   type ReleaseParams,
+  type StartedParams,
 } from './slot-protocol.js';
 
 const TICK_MS = 100;
+/** Beginnings of answers within this time are told together: each message costs both nodes processor time. */
+const STARTED_DELAY_MS = 12;
 const MOST_LEADERS_ASKED = 3;
 /** Part of its objective for which a request waits while no leader is known. */
 const LEADER_WAIT_SHARE = 0.2;
@@ -58,6 +62,8 @@
   readonly #pauses: PauseDetector;
   readonly #memory = new AdapterMemory();
   readonly #leaderChanged = new Notifier();
+  /** By pool: requests whose answers have begun and whose leader is not told yet. */
+  readonly #startedToTell = new Map<string, string[]>();
   readonly #startedMs: number;
   #stopped = false;
   #resigned = false;
@@ -152,17 +158,43 @@
     return entry.leadership.leader;
   }
 
+  started(poolName: string, requestId: string): void {
+    const entry = this.#pools.get(poolName);
+    if (entry?.pool !== undefined && entry.leading) {
+      entry.pool.started(requestId);
+      return;
+    }
+    const told = this.#startedToTell.get(poolName);
+    if (told !== undefined) {
+      told.push(requestId);
+      return;
+    }
+    this.#startedToTell.set(poolName, [requestId]);
+    this.#options.clock.setTimer(STARTED_DELAY_MS, () => this.#tellStarted(poolName));
+  }
+
+  #tellStarted(poolName: string): void {
+    const requestIds = this.#startedToTell.get(poolName) ?? [];
+    this.#startedToTell.delete(poolName);
+    const params: StartedParams = { pool: poolName, requestIds };
+    this.#leaderConnection(poolName)?.notify(STARTED_METHOD, params);
+  }
+
+  /** The connection to a pool's leader, if that is another node that is known. */
+  #leaderConnection(poolName: string): PeerConnection | undefined {
+    const leader = this.#pools.get(poolName)?.leadership.leader;
+    const address = leader === undefined ? undefined : this.#options.cluster.peerAddress(leader);
+    return address === undefined ? undefined : this.#options.network.to(address);
+  }
+
   release(poolName: string, requestId: string, outcome: UseOutcome): void {
     const entry = this.#pools.get(poolName);
     if (entry?.pool !== undefined && entry.leading) {
       entry.pool.release(requestId, outcome);
       return;
     }
-    const leader = entry?.leadership.leader;
-    const address = leader === undefined ? undefined : this.#options.cluster.peerAddress(leader);
-    if (address === undefined) return;
     const params: ReleaseParams = { pool: poolName, requestId, outcome };
-    this.#options.network.to(address).notify(RELEASE_METHOD, params);
+    this.#leaderConnection(poolName)?.notify(RELEASE_METHOD, params);
   }
 
   #acquireHere(pool: SlotPool, request: SlotRequest, cancelled: AbortSignal): Promise<SlotDecision> {
@@ -210,6 +242,11 @@
     pool?.release(params.requestId, 'cancelled');
   }
 
+  onStarted({ pool, requestIds }: StartedParams): void {
+    const entry = this.#pools.get(pool);
+    for (const requestId of requestIds) entry?.pool?.started(requestId);
+  }
+
   onRelease(params: ReleaseParams, peer: PeerConnection): void {
     this.#remote.get(peer)?.delete(params.requestId);
     this.#pools.get(params.pool)?.pool?.release(params.requestId, params.outcome);
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -18,8 +18,10 @@
   CANCEL_METHOD,
   DECIDED_METHOD,
   RELEASE_METHOD,
+  STARTED_METHOD,
   type AcquireParams,
   type ReleaseParams,
+  type StartedParams,
 } from './cluster/slot-protocol.js';
 import { SlotService } from './cluster/slot-service.js';
 import {
@@ -259,6 +261,7 @@
       [FOLLOW_METHOD]: (params) => this.#follower.answer(params as FollowRequest),
       [ACQUIRE_METHOD]: (params, peer) => this.#slots.onAcquire(params as AcquireParams, peer),
       [CANCEL_METHOD]: (params, peer) => this.#slots.onCancel(params as ReleaseParams, peer),
+      [STARTED_METHOD]: (params) => this.#slots.onStarted(params as StartedParams),
       [RELEASE_METHOD]: (params, peer) => this.#slots.onRelease(params as ReleaseParams, peer),
       [DECIDED_METHOD]: (params) => this.#slots.onDecided(params as SlotDecision),
     };
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -36,6 +36,8 @@
   readonly attemptId: string;
   /** Called whenever the backend sent something. */
   readonly onHeard: () => void;
+  /** Called once, when the first part of a success came. */
+  readonly onStarted: () => void;
   /** Whether the answer is a series of events, which pass on one by one. */
   readonly stream: boolean;
   /** Id of the last event that the client has, -1 for none. */
@@ -155,6 +157,7 @@
     if (this.#settled) return;
     const bytes = this.#isStream ? this.#tracker.push(chunk) : chunk;
     if (bytes.length === 0) return;
+    if (this.#isSuccess && this.#size === 0 && !this.#passing) this.#options.onStarted();
     if (this.#isStream) this.#watchSilence();
     if (this.#passing) {
       this.#pass(controller, bytes);
--- a/packages/gateway/src/request/dialect.ts
+++ b/packages/gateway/src/request/dialect.ts
@@ -5,8 +5,8 @@
   readonly model: string;
   /** Undefined for the base model itself. */
   readonly adapter: string | undefined;
-  /** Prompt and expected output together. */
-  readonly tokens: number;
+  /** Length of the prompt. */
+  readonly promptTokens: number;
   /** The same for a request that a client sends again, and rarely for others; undefined if nothing tells. */
   readonly promptKey: string | undefined;
 }
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -172,6 +172,7 @@
         lastEventId: this.#lastEventId,
         silence: this.#silence(route, backend.id),
         onHeard: () => connections.heard(backend.id, clock.now()),
+        onStarted: picked.started,
       },
       this.#sink,
     );
--- a/packages/gateway/test/remote-slots.test.ts
+++ b/packages/gateway/test/remote-slots.test.ts
@@ -40,7 +40,7 @@
   timeoutMs: 5000,
   startWithinMs: 5000,
   excluded: [],
-  tokens: 10,
+  promptTokens: 10,
   promptKey: undefined,
 };
 
--- a/packages/slots/src/engine-choice.ts
+++ b/packages/slots/src/engine-choice.ts
@@ -5,12 +5,12 @@
 import type { PoolIndex } from './pool-index.js';
 import type { SlotRequest } from './slot-request.js';
 
-/** Requests on one engine beyond which it takes more only when no other engine gets the adapter: its memory fills up. */
-const CROWDED_ENGINE = 40;
-/** Prompts ahead of a request, in ms, up to which no other engine is looked for. */
-export const SHORT_BACKLOG_MS = 150;
-/** Prompt work that weighs as much as one more running request. */
-const WORK_PER_RUNNING_MS = 25;
+/** Part of an engine's batch beyond which it takes more only when no other engine gets the adapter: its memory fills up. */
+const CROWDED_SHARE = 0.45;
+/** What a request that runs on an engine counts beside the prompts ahead, in ms: it takes a part of each step. */
+export const RUNNING_COST_MS = 8;
+/** The same for an engine that failed a moment ago. */
+const AVOIDED_COST_MS = 500;
 /** Time after which an adapter of an older version serves no new requests. */
 const OUTDATED_GRACE_MS = 1500;
 
@@ -32,7 +32,7 @@
     let best: EngineEntry | undefined;
     for (const entry of this.#candidates(request, index)) {
       if (!this.#engines.mayServe(entry, request) || !this.#suits(entry, request, nowMs)) continue;
-      if (best === undefined || load(entry, nowMs) < load(best, nowMs)) best = entry;
+      if (best === undefined || costMs(entry, nowMs) < costMs(best, nowMs)) best = entry;
     }
     return best;
   }
@@ -83,11 +83,16 @@
 export function backlogMs(entry: EngineEntry, nowMs: number): number {
   const { slots } = entry;
   if (slots.running >= slots.backend.slots) return Infinity;
-  const crowdedMs = slots.running < CROWDED_ENGINE ? 0 : SHORT_BACKLOG_MS + 1;
-  return Math.max(slots.workMs(nowMs), crowdedMs);
+  return slots.backlog.aheadMs(nowMs);
 }
 
-function load(entry: EngineEntry, nowMs: number): number {
-  const avoided = entry.slots.avoidUntilMs > nowMs ? CROWDED_ENGINE / 2 : 0;
-  return entry.slots.running + avoided + entry.slots.workMs(nowMs) / WORK_PER_RUNNING_MS;
+/** Whether an engine runs so many requests that others should be preferred. */
+export function isCrowded({ slots }: EngineEntry): boolean {
+  return slots.running >= slots.backend.slots * CROWDED_SHARE;
+}
+
+function costMs(entry: EngineEntry, nowMs: number): number {
+  const { slots } = entry;
+  const avoidedMs = slots.avoidUntilMs > nowMs ? AVOIDED_COST_MS : 0;
+  return slots.backlog.aheadMs(nowMs) + RUNNING_COST_MS * slots.running + avoidedMs;
 }
--- a/packages/slots/src/engine-registry.ts
+++ b/packages/slots/src/engine-registry.ts
@@ -4,6 +4,7 @@
 import type { EngineEntry } from './engine-entry.js';
 import { EngineSlots } from './engine-slots.js';
 import { OrderLease, type OrderLeaseOptions } from './order-lease.js';
+import { speedOfFellows } from './reading-speed.js';
 import type { SlotRequest } from './slot-request.js';
 
 /** How long an engine that left the list is remembered. */
@@ -23,6 +24,8 @@
 export class EngineRegistry {
   readonly #options: EngineRegistryOptions;
   readonly #engines = new Map<string, EngineEntry>();
+  /** How fast the engines read prompts, all of them together. */
+  readonly speed = speedOfFellows();
 
   constructor(options: EngineRegistryOptions) {
     this.#options = options;
@@ -97,7 +100,7 @@
 
   #add(backend: BackendDescription, profile: EngineProfile): void {
     const { clock, lease: shared, onAdopted } = this.#options;
-    const slots = new EngineSlots(backend, profile);
+    const slots = new EngineSlots(backend, profile, this.speed);
     const onReport = (report: EngineReport): void => {
       slots.adopt(report, clock.now());
       onAdopted(slots);
--- a/packages/slots/src/engine-slots.ts
+++ b/packages/slots/src/engine-slots.ts
@@ -1,5 +1,7 @@
 import { adapterKey, type BackendDescription, type EngineProfile } from '@canvasridge/serving';
 import type { EngineReport } from './engine-control.js';
+import { PromptBacklog } from './prompt-backlog.js';
+import type { ReadingSpeed } from './reading-speed.js';
 
 /** `unloading` includes adapters whose fate is not known; they take a slot until a report shows otherwise. */
 export type SlotState = 'loading' | 'loaded' | 'unloading';
@@ -24,13 +26,6 @@
   outdatedSinceMs: number;
 }
 
-/** Time to read one token of a prompt. */
-const PROMPT_MS_PER_TOKEN = 0.052;
-/**
- * How much of that work an engine does in a ms: nearly all its time goes to prompts while some wait, and parts
- * that it has kept cost nothing. Measured: with 0.7 a busy engine seemed 375 ms behind that was not behind at all.
- */
-const PROMPT_SHARE = 1.1;
 /** A load that was ordered so long ago has ended, whether a request ran on it or not. */
 const CERTAIN_AFTER_MS = 1200;
 
@@ -47,26 +42,16 @@
   /** No new requests before this time, after failures. */
   avoidUntilMs = 0;
 
-  #workMs = 0;
-  #workAtMs = 0;
+  readonly backlog: PromptBacklog;
 
-  constructor(backend: BackendDescription, profile: EngineProfile) {
+  /** @param fellows how fast the engines of the pool read prompts */
+  constructor(backend: BackendDescription, profile: EngineProfile, fellows?: ReadingSpeed) {
+    this.backlog = new PromptBacklog(fellows);
     this.backend = backend;
     this.profile = profile;
     for (const model of backend.models) this.models.add(model.name);
   }
 
-  /** A request was sent here whose prompt has to be read. */
-  addWork(tokens: number, nowMs: number): void {
-    this.#workMs = this.workMs(nowMs) + tokens * PROMPT_MS_PER_TOKEN;
-    this.#workAtMs = nowMs;
-  }
-
-  /** Estimate of how long the engine reads prompts that were sent so far, in milliseconds. */
-  workMs(nowMs: number): number {
-    return Math.max(0, this.#workMs - (nowMs - this.#workAtMs) * PROMPT_SHARE);
-  }
-
   /** Takes over what a report shows. Users of adapters that stay are kept. */
   adopt(report: EngineReport, nowMs: number): void {
     this.busy = report.busy;
--- a/packages/slots/src/load-placement.ts
+++ b/packages/slots/src/load-placement.ts
@@ -1,5 +1,6 @@
 import type { AdapterDemand } from './adapter-demand.js';
 import type { AdapterMemory } from './adapter-memory.js';
+import { RUNNING_COST_MS } from './engine-choice.js';
 import type { AdapterSlot, EngineSlots } from './engine-slots.js';
 
 /** An engine that may load an adapter now, and the adapter that has to make way for it, if any. */
@@ -29,8 +30,7 @@
 
 /** Part of the objective for which a request waits for an engine that has its adapter in memory. */
 const HOME_PATIENCE_SHARE = 0.5;
-/** What is added to the cost of a place for each request that runs there, and each load under way, in ms. */
-const RUNNING_COST_MS = 4;
+/** What is added to the cost of a place for each load under way there, in ms. */
 const LOADING_COST_MS = 40;
 const EVICTION_COST_MS = 25;
 
@@ -103,5 +103,5 @@
   const loadMs = warm ? demand.warmLoadMs : demand.coldLoadMs;
   const evictionMs = victim === undefined ? 0 : Math.min(popularity.rate(victim.key), 4) * EVICTION_COST_MS;
   const busyMs = RUNNING_COST_MS * slots.running + LOADING_COST_MS * slots.loadingCount;
-  return loadMs + evictionMs + busyMs + slots.workMs(demand.nowMs);
+  return loadMs + evictionMs + busyMs + slots.backlog.aheadMs(demand.nowMs);
 }
--- a/packages/slots/src/pool-figures.ts
+++ b/packages/slots/src/pool-figures.ts
@@ -6,6 +6,8 @@
   readonly running: number;
   /** Present guess of how long a fetch from the weight store takes. */
   readonly coldLoadMs: number;
+  /** Time that reading 1,000 tokens of a prompt is thought to take, for all engines together. */
+  readonly readMsPer1000: number;
   /** Mean time between two slots that become idle. */
   readonly gapMs: number;
 }
@@ -25,7 +27,7 @@
 
 export function describeEngines(entries: readonly EngineEntry[], nowMs: number): EngineFigures {
   const slots = entries.flatMap((entry) => [...entry.slots.slots.values()]);
-  const backlogs = entries.map((entry) => Math.round(entry.slots.workMs(nowMs)));
+  const backlogs = entries.map((entry) => Math.round(entry.slots.backlog.aheadMs(nowMs)));
   return {
     engines: entries.length,
     held: entries.filter(({ lease }) => lease.held).length,
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -4,7 +4,7 @@
 import { AdapterDemand } from './adapter-demand.js';
 import { AdapterLoader } from './adapter-loader.js';
 import type { AdapterMemory } from './adapter-memory.js';
-import { EngineChoice, SHORT_BACKLOG_MS, backlogMs } from './engine-choice.js';
+import { EngineChoice, backlogMs, isCrowded } from './engine-choice.js';
 import type { EngineControl } from './engine-control.js';
 import type { EngineEntry } from './engine-entry.js';
 import { EngineRegistry } from './engine-registry.js';
@@ -18,7 +18,7 @@
 import type { RefusalReason, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
 import { SlotTurnover } from './slot-turnover.js';
 import type { SlotTiming } from './timing.js';
-import { USEFUL_SHARE, WaitingList, type WaitingRequest } from './waiting-list.js';
+import { WaitingList, type WaitingRequest } from './waiting-list.js';
 
 export interface SlotPoolOptions {
   readonly service: string;
@@ -40,8 +40,10 @@
 const LEAST_FETCHES_AT_ONCE = 12;
 /** Changes within this time are looked at together. */
 const SCHEDULE_DELAY_MS = 4;
-/** Prompts ahead, in ms, from which a request waits here, where it can still go to another engine. */
-const LONG_BACKLOG_MS = 450;
+/** Part of its objective for which a request may wait behind prompts at an engine before another one is looked for. */
+const SHORT_BACKLOG_SHARE = 0.15;
+/** The same from which a request waits here, where it can still go to another engine. */
+const LONG_BACKLOG_SHARE = 0.45;
 /** How long after a request was held back for a long backlog it is looked at again. */
 const BACKLOG_POLL_MS = 40;
 /** A refusal has to be known to the client within this part of its objective. */
@@ -73,7 +75,7 @@
   readonly #options: SlotPoolOptions;
   readonly #engines: EngineRegistry;
   readonly #choice: EngineChoice;
-  readonly #waiting = new WaitingList();
+  readonly #waiting = new WaitingList((tokens) => tokens * this.#engines.speed.msPerToken);
   readonly #uses = new Map<string, Use>();
   readonly #demand: AdapterDemand;
   readonly #turnover: SlotTurnover;
@@ -161,6 +163,16 @@
     this.#waiting.remove(requestId);
   }
 
+  /** The first event of a granted request came back from its engine. */
+  started(requestId: string): void {
+    const use = this.#uses.get(requestId);
+    const entry = use === undefined ? undefined : this.#engines.get(use.engineId);
+    if (use === undefined || entry === undefined) return;
+    entry.slots.backlog.read(requestId, this.#options.clock.now());
+    if (use.slot !== undefined) this.#adapters.served(use.slot);
+    this.schedule();
+  }
+
   /** A granted request has ended. */
   release(requestId: string, outcome: UseOutcome): void {
     const use = this.#uses.get(requestId);
@@ -171,6 +183,8 @@
     if (use.slot !== undefined) this.#endSlotUse(use.slot, nowMs);
     if (entry !== undefined) {
       entry.slots.running -= 1;
+      if (outcome === 'served') entry.slots.backlog.read(requestId, nowMs);
+      else entry.slots.backlog.drop(requestId);
       if (outcome === 'not-present') this.#notPresent(entry, use.slot, nowMs);
       else if (outcome === 'failed' || outcome === 'refused') {
         entry.slots.avoidUntilMs = nowMs + AVOID_AFTER_FAILURE_MS;
@@ -207,6 +221,7 @@
       waiting: this.#waiting.size,
       running: this.#uses.size,
       coldLoadMs: Math.round(this.#adapters.coldLoadMs),
+      readMsPer1000: Math.round(this.#engines.speed.msPerToken * 1000),
       gapMs: Math.round(this.#turnover.meanGapMs()),
     };
   }
@@ -222,13 +237,14 @@
     }
     const slot = engine?.slots.get(adapterKey(request.model, request.adapter));
     const aheadMs = engine === undefined ? Infinity : backlogMs(engine, nowMs);
-    if (engine !== undefined && aheadMs <= SHORT_BACKLOG_MS) {
+    const isSoon = aheadMs <= request.objectiveMs * SHORT_BACKLOG_SHARE;
+    if (engine !== undefined && isSoon && !isCrowded(engine)) {
       this.#grant(waiting, engine, slot, nowMs);
       return;
     }
     if (!this.#choice.isLoading(request, index)) this.#startLoad(waiting, index, aheadMs);
     if (engine === undefined) return;
-    if (aheadMs > LONG_BACKLOG_MS) this.#lookAgainLater();
+    if (aheadMs > request.objectiveMs * LONG_BACKLOG_SHARE) this.#lookAgainLater();
     else this.#grant(waiting, engine, slot, nowMs);
   }
 
@@ -246,7 +262,7 @@
     const { request } = waiting;
     this.#waiting.remove(request.id);
     engine.slots.running += 1;
-    engine.slots.addWork(request.tokens, nowMs);
+    engine.slots.backlog.sent(request.id, request.promptTokens, nowMs);
     if (slot !== undefined) {
       slot.users += 1;
       slot.lastUsedMs = nowMs;
@@ -335,7 +351,7 @@
     if (this.#choice.isLoading(request, this.#index())) return;
     const nowMs = this.#options.clock.now();
     const waitMs = this.#expectedWaitMs(waiting);
-    if (nowMs - waiting.arrivedMs + waitMs <= request.objectiveMs * USEFUL_SHARE) return;
+    if (nowMs - waiting.arrivedMs + waitMs <= this.#waiting.startWithinMs(request)) return;
     this.#waiting.remove(requestId);
     this.#refuse(waiting, 'no-slot-in-time', waitMs);
   }
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -16,8 +16,8 @@
   readonly startWithinMs: number;
   /** Engines that it was sent to before. */
   readonly excluded: readonly string[];
-  /** Prompt and expected output, in tokens. */
-  readonly tokens: number;
+  /** Length of the prompt, which an engine reads before its first event. */
+  readonly promptTokens: number;
   /** The same for a request that is sent again after a refusal; undefined if nothing tells. */
   readonly promptKey: string | undefined;
 }
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -1,7 +1,9 @@
 import type { SlotDecision, SlotRequest } from './slot-request.js';
 
-/** Part of the objective after which a request that still waits misses it: the engine has yet to read its prompt. */
-export const USEFUL_SHARE = 0.62;
+/** Part of the objective that is kept for the way of the first event, and for what is not foreseen. */
+const RETURN_SHARE = 0.12;
+/** A request whose prompt takes nearly its whole objective to be read still has this part of it to be started. */
+const LEAST_START_SHARE = 0.25;
 
 /** A request of one priority lower may start this much later than others that arrived with it. */
 const PRIORITY_STEP_MS = 60;
@@ -25,6 +27,12 @@
  */
 export class WaitingList {
   readonly #byId = new Map<string, WaitingRequest>();
+  readonly #readMs: (tokens: number) => number;
+
+  /** @param readMs how long a prompt of a length takes to be read */
+  constructor(readMs: (tokens: number) => number) {
+    this.#readMs = readMs;
+  }
 
   get size(): number {
     return this.#byId.size;
@@ -45,21 +53,33 @@
   }
 
   inOrder(nowMs: number): WaitingRequest[] {
-    const isLate = (entry: WaitingRequest): number =>
-      nowMs - entry.arrivedMs > entry.request.objectiveMs * USEFUL_SHARE ? 1 : 0;
-    return [...this.#byId.values()].sort(
+    const rows = [...this.#byId.values()].map((waiting) => ({
+      waiting,
+      late: this.startWithinMs(waiting.request) < nowMs - waiting.arrivedMs ? 1 : 0,
+      startByMs: this.#startByMs(waiting),
+    }));
+    rows.sort(
       (a, b) =>
-        isLate(a) - isLate(b) || startByMs(a) - startByMs(b) || a.request.priority - b.request.priority,
+        a.late - b.late ||
+        a.startByMs - b.startByMs ||
+        a.waiting.request.priority - b.waiting.request.priority,
     );
+    return rows.map(({ waiting }) => waiting);
+  }
+
+  /** Age at which a request has to be sent to an engine that is free, to meet its objective. */
+  startWithinMs({ objectiveMs, promptTokens }: SlotRequest): number {
+    const latestMs = objectiveMs * (1 - RETURN_SHARE) - this.#readMs(promptTokens);
+    return Math.max(latestMs, objectiveMs * LEAST_START_SHARE);
   }
 
   all(): WaitingRequest[] {
     return [...this.#byId.values()];
   }
-}
 
-/** Moment until which a request has to start. */
-function startByMs({ request, arrivedMs, returned }: WaitingRequest): number {
-  const bonusMs = returned ? RETURNED_BONUS_MS : 0;
-  return arrivedMs + request.objectiveMs * USEFUL_SHARE + request.priority * PRIORITY_STEP_MS - bonusMs;
+  /** Moment until which a request has to start, moved by its urgency. */
+  #startByMs({ request, arrivedMs, returned }: WaitingRequest): number {
+    const bonusMs = returned ? RETURNED_BONUS_MS : 0;
+    return arrivedMs + this.startWithinMs(request) + request.priority * PRIORITY_STEP_MS - bonusMs;
+  }
 }
--- /dev/null
+++ b/packages/slots/test/prompt-reader.ts
@@ -0,0 +1,22 @@
+import type { VirtualClock } from '@canvasridge/clock';
+
+/** Reads prompts one after the other, as an engine does. */
+export class PromptReader {
+  readonly #clock: VirtualClock;
+  #freeAtMs = 0;
+
+  /** @param msPerToken time that a token takes; may change at any moment */
+  constructor(
+    clock: VirtualClock,
+    public msPerToken: number,
+  ) {
+    this.#clock = clock;
+  }
+
+  /** Calls back when the prompt was read. */
+  read(tokens: number, onRead: () => void): void {
+    const nowMs = this.#clock.now();
+    this.#freeAtMs = Math.max(this.#freeAtMs, nowMs) + tokens * this.msPerToken;
+    this.#clock.setTimer(this.#freeAtMs - nowMs, onRead);
+  }
+}
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -10,6 +10,7 @@
   type SlotRequest,
   type UseOutcome,
 } from '../src/index.js';
+import { PromptReader } from './prompt-reader.js';
 import { LEASE_MS, MODEL, PROFILE, SimulatedControl, SimulatedEngine } from './simulated-engines.js';
 
 const HELD_MS = 5000;
@@ -54,7 +55,7 @@
     timeoutMs: 5000,
     startWithinMs: changes.timeoutMs ?? 5000,
     excluded: [],
-    tokens: 1000,
+    promptTokens: 1000,
     promptKey: undefined,
     ...changes,
   };
@@ -264,9 +265,12 @@
   const pool = newPool(clock, engines);
   await clock.runUntil(HELD_MS);
   const granted: string[] = [];
+  const readers = new Map(engines.map(({ description }) => [description.id, new PromptReader(clock, 0.05)]));
   const ask = (): void =>
-    pool.acquire(request('x', { tokens: 3000 }), (decision) => {
-      if (decision.kind === 'granted') granted.push(decision.backendId);
+    pool.acquire(request('x', { promptTokens: 3000 }), (decision) => {
+      if (decision.kind !== 'granted') return;
+      granted.push(decision.backendId);
+      readers.get(decision.backendId)?.read(3000, () => pool.started(decision.requestId));
     });
   for (let index = 0; index < 12; index += 1) ask();
   await clock.runUntil(HELD_MS + 700);
@@ -276,7 +280,7 @@
 });
 
 test('among requests of one objective, an earlier one of lower priority is not overtaken for long', (t) => {
-  const list = new WaitingList();
+  const list = new WaitingList(() => 0);
   const add = (id: string, arrivedMs: number, priority: number): void =>
     list.add({
       request: request('x', { id, priority }),
