Log each decision about a slot under the client's request id, and let load times be learnt downwards

Cause: what a request waits for could not be told from logs; the guess of a load stood at a floor set by its first value. Change: slot.granted and slot.refused lines with age, obstacle, backlog; the floor of a learnt load time is a fifth of the first guess, its pace of learning slower so that fewer requests find their adapter missing.

--- a/packages/gateway/src/backends/picker.ts
+++ b/packages/gateway/src/backends/picker.ts
@@ -6,6 +6,8 @@
 export interface PickContext {
   /** Unique over all requests and their attempts. */
   readonly id: string;
+  /** The client's own name for the request, for logs. */
+  readonly traceId: string;
   readonly route: HttpRoute;
   readonly service: BackendService;
   readonly generation: GenerationFacts | undefined;
--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -43,6 +43,7 @@
     if (generation === undefined) return { kind: 'none', reason: 'no-model-named', retryAfterMs: undefined };
     const request: SlotRequest = {
       id: context.id,
+      traceId: context.traceId,
       model: generation.model,
       adapter: generation.adapter,
       priority: context.route.priority,
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -128,6 +128,7 @@
     const picker = service.engine === undefined ? this.#context.plainPicker : this.#context.enginePicker;
     const context = {
       id: this.#context.nextId(),
+      traceId: this.#facts.attemptId ?? 'none',
       route,
       service,
       generation: this.#facts.generation,
--- a/packages/gateway/test/remote-slots.test.ts
+++ b/packages/gateway/test/remote-slots.test.ts
@@ -41,6 +41,7 @@
   startWithinMs: 5000,
   excluded: [],
   promptTokens: 10,
+  traceId: 't1',
   promptKey: undefined,
 };
 
--- a/packages/slots/src/load-time.ts
+++ b/packages/slots/src/load-time.ts
@@ -2,9 +2,9 @@
 
 /** Factors by which a guess grows when an adapter was not there yet, and shrinks when it was. */
 const GROWTH = 1.12;
-const SHRINKAGE = 0.985;
+const SHRINKAGE = 0.99;
 const SLOWEST_FACTOR = 5;
-const FASTEST_FACTOR = 0.95;
+const FASTEST_FACTOR = 0.2;
 /** Failures within this time come from one cause and count once. */
 const ONE_CAUSE_MS = 150;
 
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -18,7 +18,7 @@
 import type { RefusalReason, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
 import { SlotTurnover } from './slot-turnover.js';
 import type { SlotTiming } from './timing.js';
-import { WaitingList, type WaitingRequest } from './waiting-list.js';
+import { WaitingList, type WaitObstacle, type WaitingRequest } from './waiting-list.js';
 
 export interface SlotPoolOptions {
   readonly service: string;
@@ -138,7 +138,8 @@
     // One that was refused late can't be answered in time any more, whatever its new attempt says.
     const lostMs = refusal === 'late' ? request.objectiveMs : 0;
     const arrivedMs = nowMs - request.ageMs - lostMs;
-    const waiting: WaitingRequest = { request, arrivedMs, returned: refusal !== undefined, decide };
+    const returned = refusal !== undefined;
+    const waiting: WaitingRequest = { request, arrivedMs, returned, decide, obstacle: 'none' };
     if (this.#closed) {
       this.#refuse(waiting, 'stopping', 0);
       return;
@@ -232,6 +233,7 @@
     const { request } = waiting;
     const engine = this.#choice.best(request, index, nowMs);
     if (request.adapter === undefined) {
+      waiting.obstacle = 'no-engine';
       if (engine !== undefined) this.#grant(waiting, engine, undefined, nowMs);
       return;
     }
@@ -242,10 +244,15 @@
       this.#grant(waiting, engine, slot, nowMs);
       return;
     }
-    if (!this.#choice.isLoading(request, index)) this.#startLoad(waiting, index, aheadMs);
+    if (this.#choice.isLoading(request, index)) waiting.obstacle = 'loading';
+    else waiting.obstacle = this.#startLoad(waiting, index, aheadMs);
     if (engine === undefined) return;
-    if (aheadMs > request.objectiveMs * LONG_BACKLOG_SHARE) this.#lookAgainLater();
-    else this.#grant(waiting, engine, slot, nowMs);
+    if (aheadMs <= request.objectiveMs * LONG_BACKLOG_SHARE) {
+      this.#grant(waiting, engine, slot, nowMs);
+      return;
+    }
+    if (waiting.obstacle !== 'loading') waiting.obstacle = 'backlog';
+    this.#lookAgainLater();
   }
 
   /** Backlogs shrink without an event, so requests that are held back for one are looked at again. */
@@ -262,13 +269,15 @@
     const { request } = waiting;
     this.#waiting.remove(request.id);
     engine.slots.running += 1;
-    engine.slots.backlog.sent(request.id, request.promptTokens, nowMs);
     if (slot !== undefined) {
       slot.users += 1;
       slot.lastUsedMs = nowMs;
       this.#options.memory.note(engine.slots.backend.id, slot.key);
     }
     const { id, address } = engine.slots.backend;
+    const aheadMs = engine.slots.backlog.aheadMs(nowMs);
+    this.#log('slot.granted', waiting, { engine: id, aheadMs: Math.round(aheadMs), running: engine.slots.running });
+    engine.slots.backlog.sent(request.id, request.promptTokens, nowMs);
     this.#uses.set(request.id, { engineId: id, slot, startedMs: nowMs });
     // A holder of the slot that vanished without a word must not keep it for ever.
     this.#after(Math.max(request.timeoutMs - request.ageMs, 0) + LOST_RELEASE_MARGIN_MS, () =>
@@ -285,11 +294,14 @@
 
   // --- loads -------------------------------------------------------------------------------------
 
-  /** @param aheadMs the shortest backlog of an engine that has the adapter: a copy must be quicker */
-  #startLoad({ request, arrivedMs }: WaitingRequest, index: PoolIndex, aheadMs: number): void {
+  /**
+   * Orders the load of a request's adapter, if an engine can take it.
+   * @param aheadMs the shortest backlog of an engine that has the adapter: a copy must be quicker
+   */
+  #startLoad({ request, arrivedMs }: WaitingRequest, index: PoolIndex, aheadMs: number): WaitObstacle {
     const { model, adapter } = request;
     const { memory, clock } = this.#options;
-    if (adapter === undefined || index.able.length === 0) return;
+    if (adapter === undefined || index.able.length === 0) return 'no-room';
     const nowMs = clock.now();
     const key = adapterKey(model, adapter);
     const isCandidate = (entry: EngineEntry): boolean =>
@@ -315,9 +327,13 @@
     const slots = able.map((entry) => entry.slots);
     const choice = chooseLoad(slots, demand, this.#demand, memory);
     const entry = choice === undefined ? undefined : this.#engines.get(choice.slots.backend.id);
-    if (choice === undefined || entry === undefined) return;
+    if (choice === undefined || entry === undefined) {
+      if (able.length === 0) return 'no-room';
+      return demand.mayFetch ? 'too-late' : 'fetch-limit';
+    }
     index.loadStarted(key, entry, !choice.warm);
     void this.#adapters.load(entry, choice, model, adapter);
+    return 'loading';
   }
 
   /** Fetches that do not slow each other down: their bound grows with the engines that they go to. */
@@ -384,10 +400,19 @@
   #refuse(waiting: WaitingRequest, reason: RefusalReason, retryAfterMs: number): void {
     const { promptKey, objectiveMs } = waiting.request;
     const ageMs = this.#options.clock.now() - waiting.arrivedMs;
+    this.#log('slot.refused', waiting, { reason, retryAfterMs: Math.round(retryAfterMs) });
     this.#refused.note(promptKey, ageMs <= objectiveMs * EARLY_SHARE ? 'early' : 'late');
     waiting.decide({ kind: 'refused', requestId: waiting.request.id, reason, retryAfterMs });
   }
 
+  /** One line for each decision about a request: its age, what it waited for, and what came of it. */
+  #log(event: string, waiting: WaitingRequest, fields: Record<string, string | number>): void {
+    const { request, arrivedMs, obstacle, returned } = waiting;
+    const ageMs = Math.round(this.#options.clock.now() - arrivedMs);
+    const { traceId, adapter } = request;
+    this.#options.telemetry.event('info', event, traceId, { adapter, ageMs, obstacle, returned, ...fields });
+  }
+
   #after(delayMs: number, action: () => void): void {
     const timer = this.#options.clock.setTimer(delayMs, () => {
       this.#timers.delete(timer);
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -2,6 +2,8 @@
 export interface SlotRequest {
   /** Unique among requests and their attempts. */
   readonly id: string;
+  /** The client's own name for the request, under which logs tell of it. */
+  readonly traceId: string;
   readonly model: string;
   /** Undefined for the base model itself. */
   readonly adapter: string | undefined;
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -18,8 +18,17 @@
   /** It was refused before; a second refusal would be worse than a late answer. */
   readonly returned: boolean;
   readonly decide: (decision: SlotDecision) => void;
+  /** Why it was not given an engine when it was last looked at. */
+  obstacle: WaitObstacle;
 }
 
+/**
+ * What a request waits for: `loading`: its adapter, which is on its way; `backlog`: an engine that has it and is
+ * behind; `no-room`: a slot, as no engine can take another adapter; `too-late`: an adapter that is not fetched,
+ * since that would take too long or another engine has it in memory; `fetch-limit`: other fetches to end.
+ */
+export type WaitObstacle = 'none' | 'no-engine' | 'loading' | 'backlog' | 'no-room' | 'too-late' | 'fetch-limit';
+
 /**
  * Requests that wait, most urgent first: those that can still meet their objective before those that cannot,
  * each by the moment until which it has to start. Priority shifts that moment only a little: with strict
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -47,6 +47,7 @@
   nextId += 1;
   return {
     id: `r${nextId}`,
+    traceId: `t${nextId}`,
     model: MODEL,
     adapter,
     priority: 1,
@@ -287,6 +288,7 @@
       arrivedMs,
       returned: false,
       decide: () => undefined,
+      obstacle: 'none',
     });
   add('later-urgent', 400, 0);
   add('earlier', 100, 2);
