Take engines at once where they check fences, tell a new leader what runs, weigh loads beside backlogs

Change: a load costs the longer of load and backlog; a late request goes only where little waits, and is fetched for only while a quarter of the slots is idle; the expected wait looks at engines that hold the adapter.

Change: where the settings say that engines check fences, a new leader takes them at once if the former one is known to be gone, or if this process is too young to be in touch; a refused fence is raised at most twice. Nodes tell a new leader what they run on the engines, and no adapter gives way before. A refused connection ends a member at once, a silent leader is probed at once. Tests: order-lease (at once, late order of the former, contested fence), former-leader.

--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -7,6 +7,8 @@
 export interface SlotSource {
   /** Undefined when no leader can be asked now. */
   acquire(pool: string, request: SlotRequest, cancelled: AbortSignal): Promise<SlotDecision | undefined>;
+  /** A request was sent to an engine without a grant. */
+  began(pool: string, request: SlotRequest, backendId: string): void;
   /** The engine has begun its answer. */
   started(pool: string, requestId: string): void;
   release(pool: string, requestId: string, outcome: UseOutcome): void;
@@ -87,13 +89,22 @@
     if (backend === undefined) {
       return { kind: 'none', reason: 'no-pool-leader', retryAfterMs: NO_LEADER_RETRY_MS };
     }
+    const pool = context.service.name;
+    this.#slots.began(pool, request, backend.id);
     this.#running.set(backend.id, (this.#running.get(backend.id) ?? 0) + 1);
     const finish = (outcome: UseOutcome): void => {
       this.#running.set(backend.id, (this.#running.get(backend.id) ?? 1) - 1);
+      this.#slots.release(pool, request.id, outcome);
       if (outcome === 'served') this.#saw(request, backend.id);
       else if (outcome === 'not-present') this.#sightings.delete(sightingKey(request));
     };
-    return { kind: 'picked', backend, how: 'seen', started: () => undefined, finish };
+    return {
+      kind: 'picked',
+      backend,
+      how: 'seen',
+      started: () => this.#slots.started(pool, request.id),
+      finish,
+    };
   }
 
   #bestSeen(context: PickContext, request: SlotRequest): BackendDescription | undefined {
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -4,6 +4,7 @@
   Membership,
   type DatagramTransport,
   type Member,
+  type MemberState,
   type MembershipTiming,
 } from '@canvasridge/membership';
 import { PeerSight, type LeadershipPeers, type PoolClaim } from '@canvasridge/slots';
@@ -116,6 +117,16 @@
     }
   }
 
+  /** A peer gave no sign when it should have: it is probed now, not in its turn. */
+  checkPeer(peerAddress: string): void {
+    this.#membership.probeNow(peerAddress);
+  }
+
+  /** A peer's machine refused a connection, so no process listens there. */
+  peerRefused(peerAddress: string): void {
+    this.#membership.reportRefused(peerAddress);
+  }
+
   /** Tells the others that this node takes no new work. */
   drain(): void {
     this.#leaving = true;
@@ -144,6 +155,12 @@
     return this.#membership.get(id)?.peerUrl;
   }
 
+  /** The process that runs as a member now, as far as it is known. */
+  processOf(id: string): { readonly token: string; readonly state: MemberState } | undefined {
+    const member = this.#membership.get(id);
+    return member === undefined ? undefined : { token: member.processToken, state: member.state };
+  }
+
   /** Peer addresses of members that answer. */
   peerAddresses(): string[] {
     return this.#others()
--- a/packages/gateway/src/cluster/remote-slots.ts
+++ b/packages/gateway/src/cluster/remote-slots.ts
@@ -47,10 +47,13 @@
 export class RemoteSlots {
   readonly #clock: Clock;
   readonly #network: LeaderNetwork;
+  readonly #onSilent: (address: string) => void;
   readonly #queued = new Map<string, Queued>();
   #avoidLeaderUntilMs = 0;
 
-  constructor(clock: Clock, network: LeaderNetwork) {
+  /** @param onSilent called with the address of a leader that gave no sign after a question */
+  constructor(clock: Clock, network: LeaderNetwork, onSilent: (address: string) => void) {
+    this.#onSilent = onSilent;
     this.#clock = clock;
     this.#network = network;
   }
@@ -97,6 +100,7 @@
       if (peer.received !== receivedBefore) return;
       this.#avoidLeaderUntilMs = this.#clock.now() + AVOID_LEADER_MS;
       this.#network.drop(address);
+      this.#onSilent(address);
     });
   }
 
--- a/packages/gateway/src/cluster/slot-protocol.ts
+++ b/packages/gateway/src/cluster/slot-protocol.ts
@@ -1,10 +1,11 @@
-import type { SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
+import type { RunningUse, SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
 
 /** JSON-RPC methods by which nodes ask the leader of a pool for slots. */
 export const ACQUIRE_METHOD = 'slots.acquire';
 export const DECIDED_METHOD = 'slots.decided';
 export const CANCEL_METHOD = 'slots.cancel';
 export const STARTED_METHOD = 'slots.started';
+export const USES_METHOD = 'slots.uses';
 export const RELEASE_METHOD = 'slots.release';
 
 /** Params of {@link ACQUIRE_METHOD}. The answer is a {@link AcquireReply}; a queued one is decided later. */
@@ -24,6 +25,12 @@
   readonly requestIds: readonly string[];
 }
 
+/** Params of {@link USES_METHOD}: what the sender runs on the engines of a pool that has a new leader. */
+export interface UsesParams {
+  readonly pool: string;
+  readonly uses: readonly RunningUse[];
+}
+
 export interface ReleaseParams {
   readonly pool: string;
   readonly requestId: string;
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -18,16 +18,20 @@
 import type { PeerConnection } from '../peers/peer-connection.js';
 import type { PeerNetwork } from '../peers/peer-network.js';
 import type { Cluster } from './cluster.js';
+import { FormerLeader } from './former-leader.js';
+import { OwnUses } from './own-uses.js';
 import { RemoteSlots } from './remote-slots.js';
 import {
   DECIDED_METHOD,
   RELEASE_METHOD,
   STARTED_METHOD,
+  USES_METHOD,
   cancelledDecision,
   type AcquireParams,
   type AcquireReply,
   type ReleaseParams,
   type StartedParams,
+  type UsesParams,
 } from './slot-protocol.js';
 
 const TICK_MS = 100;
@@ -42,6 +46,7 @@
 
 interface PoolEntry {
   readonly leadership: PoolLeadership;
+  readonly former: FormerLeader;
   /** Kept while this node leads, or observes since it is next to lead. */
   pool: SlotPool | undefined;
   leading: boolean;
@@ -58,6 +63,7 @@
   readonly #options: SlotServiceOptions;
   readonly #pools = new Map<string, PoolEntry>();
   readonly #asked: RemoteSlots;
+  readonly #uses: OwnUses;
   readonly #remote = new Map<PeerConnection, Map<string, RemoteUse>>();
   readonly #pauses: PauseDetector;
   readonly #memory = new AdapterMemory();
@@ -68,14 +74,20 @@
   #stopped = false;
   #resigned = false;
   #permitted = false;
+  /** When this node was last paused or out of sight of the others, so that it may have missed a change. */
+  #unsureSinceMs = -Infinity;
 
   constructor(options: SlotServiceOptions) {
     this.#options = options;
-    this.#asked = new RemoteSlots(options.clock, options.network);
+    this.#asked = new RemoteSlots(options.clock, options.network, (address) =>
+      options.cluster.checkPeer(address),
+    );
+    this.#uses = new OwnUses(options.clock);
     this.#startedMs = options.clock.now();
     this.#pauses = new PauseDetector(options.clock, options.timing.leaseMs / 3);
     this.#pauses.onPause((pausedMs) => {
       options.telemetry.event('warn', 'process.paused', 'self', { pausedMs: Math.round(pausedMs) });
+      this.#unsureSinceMs = options.clock.now();
       for (const entry of this.#pools.values()) entry.pool?.resetLeases('process was paused');
     });
     options.fleet.onChange((change) => this.#fleetChanged(change));
@@ -127,6 +139,7 @@
     for (let asked = 1; ; asked += 1) {
       const aged = { ...request, ageMs: request.ageMs + clock.now() - askedMs };
       const decision = await this.#acquireOnce(poolName, aged, cancelled);
+      if (decision?.kind === 'granted') this.#uses.begin(poolName, request, decision.backendId);
       const isStopping = decision?.kind === 'refused' && decision.reason === 'stopping';
       if (!isStopping || cancelled.aborted || asked === MOST_LEADERS_ASKED) return decision;
       await clock.sleep(TICK_MS);
@@ -158,7 +171,12 @@
     return entry.leadership.leader;
   }
 
+  began(poolName: string, request: SlotRequest, backendId: string): void {
+    this.#uses.begin(poolName, request, backendId);
+  }
+
   started(poolName: string, requestId: string): void {
+    this.#uses.started(requestId);
     const entry = this.#pools.get(poolName);
     if (entry?.pool !== undefined && entry.leading) {
       entry.pool.started(requestId);
@@ -188,6 +206,7 @@
   }
 
   release(poolName: string, requestId: string, outcome: UseOutcome): void {
+    this.#uses.end(requestId);
     const entry = this.#pools.get(poolName);
     if (entry?.pool !== undefined && entry.leading) {
       entry.pool.release(requestId, outcome);
@@ -247,6 +266,15 @@
     for (const requestId of requestIds) entry?.pool?.started(requestId);
   }
 
+  onUses({ pool, uses }: UsesParams, peer: PeerConnection): void {
+    const adopting = this.#pools.get(pool)?.pool;
+    if (adopting === undefined) return;
+    for (const use of uses) {
+      this.#usesOf(peer).set(use.requestId, { pool, requestId: use.requestId });
+      adopting.adoptUse(use);
+    }
+  }
+
   onRelease(params: ReleaseParams, peer: PeerConnection): void {
     this.#remote.get(peer)?.delete(params.requestId);
     this.#pools.get(params.pool)?.pool?.release(params.requestId, params.outcome);
@@ -285,6 +313,7 @@
     cluster.update();
     const permitted = cluster.seesMost();
     if (!permitted && this.#permitted) {
+      this.#unsureSinceMs = this.#options.clock.now();
       for (const entry of this.#pools.values()) entry.pool?.resetLeases('out of sight of most nodes');
     }
     this.#permitted = permitted;
@@ -298,6 +327,8 @@
 
   #followLeader(pool: string, entry: PoolEntry): void {
     const { leader } = entry.leadership;
+    entry.former.note(leader);
+    this.#tellUses(pool, entry);
     this.#asked.leaderChanged(
       pool,
       leader === undefined ? undefined : this.#options.cluster.peerAddress(leader),
@@ -305,12 +336,21 @@
     this.#leaderChanged.notify();
   }
 
+  /** Tells a new leader, or the pool here, what this node runs on the engines. */
+  #tellUses(pool: string, entry: PoolEntry): void {
+    const uses = this.#uses.of(pool);
+    if (uses.length === 0 || entry.leadership.isLeader) return;
+    const params: UsesParams = { pool, uses };
+    this.#leaderConnection(pool)?.notify(USES_METHOD, params);
+  }
+
   #entry(pool: string): PoolEntry {
     let entry = this.#pools.get(pool);
     if (entry === undefined) {
       const { cluster, clock, telemetry } = this.#options;
       entry = {
         leadership: new PoolLeadership(pool, cluster, clock, telemetry),
+        former: new FormerLeader(cluster),
         pool: undefined,
         leading: false,
         leadingSinceMs: 0,
@@ -334,6 +374,7 @@
     entry.leading = true;
     entry.leadingSinceMs = this.#options.clock.now();
     entry.pool.lead();
+    for (const use of this.#uses.of(name)) entry.pool.adoptUse(use);
   }
 
   #endRole(entry: PoolEntry): void {
@@ -359,6 +400,19 @@
     return entry.leading && ledMs > timing.leaseMs + timing.leaseMarginMs && cluster.seesAll();
   }
 
+  /**
+   * Whether engines can be taken without waiting for a lease: they refuse lower fences, and no holder before
+   * this node can still be calm and in reach. A process that has just started is not, so what it does itself
+   * can't collide with one that is.
+   */
+  #mayTakeAtOnce(entry: PoolEntry): boolean {
+    const { clock, engineFences } = this.#options;
+    if (!engineFences.checked || !entry.leading) return false;
+    const nowMs = clock.now();
+    if (nowMs - this.#startedMs < engineFences.settledAfterMs) return true;
+    return nowMs - this.#unsureSinceMs > engineFences.settledAfterMs && entry.former.isGone();
+  }
+
   #newPool(name: string, entry: PoolEntry): SlotPool {
     const { clock, control, timing, holder, telemetry, fleet } = this.#options;
     const pool = new SlotPool({
@@ -371,6 +425,7 @@
       mayOrder: () => entry.leading && this.#mayOrder(),
       mayObserve: () => !this.#resigned,
       mayTakeUnused: () => this.#isSoleLeader(entry),
+      mayTakeAtOnce: () => this.#mayTakeAtOnce(entry),
       memory: this.#memory,
       adapterVersion: (model, adapter) => fleet.adapterVersion(model, adapter),
     });
@@ -410,5 +465,14 @@
   readonly control: EngineControl;
   readonly timing: SlotTiming;
   readonly holder: OrderHolder;
+  readonly engineFences: EngineFences;
   readonly telemetry: Telemetry;
 }
+
+/** What the operator's settings say of fences. */
+export interface EngineFences {
+  /** Whether engines refuse an order whose fence is lower than one that they saw. */
+  readonly checked: boolean;
+  /** Time without trouble after which a node counts as calm, in milliseconds. */
+  readonly settledAfterMs: number;
+}
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -19,11 +19,13 @@
   DECIDED_METHOD,
   RELEASE_METHOD,
   STARTED_METHOD,
+  USES_METHOD,
   type AcquireParams,
   type ReleaseParams,
   type StartedParams,
+  type UsesParams,
 } from './cluster/slot-protocol.js';
-import { SlotService } from './cluster/slot-service.js';
+import { SlotService, type EngineFences } from './cluster/slot-service.js';
 import {
   SNAPSHOT_METHOD,
   StateExchange,
@@ -50,6 +52,7 @@
   readonly peerKey: string;
   readonly retryBudget: RetryBudgetOptions;
   readonly slotTiming: SlotTiming;
+  readonly engineFences: EngineFences;
   /** Time within which each node has to know that a backend leaves. */
   readonly drainMs: number;
   /** Time from the signal to stop until the process has to be gone. */
@@ -107,7 +110,11 @@
     const prefix = settings.firstStart ? '' : RESTARTED_PREFIX;
     const processToken = prefix + randomBytes(TOKEN_BYTES).toString('hex');
     const random = new Random(hashSeed(processToken));
-    this.#network = new PeerNetwork(this.#methods(), (peer) => this.#slots.onPeerClosed(peer));
+    this.#network = new PeerNetwork(
+      this.#methods(),
+      (peer) => this.#slots.onPeerClosed(peer),
+      (address) => this.#cluster.peerRefused(address),
+    );
     this.#cluster = new Cluster({
       nodeId: settings.nodeId,
       zone: settings.zone,
@@ -146,6 +153,7 @@
       network: this.#network,
       control: options.control,
       timing: settings.slotTiming,
+      engineFences: settings.engineFences,
       holder: { name: settings.nodeId, number: ipNumber(settings.ip) },
       telemetry,
     });
@@ -262,6 +270,7 @@
       [ACQUIRE_METHOD]: (params, peer) => this.#slots.onAcquire(params as AcquireParams, peer),
       [CANCEL_METHOD]: (params, peer) => this.#slots.onCancel(params as ReleaseParams, peer),
       [STARTED_METHOD]: (params) => this.#slots.onStarted(params as StartedParams),
+      [USES_METHOD]: (params, peer) => this.#slots.onUses(params as UsesParams, peer),
       [RELEASE_METHOD]: (params, peer) => this.#slots.onRelease(params as ReleaseParams, peer),
       [DECIDED_METHOD]: (params) => this.#slots.onDecided(params as SlotDecision),
     };
--- a/packages/gateway/src/peers/peer-network.ts
+++ b/packages/gateway/src/peers/peer-network.ts
@@ -16,10 +16,19 @@
   readonly #outgoing = new Map<string, PeerConnection>();
   readonly #incoming = new Set<Socket>();
   readonly #onClose: (peer: PeerConnection) => void;
+  readonly #onRefused: (address: string) => void;
   #server: Server | undefined;
 
-  /** @param onClose called when a connection that a peer opened has ended */
-  constructor(methods: PeerMethods, onClose: (peer: PeerConnection) => void) {
+  /**
+   * @param onClose called when a connection that a peer opened has ended
+   * @param onRefused called with the address of a peer where nothing listens
+   */
+  constructor(
+    methods: PeerMethods,
+    onClose: (peer: PeerConnection) => void,
+    onRefused: (address: string) => void,
+  ) {
+    this.#onRefused = onRefused;
     this.#methods = methods;
     this.#onClose = onClose;
   }
@@ -52,6 +61,9 @@
     const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
     socket.once('connect', () => clearTimeout(timer));
     socket.once('close', () => clearTimeout(timer));
+    socket.once('error', (cause: NodeJS.ErrnoException) => {
+      if (cause.code === 'ECONNREFUSED') this.#onRefused(address);
+    });
     const connection = new PeerConnection(socket, this.#methods, () => {
       if (this.#outgoing.get(address) === connection) this.#outgoing.delete(address);
     });
--- /dev/null
+++ b/packages/gateway/test/former-leader.test.ts
@@ -0,0 +1,41 @@
+import test from 'ava';
+import { FormerLeader, type LeaderSight } from '../src/cluster/former-leader.js';
+
+type Process = ReturnType<LeaderSight['processOf']>;
+
+function newSight(): LeaderSight & { process: Process } {
+  const sight = {
+    selfId: 'self',
+    process: { token: 'first', state: 'alive' } as Process,
+    processOf: () => sight.process,
+  };
+  return sight;
+}
+
+const cases: readonly (readonly [name: string, now: Process, gone: boolean])[] = [
+  ['is alive', { token: 'first', state: 'alive' }, false],
+  ['is suspected, which it may refute', { token: 'first', state: 'suspect' }, false],
+  ['is believed dead', { token: 'first', state: 'dead' }, true],
+  ['said that it stops', { token: 'first', state: 'draining' }, true],
+  ['has left', { token: 'first', state: 'left' }, true],
+  ['was replaced by a new process', { token: 'second', state: 'alive' }, true],
+  ['was forgotten', undefined, true],
+];
+
+for (const [name, now, gone] of cases) {
+  test(`a former leader that ${name} is ${gone ? 'gone' : 'not gone'}`, (t) => {
+    const sight = newSight();
+    const former = new FormerLeader(sight);
+    former.note('other');
+    sight.process = now;
+    t.is(former.isGone(), gone);
+  });
+}
+
+test('where no leader was seen, or only this node led, nobody is known to be gone', (t) => {
+  const former = new FormerLeader(newSight());
+  t.false(former.isGone());
+  former.note(undefined);
+  former.note('self');
+  t.false(former.isGone());
+});
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -168,6 +168,25 @@
     return isPresent(this.#state) ? [...others, this.self()] : others;
   }
 
+  /** Probes the member with this peer address at once, as something else made it seem silent. */
+  probeNow(peerUrl: string): void {
+    const target = this.#presentAt(peerUrl);
+    if (target !== undefined) void this.#probe(target);
+  }
+
+  /**
+   * The machine of a member refused a connection: its process is gone, and there is nothing to wait for. One
+   * that is wrongly believed dead refutes as after any suspicion.
+   */
+  reportRefused(peerUrl: string): void {
+    const target = this.#presentAt(peerUrl);
+    if (target !== undefined) this.#table.mergeState(target.id, target.incarnation, 'dead', ZERO_AGE);
+  }
+
+  #presentAt(peerUrl: string): Member | undefined {
+    return this.#table.present().find((member) => member.peerUrl === peerUrl);
+  }
+
   /** Names of members that announced that they leave or have left. */
   departed(): string[] {
     return this.#table
--- a/packages/slots/src/engine-control.ts
+++ b/packages/slots/src/engine-control.ts
@@ -34,12 +34,14 @@
 
 /**
  * Answer to an order: `accepted` is being carried out, `done` was carried out at once or held already,
- * `conflict` was not taken since the count differs or another order is under way, `unknown` may have been taken.
+ * `conflict` was not taken since the count differs or another order is under way, `fenced` was not taken since
+ * another holder used a higher fence, `unknown` may have been taken.
  */
 export type OrderReply =
   | { readonly kind: 'accepted' }
   | { readonly kind: 'done' }
   | { readonly kind: 'conflict' }
+  | { readonly kind: 'fenced' }
   | { readonly kind: 'other-instance' }
   | { readonly kind: 'rejected'; readonly detail: string }
   | { readonly kind: 'unknown'; readonly detail: string };
--- a/packages/slots/src/engine-slots.ts
+++ b/packages/slots/src/engine-slots.ts
@@ -41,6 +41,8 @@
   busy = false;
   /** No new requests before this time, after failures. */
   avoidUntilMs = 0;
+  /** No adapter gives way before this time, as it may be in use without this node knowing. */
+  evictAfterMs = 0;
 
   readonly backlog: PromptBacklog;
 
@@ -115,7 +117,7 @@
 
   /** Whether an adapter may give way now. */
   isEvictable(slot: AdapterSlot, nowMs: number): boolean {
-    if (slot.users > 0 || slot.state !== 'loaded') return false;
+    if (slot.users > 0 || slot.state !== 'loaded' || nowMs < this.evictAfterMs) return false;
     return slot.confirmed || nowMs - slot.orderedMs > CERTAIN_AFTER_MS;
   }
 
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -14,7 +14,7 @@
 export type { PoolFigures } from './pool-figures.js';
 export { SlotPool, type SlotPoolOptions } from './slot-pool.js';
 export { WaitingList } from './waiting-list.js';
-export type { RefusalReason, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
+export type { RefusalReason, RunningUse, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
 export { DEFAULT_SLOT_TIMING, type SlotTiming } from './timing.js';
 export { PoolLeadership, type LeadershipPeers, type PoolClaim } from './pool-leadership.js';
 export { PeerSight } from './peer-sight.js';
--- a/packages/slots/src/load-placement.ts
+++ b/packages/slots/src/load-placement.ts
@@ -17,18 +17,21 @@
   readonly key: string;
   readonly nowMs: number;
   readonly ageMs: number;
-  readonly objectiveMs: number;
+  /** Age at which the request has to be sent to an engine that is free, to meet its objective. */
+  readonly startWithinMs: number;
   /** Time after which the request could start on an engine that has the adapter; Infinity if none has it. */
   readonly quickerThanMs: number;
   /** Whether an engine likely has the adapter in memory. */
   readonly hasHome: boolean;
   /** Whether the weight store has room for one more fetch. */
   readonly mayFetch: boolean;
+  /** Whether so many slots are idle that a fetch for a late request takes none from others. */
+  readonly hasSpare: boolean;
   readonly coldLoadMs: number;
   readonly warmLoadMs: number;
 }
 
-/** Part of the objective for which a request waits for an engine that has its adapter in memory. */
+/** Part of the time within which it has to start for which a request waits for an engine that has its adapter in memory. */
 const HOME_PATIENCE_SHARE = 0.5;
 /** What is added to the cost of a place for each load under way there, in ms. */
 const LOADING_COST_MS = 40;
@@ -62,8 +65,10 @@
 }
 
 function isFetchWorthwhile(demand: LoadDemand): boolean {
-  if (!demand.mayFetch || demand.ageMs + demand.coldLoadMs > demand.objectiveMs) return false;
-  return !demand.hasHome || demand.ageMs >= demand.objectiveMs * HOME_PATIENCE_SHARE;
+  if (!demand.mayFetch) return false;
+  const isLate = demand.ageMs + demand.coldLoadMs > demand.startWithinMs;
+  if (isLate) return demand.hasSpare;
+  return !demand.hasHome || demand.ageMs >= demand.startWithinMs * HOME_PATIENCE_SHARE;
 }
 
 /** A free slot, or the idle adapter that gives way. Undefined if there is neither. */
@@ -103,5 +108,6 @@
   const loadMs = warm ? demand.warmLoadMs : demand.coldLoadMs;
   const evictionMs = victim === undefined ? 0 : Math.min(popularity.rate(victim.key), 4) * EVICTION_COST_MS;
   const busyMs = RUNNING_COST_MS * slots.running + LOADING_COST_MS * slots.loadingCount;
-  return loadMs + evictionMs + busyMs + slots.backlog.aheadMs(demand.nowMs);
+  // The engine reads the prompts ahead while it loads.
+  return Math.max(loadMs, slots.backlog.aheadMs(demand.nowMs)) + evictionMs + busyMs;
 }
--- a/packages/slots/src/order-lease.ts
+++ b/packages/slots/src/order-lease.ts
@@ -6,6 +6,8 @@
 
 /** Room for the part of a fence that is the holder's own. */
 const HOLDER_RANGE = 2 ** 32;
+/** Orders with higher and higher fences before a holder that is refused takes another one to be active. */
+const MOST_FENCED_ORDERS = 2;
 
 export interface OrderHolder {
   readonly name: string;
@@ -26,6 +28,11 @@
   readonly mayObserve: () => boolean;
   /** Whether an engine that never took an order can be taken at once, as no other node can lead. */
   readonly mayTakeUnused: () => boolean;
+  /**
+   * Whether any engine can be taken at once: engines refuse the orders of holders with lower fences, and the
+   * holder before this one is known to be gone.
+   */
+  readonly mayTakeAtOnce: () => boolean;
   /** A report was read from which the state of the engine is to be taken over. */
   readonly onReport: (report: EngineReport) => void;
 }
@@ -33,7 +40,12 @@
 type LeaseState =
   | { readonly kind: 'observing'; readonly count: number | undefined; readonly sinceMs: number }
   | { readonly kind: 'held'; readonly nextCount: number }
-  | { readonly kind: 'settling'; readonly possibleCounts: readonly number[]; readonly sinceMs: number }
+  | {
+      readonly kind: 'settling';
+      /** Counts that the holder's own orders explain; undefined if any will do, as its fence was merely too low. */
+      readonly possibleCounts: readonly number[] | undefined;
+      readonly sinceMs: number;
+    }
   | { readonly kind: 'closed' };
 
 /** The order was not sent, since this node does not hold the engine (now). */
@@ -42,15 +54,20 @@
 }
 
 /**
- * The right to give orders to one engine that checks no fences, without any memory outside of it. The
+ * The right to give orders to one engine, without any memory outside of it. The
  * engine's count of orders is the register: a node becomes holder when the count has stood still for a lease,
  * as its own reports show, and each order names the count that it expects. So the order of another holder is
  * either seen while waiting, or makes the next order here fail. The fence is the expected count with the
  * holder's own number below it: it rises with each order taken, and no two holders ever use the same.
+ *
+ * Where engines refuse lower fences, a holder that follows one that is gone does not wait: an order of the
+ * former one that still arrives names a count that has passed.
  */
 export class OrderLease {
   readonly #options: OrderLeaseOptions;
   readonly #changed = new Notifier();
+  /** Orders that were refused for a low fence since one was taken. */
+  #fencedOrders = 0;
   #state: LeaseState = { kind: 'observing', count: undefined, sinceMs: 0 };
   #turn: Promise<void> = Promise.resolve();
   #highestFence = 0;
@@ -148,6 +165,7 @@
     const sinceMs = this.#options.clock.now();
     switch (reply.kind) {
       case 'accepted':
+        this.#fencedOrders = 0;
         this.#state = { kind: 'held', nextCount: expectedCount + 1 };
         return;
       case 'done':
@@ -162,12 +180,30 @@
         return;
       case 'rejected':
         return;
+      case 'fenced':
+        this.#raiseFence(sinceMs);
+        return;
       case 'other-instance':
         this.close();
         return;
     }
   }
 
+  /**
+   * The engine saw a higher fence: of a holder that is gone, whose last orders the report did not show yet, or of
+   * one that goes on. In the first case a few higher fences get through, in the second a whole lease is waited.
+   */
+  #raiseFence(sinceMs: number): void {
+    this.#highestFence += HOLDER_RANGE;
+    this.#fencedOrders += 1;
+    if (this.#fencedOrders <= MOST_FENCED_ORDERS) {
+      this.#enter({ kind: 'settling', possibleCounts: undefined, sinceMs });
+      return;
+    }
+    this.#logLost('another holder has a higher fence');
+    this.#enter({ kind: 'observing', count: undefined, sinceMs: 0 });
+  }
+
   async #run(): Promise<void> {
     for (;;) {
       const state = this.#state;
@@ -201,10 +237,16 @@
       this.#take(report, 'unused');
       return;
     }
+    const isContested = this.#fencedOrders > MOST_FENCED_ORDERS;
+    if (mayOrder() && !isContested && this.#options.mayTakeAtOnce()) {
+      this.#take(report, 'fenced-off');
+      return;
+    }
     const unchanged = report.orderCount === state.count;
     const sinceMs = unchanged ? state.sinceMs : askedMs;
     const leftMs = sinceMs + timing.leaseMs + timing.leaseMarginMs - askedMs;
     if (unchanged && leftMs <= 0 && mayOrder()) {
+      this.#fencedOrders = 0;
       this.#take(report, 'observed');
       return;
     }
@@ -227,11 +269,11 @@
       await this.#changed.waitUpTo(clock, timing.observePeriodMs);
       return;
     }
-    if (state.possibleCounts.includes(report.orderCount)) {
+    if (state.possibleCounts?.includes(report.orderCount) !== false) {
       this.#take(report, 'settled');
       return;
     }
-    this.#logLost(`count is ${report.orderCount}, expected ${state.possibleCounts.join(' or ')}`);
+    this.#logLost(`count is ${report.orderCount}, expected ${state.possibleCounts?.join(' or ')}`);
     this.#state = { kind: 'observing', count: report.orderCount, sinceMs: clock.now() };
   }
 
--- a/packages/slots/src/pool-index.ts
+++ b/packages/slots/src/pool-index.ts
@@ -13,6 +13,8 @@
   readonly #loading = new Map<string, EngineEntry[]>();
   readonly #able: EngineEntry[] = [];
   #fetches = 0;
+  #slots = 0;
+  #spare = 0;
 
   constructor(entries: Iterable<EngineEntry>, nowMs: number) {
     for (const entry of entries) this.#addEngine(entry, nowMs);
@@ -38,6 +40,11 @@
     return this.#fetches;
   }
 
+  /** Part of all adapter slots that is empty or could be emptied, 0 to 1. */
+  get spareShare(): number {
+    return this.#slots === 0 ? 0 : this.#spare / this.#slots;
+  }
+
   /** A load was ordered. */
   loadStarted(key: string, entry: EngineEntry, isFetch: boolean): void {
     append(this.#loading, key, entry);
@@ -51,8 +58,12 @@
       if (slot.state === 'loaded') append(this.#holders, slot.key, entry);
       else if (slot.state === 'loading') append(this.#loading, slot.key, entry);
       if (slot.state === 'loading' && !slot.warm) this.#fetches += 1;
-      canTake ||= slots.isEvictable(slot, nowMs);
+      if (!slots.isEvictable(slot, nowMs)) continue;
+      canTake = true;
+      this.#spare += 1;
     }
+    this.#slots += slots.profile.adapterSlots;
+    this.#spare += Math.max(slots.profile.adapterSlots - slots.slots.size, 0);
     const isFree = lease.held && !slots.busy && slots.avoidUntilMs <= nowMs;
     if (canTake && isFree && canLoadMore(entry)) this.#able.push(entry);
   }
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -15,7 +15,7 @@
 import { PoolIndex, canLoadMore } from './pool-index.js';
 import { describeEngines, type PoolFigures } from './pool-figures.js';
 import { RefusedRequests } from './refused-requests.js';
-import type { RefusalReason, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
+import type { RefusalReason, RunningUse, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
 import { SlotTurnover } from './slot-turnover.js';
 import type { SlotTiming } from './timing.js';
 import { WaitingList, type WaitObstacle, type WaitingRequest } from './waiting-list.js';
@@ -31,6 +31,8 @@
   readonly mayObserve: () => boolean;
   /** Whether an engine that never took an order can be taken at once, as no other node can lead. */
   readonly mayTakeUnused: () => boolean;
+  /** Whether any engine can be taken at once, as engines check fences and the holder before is gone. */
+  readonly mayTakeAtOnce: () => boolean;
   readonly memory: AdapterMemory;
   /** The version of an adapter that was published, 0 if none was. */
   readonly adapterVersion: (model: string, adapter: string) => number;
@@ -38,12 +40,18 @@
 
 /** Fetches from the weight store at the same time; more of them slow each other down (measured with 6 engines: from 14 on). */
 const LEAST_FETCHES_AT_ONCE = 12;
+/** Part of all adapter slots that is idle from which an adapter is also fetched for a request that is late. */
+const SPARE_SHARE = 0.25;
+/** Nodes tell a new leader within this time what they run on the engines; no adapter gives way before. */
+const USES_KNOWN_AFTER_MS = 400;
 /** Changes within this time are looked at together. */
 const SCHEDULE_DELAY_MS = 4;
 /** Part of its objective for which a request may wait behind prompts at an engine before another one is looked for. */
 const SHORT_BACKLOG_SHARE = 0.15;
 /** The same from which a request waits here, where it can still go to another engine. */
 const LONG_BACKLOG_SHARE = 0.45;
+/** The same for a request that is late in any case: it goes where it holds up few that are not. */
+const LATE_BACKLOG_SHARE = 0.2;
 /** How long after a request was held back for a long backlog it is looked at again. */
 const BACKLOG_POLL_MS = 40;
 /** A refusal has to be known to the client within this part of its objective. */
@@ -64,7 +72,6 @@
 interface Use {
   readonly engineId: string;
   readonly slot: AdapterSlot | undefined;
-  readonly startedMs: number;
 }
 
 /**
@@ -115,7 +122,23 @@
 
   /** This node leads the pool from now on: leases that were observed long enough are taken at once. */
   lead(): void {
-    for (const { lease } of this.#engines.all()) lease.wake();
+    const evictAfterMs = this.#options.clock.now() + USES_KNOWN_AFTER_MS;
+    for (const { lease, slots } of this.#engines.all()) {
+      slots.evictAfterMs = evictAfterMs;
+      lease.wake();
+    }
+  }
+
+  /** Takes over a request that another leader granted, or none, and that still runs. */
+  adoptUse(use: RunningUse): void {
+    const entry = this.#engines.get(use.backendId);
+    if (entry === undefined || this.#uses.has(use.requestId) || this.#closed) return;
+    const nowMs = this.#options.clock.now();
+    const { model, adapter, requestId } = use;
+    const slot = adapter === undefined ? undefined : entry.slots.get(adapterKey(model, adapter));
+    this.#begin(requestId, entry, slot, nowMs);
+    if (!use.started) entry.slots.backlog.sent(requestId, use.promptTokens, nowMs);
+    this.#endIfLost(requestId, use.leftMs);
   }
 
   /** Ends the lease of every engine until it has been observed again. */
@@ -247,7 +270,7 @@
     if (this.#choice.isLoading(request, index)) waiting.obstacle = 'loading';
     else waiting.obstacle = this.#startLoad(waiting, index, aheadMs);
     if (engine === undefined) return;
-    if (aheadMs <= request.objectiveMs * LONG_BACKLOG_SHARE) {
+    if (aheadMs <= this.#longestBacklogMs(waiting, nowMs)) {
       this.#grant(waiting, engine, slot, nowMs);
       return;
     }
@@ -255,6 +278,13 @@
     this.#lookAgainLater();
   }
 
+  /** Prompts ahead with which a request still goes to an engine. */
+  #longestBacklogMs({ request, arrivedMs }: WaitingRequest, nowMs: number): number {
+    const leftMs = this.#waiting.startWithinMs(request) - (nowMs - arrivedMs);
+    const latestMs = request.objectiveMs * LATE_BACKLOG_SHARE;
+    return Math.max(latestMs, Math.min(leftMs, request.objectiveMs * LONG_BACKLOG_SHARE));
+  }
+
   /** Backlogs shrink without an event, so requests that are held back for one are looked at again. */
   #lookAgainLater(): void {
     if (this.#looksAgain) return;
@@ -268,24 +298,34 @@
   #grant(waiting: WaitingRequest, engine: EngineEntry, slot: AdapterSlot | undefined, nowMs: number): void {
     const { request } = waiting;
     this.#waiting.remove(request.id);
-    engine.slots.running += 1;
-    if (slot !== undefined) {
-      slot.users += 1;
-      slot.lastUsedMs = nowMs;
-      this.#options.memory.note(engine.slots.backend.id, slot.key);
-    }
     const { id, address } = engine.slots.backend;
     const aheadMs = engine.slots.backlog.aheadMs(nowMs);
-    this.#log('slot.granted', waiting, { engine: id, aheadMs: Math.round(aheadMs), running: engine.slots.running });
+    this.#log('slot.granted', waiting, {
+      engine: id,
+      aheadMs: Math.round(aheadMs),
+      running: engine.slots.running,
+    });
     engine.slots.backlog.sent(request.id, request.promptTokens, nowMs);
-    this.#uses.set(request.id, { engineId: id, slot, startedMs: nowMs });
-    // A holder of the slot that vanished without a word must not keep it for ever.
-    this.#after(Math.max(request.timeoutMs - request.ageMs, 0) + LOST_RELEASE_MARGIN_MS, () =>
-      this.release(request.id, 'cancelled'),
-    );
+    this.#begin(request.id, engine, slot, nowMs);
+    this.#endIfLost(request.id, request.timeoutMs - request.ageMs);
     waiting.decide({ kind: 'granted', requestId: request.id, backendId: id, address });
   }
 
+  /** Counts a request that runs on an engine from now on. */
+  #begin(requestId: string, engine: EngineEntry, slot: AdapterSlot | undefined, nowMs: number): void {
+    engine.slots.running += 1;
+    this.#uses.set(requestId, { engineId: engine.slots.backend.id, slot });
+    if (slot === undefined) return;
+    slot.users += 1;
+    slot.lastUsedMs = nowMs;
+    this.#options.memory.note(engine.slots.backend.id, slot.key);
+  }
+
+  /** A user of a slot that vanished without a word must not keep it for ever. */
+  #endIfLost(requestId: string, leftMs: number): void {
+    this.#after(Math.max(leftMs, 0) + LOST_RELEASE_MARGIN_MS, () => this.release(requestId, 'cancelled'));
+  }
+
   #endSlotUse(slot: AdapterSlot, nowMs: number): void {
     slot.users -= 1;
     slot.lastUsedMs = nowMs;
@@ -317,10 +357,11 @@
       key,
       nowMs,
       ageMs: nowMs - arrivedMs,
-      objectiveMs: request.objectiveMs,
+      startWithinMs: this.#waiting.startWithinMs(request),
       quickerThanMs: aheadMs,
       hasHome,
       mayFetch: index.fetches < this.#fetchesAtOnce(),
+      hasSpare: index.spareShare >= SPARE_SHARE,
       coldLoadMs: this.#adapters.coldLoadMs,
       warmLoadMs: this.#adapters.warmLoadMs,
     };
@@ -385,11 +426,15 @@
     if (this.#expectedWaitMs(waiting) > leftMs * SOON_SHARE) this.#giveUp(requestId);
   }
 
-  /** How long until the turn of a request that waits, and its load. */
+  /** How long until a request that waits can start: at an engine that has its adapter, or after a load. */
   #expectedWaitMs(waiting: WaitingRequest): number {
-    const ahead = this.#waiting.inOrder(this.#options.clock.now()).indexOf(waiting);
-    const turnMs = (ahead + 1) * this.#turnover.meanGapMs();
-    return Math.max(turnMs, this.#engines.untilFirstOrderMs()) + this.#adapters.coldLoadMs;
+    const nowMs = this.#options.clock.now();
+    const engine = this.#choice.best(waiting.request, this.#index(), nowMs);
+    const backlogEndsMs = engine === undefined ? Infinity : backlogMs(engine, nowMs);
+    const before = this.#waiting.inOrder(nowMs).indexOf(waiting);
+    const turnMs = (before + 1) * this.#turnover.meanGapMs();
+    const loadedMs = Math.max(turnMs, this.#engines.untilFirstOrderMs()) + this.#adapters.coldLoadMs;
+    return Math.min(backlogEndsMs, loadedMs);
   }
 
   #giveUp(requestId: string): void {
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -42,5 +42,18 @@
       readonly retryAfterMs: number;
     };
 
+/** A request that runs on an engine, as the node that sent it there tells a new leader. */
+export interface RunningUse {
+  readonly requestId: string;
+  readonly backendId: string;
+  readonly model: string;
+  readonly adapter: string | undefined;
+  readonly promptTokens: number;
+  /** Whether the engine has begun its answer. */
+  readonly started: boolean;
+  /** Milliseconds after which it is over in any case. */
+  readonly leftMs: number;
+}
+
 /** How a request that was granted a slot ended, as far as the engine is concerned. */
 export type UseOutcome = 'served' | 'not-present' | 'refused' | 'failed' | 'cancelled';
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -27,7 +27,8 @@
  * behind; `no-room`: a slot, as no engine can take another adapter; `too-late`: an adapter that is not fetched,
  * since that would take too long or another engine has it in memory; `fetch-limit`: other fetches to end.
  */
-export type WaitObstacle = 'none' | 'no-engine' | 'loading' | 'backlog' | 'no-room' | 'too-late' | 'fetch-limit';
+export type WaitObstacle =
+  'none' | 'no-engine' | 'loading' | 'backlog' | 'no-room' | 'too-late' | 'fetch-limit';
 
 /**
  * Requests that wait, most urgent first: those that can still meet their objective before those that cannot,
--- a/packages/slots/test/order-lease.test.ts
+++ b/packages/slots/test/order-lease.test.ts
@@ -12,6 +12,7 @@
   number: number,
   mayOrder: () => boolean = () => true,
   mayTakeUnused = false,
+  mayTakeAtOnce = (): boolean => false,
 ): { lease: OrderLease; reports: EngineReport[] } {
   const reports: EngineReport[] = [];
   const lease = new OrderLease({
@@ -24,6 +25,7 @@
     mayOrder,
     mayObserve: () => true,
     mayTakeUnused: () => mayTakeUnused,
+    mayTakeAtOnce,
     onReport: (report) => reports.push(report),
   });
   return { lease, reports };
@@ -164,3 +166,70 @@
   await clock.runUntil(3000);
   t.false(second.held, 'one that took an order is not');
 });
+
+test('where engines check fences, the holder after one that is gone orders at once', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e');
+  engine.checksFences = true;
+  const first = newLease(clock, engine, 9).lease;
+  await clock.runUntil(5000);
+  void first.order(load('a'));
+  await clock.runUntil(5050);
+  const isGone = (): boolean => clock.now() > 5100;
+  const second = newLease(clock, engine, 1, () => true, false, isGone).lease;
+  await clock.runUntil(5090);
+  t.false(second.held, 'the first one may still be there');
+  second.wake();
+  await clock.runUntil(5105);
+  second.wake();
+  await clock.runUntil(5400);
+  t.true(second.held);
+  // The report was read too early to show the order of the first one, so the fence is too low at first.
+  for (const atMs of [5410, 6300, 7200]) {
+    void second.order(load('b'));
+    await clock.runUntil(atMs + 200);
+  }
+  const late = first.order(load('c'));
+  await clock.runUntil(8000);
+  t.not((await late).kind, 'accepted', 'an order of the one that was gone is not carried out');
+  t.deepEqual(
+    engine.taken.map(({ order }) => order.holder),
+    ['node-9', 'node-1'],
+  );
+  t.deepEqual(engine.violations, []);
+});
+
+test('a holder that meets a higher fence stops, and orders again only a lease later', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e');
+  engine.checksFences = true;
+  const first = newLease(
+    clock,
+    engine,
+    1,
+    () => true,
+    false,
+    () => true,
+  ).lease;
+  await clock.runUntil(500);
+  // An order that changes nothing is not counted, so only the fence tells of the other holder.
+  void engine.order({
+    action: 'unload',
+    model: MODEL,
+    adapter: 'z',
+    expectedCount: 0,
+    holder: 'other',
+    fence: 2 ** 40,
+  });
+  await clock.runUntil(600);
+  const refusedAtMs: number[] = [];
+  for (let atMs = 600; atMs < 9000; atMs += 50) {
+    await clock.runUntil(atMs);
+    void first.order(load('a')).then((reply) => {
+      if (reply.kind === 'fenced') refusedAtMs.push(clock.now());
+    });
+  }
+  t.true(refusedAtMs.length >= 3);
+  const pausesMs = refusedAtMs.map((atMs, index) => atMs - (refusedAtMs[index - 1] ?? atMs));
+  t.true(Math.max(...pausesMs) >= LEASE_MS, pausesMs.join());
+});
