--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -262,7 +262,13 @@
     }
     const slot = engine?.slots.get(adapterKey(request.model, request.adapter));
     const aheadMs = engine === undefined ? Infinity : backlogMs(engine, nowMs);
-    const isSoon = aheadMs <= request.objectiveMs * SHORT_BACKLOG_SHARE;
+    // A copy on a second engine takes a slot from another adapter, so it is made for time alone only if some are idle.
+    const copyAfterShare = index.spareShare >= SPARE_SHARE ? SHORT_BACKLOG_SHARE : LONG_BACKLOG_SHARE;
+    const copyAfterMs = Math.min(
+      request.objectiveMs * copyAfterShare,
+      this.#longestBacklogMs(waiting, nowMs),
+    );
+    const isSoon = aheadMs <= copyAfterMs;
     if (engine !== undefined && isSoon && !isCrowded(engine)) {
       this.#grant(waiting, engine, slot, nowMs);
       return;
--- a/packages/slots/test/order-lease.test.ts
+++ b/packages/slots/test/order-lease.test.ts
@@ -223,7 +223,7 @@
   });
   await clock.runUntil(600);
   const refusedAtMs: number[] = [];
-  for (let atMs = 600; atMs < 9000; atMs += 50) {
+  for (let atMs = 600; atMs < 12_000; atMs += 50) {
     await clock.runUntil(atMs);
     void first.order(load('a')).then((reply) => {
       if (reply.kind === 'fenced') refusedAtMs.push(clock.now());
--- a/packages/slots/test/simulated-engines.ts
+++ b/packages/slots/test/simulated-engines.ts
@@ -87,6 +87,8 @@
   }
 
   #take(order: EngineOrder): OrderReply {
+    if (this.checksFences && order.fence < this.#highestFence) return { kind: 'fenced' };
+    this.#highestFence = Math.max(this.#highestFence, order.fence);
     const adapter = order.adapter ?? '';
     const held = this.#adapters.get(adapter);
     if (order.action === 'load' && held !== undefined) {
@@ -95,8 +97,6 @@
     if (order.action === 'unload' && (held === undefined || held.readyAtMs > this.#clock.now())) {
       return { kind: 'done' };
     }
-    if (this.checksFences && order.fence < this.#highestFence) return { kind: 'fenced' };
-    this.#highestFence = Math.max(this.#highestFence, order.fence);
     if (order.expectedCount !== this.#count) return { kind: 'conflict' };
     if (order.action === 'load' && this.#pendingCount() >= MOST_PENDING) return { kind: 'conflict' };
     this.#judge(order);
