--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -61,7 +61,7 @@
 /** Part of its time after which a request is given up if it is not likely to run in what is left. */
 const HALFWAY_SHARE = 0.45;
 /** Part of its time after which a request that still waits is given up: what is left has to be of use elsewhere. */
-const LONGEST_WAIT_SHARE = 0.97;
+const LONGEST_WAIT_SHARE = 0.48;
 /** A wait is short if it takes up to this part of what is left of a request's time. */
 const SOON_SHARE = 0.5;
 const AVOID_AFTER_FAILURE_MS = 1500;
