Choose homes of adapters by what engines were given to read of late

Change: reading time that was sent to an engine of late, with a half-life of 1.5 s, counts in the choice of a home.

--- a/packages/slots/src/load-placement.ts
+++ b/packages/slots/src/load-placement.ts
@@ -36,6 +36,8 @@
 /** What is added to the cost of a place for each load under way there, in ms. */
 const LOADING_COST_MS = 40;
 const EVICTION_COST_MS = 25;
+/** What is added for each ms of reading that the engine was given of late: where much was sent, more will come. */
+const RECENT_WORK_COST = 0.15;
 
 /**
  * Chooses where an adapter is loaded. An engine that likely has it in memory is best; a fetch from the weight
@@ -109,5 +111,6 @@
   const evictionMs = victim === undefined ? 0 : Math.min(popularity.rate(victim.key), 4) * EVICTION_COST_MS;
   const busyMs = RUNNING_COST_MS * slots.running + LOADING_COST_MS * slots.loadingCount;
   // The engine reads the prompts ahead while it loads.
-  return Math.max(loadMs, slots.backlog.aheadMs(demand.nowMs)) + evictionMs + busyMs;
+  const recentMs = RECENT_WORK_COST * slots.backlog.recentMs(demand.nowMs);
+  return Math.max(loadMs, slots.backlog.aheadMs(demand.nowMs)) + evictionMs + busyMs + recentMs;
 }
--- a/packages/slots/src/prompt-backlog.ts
+++ b/packages/slots/src/prompt-backlog.ts
@@ -2,6 +2,8 @@
 
 /** Part of a prompt's time that goes to its way there and back, in ms: two links, one step of the engine. */
 const TRANSIT_MS = 10;
+/** A home for an adapter is chosen for some seconds, so engines are compared by what they got over about as long. */
+const RECENT_HALF_LIFE_MS = 1500;
 /** How much slower than its known speed an engine that shows nothing is taken to be, at the most. */
 const MOST_STALL = 6;
 
@@ -13,6 +15,9 @@
   readonly speed: ReadingSpeed;
   readonly #unread = new Map<string, number>();
   #tokens = 0;
+  /** Reading time of the prompts that were sent of late, each of which counts half after {@link RECENT_HALF_LIFE_MS}. */
+  #recentMs = 0;
+  #recentAtMs = 0;
   /** When the engine last showed that it had read a prompt, or got its first one after a rest. */
   #progressMs = 0;
 
@@ -29,6 +34,13 @@
     if (this.#unread.size === 0) this.#progressMs = nowMs + TRANSIT_MS;
     this.#unread.set(requestId, tokens);
     this.#tokens += tokens;
+    this.#recentMs = this.recentMs(nowMs) + this.readMs(tokens);
+    this.#recentAtMs = nowMs;
+  }
+
+  /** How much the engine was given to read of late, in milliseconds of its time: the backlog without its chance. */
+  recentMs(nowMs: number): number {
+    return this.#recentMs * 0.5 ** ((nowMs - this.#recentAtMs) / RECENT_HALF_LIFE_MS);
   }
 
   /** The first event of a request came back, so its prompt was read. */
