--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -466,8 +466,9 @@
   #log(event: string, waiting: WaitingRequest, fields: Record<string, string | number>): void {
     const { request, arrivedMs, obstacle, returned } = waiting;
     const ageMs = Math.round(this.#options.clock.now() - arrivedMs);
-    const { traceId, adapter } = request;
-    this.#options.telemetry.event('info', event, traceId, { adapter, ageMs, obstacle, returned, ...fields });
+    const { traceId, adapter, promptTokens } = request;
+    const described = { adapter, promptTokens, ageMs, obstacle, returned, ...fields };
+    this.#options.telemetry.event('info', event, traceId, described);
   }
 
   #after(delayMs: number, action: () => void): void {
