An engine that a report showed busy is not kept from adapters for ever

The belief was read from one report and no other report was read. Excluded: slots stuck on their way or in use (their sums are right), the lease (held), failures (avoided=0 to 2). Change: an engine that holds a model loads adapters while it is said to be busy, as a conflict would tell; one without a model is read again until it is not busy. Figures of the pool show busy and avoided engines. The test fails on the old code.

--- a/packages/slots/src/engine-choice.ts
+++ b/packages/slots/src/engine-choice.ts
@@ -61,7 +61,7 @@
 
   #suits(entry: EngineEntry, request: SlotRequest, nowMs: number): boolean {
     const { slots } = entry;
-    if (request.adapter === undefined) return slots.models.has(request.model) && !slots.busy;
+    if (request.adapter === undefined) return slots.models.has(request.model);
     const slot = slots.get(adapterKey(request.model, request.adapter));
     return slot !== undefined && this.#isUsable(slot, nowMs);
   }
--- a/packages/slots/src/engine-slots.ts
+++ b/packages/slots/src/engine-slots.ts
@@ -37,7 +37,10 @@
   readonly models = new Set<string>();
   /** Requests sent here that have not ended. */
   running = 0;
-  /** A model is being loaded or unloaded. */
+  /**
+   * A report showed an order under way, or a model was ordered here. It keeps an engine without a model from
+   * being asked for another; one that holds a model serves and loads adapters meanwhile.
+   */
   busy = false;
   /** No new requests before this time, after failures. */
   avoidUntilMs = 0;
--- a/packages/slots/src/model-loader.ts
+++ b/packages/slots/src/model-loader.ts
@@ -18,6 +18,8 @@
 export class ModelLoader {
   readonly #options: ModelLoaderOptions;
   readonly #budget: StoreLoadBudget;
+  /** Busy engines whose reports are read again. */
+  readonly #awaited = new WeakSet<EngineSlots>();
 
   constructor(options: ModelLoaderOptions) {
     this.#options = options;
@@ -35,18 +37,29 @@
       const model = this.#scarcestModel(slots.profile);
       if (model === undefined || !this.#budget.take()) continue;
       slots.busy = true;
-      void lease
-        .order({ action: 'load', model, adapter: undefined })
-        .then(() => this.#pollModel(slots, lease));
+      void lease.order({ action: 'load', model, adapter: undefined }).then(() => this.awaitEnd(slots, lease));
     }
   }
 
+  /**
+   * Reads reports of a busy engine until it is not busy any more. Whoever keeps an engine from loads since a
+   * report showed it busy has to see to it that another report is read: nothing else tells of the end.
+   */
+  awaitEnd(slots: EngineSlots, lease: OrderLease): void {
+    if (this.#awaited.has(slots)) return;
+    this.#awaited.add(slots);
+    this.#pollModel(slots, lease);
+  }
+
   #pollModel(slots: EngineSlots, lease: OrderLease): void {
     this.#options.after(this.#options.pollMs, () => {
-      if (slots.busy) {
+      if (slots.busy && slots.models.size === 0) {
         lease.settle();
         this.#pollModel(slots, lease);
-      } else this.#options.onChange();
+        return;
+      }
+      this.#awaited.delete(slots);
+      this.#options.onChange();
     });
   }
 
--- a/packages/slots/src/pool-figures.ts
+++ b/packages/slots/src/pool-figures.ts
@@ -16,6 +16,10 @@
 export interface EngineFigures {
   readonly engines: number;
   readonly held: number;
+  /** Engines that load or unload a model, by their last report. */
+  readonly busy: number;
+  /** Engines that are given nothing for a moment, after a failure. */
+  readonly avoided: number;
   /** Adapters with requests, without, and on their way. */
   readonly slotsInUse: number;
   readonly slotsIdle: number;
@@ -31,6 +35,8 @@
   return {
     engines: entries.length,
     held: entries.filter(({ lease }) => lease.held).length,
+    busy: entries.filter((entry) => entry.slots.busy).length,
+    avoided: entries.filter((entry) => entry.slots.avoidUntilMs > nowMs).length,
     slotsInUse: slots.filter((slot) => slot.users > 0).length,
     slotsIdle: slots.filter((slot) => slot.users === 0 && slot.state === 'loaded').length,
     slotsLoading: slots.filter((slot) => slot.state === 'loading').length,
--- a/packages/slots/src/pool-index.ts
+++ b/packages/slots/src/pool-index.ts
@@ -64,7 +64,7 @@
     }
     this.#slots += slots.profile.adapterSlots;
     this.#spare += Math.max(slots.profile.adapterSlots - slots.slots.size, 0);
-    const isFree = lease.held && !slots.busy && slots.avoidUntilMs <= nowMs;
+    const isFree = lease.held && slots.avoidUntilMs <= nowMs;
     if (canTake && isFree && canLoadMore(entry)) this.#able.push(entry);
   }
 }
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -107,6 +107,9 @@
     this.#refused = new RefusedRequests(options.clock);
     const onAdopted = (slots: EngineSlots): void => {
       this.#adapters.awaitPending(slots);
+      const entry = this.#engines.get(slots.backend.id);
+      const isLoadingModel = slots.busy && slots.models.size === 0;
+      if (isLoadingModel && entry !== undefined) this.#models.awaitEnd(slots, entry.lease);
       this.schedule();
     };
     this.#engines = new EngineRegistry({ clock, lease: options, after, onAdopted });
--- a/packages/slots/test/simulated-engines.ts
+++ b/packages/slots/test/simulated-engines.ts
@@ -38,6 +38,8 @@
   /** Loses answers to orders while true; the orders are taken. */
   losesAnswers = false;
   reachable = true;
+  /** Until when reports say that an order is under way. */
+  busyUntilMs = 0;
   /** Refuses fences that are lower than one it saw. Holders may then follow one another at once. */
   checksFences = false;
   #highestFence = 0;
@@ -71,6 +73,7 @@
     await this.#clock.sleep(2 * ONE_WAY_MS);
     if (!this.reachable) return undefined;
     const shownMs = this.#clock.now() - REPORT_LAG_MS;
+    if (this.busyUntilMs > 0) this.#remember();
     return this.#history.findLast((entry) => entry.atMs <= shownMs)?.report ?? this.#history[0]?.report;
   }
 
@@ -131,6 +134,10 @@
       this.violations.push(`ONE: turns within the lease at ${atMs}`);
   }
 
+  #isBusy(): boolean {
+    return this.#clock.now() < this.busyUntilMs;
+  }
+
   #remember(): void {
     const adapters = [];
     const pending = [];
@@ -139,7 +146,7 @@
       else pending.push({ model: MODEL, adapter: name, version: 1 });
     }
     const models = [{ name: MODEL, adapters }];
-    const report = { orderCount: this.#count, busy: false, models, pending };
+    const report = { orderCount: this.#count, busy: this.#isBusy(), models, pending };
     this.#history.push({ atMs: this.#clock.now(), report });
   }
 }
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -358,3 +358,20 @@
   t.is(refusedMs.length, 1);
   t.true((refusedMs[0] ?? Infinity) < 4000);
 });
+
+test('an engine that was busy when it was taken gets loads once it is not', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e1');
+  engine.busyUntilMs = 4000;
+  const pool = newPool(clock, [engine]);
+  await clock.runUntil(3900);
+  t.is(pool.describe().held, 1);
+  t.is(pool.describe().busy, 1);
+  await clock.runUntil(8000);
+  let granted = false;
+  pool.acquire(request('x'), (decision) => {
+    granted = decision.kind === 'granted';
+  });
+  await clock.runUntil(8600);
+  t.true(granted);
+});
