--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -11,6 +11,7 @@
   type SlotDecision,
   type SlotRequest,
   type SlotTiming,
+  type SwitchedOff,
   type UseOutcome,
 } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
@@ -351,7 +352,7 @@
 
   /** Tells a new leader, or the pool here, what this node runs on the engines. */
   #tellUses(pool: string, entry: PoolEntry): void {
-    if (entry.leadership.isLeader) return;
+    if (entry.leadership.isLeader || this.#options.switchedOff.has('told-uses')) return;
     const params: UsesParams = { pool, member: this.#options.cluster.selfId, uses: this.#uses.of(pool) };
     this.#leaderConnection(pool)?.notify(USES_METHOD, params);
   }
@@ -421,8 +422,9 @@
    * can't collide with one that is.
    */
   #mayTakeAtOnce(entry: PoolEntry): boolean {
-    const { clock, engineFences } = this.#options;
-    if (!engineFences.checked || !entry.leading) return false;
+    const { clock, engineFences, switchedOff } = this.#options;
+    const isAllowed = engineFences.checked && !switchedOff.has('take-at-once');
+    if (!isAllowed || !entry.leading) return false;
     const nowMs = clock.now();
     if (nowMs - this.#startedMs < engineFences.settledAfterMs) return true;
     return nowMs - this.#unsureSinceMs > engineFences.settledAfterMs && entry.former.isGone();
@@ -442,6 +444,7 @@
       mayTakeUnused: () => this.#isSoleLeader(entry),
       mayTakeAtOnce: () => this.#mayTakeAtOnce(entry),
       memory: this.#memory,
+      off: this.#options.switchedOff,
       adapterVersion: (model, adapter) => fleet.adapterVersion(model, adapter),
     });
     this.#setEngines(name, pool);
@@ -481,6 +484,8 @@
   readonly timing: SlotTiming;
   readonly holder: OrderHolder;
   readonly engineFences: EngineFences;
+  /** Parts of the policy that are switched off, for measurements. */
+  readonly switchedOff: SwitchedOff;
   readonly telemetry: Telemetry;
 }
 
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -3,7 +3,7 @@
 import { Random, hashSeed, type Clock } from '@canvasridge/clock';
 import { UdpTransport } from '@canvasridge/membership';
 import type { FleetState } from '@canvasridge/serving';
-import type { EngineControl, SlotTiming } from '@canvasridge/slots';
+import type { EngineControl, SlotTiming, SwitchedOff } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import { BackendConnections } from './backends/backend-connections.js';
@@ -53,6 +53,8 @@
   readonly retryBudget: RetryBudgetOptions;
   readonly slotTiming: SlotTiming;
   readonly engineFences: EngineFences;
+  /** Parts of the policy that are switched off, for measurements. */
+  readonly switchedOff: SwitchedOff;
   /** Time within which each node has to know that a backend leaves. */
   readonly drainMs: number;
   /** Time from the signal to stop until the process has to be gone. */
@@ -154,6 +156,7 @@
       control: options.control,
       timing: settings.slotTiming,
       engineFences: settings.engineFences,
+      switchedOff: settings.switchedOff,
       holder: { name: settings.nodeId, number: ipNumber(settings.ip) },
       telemetry,
     });
--- a/packages/gateway/test/planned-stop.test.ts
+++ b/packages/gateway/test/planned-stop.test.ts
@@ -55,6 +55,7 @@
       peerPort: await freePort(),
       peerKey: 'k',
       retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 50 },
+      switchedOff: new Set(),
       engineFences: { checked: false, settledAfterMs: 3000 },
       slotTiming: { ...DEFAULT_SLOT_TIMING, leaseMs: 3000 },
       drainMs: 2000,
--- a/packages/slots/src/engine-registry.ts
+++ b/packages/slots/src/engine-registry.ts
@@ -4,7 +4,7 @@
 import type { EngineEntry } from './engine-entry.js';
 import { EngineSlots } from './engine-slots.js';
 import { OrderLease, type OrderLeaseOptions } from './order-lease.js';
-import { speedOfFellows } from './reading-speed.js';
+import { speedOfFellows, type ReadingSpeed } from './reading-speed.js';
 import type { SlotRequest } from './slot-request.js';
 
 /** How long an engine that left the list is remembered. */
@@ -16,6 +16,8 @@
   readonly lease: Omit<OrderLeaseOptions, 'backend' | 'onReport'>;
   /** Calls back after a time, unless the pool was closed meanwhile. */
   readonly after: (delayMs: number, action: () => void) => void;
+  /** Whether engines' reading speeds are learnt. */
+  readonly learnsSpeed: boolean;
   /** A report of an engine was taken over. */
   readonly onAdopted: (slots: EngineSlots) => void;
 }
@@ -25,10 +27,11 @@
   readonly #options: EngineRegistryOptions;
   readonly #engines = new Map<string, EngineEntry>();
   /** How fast the engines read prompts, all of them together. */
-  readonly speed = speedOfFellows();
+  readonly speed: ReadingSpeed;
 
   constructor(options: EngineRegistryOptions) {
     this.#options = options;
+    this.speed = speedOfFellows(options.learnsSpeed);
   }
 
   /** All engines, those included that left the list a short while ago. */
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -9,6 +9,7 @@
 } from './engine-control.js';
 export { OrderLease, type NotHeld, type OrderHolder, type OrderLeaseOptions } from './order-lease.js';
 export { StoreLoadBudget } from './store-load-budget.js';
+export { MECHANISMS, type Mechanism, type SwitchedOff } from './mechanisms.js';
 export { PauseDetector } from './pause-detector.js';
 export { AdapterMemory } from './adapter-memory.js';
 export type { PoolFigures } from './pool-figures.js';
--- a/packages/slots/src/load-placement.ts
+++ b/packages/slots/src/load-placement.ts
@@ -1,6 +1,7 @@
 import type { AdapterDemand } from './adapter-demand.js';
 import type { AdapterMemory } from './adapter-memory.js';
 import { RUNNING_COST_MS } from './engine-choice.js';
+import type { SwitchedOff } from './mechanisms.js';
 import type { AdapterSlot, EngineSlots } from './engine-slots.js';
 
 /** An engine that may load an adapter now, and the adapter that has to make way for it, if any. */
@@ -29,6 +30,7 @@
   readonly hasSpare: boolean;
   readonly coldLoadMs: number;
   readonly warmLoadMs: number;
+  readonly off: SwitchedOff;
 }
 
 /** Part of the time within which it has to start for which a request waits for an engine that has its adapter in memory. */
@@ -54,7 +56,7 @@
   let bestCost = demand.quickerThanMs;
   const mayFetch = isFetchWorthwhile(demand);
   for (const slots of able) {
-    const warm = memory.has(slots.backend.id, demand.key);
+    const warm = !demand.off.has('adapter-memory') && memory.has(slots.backend.id, demand.key);
     if (!warm && !mayFetch) continue;
     const room = makeRoom(slots, demand, popularity);
     if (room === undefined) continue;
@@ -111,6 +113,10 @@
   const evictionMs = victim === undefined ? 0 : Math.min(popularity.rate(victim.key), 4) * EVICTION_COST_MS;
   const busyMs = RUNNING_COST_MS * slots.running + LOADING_COST_MS * slots.loadingCount;
   // The engine reads the prompts ahead while it loads.
-  const recentMs = RECENT_WORK_COST * slots.backlog.recentMs(demand.nowMs);
-  return Math.max(loadMs, slots.backlog.aheadMs(demand.nowMs)) + evictionMs + busyMs + recentMs;
+  const recentMs = demand.off.has('recent-work')
+    ? 0
+    : RECENT_WORK_COST * slots.backlog.recentMs(demand.nowMs);
+  const aheadMs = slots.backlog.aheadMs(demand.nowMs);
+  const startMs = demand.off.has('overlapped-load') ? loadMs + aheadMs : Math.max(loadMs, aheadMs);
+  return startMs + evictionMs + busyMs + recentMs;
 }
--- a/packages/slots/src/reading-speed.ts
+++ b/packages/slots/src/reading-speed.ts
@@ -12,15 +12,24 @@
 export class ReadingSpeed {
   readonly #fellows: ReadingSpeed | undefined;
   readonly #halfLifeMs: number;
+  readonly #learns: boolean;
   #tokens = 0;
   #readingMs = 0;
 
-  /** @param fellows the speed of like engines, which is believed until this one has shown its own */
-  constructor(fellows: ReadingSpeed | undefined, halfLifeMs = HALF_LIFE_MS) {
+  /**
+   * @param fellows the speed of like engines, which is believed until this one has shown its own
+   * @param learns false to stay with the first guess
+   */
+  constructor(fellows: ReadingSpeed | undefined, halfLifeMs = HALF_LIFE_MS, learns = true) {
+    this.#learns = learns && (fellows?.learns ?? true);
     this.#fellows = fellows;
     this.#halfLifeMs = halfLifeMs;
   }
 
+  get learns(): boolean {
+    return this.#learns;
+  }
+
   get msPerToken(): number {
     const prior = this.#fellows?.msPerToken ?? INITIAL_MS_PER_TOKEN;
     const learnt = (this.#readingMs + prior * PRIOR_TOKENS) / (this.#tokens + PRIOR_TOKENS);
@@ -29,6 +38,7 @@
 
   /** The engine read these tokens in this time. */
   observe(tokens: number, readingMs: number): void {
+    if (!this.#learns) return;
     const kept = 0.5 ** (readingMs / this.#halfLifeMs);
     this.#tokens = this.#tokens * kept + tokens;
     this.#readingMs = this.#readingMs * kept + readingMs;
@@ -40,6 +50,6 @@
 const FELLOWS_HALF_LIFE_MS = 20_000;
 
 /** The speed that the engines of one pool show together. */
-export function speedOfFellows(): ReadingSpeed {
-  return new ReadingSpeed(undefined, FELLOWS_HALF_LIFE_MS);
+export function speedOfFellows(learns = true): ReadingSpeed {
+  return new ReadingSpeed(undefined, FELLOWS_HALF_LIFE_MS, learns);
 }
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -10,6 +10,7 @@
 import { EngineRegistry } from './engine-registry.js';
 import type { AdapterSlot, EngineSlots } from './engine-slots.js';
 import { chooseLoad, type LoadDemand } from './load-placement.js';
+import type { SwitchedOff } from './mechanisms.js';
 import { ModelLoader } from './model-loader.js';
 import type { OrderHolder } from './order-lease.js';
 import { PoolIndex, canLoadMore } from './pool-index.js';
@@ -34,6 +35,8 @@
   /** Whether any engine can be taken at once, as engines check fences and the holder before is gone. */
   readonly mayTakeAtOnce: () => boolean;
   readonly memory: AdapterMemory;
+  /** Parts of the policy that are switched off. */
+  readonly off: SwitchedOff;
   /** The version of an adapter that was published, 0 if none was. */
   readonly adapterVersion: (model: string, adapter: string) => number;
 }
@@ -82,7 +85,7 @@
   readonly #options: SlotPoolOptions;
   readonly #engines: EngineRegistry;
   readonly #choice: EngineChoice;
-  readonly #waiting = new WaitingList((tokens) => tokens * this.#engines.speed.msPerToken);
+  readonly #waiting: WaitingList;
   readonly #uses = new Map<string, Use>();
   readonly #demand: AdapterDemand;
   readonly #turnover: SlotTurnover;
@@ -112,7 +115,10 @@
       if (isLoadingModel && entry !== undefined) this.#models.awaitEnd(slots, entry.lease);
       this.schedule();
     };
-    this.#engines = new EngineRegistry({ clock, lease: options, after, onAdopted });
+    const learnsSpeed = !options.off.has('learnt-speed');
+    this.#engines = new EngineRegistry({ clock, lease: options, after, onAdopted, learnsSpeed });
+    const { speed } = this.#engines;
+    this.#waiting = new WaitingList((tokens) => tokens * speed.msPerToken, options.off);
     this.#choice = new EngineChoice(this.#engines, adapterVersion);
   }
 
@@ -272,7 +278,8 @@
     const slot = engine?.slots.get(adapterKey(request.model, request.adapter));
     const aheadMs = engine === undefined ? Infinity : backlogMs(engine, nowMs);
     // A copy on a second engine takes a slot from another adapter, so it is made for time alone only if some are idle.
-    const copyAfterShare = index.spareShare >= SPARE_SHARE ? SHORT_BACKLOG_SHARE : LONG_BACKLOG_SHARE;
+    const hasSpare = index.spareShare >= SPARE_SHARE || this.#options.off.has('spare-copies');
+    const copyAfterShare = hasSpare ? SHORT_BACKLOG_SHARE : LONG_BACKLOG_SHARE;
     const copyAfterMs = Math.min(
       request.objectiveMs * copyAfterShare,
       this.#longestBacklogMs(waiting, nowMs),
@@ -355,7 +362,7 @@
    */
   #startLoad({ request, arrivedMs }: WaitingRequest, index: PoolIndex, aheadMs: number): WaitObstacle {
     const { model, adapter } = request;
-    const { memory, clock } = this.#options;
+    const { memory, clock, off } = this.#options;
     if (adapter === undefined || index.able.length === 0) return 'no-room';
     const nowMs = clock.now();
     const key = adapterKey(model, adapter);
@@ -366,7 +373,13 @@
     const able = index.able.filter((entry) => isCandidate(entry) && canLoadMore(entry));
     const hasHome = this.#engines
       .listed()
-      .some((entry) => memory.has(entry.slots.backend.id, key) && entry.lease.held && isCandidate(entry));
+      .some(
+        (entry) =>
+          !off.has('adapter-memory') &&
+          memory.has(entry.slots.backend.id, key) &&
+          entry.lease.held &&
+          isCandidate(entry),
+      );
     const demand: LoadDemand = {
       model,
       key,
@@ -379,6 +392,7 @@
       hasSpare: index.spareShare >= SPARE_SHARE,
       coldLoadMs: this.#adapters.coldLoadMs,
       warmLoadMs: this.#adapters.warmLoadMs,
+      off: this.#options.off,
     };
     const slots = able.map((entry) => entry.slots);
     const choice = chooseLoad(slots, demand, this.#demand, memory);
@@ -414,7 +428,7 @@
     const waiting = this.#waiting.get(requestId);
     if (waiting === undefined) return;
     const { request } = waiting;
-    if (waiting.returned) return;
+    if (waiting.returned || this.#options.off.has('early-refusal')) return;
     if (!this.#engines.serves(request.model)) {
       this.#waiting.remove(requestId);
       this.#refuse(waiting, 'no-engine', RETRY_WITHOUT_ENGINE_MS);
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -1,3 +1,4 @@
+import type { SwitchedOff } from './mechanisms.js';
 import type { SlotDecision, SlotRequest } from './slot-request.js';
 
 /** Part of the objective that is kept for the way of the first event, and for what is not foreseen. */
@@ -38,10 +39,12 @@
 export class WaitingList {
   readonly #byId = new Map<string, WaitingRequest>();
   readonly #readMs: (tokens: number) => number;
+  readonly #off: SwitchedOff;
 
   /** @param readMs how long a prompt of a length takes to be read */
-  constructor(readMs: (tokens: number) => number) {
+  constructor(readMs: (tokens: number) => number, off: SwitchedOff = new Set()) {
     this.#readMs = readMs;
+    this.#off = off;
   }
 
   get size(): number {
@@ -65,7 +68,7 @@
   inOrder(nowMs: number): WaitingRequest[] {
     const rows = [...this.#byId.values()].map((waiting) => ({
       waiting,
-      late: this.startWithinMs(waiting.request) < nowMs - waiting.arrivedMs ? 1 : 0,
+      late: this.#isLate(waiting, nowMs) ? 1 : 0,
       startByMs: this.#startByMs(waiting),
     }));
     rows.sort(
@@ -87,9 +90,13 @@
     return [...this.#byId.values()];
   }
 
+  #isLate({ request, arrivedMs }: WaitingRequest, nowMs: number): boolean {
+    return !this.#off.has('late-last') && nowMs - arrivedMs > this.startWithinMs(request);
+  }
+
   /** Moment until which a request has to start, moved by its urgency. */
   #startByMs({ request, arrivedMs, returned }: WaitingRequest): number {
-    const bonusMs = returned ? RETURNED_BONUS_MS : 0;
+    const bonusMs = returned && !this.#off.has('returned-first') ? RETURNED_BONUS_MS : 0;
     return arrivedMs + this.startWithinMs(request) + request.priority * PRIORITY_STEP_MS - bonusMs;
   }
 }
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -35,6 +35,7 @@
     mayTakeUnused: () => false,
     mayTakeAtOnce: () => false,
     memory: new AdapterMemory(),
+    off: new Set(),
     adapterVersion: (_model, adapter) => versions.get(adapter) ?? 0,
   });
   pool.setEngines(
