Keep requests from engines that a node knows to leave; look less at the whole pool; learn load times from telling loads

Change: a node asks again when the leader names an engine that it knows to leave or to be gone; one index serves requests for 8 ms, and nothing is looked at while nothing waits; only a first use soon after a load tells of its time; if more than half of the engines failed of late, none is avoided. Tests: gateway/test/slot-picker, slots/test/slot-pool (most engines fail), each fails on the old code.

--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -65,6 +65,11 @@
       return { kind: 'none', reason: decision.reason, retryAfterMs: decision.retryAfterMs };
     }
     const backend = this.#granted(pool, decision);
+    if (this.#fleet.isLeaving(backend.id)) {
+      // This node has heard that the engine leaves before the leader has: the request asks again for another one.
+      this.#slots.release(pool, request.id, 'refused');
+      return this.pick({ ...context, excluded: [...context.excluded, backend.id] }, cancelled);
+    }
     return {
       kind: 'picked',
       backend,
--- /dev/null
+++ b/packages/gateway/test/slot-picker.test.ts
@@ -0,0 +1,87 @@
+import { VirtualClock } from '@canvasridge/clock';
+import { FleetState, type BackendDescription } from '@canvasridge/serving';
+import type { SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
+import test from 'ava';
+import type { PickContext } from '../src/backends/picker.js';
+import { SlotPicker, type SlotSource } from '../src/backends/slot-picker.js';
+
+function engine(id: string, state: 'ready' | 'draining' = 'ready'): BackendDescription {
+  return { id, service: 'llm', address: `${id}:1`, zone: 'a', state, slots: 8, models: [] };
+}
+
+/** A leader that has not heard yet that an engine leaves: it names the first that is not excluded. */
+class LateLeader implements SlotSource {
+  readonly released: { requestId: string; outcome: UseOutcome }[] = [];
+
+  constructor(readonly engines: readonly string[]) {}
+
+  async acquire(_pool: string, request: SlotRequest): Promise<SlotDecision> {
+    const backendId = this.engines.find((id) => !request.excluded.includes(id)) ?? 'none';
+    return { kind: 'granted', requestId: request.id, backendId, address: `${backendId}:1` };
+  }
+
+  began(): void {
+    return;
+  }
+
+  started(): void {
+    return;
+  }
+
+  release(_pool: string, requestId: string, outcome: UseOutcome): void {
+    this.released.push({ requestId, outcome });
+  }
+}
+
+const CONTEXT: PickContext = {
+  id: 'r1',
+  traceId: 't1',
+  route: {
+    name: 'r',
+    host: 'h',
+    pathPrefix: '/',
+    kind: 'stream',
+    services: [],
+    timeoutMs: 5000,
+    patienceMs: 3000,
+    objectiveMs: 800,
+    priority: 0,
+    attempts: 1,
+    resumable: false,
+  },
+  service: { name: 'llm', maxConnections: 10, engine: undefined },
+  generation: { model: 'm', adapter: 'x', promptTokens: 10, promptKey: undefined },
+  ageMs: 0,
+  timeoutMs: 5000,
+  startWithinMs: 3000,
+  excluded: [],
+};
+
+async function pickAfter(
+  change: (fleet: FleetState) => void,
+): Promise<{ picked: string; leader: LateLeader }> {
+  const fleet = new FleetState();
+  fleet.applyBackend(1, engine('leaving'));
+  fleet.applyBackend(2, engine('stays'));
+  change(fleet);
+  const leader = new LateLeader(['leaving', 'stays']);
+  const picker = new SlotPicker(fleet, leader, new VirtualClock());
+  const result = await picker.pick(CONTEXT, new AbortController().signal);
+  return { picked: result.kind === 'picked' ? result.backend.id : result.reason, leader };
+}
+
+test('an engine that this node knows to leave is not used, though the leader still names it', async (t) => {
+  const { picked, leader } = await pickAfter((fleet) => fleet.applyBackend(3, engine('leaving', 'draining')));
+  t.is(picked, 'stays');
+  t.deepEqual(leader.released, [{ requestId: 'r1', outcome: 'refused' }]);
+});
+
+test('nor is one that this node knows to be gone', async (t) => {
+  const { picked } = await pickAfter((fleet) => fleet.removeBackend(3, 'leaving'));
+  t.is(picked, 'stays');
+});
+
+test('an engine that is not listed here yet is used on the word of the leader', async (t) => {
+  const { picked } = await pickAfter((fleet) => fleet.removeBackend(1, 'nothing'));
+  t.is(picked, 'leaving');
+});
--- a/packages/serving/src/fleet-state.ts
+++ b/packages/serving/src/fleet-state.ts
@@ -57,6 +57,8 @@
   readonly #backendsByService = new Map<string, BackendDescription[]>();
   readonly #adapterVersions = new Map<string, AdapterVersion>();
   #routes: RouteTable | undefined;
+  /** Backends that left the list, oldest first; each start of a backend has an id of its own. */
+  readonly #departed = new Set<string>();
   #backendsRevision = 0;
   #routingRevision = 0;
   #operatorRevision = 0;
@@ -98,6 +100,11 @@
     return this.#backends.get(id)?.value;
   }
 
+  /** Whether a backend is known to leave or to have left, so that it must be given nothing more. */
+  isLeaving(id: string): boolean {
+    return this.#departed.has(id) || this.backend(id)?.state === 'draining';
+  }
+
   /** Listed backends of a service, leaving ones included. */
   backendsOf(service: string): readonly BackendDescription[] {
     return this.#backendsByService.get(service) ?? [];
@@ -209,14 +216,23 @@
 
   #take(entry: Revised<BackendDescription>, known: Revised<BackendDescription> | undefined): void {
     this.#backends.set(entry.value.id, entry);
+    this.#departed.delete(entry.value.id);
     if (known === undefined || !routesAlike(entry.value, known.value)) this.#routingChanged(entry.revision);
   }
 
   #remove(id: string, revision: number): void {
     this.#backends.delete(id);
+    this.#noteDeparted(id);
     this.#routingChanged(revision);
   }
 
+  #noteDeparted(id: string): void {
+    this.#departed.add(id);
+    if (this.#departed.size <= DEPARTED_KEPT) return;
+    const oldest = this.#departed.values().next();
+    if (oldest.done !== true) this.#departed.delete(oldest.value);
+  }
+
   #routingChanged(revision: number): void {
     this.#routingRevision = Math.max(this.#routingRevision, revision);
   }
@@ -237,6 +253,9 @@
   }
 }
 
+/** Several times what leaves a large fleet within the time in which others may still name it. */
+const DEPARTED_KEPT = 1024;
+
 function supersedes(entry: Revised<BackendDescription>, known: Revised<BackendDescription>): boolean {
   if (entry.revision !== known.revision) return entry.revision > known.revision;
   return known.partial === true && entry.partial !== true;
--- a/packages/slots/src/adapter-loader.ts
+++ b/packages/slots/src/adapter-loader.ts
@@ -17,6 +17,8 @@
   readonly onChange: () => void;
 }
 
+/** A first use up to this many guesses after the order tells whether the guess was long enough. */
+const TELLING_FACTOR = 1.2;
 const RETRY_PRESENCE_MS = 50;
 /** An adapter that a report shows on its way is tried after this time. */
 const ADOPTED_ARRIVAL_MS = 150;
@@ -99,7 +101,9 @@
   served(slot: AdapterSlot): void {
     slot.confirmed = true;
     if (slot.orderedMs === 0) return;
-    (slot.warm ? this.#warmTime : this.#coldTime).longEnough();
+    const time = slot.warm ? this.#warmTime : this.#coldTime;
+    // A request that came long after the load tells nothing of how long it took.
+    if (slot.firstUsedMs - slot.orderedMs <= time.guessMs * TELLING_FACTOR) time.longEnough();
     slot.orderedMs = 0;
   }
 
--- a/packages/slots/src/engine-choice.ts
+++ b/packages/slots/src/engine-choice.ts
@@ -32,7 +32,7 @@
     let best: EngineEntry | undefined;
     for (const entry of this.#candidates(request, index)) {
       if (!this.#engines.mayServe(entry, request) || !this.#suits(entry, request, nowMs)) continue;
-      if (best === undefined || costMs(entry, nowMs) < costMs(best, nowMs)) best = entry;
+      if (best === undefined || costMs(entry, index, nowMs) < costMs(best, index, nowMs)) best = entry;
     }
     return best;
   }
@@ -91,8 +91,8 @@
   return slots.running >= slots.backend.slots * CROWDED_SHARE;
 }
 
-function costMs(entry: EngineEntry, nowMs: number): number {
+function costMs(entry: EngineEntry, index: PoolIndex, nowMs: number): number {
   const { slots } = entry;
-  const avoidedMs = slots.avoidUntilMs > nowMs ? AVOIDED_COST_MS : 0;
+  const avoidedMs = index.isAvoided(entry) ? AVOIDED_COST_MS : 0;
   return slots.backlog.aheadMs(nowMs) + RUNNING_COST_MS * slots.running + avoidedMs;
 }
--- a/packages/slots/src/engine-slots.ts
+++ b/packages/slots/src/engine-slots.ts
@@ -18,6 +18,8 @@
   lastUsedMs: number;
   /** When its load was ordered; 0 if it was found loaded. */
   orderedMs: number;
+  /** When a request was first sent to use it since then; 0 if none was. */
+  firstUsedMs: number;
   /** Whether a request ran on it or a report showed it. An order about one still on its way may not count. */
   confirmed: boolean;
   /** Whether the engine was thought to have it in its memory when the load was ordered. */
@@ -94,6 +96,7 @@
       users: 0,
       lastUsedMs: nowMs,
       orderedMs: nowMs,
+      firstUsedMs: 0,
       confirmed: false,
       warm,
       outdatedSinceMs: 0,
--- a/packages/slots/src/pool-index.ts
+++ b/packages/slots/src/pool-index.ts
@@ -1,5 +1,7 @@
 import type { EngineEntry } from './engine-entry.js';
 
+/** If more engines than this part of them failed of late, to avoid them only fills the others: none is avoided. */
+const MOST_AVOIDED_SHARE = 0.5;
 /** Adapters that one engine is asked to fetch at the same time. */
 const LOADS_PER_ENGINE = 3;
 
@@ -12,12 +14,25 @@
   readonly #holders = new Map<string, EngineEntry[]>();
   readonly #loading = new Map<string, EngineEntry[]>();
   readonly #able: EngineEntry[] = [];
+  /** When it was built. */
+  readonly builtMs: number;
+  /** Whether engines that failed are avoided at all. */
+  readonly #avoids: boolean;
   #fetches = 0;
   #slots = 0;
   #spare = 0;
 
   constructor(entries: Iterable<EngineEntry>, nowMs: number) {
-    for (const entry of entries) this.#addEngine(entry, nowMs);
+    this.builtMs = nowMs;
+    const all = [...entries];
+    const avoided = all.filter(({ slots }) => slots.avoidUntilMs > nowMs).length;
+    this.#avoids = avoided <= all.length * MOST_AVOIDED_SHARE;
+    for (const entry of all) this.#addEngine(entry, nowMs);
+  }
+
+  /** Whether an engine failed a moment ago while most others did not. */
+  isAvoided({ slots }: EngineEntry): boolean {
+    return this.#avoids && slots.avoidUntilMs > this.builtMs;
   }
 
   /** Engines that had the adapter loaded. */
@@ -64,7 +79,7 @@
     }
     this.#slots += slots.profile.adapterSlots;
     this.#spare += Math.max(slots.profile.adapterSlots - slots.slots.size, 0);
-    const isFree = lease.held && slots.avoidUntilMs <= nowMs;
+    const isFree = lease.held && !this.isAvoided(entry);
     if (canTake && isFree && canLoadMore(entry)) this.#able.push(entry);
   }
 }
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -49,6 +49,8 @@
 const USES_KNOWN_AFTER_MS = 400;
 /** Changes within this time are looked at together. */
 const SCHEDULE_DELAY_MS = 4;
+/** A single request is placed with an index up to this old; what waits is looked at again with a new one. */
+const INDEX_AGE_MS = 8;
 /** Part of its objective for which a request may wait behind prompts at an engine before another one is looked for. */
 const SHORT_BACKLOG_SHARE = 0.15;
 /** The same from which a request waits here, where it can still go to another engine. */
@@ -93,6 +95,7 @@
   readonly #models: ModelLoader;
   readonly #timers = new Set<Timer>();
   readonly #refused: RefusedRequests;
+  #lastIndex: PoolIndex | undefined;
   #looksAgain = false;
   #scheduled = false;
   #closed = false;
@@ -126,6 +129,7 @@
   setEngines(backends: readonly BackendDescription[], profile: EngineProfile): void {
     this.#models.setRate(profile.storeLoadsPerSecond);
     this.#engines.update(backends, profile);
+    this.#lastIndex = undefined;
     this.schedule();
   }
 
@@ -243,14 +247,24 @@
   }
 
   #placeAll(): void {
+    this.#models.loadMissing();
+    if (this.#waiting.size === 0) return;
     const nowMs = this.#options.clock.now();
-    const index = this.#index();
+    const index = this.#newIndex(nowMs);
     for (const waiting of this.#waiting.inOrder(nowMs)) this.#place(waiting, index, nowMs);
-    this.#models.loadMissing();
   }
 
+  /** An index that is a few milliseconds old at the most: building one looks at all slots of all engines. */
   #index(): PoolIndex {
-    return new PoolIndex(this.#engines.all(), this.#options.clock.now());
+    const nowMs = this.#options.clock.now();
+    const last = this.#lastIndex;
+    return last !== undefined && nowMs - last.builtMs < INDEX_AGE_MS ? last : this.#newIndex(nowMs);
+  }
+
+  #newIndex(nowMs: number): PoolIndex {
+    const index = new PoolIndex(this.#engines.all(), nowMs);
+    this.#lastIndex = index;
+    return index;
   }
 
   /** Figures for logs and metrics. */
@@ -340,6 +354,7 @@
     if (slot === undefined) return;
     slot.users += 1;
     slot.lastUsedMs = nowMs;
+    if (slot.firstUsedMs === 0) slot.firstUsedMs = nowMs;
     this.#options.memory.note(engine.slots.backend.id, slot.key);
   }
 
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -376,3 +376,26 @@
   await clock.runUntil(8600);
   t.true(granted);
 });
+
+test('while most engines fail, none of them is kept from loads', async (t) => {
+  const clock = new VirtualClock();
+  const engines = ['e1', 'e2', 'e3'].map((id) => new SimulatedEngine(clock, id));
+  const pool = newPool(clock, engines);
+  await clock.runUntil(HELD_MS);
+  const failAll = (adapters: readonly string[]): void => {
+    for (const adapter of adapters) {
+      pool.acquire(request(adapter), (decision) => {
+        if (decision.kind === 'granted') clock.setTimer(10, () => pool.release(decision.requestId, 'failed'));
+      });
+    }
+  };
+  failAll(['a', 'b', 'c', 'd', 'e', 'f']);
+  await clock.runUntil(HELD_MS + 500);
+  t.is(pool.describe().avoided, 3);
+  let granted = false;
+  pool.acquire(request('x'), (decision) => {
+    granted = decision.kind === 'granted';
+  });
+  await clock.runUntil(HELD_MS + 900);
+  t.true(granted);
+});
