--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -21,6 +21,7 @@
 import type { Cluster } from './cluster.js';
 import { FormerLeader } from './former-leader.js';
 import { OwnUses } from './own-uses.js';
+import { PeerUses } from './peer-uses.js';
 import { RemoteSlots } from './remote-slots.js';
 import {
   DECIDED_METHOD,
@@ -56,18 +57,13 @@
   leadingSinceMs: number;
 }
 
-interface RemoteUse {
-  readonly pool: string;
-  readonly requestId: string;
-}
-
 /** Leads the pools that fall to this node, and asks other nodes for slots of the pools that they lead. */
 export class SlotService implements SlotSource {
   readonly #options: SlotServiceOptions;
   readonly #pools = new Map<string, PoolEntry>();
   readonly #asked: RemoteSlots;
   readonly #uses: OwnUses;
-  readonly #remote = new Map<PeerConnection, Map<string, RemoteUse>>();
+  readonly #peerUses = new PeerUses();
   readonly #pauses: PauseDetector;
   readonly #memory = new AdapterMemory();
   readonly #leaderChanged = new Notifier();
@@ -245,11 +241,11 @@
     const pool = entry?.pool;
     if (entry?.leading !== true || pool === undefined) return { kind: 'not-leader' };
     const { id: requestId } = params.request;
-    this.#usesOf(peer).set(requestId, { pool: params.pool, requestId });
+    this.#peerUses.note(peer, params.pool, requestId);
     let immediate: SlotDecision | undefined;
     let answered = false;
     pool.acquire(params.request, (decision) => {
-      if (decision.kind === 'refused') this.#remote.get(peer)?.delete(requestId);
+      if (decision.kind === 'refused') this.#peerUses.forget(peer, requestId);
       if (!answered) immediate = decision;
       else peer.notify(DECIDED_METHOD, decision);
     });
@@ -259,7 +255,7 @@
 
   onCancel(params: ReleaseParams, peer: PeerConnection): void {
     const pool = this.#pools.get(params.pool)?.pool;
-    this.#remote.get(peer)?.delete(params.requestId);
+    this.#peerUses.forget(peer, params.requestId);
     pool?.cancel(params.requestId);
     pool?.release(params.requestId, 'cancelled');
   }
@@ -275,7 +271,7 @@
     if (entry === undefined || adopting === undefined) return;
     entry.told.add(member);
     for (const use of uses) {
-      this.#usesOf(peer).set(use.requestId, { pool, requestId: use.requestId });
+      this.#peerUses.note(peer, pool, use.requestId);
       adopting.adoptUse(use);
     }
     this.#checkUsesKnown(entry);
@@ -290,29 +286,18 @@
   }
 
   onRelease(params: ReleaseParams, peer: PeerConnection): void {
-    this.#remote.get(peer)?.delete(params.requestId);
+    this.#peerUses.forget(peer, params.requestId);
     this.#pools.get(params.pool)?.pool?.release(params.requestId, params.outcome);
   }
 
   /** A node whose connection ended can't tell any more when its requests end. */
   onPeerClosed(peer: PeerConnection): void {
-    const uses = this.#remote.get(peer);
-    this.#remote.delete(peer);
-    for (const { pool, requestId } of uses?.values() ?? []) {
+    for (const { pool, requestId } of this.#peerUses.takeAll(peer)) {
       this.#pools.get(pool)?.pool?.cancel(requestId);
       this.#pools.get(pool)?.pool?.release(requestId, 'cancelled');
     }
   }
 
-  #usesOf(peer: PeerConnection): Map<string, RemoteUse> {
-    let uses = this.#remote.get(peer);
-    if (uses === undefined) {
-      uses = new Map();
-      this.#remote.set(peer, uses);
-    }
-    return uses;
-  }
-
   // --- leading -----------------------------------------------------------------------------------
 
   async #run(): Promise<void> {
--- /dev/null
+++ b/packages/slots/src/engine-uses.ts
@@ -0,0 +1,64 @@
+import type { Clock } from '@canvasridge/clock';
+import type { AdapterMemory } from './adapter-memory.js';
+import type { EngineEntry } from './engine-entry.js';
+import type { AdapterSlot } from './engine-slots.js';
+import type { SlotTurnover } from './slot-turnover.js';
+
+/** A request that was sent to an engine and has not ended. */
+export interface EngineUse {
+  readonly engineId: string;
+  /** Undefined for a request to the base model. */
+  readonly slot: AdapterSlot | undefined;
+}
+
+/** The requests that run on the engines of a pool, and what they mean for slots and engines. */
+export class EngineUses {
+  readonly #clock: Clock;
+  readonly #memory: AdapterMemory;
+  readonly #turnover: SlotTurnover;
+  readonly #uses = new Map<string, EngineUse>();
+
+  constructor(clock: Clock, memory: AdapterMemory, turnover: SlotTurnover) {
+    this.#clock = clock;
+    this.#memory = memory;
+    this.#turnover = turnover;
+  }
+
+  get size(): number {
+    return this.#uses.size;
+  }
+
+  get(requestId: string): EngineUse | undefined {
+    return this.#uses.get(requestId);
+  }
+
+  /** Counts a request that runs on an engine from now on. */
+  begin(requestId: string, engine: EngineEntry, slot: AdapterSlot | undefined): void {
+    const engineId = engine.slots.backend.id;
+    engine.slots.running += 1;
+    this.#uses.set(requestId, { engineId, slot });
+    if (slot === undefined) return;
+    const nowMs = this.#clock.now();
+    slot.users += 1;
+    slot.lastUsedMs = nowMs;
+    if (slot.firstUsedMs === 0) slot.firstUsedMs = nowMs;
+    this.#memory.note(engineId, slot.key);
+  }
+
+  /** A request has ended. Undefined if it was not known; otherwise its engine, if that is still there, is told. */
+  end(requestId: string, engineOf: (id: string) => EngineEntry | undefined): EngineUse | undefined {
+    const use = this.#uses.get(requestId);
+    if (use === undefined) return undefined;
+    this.#uses.delete(requestId);
+    const engine = engineOf(use.engineId);
+    if (engine !== undefined) engine.slots.running -= 1;
+    if (use.slot !== undefined) this.#endSlotUse(use.slot);
+    return use;
+  }
+
+  #endSlotUse(slot: AdapterSlot): void {
+    slot.users -= 1;
+    slot.lastUsedMs = this.#clock.now();
+    if (slot.users === 0) this.#turnover.freed();
+  }
+}
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -8,18 +8,20 @@
 import type { EngineControl } from './engine-control.js';
 import type { EngineEntry } from './engine-entry.js';
 import { EngineRegistry } from './engine-registry.js';
+import { EngineUses } from './engine-uses.js';
 import type { AdapterSlot, EngineSlots } from './engine-slots.js';
-import { chooseLoad, type LoadDemand } from './load-placement.js';
+import { LoadStarter, SPARE_SHARE } from './load-starter.js';
 import type { SwitchedOff } from './mechanisms.js';
 import { ModelLoader } from './model-loader.js';
 import type { OrderHolder } from './order-lease.js';
-import { PoolIndex, canLoadMore } from './pool-index.js';
+import { PoolIndex } from './pool-index.js';
 import { describeEngines, type PoolFigures } from './pool-figures.js';
+import { RefusalPolicy } from './refusal-policy.js';
 import { RefusedRequests } from './refused-requests.js';
 import type { RefusalReason, RunningUse, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
 import { SlotTurnover } from './slot-turnover.js';
 import type { SlotTiming } from './timing.js';
-import { WaitingList, type WaitObstacle, type WaitingRequest } from './waiting-list.js';
+import { WaitingList, type WaitingRequest } from './waiting-list.js';
 
 export interface SlotPoolOptions {
   readonly service: string;
@@ -41,10 +43,6 @@
   readonly adapterVersion: (model: string, adapter: string) => number;
 }
 
-/** Fetches from the weight store at the same time; more of them slow each other down (measured with 6 engines: from 14 on). */
-const LEAST_FETCHES_AT_ONCE = 12;
-/** Part of all adapter slots that is idle from which an adapter is also fetched for a request that is late. */
-const SPARE_SHARE = 0.25;
 /** Nodes tell a new leader within this time what they run on the engines; no adapter gives way before. */
 const USES_KNOWN_AFTER_MS = 400;
 /** Changes within this time are looked at together. */
@@ -59,26 +57,13 @@
 const LATE_BACKLOG_SHARE = 0.2;
 /** How long after a request was held back for a long backlog it is looked at again. */
 const BACKLOG_POLL_MS = 40;
-/** A refusal has to be known to the client within this part of its objective. */
-const EARLY_REFUSAL_SHARE = 0.2;
 /** A refusal up to this part of the objective counts as early. */
 const EARLY_SHARE = 0.25;
-/** Part of its time after which a request is given up if it is not likely to run in what is left. */
-const HALFWAY_SHARE = 0.45;
-/** Part of its time after which a request that still waits is given up: what is left has to be of use elsewhere. */
-const LONGEST_WAIT_SHARE = 0.48;
-/** A wait is short if it takes up to this part of what is left of a request's time. */
-const SOON_SHARE = 0.5;
+/** An engine that failed a request is given less for this long. */
 const AVOID_AFTER_FAILURE_MS = 1500;
-const RETRY_WITHOUT_ENGINE_MS = 1000;
 /** A use whose end was never told is over this long after its request's time. */
 const LOST_RELEASE_MARGIN_MS = 1000;
 
-interface Use {
-  readonly engineId: string;
-  readonly slot: AdapterSlot | undefined;
-}
-
 /**
  * Hands out the adapter slots of all engines of one service, and orders loads and unloads for the requests
  * that wait. One node runs it at a time; what it grants is kept in memory only.
@@ -88,13 +73,15 @@
   readonly #engines: EngineRegistry;
   readonly #choice: EngineChoice;
   readonly #waiting: WaitingList;
-  readonly #uses = new Map<string, Use>();
+  readonly #uses: EngineUses;
   readonly #demand: AdapterDemand;
   readonly #turnover: SlotTurnover;
   readonly #adapters: AdapterLoader;
   readonly #models: ModelLoader;
+  readonly #loads: LoadStarter;
   readonly #timers = new Set<Timer>();
   readonly #refused: RefusedRequests;
+  readonly #refusals: RefusalPolicy;
   #lastIndex: PoolIndex | undefined;
   #looksAgain = false;
   #scheduled = false;
@@ -110,7 +97,8 @@
     this.#adapters = new AdapterLoader({ clock, timing, memory, adapterVersion, after, onChange });
     const engines = (): Iterable<EngineEntry> => this.#engines.listed();
     this.#models = new ModelLoader({ clock, engines, pollMs: timing.observePeriodMs, after, onChange });
-    this.#refused = new RefusedRequests(options.clock);
+    this.#refused = new RefusedRequests(clock);
+    this.#uses = new EngineUses(clock, memory, this.#turnover);
     const onAdopted = (slots: EngineSlots): void => {
       this.#adapters.awaitPending(slots);
       const entry = this.#engines.get(slots.backend.id);
@@ -123,6 +111,28 @@
     const { speed } = this.#engines;
     this.#waiting = new WaitingList((tokens) => tokens * speed.msPerToken, options.off);
     this.#choice = new EngineChoice(this.#engines, adapterVersion);
+    this.#loads = new LoadStarter({
+      clock,
+      engines: this.#engines,
+      choice: this.#choice,
+      adapters: this.#adapters,
+      memory,
+      demand: this.#demand,
+      waiting: this.#waiting,
+      off: options.off,
+    });
+    this.#refusals = new RefusalPolicy({
+      clock,
+      engines: this.#engines,
+      choice: this.#choice,
+      waiting: this.#waiting,
+      turnover: this.#turnover,
+      index: () => this.#index(),
+      coldLoadMs: () => this.#adapters.coldLoadMs,
+      after,
+      refuse: (waiting, reason, retryAfterMs) => this.#refuse(waiting, reason, retryAfterMs),
+      off: options.off,
+    });
   }
 
   /** Takes over the published list of engines. */
@@ -151,11 +161,11 @@
   /** Takes over a request that another leader granted, or none, and that still runs. */
   adoptUse(use: RunningUse): void {
     const entry = this.#engines.get(use.backendId);
-    if (entry === undefined || this.#uses.has(use.requestId) || this.#closed) return;
+    if (entry === undefined || this.#uses.get(use.requestId) !== undefined || this.#closed) return;
     const nowMs = this.#options.clock.now();
     const { model, adapter, requestId } = use;
     const slot = adapter === undefined ? undefined : entry.slots.get(adapterKey(model, adapter));
-    this.#begin(requestId, entry, slot, nowMs);
+    this.#uses.begin(requestId, entry, slot);
     if (!use.started) entry.slots.backlog.sent(requestId, use.promptTokens, nowMs);
     this.#endIfLost(requestId, use.leftMs);
   }
@@ -190,15 +200,7 @@
     this.#waiting.add(waiting);
     this.#place(waiting, this.#index(), nowMs);
     if (this.#waiting.get(request.id) === undefined) return;
-    const untilEarlyMs = request.objectiveMs * EARLY_REFUSAL_SHARE - request.ageMs;
-    this.#after(Math.max(untilEarlyMs, 1), () => this.#refuseIfHopeless(request.id));
-    this.#afterAge(request, HALFWAY_SHARE, () => this.#giveUpIfHopeless(request.id));
-    this.#afterAge(request, LONGEST_WAIT_SHARE, () => this.#giveUp(request.id));
-  }
-
-  /** Calls back when a part of the time in which a request has to start is over. */
-  #afterAge(request: SlotRequest, share: number, action: () => void): void {
-    this.#after(Math.max(request.startWithinMs * share - request.ageMs, 1), action);
+    this.#refusals.watch(request);
   }
 
   /** The client went away, or the request is served in another way. */
@@ -218,24 +220,28 @@
 
   /** A granted request has ended. */
   release(requestId: string, outcome: UseOutcome): void {
-    const use = this.#uses.get(requestId);
+    const use = this.#uses.end(requestId, (id) => this.#engines.get(id));
     if (use === undefined) return;
-    this.#uses.delete(requestId);
-    const nowMs = this.#options.clock.now();
     const entry = this.#engines.get(use.engineId);
-    if (use.slot !== undefined) this.#endSlotUse(use.slot, nowMs);
-    if (entry !== undefined) {
-      entry.slots.running -= 1;
-      if (outcome === 'served') entry.slots.backlog.read(requestId, nowMs);
-      else entry.slots.backlog.drop(requestId);
-      if (outcome === 'not-present') this.#notPresent(entry, use.slot, nowMs);
-      else if (outcome === 'failed' || outcome === 'refused') {
-        entry.slots.avoidUntilMs = nowMs + AVOID_AFTER_FAILURE_MS;
-      } else if (outcome === 'served' && use.slot !== undefined) this.#adapters.served(use.slot);
-    }
+    if (entry !== undefined) this.#learnFrom(outcome, requestId, entry, use.slot);
     this.schedule();
   }
 
+  #learnFrom(
+    outcome: UseOutcome,
+    requestId: string,
+    entry: EngineEntry,
+    slot: AdapterSlot | undefined,
+  ): void {
+    const nowMs = this.#options.clock.now();
+    if (outcome === 'served') entry.slots.backlog.read(requestId, nowMs);
+    else entry.slots.backlog.drop(requestId);
+    if (outcome === 'not-present') this.#notPresent(entry, slot, nowMs);
+    else if (outcome === 'failed' || outcome === 'refused') {
+      entry.slots.avoidUntilMs = nowMs + AVOID_AFTER_FAILURE_MS;
+    } else if (outcome === 'served' && slot !== undefined) this.#adapters.served(slot);
+  }
+
   /** Gives what waits to what is free, soon: changes that come close together are looked at once. */
   schedule(): void {
     if (this.#closed || this.#scheduled) return;
@@ -304,7 +310,7 @@
       return;
     }
     if (this.#choice.isLoading(request, index)) waiting.obstacle = 'loading';
-    else waiting.obstacle = this.#startLoad(waiting, index, aheadMs);
+    else waiting.obstacle = this.#loads.start(waiting, index, aheadMs);
     if (engine === undefined) return;
     if (aheadMs <= this.#longestBacklogMs(waiting, nowMs)) {
       this.#grant(waiting, engine, slot, nowMs);
@@ -342,90 +348,16 @@
       running: engine.slots.running,
     });
     engine.slots.backlog.sent(request.id, request.promptTokens, nowMs);
-    this.#begin(request.id, engine, slot, nowMs);
+    this.#uses.begin(request.id, engine, slot);
     this.#endIfLost(request.id, request.timeoutMs - request.ageMs);
     waiting.decide({ kind: 'granted', requestId: request.id, backendId: id, address });
   }
 
-  /** Counts a request that runs on an engine from now on. */
-  #begin(requestId: string, engine: EngineEntry, slot: AdapterSlot | undefined, nowMs: number): void {
-    engine.slots.running += 1;
-    this.#uses.set(requestId, { engineId: engine.slots.backend.id, slot });
-    if (slot === undefined) return;
-    slot.users += 1;
-    slot.lastUsedMs = nowMs;
-    if (slot.firstUsedMs === 0) slot.firstUsedMs = nowMs;
-    this.#options.memory.note(engine.slots.backend.id, slot.key);
-  }
-
   /** A user of a slot that vanished without a word must not keep it for ever. */
   #endIfLost(requestId: string, leftMs: number): void {
     this.#after(Math.max(leftMs, 0) + LOST_RELEASE_MARGIN_MS, () => this.release(requestId, 'cancelled'));
   }
 
-  #endSlotUse(slot: AdapterSlot, nowMs: number): void {
-    slot.users -= 1;
-    slot.lastUsedMs = nowMs;
-    if (slot.users === 0) this.#turnover.freed();
-  }
-
-  // --- loads -------------------------------------------------------------------------------------
-
-  /**
-   * Orders the load of a request's adapter, if an engine can take it.
-   * @param aheadMs the shortest backlog of an engine that has the adapter: a copy must be quicker
-   */
-  #startLoad({ request, arrivedMs }: WaitingRequest, index: PoolIndex, aheadMs: number): WaitObstacle {
-    const { model, adapter } = request;
-    const { memory, clock, off } = this.#options;
-    if (adapter === undefined || index.able.length === 0) return 'no-room';
-    const nowMs = clock.now();
-    const key = adapterKey(model, adapter);
-    const isCandidate = (entry: EngineEntry): boolean =>
-      this.#engines.mayServe(entry, request) &&
-      entry.slots.models.has(model) &&
-      !this.#choice.holds(entry, key);
-    const able = index.able.filter((entry) => isCandidate(entry) && canLoadMore(entry));
-    const hasHome = this.#engines
-      .listed()
-      .some(
-        (entry) =>
-          !off.has('adapter-memory') &&
-          memory.has(entry.slots.backend.id, key) &&
-          entry.lease.held &&
-          isCandidate(entry),
-      );
-    const demand: LoadDemand = {
-      model,
-      key,
-      nowMs,
-      ageMs: nowMs - arrivedMs,
-      startWithinMs: this.#waiting.startWithinMs(request),
-      quickerThanMs: aheadMs,
-      hasHome,
-      mayFetch: index.fetches < this.#fetchesAtOnce(),
-      hasSpare: index.spareShare >= SPARE_SHARE,
-      coldLoadMs: this.#adapters.coldLoadMs,
-      warmLoadMs: this.#adapters.warmLoadMs,
-      off: this.#options.off,
-    };
-    const slots = able.map((entry) => entry.slots);
-    const choice = chooseLoad(slots, demand, this.#demand, memory);
-    const entry = choice === undefined ? undefined : this.#engines.get(choice.slots.backend.id);
-    if (choice === undefined || entry === undefined) {
-      if (able.length === 0) return 'no-room';
-      return demand.mayFetch ? 'too-late' : 'fetch-limit';
-    }
-    index.loadStarted(key, entry, !choice.warm);
-    void this.#adapters.load(entry, choice, model, adapter);
-    return 'loading';
-  }
-
-  /** Fetches that do not slow each other down: their bound grows with the engines that they go to. */
-  #fetchesAtOnce(): number {
-    return Math.max(LEAST_FETCHES_AT_ONCE, this.#engines.listed().length);
-  }
-
   /** The engine did not have what it was thought to have. */
   #notPresent(entry: EngineEntry, slot: AdapterSlot | undefined, nowMs: number): void {
     if (slot !== undefined) {
@@ -436,55 +368,7 @@
     entry.slots.avoidUntilMs = nowMs + AVOID_AFTER_FAILURE_MS;
   }
 
-  // --- refusals ----------------------------------------------------------------------------------
-
-  /** Refuses a request while that is early enough, if it is not likely to get a slot within its objective. */
-  #refuseIfHopeless(requestId: string): void {
-    const waiting = this.#waiting.get(requestId);
-    if (waiting === undefined) return;
-    const { request } = waiting;
-    if (waiting.returned || this.#options.off.has('early-refusal')) return;
-    if (!this.#engines.serves(request.model)) {
-      this.#waiting.remove(requestId);
-      this.#refuse(waiting, 'no-engine', RETRY_WITHOUT_ENGINE_MS);
-      return;
-    }
-    if (this.#choice.isLoading(request, this.#index())) return;
-    const nowMs = this.#options.clock.now();
-    const waitMs = this.#expectedWaitMs(waiting);
-    if (nowMs - waiting.arrivedMs + waitMs <= this.#waiting.startWithinMs(request)) return;
-    this.#waiting.remove(requestId);
-    this.#refuse(waiting, 'no-slot-in-time', waitMs);
-  }
-
-  /**
-   * Gives a late request up while the client still has time for another attempt, unless its turn comes soon.
-   * To hold it to its end and fail then is the worst for the client.
-   */
-  #giveUpIfHopeless(requestId: string): void {
-    const waiting = this.#waiting.get(requestId);
-    if (waiting === undefined) return;
-    const { request } = waiting;
-    if (this.#choice.isLoading(request, this.#index())) return;
-    const leftMs = request.startWithinMs * (LONGEST_WAIT_SHARE - HALFWAY_SHARE);
-    if (this.#expectedWaitMs(waiting) > leftMs * SOON_SHARE) this.#giveUp(requestId);
-  }
-
-  /** How long until a request that waits can start: at an engine that has its adapter, or after a load. */
-  #expectedWaitMs(waiting: WaitingRequest): number {
-    const nowMs = this.#options.clock.now();
-    const engine = this.#choice.best(waiting.request, this.#index(), nowMs);
-    const backlogEndsMs = engine === undefined ? Infinity : backlogMs(engine, nowMs);
-    const before = this.#waiting.inOrder(nowMs).indexOf(waiting);
-    const turnMs = (before + 1) * this.#turnover.meanGapMs();
-    const loadedMs = Math.max(turnMs, this.#engines.untilFirstOrderMs()) + this.#adapters.coldLoadMs;
-    return Math.min(backlogEndsMs, loadedMs);
-  }
-
-  #giveUp(requestId: string): void {
-    const waiting = this.#waiting.remove(requestId);
-    if (waiting !== undefined) this.#refuse(waiting, 'no-slot-in-time', RETRY_WITHOUT_ENGINE_MS);
-  }
+  // --- decisions ---------------------------------------------------------------------------------
 
   #refuse(waiting: WaitingRequest, reason: RefusalReason, retryAfterMs: number): void {
     const { promptKey, objectiveMs } = waiting.request;
