--- /dev/null
+++ b/packages/slots/test/engine-speeds.test.ts
@@ -0,0 +1,103 @@
+import { Random, VirtualClock } from '@canvasridge/clock';
+import { Telemetry } from '@canvasridge/telemetry';
+import test from 'ava';
+import { AdapterMemory, DEFAULT_SLOT_TIMING, SlotPool, type SlotRequest } from '../src/index.js';
+import { PromptReader } from './prompt-reader.js';
+import { LEASE_MS, MODEL, PROFILE, SimulatedControl, SimulatedEngine } from './simulated-engines.js';
+
+const HELD_MS = 5000;
+const OBJECTIVE_MS = 800;
+const PLAYED_MS = 30_000;
+
+interface Played {
+  readonly inTimeShare: number;
+  /** Requests sent to each engine. */
+  readonly sent: ReadonlyMap<string, number>;
+  readonly violations: readonly string[];
+}
+
+/** Offers a pool a part of what its engines can read, with a few wanted adapters and many rare ones. */
+async function play(speeds: readonly number[], offeredShare: number, seed: number): Promise<Played> {
+  const clock = new VirtualClock();
+  const random = new Random(seed);
+  const engines = speeds.map((_, index) => new SimulatedEngine(clock, `e${index}`));
+  const readers = new Map(
+    engines.map(({ description }, index) => [description.id, new PromptReader(clock, speeds[index] ?? 1)]),
+  );
+  const pool = new SlotPool({
+    service: 'llm',
+    clock,
+    control: new SimulatedControl(engines),
+    timing: { ...DEFAULT_SLOT_TIMING, leaseMs: LEASE_MS },
+    holder: { name: 'node-1', number: 1 },
+    telemetry: new Telemetry({ processName: 'test', clock }),
+    mayOrder: () => true,
+    mayObserve: () => true,
+    mayTakeUnused: () => false,
+    mayTakeAtOnce: () => false,
+    memory: new AdapterMemory(),
+    off: new Set(),
+    adapterVersion: () => 0,
+  });
+  pool.setEngines(
+    engines.map((engine) => engine.description),
+    PROFILE,
+  );
+  await clock.runUntil(HELD_MS);
+  const tokensPerMs = speeds.reduce((sum, msPerToken) => sum + 1 / msPerToken, 0);
+  const sent = new Map<string, number>();
+  let asked = 0;
+  let inTime = 0;
+  while (clock.now() < HELD_MS + PLAYED_MS) {
+    const promptTokens = 500 + random.integer(3000);
+    const arrivedMs = clock.now();
+    asked += 1;
+    const request: SlotRequest = {
+      id: `r${asked}`,
+      traceId: `t${asked}`,
+      model: MODEL,
+      adapter: `a${Math.floor(random.exponential(4))}`,
+      priority: 1,
+      objectiveMs: OBJECTIVE_MS,
+      ageMs: 0,
+      timeoutMs: 5000,
+      startWithinMs: 3000,
+      excluded: [],
+      promptTokens,
+      promptKey: undefined,
+    };
+    pool.acquire(request, (decision) => {
+      if (decision.kind !== 'granted') return;
+      const { backendId } = decision;
+      sent.set(backendId, (sent.get(backendId) ?? 0) + 1);
+      readers.get(backendId)?.read(promptTokens, () => {
+        if (clock.now() - arrivedMs <= OBJECTIVE_MS) inTime += 1;
+        pool.started(request.id);
+        clock.setTimer(100, () => pool.release(request.id, 'served'));
+      });
+    });
+    await clock.runUntil(arrivedMs + promptTokens / tokensPerMs / offeredShare);
+  }
+  await clock.runUntil(clock.now() + 3000);
+  pool.close();
+  const violations = engines.flatMap((engine) => engine.violations);
+  return { inTimeShare: inTime / asked, sent, violations };
+}
+
+for (const speeds of [
+  [0.01, 0.01, 0.01],
+  [0.05, 0.05, 0.05],
+  [0.15, 0.15, 0.15],
+  [0.01, 0.04, 0.16],
+]) {
+  test(`engines that read a token in ${speeds.join(', ')} ms serve nearly all in time at half of their load`, async (t) => {
+    const played = await play(speeds, 0.5, 3);
+    t.true(played.inTimeShare > 0.85, `${played.inTimeShare}`);
+    t.deepEqual(played.violations, []);
+  });
+}
+
+test('a fast engine is given more than a slow one', async (t) => {
+  const { sent } = await play([0.01, 0.04, 0.16], 0.5, 5);
+  t.true((sent.get('e0') ?? 0) > 2 * (sent.get('e2') ?? 0), JSON.stringify([...sent]));
+});
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -399,3 +399,25 @@
   await clock.runUntil(HELD_MS + 900);
   t.true(granted);
 });
+
+test('only a use soon after a load tells how long loads take', async (t) => {
+  const clock = new VirtualClock();
+  const pool = newPool(clock, [new SimulatedEngine(clock, 'e1')]);
+  await clock.runUntil(HELD_MS);
+  const guessMs = (): number => pool.describe().coldLoadMs;
+  const firstMs = guessMs();
+  const waiting = request('a');
+  pool.acquire(waiting, () => undefined);
+  await clock.runUntil(HELD_MS + 20);
+  pool.cancel(waiting.id);
+  await clock.runUntil(HELD_MS + 1500);
+  const use = (adapter: string): void =>
+    pool.acquire(request(adapter), (decision) => {
+      if (decision.kind === 'granted') pool.started(decision.requestId);
+    });
+  use('a');
+  t.is(guessMs(), firstMs, 'it was there for long');
+  use('b');
+  await clock.runUntil(HELD_MS + 2500);
+  t.true(guessMs() < firstMs);
+});
