An order holder that meets the work of another one waits a lease; a leader that still sends is not gone

The first one held the engine and had ordered; prado-1 believed it gone and took the engine; the first one's next order met a new count, it read again after 0.7 s and, as a leader that may take engines at once, took it back. Excluded: a young process (prado-1 was 3.7 s old). Change: once an order was taken, a foreign count or a higher fence makes the holder wait a whole lease; a leader that is believed dead counts as gone only if its connection here is silent too; a refused connection says nothing of a process that became known less than 0.6 s ago. Tests: order-lease (work of another one), former-leader (still sends); the first fails on the old code.

--- a/packages/gateway/src/cluster/former-leader.ts
+++ b/packages/gateway/src/cluster/former-leader.ts
@@ -1,7 +1,10 @@
 import type { Cluster } from './cluster.js';
 
-/** The part of the membership that tells whether a leader is gone. */
-export type LeaderSight = Pick<Cluster, 'selfId' | 'processOf'>;
+/** What tells whether a leader is gone: the membership, and what came over the connection to it. */
+export interface LeaderSight extends Pick<Cluster, 'selfId' | 'processOf'> {
+  /** Whether a member sent this node anything just now. */
+  readonly heardLately: (id: string) => boolean;
+}
 
 interface LeaderProcess {
   readonly id: string;
@@ -23,11 +26,15 @@
     this.#former = { id: leader, token: this.#sight.processOf(leader)?.token };
   }
 
-  /** Whether its process ended, was replaced, said that it stops, or is believed dead. False if none was seen. */
+  /**
+   * Whether its process ended, was replaced, said that it stops, or is believed dead while it is silent here too:
+   * a member can be believed dead wrongly for a moment. False if none was seen.
+   */
   isGone(): boolean {
     if (this.#former === undefined) return false;
     const now = this.#sight.processOf(this.#former.id);
     if (now === undefined || now.token !== this.#former.token) return true;
+    if (now.state === 'dead') return !this.#sight.heardLately(this.#former.id);
     return now.state !== 'alive' && now.state !== 'suspect';
   }
 }
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -19,7 +19,7 @@
 import type { PeerConnection } from '../peers/peer-connection.js';
 import type { PeerNetwork } from '../peers/peer-network.js';
 import type { Cluster } from './cluster.js';
-import { FormerLeader } from './former-leader.js';
+import { FormerLeader, type LeaderSight } from './former-leader.js';
 import { OwnUses } from './own-uses.js';
 import { PeerUses } from './peer-uses.js';
 import { RemoteSlots } from './remote-slots.js';
@@ -40,6 +40,8 @@
 /** Beginnings of answers within this time are told together: each message costs both nodes processor time. */
 const STARTED_DELAY_MS = 12;
 const MOST_LEADERS_ASKED = 3;
+/** A leader that sent something within this time is there: under load it sends several messages in it. */
+const HEARD_LATELY_MS = 600;
 /** Part of its objective for which a request waits while no leader is known. */
 const LEADER_WAIT_SHARE = 0.2;
 /** For a while after their start the first few candidates observe, as any of them may soon have to lead. */
@@ -335,6 +337,18 @@
     this.#leaderChanged.notify();
   }
 
+  #leaderSight(): LeaderSight {
+    const { cluster, network } = this.#options;
+    return {
+      selfId: cluster.selfId,
+      processOf: (id) => cluster.processOf(id),
+      heardLately: (id) => {
+        const address = cluster.peerAddress(id);
+        return address !== undefined && network.heardWithin(address, HEARD_LATELY_MS);
+      },
+    };
+  }
+
   /** Tells a new leader, or the pool here, what this node runs on the engines. */
   #tellUses(pool: string, entry: PoolEntry): void {
     if (entry.leadership.isLeader || this.#options.switchedOff.has('told-uses')) return;
@@ -348,7 +362,7 @@
       const { cluster, clock, telemetry } = this.#options;
       entry = {
         leadership: new PoolLeadership(pool, cluster, clock, telemetry),
-        former: new FormerLeader(cluster),
+        former: new FormerLeader(this.#leaderSight()),
         told: new Set(),
         pool: undefined,
         leading: false,
--- a/packages/gateway/src/peers/peer-connection.ts
+++ b/packages/gateway/src/peers/peer-connection.ts
@@ -12,6 +12,7 @@
   readonly #closeListeners = new Set<() => void>();
   #closed = false;
   #received = 0;
+  #receivedAtMs = -Infinity;
 
   constructor(socket: Socket, methods: PeerMethods, onClose: () => void) {
     this.#socket = socket;
@@ -24,6 +25,7 @@
     socket.setNoDelay(true);
     readFrames(socket, (value) => {
       this.#received += 1;
+      this.#receivedAtMs = performance.now();
       this.#rpc.receiveAndSend(value as never).catch(() => undefined);
     });
     socket.on('error', () => undefined);
@@ -40,6 +42,11 @@
     return this.#received;
   }
 
+  /** Milliseconds since anything was received; Infinity if nothing was. */
+  get silentMs(): number {
+    return performance.now() - this.#receivedAtMs;
+  }
+
   get closed(): boolean {
     return this.#closed;
   }
--- a/packages/gateway/src/peers/peer-network.ts
+++ b/packages/gateway/src/peers/peer-network.ts
@@ -71,6 +71,12 @@
     return connection;
   }
 
+  /** Whether the kept connection to a peer stands and brought something within this time. */
+  heardWithin(address: string, spanMs: number): boolean {
+    const connection = this.#outgoing.get(address);
+    return connection !== undefined && !connection.closed && connection.silentMs <= spanMs;
+  }
+
   /** Drops the connection to a peer that gave no sign. */
   drop(address: string): void {
     this.#outgoing.get(address)?.close();
--- a/packages/gateway/test/former-leader.test.ts
+++ b/packages/gateway/test/former-leader.test.ts
@@ -3,8 +3,10 @@
 
 type Process = ReturnType<LeaderSight['processOf']>;
 
-function newSight(): LeaderSight & { process: Process } {
+function newSight(): LeaderSight & { process: Process; heard: boolean } {
   const sight = {
+    heard: false,
+    heardLately: () => sight.heard,
     selfId: 'self',
     process: { token: 'first', state: 'alive' } as Process,
     processOf: () => sight.process,
@@ -39,3 +41,14 @@
   former.note('self');
   t.false(former.isGone());
 });
+
+test('a former leader that is believed dead and still sends is not gone', (t) => {
+  const sight = newSight();
+  const former = new FormerLeader(sight);
+  former.note('other');
+  sight.process = { token: 'first', state: 'dead' };
+  sight.heard = true;
+  t.false(former.isGone());
+  sight.heard = false;
+  t.true(former.isGone());
+});
--- a/packages/membership/src/member-table.ts
+++ b/packages/membership/src/member-table.ts
@@ -5,6 +5,8 @@
   identity: MemberIdentity;
   incarnation: number;
   state: MemberState;
+  /** When the present incarnation was first heard of. */
+  incarnationAtMs: number;
   suspectedAtMs: number;
   removedAtMs: number;
   expiry: Timer | undefined;
@@ -46,6 +48,12 @@
     return entry?.state === 'suspect' ? this.#options.clock.now() - entry.suspectedAtMs : 0;
   }
 
+  /** How long the present incarnation of a member has been known, in milliseconds; 0 for an unknown member. */
+  incarnationAgeMs(id: string): number {
+    const entry = this.#entries.get(id);
+    return entry === undefined ? 0 : this.#options.clock.now() - entry.incarnationAtMs;
+  }
+
   /** News with addresses: may add a member. Returns whether anything changed. */
   mergeMember(identity: MemberIdentity, incarnation: number, state: MemberState): boolean {
     const entry = this.#entries.get(identity.id);
@@ -55,6 +63,7 @@
         identity,
         incarnation,
         state,
+        incarnationAtMs: this.#options.clock.now(),
         suspectedAtMs: 0,
         removedAtMs: 0,
         expiry: undefined,
@@ -91,6 +100,7 @@
 
   #setState(entry: Entry, incarnation: number, state: MemberState, suspicionAgeMs: number): void {
     const before = entry.state;
+    if (incarnation !== entry.incarnation) entry.incarnationAtMs = this.#options.clock.now();
     entry.incarnation = incarnation;
     entry.state = state;
     this.#changed(entry, before, suspicionAgeMs);
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -44,6 +44,8 @@
 const TRANSMISSION_FACTOR = 3;
 const RECORD_TRANSMISSIONS = 4;
 const ZERO_AGE = 0;
+/** A connection attempt began this long before its refusal is told, at the most. */
+const REFUSAL_AGE_MS = 600;
 const PAUSE_FACTOR = 3;
 const REJOIN_PERIOD_MS = 8000;
 const START_SPAN_MS = 10_000;
@@ -180,7 +182,10 @@
    */
   reportRefused(peerUrl: string): void {
     const target = this.#presentAt(peerUrl);
-    if (target !== undefined) this.#table.mergeState(target.id, target.incarnation, 'dead', ZERO_AGE);
+    if (target === undefined) return;
+    // The refusal may have met the process before the one that is known now.
+    if (this.#table.incarnationAgeMs(target.id) < REFUSAL_AGE_MS) return;
+    this.#table.mergeState(target.id, target.incarnation, 'dead', ZERO_AGE);
   }
 
   #presentAt(peerUrl: string): Member | undefined {
--- a/packages/slots/src/order-lease.ts
+++ b/packages/slots/src/order-lease.ts
@@ -68,6 +68,10 @@
   readonly #changed = new Notifier();
   /** Orders that were refused for a low fence since one was taken. */
   #fencedOrders = 0;
+  /** Whether the engine took an order since this node became holder. */
+  #hasOrdered = false;
+  /** Another holder is active, so the engine is not taken at once again but after a whole lease. */
+  #isContested = false;
   #state: LeaseState = { kind: 'observing', count: undefined, sinceMs: 0 };
   #turn: Promise<void> = Promise.resolve();
   #highestFence = 0;
@@ -166,11 +170,14 @@
     switch (reply.kind) {
       case 'accepted':
         this.#fencedOrders = 0;
+        this.#hasOrdered = true;
         this.#state = { kind: 'held', nextCount: expectedCount + 1 };
         return;
       case 'done':
         // An unload is counted when it is done; a load that was not needed is not.
-        if (subject.action === 'unload') this.#state = { kind: 'held', nextCount: expectedCount + 1 };
+        if (subject.action !== 'unload') return;
+        this.#hasOrdered = true;
+        this.#state = { kind: 'held', nextCount: expectedCount + 1 };
         return;
       case 'conflict':
         this.#enter({ kind: 'settling', possibleCounts: [expectedCount], sinceMs });
@@ -191,15 +198,17 @@
 
   /**
    * The engine saw a higher fence: of a holder that is gone, whose last orders the report did not show yet, or of
-   * one that goes on. In the first case a few higher fences get through, in the second a whole lease is waited.
+   * one that is active. In the first case a few higher fences get through, in the second a whole lease is waited.
+   * After an order that was taken it is the second.
    */
   #raiseFence(sinceMs: number): void {
     this.#highestFence += HOLDER_RANGE;
     this.#fencedOrders += 1;
-    if (this.#fencedOrders <= MOST_FENCED_ORDERS) {
+    if (!this.#hasOrdered && this.#fencedOrders <= MOST_FENCED_ORDERS) {
       this.#enter({ kind: 'settling', possibleCounts: undefined, sinceMs });
       return;
     }
+    this.#isContested = true;
     this.#logLost('another holder has a higher fence');
     this.#enter({ kind: 'observing', count: undefined, sinceMs: 0 });
   }
@@ -237,8 +246,7 @@
       this.#take(report, 'unused');
       return;
     }
-    const isContested = this.#fencedOrders > MOST_FENCED_ORDERS;
-    if (mayOrder() && !isContested && this.#options.mayTakeAtOnce()) {
+    if (mayOrder() && !this.#isContested && this.#options.mayTakeAtOnce()) {
       this.#take(report, 'fenced-off');
       return;
     }
@@ -247,6 +255,7 @@
     const leftMs = sinceMs + timing.leaseMs + timing.leaseMarginMs - askedMs;
     if (unchanged && leftMs <= 0 && mayOrder()) {
       this.#fencedOrders = 0;
+      this.#isContested = false;
       this.#take(report, 'observed');
       return;
     }
@@ -273,11 +282,14 @@
       this.#take(report, 'settled');
       return;
     }
+    // A count that went on after an own order is another holder's work. Before, it may be the former one's last.
+    this.#isContested ||= this.#hasOrdered;
     this.#logLost(`count is ${report.orderCount}, expected ${state.possibleCounts?.join(' or ')}`);
     this.#state = { kind: 'observing', count: report.orderCount, sinceMs: clock.now() };
   }
 
   #take(report: EngineReport, how: string): void {
+    if (how !== 'settled') this.#hasOrdered = false;
     this.#state = { kind: 'held', nextCount: report.orderCount };
     this.#options.telemetry.event('info', 'order-lease.held', this.#options.backend.id, {
       how,
--- a/packages/slots/test/order-lease.test.ts
+++ b/packages/slots/test/order-lease.test.ts
@@ -233,3 +233,34 @@
   const pausesMs = refusedAtMs.map((atMs, index) => atMs - (refusedAtMs[index - 1] ?? atMs));
   t.true(Math.max(...pausesMs) >= LEASE_MS, pausesMs.join());
 });
+
+test('a holder that finds the work of another one after its own does not take the engine back at once', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e');
+  engine.checksFences = true;
+  const always = (): boolean => true;
+  const first = newLease(clock, engine, 1, always, false, always).lease;
+  await clock.runUntil(500);
+  void first.order(load('a'));
+  await clock.runUntil(1000);
+  // Another node wrongly believes that the first one is gone.
+  const second = newLease(clock, engine, 9, always, false, always).lease;
+  await clock.runUntil(1300);
+  void second.order(load('b'));
+  await clock.runUntil(1400);
+  second.close();
+  for (let atMs = 1450; atMs < 4000; atMs += 50) {
+    void first.order(load('c'));
+    await clock.runUntil(atMs);
+  }
+  t.deepEqual(
+    engine.taken.map(({ order }) => order.holder),
+    ['node-1', 'node-9'],
+  );
+  for (let atMs = 4000; atMs < 8000; atMs += 50) {
+    void first.order(load('c'));
+    await clock.runUntil(atMs);
+  }
+  t.is(engine.taken.at(-1)?.order.holder, 'node-1', 'a lease later it does');
+  t.deepEqual(engine.violations, []);
+});
