--- a/packages/slots/test/engine-speeds.test.ts
+++ b/packages/slots/test/engine-speeds.test.ts
@@ -1,9 +1,9 @@
 import { Random, VirtualClock } from '@canvasridge/clock';
-import { Telemetry } from '@canvasridge/telemetry';
 import test from 'ava';
-import { AdapterMemory, DEFAULT_SLOT_TIMING, SlotPool, type SlotRequest } from '../src/index.js';
+import type { SlotRequest } from '../src/index.js';
+import { newPool } from './new-pool.js';
 import { PromptReader } from './prompt-reader.js';
-import { LEASE_MS, MODEL, PROFILE, SimulatedControl, SimulatedEngine } from './simulated-engines.js';
+import { MODEL, SimulatedEngine } from './simulated-engines.js';
 
 const HELD_MS = 5000;
 const OBJECTIVE_MS = 800;
@@ -24,25 +24,7 @@
   const readers = new Map(
     engines.map(({ description }, index) => [description.id, new PromptReader(clock, speeds[index] ?? 1)]),
   );
-  const pool = new SlotPool({
-    service: 'llm',
-    clock,
-    control: new SimulatedControl(engines),
-    timing: { ...DEFAULT_SLOT_TIMING, leaseMs: LEASE_MS },
-    holder: { name: 'node-1', number: 1 },
-    telemetry: new Telemetry({ processName: 'test', clock }),
-    mayOrder: () => true,
-    mayObserve: () => true,
-    mayTakeUnused: () => false,
-    mayTakeAtOnce: () => false,
-    memory: new AdapterMemory(),
-    off: new Set(),
-    adapterVersion: () => 0,
-  });
-  pool.setEngines(
-    engines.map((engine) => engine.description),
-    PROFILE,
-  );
+  const pool = newPool(clock, engines);
   await clock.runUntil(HELD_MS);
   const tokensPerMs = speeds.reduce((sum, msPerToken) => sum + 1 / msPerToken, 0);
   const sent = new Map<string, number>();
--- /dev/null
+++ b/packages/slots/test/new-pool.ts
@@ -0,0 +1,33 @@
+import type { VirtualClock } from '@canvasridge/clock';
+import { Telemetry } from '@canvasridge/telemetry';
+import { AdapterMemory, DEFAULT_SLOT_TIMING, SlotPool } from '../src/index.js';
+import { LEASE_MS, PROFILE, SimulatedControl, type SimulatedEngine } from './simulated-engines.js';
+
+/** A pool over simulated engines that check no fences, led by the node of this number. */
+export function newPool(
+  clock: VirtualClock,
+  engines: readonly SimulatedEngine[],
+  number = 1,
+  versions: ReadonlyMap<string, number> = new Map(),
+): SlotPool {
+  const pool = new SlotPool({
+    service: 'llm',
+    clock,
+    control: new SimulatedControl(engines),
+    timing: { ...DEFAULT_SLOT_TIMING, leaseMs: LEASE_MS },
+    holder: { name: `node-${number}`, number },
+    telemetry: new Telemetry({ processName: 'test', clock }),
+    mayOrder: () => true,
+    mayObserve: () => true,
+    mayTakeUnused: () => false,
+    mayTakeAtOnce: () => false,
+    memory: new AdapterMemory(),
+    off: new Set(),
+    adapterVersion: (_model, adapter) => versions.get(adapter) ?? 0,
+  });
+  pool.setEngines(
+    engines.map((engine) => engine.description),
+    PROFILE,
+  );
+  return pool;
+}
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -1,50 +1,20 @@
 import { Random, VirtualClock } from '@canvasridge/clock';
-import { Telemetry } from '@canvasridge/telemetry';
 import test from 'ava';
 import {
-  AdapterMemory,
-  DEFAULT_SLOT_TIMING,
-  SlotPool,
+  type SlotPool,
   WaitingList,
   type SlotDecision,
   type SlotRequest,
   type UseOutcome,
 } from '../src/index.js';
+import { newPool } from './new-pool.js';
 import { PromptReader } from './prompt-reader.js';
-import { LEASE_MS, MODEL, PROFILE, SimulatedControl, SimulatedEngine } from './simulated-engines.js';
+import { LEASE_MS, MODEL, PROFILE, SimulatedEngine } from './simulated-engines.js';
 
 const HELD_MS = 5000;
 /** Time that engines take to read the prompt of a usual request. */
 const READ_MS = 50;
 
-function newPool(
-  clock: VirtualClock,
-  engines: readonly SimulatedEngine[],
-  number = 1,
-  versions: ReadonlyMap<string, number> = new Map(),
-): SlotPool {
-  const pool = new SlotPool({
-    service: 'llm',
-    clock,
-    control: new SimulatedControl(engines),
-    timing: { ...DEFAULT_SLOT_TIMING, leaseMs: LEASE_MS },
-    holder: { name: `node-${number}`, number },
-    telemetry: new Telemetry({ processName: 'test', clock }),
-    mayOrder: () => true,
-    mayObserve: () => true,
-    mayTakeUnused: () => false,
-    mayTakeAtOnce: () => false,
-    memory: new AdapterMemory(),
-    off: new Set(),
-    adapterVersion: (_model, adapter) => versions.get(adapter) ?? 0,
-  });
-  pool.setEngines(
-    engines.map((engine) => engine.description),
-    PROFILE,
-  );
-  return pool;
-}
-
 let nextId = 0;
 
 function request(adapter: string | undefined, changes: Partial<SlotRequest> = {}): SlotRequest {
