--- a/packages/gateway/src/cluster/state-follower.ts
+++ b/packages/gateway/src/cluster/state-follower.ts
@@ -15,6 +15,8 @@
 export interface FollowAnswer {
   /** Whether the reader heard from the store just now. */
   readonly fresh: boolean;
+  /** Time since the reader last heard from the store, in milliseconds; absent if it never did. */
+  readonly ageMs?: number;
   /** Present if the follower knows less. */
   readonly listing?: BackendListing;
   readonly operatorState?: OperatorState;
@@ -65,6 +67,8 @@
 export class StateFollower {
   readonly #options: StateFollowerOptions;
   #heardMs = -Infinity;
+  /** Moment up to which the list of backends is known to be complete, on this node's clock. */
+  #completeMs = -Infinity;
   #followedMs: number;
   #reading = true;
   #next = 0;
@@ -92,6 +96,12 @@
   /** The store answered this node. */
   heard(): void {
     this.#heardMs = this.#options.clock.now();
+    this.#completeMs = this.#heardMs;
+  }
+
+  /** How old the list of backends is: a backend may have said since then that it leaves. Infinite if none is known. */
+  get listAgeMs(): number {
+    return this.#options.clock.now() - this.#completeMs;
   }
 
   /** Answers a follower. */
@@ -102,6 +112,7 @@
     const hasOperatorState = fleet.operatorRevision > known.operatorRevision;
     return {
       fresh,
+      ...(Number.isFinite(this.listAgeMs) ? { ageMs: Math.round(this.listAgeMs) } : {}),
       ...(hasListing ? { listing: fleet.listing() } : {}),
       ...(hasOperatorState ? { operatorState: this.#operatorState(known) } : {}),
     };
@@ -156,9 +167,11 @@
       operatorRevision: fleet.operatorRevision,
       configurationVersion: fleet.configurationVersion,
     };
+    const askedMs = clock.now();
     const reply = await network.to(address).call(FOLLOW_METHOD, known, CALL_TIMEOUT_MS);
     if (reply === undefined) return false;
     const answer = reply as FollowAnswer;
+    this.#completeMs = Math.max(this.#completeMs, askedMs - (answer.ageMs ?? Infinity));
     if (answer.operatorState !== undefined) fleet.applyOperatorState(answer.operatorState);
     if (answer.listing !== undefined) fleet.applyListing(answer.listing);
     if (answer.fresh) this.#followedMs = clock.now();
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -39,6 +39,17 @@
     labelNames: ['pool'],
     registers: [this.registry],
   });
+  readonly listAge = new Gauge({
+    name: 'canvasridge_backend_list_age_seconds',
+    help: 'Time for which the list of backends may have changed unnoticed',
+    registers: [this.registry],
+  });
+  readonly departures = new Counter({
+    name: 'canvasridge_backend_departures_total',
+    help: 'Backends that this node found to leave, by state (draining, gone)',
+    labelNames: ['state'],
+    registers: [this.registry],
+  });
   readonly droppedLines = new Gauge({
     name: 'canvasridge_log_lines_dropped',
     help: 'Log lines left out since the start',
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Random, hashSeed, type Clock } from '@canvasridge/clock';
 import { UdpTransport } from '@canvasridge/membership';
-import type { FleetState } from '@canvasridge/serving';
+import type { Departure, FleetState } from '@canvasridge/serving';
 import type { EngineControl, SlotTiming, SwitchedOff } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
@@ -172,11 +172,13 @@
       isStopping: () => this.#stopping,
       nextId: () => `${processToken}/${(this.#nextId += 1)}`,
       random: () => random.next(),
+      listAgeMs: () => this.#follower.listAgeMs,
       telemetry,
       metrics: this.metrics,
     };
     this.#clients = new ClientServer((request, response) => this.#serve(request, response));
     fleet.onChange((change) => this.#fleetChanged(change));
+    fleet.onDeparture((departure) => this.#departed(departure));
   }
 
   /** Binds sockets and starts all tasks. */
@@ -289,6 +291,17 @@
     return budget;
   }
 
+  /** One line for each state of each backend that leaves: with those of all nodes it shows who learnt it when. */
+  #departed({ id, state, revision }: Departure): void {
+    this.metrics.departures.inc({ state });
+    this.#options.telemetry.event('info', 'backend.leaving', id, {
+      state,
+      revision,
+      via: this.#follower.reads ? 'store' : 'reader',
+      listAgeMs: Math.round(this.#follower.listAgeMs),
+    });
+  }
+
   #fleetChanged(change: string): void {
     if (change === 'backends') {
       this.#connections.retain((id) => this.fleet.backend(id) !== undefined);
@@ -307,6 +320,7 @@
   async #updateMetrics(): Promise<void> {
     while (!this.#stopping) {
       this.metrics.droppedLines.set(this.#options.droppedLines());
+      this.metrics.listAge.set(this.#follower.listAgeMs / 1000);
       this.metrics.members.set(this.#cluster.serving().length);
       for (const row of this.#slots.describe()) {
         this.metrics.poolWaiting.set({ pool: row.pool }, row.waiting);
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -26,6 +26,8 @@
   readonly isStopping: () => boolean;
   readonly nextId: () => string;
   readonly random: () => number;
+  /** How old the list of backends is, in milliseconds. */
+  readonly listAgeMs: () => number;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
 }
@@ -62,6 +64,8 @@
   #how = '';
   /** Age at which the last backend was picked. */
   #pickedMs: number | undefined;
+  /** How old the list of backends was at that moment. */
+  #listAgeMs: number | undefined;
 
   constructor(context: ExchangeContext, request: IncomingMessage, response: ServerResponse) {
     this.#context = context;
@@ -150,6 +154,7 @@
     this.#backendId = backend.id;
     this.#how = picked.how;
     this.#pickedMs = this.#ageMs();
+    this.#listAgeMs = this.#context.listAgeMs();
     this.#sends += 1;
     const connection = connections.take(backend, service.maxConnections, this.#context.nodes());
     if (connection === undefined) return { kind: 'not-run', reason: 'no-connection' };
@@ -304,6 +309,7 @@
       how: this.#how === '' ? undefined : this.#how,
       sends: this.#sends,
       pickedMs: this.#pickedMs === undefined ? undefined : Math.round(this.#pickedMs),
+      listAgeMs: this.#listAgeMs === undefined ? undefined : Math.round(this.#listAgeMs),
       ageMs: Math.round(ageMs),
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs - this.#arrivedMs),
       configuration: fleet.configurationVersion,
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -167,6 +167,7 @@
       isStopping: () => false,
       nextId: () => String((nextId += 1)),
       random: () => random.next(),
+      listAgeMs: () => 0,
       telemetry: new Telemetry({
         processName: 'test',
         clock,
--- a/packages/serving/src/backend-lapses.ts
+++ b/packages/serving/src/backend-lapses.ts
@@ -5,6 +5,13 @@
 /** Removals within this time after the store answers again are taken for entries that lapsed meanwhile. */
 const RETURN_WINDOW_MS = 2000;
 
+/** A removal that takes effect only after `leftMs`, in milliseconds, unless the entry is back by then. */
+export interface HeldRemoval {
+  readonly id: string;
+  readonly revision: number;
+  readonly leftMs: number;
+}
+
 /**
  * Applies removals from the list of backends. Entries of backends that live also lapse while the publishing
  * store is away, and come back soon after its return; a removal that is seen right then takes effect only if
@@ -14,14 +21,19 @@
   readonly #fleet: FleetState;
   readonly #clock: Clock;
   readonly #graceMs: number;
+  readonly #onHeld: (held: HeldRemoval) => void;
   #away = false;
   #returnedMs = -Infinity;
 
-  /** @param graceMs counted from the store's return; shorter than the time in which a removal must be obeyed */
-  constructor(fleet: FleetState, clock: Clock, graceMs: number) {
+  /**
+   * @param graceMs counted from the store's return; shorter than the time in which a removal must be obeyed
+   * @param onHeld called for each removal that takes effect only after the grace time
+   */
+  constructor(fleet: FleetState, clock: Clock, graceMs: number, onHeld: (held: HeldRemoval) => void) {
     this.#fleet = fleet;
     this.#clock = clock;
     this.#graceMs = graceMs;
+    this.#onHeld = onHeld;
   }
 
   /** The store gives no answers. */
@@ -60,7 +72,11 @@
   /** An entry that was written again meanwhile has a higher revision and stays. */
   #removeLater(revision: number, id: string): void {
     const leftMs = this.#returnedMs + this.#graceMs - this.#clock.now();
-    if (leftMs <= 0) this.#fleet.removeBackend(revision, id);
-    else this.#clock.setTimer(leftMs, () => this.#fleet.removeBackend(revision, id));
+    if (leftMs <= 0) {
+      this.#fleet.removeBackend(revision, id);
+      return;
+    }
+    this.#onHeld({ id, revision, leftMs });
+    this.#clock.setTimer(leftMs, () => this.#fleet.removeBackend(revision, id));
   }
 }
--- a/packages/serving/src/fleet-state.ts
+++ b/packages/serving/src/fleet-state.ts
@@ -47,12 +47,23 @@
 
 type ChangeListener = (change: FleetChange) => void;
 
+/** A backend that has to be given nothing more: it said that it leaves, or its entry is gone from the list. */
+export interface Departure {
+  readonly id: string;
+  readonly state: 'draining' | 'gone';
+  /** Revision of the publishing store at which it was told. */
+  readonly revision: number;
+}
+
+type DepartureListener = (departure: Departure) => void;
+
 /**
  * What this node knows of the published state. Nothing goes back: of two configurations, adapter versions
  * or entries of a backend the newer one rules, whichever way and in whichever order they arrive.
  */
 export class FleetState {
   readonly #listeners: ChangeListener[] = [];
+  readonly #departureListeners: DepartureListener[] = [];
   readonly #backends = new Map<string, Revised<BackendDescription>>();
   readonly #backendsByService = new Map<string, BackendDescription[]>();
   readonly #adapterVersions = new Map<string, AdapterVersion>();
@@ -67,6 +78,11 @@
     this.#listeners.push(listener);
   }
 
+  /** Calls back once for each state in which a listed backend is found to leave. */
+  onDeparture(listener: DepartureListener): void {
+    this.#departureListeners.push(listener);
+  }
+
   /** Routes of the configuration in force; undefined until one is known. */
   get routes(): RouteTable | undefined {
     return this.#routes;
@@ -217,12 +233,16 @@
   #take(entry: Revised<BackendDescription>, known: Revised<BackendDescription> | undefined): void {
     this.#backends.set(entry.value.id, entry);
     this.#departed.delete(entry.value.id);
+    if (entry.value.state === 'draining' && known?.value.state !== 'draining') {
+      this.#notifyDeparture({ id: entry.value.id, state: 'draining', revision: entry.revision });
+    }
     if (known === undefined || !routesAlike(entry.value, known.value)) this.#routingChanged(entry.revision);
   }
 
   #remove(id: string, revision: number): void {
     this.#backends.delete(id);
     this.#noteDeparted(id);
+    this.#notifyDeparture({ id, state: 'gone', revision });
     this.#routingChanged(revision);
   }
 
@@ -248,6 +268,10 @@
     this.#notify('backends');
   }
 
+  #notifyDeparture(departure: Departure): void {
+    for (const listener of this.#departureListeners) listener(departure);
+  }
+
   #notify(change: FleetChange): void {
     for (const listener of this.#listeners) listener(change);
   }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -11,11 +11,12 @@
 } from './configuration.js';
 export { RouteTable, pickService } from './route-table.js';
 export { adapterKey, type BackendDescription, type HeldAdapter, type HeldModel } from './backend.js';
-export { BackendLapses } from './backend-lapses.js';
+export { BackendLapses, type HeldRemoval } from './backend-lapses.js';
 export {
   FleetState,
   type AdapterVersion,
   type BackendListing,
+  type Departure,
   type FleetChange,
   type FleetSnapshot,
   type OperatorState,
--- a/packages/serving/test/backend-lapses.test.ts
+++ b/packages/serving/test/backend-lapses.test.ts
@@ -11,7 +11,7 @@
 function newState(): { clock: VirtualClock; fleet: FleetState; lapses: BackendLapses } {
   const clock = new VirtualClock();
   const fleet = new FleetState();
-  const lapses = new BackendLapses(fleet, clock, GRACE_MS);
+  const lapses = new BackendLapses(fleet, clock, GRACE_MS, () => undefined);
   lapses.replace(10, [
     { revision: 1, value: backend('stays') },
     { revision: 2, value: backend('leaves', 'draining') },
