--- /dev/null
+++ b/packages/gateway/test/followed-fleet.ts
@@ -0,0 +1,133 @@
+import { VirtualClock } from '@canvasridge/clock';
+import {
+  BackendLapses,
+  FleetState,
+  type BackendDescription,
+  type ServingConfiguration,
+} from '@canvasridge/serving';
+import { Telemetry } from '@canvasridge/telemetry';
+import { StateFollower, type FollowRequest } from '../src/index.js';
+
+/** Time within which a leaving backend has to get nothing more, as on the large deployments. */
+export const DRAIN_MS = 3000;
+/** A removal that may be a lapse takes effect this long after the store's return. */
+export const GRACE_MS = 1500;
+const READERS = 6;
+const NODES = 40;
+/** Time from one reading of the store to the next. */
+const READ_PERIOD_MS = 500;
+
+const CONFIGURATION: ServingConfiguration = {
+  version: 3,
+  routes: [],
+  services: [],
+  limits: { maxHeaderBytes: 8192, maxBodyBytes: 65_536, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
+};
+
+export function backend(id: string, state: 'ready' | 'draining' = 'ready'): BackendDescription {
+  return { id, service: 'llm', address: `${id}:1`, zone: 'z', state, slots: 4, models: [] };
+}
+
+interface StoreEvent {
+  readonly revision: number;
+  readonly id: string;
+  /** Undefined for a removal. */
+  readonly value: BackendDescription | undefined;
+}
+
+/** A node that reads the store. */
+class Reader {
+  readonly state = new FleetState();
+  readonly lapses: BackendLapses;
+  /** Whether the store is in reach; if not, nothing tells the node so until its calls time out. */
+  connected = true;
+  #at = 0;
+
+  constructor(
+    clock: VirtualClock,
+    readonly node: (state: FleetState) => StateFollower,
+  ) {
+    this.lapses = new BackendLapses(this.state, clock, GRACE_MS, () => undefined);
+    this.state.applyConfiguration(CONFIGURATION);
+    this.follower = node(this.state);
+  }
+
+  readonly follower: StateFollower;
+
+  read(events: readonly StoreEvent[]): void {
+    if (!this.connected) return;
+    for (const event of events.filter(({ revision }) => revision > this.#at)) {
+      if (event.value === undefined) this.lapses.remove(event.revision, event.id);
+      else this.state.applyBackend(event.revision, event.value);
+      this.#at = event.revision;
+    }
+    this.state.confirmBackends(this.#at);
+    this.follower.heard();
+  }
+}
+
+/** A store, six nodes that read it, and one of 40 nodes that follows them, in virtual time. */
+export class FollowedFleet {
+  readonly clock = new VirtualClock();
+  readonly own = new FleetState();
+  readonly readers: readonly Reader[];
+  readonly follower: StateFollower;
+  readonly #events: StoreEvent[] = [];
+  readonly #ids = Array.from({ length: NODES }, (_, index) => `node-${index}`);
+
+  constructor() {
+    this.readers = Array.from(
+      { length: READERS },
+      (_, index) =>
+        new Reader(this.clock, (state) => new StateFollower(this.#options(`node-${index}`, state))),
+    );
+    this.follower = new StateFollower(this.#options(this.#ids.at(-1) ?? '', this.own));
+    this.own.applyConfiguration(CONFIGURATION);
+    for (const [index, reader] of this.readers.entries()) void this.#keepReading(reader, index);
+  }
+
+  /** Publishes at this moment; `value` is undefined for an entry that goes. */
+  publish(revision: number, id: string, value: BackendDescription | undefined): void {
+    this.#events.push({ revision, id, value });
+  }
+
+  /** All nodes know what was published; then the follower follows. */
+  async settle(): Promise<void> {
+    await this.clock.runUntil(READ_PERIOD_MS);
+    this.own.applyListing(this.readers[0]?.state.listing() ?? this.own.listing());
+    this.follower.start();
+    await this.clock.runUntil(2 * READ_PERIOD_MS);
+  }
+
+  /** Readers read at different moments. */
+  async #keepReading(reader: Reader, index: number): Promise<void> {
+    await this.clock.sleep(index);
+    for (;;) {
+      reader.read(this.#events);
+      await this.clock.sleep(READ_PERIOD_MS);
+    }
+  }
+
+  #options(selfId: string, fleet: FleetState): ConstructorParameters<typeof StateFollower>[0] {
+    const readerOf = (address: string): Reader | undefined => this.readers[this.#ids.indexOf(address)];
+    return {
+      clock: this.clock,
+      fleet,
+      network: {
+        to: (address) => ({
+          call: (_method, params) => {
+            const answer = readerOf(address)?.follower.answer(params as FollowRequest);
+            return Promise.resolve(answer && (JSON.parse(JSON.stringify(answer)) as unknown));
+          },
+        }),
+      },
+      telemetry: new Telemetry({ processName: 'test', clock: this.clock }),
+      selfId,
+      nodeCount: () => NODES,
+      ranked: () => this.#ids,
+      peerAddress: (id) => id,
+      needsWholeState: () => false,
+      pollMs: 0.2 * DRAIN_MS,
+    };
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/leaving-backends.test.ts
@@ -0,0 +1,72 @@
+/** Followers of a large fleet and backends that leave: incident 10. */
+import test from 'ava';
+import { DRAIN_MS, FollowedFleet, GRACE_MS, backend } from './followed-fleet.js';
+
+test('a follower learns of a removal that its readers applied late, after newer changes', async (t) => {
+  const fleet = new FollowedFleet();
+  fleet.publish(1, 'x', backend('x'));
+  fleet.publish(2, 'y', backend('y'));
+  await fleet.settle();
+  for (const { lapses } of fleet.readers) lapses.sourceAway();
+  fleet.publish(20, 'x', undefined);
+  await fleet.clock.runUntil(2000);
+  fleet.publish(25, 'y', backend('y', 'draining'));
+  await fleet.clock.runUntil(3000);
+  t.is(fleet.own.backend('y')?.state, 'draining');
+  t.is(fleet.own.backend('x')?.state, 'ready', 'the entry may only have lapsed');
+  await fleet.clock.runUntil(3000 + GRACE_MS + 0.5 * DRAIN_MS);
+  t.true(fleet.readers.every(({ state }) => state.isLeaving('x')));
+  t.true(fleet.own.isLeaving('x'));
+});
+
+test('a backend that is known to be gone is not taken back from a reader that holds its removal back', async (t) => {
+  const fleet = new FollowedFleet();
+  fleet.publish(1, 'x', backend('x'));
+  await fleet.settle();
+  const [behind] = fleet.readers;
+  if (behind === undefined) throw new Error('no reader');
+  behind.connected = false;
+  behind.lapses.sourceAway();
+  fleet.publish(20, 'x', undefined);
+  await fleet.clock.runUntil(5000);
+  t.true(fleet.own.isLeaving('x'));
+  behind.connected = true;
+  behind.read([
+    { revision: 20, id: 'x', value: undefined },
+    { revision: 30, id: 'z', value: backend('z') },
+  ]);
+  t.false(behind.state.isLeaving('x'));
+  fleet.publish(30, 'z', backend('z'));
+  fleet.own.applyListing(behind.state.listing());
+  t.true(fleet.own.isLeaving('x'));
+  t.is(fleet.own.backend('x'), undefined);
+  t.is(fleet.own.backend('z')?.state, 'ready');
+});
+
+test('a leaving is known in time though half of the readers are cut from the store in silence', async (t) => {
+  const late: number[] = [];
+  // The moment of the cut within the rounds of questions is swept, as is which readers are cut.
+  for (let offsetMs = 0; offsetMs < 600; offsetMs += 50) {
+    for (const cut of [
+      [0, 1, 2],
+      [1, 2, 3],
+      [0, 2, 4],
+      [3, 4, 5],
+    ]) {
+      const fleet = new FollowedFleet();
+      fleet.publish(1, 'x', backend('x'));
+      await fleet.settle();
+      await fleet.clock.runUntil(3000 + offsetMs);
+      for (const index of cut) {
+        const reader = fleet.readers[index];
+        if (reader !== undefined) reader.connected = false;
+      }
+      const toldMs = fleet.clock.now();
+      fleet.publish(20, 'x', backend('x', 'draining'));
+      while (!fleet.own.isLeaving('x')) await fleet.clock.runUntil(fleet.clock.now() + 10);
+      late.push(fleet.clock.now() - toldMs);
+    }
+  }
+  // What is left of the bound is needed for sending: to ask for a slot, to connect, for what a link still holds.
+  t.true(Math.max(...late) <= 0.6 * DRAIN_MS, `known after ${Math.max(...late)} ms`);
+});
