--- a/packages/gateway/src/cluster/state-exchange.ts
+++ b/packages/gateway/src/cluster/state-exchange.ts
@@ -14,8 +14,12 @@
 
 /** Params of {@link SNAPSHOT_METHOD}: what the asking node knows already. */
 export interface SnapshotRequest {
-  readonly configurationVersion: number;
+  readonly operatorRevision: number;
+  /** See {@link FleetState.operatorDigest}. */
+  readonly operatorDigest: number;
   readonly backendsRevision: number;
+  /** See {@link FleetState.routingDigest}. */
+  readonly routingDigest: number;
 }
 
 /** Learns published state from peers: when one shows a newer configuration, and while the store is silent. */
@@ -82,8 +86,10 @@
     if (this.#asking.has(address) || this.#asking.size >= MOST_ASKED) return;
     this.#asking.add(address);
     const known: SnapshotRequest = {
-      configurationVersion: this.#fleet.configurationVersion,
+      operatorRevision: this.#fleet.operatorRevision,
+      operatorDigest: this.#fleet.operatorDigest,
       backendsRevision: this.#fleet.backendsRevision,
+      routingDigest: this.#fleet.routingDigest,
     };
     const answer = await this.#network.to(address).call(SNAPSHOT_METHOD, known, CALL_TIMEOUT_MS);
     this.#asking.delete(address);
@@ -92,10 +98,11 @@
   }
 }
 
-/** The answer to a peer: nothing if it knows as much. */
+/** The answer to a peer: nothing if it holds the same, or is not behind. */
 export function snapshotFor(fleet: FleetState, known: SnapshotRequest): FleetSnapshot | null {
-  const isNewer =
-    fleet.configurationVersion > known.configurationVersion ||
-    fleet.backendsRevision > known.backendsRevision;
-  return isNewer ? fleet.snapshot() : null;
+  const hasOperatorNews =
+    fleet.operatorRevision >= known.operatorRevision && fleet.operatorDigest !== known.operatorDigest;
+  const hasBackendNews =
+    fleet.backendsRevision >= known.backendsRevision && fleet.routingDigest !== known.routingDigest;
+  return hasOperatorNews || hasBackendNews ? fleet.snapshot() : null;
 }
--- a/packages/gateway/src/cluster/state-follower.ts
+++ b/packages/gateway/src/cluster/state-follower.ts
@@ -1,24 +1,30 @@
 import type { Clock } from '@canvasridge/clock';
 import type { BackendListing, FleetState, OperatorState } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
+import type { DepartureBudget } from './departure-budget.js';
 
 export const FOLLOW_METHOD = 'fleet.follow';
 
-/** Params of {@link FOLLOW_METHOD}: up to where the asking node knows the published state. */
+/** Params of {@link FOLLOW_METHOD}: what the asking node holds of the published state. */
 export interface FollowRequest {
-  readonly routingRevision: number;
+  readonly backendsRevision: number;
+  /** See {@link FleetState.routingDigest}. */
+  readonly routingDigest: number;
   readonly operatorRevision: number;
+  /** See {@link FleetState.operatorDigest}. */
+  readonly operatorDigest: number;
   readonly configurationVersion: number;
 }
 
 /** What a reader of the store tells a follower. */
 export interface FollowAnswer {
-  /** Whether the reader heard from the store just now. */
-  readonly fresh: boolean;
-  /** Time since the reader last heard from the store, in milliseconds; absent if it never did. */
+  /** Time since the reader last heard from the store, in milliseconds; absent if it does not read it. */
   readonly ageMs?: number;
-  /** Present if the follower knows less. */
+  /** Revision up to which the reader's list of backends is complete. */
+  readonly backendsRevision: number;
+  /** Present if the follower's list differs and is not newer. */
   readonly listing?: BackendListing;
+  /** Present if what the follower holds differs and is not newer. */
   readonly operatorState?: OperatorState;
 }
 
@@ -26,13 +32,9 @@
 const SMALL_FLEET = 16;
 /** Nodes that read the store for all others of a larger fleet. */
 const READERS = 6;
-/** A reader that heard nothing from the store for this long may be cut off from it. */
-const FRESH_MS = 2300;
 const CALL_TIMEOUT_MS = 300;
-/** Readers asked in one round, until one of them is fresh. */
-const ASKED_IN_ROUND = 3;
-/** A follower that found no fresh reader for this long reads the store itself. */
-const ORPHANED_MS = 1500;
+/** A sender does not wait for readers longer than so many hedges. */
+const SENDER_WAIT_HEDGES = 2;
 
 /** Calls other nodes. */
 export interface PeerCaller {
@@ -55,28 +57,29 @@
   readonly peerAddress: (id: string) => string | undefined;
   /** Whether this node hands out slots or is next to do so, and so needs the whole list. */
   readonly needsWholeState: () => boolean;
-  /** Pause between two rounds of questions, in milliseconds. */
-  readonly pollMs: number;
+  readonly budget: DepartureBudget;
 }
 
 /**
  * Decides which nodes read the published state from its store, and keeps the others up to date by asking
  * those. The store bounds its calls over all nodes, so in a large fleet a few read and the rest follow them.
- * A follower trusts only readers that heard from the store just now, and reads itself when it finds none.
+ * A follower goes by how old a reader's list is, and reads itself when it finds none that is recent.
  */
 export class StateFollower {
   readonly #options: StateFollowerOptions;
   #heardMs = -Infinity;
   /** Moment up to which the list of backends is known to be complete, on this node's clock. */
   #completeMs = -Infinity;
-  #followedMs: number;
+  #startedMs: number;
   #reading = true;
   #next = 0;
+  #refreshing: Promise<void> | undefined;
+  #refreshedMs = -Infinity;
   #stopped = false;
 
   constructor(options: StateFollowerOptions) {
     this.#options = options;
-    this.#followedMs = options.clock.now();
+    this.#startedMs = options.clock.now();
     this.#next = options.selfId.length;
   }
 
@@ -93,6 +96,11 @@
     return this.#reading;
   }
 
+  /** Whether a few nodes read the store for the others. */
+  get isLarge(): boolean {
+    return this.#options.nodeCount() > SMALL_FLEET;
+  }
+
   /** The store answered this node. */
   heard(): void {
     this.#heardMs = this.#options.clock.now();
@@ -107,17 +115,40 @@
   /** Answers a follower. */
   answer(known: FollowRequest): FollowAnswer {
     const { clock, fleet } = this.#options;
-    const fresh = this.#reading && clock.now() - this.#heardMs <= FRESH_MS;
-    const hasListing = fleet.routingRevision > known.routingRevision;
-    const hasOperatorState = fleet.operatorRevision > known.operatorRevision;
+    const hasListing =
+      fleet.routingDigest !== known.routingDigest && fleet.backendsRevision >= known.backendsRevision;
+    const hasOperatorState =
+      fleet.operatorDigest !== known.operatorDigest && fleet.operatorRevision >= known.operatorRevision;
+    const ageMs = clock.now() - this.#heardMs;
     return {
-      fresh,
-      ...(Number.isFinite(this.listAgeMs) ? { ageMs: Math.round(this.listAgeMs) } : {}),
+      ...(this.#reading && Number.isFinite(ageMs) ? { ageMs: Math.ceil(ageMs) } : {}),
+      backendsRevision: fleet.backendsRevision,
       ...(hasListing ? { listing: fleet.listing() } : {}),
       ...(hasOperatorState ? { operatorState: this.#operatorState(known) } : {}),
     };
   }
 
+  /**
+   * Before a request is sent: if the list is so old that a backend may have left unnoticed for too long, asks all
+   * readers and waits a moment for them. Where none knows more, as while the store is away, the list stands.
+   */
+  async refreshIfOld(): Promise<void> {
+    const { clock, budget } = this.#options;
+    if (!this.isLarge || this.listAgeMs <= budget.sendAgeMs) return;
+    if (this.#refreshing === undefined && clock.now() - this.#refreshedMs < budget.hedgeMs) return;
+    this.#refreshing ??= this.#refresh();
+    await this.#refreshing;
+  }
+
+  async #refresh(): Promise<void> {
+    const { clock, budget, selfId } = this.#options;
+    const readers = this.#readers().filter((id) => id !== selfId);
+    const answered = Promise.all(readers.map((id) => this.#ask(id)));
+    await Promise.race([answered, clock.sleep(SENDER_WAIT_HEDGES * budget.hedgeMs)]);
+    this.#refreshedMs = clock.now();
+    this.#refreshing = undefined;
+  }
+
   /** Without the configuration if the follower has it, as it may be large. */
   #operatorState(known: FollowRequest): OperatorState {
     const state = this.#options.fleet.operatorState();
@@ -126,56 +157,67 @@
   }
 
   async #run(): Promise<void> {
-    const { clock, pollMs } = this.#options;
+    const { clock, budget } = this.#options;
     while (!this.#stopped) {
       const readers = this.#readers();
-      if (!readers.includes(this.#options.selfId) && this.#isLarge()) await this.#round(readers);
+      if (!readers.includes(this.#options.selfId) && this.isLarge) await this.#round(readers);
       this.#setReading(this.#mustRead(readers));
-      await clock.sleep(pollMs);
+      await clock.sleep(budget.pollMs);
     }
   }
 
-  #isLarge(): boolean {
-    return this.#options.nodeCount() > SMALL_FLEET;
-  }
-
   #readers(): readonly string[] {
     return this.#options.ranked().slice(0, READERS);
   }
 
   #mustRead(readers: readonly string[]): boolean {
-    const { clock, selfId, fleet, needsWholeState } = this.#options;
-    if (!this.#isLarge() || readers.includes(selfId) || needsWholeState()) return true;
+    const { selfId, fleet, needsWholeState, budget, clock } = this.#options;
+    if (!this.isLarge || readers.includes(selfId) || needsWholeState()) return true;
     if (fleet.routes === undefined || fleet.backendsRevision === 0) return true;
-    return clock.now() - this.#followedMs > ORPHANED_MS;
+    const ageMs = Math.min(this.listAgeMs, clock.now() - this.#startedMs);
+    return ageMs > budget.orphanedAgeMs;
   }
 
-  /** Asks readers in turn until one of them is fresh. */
+  /** Asks readers one after another, until one tells news that is recent enough. A silent one is left behind. */
   async #round(readers: readonly string[]): Promise<void> {
-    for (let asked = 0; asked < Math.min(ASKED_IN_ROUND, readers.length); asked += 1) {
+    const { clock, budget } = this.#options;
+    const completeBeforeMs = this.#completeMs;
+    for (let asked = 0; asked < readers.length; asked += 1) {
       this.#next = (this.#next + 1) % readers.length;
-      if (await this.#ask(readers[this.#next] ?? '')) return;
+      const answered = this.#ask(readers[this.#next] ?? '');
+      await Promise.race([answered, clock.sleep(budget.hedgeMs)]);
+      const isNewer = this.#completeMs > completeBeforeMs;
+      if (isNewer && this.listAgeMs <= budget.trustedAgeMs) return;
     }
   }
 
-  async #ask(id: string): Promise<boolean> {
+  async #ask(id: string): Promise<void> {
     const { network, fleet, clock, peerAddress } = this.#options;
     const address = peerAddress(id);
-    if (address === undefined) return false;
+    if (address === undefined) return;
     const known: FollowRequest = {
-      routingRevision: fleet.routingRevision,
+      backendsRevision: fleet.backendsRevision,
+      routingDigest: fleet.routingDigest,
       operatorRevision: fleet.operatorRevision,
+      operatorDigest: fleet.operatorDigest,
       configurationVersion: fleet.configurationVersion,
     };
     const askedMs = clock.now();
     const reply = await network.to(address).call(FOLLOW_METHOD, known, CALL_TIMEOUT_MS);
-    if (reply === undefined) return false;
-    const answer = reply as FollowAnswer;
-    this.#completeMs = Math.max(this.#completeMs, askedMs - (answer.ageMs ?? Infinity));
-    if (answer.operatorState !== undefined) fleet.applyOperatorState(answer.operatorState);
-    if (answer.listing !== undefined) fleet.applyListing(answer.listing);
-    if (answer.fresh) this.#followedMs = clock.now();
-    return answer.fresh;
+    if (reply === undefined) return;
+    this.#take(reply as FollowAnswer, known, askedMs);
+  }
+
+  #take(answer: FollowAnswer, known: FollowRequest, askedMs: number): void {
+    const { fleet } = this.#options;
+    const { listing, operatorState } = answer;
+    if (operatorState !== undefined) fleet.applyOperatorState(operatorState);
+    if (listing !== undefined) fleet.applyListing(listing);
+    // A reader that is not behind and sends no list holds the same one.
+    else if (answer.backendsRevision >= known.backendsRevision) {
+      fleet.confirmBackends(answer.backendsRevision);
+    }
+    if (answer.ageMs !== undefined) this.#completeMs = Math.max(this.#completeMs, askedMs - answer.ageMs);
   }
 
   #setReading(reading: boolean): void {
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -12,6 +12,7 @@
 import { SlotPicker } from './backends/slot-picker.js';
 import { ClientServer, type ListenError } from './client-server.js';
 import { Cluster, RESTARTED_PREFIX } from './cluster/cluster.js';
+import { departureBudget, type DepartureBudget } from './cluster/departure-budget.js';
 import { Directory } from './cluster/directory.js';
 import {
   ACQUIRE_METHOD,
@@ -83,8 +84,6 @@
 const STOP_POLL_MS = 50;
 const TOKEN_BYTES = 6;
 const METRICS_PERIOD_MS = 1000;
-/** Part of the time in which a leaving backend must be known that lies between two questions to readers. */
-const FOLLOW_SHARE = 0.2;
 
 /** An entry node that passes requests on to backends unaltered. */
 export class GatewayNode {
@@ -99,6 +98,7 @@
   readonly #follower: StateFollower;
   readonly #connections = new BackendConnections();
   readonly #clients: ClientServer;
+  readonly #budget: DepartureBudget;
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #context: ExchangeContext;
   #running = 0;
@@ -109,6 +109,7 @@
     this.#options = options;
     this.fleet = options.fleet;
     const { settings, clock, telemetry } = options;
+    this.#budget = departureBudget(settings.drainMs);
     const prefix = settings.firstStart ? '' : RESTARTED_PREFIX;
     const processToken = prefix + randomBytes(TOKEN_BYTES).toString('hex');
     const random = new Random(hashSeed(processToken));
@@ -146,7 +147,7 @@
       ranked: () => this.#cluster.candidates(READERS_POOL),
       peerAddress: (id) => this.#cluster.peerAddress(id),
       needsWholeState: () => this.#slots.takesPart,
-      pollMs: settings.drainMs * FOLLOW_SHARE,
+      budget: this.#budget,
     });
     this.#slots = new SlotService({
       clock,
@@ -167,12 +168,13 @@
       connections: this.#connections,
       plainPicker: new LeastLoadedPicker(fleet, clock, random),
       enginePicker: new SlotPicker(fleet, this.#slots, clock),
-      budget: (service) => this.#budget(service),
+      budget: (service) => this.#retryBudget(service),
       nodes: () => this.#cluster.nodeCount,
       isStopping: () => this.#stopping,
       nextId: () => `${processToken}/${(this.#nextId += 1)}`,
       random: () => random.next(),
       listAgeMs: () => this.#follower.listAgeMs,
+      refreshIfOld: () => this.#follower.refreshIfOld(),
       telemetry,
       metrics: this.metrics,
     };
@@ -217,6 +219,14 @@
     return this.#follower.reads;
   }
 
+  /** Longest wait for changes of the list of backends, in milliseconds, and the pause after some came. */
+  get sourcePace(): { readonly watchMs: number; readonly pauseMs: number } {
+    const { readerWatchMs, readerPauseMs, directReaderWatchMs, directReaderPauseMs } = this.#budget;
+    return this.#follower.isLarge
+      ? { watchMs: readerWatchMs, pauseMs: readerPauseMs }
+      : { watchMs: directReaderWatchMs, pauseMs: directReaderPauseMs };
+  }
+
   /** The list of backends was read just now, or is known not to have changed. */
   sourceHeard(): void {
     this.#follower.heard();
@@ -281,7 +291,7 @@
     };
   }
 
-  #budget(service: string): RetryBudget {
+  #retryBudget(service: string): RetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
       const { clock, settings } = this.#options;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,6 +8,7 @@
   type PeerCaller,
   type StateFollowerOptions,
 } from './cluster/state-follower.js';
+export { departureBudget, type DepartureBudget } from './cluster/departure-budget.js';
 export { RemoteSlots, type LeaderConnection, type LeaderNetwork } from './cluster/remote-slots.js';
 export { Directory } from './cluster/directory.js';
 export type { RetryBudgetOptions } from './backends/retry-budget.js';
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -23,7 +23,8 @@
   | { readonly kind: 'broken'; readonly detail: string }
   | { readonly kind: 'cancelled' };
 
-export type NotRunReason = 'unreachable' | 'refused' | 'not-present' | 'no-connection';
+/** `leaving`: the backend was found to leave before anything was sent. */
+export type NotRunReason = 'leaving' | 'unreachable' | 'refused' | 'not-present' | 'no-connection';
 
 export interface AttemptOptions {
   readonly connection: BackendConnection;
@@ -34,6 +35,8 @@
   readonly headers: string[];
   readonly body: Buffer;
   readonly attemptId: string;
+  /** Asked when the connection is ready, right before the request is written: whether the backend still takes work. */
+  readonly mayStart: () => boolean;
   /** Called whenever the backend sent something. */
   readonly onHeard: () => void;
   /** Called once, when the first part of a success came. */
@@ -128,6 +131,11 @@
       controller.abort(new Error('cancelled'));
       return;
     }
+    if (!this.#options.mayStart()) {
+      this.#finish({ kind: 'not-run', reason: 'leaving' });
+      controller.abort(new Error('the backend leaves'));
+      return;
+    }
     this.#sent = true;
   }
 
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -28,6 +28,8 @@
   readonly random: () => number;
   /** How old the list of backends is, in milliseconds. */
   readonly listAgeMs: () => number;
+  /** Brings the list of backends up to date if it is so old that one may have left unnoticed for too long. */
+  readonly refreshIfOld: () => Promise<void>;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
 }
@@ -121,6 +123,7 @@
         this.#refuse(picked.reason, picked.retryAfterMs);
         return;
       }
+      await this.#context.refreshIfOld();
       const outcome = await this.#send(route, service, picked);
       picked.finish(useOutcomeOf(outcome));
       if (this.#ended || this.#isFinal(outcome, route)) return;
@@ -150,12 +153,14 @@
     picked: PickResult & { kind: 'picked' },
   ): Promise<AttemptOutcome> {
     const { backend } = picked;
-    const { dialect, connections, clock } = this.#context;
+    const { dialect, connections, clock, fleet } = this.#context;
     this.#backendId = backend.id;
     this.#how = picked.how;
     this.#pickedMs = this.#ageMs();
     this.#listAgeMs = this.#context.listAgeMs();
     this.#sends += 1;
+    if (this.#ended) return { kind: 'cancelled' };
+    if (fleet.isLeaving(backend.id)) return { kind: 'not-run', reason: 'leaving' };
     const connection = connections.take(backend, service.maxConnections, this.#context.nodes());
     if (connection === undefined) return { kind: 'not-run', reason: 'no-connection' };
     const lastEventId = this.#lastEventId >= 0 ? this.#lastEventId : undefined;
@@ -177,6 +182,7 @@
         stream: route.kind === 'stream',
         lastEventId: this.#lastEventId,
         silence: this.#silence(route, backend.id),
+        mayStart: () => !fleet.isLeaving(backend.id),
         onHeard: () => connections.heard(backend.id, clock.now()),
         onStarted: picked.started,
       },
@@ -230,7 +236,9 @@
       this.#giveUp(outcome);
       return false;
     }
-    if (this.#sends >= MOST_SENDS || !this.#context.budget(service.name).take()) {
+    // What was found to leave before anything was sent to it is no retry.
+    const wasSent = outcome.kind !== 'not-run' || outcome.reason !== 'leaving';
+    if (this.#sends >= MOST_SENDS || (wasSent && !this.#context.budget(service.name).take())) {
       this.#giveUp(outcome);
       return false;
     }
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -63,6 +63,8 @@
   readonly fleet = new FleetState();
   /** Log lines of the node. */
   readonly lines: string[] = [];
+  /** Runs between the choice of a backend and the send to it. */
+  beforeSend: () => Promise<void> = () => Promise.resolve();
   readonly #connections = new BackendConnections();
   readonly #backends: RawBackend[] = [];
   readonly #server: Server;
@@ -168,6 +170,7 @@
       nextId: () => String((nextId += 1)),
       random: () => random.next(),
       listAgeMs: () => 0,
+      refreshIfOld: () => this.beforeSend(),
       telemetry: new Telemetry({
         processName: 'test',
         clock,
--- a/packages/serving/src/fleet-state.ts
+++ b/packages/serving/src/fleet-state.ts
@@ -1,6 +1,8 @@
 import { adapterKey, type BackendDescription } from './backend.js';
 import type { ServingConfiguration } from './configuration.js';
+import { DepartedBackends } from './departed-backends.js';
 import { RouteTable } from './route-table.js';
+import { SetDigest } from './set-digest.js';
 
 /** A value with the revision of the publishing store at which it was written. */
 export interface Revised<T> {
@@ -19,6 +21,8 @@
 
 /** All that was published, as one node knows it; sent to peers whose own view is older. */
 export interface FleetSnapshot {
+  /** Revision of the newest entry of the operators that is part of it. */
+  readonly operatorRevision: number;
   readonly configuration: ServingConfiguration | undefined;
   readonly adapterVersions: readonly AdapterVersion[];
   /** Revision up to which the list of backends is complete. */
@@ -30,8 +34,6 @@
 export interface BackendListing {
   /** Revision up to which the list is complete. */
   readonly revision: number;
-  /** Revision of the last change in it that matters for routing. */
-  readonly routingRevision: number;
   readonly backends: readonly Revised<BackendDescription>[];
 }
 
@@ -68,10 +70,10 @@
   readonly #backendsByService = new Map<string, BackendDescription[]>();
   readonly #adapterVersions = new Map<string, AdapterVersion>();
   #routes: RouteTable | undefined;
-  /** Backends that left the list, oldest first; each start of a backend has an id of its own. */
-  readonly #departed = new Set<string>();
+  readonly #departed = new DepartedBackends();
+  readonly #routingDigest = new SetDigest();
+  readonly #operatorDigest = new SetDigest();
   #backendsRevision = 0;
-  #routingRevision = 0;
   #operatorRevision = 0;
 
   onChange(listener: ChangeListener): void {
@@ -97,9 +99,17 @@
     return this.#backendsRevision;
   }
 
-  /** Revision of the last change in the list of backends that matters for routing. */
-  get routingRevision(): number {
-    return this.#routingRevision;
+  /**
+   * Tells whether two nodes hold the same list of backends, as far as routing needs it. A revision of the store does
+   * not: a removal may be applied later than what was written after it.
+   */
+  get routingDigest(): number {
+    return this.#routingDigest.value;
+  }
+
+  /** Tells whether two nodes hold the same entries of the operators. */
+  get operatorDigest(): number {
+    return this.#operatorDigest.value;
   }
 
   /** Revision of the newest entry of the operators that is known. */
@@ -116,6 +126,11 @@
     return this.#backends.get(id)?.value;
   }
 
+  /** Revision of a listed backend's entry. */
+  entryRevision(id: string): number | undefined {
+    return this.#backends.get(id)?.revision;
+  }
+
   /** Whether a backend is known to leave or to have left, so that it must be given nothing more. */
   isLeaving(id: string): boolean {
     return this.#departed.has(id) || this.backend(id)?.state === 'draining';
@@ -139,29 +154,34 @@
   applyConfiguration(configuration: ServingConfiguration): boolean {
     if (configuration.version <= this.configurationVersion) return false;
     this.#routes = new RouteTable(configuration);
+    this.#operatorDigest.put(CONFIGURATION_KEY, String(configuration.version));
     this.#notify('configuration');
     return true;
   }
 
   applyAdapterVersion(published: AdapterVersion): boolean {
     if (published.version <= this.adapterVersion(published.model, published.adapter)) return false;
-    this.#adapterVersions.set(adapterKey(published.model, published.adapter), published);
+    const key = adapterKey(published.model, published.adapter);
+    this.#adapterVersions.set(key, published);
+    this.#operatorDigest.put(key, String(published.version));
     this.#notify('adapter-version');
     return true;
   }
 
   applyBackend(revision: number, value: BackendDescription): void {
-    const known = this.#backends.get(value.id);
-    if (known !== undefined && !supersedes({ revision, value }, known)) return;
-    this.#take({ revision, value }, known);
+    if (!this.#isNews({ revision, value })) return;
+    this.#take({ revision, value });
     this.#backendsChanged(revision);
   }
 
   removeBackend(revision: number, id: string): void {
     const known = this.#backends.get(id);
-    if (known === undefined || known.revision >= revision) return;
-    this.#remove(id, revision);
-    this.#backendsChanged(revision);
+    if (known !== undefined && known.revision >= revision) return;
+    if (known === undefined) this.#departed.note(id, revision);
+    else {
+      this.#remove(id, revision);
+      this.#backendsChanged(revision);
+    }
   }
 
   /** The whole list as of `revision`: entries that it lacks are gone, unless they are newer than it. */
@@ -172,8 +192,7 @@
       if (!listed.has(id) && known.revision <= revision) this.#remove(id, revision);
     }
     for (const entry of entries) {
-      const known = this.#backends.get(entry.value.id);
-      if (known === undefined || supersedes(entry, known)) this.#take(entry, known);
+      if (this.#isNews(entry)) this.#take(entry);
     }
     this.#backendsChanged(revision);
   }
@@ -187,7 +206,6 @@
   listing(): BackendListing {
     return {
       revision: this.#backendsRevision,
-      routingRevision: this.#routingRevision,
       backends: [...this.#backends.values()].map(withoutAdapters),
     };
   }
@@ -195,7 +213,6 @@
   /** Takes over the listing of a peer that reads the list of backends. */
   applyListing(listing: BackendListing): void {
     this.replaceBackends(listing.revision, listing.backends);
-    this.#routingRevision = Math.max(this.#routingRevision, listing.routingRevision);
   }
 
   operatorState(): OperatorState {
@@ -214,6 +231,7 @@
 
   snapshot(): FleetSnapshot {
     return {
+      operatorRevision: this.#operatorRevision,
       configuration: this.#routes?.configuration,
       adapterVersions: [...this.#adapterVersions.values()],
       backendsRevision: this.#backendsRevision,
@@ -225,36 +243,34 @@
   merge(snapshot: FleetSnapshot): void {
     if (snapshot.configuration !== undefined) this.applyConfiguration(snapshot.configuration);
     for (const published of snapshot.adapterVersions) this.applyAdapterVersion(published);
-    if (snapshot.backendsRevision > this.#backendsRevision) {
-      this.replaceBackends(snapshot.backendsRevision, snapshot.backends);
-    }
+    this.confirmOperatorState(snapshot.operatorRevision);
+    this.replaceBackends(snapshot.backendsRevision, snapshot.backends);
   }
 
-  #take(entry: Revised<BackendDescription>, known: Revised<BackendDescription> | undefined): void {
-    this.#backends.set(entry.value.id, entry);
-    this.#departed.delete(entry.value.id);
-    if (entry.value.state === 'draining' && known?.value.state !== 'draining') {
-      this.#notifyDeparture({ id: entry.value.id, state: 'draining', revision: entry.revision });
+  /** Whether an entry says more than what is known of its backend, its departure included. */
+  #isNews(entry: Revised<BackendDescription>): boolean {
+    const { id } = entry.value;
+    const known = this.#backends.get(id);
+    if (known !== undefined) return supersedes(entry, known);
+    return !this.#departed.isOutdated(id, entry.revision);
+  }
+
+  #take(entry: Revised<BackendDescription>): void {
+    const { id, state } = entry.value;
+    const stateBefore = this.#backends.get(id)?.value.state;
+    this.#backends.set(id, entry);
+    this.#departed.forget(id);
+    this.#routingDigest.put(id, routingContent(entry.value));
+    if (state === 'draining' && stateBefore !== 'draining') {
+      this.#notifyDeparture({ id, state, revision: entry.revision });
     }
-    if (known === undefined || !routesAlike(entry.value, known.value)) this.#routingChanged(entry.revision);
   }
 
   #remove(id: string, revision: number): void {
     this.#backends.delete(id);
-    this.#noteDeparted(id);
+    this.#departed.note(id, revision);
+    this.#routingDigest.delete(id);
     this.#notifyDeparture({ id, state: 'gone', revision });
-    this.#routingChanged(revision);
-  }
-
-  #noteDeparted(id: string): void {
-    this.#departed.add(id);
-    if (this.#departed.size <= DEPARTED_KEPT) return;
-    const oldest = this.#departed.values().next();
-    if (oldest.done !== true) this.#departed.delete(oldest.value);
-  }
-
-  #routingChanged(revision: number): void {
-    this.#routingRevision = Math.max(this.#routingRevision, revision);
   }
 
   #backendsChanged(revision: number): void {
@@ -277,25 +293,17 @@
   }
 }
 
-/** Several times what leaves a large fleet within the time in which others may still name it. */
-const DEPARTED_KEPT = 1024;
+const CONFIGURATION_KEY = 'configuration';
 
 function supersedes(entry: Revised<BackendDescription>, known: Revised<BackendDescription>): boolean {
   if (entry.revision !== known.revision) return entry.revision > known.revision;
   return known.partial === true && entry.partial !== true;
 }
 
-/** Whether two descriptions of a backend are the same but for the adapters that it holds. */
-function routesAlike(a: BackendDescription, b: BackendDescription): boolean {
-  return (
-    a.service === b.service &&
-    a.address === b.address &&
-    a.zone === b.zone &&
-    a.state === b.state &&
-    a.slots === b.slots &&
-    a.models.length === b.models.length &&
-    a.models.every((model, index) => model.name === b.models[index]?.name)
-  );
+/** What routing needs of a description: all but the adapters that the backend holds. */
+function routingContent(backend: BackendDescription): string {
+  const { service, address, zone, state, slots, models } = backend;
+  return JSON.stringify([service, address, zone, state, slots, models.map((model) => model.name)]);
 }
 
 function withoutAdapters({ revision, value }: Revised<BackendDescription>): Revised<BackendDescription> {
