--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -65,7 +65,7 @@
       return { kind: 'none', reason: decision.reason, retryAfterMs: decision.retryAfterMs };
     }
     const backend = this.#granted(pool, decision);
-    if (this.#fleet.isLeaving(backend.id)) {
+    if (this.#fleet.isLeaving(backend.id) || this.#isGone(decision)) {
       // This node has heard that the engine leaves before the leader has: the request asks again for another one.
       this.#slots.release(pool, request.id, 'refused');
       return this.pick({ ...context, excluded: [...context.excluded, backend.id] }, cancelled);
@@ -82,6 +82,15 @@
     };
   }
 
+  /**
+   * Whether an engine that is not listed here has left the list, and is not just new: its entry is older than the list.
+   * A node that started after the engine left never saw it, and a leader that is cut off still names it.
+   */
+  #isGone({ backendId, entryRevision }: SlotDecision & { kind: 'granted' }): boolean {
+    if (this.#fleet.backend(backendId) !== undefined || entryRevision === undefined) return false;
+    return entryRevision <= this.#fleet.backendsRevision;
+  }
+
   /** The leader may know an engine that is not listed here yet. */
   #granted(service: string, decision: SlotDecision & { kind: 'granted' }): BackendDescription {
     const listed = this.#fleet.backend(decision.backendId);
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -248,13 +248,20 @@
     let answered = false;
     pool.acquire(params.request, (decision) => {
       if (decision.kind === 'refused') this.#peerUses.forget(peer, requestId);
-      if (!answered) immediate = decision;
-      else peer.notify(DECIDED_METHOD, decision);
+      if (!answered) immediate = this.#withEntryRevision(decision);
+      else peer.notify(DECIDED_METHOD, this.#withEntryRevision(decision));
     });
     answered = true;
     return immediate === undefined ? { kind: 'queued' } : { kind: 'decided', decision: immediate };
   }
 
+  /** So that a node that does not list the engine can tell whether it is new or gone. */
+  #withEntryRevision(decision: SlotDecision): SlotDecision {
+    if (decision.kind === 'refused') return decision;
+    const entryRevision = this.#options.fleet.entryRevision(decision.backendId);
+    return entryRevision === undefined ? decision : { ...decision, entryRevision };
+  }
+
   onCancel(params: ReleaseParams, peer: PeerConnection): void {
     const pool = this.#pools.get(params.pool)?.pool;
     this.#peerUses.forget(peer, params.requestId);
--- a/packages/gateway/test/slot-picker.test.ts
+++ b/packages/gateway/test/slot-picker.test.ts
@@ -13,11 +13,16 @@
 class LateLeader implements SlotSource {
   readonly released: { requestId: string; outcome: UseOutcome }[] = [];
 
-  constructor(readonly engines: readonly string[]) {}
+  constructor(
+    readonly engines: readonly string[],
+    readonly entryRevision: number | undefined,
+  ) {}
 
   async acquire(_pool: string, request: SlotRequest): Promise<SlotDecision> {
     const backendId = this.engines.find((id) => !request.excluded.includes(id)) ?? 'none';
-    return { kind: 'granted', requestId: request.id, backendId, address: `${backendId}:1` };
+    const { entryRevision } = this;
+    const told = entryRevision === undefined || backendId !== 'leaving' ? {} : { entryRevision };
+    return { kind: 'granted', requestId: request.id, backendId, address: `${backendId}:1`, ...told };
   }
 
   began(): void {
@@ -57,31 +62,57 @@
   excluded: [],
 };
 
+function listBoth(fleet: FleetState): void {
+  fleet.applyBackend(1, engine('leaving'));
+  fleet.applyBackend(2, engine('stays'));
+}
+
 async function pickAfter(
   change: (fleet: FleetState) => void,
+  entryRevision?: number,
 ): Promise<{ picked: string; leader: LateLeader }> {
   const fleet = new FleetState();
-  fleet.applyBackend(1, engine('leaving'));
-  fleet.applyBackend(2, engine('stays'));
   change(fleet);
-  const leader = new LateLeader(['leaving', 'stays']);
+  const leader = new LateLeader(['leaving', 'stays'], entryRevision);
   const picker = new SlotPicker(fleet, leader, new VirtualClock());
   const result = await picker.pick(CONTEXT, new AbortController().signal);
   return { picked: result.kind === 'picked' ? result.backend.id : result.reason, leader };
 }
 
 test('an engine that this node knows to leave is not used, though the leader still names it', async (t) => {
-  const { picked, leader } = await pickAfter((fleet) => fleet.applyBackend(3, engine('leaving', 'draining')));
+  const { picked, leader } = await pickAfter((fleet) => {
+    listBoth(fleet);
+    fleet.applyBackend(3, engine('leaving', 'draining'));
+  });
   t.is(picked, 'stays');
   t.deepEqual(leader.released, [{ requestId: 'r1', outcome: 'refused' }]);
 });
 
 test('nor is one that this node knows to be gone', async (t) => {
-  const { picked } = await pickAfter((fleet) => fleet.removeBackend(3, 'leaving'));
+  const { picked } = await pickAfter((fleet) => {
+    listBoth(fleet);
+    fleet.removeBackend(3, 'leaving');
+  });
   t.is(picked, 'stays');
 });
 
+/** The list of a node that never saw the engine `leaving`, complete up to revision 20. */
+function neverSaw(fleet: FleetState): void {
+  fleet.replaceBackends(20, [{ revision: 2, value: engine('stays') }]);
+}
+
+test('an engine that this node never listed, though its list is newer than the entry, is gone', async (t) => {
+  const { picked, leader } = await pickAfter(neverSaw, 20);
+  t.is(picked, 'stays');
+  t.deepEqual(leader.released, [{ requestId: 'r1', outcome: 'refused' }]);
+});
+
+test('an engine whose entry is newer than the list of this node is used on the word of the leader', async (t) => {
+  const { picked } = await pickAfter((fleet) => fleet.confirmBackends(20), 21);
+  t.is(picked, 'leaving');
+});
+
 test('an engine that is not listed here yet is used on the word of the leader', async (t) => {
-  const { picked } = await pickAfter((fleet) => fleet.removeBackend(1, 'nothing'));
+  const { picked } = await pickAfter((fleet) => fleet.applyBackend(2, engine('stays')));
   t.is(picked, 'leaving');
 });
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -33,6 +33,8 @@
       readonly requestId: string;
       readonly backendId: string;
       readonly address: string;
+      /** Revision of the engine's entry as the granting node knows it; absent if that one has lost sight of it. */
+      readonly entryRevision?: number;
     }
   | {
       readonly kind: 'refused';
