--- a/packages/gateway/src/cluster/state-follower.ts
+++ b/packages/gateway/src/cluster/state-follower.ts
@@ -96,6 +96,12 @@
     return this.#reading;
   }
 
+  /** Whether this node reads the store only since it finds no reader whose list is recent. */
+  get isOrphan(): boolean {
+    const { selfId, needsWholeState } = this.#options;
+    return this.#reading && this.isLarge && !this.#readers().includes(selfId) && !needsWholeState();
+  }
+
   /** Whether a few nodes read the store for the others. */
   get isLarge(): boolean {
     return this.#options.nodeCount() > SMALL_FLEET;
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -84,6 +84,9 @@
 const STOP_POLL_MS = 50;
 const TOKEN_BYTES = 6;
 const METRICS_PERIOD_MS = 1000;
+const READER_RETRY_MS = 700;
+/** A follower that had to read itself, and can't either: most likely no node can, and readers see the return first. */
+const ORPHAN_RETRY_MS = 2000;
 
 /** An entry node that passes requests on to backends unaltered. */
 export class GatewayNode {
@@ -219,12 +222,21 @@
     return this.#follower.reads;
   }
 
-  /** Longest wait for changes of the list of backends, in milliseconds, and the pause after some came. */
-  get sourcePace(): { readonly watchMs: number; readonly pauseMs: number } {
+  /**
+   * Longest wait for changes of the list of backends, the pause after some came, and the longest one after a failure,
+   * in milliseconds.
+   */
+  get sourcePace(): { readonly watchMs: number; readonly pauseMs: number; readonly retryMostMs: number } {
+    const retryMostMs = this.#follower.isOrphan ? ORPHAN_RETRY_MS : READER_RETRY_MS;
     const { readerWatchMs, readerPauseMs, directReaderWatchMs, directReaderPauseMs } = this.#budget;
     return this.#follower.isLarge
-      ? { watchMs: readerWatchMs, pauseMs: readerPauseMs }
-      : { watchMs: directReaderWatchMs, pauseMs: directReaderPauseMs };
+      ? { watchMs: readerWatchMs, pauseMs: readerPauseMs, retryMostMs }
+      : { watchMs: directReaderWatchMs, pauseMs: directReaderPauseMs, retryMostMs };
+  }
+
+  /** Time since the list of backends was last known to be complete, in milliseconds; infinite before it was read. */
+  get listAgeMs(): number {
+    return this.#follower.listAgeMs;
   }
 
   /** The list of backends was read just now, or is known not to have changed. */
--- a/packages/serving/src/backend-lapses.ts
+++ b/packages/serving/src/backend-lapses.ts
@@ -2,8 +2,13 @@
 import type { BackendDescription } from './backend.js';
 import type { FleetState, Revised } from './fleet-state.js';
 
-/** Removals within this time after the store answers again are taken for entries that lapsed meanwhile. */
+/**
+ * Entries of backends that live also lapse while the publishing store is away. By the platform's pages they are back
+ * within this time after its return; one that is missing then is gone.
+ */
 const RETURN_WINDOW_MS = 2000;
+/** An entry lapses after three heartbeats of silence, the first of which may have begun just before the store went. */
+const HEARTBEATS_TO_LAPSE = 2;
 
 /** A removal that takes effect only after `leftMs`, in milliseconds, unless the entry is back by then. */
 export interface HeldRemoval {
@@ -12,71 +17,70 @@
   readonly leftMs: number;
 }
 
+export interface BackendLapsesOptions {
+  readonly fleet: FleetState;
+  readonly clock: Clock;
+  /** Time between two heartbeats of a backend, in milliseconds. */
+  readonly heartbeatMs: number;
+  /** Time since the list was last known to be complete, in milliseconds; infinite before it was read at all. */
+  readonly listAgeMs: () => number;
+  /** Called for each removal that takes effect only after a while. */
+  readonly onHeld: (held: HeldRemoval) => void;
+}
+
 /**
- * Applies removals from the list of backends. Entries of backends that live also lapse while the publishing
- * store is away, and come back soon after its return; a removal that is seen right then takes effect only if
- * the entry is not back by the end of a short grace time. A backend that said it leaves gets no grace.
+ * Applies removals from the list of backends. One that is seen right after the publishing store was away takes effect
+ * only if the entry is not back in time, as it may only have lapsed. A backend that said it leaves gets no such time,
+ * nor does any if the store was away for less than an entry needs to lapse.
  */
 export class BackendLapses {
-  readonly #fleet: FleetState;
-  readonly #clock: Clock;
-  readonly #graceMs: number;
-  readonly #onHeld: (held: HeldRemoval) => void;
-  #away = false;
+  readonly #options: BackendLapsesOptions;
   #returnedMs = -Infinity;
 
-  /**
-   * @param graceMs counted from the store's return; shorter than the time in which a removal must be obeyed
-   * @param onHeld called for each removal that takes effect only after the grace time
-   */
-  constructor(fleet: FleetState, clock: Clock, graceMs: number, onHeld: (held: HeldRemoval) => void) {
-    this.#fleet = fleet;
-    this.#clock = clock;
-    this.#graceMs = graceMs;
-    this.#onHeld = onHeld;
-  }
-
-  /** The store gives no answers. */
-  sourceAway(): void {
-    this.#away = true;
+  constructor(options: BackendLapsesOptions) {
+    this.#options = options;
   }
 
   remove(revision: number, id: string): void {
-    this.#noteAnswer();
-    if (!this.#mayHaveLapsed(id)) this.#fleet.removeBackend(revision, id);
+    this.#noteReturn();
+    if (!this.#mayHaveLapsed(id)) this.#options.fleet.removeBackend(revision, id);
     else this.#removeLater(revision, id);
   }
 
   /** Takes over the whole list as of `revision`. */
   replace(revision: number, entries: readonly Revised<BackendDescription>[]): void {
-    this.#noteAnswer();
+    this.#noteReturn();
+    const { fleet } = this.#options;
     const listed = new Set(entries.map((entry) => entry.value.id));
-    const lapsed = [...this.#fleet.allBackends()].filter(
+    const lapsed = [...fleet.allBackends()].filter(
       ({ value }) => !listed.has(value.id) && this.#mayHaveLapsed(value.id),
     );
-    this.#fleet.replaceBackends(revision, [...entries, ...lapsed]);
+    fleet.replaceBackends(revision, [...entries, ...lapsed]);
     for (const { value } of lapsed) this.#removeLater(revision, value.id);
   }
 
-  #noteAnswer(): void {
-    if (!this.#away) return;
-    this.#away = false;
-    this.#returnedMs = this.#clock.now();
+  #noteReturn(): void {
+    const { clock, heartbeatMs, listAgeMs } = this.#options;
+    const awayMs = listAgeMs();
+    if (Number.isFinite(awayMs) && awayMs >= HEARTBEATS_TO_LAPSE * heartbeatMs)
+      this.#returnedMs = clock.now();
   }
 
   #mayHaveLapsed(id: string): boolean {
-    if (this.#clock.now() - this.#returnedMs > RETURN_WINDOW_MS) return false;
-    return this.#fleet.backend(id)?.state === 'ready';
+    const { clock, fleet } = this.#options;
+    if (clock.now() - this.#returnedMs > RETURN_WINDOW_MS) return false;
+    return fleet.backend(id)?.state === 'ready';
   }
 
   /** An entry that was written again meanwhile has a higher revision and stays. */
   #removeLater(revision: number, id: string): void {
-    const leftMs = this.#returnedMs + this.#graceMs - this.#clock.now();
+    const { clock, fleet, onHeld } = this.#options;
+    const leftMs = this.#returnedMs + RETURN_WINDOW_MS - clock.now();
     if (leftMs <= 0) {
-      this.#fleet.removeBackend(revision, id);
+      fleet.removeBackend(revision, id);
       return;
     }
-    this.#onHeld({ id, revision, leftMs });
-    this.#clock.setTimer(leftMs, () => this.#fleet.removeBackend(revision, id));
+    onHeld({ id, revision, leftMs });
+    clock.setTimer(leftMs, () => fleet.removeBackend(revision, id));
   }
 }
