Let nodes that can carry most lead pools and read the store first

Change: members tell their capacity (the share of a core and its speed, from the settings); candidates are ranked by it, then by restarts, then by the hash. Where all machines are alike nothing changes.

--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -19,6 +19,8 @@
   /** `IP:port` for callers. */
   readonly frontAddress: string;
   readonly processToken: string;
+  /** Processor time that this node may use, in cores of the usual speed. */
+  readonly capacity: number;
   readonly transport: DatagramTransport;
   readonly clock: Clock;
   readonly random: Random;
@@ -78,6 +80,7 @@
         peerUrl: peerAddress,
         callerUrl: frontAddress,
         processToken: options.processToken,
+        capacity: options.capacity,
       },
       transport: options.transport,
       clock: options.clock,
@@ -168,17 +171,25 @@
       .map((member) => member.peerUrl);
   }
 
-  /** Nodes whose process was restarted come first: in a rolling restart they are done. The same on all nodes. */
+  /**
+   * Nodes that can carry most come first, as a leader's work grows with the fleet. Among equal ones those whose process
+   * was restarted do: in a rolling restart they are done. The same on all nodes.
+   */
   candidates(pool: string): readonly string[] {
     const able = this.#membership.present().filter((member) => member.state === 'alive');
     return able
-      .map(({ id, processToken }) => ({
+      .map(({ id, processToken, capacity }) => ({
         id,
+        capacity,
         restarted: processToken.startsWith(RESTARTED_PREFIX),
         score: hashSeed(`${pool}/${id}`),
       }))
       .sort(
-        (a, b) => Number(b.restarted) - Number(a.restarted) || b.score - a.score || (a.id < b.id ? -1 : 1),
+        (a, b) =>
+          b.capacity - a.capacity ||
+          Number(b.restarted) - Number(a.restarted) ||
+          b.score - a.score ||
+          (a.id < b.id ? -1 : 1),
       )
       .map((entry) => entry.id);
   }
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -51,6 +51,8 @@
   /** Gossip over UDP and calls between nodes over TCP. */
   readonly peerPort: number;
   readonly peerKey: string;
+  /** Processor time that this node may use, in cores of the usual speed. */
+  readonly capacity: number;
   readonly retryBudget: RetryBudgetOptions;
   readonly slotTiming: SlotTiming;
   readonly engineFences: EngineFences;
@@ -128,6 +130,7 @@
       peerAddress: `${settings.ip}:${settings.peerPort}`,
       frontAddress: `${settings.ip}:${settings.frontPort}`,
       processToken,
+      capacity: settings.capacity,
       transport,
       clock,
       random,
--- a/packages/gateway/test/planned-stop.test.ts
+++ b/packages/gateway/test/planned-stop.test.ts
@@ -54,6 +54,7 @@
       frontPort: port,
       peerPort: await freePort(),
       peerKey: 'k',
+      capacity: 1,
       retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 50 },
       switchedOff: new Set(),
       engineFences: { checked: false, settledAfterMs: 3000 },
--- a/packages/load/src/bench/decision-cost.ts
+++ b/packages/load/src/bench/decision-cost.ts
@@ -99,6 +99,7 @@
     gossip: '',
     peerUrl: '',
     callerUrl: '',
+    capacity: 0,
     processToken: '',
     incarnation: 1,
     state: 'alive',
--- a/packages/load/src/simulation/fleet.ts
+++ b/packages/load/src/simulation/fleet.ts
@@ -198,6 +198,7 @@
       gossip: gossipAddress(spec.id),
       peerUrl: `http://peer-${spec.id}`,
       callerUrl: callerUrl(spec.id),
+      capacity: 0,
       processToken: `p${this.#starts}`,
     };
     const { changes, membershipTiming } = this.#options;
--- a/packages/membership/src/codec.ts
+++ b/packages/membership/src/codec.ts
@@ -12,7 +12,7 @@
 
 /** [0, id, incarnation, state, age of the suspicion in ms] */
 const memberStateUpdate = z.tuple([z.literal(0), text, z.int().min(0), stateCode, z.int().min(0)]);
-/** [1, id, incarnation, state, zone, region, gossip, peerUrl, callerUrl, processToken] */
+/** [1, id, incarnation, state, zone, region, gossip, peerUrl, callerUrl, processToken, capacity] */
 const memberUpdate = z.tuple([
   z.literal(1),
   text,
@@ -24,6 +24,7 @@
   text,
   text,
   text,
+  z.number().min(0),
 ]);
 /** [2, owner, key, version, value] */
 const recordUpdate = z.tuple([z.literal(2), text, text, z.number().min(0), z.unknown()]);
@@ -101,9 +102,9 @@
     case 'member-state':
       return [0, news.id, news.incarnation, STATES.indexOf(news.state), Math.round(news.suspicionAgeMs)];
     case 'member': {
-      const { id, zone, region, gossip, peerUrl, callerUrl, processToken } = news.identity;
-      const state = STATES.indexOf(news.state);
-      return [1, id, news.incarnation, state, zone, region, gossip, peerUrl, callerUrl, processToken];
+      const { id, zone, region, gossip, peerUrl, callerUrl, processToken, capacity } = news.identity;
+      const head = [1, id, news.incarnation, STATES.indexOf(news.state)];
+      return [...head, zone, region, gossip, peerUrl, callerUrl, processToken, capacity];
     }
     case 'record':
       return [2, news.owner, news.key, news.version, news.value];
@@ -151,8 +152,9 @@
       return { kind: 'member-state', id, incarnation, state: STATES[state] ?? 'alive', suspicionAgeMs };
     }
     case 1: {
-      const [, id, incarnation, state, zone, region, gossip, peerUrl, callerUrl, processToken] = encoded;
-      const identity = { id, zone, region, gossip, peerUrl, callerUrl, processToken };
+      const [, id, incarnation, state, ...told] = encoded;
+      const [zone, region, gossip, peerUrl, callerUrl, processToken, capacity] = told;
+      const identity = { id, zone, region, gossip, peerUrl, callerUrl, processToken, capacity };
       return { kind: 'member', identity, incarnation, state: STATES[state] ?? 'alive' };
     }
     case 2: {
--- a/packages/membership/src/member.ts
+++ b/packages/membership/src/member.ts
@@ -11,6 +11,8 @@
   readonly callerUrl: string;
   /** Random per process start: tells a restarted process from the one before it. */
   readonly processToken: string;
+  /** Processor time that the node may use, in cores of the usual speed; 0 if it does not tell. */
+  readonly capacity: number;
 }
 
 /** `left` was announced by the member itself, `dead` was concluded by others. */
--- a/packages/membership/test/membership.test.ts
+++ b/packages/membership/test/membership.test.ts
@@ -63,6 +63,7 @@
       gossip: id,
       peerUrl: '',
       callerUrl: '',
+      capacity: 0,
       processToken: token,
     };
     const membership = new Membership({
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -58,6 +58,7 @@
     gossip: settings.advertise.gossip ?? transport.value.localAddress,
     peerUrl: settings.advertise.peersUrl ?? peersBound.value,
     callerUrl: settings.advertise.callersUrl ?? callersBound.value,
+    capacity: 0,
     processToken: randomBytes(PROCESS_TOKEN_BYTES).toString('hex'),
   };
   const clock = new SystemClock();
--- a/packages/node/test/key-protocol.test.ts
+++ b/packages/node/test/key-protocol.test.ts
@@ -14,6 +14,7 @@
     gossip: '',
     peerUrl: '',
     callerUrl: '',
+    capacity: 0,
     processToken,
     incarnation: 1,
     state: 'alive',
--- a/packages/ownership/test/ownership.test.ts
+++ b/packages/ownership/test/ownership.test.ts
@@ -12,6 +12,7 @@
     gossip: id,
     peerUrl: '',
     callerUrl: '',
+    capacity: 0,
     processToken: 't',
     incarnation: 1,
     state,
