--- a/packages/gateway/test/followed-fleet.ts
+++ b/packages/gateway/test/followed-fleet.ts
@@ -64,6 +64,7 @@
 
   read(events: readonly StoreEvent[]): void {
     if (!this.connected) return;
+    this.lapses.beginUpdate();
     for (const event of events.filter(({ revision }) => revision > this.#at)) {
       if (event.value === undefined) this.lapses.remove(event.revision, event.id);
       else this.state.applyBackend(event.revision, event.value);
--- a/packages/serving/src/backend-lapses.ts
+++ b/packages/serving/src/backend-lapses.ts
@@ -41,15 +41,21 @@
     this.#options = options;
   }
 
+  /** The store has answered: to be called before what it tells is applied, also where it tells no change. */
+  beginUpdate(): void {
+    const { clock, heartbeatMs, listAgeMs } = this.#options;
+    const awayMs = listAgeMs();
+    if (Number.isFinite(awayMs) && awayMs >= HEARTBEATS_TO_LAPSE * heartbeatMs)
+      this.#returnedMs = clock.now();
+  }
+
   remove(revision: number, id: string): void {
-    this.#noteReturn();
     if (!this.#mayHaveLapsed(id)) this.#options.fleet.removeBackend(revision, id);
     else this.#removeLater(revision, id);
   }
 
   /** Takes over the whole list as of `revision`. */
   replace(revision: number, entries: readonly Revised<BackendDescription>[]): void {
-    this.#noteReturn();
     const { fleet } = this.#options;
     const listed = new Set(entries.map((entry) => entry.value.id));
     const lapsed = [...fleet.allBackends()].filter(
@@ -59,13 +65,6 @@
     for (const { value } of lapsed) this.#removeLater(revision, value.id);
   }
 
-  #noteReturn(): void {
-    const { clock, heartbeatMs, listAgeMs } = this.#options;
-    const awayMs = listAgeMs();
-    if (Number.isFinite(awayMs) && awayMs >= HEARTBEATS_TO_LAPSE * heartbeatMs)
-      this.#returnedMs = clock.now();
-  }
-
   #mayHaveLapsed(id: string): boolean {
     const { clock, fleet } = this.#options;
     if (clock.now() - this.#returnedMs > RETURN_WINDOW_MS) return false;
--- a/packages/serving/test/backend-lapses.test.ts
+++ b/packages/serving/test/backend-lapses.test.ts
@@ -40,6 +40,7 @@
 test('an entry that lapsed while the store was away and comes back was never gone', async (t) => {
   const { clock, fleet, lapses } = new State();
   await clock.runUntil(5000);
+  lapses.beginUpdate();
   lapses.remove(11, 'stays');
   t.truthy(fleet.backend('stays'));
   await clock.runUntil(5000 + RETURN_MS - 100);
@@ -52,6 +53,7 @@
 test('an entry that does not come back in time is gone', async (t) => {
   const { clock, fleet, lapses } = new State();
   await clock.runUntil(5000);
+  lapses.beginUpdate();
   lapses.replace(11, [{ revision: 2, value: backend('leaves', 'draining') }]);
   t.truthy(fleet.backend('stays'));
   await clock.runUntil(5000 + RETURN_MS + 1);
@@ -61,6 +63,7 @@
 test('a backend that said it leaves is gone at once', async (t) => {
   const { clock, fleet, lapses } = new State();
   await clock.runUntil(5000);
+  lapses.beginUpdate();
   lapses.remove(11, 'leaves');
   t.is(fleet.backend('leaves'), undefined);
 });
@@ -70,6 +73,7 @@
   await state.clock.runUntil(5000);
   state.completeMs = 5000;
   await state.clock.runUntil(5000 + 2 * HEARTBEAT_MS - 1);
+  state.lapses.beginUpdate();
   state.lapses.remove(11, 'stays');
   t.is(state.fleet.backend('stays'), undefined);
 });
@@ -77,10 +81,25 @@
 test('a removal long after the return of the store takes effect at once', async (t) => {
   const state = new State();
   await state.clock.runUntil(5000);
+  state.lapses.beginUpdate();
   state.lapses.replace(11, [{ revision: 1, value: backend('stays') }]);
   state.completeMs = 5000;
   await state.clock.runUntil(5000 + RETURN_MS + 1);
   state.completeMs = state.clock.now();
+  state.lapses.beginUpdate();
   state.lapses.remove(12, 'stays');
   t.is(state.fleet.backend('stays'), undefined);
 });
+
+test('an entry that goes some moments after the return may have lapsed too, though the first answer told no change', async (t) => {
+  const state = new State();
+  await state.clock.runUntil(5000);
+  state.lapses.beginUpdate();
+  state.completeMs = 5000;
+  await state.clock.runUntil(5500);
+  state.lapses.beginUpdate();
+  state.lapses.remove(11, 'stays');
+  t.truthy(state.fleet.backend('stays'));
+  await state.clock.runUntil(5000 + RETURN_MS + 1);
+  t.is(state.fleet.backend('stays'), undefined);
+});
