--- /dev/null
+++ b/packages/gateway/src/cluster/slot-answers.ts
@@ -0,0 +1,102 @@
+import type { FleetState } from '@canvasridge/serving';
+import type { SlotDecision } from '@canvasridge/slots';
+import type { PeerConnection } from '../peers/peer-connection.js';
+import type { Cluster } from './cluster.js';
+import { PeerUses } from './peer-uses.js';
+import type { PoolEntry } from './pool-entry.js';
+import {
+  DECIDED_METHOD,
+  type AcquireParams,
+  type AcquireReply,
+  type ReleaseParams,
+  type StartedParams,
+  type UsesParams,
+} from './slot-protocol.js';
+
+export interface SlotAnswersOptions {
+  readonly fleet: FleetState;
+  readonly cluster: Cluster;
+  /** By the pool's name. */
+  readonly pools: ReadonlyMap<string, PoolEntry>;
+}
+
+/** Answers other nodes that ask this one, as the leader of a pool, for slots, and notes what they tell of them. */
+export class SlotAnswers {
+  readonly #options: SlotAnswersOptions;
+  readonly #pools: ReadonlyMap<string, PoolEntry>;
+  readonly #peerUses = new PeerUses();
+
+  constructor(options: SlotAnswersOptions) {
+    this.#options = options;
+    this.#pools = options.pools;
+  }
+
+  onAcquire(params: AcquireParams, peer: PeerConnection): AcquireReply {
+    const entry = this.#pools.get(params.pool);
+    const pool = entry?.pool;
+    if (entry?.leading !== true || pool === undefined) return { kind: 'not-leader' };
+    const { id: requestId } = params.request;
+    this.#peerUses.note(peer, params.pool, requestId);
+    let immediate: SlotDecision | undefined;
+    let answered = false;
+    pool.acquire(params.request, (decision) => {
+      if (decision.kind === 'refused') this.#peerUses.forget(peer, requestId);
+      if (!answered) immediate = this.#withEntryRevision(decision);
+      else peer.notify(DECIDED_METHOD, this.#withEntryRevision(decision));
+    });
+    answered = true;
+    return immediate === undefined ? { kind: 'queued' } : { kind: 'decided', decision: immediate };
+  }
+
+  /** So that a node that does not list the engine can tell whether it is new or gone. */
+  #withEntryRevision(decision: SlotDecision): SlotDecision {
+    if (decision.kind === 'refused') return decision;
+    const entryRevision = this.#options.fleet.entryRevision(decision.backendId);
+    return entryRevision === undefined ? decision : { ...decision, entryRevision };
+  }
+
+  onCancel(params: ReleaseParams, peer: PeerConnection): void {
+    const pool = this.#pools.get(params.pool)?.pool;
+    this.#peerUses.forget(peer, params.requestId);
+    pool?.cancel(params.requestId);
+    pool?.release(params.requestId, 'cancelled');
+  }
+
+  onStarted({ pool, requestIds }: StartedParams): void {
+    const entry = this.#pools.get(pool);
+    for (const requestId of requestIds) entry?.pool?.started(requestId);
+  }
+
+  onUses({ pool, member, uses }: UsesParams, peer: PeerConnection): void {
+    const entry = this.#pools.get(pool);
+    const adopting = entry?.pool;
+    if (entry === undefined || adopting === undefined) return;
+    entry.told.add(member);
+    for (const use of uses) {
+      this.#peerUses.note(peer, pool, use.requestId);
+      adopting.adoptUse(use);
+    }
+    this.checkUsesKnown(entry);
+  }
+
+  /** Once all members have told what they run, adapters may give way again. */
+  checkUsesKnown({ pool, told, leading }: PoolEntry): void {
+    if (!leading) return;
+    const { cluster } = this.#options;
+    const others = cluster.serving().filter(({ id }) => id !== cluster.selfId);
+    if (others.length > 0 && others.every(({ id }) => told.has(id))) pool?.usesKnown();
+  }
+
+  onRelease(params: ReleaseParams, peer: PeerConnection): void {
+    this.#peerUses.forget(peer, params.requestId);
+    this.#pools.get(params.pool)?.pool?.release(params.requestId, params.outcome);
+  }
+
+  /** A node whose connection ended can't tell any more when its requests end. */
+  onPeerClosed(peer: PeerConnection): void {
+    for (const { pool, requestId } of this.#peerUses.takeAll(peer)) {
+      this.#pools.get(pool)?.pool?.cancel(requestId);
+      this.#pools.get(pool)?.pool?.release(requestId, 'cancelled');
+    }
+  }
+}
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -21,16 +21,14 @@
 import type { Cluster } from './cluster.js';
 import { FormerLeader, type LeaderSight } from './former-leader.js';
 import { OwnUses } from './own-uses.js';
-import { PeerUses } from './peer-uses.js';
+import type { PoolEntry } from './pool-entry.js';
 import { RemoteSlots } from './remote-slots.js';
+import { SlotAnswers } from './slot-answers.js';
 import {
-  DECIDED_METHOD,
   RELEASE_METHOD,
   STARTED_METHOD,
   USES_METHOD,
   cancelledDecision,
-  type AcquireParams,
-  type AcquireReply,
   type ReleaseParams,
   type StartedParams,
   type UsesParams,
@@ -48,24 +46,14 @@
 const YOUNG_MS = 8000;
 const YOUNG_OBSERVERS = 3;
 
-interface PoolEntry {
-  readonly leadership: PoolLeadership;
-  readonly former: FormerLeader;
-  /** Members that have told what they run since this node leads. */
-  readonly told: Set<string>;
-  /** Kept while this node leads, or observes since it is next to lead. */
-  pool: SlotPool | undefined;
-  leading: boolean;
-  leadingSinceMs: number;
-}
-
 /** Leads the pools that fall to this node, and asks other nodes for slots of the pools that they lead. */
 export class SlotService implements SlotSource {
   readonly #options: SlotServiceOptions;
   readonly #pools = new Map<string, PoolEntry>();
   readonly #asked: RemoteSlots;
   readonly #uses: OwnUses;
-  readonly #peerUses = new PeerUses();
+  /** Answers to other nodes that take this one for the leader of a pool. */
+  readonly answers: SlotAnswers;
   readonly #pauses: PauseDetector;
   readonly #memory = new AdapterMemory();
   readonly #leaderChanged = new Notifier();
@@ -84,6 +72,8 @@
       options.cluster.checkPeer(address),
     );
     this.#uses = new OwnUses(options.clock);
+    const { fleet, cluster } = options;
+    this.answers = new SlotAnswers({ fleet, cluster, pools: this.#pools });
     this.#startedMs = options.clock.now();
     this.#pauses = new PauseDetector(options.clock, options.timing.leaseMs / 3);
     this.#pauses.onPause((pausedMs) => {
@@ -236,77 +226,6 @@
     this.#asked.onDecided(decision);
   }
 
-  // --- answering ---------------------------------------------------------------------------------
-
-  onAcquire(params: AcquireParams, peer: PeerConnection): AcquireReply {
-    const entry = this.#pools.get(params.pool);
-    const pool = entry?.pool;
-    if (entry?.leading !== true || pool === undefined) return { kind: 'not-leader' };
-    const { id: requestId } = params.request;
-    this.#peerUses.note(peer, params.pool, requestId);
-    let immediate: SlotDecision | undefined;
-    let answered = false;
-    pool.acquire(params.request, (decision) => {
-      if (decision.kind === 'refused') this.#peerUses.forget(peer, requestId);
-      if (!answered) immediate = this.#withEntryRevision(decision);
-      else peer.notify(DECIDED_METHOD, this.#withEntryRevision(decision));
-    });
-    answered = true;
-    return immediate === undefined ? { kind: 'queued' } : { kind: 'decided', decision: immediate };
-  }
-
-  /** So that a node that does not list the engine can tell whether it is new or gone. */
-  #withEntryRevision(decision: SlotDecision): SlotDecision {
-    if (decision.kind === 'refused') return decision;
-    const entryRevision = this.#options.fleet.entryRevision(decision.backendId);
-    return entryRevision === undefined ? decision : { ...decision, entryRevision };
-  }
-
-  onCancel(params: ReleaseParams, peer: PeerConnection): void {
-    const pool = this.#pools.get(params.pool)?.pool;
-    this.#peerUses.forget(peer, params.requestId);
-    pool?.cancel(params.requestId);
-    pool?.release(params.requestId, 'cancelled');
-  }
-
-  onStarted({ pool, requestIds }: StartedParams): void {
-    const entry = this.#pools.get(pool);
-    for (const requestId of requestIds) entry?.pool?.started(requestId);
-  }
-
-  onUses({ pool, member, uses }: UsesParams, peer: PeerConnection): void {
-    const entry = this.#pools.get(pool);
-    const adopting = entry?.pool;
-    if (entry === undefined || adopting === undefined) return;
-    entry.told.add(member);
-    for (const use of uses) {
-      this.#peerUses.note(peer, pool, use.requestId);
-      adopting.adoptUse(use);
-    }
-    this.#checkUsesKnown(entry);
-  }
-
-  /** Once all members have told what they run, adapters may give way again. */
-  #checkUsesKnown({ pool, told, leading }: PoolEntry): void {
-    if (!leading) return;
-    const { cluster } = this.#options;
-    const others = cluster.serving().filter(({ id }) => id !== cluster.selfId);
-    if (others.length > 0 && others.every(({ id }) => told.has(id))) pool?.usesKnown();
-  }
-
-  onRelease(params: ReleaseParams, peer: PeerConnection): void {
-    this.#peerUses.forget(peer, params.requestId);
-    this.#pools.get(params.pool)?.pool?.release(params.requestId, params.outcome);
-  }
-
-  /** A node whose connection ended can't tell any more when its requests end. */
-  onPeerClosed(peer: PeerConnection): void {
-    for (const { pool, requestId } of this.#peerUses.takeAll(peer)) {
-      this.#pools.get(pool)?.pool?.cancel(requestId);
-      this.#pools.get(pool)?.pool?.release(requestId, 'cancelled');
-    }
-  }
-
   // --- leading -----------------------------------------------------------------------------------
 
   async #run(): Promise<void> {
@@ -395,7 +314,7 @@
     entry.leadingSinceMs = this.#options.clock.now();
     entry.pool.lead();
     for (const use of this.#uses.of(name)) entry.pool.adoptUse(use);
-    this.#checkUsesKnown(entry);
+    this.answers.checkUsesKnown(entry);
   }
 
   #endRole(entry: PoolEntry): void {
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -120,7 +120,7 @@
     const random = new Random(hashSeed(processToken));
     this.#network = new PeerNetwork(
       this.#methods(),
-      (peer) => this.#slots.onPeerClosed(peer),
+      (peer) => this.#slots.answers.onPeerClosed(peer),
       (address) => this.#cluster.peerRefused(address),
     );
     this.#cluster = new Cluster({
@@ -297,11 +297,11 @@
     return {
       [SNAPSHOT_METHOD]: (params) => snapshotFor(this.fleet, params as SnapshotRequest),
       [FOLLOW_METHOD]: (params) => this.#follower.answer(params as FollowRequest),
-      [ACQUIRE_METHOD]: (params, peer) => this.#slots.onAcquire(params as AcquireParams, peer),
-      [CANCEL_METHOD]: (params, peer) => this.#slots.onCancel(params as ReleaseParams, peer),
-      [STARTED_METHOD]: (params) => this.#slots.onStarted(params as StartedParams),
-      [USES_METHOD]: (params, peer) => this.#slots.onUses(params as UsesParams, peer),
-      [RELEASE_METHOD]: (params, peer) => this.#slots.onRelease(params as ReleaseParams, peer),
+      [ACQUIRE_METHOD]: (params, peer) => this.#slots.answers.onAcquire(params as AcquireParams, peer),
+      [CANCEL_METHOD]: (params, peer) => this.#slots.answers.onCancel(params as ReleaseParams, peer),
+      [STARTED_METHOD]: (params) => this.#slots.answers.onStarted(params as StartedParams),
+      [USES_METHOD]: (params, peer) => this.#slots.answers.onUses(params as UsesParams, peer),
+      [RELEASE_METHOD]: (params, peer) => this.#slots.answers.onRelease(params as ReleaseParams, peer),
       [DECIDED_METHOD]: (params) => this.#slots.onDecided(params as SlotDecision),
     };
   }
