Go on with a planned stop when SIGTERM comes again

Excluded: the soak's caller (the node never wrote request.finished); a kill (none within 5 s). Change: the listener stays; SIGINT keeps its second meaning, ending at once.

--- a/packages/settings/src/settings-command.ts
+++ b/packages/settings/src/settings-command.ts
@@ -39,7 +39,8 @@
 /** Resolves at SIGTERM or SIGINT. */
 export function stopSignal(): Promise<void> {
   return new Promise((resolve) => {
-    process.once('SIGTERM', () => resolve());
+    // Stays: without a listener a second SIGTERM would end the process in the middle of its planned stop.
+    process.on('SIGTERM', () => resolve());
     process.once('SIGINT', () => resolve());
   });
 }
