--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -24,6 +24,7 @@
 import type { PoolEntry } from './pool-entry.js';
 import { RemoteSlots } from './remote-slots.js';
 import { SlotAnswers } from './slot-answers.js';
+import { isSoleLeader } from './sole-leader.js';
 import {
   RELEASE_METHOD,
   STARTED_METHOD,
@@ -334,11 +335,10 @@
     return followers.slice(0, isYoung ? YOUNG_OBSERVERS : 1).includes(cluster.selfId);
   }
 
-  /** Whether this node has led so long, in sight of all, that no other node can still take itself for the leader. */
-  #isSoleLeader(entry: PoolEntry): boolean {
+  #isSoleLeader({ leading, leadingSinceMs }: PoolEntry): boolean {
     const { clock, timing, cluster } = this.#options;
-    const ledMs = clock.now() - entry.leadingSinceMs;
-    return entry.leading && ledMs > timing.leaseMs + timing.leaseMarginMs && cluster.seesAll();
+    const standing = { leadingSinceMs, unsureSinceMs: this.#unsureSinceMs, seesAll: cluster.seesAll() };
+    return leading && isSoleLeader(standing, clock.now(), timing.leaseMs + timing.leaseMarginMs);
   }
 
   /**
