--- a/packages/slots/test/order-lease.test.ts
+++ b/packages/slots/test/order-lease.test.ts
@@ -80,6 +80,23 @@
   t.deepEqual(engine.violations, []);
 });
 
+test('the next holder has a higher fence also after an order that changed nothing', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e');
+  const first = newLease(clock, engine, 9).lease;
+  await clock.runUntil(5000);
+  void first.order(unload('absent'));
+  await clock.runUntil(5100);
+  const seen = engine.highestFence;
+  first.close();
+  const second = newLease(clock, engine, 1).lease;
+  await clock.runUntil(10_000);
+  void second.order(load('b'));
+  await clock.runUntil(10_100);
+  t.is(engine.taken.length, 1);
+  t.true((engine.taken[0]?.order.fence ?? 0) > seen);
+});
+
 test('a holder that slept through the turn of another finds out and gives no order', async (t) => {
   const clock = new VirtualClock();
   const engine = new SimulatedEngine(clock, 'e');
--- a/packages/slots/test/simulated-engines.ts
+++ b/packages/slots/test/simulated-engines.ts
@@ -69,6 +69,11 @@
     return held !== undefined && held.readyAtMs <= this.#clock.now();
   }
 
+  /** The highest fence of any order that came, also of one that changed nothing. */
+  get highestFence(): number {
+    return this.#highestFence;
+  }
+
   async report(): Promise<EngineReport | undefined> {
     await this.#clock.sleep(2 * ONE_WAY_MS);
     if (!this.reachable) return undefined;
