--- a/packages/gateway/src/cluster/departure-budget.ts
+++ b/packages/gateway/src/cluster/departure-budget.ts
@@ -4,7 +4,8 @@
  *
  * Where each node reads the store, the news takes one step: a reader pauses after changes, so that many come together.
  * Where a few nodes read it for the others, a follower's list is at most
- * `trustedAge + poll + three hedges` = 0.57 of the bound old, whichever readers are cut off or stand still: an
+ * `trustedAge + poll + three hedges` = 0.57 of the bound old while it reaches a reader in touch with the store, with
+ * calls on their way and waits for processor time on top: an
  * answer counts only if its reader heard from the store `trustedAge` ago or later, and a reader that is silent is
  * passed over after a hedge. What is left is for the sender: to ask for a slot, to connect, for what its link holds.
  */
