--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -365,6 +365,7 @@
       holder,
       telemetry,
       mayOrder: () => entry.leading && this.#mayOrder(),
+      term: () => entry.leadership.term,
       mayObserve: () => !this.#resigned,
       mayTakeUnused: () => this.#isSoleLeader(entry),
       mayTakeAtOnce: () => this.#mayTakeAtOnce(entry),
--- a/packages/slots/src/order-lease.ts
+++ b/packages/slots/src/order-lease.ts
@@ -4,14 +4,23 @@
 import type { EngineControl, EngineReport, OrderReply, OrderSubject } from './engine-control.js';
 import type { SlotTiming } from './timing.js';
 
-/** Room for the part of a fence that is the holder's own. */
-const HOLDER_RANGE = 2 ** 32;
+/** Room for the part of a fence below the count: the term, then the holder's number. Counts up to 2^21 stay exact. */
+const COUNT_STEP = 2 ** 32;
+/** Room for the holder's number. */
+const TERM_STEP = 2 ** 22;
+/** Later terms count as this one. */
+const HIGHEST_TERM = COUNT_STEP / TERM_STEP - 1;
+/**
+ * How many counts above the engine's a new holder's first fence stands. An order that changes nothing raises the fence
+ * that the engine saw but not its count, so the fence of the holder before can lie anywhere within the count's own range.
+ */
+const FIRST_FENCE_LEAD = 1;
 /** Orders with higher and higher fences before a holder that is refused takes another one to be active. */
 const MOST_FENCED_ORDERS = 2;
 
 export interface OrderHolder {
   readonly name: string;
-  /** Different for every machine, from 0 to 2^32 - 1. */
+  /** Different for every machine; its lowest 22 bits are used. */
   readonly number: number;
 }
 
@@ -24,6 +33,8 @@
   readonly telemetry: Telemetry;
   /** Whether this node may give orders at all; asked before each. */
   readonly mayOrder: () => boolean;
+  /** Rises with each change of the leader, as far as this node saw them. */
+  readonly term: () => number;
   /** Whether this node reads reports, so as to become holder without delay once it may order. */
   readonly mayObserve: () => boolean;
   /** Whether an engine that never took an order can be taken at once, as no other node can lead. */
@@ -57,8 +68,10 @@
  * The right to give orders to one engine, without any memory outside of it. The
  * engine's count of orders is the register: a node becomes holder when the count has stood still for a lease,
  * as its own reports show, and each order names the count that it expects. So the order of another holder is
- * either seen while waiting, or makes the next order here fail. The fence is the expected count with the
- * holder's own number below it: it rises with each order taken, and no two holders ever use the same.
+ * either seen while waiting, or makes the next order here fail. The fence is the expected count with the term
+ * and the holder's own number below it: it rises with each order taken, and no two holders ever use the same. A new
+ * holder starts a count higher, since orders that change nothing are not counted but have fences, too. If its own first
+ * orders are of that kind, it is the term that keeps the fence of the next one above its own.
  *
  * Where engines refuse lower fences, a holder that follows one that is gone does not wait: an order of the
  * former one that still arrives names a count that has passed.
@@ -148,8 +161,7 @@
     const { backend, control, holder, mayOrder, clock, telemetry } = this.#options;
     if (!mayOrder() || this.#state.kind !== 'held') return { kind: 'not-held' };
     const expectedCount = this.#state.nextCount;
-    const fence = Math.max(expectedCount * HOLDER_RANGE + holder.number, this.#highestFence);
-    this.#highestFence = fence;
+    const fence = this.#raiseFenceTo(expectedCount);
     const startedMs = clock.now();
     const reply = await control.order(backend, { ...subject, expectedCount, holder: holder.name, fence });
     telemetry.event('info', 'order.answered', backend.id, {
@@ -188,7 +200,7 @@
       case 'rejected':
         return;
       case 'fenced':
-        this.#raiseFence(sinceMs);
+        this.#meetHigherFence(sinceMs);
         return;
       case 'other-instance':
         this.close();
@@ -196,13 +208,21 @@
     }
   }
 
+  /** The fence for an order that expects a count; it never falls. */
+  #raiseFenceTo(count: number): number {
+    const { holder, term } = this.#options;
+    const ownPart = Math.min(term(), HIGHEST_TERM) * TERM_STEP + (holder.number % TERM_STEP);
+    this.#highestFence = Math.max(this.#highestFence, count * COUNT_STEP + ownPart);
+    return this.#highestFence;
+  }
+
   /**
    * The engine saw a higher fence: of a holder that is gone, whose last orders the report did not show yet, or of
    * one that is active. In the first case a few higher fences get through, in the second a whole lease is waited.
    * After an order that was taken it is the second.
    */
-  #raiseFence(sinceMs: number): void {
-    this.#highestFence += HOLDER_RANGE;
+  #meetHigherFence(sinceMs: number): void {
+    this.#highestFence += COUNT_STEP;
     this.#fencedOrders += 1;
     if (!this.#hasOrdered && this.#fencedOrders <= MOST_FENCED_ORDERS) {
       this.#enter({ kind: 'settling', possibleCounts: undefined, sinceMs });
@@ -289,7 +309,10 @@
   }
 
   #take(report: EngineReport, how: string): void {
-    if (how !== 'settled') this.#hasOrdered = false;
+    if (how !== 'settled') {
+      this.#hasOrdered = false;
+      this.#raiseFenceTo(report.orderCount + FIRST_FENCE_LEAD);
+    }
     this.#state = { kind: 'held', nextCount: report.orderCount };
     this.#options.telemetry.event('info', 'order-lease.held', this.#options.backend.id, {
       how,
--- a/packages/slots/src/pool-leadership.ts
+++ b/packages/slots/src/pool-leadership.ts
@@ -51,6 +51,11 @@
     return this.#leader;
   }
 
+  /** Highest epoch of any claim seen so far: rises with each change of the leader. */
+  get term(): number {
+    return this.#highestEpoch;
+  }
+
   get isLeader(): boolean {
     return this.#leader === this.#peers.selfId;
   }
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -31,6 +31,8 @@
   readonly holder: OrderHolder;
   readonly telemetry: Telemetry;
   readonly mayOrder: () => boolean;
+  /** Rises with each change of the leader, as far as this node saw them. */
+  readonly term: () => number;
   readonly mayObserve: () => boolean;
   /** Whether an engine that never took an order can be taken at once, as no other node can lead. */
   readonly mayTakeUnused: () => boolean;
--- a/packages/slots/test/new-pool.ts
+++ b/packages/slots/test/new-pool.ts
@@ -18,6 +18,7 @@
     holder: { name: `node-${number}`, number },
     telemetry: new Telemetry({ processName: 'test', clock }),
     mayOrder: () => true,
+    term: () => number,
     mayObserve: () => true,
     mayTakeUnused: () => false,
     mayTakeAtOnce: () => false,
--- a/packages/slots/test/order-lease.test.ts
+++ b/packages/slots/test/order-lease.test.ts
@@ -4,6 +4,9 @@
 import { DEFAULT_SLOT_TIMING, OrderLease, type EngineReport, type OrderSubject } from '../src/index.js';
 import { LEASE_MS, MODEL, SimulatedControl, SimulatedEngine } from './simulated-engines.js';
 
+/** Leases made so far: each one later is of a later leader, as nodes learn from one another. */
+let leasesMade = 0;
+
 const TIMING = { ...DEFAULT_SLOT_TIMING, leaseMs: LEASE_MS };
 
 function newLease(
@@ -13,6 +16,7 @@
   mayOrder: () => boolean = () => true,
   mayTakeUnused = false,
   mayTakeAtOnce = (): boolean => false,
+  term = (leasesMade += 1),
 ): { lease: OrderLease; reports: EngineReport[] } {
   const reports: EngineReport[] = [];
   const lease = new OrderLease({
@@ -23,6 +27,7 @@
     holder: { name: `node-${number}`, number },
     telemetry: new Telemetry({ processName: 'test', clock }),
     mayOrder,
+    term: () => term,
     mayObserve: () => true,
     mayTakeUnused: () => mayTakeUnused,
     mayTakeAtOnce,
@@ -97,6 +102,26 @@
   t.true((engine.taken[0]?.order.fence ?? 0) > seen);
 });
 
+test('a holder that knows nothing of former ones has a higher fence than one whose last order changed nothing', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e');
+  const [always, never] = [(): boolean => true, (): boolean => false];
+  const first = newLease(clock, engine, 9, always, false, never, 1).lease;
+  await clock.runUntil(5000);
+  void first.order(load('a'));
+  await clock.runUntil(5500);
+  void first.order(unload('absent'));
+  await clock.runUntil(5600);
+  const seen = engine.highestFence;
+  first.close();
+  const second = newLease(clock, engine, 1, always, false, never, 1).lease;
+  await clock.runUntil(10_000);
+  void second.order(load('b'));
+  await clock.runUntil(10_100);
+  t.is(engine.taken.length, 2);
+  t.true((engine.taken[1]?.order.fence ?? 0) > seen);
+});
+
 test('a holder that slept through the turn of another finds out and gives no order', async (t) => {
   const clock = new VirtualClock();
   const engine = new SimulatedEngine(clock, 'e');
