Keep lists of members until one changes

Cause: each message, each tick (ten a second) and each look at candidates copied and sorted all members: time in proportion to the fleet, on nodes with a third of a core. Change: the member table, the cluster's view, ranks of candidates and the digest are kept until a member or record changes; PeerSight notes who went out of sight in place of when each was last seen.

--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -52,6 +52,20 @@
 /** The count of nodes is the largest seen within this time. */
 const NODE_COUNT_WINDOW_MS = 30_000;
 
+/** The members at one moment, sorted by what is asked of them; kept until a member changes, as it is asked for often. */
+interface MemberView {
+  /** Lists of the membership that this was made from. */
+  readonly known: readonly Member[];
+  readonly present: readonly Member[];
+  readonly serving: readonly Member[];
+  /** Names of members in sight, without this node. */
+  readonly visible: readonly string[];
+  /** Names of members that announced that they leave or have left. */
+  readonly departed: readonly string[];
+  /** By the pool's name: see {@link Cluster.candidates}. */
+  readonly candidates: Map<string, readonly string[]>;
+}
+
 interface ClaimRecord {
   readonly epoch: number;
   readonly token: string;
@@ -63,6 +77,7 @@
   readonly #membership: Membership;
   readonly #sight: PeerSight;
   readonly #addresses = new Set<string>();
+  #view: MemberView | undefined;
   #nodeCount = 1;
   #nodeCountAtMs = 0;
   #leaving = false;
@@ -107,13 +122,9 @@
   /** Looks at the members anew; to be called a few times a second. */
   update(): void {
     const nowMs = this.#options.clock.now();
-    const others = this.#others();
-    const departed = this.#membership.departed();
-    this.#sight.update(
-      others.filter((member) => member.state !== 'suspect').map((member) => member.id),
-      departed,
-    );
-    const count = others.length + 1;
+    const { present, visible, departed } = this.#members();
+    this.#sight.update(visible, departed);
+    const count = present.length;
     if (count >= this.#nodeCount || nowMs - this.#nodeCountAtMs > NODE_COUNT_WINDOW_MS) {
       this.#nodeCount = count;
       this.#nodeCountAtMs = nowMs;
@@ -150,8 +161,8 @@
   }
 
   /** Members believed to serve, this node included unless it is stopping. */
-  serving(): Member[] {
-    return this.#membership.present().filter((member) => member.state === 'alive');
+  serving(): readonly Member[] {
+    return this.#members().serving;
   }
 
   peerAddress(id: string): string | undefined {
@@ -166,8 +177,8 @@
 
   /** Peer addresses of members that answer. */
   peerAddresses(): string[] {
-    return this.#others()
-      .filter((member) => member.state === 'alive')
+    return this.serving()
+      .filter((member) => member.id !== this.selfId)
       .map((member) => member.peerUrl);
   }
 
@@ -176,22 +187,12 @@
    * was restarted do: in a rolling restart they are done. The same on all nodes.
    */
   candidates(pool: string): readonly string[] {
-    const able = this.#membership.present().filter((member) => member.state === 'alive');
-    return able
-      .map(({ id, processToken, capacity }) => ({
-        id,
-        capacity,
-        restarted: processToken.startsWith(RESTARTED_PREFIX),
-        score: hashSeed(`${pool}/${id}`),
-      }))
-      .sort(
-        (a, b) =>
-          b.capacity - a.capacity ||
-          Number(b.restarted) - Number(a.restarted) ||
-          b.score - a.score ||
-          (a.id < b.id ? -1 : 1),
-      )
-      .map((entry) => entry.id);
+    const { candidates, serving } = this.#members();
+    const known = candidates.get(pool);
+    if (known !== undefined) return known;
+    const ranked = rankedToLead(pool, serving);
+    candidates.set(pool, ranked);
+    return ranked;
   }
 
   claims(pool: string): readonly PoolClaim[] {
@@ -226,8 +227,23 @@
     return !this.#leaving && this.#sight.seesAll();
   }
 
-  #others(): Member[] {
-    return this.#membership.present().filter((member) => member.id !== this.selfId);
+  #members(): MemberView {
+    const known = this.#membership.known();
+    const present = this.#membership.present();
+    if (this.#view?.known !== known || this.#view.present !== present) {
+      this.#view = this.#viewOf(known, present);
+    }
+    return this.#view;
+  }
+
+  #viewOf(known: readonly Member[], present: readonly Member[]): MemberView {
+    const others = present.filter((member) => member.id !== this.selfId);
+    const visible = others.filter((member) => member.state !== 'suspect').map((member) => member.id);
+    const departed = known
+      .filter((member) => member.state === 'left' || member.state === 'draining')
+      .map((member) => member.id);
+    const serving = present.filter((member) => member.state === 'alive');
+    return { known, present, serving, visible, departed, candidates: new Map() };
   }
 
   /** Every address ever heard of stays a place to ask, since seeds alone may not lead back after a partition. */
@@ -236,3 +252,21 @@
     else if (this.#addresses.size < REMEMBERED_ADDRESSES) this.#addresses.add(member.gossip);
   }
 }
+
+function rankedToLead(pool: string, serving: readonly Member[]): string[] {
+  return serving
+    .map(({ id, processToken, capacity }) => ({
+      id,
+      capacity,
+      restarted: processToken.startsWith(RESTARTED_PREFIX),
+      score: hashSeed(`${pool}/${id}`),
+    }))
+    .sort(
+      (a, b) =>
+        b.capacity - a.capacity ||
+        Number(b.restarted) - Number(a.restarted) ||
+        b.score - a.score ||
+        (a.id < b.id ? -1 : 1),
+    )
+    .map((entry) => entry.id);
+}
--- a/packages/membership/src/member-table.ts
+++ b/packages/membership/src/member-table.ts
@@ -2,6 +2,8 @@
 import { isPresent, overrides, type Member, type MemberIdentity, type MemberState } from './member.js';
 
 interface Entry {
+  /** What callers are given; made anew when something changes. */
+  member: Member | undefined;
   identity: MemberIdentity;
   incarnation: number;
   state: MemberState;
@@ -20,10 +22,16 @@
   readonly onChange: (member: Member, before: MemberState | undefined) => void;
 }
 
-/** What this node believes of every other member, merged by incarnation and state. */
+/**
+ * What this node believes of every other member, merged by incarnation and state. Lists of members are kept until
+ * something changes: they are asked for with each message, and to build them takes time in proportion to the fleet.
+ */
 export class MemberTable {
   readonly #options: MemberTableOptions;
   readonly #entries = new Map<string, Entry>();
+  #all: readonly Member[] | undefined;
+  #present: readonly Member[] | undefined;
+  #version = 0;
 
   constructor(options: MemberTableOptions) {
     this.#options = options;
@@ -34,13 +42,20 @@
     return entry === undefined ? undefined : toMember(entry);
   }
 
+  /** Rises with each change of any member. */
+  get version(): number {
+    return this.#version;
+  }
+
   /** Members that take part in the protocol: alive, suspect or draining. */
-  present(): Member[] {
-    return [...this.#entries.values()].filter((entry) => isPresent(entry.state)).map(toMember);
+  present(): readonly Member[] {
+    this.#present ??= this.all().filter((member) => isPresent(member.state));
+    return this.#present;
   }
 
-  all(): Member[] {
-    return [...this.#entries.values()].map(toMember);
+  all(): readonly Member[] {
+    this.#all ??= [...this.#entries.values()].map(toMember);
+    return this.#all;
   }
 
   suspicionAgeMs(id: string): number {
@@ -60,6 +75,7 @@
     if (entry === undefined) {
       if (!isPresent(state)) return false;
       const added: Entry = {
+        member: undefined,
         identity,
         incarnation,
         state,
@@ -93,6 +109,7 @@
     for (const [id, entry] of this.#entries) {
       if (isPresent(entry.state) || nowMs - entry.removedAtMs < this.#options.forgetMs) continue;
       this.#entries.delete(id);
+      this.#outdateLists();
       forgotten.push(id);
     }
     return forgotten;
@@ -106,8 +123,16 @@
     this.#changed(entry, before, suspicionAgeMs);
   }
 
+  #outdateLists(): void {
+    this.#all = undefined;
+    this.#present = undefined;
+    this.#version += 1;
+  }
+
   #changed(entry: Entry, before: MemberState | undefined, suspicionAgeMs: number): void {
     const nowMs = this.#options.clock.now();
+    entry.member = undefined;
+    this.#outdateLists();
     entry.expiry?.cancel();
     entry.expiry = undefined;
     if (!isPresent(entry.state)) entry.removedAtMs = nowMs;
@@ -127,5 +152,6 @@
 }
 
 function toMember(entry: Entry): Member {
-  return { ...entry.identity, incarnation: entry.incarnation, state: entry.state };
+  entry.member ??= { ...entry.identity, incarnation: entry.incarnation, state: entry.state };
+  return entry.member;
 }
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -69,6 +69,8 @@
   #incarnation: number;
   #state: MemberState = 'alive';
   #selfMember: Member | undefined;
+  #presentWithSelf: { readonly others: readonly Member[]; readonly all: readonly Member[] } | undefined;
+  #lastDigest: { readonly of: string; readonly text: string } | undefined;
   #recordVersion: number;
   #sequence = 0;
   #lastProbeAtMs: number;
@@ -164,10 +166,16 @@
     return id === this.identity.id ? this.self() : this.#table.get(id);
   }
 
-  /** All members believed present, this node included. */
-  present(): Member[] {
+  /** All members believed present, this node included. The same list is given until something changes. */
+  present(): readonly Member[] {
     const others = this.#table.present();
-    return isPresent(this.#state) ? [...others, this.self()] : others;
+    if (!isPresent(this.#state)) return others;
+    const self = this.self();
+    const last = this.#presentWithSelf;
+    if (last?.others === others && last.all.at(-1) === self) return last.all;
+    const all = [...others, self];
+    this.#presentWithSelf = { others, all };
+    return all;
   }
 
   /** Probes the member with this peer address at once, as something else made it seem silent. */
@@ -192,12 +200,9 @@
     return this.#table.present().find((member) => member.peerUrl === peerUrl);
   }
 
-  /** Names of members that announced that they leave or have left. */
-  departed(): string[] {
-    return this.#table
-      .all()
-      .filter((member) => member.state === 'left' || member.state === 'draining')
-      .map((member) => member.id);
+  /** All other members that are known, those that are gone included. The same list is given until something changes. */
+  known(): readonly Member[] {
+    return this.#table.all();
   }
 
   // --- tasks -------------------------------------------------------------------------------------
@@ -450,15 +455,16 @@
   readonly #transmissions = (): number =>
     TRANSMISSION_FACTOR + Math.ceil(Math.log2(this.#table.present().length + 2));
 
+  /** Different members by chance, at most `count`. */
   #someMembers(count: number, except = ''): Member[] {
-    const candidates = this.#table.present().filter((member) => member.id !== except);
-    const chosen: Member[] = [];
-    while (chosen.length < count && candidates.length > 0) {
-      const index = this.#random.integer(candidates.length);
-      const [member] = candidates.splice(index, 1);
-      if (member !== undefined) chosen.push(member);
+    const candidates = this.#table.present();
+    const chosen = new Set<Member>();
+    const most = Math.min(count, candidates.filter((member) => member.id !== except).length);
+    while (chosen.size < most) {
+      const member = this.#random.pick(candidates);
+      if (member !== undefined && member.id !== except) chosen.add(member);
     }
-    return chosen;
+    return [...chosen];
   }
 
   #pushToMany(): void {
@@ -508,8 +514,12 @@
 
   /** A short text that is the same on two nodes that know the same. */
   #digest(): string {
-    const versions = this.#versions().map((version) => version.slice(1).join('/'));
-    return String(hashSeed(versions.sort().join(',')));
+    const of = `${this.#table.version}/${this.#records.version}/${this.#incarnation}/${this.#state}`;
+    if (this.#lastDigest?.of !== of) {
+      const versions = this.#versions().map((version) => version.slice(1).join('/'));
+      this.#lastDigest = { of, text: String(hashSeed(versions.sort().join(','))) };
+    }
+    return this.#lastDigest.text;
   }
 
   #versions(): EncodedUpdate[] {
--- a/packages/membership/src/record-table.ts
+++ b/packages/membership/src/record-table.ts
@@ -11,6 +11,12 @@
 /** The newest value of each key of each node. */
 export class RecordTable {
   readonly #byOwner = new Map<string, Map<string, PublishedRecord>>();
+  #version = 0;
+
+  /** Rises with each change of any record. */
+  get version(): number {
+    return this.#version;
+  }
 
   /** Takes an update over if it is newer; returns whether it was. */
   merge(update: RecordUpdate): boolean {
@@ -21,6 +27,7 @@
     }
     const known = records.get(update.key);
     if (known !== undefined && known.version >= update.version) return false;
+    this.#version += 1;
     records.set(update.key, {
       owner: update.owner,
       key: update.key,
@@ -31,7 +38,7 @@
   }
 
   forget(owner: string): void {
-    this.#byOwner.delete(owner);
+    if (this.#byOwner.delete(owner)) this.#version += 1;
   }
 
   *all(): Iterable<PublishedRecord> {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -99,7 +99,7 @@
     this.fleet.bind(this.ownership);
     const self = (): Member => this.membership.self();
     const member = (id: string): Member | undefined => this.membership.get(id);
-    const present = (): Member[] => this.membership.present();
+    const present = (): readonly Member[] => this.membership.present();
     const keys = new RequestKeys(clock);
     this.#keys = new KeyProtocol({
       self,
--- a/packages/slots/src/peer-sight.ts
+++ b/packages/slots/src/peer-sight.ts
@@ -13,8 +13,10 @@
   readonly #selfId: string;
   readonly #aloneAfterMs: number;
   readonly #startedMs: number;
-  readonly #lastSeenMs = new Map<string, number>();
+  #alive: readonly string[] = [];
   #visible = new Set<string>();
+  /** Members that went out of sight without a word, and when that was noticed. */
+  readonly #lostAtMs = new Map<string, number>();
 
   /** @param aloneAfterMs time after its start from which a node that never met another acts alone */
   constructor(clock: Clock, selfId: string, aloneAfterMs: number) {
@@ -24,26 +26,37 @@
     this.#startedMs = clock.now();
   }
 
-  /** @param alive members believed alive, without this node @param departed members that said they leave */
+  /**
+   * @param alive members believed alive, without this node; the same list as long as nothing changed
+   * @param departed members that said they leave
+   */
   update(alive: readonly string[], departed: readonly string[]): void {
     const nowMs = this.#clock.now();
+    if (alive !== this.#alive) this.#see(alive, nowMs);
+    for (const id of departed) if (!this.#visible.has(id)) this.#lostAtMs.delete(id);
+    for (const [id, lostMs] of this.#lostAtMs) if (nowMs - lostMs > RECENT_MS) this.#lostAtMs.delete(id);
+  }
+
+  #see(alive: readonly string[], nowMs: number): void {
+    const before = this.#visible;
+    this.#alive = alive;
     this.#visible = new Set(alive);
-    for (const id of alive) this.#lastSeenMs.set(id, nowMs);
-    for (const id of departed) if (!this.#visible.has(id)) this.#lastSeenMs.delete(id);
-    for (const [id, seenMs] of this.#lastSeenMs) if (nowMs - seenMs > RECENT_MS) this.#lastSeenMs.delete(id);
+    for (const id of before) if (!this.#visible.has(id)) this.#lostAtMs.set(id, nowMs);
+    for (const id of alive) this.#lostAtMs.delete(id);
   }
 
   seesAll(): boolean {
-    return this.#visible.size > 0 && this.#lastSeenMs.size === this.#visible.size;
+    return this.#visible.size > 0 && this.#lostAtMs.size === 0;
   }
 
   seesMost(): boolean {
-    if (this.#visible.size === 0 && this.#lastSeenMs.size === 0) {
+    if (this.#visible.size === 0 && this.#lostAtMs.size === 0) {
       return this.#clock.now() - this.#startedMs >= this.#aloneAfterMs;
     }
-    const recent = [...this.#lastSeenMs.keys(), this.#selfId];
     const visible = this.#visible.size + 1;
-    if (visible * 2 !== recent.length) return visible * 2 > recent.length;
+    const lost = this.#lostAtMs.size;
+    if (visible !== lost) return visible > lost;
+    const recent = [...this.#visible, ...this.#lostAtMs.keys(), this.#selfId];
     const smallest = recent.reduce((least, id) => (id < least ? id : least));
     return smallest === this.#selfId || this.#visible.has(smallest);
   }
