Trial: send callers to the nodes that can carry most

Hypothesis: fewer, stronger entry nodes start requests sooner, are back sooner and keep connections.

--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -9,6 +9,7 @@
 } from '@canvasridge/membership';
 import { PeerSight, type LeadershipPeers, type PoolClaim } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
+import type { DirectorySight } from './directory.js';
 
 export interface ClusterOptions {
   readonly nodeId: string;
@@ -49,6 +50,7 @@
 /** Begins the token of a process that is not the first on its machine. */
 export const RESTARTED_PREFIX = 'restarted-';
 const CLAIM_PREFIX = 'lead/';
+const BUSY_KEY = 'busy';
 /** The count of nodes is the largest seen within this time. */
 const NODE_COUNT_WINDOW_MS = 30_000;
 
@@ -71,8 +73,13 @@
   readonly token: string;
 }
 
+/** Published by a node that has more to do than it can bear; null once it is calm again. */
+interface BusyRecord {
+  readonly token: string;
+}
+
 /** The other nodes, as this one sees them. */
-export class Cluster implements LeadershipPeers {
+export class Cluster implements LeadershipPeers, DirectorySight {
   readonly #options: ClusterOptions;
   readonly #membership: Membership;
   readonly #sight: PeerSight;
@@ -196,19 +203,34 @@
   }
 
   claims(pool: string): readonly PoolClaim[] {
-    const key = CLAIM_PREFIX + pool;
     const claims: PoolClaim[] = [];
+    for (const { member, value } of this.#published<ClaimRecord>(CLAIM_PREFIX + pool)) {
+      const { state } = member;
+      if (member.id === this.selfId || (state !== 'alive' && state !== 'suspect')) continue;
+      claims.push({ memberId: member.id, epoch: value.epoch });
+    }
+    return claims;
+  }
+
+  /** Names of members that have more to do than they can bear. */
+  busy(): ReadonlySet<string> {
+    return new Set([...this.#published<BusyRecord>(BUSY_KEY)].map(({ member }) => member.id));
+  }
+
+  publishBusy(busy: boolean): void {
+    const value: BusyRecord | null = busy ? { token: this.#options.processToken } : null;
+    this.#membership.publish(BUSY_KEY, value);
+    this.#membership.pushNow();
+  }
+
+  /** What processes that run now published under a key; what one before a restart did says nothing of them. */
+  *#published<T extends { readonly token: string }>(key: string): Iterable<{ member: Member; value: T }> {
     for (const record of this.#membership.records()) {
-      if (record.key !== key || record.owner === this.selfId) continue;
-      const claim = record.value as ClaimRecord | null;
+      if (record.key !== key) continue;
+      const value = record.value as T | null;
       const member = this.#membership.get(record.owner);
-      // A claim of the process before a restart says nothing of the one that runs now.
-      if (claim === null || member === undefined || member.processToken !== claim.token) continue;
-      if (member.state === 'alive' || member.state === 'suspect') {
-        claims.push({ memberId: record.owner, epoch: claim.epoch });
-      }
+      if (value !== null && member?.processToken === value.token) yield { member, value };
     }
-    return claims;
   }
 
   publishClaim(pool: string, epoch: number | undefined): void {
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -110,6 +110,12 @@
     return false;
   }
 
+  /** Names of the nodes that lead pools, as far as this one knows. */
+  leaders(): ReadonlySet<string> {
+    const leaders = [...this.#pools.values()].map(({ leadership }) => leadership.leader);
+    return new Set(leaders.filter((leader) => leader !== undefined));
+  }
+
   /** Figures of the pools that this node leads. */
   describe(): (PoolFigures & { pool: string })[] {
     const rows = [];
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -50,6 +50,11 @@
     labelNames: ['state'],
     registers: [this.registry],
   });
+  readonly loopLag = new Gauge({
+    name: 'canvasridge_loop_lag_seconds',
+    help: 'How late timers of the process ran in the last second, mean',
+    registers: [this.registry],
+  });
   readonly droppedLines = new Gauge({
     name: 'canvasridge_log_lines_dropped',
     help: 'Log lines left out since the start',
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -27,6 +27,7 @@
   type UsesParams,
 } from './cluster/slot-protocol.js';
 import { SlotService, type EngineFences } from './cluster/slot-service.js';
+import { LoopLag } from './cluster/loop-lag.js';
 import {
   SNAPSHOT_METHOD,
   StateExchange,
@@ -85,7 +86,7 @@
 const STOP_MARGIN_MS = 350;
 const STOP_POLL_MS = 50;
 const TOKEN_BYTES = 6;
-const METRICS_PERIOD_MS = 1000;
+const SECOND_MS = 1000;
 const READER_RETRY_MS = 700;
 /** A follower that had to read itself, and can't either: most likely no node can, and readers see the return first. */
 const ORPHAN_RETRY_MS = 2000;
@@ -103,9 +104,12 @@
   readonly #follower: StateFollower;
   readonly #connections = new BackendConnections();
   readonly #clients: ClientServer;
+  readonly #lag: LoopLag;
   readonly #budget: DepartureBudget;
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #context: ExchangeContext;
+  /** Nodes among which connections to a back end are divided; looked at once a second, as it takes a pass over all. */
+  #sharers = Infinity;
   #running = 0;
   #stopping = false;
   #nextId = 0;
@@ -139,7 +143,7 @@
       configurationVersion: () => this.fleet.configurationVersion,
       onPeerVersion: (address, version) => this.#exchange.peerShows(address, version),
     });
-    this.directory = new Directory(this.#cluster);
+    this.directory = new Directory(this.#cluster, () => this.#slots.leaders());
     const peers = (): string[] => this.#cluster.peerAddresses();
     const { fleet } = this;
     this.#exchange = new StateExchange({ fleet, network: this.#network, clock, random, telemetry, peers });
@@ -175,7 +179,7 @@
       plainPicker: new LeastLoadedPicker(fleet, clock, random),
       enginePicker: new SlotPicker(fleet, this.#slots, clock),
       budget: (service) => this.#retryBudget(service),
-      nodes: () => this.#cluster.nodeCount,
+      nodes: () => this.#sharers,
       isStopping: () => this.#stopping,
       nextId: () => `${processToken}/${(this.#nextId += 1)}`,
       random: () => random.next(),
@@ -185,6 +189,7 @@
       metrics: this.metrics,
     };
     this.#clients = new ClientServer((request, response) => this.#serve(request, response));
+    this.#lag = new LoopLag(clock, (busy) => this.#busyChanged(busy));
     fleet.onChange((change) => this.#fleetChanged(change));
     fleet.onDeparture((departure) => this.#departed(departure));
   }
@@ -206,7 +211,8 @@
     node.#exchange.start();
     node.#follower.start();
     node.#slots.start();
-    void node.#updateMetrics();
+    node.#lag.start();
+    void node.#everySecond();
     return ok(node);
   }
 
@@ -273,6 +279,7 @@
     this.#exchange.stop();
     this.#follower.stop();
     this.#slots.stop();
+    this.#lag.stop();
     this.#cluster.stop();
     this.#network.close();
     this.#clients.closeAll();
@@ -327,6 +334,12 @@
     });
   }
 
+  #busyChanged(busy: boolean): void {
+    const lagMs = Math.round(this.#lag.meanMs);
+    this.#options.telemetry.event('info', 'process.busy', this.#options.settings.nodeId, { busy, lagMs });
+    this.#cluster.publishBusy(busy);
+  }
+
   #fleetChanged(change: string): void {
     if (change === 'backends') {
       this.#connections.retain((id) => this.fleet.backend(id) !== undefined);
@@ -342,16 +355,18 @@
     });
   }
 
-  async #updateMetrics(): Promise<void> {
+  async #everySecond(): Promise<void> {
     while (!this.#stopping) {
+      this.#sharers = this.directory.sharers(this.#options.settings.nodeId);
       this.metrics.droppedLines.set(this.#options.droppedLines());
       this.metrics.listAge.set(this.#follower.listAgeMs / 1000);
       this.metrics.members.set(this.#cluster.serving().length);
+      this.metrics.loopLag.set(this.#lag.meanMs / 1000);
       for (const row of this.#slots.describe()) {
         this.metrics.poolWaiting.set({ pool: row.pool }, row.waiting);
         this.#options.telemetry.event('info', 'pool.state', row.pool, { ...row });
       }
-      await this.#options.clock.sleep(METRICS_PERIOD_MS);
+      await this.#options.clock.sleep(SECOND_MS);
     }
   }
 }
