Trial: fetch window, shares of fleet-wide bounds, waits for an election, one whole reading at a start

Cause: first seconds of the large site: 417 of 1,045 arrivals at engines were refused with 421 since adapters were not there yet (55 fetches at once, the store serves 32 at full speed), and requests ended with 503 as their node had 2 retries of slack; 1,233 calls to the store, most by nodes that did not know yet that others read for them; requests of the first 0.6 s after a loss of power refused for want of a leader. Change: fetches at once are bounded by a window that learns; slack of retries and connections go to the nodes named to callers; a request waits for an election while it can still be in time; a node that has just started reads the store once, and watches after 0.7 s if it is a reader.

--- a/packages/gateway/src/backends/backend-connections.ts
+++ b/packages/gateway/src/backends/backend-connections.ts
@@ -25,14 +25,18 @@
 
   /**
    * A connection for one request, to be given back by `release`. Undefined when this node has its share.
-   * @param nodes nodes that share the backend's connections
+   * @param fleetShare part of the backend's connections that falls to this node, from 0 to 1
    */
-  take(backend: BackendDescription, maxConnections: number, nodes: number): BackendConnection | undefined {
+  take(
+    backend: BackendDescription,
+    maxConnections: number,
+    fleetShare: number,
+  ): BackendConnection | undefined {
     const pool = this.#pool(backend.id);
     const idle = pool.idle.pop();
     if (idle !== undefined) return idle;
-    const share = Math.floor((maxConnections * CONNECTION_SHARE) / Math.max(nodes, 1));
-    if (pool.all.size >= Math.max(FEWEST_CONNECTIONS, share)) return undefined;
+    const most = Math.floor(maxConnections * CONNECTION_SHARE * fleetShare);
+    if (pool.all.size >= Math.max(FEWEST_CONNECTIONS, most)) return undefined;
     const connection = new BackendConnection(backend.address, TIMING, (ended) => discard(pool, ended));
     pool.all.add(connection);
     return connection;
--- a/packages/gateway/src/backends/retry-budget.ts
+++ b/packages/gateway/src/backends/retry-budget.ts
@@ -15,23 +15,23 @@
 const SLACK_SHARE = 0.7;
 
 /**
- * This node's share of a retry budget that all nodes keep without asking one another: of the ratio by its own
- * requests, of the slack by the number of nodes. The count of nodes is the largest seen of late, so the share
- * does not grow on a node that is cut off.
+ * This node's part of a retry budget that all nodes keep without asking one another: of the ratio by its own
+ * requests, of the slack by its share in the fleet.
  */
 export class RetryBudget {
   readonly #clock: Clock;
   readonly #options: RetryBudgetOptions;
   readonly #requests: SlidingCount;
   readonly #retries: SlidingCount;
-  readonly #nodes: () => number;
+  readonly #fleetShare: () => number;
 
-  constructor(clock: Clock, options: RetryBudgetOptions, nodes: () => number) {
+  /** @param fleetShare part of the slack that falls to this node, from 0 to 1 */
+  constructor(clock: Clock, options: RetryBudgetOptions, fleetShare: () => number) {
     this.#clock = clock;
     this.#options = options;
     this.#requests = new SlidingCount(options.windowMs);
     this.#retries = new SlidingCount(options.windowMs);
-    this.#nodes = nodes;
+    this.#fleetShare = fleetShare;
   }
 
   countRequest(): void {
@@ -43,7 +43,7 @@
     const nowMs = this.#clock.now();
     const { ratio, slack } = this.#options;
     const earned = RATIO_SHARE * ratio * this.#requests.total(nowMs);
-    const allowed = earned + (SLACK_SHARE * slack) / Math.max(this.#nodes(), 1);
+    const allowed = earned + SLACK_SHARE * slack * this.#fleetShare();
     if (this.#retries.total(nowMs) + 1 > allowed) return false;
     this.#retries.add(nowMs);
     return true;
--- a/packages/gateway/src/cluster/directory.ts
+++ b/packages/gateway/src/cluster/directory.ts
@@ -14,6 +14,8 @@
 const FEWEST_NAMED = 3;
 /** A node that can carry this part of what the strongest one can is as good. */
 const STRONG_SHARE = 0.5;
+/** Part of bounds on the whole fleet that the nodes have to which callers are sent, where these are not all. */
+const NAMED_SHARE = 0.75;
 
 /**
  * Where callers connect: nodes that serve now, the nearest first. Of those the ones that can carry most and hand out no
@@ -43,16 +45,19 @@
   }
 
   /**
-   * Among how many nodes, this one included, the connections that a back end takes are to be divided: those that callers
-   * are sent to, if this is one of them, and otherwise all.
+   * The part of a bound on the whole fleet that falls to a node, from 0 to 1: callers are sent to a few nodes, so these
+   * have most of it; the others keep some for callers that go by an older answer.
    */
-  sharers(selfId: string): number {
+  shareOf(id: string): number {
     const serving = this.#sight.serving();
     const zones = new Set(serving.map((member) => member.zone));
     const named = [...zones].flatMap((zone) =>
       this.#strongest(serving.filter((member) => member.zone === zone)),
     );
-    return named.some(({ id }) => id === selfId) ? named.length : serving.length;
+    const others = serving.length - named.length;
+    if (others === 0) return 1 / Math.max(named.length, 1);
+    const isNamed = named.some((member) => member.id === id);
+    return isNamed ? NAMED_SHARE / named.length : (1 - NAMED_SHARE) / others;
   }
 
   #strongest(members: readonly Member[]): readonly Member[] {
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -47,8 +47,13 @@
 const MOST_LEADERS_ASKED = 3;
 /** A leader that sent something within this time is there: under load it sends several messages in it. */
 const HEARD_LATELY_MS = 600;
-/** Part of its objective for which a request waits while no leader is known. */
-const LEADER_WAIT_SHARE = 0.2;
+/**
+ * Time in which a pool without a leader gets the next one, nearly always: the first candidate claims it after 150 ms, and
+ * gossip brings that to all nodes within two periods; after a loss of all, the candidates come back one after the other.
+ */
+const ELECTION_MS = 800;
+/** A request that is older than this part of its objective could not begin in time any more. */
+const LATEST_START_SHARE = 0.7;
 /** For a while after their start the first few candidates observe, as any of them may soon have to lead. */
 const YOUNG_MS = 8000;
 const YOUNG_OBSERVERS = 3;
@@ -157,8 +162,7 @@
     request: SlotRequest,
     cancelled: AbortSignal,
   ): Promise<SlotDecision | undefined> {
-    const entry = this.#pools.get(poolName);
-    if (entry === undefined) return undefined;
+    const entry = this.#entry(poolName);
     const leader = await this.#awaitLeader(entry, request);
     if (cancelled.aborted) return cancelledDecision(request.id);
     if (leader === undefined) return undefined;
@@ -167,10 +171,11 @@
     return address === undefined ? undefined : this.#asked.acquire(address, poolName, request, cancelled);
   }
 
-  /** The leader, or undefined if none is known in time for an early refusal. */
+  /** The leader, or undefined if none is found in the time of an election, or none in time for the request. */
   async #awaitLeader(entry: PoolEntry, request: SlotRequest): Promise<string | undefined> {
     const { clock } = this.#options;
-    const untilMs = clock.now() + request.objectiveMs * LEADER_WAIT_SHARE - request.ageMs;
+    const leftMs = request.objectiveMs * LATEST_START_SHARE - request.ageMs;
+    const untilMs = clock.now() + Math.min(leftMs, ELECTION_MS);
     while (entry.leadership.leader === undefined && clock.now() < untilMs) {
       await this.#leaderChanged.waitUpTo(clock, untilMs - clock.now());
     }
--- a/packages/gateway/src/cluster/state-follower.ts
+++ b/packages/gateway/src/cluster/state-follower.ts
@@ -33,6 +33,8 @@
 /** Nodes that read the store for all others of a larger fleet. */
 const READERS = 6;
 const CALL_TIMEOUT_MS = 300;
+/** A node that has just started knows after this time how large the fleet is. */
+const DECIDED_AFTER_MS = 700;
 /** A sender does not wait for readers longer than so many hedges. */
 const SENDER_WAIT_HEDGES = 2;
 
@@ -99,7 +101,21 @@
 
   /** Resolves once this node reads the store itself. */
   async untilReading(): Promise<void> {
-    while (!this.#reading) await this.#readingBegun.wait();
+    const { clock } = this.#options;
+    while (!this.#reading || this.#undecidedMs() > 0) {
+      if (this.#reading) await this.#readingBegun.waitUpTo(clock, this.#undecidedMs());
+      else await this.#readingBegun.wait();
+    }
+  }
+
+  /**
+   * How long this node still reads nothing more than the whole state once, in milliseconds: until it has met the others,
+   * it does not know whether it is one of the readers, and each call counts at the store.
+   */
+  #undecidedMs(): number {
+    const { clock, fleet } = this.#options;
+    const isWhole = fleet.routes !== undefined && fleet.backendsRevision > 0;
+    return isWhole ? this.#startedMs + DECIDED_AFTER_MS - clock.now() : 0;
   }
 
   /** Whether this node reads the store only since it finds no reader whose list is recent. */
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -27,6 +27,7 @@
   type UsesParams,
 } from './cluster/slot-protocol.js';
 import { SlotService, type EngineFences } from './cluster/slot-service.js';
+import { FleetShare } from './cluster/fleet-share.js';
 import { LoopLag } from './cluster/loop-lag.js';
 import {
   SNAPSHOT_METHOD,
@@ -105,11 +106,10 @@
   readonly #connections = new BackendConnections();
   readonly #clients: ClientServer;
   readonly #lag: LoopLag;
+  readonly #share: FleetShare;
   readonly #budget: DepartureBudget;
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #context: ExchangeContext;
-  /** Nodes among which connections to a back end are divided; looked at once a second, as it takes a pass over all. */
-  #sharers = Infinity;
   #running = 0;
   #stopping = false;
   #nextId = 0;
@@ -144,6 +144,7 @@
       onPeerVersion: (address, version) => this.#exchange.peerShows(address, version),
     });
     this.directory = new Directory(this.#cluster, () => this.#slots.leaders());
+    this.#share = new FleetShare(clock, this.directory, settings.nodeId);
     const peers = (): string[] => this.#cluster.peerAddresses();
     const { fleet } = this;
     this.#exchange = new StateExchange({ fleet, network: this.#network, clock, random, telemetry, peers });
@@ -179,7 +180,7 @@
       plainPicker: new LeastLoadedPicker(fleet, clock, random),
       enginePicker: new SlotPicker(fleet, this.#slots, clock),
       budget: (service) => this.#retryBudget(service),
-      nodes: () => this.#sharers,
+      fleetShare: () => this.#share.value,
       isStopping: () => this.#stopping,
       nextId: () => `${processToken}/${(this.#nextId += 1)}`,
       random: () => random.next(),
@@ -322,7 +323,7 @@
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
       const { clock, settings } = this.#options;
-      budget = new RetryBudget(clock, settings.retryBudget, () => this.#cluster.nodeCount);
+      budget = new RetryBudget(clock, settings.retryBudget, () => this.#share.value);
       this.#budgets.set(service, budget);
     }
     return budget;
@@ -362,7 +363,6 @@
 
   async #everySecond(): Promise<void> {
     while (!this.#stopping) {
-      this.#sharers = this.directory.sharers(this.#options.settings.nodeId);
       this.metrics.droppedLines.set(this.#options.droppedLines());
       this.metrics.listAge.set(this.#follower.listAgeMs / 1000);
       this.metrics.members.set(this.#cluster.serving().length);
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -22,7 +22,8 @@
   readonly plainPicker: BackendPicker;
   readonly enginePicker: BackendPicker;
   readonly budget: (service: string) => RetryBudget;
-  readonly nodes: () => number;
+  /** Part of bounds on the whole fleet that this node may use, from 0 to 1. */
+  readonly fleetShare: () => number;
   readonly isStopping: () => boolean;
   readonly nextId: () => string;
   readonly random: () => number;
@@ -161,7 +162,7 @@
     this.#sends += 1;
     if (this.#ended) return { kind: 'cancelled' };
     if (fleet.isLeaving(backend.id)) return { kind: 'not-run', reason: 'leaving' };
-    const connection = connections.take(backend, service.maxConnections, this.#context.nodes());
+    const connection = connections.take(backend, service.maxConnections, this.#context.fleetShare());
     if (connection === undefined) return { kind: 'not-run', reason: 'no-connection' };
     const lastEventId = this.#lastEventId >= 0 ? this.#lastEventId : undefined;
     const attempt = new BackendAttempt(
--- a/packages/slots/src/adapter-loader.ts
+++ b/packages/slots/src/adapter-loader.ts
@@ -2,6 +2,7 @@
 import type { AdapterMemory } from './adapter-memory.js';
 import type { EngineEntry } from './engine-entry.js';
 import type { AdapterSlot, EngineSlots } from './engine-slots.js';
+import { FetchWindow } from './fetch-window.js';
 import type { LoadChoice } from './load-placement.js';
 import { LoadTime } from './load-time.js';
 import type { SlotTiming } from './timing.js';
@@ -15,6 +16,8 @@
   readonly after: (delayMs: number, action: () => void) => void;
   /** Slots changed, so waiting requests may be served. */
   readonly onChange: () => void;
+  /** Adapters that are on their way from the weight store to any engine. */
+  readonly fetchesUnderWay: () => number;
 }
 
 /** A first use up to this many guesses after the order tells whether the guess was long enough. */
@@ -33,11 +36,13 @@
   readonly #options: AdapterLoaderOptions;
   readonly #coldTime: LoadTime;
   readonly #warmTime: LoadTime;
+  readonly #window: FetchWindow;
 
   constructor(options: AdapterLoaderOptions) {
     this.#options = options;
     this.#coldTime = new LoadTime(options.clock, options.timing.coldLoadMs);
     this.#warmTime = new LoadTime(options.clock, options.timing.warmLoadMs);
+    this.#window = new FetchWindow(options.clock);
   }
 
   /** Present guess of how long a fetch from the weight store takes, in milliseconds. */
@@ -50,6 +55,11 @@
     return this.#warmTime.guessMs;
   }
 
+  /** Fetches from the weight store that may be under way at the same time. */
+  get fetchWindow(): number {
+    return this.#window.size;
+  }
+
   /** Loads an adapter, in place of another one if need be. Its slot is taken from the first moment on. */
   async load(entry: EngineEntry, choice: LoadChoice, model: string, adapter: string): Promise<void> {
     const { slots, lease } = entry;
@@ -103,7 +113,10 @@
     if (slot.orderedMs === 0) return;
     const time = slot.warm ? this.#warmTime : this.#coldTime;
     // A request that came long after the load tells nothing of how long it took.
-    if (slot.firstUsedMs - slot.orderedMs <= time.guessMs * TELLING_FACTOR) time.longEnough();
+    if (slot.firstUsedMs - slot.orderedMs <= time.guessMs * TELLING_FACTOR) {
+      time.longEnough();
+      if (!slot.warm) this.#window.inTime(this.#options.fetchesUnderWay());
+    }
     slot.orderedMs = 0;
   }
 
@@ -126,6 +139,7 @@
       return;
     }
     this.#coldTime.tooShort();
+    this.#window.late(this.#options.fetchesUnderWay());
     this.#options.after(RETRY_PRESENCE_MS, () => this.#arrived(slot));
   }
 
--- a/packages/slots/src/load-starter.ts
+++ b/packages/slots/src/load-starter.ts
@@ -12,8 +12,6 @@
 import type { SlotRequest } from './slot-request.js';
 import type { WaitingList, WaitingRequest, WaitObstacle } from './waiting-list.js';
 
-/** Fetches from the weight store at the same time; more of them slow each other down (measured with 6 engines: from 14 on). */
-const LEAST_FETCHES_AT_ONCE = 12;
 /** Part of all adapter slots from which idle ones count as spare: what they are used for takes none from others. */
 export const SPARE_SHARE = 0.25;
 
@@ -74,7 +72,7 @@
       startWithinMs: list.startWithinMs(request),
       quickerThanMs: aheadMs,
       hasHome: this.#hasHome(request, key),
-      mayFetch: index.fetches < this.#fetchesAtOnce(),
+      mayFetch: index.fetches < adapters.fetchWindow,
       hasSpare: index.spareShare >= SPARE_SHARE,
       coldLoadMs: adapters.coldLoadMs,
       warmLoadMs: adapters.warmLoadMs,
@@ -100,9 +98,4 @@
     if (adapter === undefined || !engines.mayServe(entry, request)) return false;
     return entry.slots.models.has(model) && !choice.holds(entry, adapterKey(model, adapter));
   }
-
-  /** Fetches that do not slow each other down: their bound grows with the engines that they go to. */
-  #fetchesAtOnce(): number {
-    return Math.max(LEAST_FETCHES_AT_ONCE, this.#options.engines.listed().length);
-  }
 }
--- a/packages/slots/src/pool-figures.ts
+++ b/packages/slots/src/pool-figures.ts
@@ -6,6 +6,8 @@
   readonly running: number;
   /** Present guess of how long a fetch from the weight store takes. */
   readonly coldLoadMs: number;
+  /** Fetches from the weight store that may be under way at the same time. */
+  readonly fetchWindow: number;
   /** Time that reading 1,000 tokens of a prompt is thought to take, for all engines together. */
   readonly readMsPer1000: number;
   /** Mean time between two slots that become idle. */
--- a/packages/slots/src/pool-index.ts
+++ b/packages/slots/src/pool-index.ts
@@ -84,6 +84,15 @@
   }
 }
 
+/** Adapters that are on their way from the weight store to these engines. */
+export function countFetches(entries: Iterable<EngineEntry>): number {
+  let count = 0;
+  for (const { slots } of entries) {
+    for (const slot of slots.slots.values()) if (slot.state === 'loading' && !slot.warm) count += 1;
+  }
+  return count;
+}
+
 /** Whether an engine may be asked for one more adapter beside those on their way. */
 export function canLoadMore(entry: EngineEntry): boolean {
   return entry.slots.loadingCount < LOADS_PER_ENGINE;
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -14,7 +14,7 @@
 import type { SwitchedOff } from './mechanisms.js';
 import { ModelLoader } from './model-loader.js';
 import type { OrderHolder } from './order-lease.js';
-import { PoolIndex } from './pool-index.js';
+import { PoolIndex, countFetches } from './pool-index.js';
 import { describeEngines, type PoolFigures } from './pool-figures.js';
 import { RefusalPolicy } from './refusal-policy.js';
 import { RefusedRequests } from './refused-requests.js';
@@ -96,9 +96,11 @@
     const { clock, timing, memory, adapterVersion } = options;
     const after = (delayMs: number, action: () => void): void => this.#after(delayMs, action);
     const onChange = (): void => this.schedule();
-    this.#adapters = new AdapterLoader({ clock, timing, memory, adapterVersion, after, onChange });
     const engines = (): Iterable<EngineEntry> => this.#engines.listed();
-    this.#models = new ModelLoader({ clock, engines, pollMs: timing.observePeriodMs, after, onChange });
+    const fetchesUnderWay = (): number => countFetches(this.#engines.all());
+    const shared = { clock, after, onChange };
+    this.#adapters = new AdapterLoader({ ...shared, timing, memory, adapterVersion, fetchesUnderWay });
+    this.#models = new ModelLoader({ ...shared, engines, pollMs: timing.observePeriodMs });
     this.#refused = new RefusedRequests(clock);
     this.#uses = new EngineUses(clock, memory, this.#turnover);
     const onAdopted = (slots: EngineSlots): void => {
@@ -282,6 +284,7 @@
       waiting: this.#waiting.size,
       running: this.#uses.size,
       coldLoadMs: Math.round(this.#adapters.coldLoadMs),
+      fetchWindow: this.#adapters.fetchWindow,
       readMsPer1000: Math.round(this.#engines.speed.msPerToken * 1000),
       gapMs: Math.round(this.#turnover.meanGapMs()),
     };
