Trial: the fetch window shrinks only where a fetch takes a third longer than usual

Change: the usual time is the shortest seen; a sign is a fetch that takes 1.3 times as long; one load in 26 is tried early (one in 11).

--- a/packages/slots/src/adapter-loader.ts
+++ b/packages/slots/src/adapter-loader.ts
@@ -42,7 +42,7 @@
     this.#options = options;
     this.#coldTime = new LoadTime(options.clock, options.timing.coldLoadMs);
     this.#warmTime = new LoadTime(options.clock, options.timing.warmLoadMs);
-    this.#window = new FetchWindow(options.clock);
+    this.#window = new FetchWindow(options.clock, options.timing.coldLoadMs);
   }
 
   /** Present guess of how long a fetch from the weight store takes, in milliseconds. */
@@ -113,9 +113,10 @@
     if (slot.orderedMs === 0) return;
     const time = slot.warm ? this.#warmTime : this.#coldTime;
     // A request that came long after the load tells nothing of how long it took.
-    if (slot.firstUsedMs - slot.orderedMs <= time.guessMs * TELLING_FACTOR) {
+    const tookMs = slot.firstUsedMs - slot.orderedMs;
+    if (tookMs <= time.guessMs * TELLING_FACTOR) {
       time.longEnough();
-      if (!slot.warm) this.#window.inTime(this.#options.fetchesUnderWay());
+      if (!slot.warm) this.#window.inTime(tookMs, this.#options.fetchesUnderWay());
     }
     slot.orderedMs = 0;
   }
@@ -139,7 +140,7 @@
       return;
     }
     this.#coldTime.tooShort();
-    this.#window.late(this.#options.fetchesUnderWay());
+    this.#window.missing(nowMs - slot.orderedMs, this.#options.fetchesUnderWay());
     this.#options.after(RETRY_PRESENCE_MS, () => this.#arrived(slot));
   }
 
--- a/packages/slots/src/fetch-window.ts
+++ b/packages/slots/src/fetch-window.ts
@@ -3,6 +3,10 @@
 /** Fetches at once before anything is known: a store that serves fewer at full speed shows it within one fetch. */
 const INITIAL = 12;
 const LEAST = 4;
+/** A fetch that takes so many times the usual time is a sign of too many; less is the chance of a tight guess. */
+const LENGTHENED = 1.3;
+/** The usual time is taken to be longer by this part each ms: one that was quick by chance is forgotten in minutes. */
+const USUAL_DRIFT = 2e-6;
 /** Part that is left of the window after fetches took longer than they should. */
 const DECREASE = 0.75;
 /** The window counts as used from this part of it on. */
@@ -20,12 +24,17 @@
 export class FetchWindow {
   readonly #clock: Clock;
   #size = INITIAL;
+  #usualMs: number;
+  #usualAtMs: number;
   /** From this size on it grows slowly; the size after the last sign. */
   #threshold = Infinity;
   #shrunkMs = -Infinity;
 
-  constructor(clock: Clock) {
+  /** @param usualMs first guess of how long a fetch takes while the store is not overloaded */
+  constructor(clock: Clock, usualMs: number) {
     this.#clock = clock;
+    this.#usualMs = usualMs;
+    this.#usualAtMs = clock.now();
   }
 
   /** Fetches that may be under way. */
@@ -34,18 +43,24 @@
   }
 
   /**
-   * A fetch has ended in time.
+   * A fetch has ended about when it was expected to.
+   * @param tookMs time after which the adapter was there
    * @param underWay fetches under way: a window that is not used does not grow
    */
-  inTime(underWay: number): void {
-    if (underWay + 1 < this.#size * IN_USE_SHARE) return;
+  inTime(tookMs: number, underWay: number): void {
+    const nowMs = this.#clock.now();
+    this.#usualMs = Math.min(this.#usualMs * (1 + USUAL_DRIFT * (nowMs - this.#usualAtMs)), tookMs);
+    this.#usualAtMs = nowMs;
+    const isLengthened = tookMs > this.#usualMs * LENGTHENED;
+    if (isLengthened || underWay + 1 < this.#size * IN_USE_SHARE) return;
     this.#size += this.#size < this.#threshold ? 1 : 1 / this.#size;
   }
 
-  /** An adapter was missing when its fetch should have ended. */
-  late(underWay: number): void {
+  /** An adapter was still missing so long after its fetch was ordered. */
+  missing(ageMs: number, underWay: number): void {
     const nowMs = this.#clock.now();
-    if (underWay < LEAST || nowMs - this.#shrunkMs < ONE_CAUSE_MS) return;
+    if (ageMs < this.#usualMs * LENGTHENED || underWay < LEAST) return;
+    if (nowMs - this.#shrunkMs < ONE_CAUSE_MS) return;
     this.#shrunkMs = nowMs;
     this.#size = Math.max(Math.min(this.#size, underWay) * DECREASE, LEAST);
     this.#threshold = this.#size;
--- a/packages/slots/src/load-time.ts
+++ b/packages/slots/src/load-time.ts
@@ -1,8 +1,11 @@
 import type { Clock } from '@canvasridge/clock';
 
-/** Factors by which a guess grows when an adapter was not there yet, and shrinks when it was. */
-const GROWTH = 1.12;
-const SHRINKAGE = 0.99;
+/**
+ * Factors by which a guess grows when an adapter was not there yet, and shrinks when it was: about one load in 26 is
+ * tried too early, which costs each request that waits for it a refusal and a retry of the fleet's budget.
+ */
+const GROWTH = 1.08;
+const SHRINKAGE = 0.997;
 const SLOWEST_FACTOR = 5;
 const FASTEST_FACTOR = 0.2;
 /** Failures within this time come from one cause and count once. */
