--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -196,6 +196,10 @@
     return this.#membership.get(id)?.peerUrl;
   }
 
+  zoneOf(id: string): string | undefined {
+    return this.#membership.get(id)?.zone;
+  }
+
   /** The process that runs as a member now, as far as it is known. */
   processOf(id: string): { readonly token: string; readonly state: MemberState } | undefined {
     const member = this.#membership.get(id);
--- a/packages/gateway/src/cluster/directory.ts
+++ b/packages/gateway/src/cluster/directory.ts
@@ -14,8 +14,9 @@
 const FEWEST_NAMED = 3;
 /** A node that can carry this part of what the strongest one can is as good. */
 const STRONG_SHARE = 0.5;
-/** Part of bounds on the whole fleet that the nodes have to which callers are sent, where these are not all. */
+/** Part of bounds on the whole fleet that the nodes have to which callers are sent, where these are few. */
 const NAMED_SHARE = 0.75;
+const OTHERS_SHARE = 1 - NAMED_SHARE;
 
 /**
  * Where callers connect: nodes that serve now, the nearest first. Of those the ones that can carry most and hand out no
@@ -46,7 +47,7 @@
 
   /**
    * The part of a bound on the whole fleet that falls to a node, from 0 to 1: callers are sent to a few nodes, so these
-   * have most of it; the others keep some for callers that go by an older answer.
+   * have most of it; the others keep some for callers that go by an older answer, but none more than a named one.
    */
   shareOf(id: string): number {
     const serving = this.#sight.serving();
@@ -55,9 +56,9 @@
       this.#strongest(serving.filter((member) => member.zone === zone)),
     );
     const others = serving.length - named.length;
-    if (others === 0) return 1 / Math.max(named.length, 1);
+    const weight = others === 0 ? 1 : Math.min(1, (OTHERS_SHARE / NAMED_SHARE) * (named.length / others));
     const isNamed = named.some((member) => member.id === id);
-    return isNamed ? NAMED_SHARE / named.length : (1 - NAMED_SHARE) / others;
+    return (isNamed ? 1 : weight) / (named.length + others * weight || 1);
   }
 
   #strongest(members: readonly Member[]): readonly Member[] {
--- a/packages/gateway/src/cluster/state-follower.ts
+++ b/packages/gateway/src/cluster/state-follower.ts
@@ -57,6 +57,8 @@
   /** Members that serve, ranked alike on all nodes. */
   readonly ranked: () => readonly string[];
   readonly peerAddress: (id: string) => string | undefined;
+  /** Zone of a member, this node included. */
+  readonly zoneOf: (id: string) => string | undefined;
   /** Whether this node hands out slots or is next to do so, and so needs the whole list. */
   readonly needsWholeState: () => boolean;
   readonly budget: DepartureBudget;
@@ -76,6 +78,7 @@
   #startedMs: number;
   #reading = true;
   #next = 0;
+  #lastReaders: { readonly ranked: readonly string[]; readonly readers: readonly string[] } | undefined;
   #refreshing: Promise<void> | undefined;
   #refreshedMs = -Infinity;
   #stopped = false;
@@ -194,8 +197,27 @@
     }
   }
 
+  /** The first ones ranked, but one of each zone before a second one of any: lists are long, and ways between zones dear. */
   #readers(): readonly string[] {
-    return this.#options.ranked().slice(0, READERS);
+    const ranked = this.#options.ranked();
+    if (this.#lastReaders?.ranked !== ranked) {
+      const { zoneOf } = this.#options;
+      const zones = ranked.map((id) => zoneOf(id));
+      const firstOfZone = ranked.filter((_, index) => zones.indexOf(zones[index]) === index);
+      const others = ranked.filter((id) => !firstOfZone.includes(id));
+      this.#lastReaders = { ranked, readers: [...firstOfZone, ...others].slice(0, READERS) };
+    }
+    return this.#lastReaders.readers;
+  }
+
+  /** Readers in the order in which a follower asks them: those of its own zone first, each kind in turn. */
+  #inOrder(readers: readonly string[]): readonly string[] {
+    const { selfId, zoneOf } = this.#options;
+    this.#next += 1;
+    const zone = zoneOf(selfId);
+    const near = readers.filter((id) => zoneOf(id) === zone);
+    const far = readers.filter((id) => zoneOf(id) !== zone);
+    return [...rotated(near, this.#next), ...rotated(far, this.#next)];
   }
 
   #mustRead(readers: readonly string[]): boolean {
@@ -210,9 +232,8 @@
   async #round(readers: readonly string[]): Promise<void> {
     const { clock, budget } = this.#options;
     const completeBeforeMs = this.#completeMs;
-    for (let asked = 0; asked < readers.length; asked += 1) {
-      this.#next = (this.#next + 1) % readers.length;
-      const answered = this.#ask(readers[this.#next] ?? '');
+    for (const reader of this.#inOrder(readers)) {
+      const answered = this.#ask(reader);
       await Promise.race([answered, clock.sleep(budget.hedgeMs)]);
       const isNewer = this.#completeMs > completeBeforeMs;
       if (isNewer && this.listAgeMs <= budget.trustedAgeMs) return;
@@ -258,3 +279,8 @@
     });
   }
 }
+
+function rotated(ids: readonly string[], by: number): readonly string[] {
+  const first = ids.length === 0 ? 0 : by % ids.length;
+  return [...ids.slice(first), ...ids.slice(0, first)];
+}
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -157,6 +157,7 @@
       nodeCount: () => this.#cluster.nodeCount,
       ranked: () => this.#cluster.candidates(READERS_POOL),
       peerAddress: (id) => this.#cluster.peerAddress(id),
+      zoneOf: (id) => this.#cluster.zoneOf(id),
       needsWholeState: () => this.#slots.takesPart,
       budget: this.#budget,
     });
--- a/packages/gateway/test/directory.test.ts
+++ b/packages/gateway/test/directory.test.ts
@@ -61,12 +61,15 @@
   const members = [...STRONG, ...WEAK, member('f1', 1.35, 'b')];
   const sight = { serving: () => members, busy: () => new Set<string>() };
   const directory = new Directory(sight, () => new Set());
-  t.is(directory.shareOf('s1'), 0.75 / 5);
-  t.is(directory.shareOf('w1'), 0.25 / 5);
+  t.true(Math.abs(directory.shareOf('s1') - 0.75 / 5) < 1e-9);
+  t.true(Math.abs(directory.shareOf('w1') - 0.25 / 5) < 1e-9);
   const sum = members.reduce((total, { id }) => total + directory.shareOf(id), 0);
   t.true(Math.abs(sum - 1) < 1e-9);
   const alike = new Directory({ ...sight, serving: () => WEAK }, () => new Set());
   t.is(alike.shareOf('w1'), 1 / WEAK.length);
+  const oneLeads = new Directory({ ...sight, serving: () => WEAK }, () => new Set(['w2']));
+  t.is(oneLeads.shareOf('w1'), 1 / WEAK.length, 'a single node that is not named has no more than any');
+  t.is(oneLeads.shareOf('w2'), 1 / WEAK.length);
 });
 
 test('a node that is cut off does not take over the shares of the others', async (t) => {
--- a/packages/gateway/test/followed-fleet.ts
+++ b/packages/gateway/test/followed-fleet.ts
@@ -135,6 +135,7 @@
       nodeCount: () => NODES,
       ranked: () => this.#ids,
       peerAddress: (id) => id,
+      zoneOf: () => 'z',
       needsWholeState: () => false,
       budget: departureBudget(DRAIN_MS),
     };
--- a/packages/gateway/test/state-follower.test.ts
+++ b/packages/gateway/test/state-follower.test.ts
@@ -35,7 +35,11 @@
   fresh: (id: string) => boolean = () => true;
   silent = false;
 
-  constructor(count: number) {
+  readonly #zoneOf: (index: number) => string;
+
+  /** @param zoneOf zone of the node of a number */
+  constructor(count: number, zoneOf: (index: number) => string = () => 'a') {
+    this.#zoneOf = zoneOf;
     const ids = Array.from({ length: count }, (_, index) => `node-${index}`);
     const reader = new StateFollower({ ...this.#options(ids, ids[0] ?? ''), fleet: this.published });
     this.published.applyConfiguration(CONFIGURATION);
@@ -73,12 +77,17 @@
       nodeCount: () => ids.length,
       ranked: () => ids,
       peerAddress: (id: string) => id,
+      zoneOf: (id: string) => this.#zoneOf(numberOf(id)),
       needsWholeState: () => false,
       budget: BUDGET,
     };
   }
 }
 
+function numberOf(id: string): number {
+  return Number(id.slice('node-'.length));
+}
+
 test('each node of a small fleet reads the store, and asks nobody', async (t) => {
   const fleet = new Fleet(9);
   fleet.readOnce();
@@ -101,6 +110,30 @@
   t.true(fleet.asked.every((id) => Number(id.slice('node-'.length)) < 6));
 });
 
+test('a follower asks the reader of its own zone, and others when that one is behind', async (t) => {
+  const fleet = new Fleet(40, (index) => String(index % 5));
+  fleet.readOnce();
+  fleet.follower.start();
+  await fleet.clock.runUntil(3000);
+  t.deepEqual(new Set(fleet.asked), new Set(['node-4']));
+  fleet.fresh = (id) => id !== 'node-4';
+  await fleet.clock.runUntil(6000);
+  t.true(fleet.asked.slice(-6).some((id) => id !== 'node-4'));
+  t.false(fleet.follower.reads);
+});
+
+test('each zone has a reader before one has a second', async (t) => {
+  const fleet = new Fleet(40, (index) => (index < 10 ? 'a' : index === 10 ? 'b' : 'c'));
+  fleet.readOnce();
+  fleet.follower.start();
+  await fleet.clock.runUntil(3000);
+  t.deepEqual(new Set(fleet.asked), new Set(['node-11']), 'the first one ranked of its own zone');
+  fleet.fresh = () => false;
+  await fleet.clock.runUntil(6000);
+  const numbers = [...new Set(fleet.asked)].map(numberOf).sort((a, b) => a - b);
+  t.deepEqual(numbers, [0, 1, 2, 3, 10, 11]);
+});
+
 test('a node that knows no configuration and gets no answer reads the store itself', async (t) => {
   const fleet = new Fleet(40);
   fleet.silent = true;
