Stop of the state exchange asks no peer any more; comments without unmeasured figures

Cause: a second reading: a stopped exchange that waited for the store's loss asked one more peer. Change: it ends. Comments and help texts.

--- a/packages/gateway/src/cluster/loop-lag.ts
+++ b/packages/gateway/src/cluster/loop-lag.ts
@@ -6,8 +6,8 @@
 /** One sample counts up to this, as a pause of the whole process is no sign of load. */
 const LONGEST_SAMPLE_MS = 80;
 /**
- * Mean lateness of timers from which this process counts as busy. One that uses a third of its share is some 5 ms late;
- * from 25 ms on, a request that passes the loop some four times loses a tenth of a second.
+ * Mean lateness of timers from which this process counts as busy: a request passes the loop some four times from its
+ * head to its first byte, and so loses a tenth of a second.
  */
 const BUSY_LAG_MS = 25;
 /** A busy process counts as such for this long: callers that were sent elsewhere come back only then. */
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -38,8 +38,8 @@
 /** Period in which a node looks at members and claims that hands out slots, is next to do so, or knows no leader. */
 const TICK_MS = 100;
 /**
- * The same for all others, which are woken by changes. Each time that a process wakes costs some 0.1 ms of a weak machine,
- * and of a fleet of hundreds nearly all have nothing to do with slots.
+ * The same for all others, which are woken by changes: of a fleet of hundreds nearly all have nothing to do with slots,
+ * and a weak machine spends most of its processor time on waking up.
  */
 const IDLE_TICK_MS = 400;
 /** Beginnings of answers within this time are told together: each message costs both nodes processor time. */
--- a/packages/gateway/src/cluster/state-exchange.ts
+++ b/packages/gateway/src/cluster/state-exchange.ts
@@ -78,6 +78,7 @@
   async #poll(): Promise<void> {
     while (!this.#stopped) {
       if (this.#sourceAnswers) await this.#lost.wait();
+      if (this.#stopped) return;
       const peer = this.#random.pick(this.#peers());
       if (peer !== undefined) await this.#ask(peer);
       await this.#clock.sleep(POLL_PERIOD_MS);
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -52,7 +52,7 @@
   });
   readonly loopLag = new Gauge({
     name: 'canvasridge_loop_lag_seconds',
-    help: 'How late timers of the process ran in the last second, mean',
+    help: 'How late timers of the process ran in the last two seconds, mean',
     registers: [this.registry],
   });
   readonly droppedLines = new Gauge({
