--- a/packages/cli/src/commands/plan.ts
+++ b/packages/cli/src/commands/plan.ts
@@ -1,10 +1,9 @@
 import { formatPlan, planChange, type FleetView, type Plan } from '@canvasridge/configuration';
-import { configurationSchema, type Configuration } from '@canvasridge/domain';
+import { configurationSchema, type Configuration, type ConfigurationInForce } from '@canvasridge/domain';
 import { ExitCode, type CommandDefinition } from '@canvasridge/settings';
 import { err, ok, type Result } from 'neverthrow';
 import type { AdminClient, AdminError } from '../admin-client.js';
 import { askFleet } from '../fleet-status.js';
-import type { ConfigurationInForce } from '../node-status.js';
 import { NODE_OPTIONS, adminClient, complain, failed, fileArgument, readIntent, say } from './shared.js';
 
 export const planCommand: CommandDefinition = {
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,7 +1,7 @@
 import { ExitCode, type CommandDefinition } from '@canvasridge/settings';
 import { formatAdminError } from '../admin-client.js';
 import { askFleet, type NodeAnswer } from '../fleet-status.js';
-import type { NodeStatus } from '../node-status.js';
+import type { NodeStatus } from '@canvasridge/domain';
 import { NODE_OPTIONS, adminClient, complain, failed, say } from './shared.js';
 
 export const statusCommand: CommandDefinition = {
--- a/packages/cli/src/fleet-status.ts
+++ b/packages/cli/src/fleet-status.ts
@@ -1,4 +1,4 @@
-import type { NodeStatus } from './node-status.js';
+import type { NodeStatus } from '@canvasridge/domain';
 import type { AdminClient, AdminError } from './admin-client.js';
 import { err, ok, type Result } from 'neverthrow';
 
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -27,6 +27,7 @@
   type Executed,
   type ProblemExtra,
 } from './problem.js';
+export type { ConfigurationInForce, NodeStatus, OwnedEngineStatus } from './node-status.js';
 export { Priority, type PriorityName } from './priority.js';
 export { Header } from './headers.js';
 export type {
--- a/packages/node/src/control/admin-service.ts
+++ b/packages/node/src/control/admin-service.ts
@@ -1,4 +1,11 @@
-import { configurationSchema, problem, type Problem } from '@canvasridge/domain';
+import {
+  configurationSchema,
+  problem,
+  type ConfigurationInForce,
+  type NodeStatus,
+  type OwnedEngineStatus,
+  type Problem,
+} from '@canvasridge/domain';
 import type { ConfigurationFollower, Plan } from '@canvasridge/configuration';
 import { planChange } from '@canvasridge/configuration';
 import type { Member } from '@canvasridge/membership';
@@ -19,36 +26,6 @@
   readonly drain: () => void;
 }
 
-/** An engine that a node owns, as `canvasridge status` shows it. */
-export interface OwnedEngineStatus {
-  readonly engineId: string;
-  readonly running: number;
-  readonly queued: number;
-  readonly maxBatch: number;
-  readonly slots: number;
-  readonly adapters: readonly { readonly key: string; readonly state: string; readonly running: number }[];
-}
-
-/** Answer of `GET /admin/status`. */
-export interface NodeStatus {
-  readonly node: string;
-  readonly zone: string;
-  readonly region: string;
-  readonly state: string;
-  readonly revision: number;
-  readonly digest: string;
-  readonly held: { readonly revision: number; readonly reason: string } | null;
-  readonly activeRequests: number;
-  readonly completedRequests: number;
-  readonly members: readonly {
-    readonly id: string;
-    readonly zone: string;
-    readonly state: string;
-    readonly peerUrl: string;
-  }[];
-  readonly engines: readonly OwnedEngineStatus[];
-}
-
 /** What operators ask a node. */
 export class AdminService {
   readonly #options: AdminServiceOptions;
@@ -86,7 +63,7 @@
   }
 
   /** The configuration in force, with what a next revision must follow. */
-  configuration(): unknown {
+  configuration(): ConfigurationInForce {
     const { store } = this.#options.follower;
     return {
       revision: store.revision,
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -3,7 +3,6 @@
 export { startNodeProcess, type NodeProcess, type StartError } from './process.js';
 export { nodeSettingsSchema, type NodeSettings } from './settings.js';
 export { type InboundRequest, type RequestEnd } from './requests/inbound.js';
-export type { NodeStatus, OwnedEngineStatus } from './control/admin-service.js';
 export { EngineScheduler } from './scheduling/engine-scheduler.js';
 export type { EngineWork, SchedulerError } from './scheduling/engine-work.js';
 export { TicketQueue } from './scheduling/ticket-queue.js';
