--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -47,7 +47,6 @@
 /** A connection attempt began this long before its refusal is told, at the most. */
 const REFUSAL_AGE_MS = 600;
 const PAUSE_FACTOR = 3;
-const PROBE_FULL_RATE_MEMBERS = 16;
 const REJOIN_PERIOD_MS = 8000;
 const START_SPAN_MS = 10_000;
 
@@ -220,20 +219,10 @@
       if (target !== undefined) void this.#probe(target);
       for (const forgotten of this.#table.forgetOld()) this.#records.forget(forgotten);
       this.#lastProbeAtMs = startedAtMs;
-      await this.#clock.sleep(this.#probePeriodMs(), this.#stop.signal);
+      await this.#clock.sleep(this.#timing.probePeriodMs, this.#stop.signal);
     }
   }
 
-  /**
-   * Probes cost each node as much whatever the size of the fleet, but more nodes see a member whose end matters, and tell
-   * of it. So the period grows with the logarithm of the members, from {@link PROBE_FULL_RATE_MEMBERS} on.
-   */
-  #probePeriodMs(): number {
-    const members = this.#table.present().length + 1;
-    const factor = Math.log2(members) / Math.log2(PROBE_FULL_RATE_MEMBERS);
-    return this.#timing.probePeriodMs * Math.max(factor, 1);
-  }
-
   async #gossipTask(): Promise<void> {
     await this.#clock.sleep(this.#random.next() * this.#timing.gossipPeriodMs, this.#stop.signal);
     while (!this.#stop.signal.aborted) {
@@ -259,7 +248,7 @@
 
   /** After a pause all members look silent; none of them must be blamed for it. */
   #noticePause(nowMs: number): void {
-    if (nowMs - this.#lastProbeAtMs < PAUSE_FACTOR * this.#probePeriodMs()) return;
+    if (nowMs - this.#lastProbeAtMs < PAUSE_FACTOR * this.#timing.probePeriodMs) return;
     this.#awaitedAcks.clear();
     this.#options.telemetry.event('warn', 'membership.paused', this.identity.id, {
       pausedMs: Math.round(nowMs - this.#lastProbeAtMs),
