The fetch window shrinks for many lengthened fetches, not again and again for one

One adapter that stays away, as on an engine that lost it, was counted again each 300 ms for up to 2.5 s. Change: a fetch counts once in 300 ms, and three of them and a quarter of those under way have to be lengthened; eight are always allowed.

--- a/packages/slots/src/adapter-loader.ts
+++ b/packages/slots/src/adapter-loader.ts
@@ -140,7 +140,8 @@
       return;
     }
     this.#coldTime.tooShort();
-    this.#window.missing(nowMs - slot.orderedMs, this.#options.fetchesUnderWay());
+    const fetch = `${entry.slots.backend.id}/${slot.key}`;
+    this.#window.missing(fetch, nowMs - slot.orderedMs, this.#options.fetchesUnderWay());
     this.#options.after(RETRY_PRESENCE_MS, () => this.#arrived(slot));
   }
 
--- a/packages/slots/src/fetch-window.ts
+++ b/packages/slots/src/fetch-window.ts
@@ -2,7 +2,8 @@
 
 /** Fetches at once before anything is known: a store that serves fewer at full speed shows it within one fetch. */
 const INITIAL = 12;
-const LEAST = 4;
+/** Every weight store that the users describe serves so many at full speed. */
+const LEAST = 8;
 /** A fetch that takes so many times the usual time is a sign of too many; less is the chance of a tight guess. */
 const LENGTHENED = 1.3;
 /** The usual time is taken to be longer by this part each ms: one that was quick by chance is forgotten in minutes. */
@@ -11,8 +12,14 @@
 const DECREASE = 0.75;
 /** The window counts as used from this part of it on. */
 const IN_USE_SHARE = 0.5;
-/** Signs within this time come from the same fetches and count once. */
+/** Lengthened fetches within this time have one cause and shrink the window once. */
 const ONE_CAUSE_MS = 300;
+/**
+ * So many fetches, and this part of those under way, have to be lengthened: too many on their way lengthen them all, while
+ * a single one tells of its engine, or of an order that was lost.
+ */
+const FEWEST_LENGTHENED = 3;
+const LENGTHENED_SHARE = 0.25;
 
 /**
  * How many adapters may be on their way from the weight store at the same time. The store serves some number of fetches
@@ -29,6 +36,8 @@
   /** From this size on it grows slowly; the size after the last sign. */
   #threshold = Infinity;
   #shrunkMs = -Infinity;
+  /** Fetches that were found to be lengthened within {@link ONE_CAUSE_MS}, and when each was. */
+  readonly #lengthened = new Map<string, number>();
 
   /** @param usualMs first guess of how long a fetch takes while the store is not overloaded */
   constructor(clock: Clock, usualMs: number) {
@@ -56,12 +65,21 @@
     this.#size += this.#size < this.#threshold ? 1 : 1 / this.#size;
   }
 
-  /** An adapter was still missing so long after its fetch was ordered. */
-  missing(ageMs: number, underWay: number): void {
-    const nowMs = this.#clock.now();
+  /**
+   * An adapter was still missing so long after its fetch was ordered.
+   * @param fetch names the fetch: one that is missing again and again counts once
+   */
+  missing(fetch: string, ageMs: number, underWay: number): void {
     if (ageMs < this.#usualMs * LENGTHENED || underWay < LEAST) return;
-    if (nowMs - this.#shrunkMs < ONE_CAUSE_MS) return;
+    const nowMs = this.#clock.now();
+    for (const [other, atMs] of this.#lengthened) {
+      if (nowMs - atMs >= ONE_CAUSE_MS) this.#lengthened.delete(other);
+    }
+    this.#lengthened.set(fetch, nowMs);
+    const needed = Math.max(FEWEST_LENGTHENED, underWay * LENGTHENED_SHARE);
+    if (this.#lengthened.size < needed || nowMs - this.#shrunkMs < ONE_CAUSE_MS) return;
     this.#shrunkMs = nowMs;
+    this.#lengthened.clear();
     this.#size = Math.max(Math.min(this.#size, underWay) * DECREASE, LEAST);
     this.#threshold = this.#size;
   }
--- a/packages/slots/test/fetch-window.test.ts
+++ b/packages/slots/test/fetch-window.test.ts
@@ -17,7 +17,9 @@
     const underWay = window.size;
     const tookMs = USUAL_MS * Math.max(underWay / capacity, 1);
     // Requests come a little too early, again and again, as the guess is tight.
-    for (let ageMs = USUAL_MS; ageMs < tookMs; ageMs += 50) window.missing(ageMs, underWay);
+    for (let ageMs = USUAL_MS; ageMs < tookMs; ageMs += 50) {
+      for (let fetch = 0; fetch < underWay; fetch += 1) window.missing(String(fetch), ageMs, underWay);
+    }
     await clock.runUntil(clock.now() + Math.max(tookMs, 350));
     for (let ended = 1; ended <= underWay; ended += 1) window.inTime(tookMs, underWay - ended);
     sizes.push(underWay);
@@ -44,15 +46,29 @@
 
 test('signs that come together shrink it once', (t) => {
   const window = new FetchWindow(new VirtualClock(), USUAL_MS);
-  window.missing(500, 40);
+  const before = window.size;
+  for (let fetch = 0; fetch < 12; fetch += 1) window.missing(String(fetch), 500, 12);
   const once = window.size;
-  window.missing(500, 40);
+  t.true(once < before);
+  for (let fetch = 12; fetch < 24; fetch += 1) window.missing(String(fetch), 500, 12);
   t.is(window.size, once);
 });
 
-test('a fetch that was only a little late does not shrink it', (t) => {
+test('one fetch that stays away tells of its engine, and does not shrink it', async (t) => {
+  const clock = new VirtualClock();
+  const window = new FetchWindow(clock, USUAL_MS);
+  const before = window.size;
+  for (let ageMs = 260; ageMs < 2500; ageMs += 50) {
+    await clock.runUntil(ageMs);
+    window.missing('engine/adapter', ageMs, 12);
+    window.missing('engine/other', ageMs, 12);
+  }
+  t.is(window.size, before);
+});
+
+test('fetches that were only a little late do not shrink it', (t) => {
   const window = new FetchWindow(new VirtualClock(), USUAL_MS);
   const before = window.size;
-  window.missing(280, 40);
+  for (let fetch = 0; fetch < 40; fetch += 1) window.missing(String(fetch), 280, 40);
   t.is(window.size, before);
 });
