Tests: one virtual wire for memberships

Cause: the new test of a lost node had a second copy of the wire and of the start of a node in the test of candidates.

--- /dev/null
+++ b/packages/gateway/test/virtual-clusters.ts
@@ -0,0 +1,69 @@
+import { Random, VirtualClock } from '@canvasridge/clock';
+import type { DatagramTransport } from '@canvasridge/membership';
+import { Telemetry } from '@canvasridge/telemetry';
+import { Cluster } from '../src/cluster/cluster.js';
+
+/** A node of {@link VirtualClusters}. */
+export interface VirtualNode {
+  readonly id: string;
+  /** Processor time in cores of the usual speed. */
+  readonly capacity: number;
+  readonly processToken: string;
+}
+
+export interface VirtualWire {
+  readonly oneWayMs: number;
+  /** Part of the datagrams that is lost, from 0 to 1. */
+  readonly lossShare: number;
+  readonly seed: number;
+}
+
+/** The memberships of nodes on one virtual wire, in virtual time. */
+export class VirtualClusters {
+  readonly clock = new VirtualClock();
+  readonly clusters = new Map<string, Cluster>();
+  readonly #wire: VirtualWire;
+  readonly #random: Random;
+  readonly #receivers = new Map<string, (from: string, bytes: Uint8Array) => void>();
+
+  /** @param seeds names of the nodes that each node knows at its start */
+  constructor(nodes: readonly VirtualNode[], seeds: readonly string[], wire: VirtualWire) {
+    this.#wire = wire;
+    this.#random = Random.derive(wire.seed, 'wire');
+    for (const node of nodes) this.clusters.set(node.id, this.#start(node, seeds));
+  }
+
+  #start({ id, capacity, processToken }: VirtualNode, seeds: readonly string[]): Cluster {
+    const cluster = new Cluster({
+      nodeId: id,
+      zone: 'z',
+      region: 'r',
+      peerAddress: id,
+      frontAddress: id,
+      processToken,
+      capacity,
+      transport: this.#transport(id),
+      clock: this.clock,
+      random: Random.derive(this.#wire.seed, id),
+      telemetry: new Telemetry({ processName: id, clock: this.clock }),
+      seeds: () => seeds,
+      configurationVersion: () => 0,
+      onPeerVersion: () => undefined,
+    });
+    cluster.start();
+    return cluster;
+  }
+
+  #transport(address: string): DatagramTransport {
+    const { oneWayMs, lossShare } = this.#wire;
+    return {
+      localAddress: address,
+      send: (to, bytes) => {
+        if (this.#random.next() < lossShare) return;
+        this.clock.setTimer(oneWayMs, () => this.#receivers.get(to)?.(address, bytes));
+      },
+      onMessage: (receiver) => this.#receivers.set(address, receiver),
+      close: () => this.#receivers.delete(address),
+    };
+  }
+}
