--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -268,6 +268,11 @@
     return !this.#leaving && this.#sight.seesMost();
   }
 
+  /** Members in sight without this node, and those that went out of sight of late, for log lines. */
+  get sightFigures(): { readonly visible: number; readonly lost: number } {
+    return { visible: this.#sight.visibleCount, lost: this.#sight.lostCount };
+  }
+
   /** Whether every member that was seen of late is in sight. */
   seesAll(): boolean {
     return !this.#leaving && this.#sight.seesAll();
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -16,13 +16,11 @@
 } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { SlotSource } from '../backends/slot-picker.js';
-import type { PeerConnection } from '../peers/peer-connection.js';
-import type { PeerNetwork } from '../peers/peer-network.js';
 import type { Cluster } from './cluster.js';
 import { FormerLeader, type LeaderSight } from './former-leader.js';
 import { OwnUses } from './own-uses.js';
 import type { PoolEntry } from './pool-entry.js';
-import { RemoteSlots } from './remote-slots.js';
+import { RemoteSlots, type LeaderConnection, type LeaderNetwork } from './remote-slots.js';
 import { SlotAnswers } from './slot-answers.js';
 import { isSoleLeader } from './sole-leader.js';
 import {
@@ -210,7 +208,7 @@
   }
 
   /** The connection to a pool's leader, if that is another node that is known. */
-  #leaderConnection(poolName: string): PeerConnection | undefined {
+  #leaderConnection(poolName: string): LeaderConnection | undefined {
     const leader = this.#pools.get(poolName)?.leadership.leader;
     const address = leader === undefined ? undefined : this.#options.cluster.peerAddress(leader);
     return address === undefined ? undefined : this.#options.network.to(address);
@@ -270,6 +268,7 @@
     this.#pauses.check();
     cluster.update();
     const permitted = cluster.seesMost();
+    if (permitted !== this.#permitted) this.#logSight(permitted);
     if (!permitted && this.#permitted) {
       this.#unsureSinceMs = this.#options.clock.now();
       for (const entry of this.#pools.values()) entry.pool?.resetLeases('out of sight of most nodes');
@@ -283,6 +282,15 @@
     }
   }
 
+  /** A node may give orders only while it sees most others: with `pool.leader` this tells who could when. */
+  #logSight(seesMost: boolean): void {
+    const { cluster, telemetry } = this.#options;
+    telemetry.event(seesMost ? 'info' : 'warn', 'peers.sight', cluster.selfId, {
+      seesMost,
+      ...cluster.sightFigures,
+    });
+  }
+
   #followLeader(pool: string, entry: PoolEntry): void {
     const { leader } = entry.leadership;
     entry.former.note(leader);
@@ -433,11 +441,17 @@
   }
 }
 
+/** Kept connections to other nodes, and what came over them. */
+export interface SlotNetwork extends LeaderNetwork {
+  /** Whether the connection to a node stands and brought something within this time. */
+  heardWithin(address: string, spanMs: number): boolean;
+}
+
 export interface SlotServiceOptions {
   readonly clock: Clock;
   readonly fleet: FleetState;
   readonly cluster: Cluster;
-  readonly network: PeerNetwork;
+  readonly network: SlotNetwork;
   readonly control: EngineControl;
   readonly timing: SlotTiming;
   readonly holder: OrderHolder;
--- a/packages/slots/src/order-lease.ts
+++ b/packages/slots/src/order-lease.ts
@@ -168,6 +168,7 @@
       action: subject.action,
       adapter: subject.adapter,
       expectedCount,
+      fence,
       reply: reply.kind,
       tookMs: Math.round(clock.now() - startedMs),
     });
--- a/packages/slots/src/peer-sight.ts
+++ b/packages/slots/src/peer-sight.ts
@@ -45,6 +45,16 @@
     for (const id of alive) this.#lostAtMs.delete(id);
   }
 
+  /** Members in sight, without this node. */
+  get visibleCount(): number {
+    return this.#visible.size;
+  }
+
+  /** Members that went out of sight without a word and are not forgotten yet. */
+  get lostCount(): number {
+    return this.#lostAtMs.size;
+  }
+
   seesAll(): boolean {
     return this.#visible.size > 0 && this.#lostAtMs.size === 0;
   }
--- a/packages/slots/src/pool-leadership.ts
+++ b/packages/slots/src/pool-leadership.ts
@@ -112,6 +112,7 @@
     this.#telemetry.event('info', 'pool.leader', this.#pool, {
       leader: leader ?? 'none',
       before: this.#leader ?? 'none',
+      term: this.#highestEpoch,
     });
     this.#leader = leader;
     return true;
