--- a/packages/slots/src/engine-control.ts
+++ b/packages/slots/src/engine-control.ts
@@ -46,6 +46,9 @@
   | { readonly kind: 'rejected'; readonly detail: string }
   | { readonly kind: 'unknown'; readonly detail: string };
 
+/** An order is on its way for so long at the most, in milliseconds: one that is not answered by then never arrives. */
+export const ORDER_TIMEOUT_MS = 600;
+
 /** Calls to engines. None of them rejects. */
 export interface EngineControl {
   /** Undefined when the engine gave no usable answer. */
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -1,11 +1,12 @@
 /** Adapter slots of model engines: who may give orders, and which request gets which slot. */
-export type {
-  EngineControl,
-  EngineOrder,
-  EngineReport,
-  OrderReply,
-  OrderSubject,
-  PendingAdapter,
+export {
+  ORDER_TIMEOUT_MS,
+  type EngineControl,
+  type EngineOrder,
+  type EngineReport,
+  type OrderReply,
+  type OrderSubject,
+  type PendingAdapter,
 } from './engine-control.js';
 export { OrderLease, type NotHeld, type OrderHolder, type OrderLeaseOptions } from './order-lease.js';
 export { StoreLoadBudget } from './store-load-budget.js';
