--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -110,7 +110,9 @@
   readonly #budget: DepartureBudget;
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #context: ExchangeContext;
-  #running = 0;
+  readonly #running = new Set<Exchange>();
+  /** When requests that still run are given up, once this node stops. */
+  #stopsAtMs = Infinity;
   #stopping = false;
   #nextId = 0;
 
@@ -183,6 +185,7 @@
       budget: (service) => this.#retryBudget(service),
       fleetShare: () => this.#share.value,
       isStopping: () => this.#stopping,
+      stopsInMs: () => this.#stopsAtMs - clock.now(),
       nextId: () => `${processToken}/${(this.#nextId += 1)}`,
       random: () => random.next(),
       listAgeMs: () => this.#follower.listAgeMs,
@@ -260,24 +263,28 @@
     this.#follower.heard();
   }
 
-  /** Planned stop: leaves the directory, serves what it has, and resolves before the grace time is over. */
+  /**
+   * Planned stop: leaves the directory, serves what it has, and resolves before the grace time is over. Requests are taken for
+   * a part of that time, as callers learn late; each is answered: served, refused at once, or told that time is over.
+   */
   async stop(): Promise<void> {
     const { clock, settings, telemetry } = { ...this.#options };
-    const startedMs = clock.now();
     this.#stopping = true;
-    telemetry.event('info', 'process.stopping', settings.nodeId, { running: this.#running });
+    this.#stopsAtMs = clock.now() + settings.stopGraceMs - STOP_MARGIN_MS;
+    telemetry.event('info', 'process.stopping', settings.nodeId, { running: this.#running.size });
     this.#slots.resign();
     this.#cluster.drain();
     await clock.sleep(settings.stopGraceMs * ACCEPT_SHARE);
     this.#clients.stopAccepting();
-    const endMs = startedMs + settings.stopGraceMs - STOP_MARGIN_MS;
-    while (this.#running > 0 && clock.now() < endMs) {
-      await clock.sleep(STOP_POLL_MS);
-      this.#clients.closeIdle();
-    }
-    telemetry.event('info', 'process.stopped', settings.nodeId, { brokenOff: this.#running });
+    while (this.#clients.openAnswers > 0 && clock.now() < this.#stopsAtMs) await clock.sleep(STOP_POLL_MS);
+    const late = [...this.#running];
+    for (const exchange of late) exchange.giveUp();
     this.#cluster.leave();
     await clock.sleep(STOP_POLL_MS);
+    telemetry.event('info', 'process.stopped', settings.nodeId, {
+      givenUp: late.length,
+      brokenOff: this.#clients.openAnswers,
+    });
     this.close();
   }
 
@@ -294,17 +301,13 @@
   }
 
   #serve(request: IncomingMessage, response: ServerResponse): void {
-    this.#running += 1;
     const exchange = new Exchange(this.#context, request, response);
-    exchange
-      .run()
-      .catch((cause: unknown) => {
-        this.#options.telemetry.event('error', 'request.defect', 'exchange', { detail: String(cause) });
-        response.destroy();
-      })
-      .finally(() => {
-        this.#running -= 1;
-      });
+    if (this.#clients.closing) {
+      exchange.refuseLate();
+      return;
+    }
+    this.#running.add(exchange);
+    void exchange.run().finally(() => this.#running.delete(exchange));
   }
 
   #methods(): PeerMethods {
--- a/packages/gateway/src/request/answer-sink.ts
+++ b/packages/gateway/src/request/answer-sink.ts
@@ -38,6 +38,8 @@
   answer(status: number, headers: Readonly<Record<string, string>>, text: string): void {
     const response = this.#response;
     if (response.headersSent || response.destroyed) return;
+    // A head of a backend's answer that could not be passed on says nothing of this one.
+    for (const name of response.getHeaderNames()) response.removeHeader(name);
     for (const name in headers) response.setHeader(name, headers[name] ?? '');
     response.setHeader('content-type', 'text/plain');
     response.setHeader('content-length', Buffer.byteLength(text));
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -25,6 +25,8 @@
   /** Part of bounds on the whole fleet that this node may use, from 0 to 1. */
   readonly fleetShare: () => number;
   readonly isStopping: () => boolean;
+  /** Time until this node gives up what still runs, in milliseconds; Infinity unless it stops. */
+  readonly stopsInMs: () => number;
   readonly nextId: () => string;
   readonly random: () => number;
   /** How old the list of backends is, in milliseconds. */
@@ -53,6 +55,8 @@
   readonly #sink: AnswerSink;
   readonly #facts: RequestFacts;
   readonly #arrivedMs: number;
+  /** Time that is left for a request that comes while its node stops, in milliseconds. */
+  readonly #stopsInMs: number;
   readonly #cancel = new AbortController();
   #route: HttpRoute | undefined;
   #body: Buffer = EMPTY;
@@ -74,6 +78,7 @@
     this.#context = context;
     this.#request = request;
     this.#arrivedMs = context.clock.now();
+    this.#stopsInMs = context.stopsInMs();
     this.#facts = context.dialect.readRequest(request.headers);
     this.#lastEventId = this.#facts.lastEventId ?? -1;
     this.#sink = new AnswerSink(response, context.isStopping);
@@ -82,8 +87,16 @@
     });
   }
 
-  /** Serves the request; resolves when its last answer was given. */
+  /** Serves the request; resolves when its last answer was given, and never rejects. */
   async run(): Promise<void> {
+    try {
+      await this.#run();
+    } catch (cause) {
+      this.#fail(String(cause));
+    }
+  }
+
+  async #run(): Promise<void> {
     const routes = this.#context.fleet.routes;
     if (routes === undefined) {
       this.#answer({ kind: 'not-ready' });
@@ -112,6 +125,16 @@
     timer.cancel();
   }
 
+  /** Refuses a request that comes when its node takes no more: other nodes can serve it at once. */
+  refuseLate(): void {
+    this.#answer({ kind: 'not-run', reason: 'stopping', retryAfterMs: RETRY_ELSEWHERE_MS });
+  }
+
+  /** Ends the request, as its node's time is over: with an answer, unless one has begun and can only be broken off. */
+  giveUp(): void {
+    if (!this.#sink.started) this.#timedOut();
+  }
+
   async #serve(route: HttpRoute, service: BackendService): Promise<void> {
     this.#context.budget(service.name).countRequest();
     while (!this.#ended) {
@@ -268,6 +291,15 @@
     else this.#answer({ kind: 'not-run', reason, retryAfterMs });
   }
 
+  /** Ends the request after a defect of this program, with an answer if none has begun. */
+  #fail(detail: string): void {
+    this.#context.telemetry.event('error', 'request.defect', this.#facts.attemptId ?? 'none', { detail });
+    if (this.#ended) return;
+    this.#mayHaveRun ||= this.#attempt?.sent === true;
+    this.#refuse('defect', undefined);
+    this.#stopWork();
+  }
+
   #timedOut(): void {
     if (this.#ended) return;
     const mayHaveRun = this.#mayHaveRun || this.#attempt?.sent === true;
@@ -338,7 +370,7 @@
   }
 
   #timeoutMs(route: HttpRoute): number {
-    return Math.min(route.timeoutMs, this.#facts.deadlineMs ?? Infinity);
+    return Math.min(route.timeoutMs, this.#facts.deadlineMs ?? Infinity, this.#stopsInMs);
   }
 
   /** Clients give a stream up that shows no event for long, whatever their deadline. */
@@ -358,6 +390,8 @@
 
 const EMPTY: Buffer = Buffer.alloc(0);
 const RETRY_AFTER_REFUSAL_MS = 300;
+/** For a request that any other node can serve: no longer than it takes to connect to one. */
+const RETRY_ELSEWHERE_MS = 20;
 
 function useOutcomeOf(outcome: AttemptOutcome): UseOutcome {
   switch (outcome.kind) {
--- a/packages/gateway/test/exchange.test.ts
+++ b/packages/gateway/test/exchange.test.ts
@@ -245,3 +245,14 @@
     t.false((await harness.call('a1')).whole);
   });
 });
+
+test('a request that meets a defect of the program gets an answer', async (t) => {
+  await withHarness(t, {}, [good], async (harness) => {
+    harness.beforeSend = () => Promise.reject(new Error('a defect'));
+    const seen = await harness.call('a1');
+    t.is(seen.status, 503);
+    t.true(seen.whole);
+    t.is(harness.sends, 0);
+    t.true(harness.lines.some((line) => line.includes('event=request.defect') && line.includes('a1')));
+  });
+});
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -167,6 +167,7 @@
       budget: () => budget,
       fleetShare: () => 1,
       isStopping: () => false,
+      stopsInMs: () => Infinity,
       nextId: () => String((nextId += 1)),
       random: () => random.next(),
       listAgeMs: () => 0,
--- a/packages/gateway/test/kept-connections-at-a-stop.test.ts
+++ b/packages/gateway/test/kept-connections-at-a-stop.test.ts
@@ -9,12 +9,14 @@
 import { connect, type Socket } from 'node:net';
 import test, { type ExecutionContext } from 'ava';
 import { HOST } from './harness.js';
-import { chunk, streamHead } from './raw-backend.js';
+import { chunk, streamHead, success } from './raw-backend.js';
 import { startNode, type RunningNode } from './running-node.js';
 
 const GRACE_MS = 3000;
 /** Past the part of the grace time in which requests are still taken. */
 const LATE_MS = 1300;
+/** A slow caller rests so long after each part of an answer. */
+const REST_MS = 100;
 const LAST_CHUNK = '0\r\n\r\n';
 
 function requestHead(attemptId: string): string {
@@ -45,6 +47,14 @@
     this.#socket.write(text);
   }
 
+  /** Takes what arrives with long rests. */
+  readSlowly(): void {
+    this.#socket.on('data', () => {
+      this.#socket.pause();
+      setTimeout(() => this.#socket.resume(), REST_MS);
+    });
+  }
+
   /** Sends a request in the moment in which the answer before it is whole. */
   sendAfterAnswer(attemptId: string): void {
     this.#socket.on('data', () => {
@@ -52,6 +62,11 @@
     });
   }
 
+  /** Answers that arrived whole, by their status. */
+  get statuses(): number[] {
+    return [...this.received.matchAll(/HTTP\/1\.1 (\d+) /g)].map(([, status]) => Number(status));
+  }
+
   close(): void {
     this.#socket.destroy();
   }
@@ -98,3 +113,51 @@
   t.true(caller.received.includes('id: 1'), 'the long answer is whole');
   t.deepEqual(running.attempts, ['first'], 'what is not answered any more is not passed on');
 });
+
+test('a request that comes late in a planned stop is refused at once', async (t) => {
+  const { running, end } = await startStream(t);
+  const late = new Caller(running.port);
+  t.teardown(() => late.close());
+  // Half of a head keeps the connection from being closed as one at rest.
+  await pause(50);
+  const head = requestHead('late');
+  late.write(head.slice(0, 20));
+  await pause(50);
+  const stopped = running.node.stop();
+  await pause(LATE_MS);
+  late.write(head.slice(20));
+  await late.ended;
+  t.deepEqual(late.statuses, [503]);
+  t.regex(late.received, /retry-after: /i);
+  t.regex(late.received, /connection: close/i);
+  t.deepEqual(running.attempts, ['first']);
+  end();
+  await stopped;
+});
+
+test('a request that is still not answered when the grace time is over gets an answer', async (t) => {
+  const route = { kind: 'at-most-once' } as const;
+  const running = await startNode(t, { route, graceMs: GRACE_MS }, () => undefined);
+  const caller = new Caller(running.port);
+  t.teardown(() => caller.close());
+  caller.send('first');
+  while (running.attempts.length === 0) await pause(5);
+  await running.node.stop();
+  await caller.ended;
+  t.deepEqual(caller.statuses, [504]);
+});
+
+test('an answer that its caller reads slowly is whole after a planned stop', async (t) => {
+  const body = 'x'.repeat(200_000);
+  const running = await startNode(t, { graceMs: GRACE_MS }, (socket, attemptId) => {
+    socket.write(success(attemptId, body));
+  });
+  const caller = new Caller(running.port);
+  t.teardown(() => caller.close());
+  caller.send('first');
+  while (running.attempts.length === 0) await pause(5);
+  caller.readSlowly();
+  await running.node.stop();
+  await caller.ended;
+  t.true(caller.received.endsWith(body));
+});
