--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -270,7 +270,32 @@
 
   /** Members in sight without this node, and those that went out of sight of late, for log lines. */
   get sightFigures(): { readonly visible: number; readonly lost: number } {
-    return { visible: this.#sight.visibleCount, lost: this.#sight.lostCount };
+    return { visible: this.#sight.visible.size, lost: this.#sight.lost.length };
+  }
+
+  /** Whether this node may be cut off without knowing: see {@link PeerSight.isRemainder}. */
+  get isRemainder(): boolean {
+    return this.#sight.isRemainder;
+  }
+
+  /** How long this node may have been cut off from all others: see {@link PeerSight.aloneMs}. */
+  get aloneMs(): number | undefined {
+    return this.#sight.aloneMs;
+  }
+
+  /** Members that were in sight of late, also those that are not any more; without this node. */
+  recentMembers(): readonly string[] {
+    return [...this.#sight.visible, ...this.#sight.lost];
+  }
+
+  /** Asks members whether they are in reach; gives those that answered in time. */
+  inReach(ids: readonly string[], timeoutMs: number): Promise<string[]> {
+    return this.#membership.inReach(ids, timeoutMs);
+  }
+
+  /** Learns from members what this node missed while it was out of reach. */
+  catchUpWith(ids: readonly string[]): void {
+    this.#membership.compareWith(ids);
   }
 
   /** Whether every member that was seen of late is in sight. */
--- a/packages/gateway/src/cluster/pool-entry.ts
+++ b/packages/gateway/src/cluster/pool-entry.ts
@@ -11,4 +11,6 @@
   pool: SlotPool | undefined;
   leading: boolean;
   leadingSinceMs: number;
+  /** When reports last showed orders of another node to any engine of the pool. */
+  foreignOrdersMs: number;
 }
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -1,4 +1,4 @@
-import { Notifier, type Clock } from '@canvasridge/clock';
+import { Notifier, type Clock, type Random } from '@canvasridge/clock';
 import type { BackendDescription, FleetState } from '@canvasridge/serving';
 import {
   AdapterMemory,
@@ -18,6 +18,7 @@
 import type { SlotSource } from '../backends/slot-picker.js';
 import type { Cluster } from './cluster.js';
 import { FormerLeader, type LeaderSight } from './former-leader.js';
+import { LeaderQuorum } from './leader-quorum.js';
 import { OwnUses } from './own-uses.js';
 import type { PoolEntry } from './pool-entry.js';
 import { RemoteSlots, type LeaderConnection, type LeaderNetwork } from './remote-slots.js';
@@ -43,6 +44,26 @@
 /** Beginnings of answers within this time are told together: each message costs both nodes processor time. */
 const STARTED_DELAY_MS = 12;
 const MOST_LEADERS_ASKED = 3;
+/**
+ * A leader gives orders for so long after it asked most others and got answers. A leader that is cut off is believed dead by
+ * the others 1.3 s later at the earliest (a probe and the suspicion), and the next one leads 0.15 s after that.
+ */
+const QUORUM_AGE_MS = 1500;
+/**
+ * A new leader takes no engine for so long, as the one before may still give orders until its quorum is too old, and one of them may
+ * be on its way: 1.5 s and 0.6 s after the cut, where this node leads after 1.45 s at the earliest.
+ */
+const HANDOVER_MS = 1000;
+/**
+ * A node that may be cut off takes no engine for so long after it saw orders of a leader on the other side: cuts of a node
+ * or a zone last minutes at times, and engines may stand idle for long.
+ */
+const OTHER_LEADER_MS = 30_000;
+/**
+ * Orders of a leader that was lost together with most others show for so long after that was noticed: the period and
+ * the lag of reports. (It was lost more than a second before.)
+ */
+const LAST_ORDERS_SHOWN_MS = 1000;
 /** A leader that sent something within this time is there: under load it sends several messages in it. */
 const HEARD_LATELY_MS = 600;
 /**
@@ -71,6 +92,7 @@
   readonly #pauses: PauseDetector;
   readonly #memory = new AdapterMemory();
   readonly #leaderChanged = new Notifier();
+  readonly #quorum: LeaderQuorum;
   /** By pool: requests whose answers have begun and whose leader is not told yet. */
   readonly #startedToTell = new Map<string, string[]>();
   readonly #startedMs: number;
@@ -88,6 +110,13 @@
     this.#uses = new OwnUses(options.clock);
     const { fleet, cluster } = options;
     this.answers = new SlotAnswers({ fleet, cluster, pools: this.#pools });
+    this.#quorum = new LeaderQuorum({
+      clock: options.clock,
+      random: options.random,
+      members: () => cluster.recentMembers(),
+      ask: (members, timeoutMs) => cluster.inReach(members, timeoutMs),
+      onBackInReach: (members) => cluster.catchUpWith(members),
+    });
     this.#startedMs = options.clock.now();
     this.#pauses = new PauseDetector(options.clock, options.timing.leaseMs / 3);
     this.#pauses.onPause((pausedMs) => {
@@ -274,6 +303,7 @@
       for (const entry of this.#pools.values()) entry.pool?.resetLeases('out of sight of most nodes');
     }
     this.#permitted = permitted;
+    if (this.#leads()) void this.#quorum.renew();
     for (const service of fleet.routes?.configuration.services ?? []) {
       if (service.engine === undefined) continue;
       const entry = this.#entry(service.name);
@@ -291,6 +321,11 @@
     });
   }
 
+  #leads(): boolean {
+    for (const { leading } of this.#pools.values()) if (leading) return true;
+    return false;
+  }
+
   #followLeader(pool: string, entry: PoolEntry): void {
     const { leader } = entry.leadership;
     entry.former.note(leader);
@@ -332,6 +367,7 @@
         pool: undefined,
         leading: false,
         leadingSinceMs: 0,
+        foreignOrdersMs: -Infinity,
       };
       this.#pools.set(pool, entry);
     }
@@ -352,6 +388,7 @@
     entry.leading = true;
     entry.leadingSinceMs = this.#options.clock.now();
     entry.pool.lead();
+    this.#options.clock.setTimer(HANDOVER_MS, () => entry.pool?.wakeLeases());
     for (const use of this.#uses.of(name)) entry.pool.adoptUse(use);
     this.answers.checkUsesKnown(entry);
   }
@@ -395,6 +432,26 @@
     return nowMs - this.#unsureSinceMs > engineFences.settledAfterMs && entry.former.isGone();
   }
 
+  /**
+   * Whether an engine that stood still for a lease can be taken. For {@link HANDOVER_MS} the leader before may still give
+   * orders. A node that forgot most others may be cut off from them: orders that it did not give show their leader, and one
+   * that sees nobody is more likely cut off than the last one left.
+   */
+  #mayTake({ leadingSinceMs, foreignOrdersMs }: PoolEntry): boolean {
+    const { clock, cluster } = this.#options;
+    const nowMs = clock.now();
+    if (nowMs - leadingSinceMs < HANDOVER_MS) return false;
+    if (cluster.aloneMs !== undefined && cluster.aloneMs < OTHER_LEADER_MS) return false;
+    return !cluster.isRemainder || nowMs - foreignOrdersMs >= OTHER_LEADER_MS;
+  }
+
+  /** Orders of the leader before can show for a while after it was lost; later ones are another leader's. */
+  #noteForeignOrders(entry: PoolEntry): void {
+    const nowMs = this.#options.clock.now();
+    if (!this.#permitted && nowMs - this.#unsureSinceMs > LAST_ORDERS_SHOWN_MS) entry.foreignOrdersMs = nowMs;
+    if (this.#options.cluster.isRemainder) entry.foreignOrdersMs = nowMs;
+  }
+
   #newPool(name: string, entry: PoolEntry): SlotPool {
     const { clock, control, timing, holder, telemetry, fleet } = this.#options;
     const pool = new SlotPool({
@@ -407,6 +464,8 @@
       mayOrder: () => entry.leading && this.#mayOrder(),
       term: () => entry.leadership.term,
       mayObserve: () => !this.#resigned,
+      mayTake: () => this.#mayTake(entry),
+      onForeignOrders: () => this.#noteForeignOrders(entry),
       mayTakeUnused: () => this.#isSoleLeader(entry),
       mayTakeAtOnce: () => this.#mayTakeAtOnce(entry),
       memory: this.#memory,
@@ -418,7 +477,8 @@
   }
 
   #mayOrder(): boolean {
-    return !this.#resigned && this.#permitted && !this.#pauses.check();
+    if (this.#resigned || !this.#permitted || this.#pauses.check()) return false;
+    return this.#quorum.ageMs <= QUORUM_AGE_MS;
   }
 
   #fleetChanged(change: string): void {
@@ -449,6 +509,7 @@
 
 export interface SlotServiceOptions {
   readonly clock: Clock;
+  readonly random: Random;
   readonly fleet: FleetState;
   readonly cluster: Cluster;
   readonly network: SlotNetwork;
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -165,6 +165,7 @@
     });
     this.#slots = new SlotService({
       clock,
+      random,
       fleet,
       cluster: this.#cluster,
       network: this.#network,
--- a/packages/gateway/test/virtual-holders.ts
+++ b/packages/gateway/test/virtual-holders.ts
@@ -146,6 +146,7 @@
     const control = new CutControl(new SimulatedControl(this.engines), (ms) => clock.sleep(ms));
     const slots = new SlotService({
       clock,
+      random: this.#random,
       fleet,
       cluster,
       network: { to: () => NO_CONNECTION, drop: () => undefined, heardWithin: () => false },
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -43,6 +43,8 @@
 
 const TRANSMISSION_FACTOR = 3;
 const RECORD_TRANSMISSIONS = 4;
+/** Members with which a node that was cut off compares what it knows: one of them may be behind as well. */
+const COMPARED_AT_ONCE = 3;
 const ZERO_AGE = 0;
 /** A connection attempt began this long before its refusal is told, at the most. */
 const REFUSAL_AGE_MS = 600;
@@ -186,6 +188,28 @@
     if (target !== undefined) void this.#probe(target);
   }
 
+  /** Asks members whether they are in reach, whatever is believed of them. Gives those that answered in time. */
+  async inReach(ids: readonly string[], timeoutMs: number): Promise<string[]> {
+    const answers = await Promise.all(
+      ids.map((id) => {
+        const member = this.#table.get(id);
+        return member === undefined ? Promise.resolve(false) : this.#ping(member.gossip, timeoutMs);
+      }),
+    );
+    return ids.filter((_, index) => answers[index] === true);
+  }
+
+  /**
+   * Compares what is known with members at once, as this node may have missed news that are not told again: those who
+   * believed it gone did not tell it anything.
+   */
+  compareWith(ids: readonly string[]): void {
+    for (const id of ids) {
+      const member = this.#table.get(id);
+      if (member !== undefined) this.#send(member.gossip, 'digest', 0, this.#digest());
+    }
+  }
+
   /**
    * The machine of a member refused a connection: its process is gone, and there is nothing to wait for. One
    * that is wrongly believed dead refutes as after any suspicion.
@@ -319,7 +343,11 @@
     if (this.#stop.signal.aborted) return;
     const decoded = decodeMessage(bytes);
     if (decoded === undefined) return;
+    const incarnation = this.#incarnation;
     for (const update of decoded.updates) this.#apply(update);
+    // Whoever took this node for gone learns at once that it is not.
+    if (this.#incarnation !== incarnation)
+      this.#sendUpdates(from, 'gossip', 0, '', [encodeUpdate(this.#selfUpdate())]);
     this.#compareVersions(from, decoded.updates);
     this.#answer(from, decoded.message);
     const sender = this.#table.get(decoded.message.sender);
@@ -333,6 +361,7 @@
         this.#send(from, 'ack', message.sequence);
         return;
       case 'ack':
+        this.#introduceTo(message.sender, from);
         this.#awaitedAcks.get(message.sequence)?.();
         return;
       case 'ping-request':
@@ -409,6 +438,7 @@
     if (incarnation < this.#incarnation || (incarnation === this.#incarnation && agrees)) return;
     this.#incarnation = incarnation + 1;
     this.#announceSelf();
+    if (state === 'dead') this.compareWith(this.#someMembers(COMPARED_AT_ONCE).map(({ id }) => id));
   }
 
   // --- sending -----------------------------------------------------------------------------------
--- a/packages/membership/test/membership.test.ts
+++ b/packages/membership/test/membership.test.ts
@@ -117,6 +117,24 @@
   for (const name of NAMES) t.is(stateOf(members, name, 'b'), 'alive');
 });
 
+test('a member that is asked after a cut is taken in at once, and what both missed is compared', async (t) => {
+  const wire = new Wire();
+  const members = await startAll(wire);
+  wire.cut.add('b');
+  await wire.clock.runUntil(30_000);
+  members.get('a')?.publish('key', 'news');
+  await wire.clock.runUntil(40_000);
+  wire.cut.delete('b');
+  const answered = members.get('b')?.inReach(['a', 'c'], 300) ?? Promise.resolve([]);
+  await wire.clock.runUntil(40_100);
+  t.deepEqual(await answered, ['a', 'c']);
+  for (const id of ['a', 'c']) t.is(stateOf(members, 'b', id), 'alive');
+  members.get('b')?.compareWith(['a']);
+  await wire.clock.runUntil(40_200);
+  const values = [...(members.get('b')?.recordsOf('a') ?? [])].map(({ value }) => value);
+  t.deepEqual(values, ['news']);
+});
+
 test('a restarted member learns of all others, and they of its new process', async (t) => {
   const wire = new Wire();
   const members = await startAll(wire);
--- /dev/null
+++ b/packages/slots/src/order-fence.ts
@@ -0,0 +1,45 @@
+/** Room for the part of a fence below the count: the term, then the holder's number. Counts up to 2^21 stay exact. */
+const COUNT_STEP = 2 ** 32;
+/** Room for the holder's number. */
+const TERM_STEP = 2 ** 22;
+/** Later terms count as this one. */
+const HIGHEST_TERM = COUNT_STEP / TERM_STEP - 1;
+/**
+ * How many counts above the engine's a new holder's first fence stands. An order that changes nothing raises the fence
+ * that the engine saw but not its count, so the fence of the holder before can lie anywhere within the count's own range.
+ */
+const FIRST_FENCE_LEAD = 1;
+
+/**
+ * The fence of one holder's orders to one engine: the engine's count of orders, below it the term, below that the holder's
+ * number. It rises with each order taken, and no two holders ever use the same. A new holder starts a count higher, since orders
+ * that change nothing are not counted but have fences, too. If its own first orders are of that kind, it is the term
+ * that keeps the fence of the next one above its own.
+ */
+export class OrderFence {
+  readonly #holderNumber: number;
+  readonly #term: () => number;
+  #highest = 0;
+
+  constructor(holderNumber: number, term: () => number) {
+    this.#holderNumber = holderNumber;
+    this.#term = term;
+  }
+
+  /** This node becomes holder of an engine with this count. */
+  startAt(count: number): void {
+    this.raiseTo(count + FIRST_FENCE_LEAD);
+  }
+
+  /** The fence for an order that expects a count; it never falls. */
+  raiseTo(count: number): number {
+    const ownPart = Math.min(this.#term(), HIGHEST_TERM) * TERM_STEP + (this.#holderNumber % TERM_STEP);
+    this.#highest = Math.max(this.#highest, count * COUNT_STEP + ownPart);
+    return this.#highest;
+  }
+
+  /** The engine saw a higher fence than the last one. */
+  raise(): void {
+    this.#highest += COUNT_STEP;
+  }
+}
--- a/packages/slots/src/order-lease.ts
+++ b/packages/slots/src/order-lease.ts
@@ -1,22 +1,23 @@
 import { Notifier, type Clock } from '@canvasridge/clock';
 import type { BackendDescription } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
-import type { EngineControl, EngineReport, OrderReply, OrderSubject } from './engine-control.js';
+import {
+  ORDER_TIMEOUT_MS,
+  type EngineControl,
+  type EngineReport,
+  type OrderReply,
+  type OrderSubject,
+} from './engine-control.js';
+import { OrderFence } from './order-fence.js';
 import type { SlotTiming } from './timing.js';
 
-/** Room for the part of a fence below the count: the term, then the holder's number. Counts up to 2^21 stay exact. */
-const COUNT_STEP = 2 ** 32;
-/** Room for the holder's number. */
-const TERM_STEP = 2 ** 22;
-/** Later terms count as this one. */
-const HIGHEST_TERM = COUNT_STEP / TERM_STEP - 1;
-/**
- * How many counts above the engine's a new holder's first fence stands. An order that changes nothing raises the fence
- * that the engine saw but not its count, so the fence of the holder before can lie anywhere within the count's own range.
- */
-const FIRST_FENCE_LEAD = 1;
 /** Orders with higher and higher fences before a holder that is refused takes another one to be active. */
 const MOST_FENCED_ORDERS = 2;
+/**
+ * A report that shows the expected count vouches for an order that is begun this soon after the report was asked for, in
+ * milliseconds: about the time by which reports are late themselves, so a longer one would double what they can't show.
+ */
+const REPORT_VOUCHES_MS = 200;
 
 export interface OrderHolder {
   readonly name: string;
@@ -39,11 +40,15 @@
   readonly mayObserve: () => boolean;
   /** Whether an engine that never took an order can be taken at once, as no other node can lead. */
   readonly mayTakeUnused: () => boolean;
+  /** Whether an engine whose count stood still for a lease can be taken, or the leader before may not know yet. */
+  readonly mayTake: () => boolean;
   /**
    * Whether any engine can be taken at once: engines refuse the orders of holders with lower fences, and the
    * holder before this one is known to be gone.
    */
   readonly mayTakeAtOnce: () => boolean;
+  /** Reports show that another node gives orders to the engine. */
+  readonly onForeignOrders: () => void;
   /** A report was read from which the state of the engine is to be taken over. */
   readonly onReport: (report: EngineReport) => void;
 }
@@ -68,10 +73,10 @@
  * The right to give orders to one engine, without any memory outside of it. The
  * engine's count of orders is the register: a node becomes holder when the count has stood still for a lease,
  * as its own reports show, and each order names the count that it expects. So the order of another holder is
- * either seen while waiting, or makes the next order here fail. The fence is the expected count with the term
- * and the holder's own number below it: it rises with each order taken, and no two holders ever use the same. A new
- * holder starts a count higher, since orders that change nothing are not counted but have fences, too. If its own first
- * orders are of that kind, it is the term that keeps the fence of the next one above its own.
+ * either seen while waiting, or makes the next order here fail.
+ *
+ * What was true for one lease only is not acted on after it: a holder whose last counted order is older than that reads
+ * a report before its next order, as any other node may have taken the engine meanwhile.
  *
  * Where engines refuse lower fences, a holder that follows one that is gone does not wait: an order of the
  * former one that still arrives names a count that has passed.
@@ -87,10 +92,13 @@
   #isContested = false;
   #state: LeaseState = { kind: 'observing', count: undefined, sinceMs: 0 };
   #turn: Promise<void> = Promise.resolve();
-  #highestFence = 0;
+  /** Until when no other node can have become holder, as far as orders and reports have shown. */
+  #provenUntilMs = -Infinity;
+  readonly #fence: OrderFence;
 
   constructor(options: OrderLeaseOptions) {
     this.#options = options;
+    this.#fence = new OrderFence(options.holder.number, options.term);
     void this.#run();
   }
 
@@ -159,9 +167,10 @@
 
   async #send(subject: OrderSubject): Promise<OrderReply | NotHeld> {
     const { backend, control, holder, mayOrder, clock, telemetry } = this.#options;
+    if (this.#state.kind === 'held' && clock.now() >= this.#provenUntilMs) await this.#confirm(this.#state);
     if (!mayOrder() || this.#state.kind !== 'held') return { kind: 'not-held' };
     const expectedCount = this.#state.nextCount;
-    const fence = this.#raiseFenceTo(expectedCount);
+    const fence = this.#fence.raiseTo(expectedCount);
     const startedMs = clock.now();
     const reply = await control.order(backend, { ...subject, expectedCount, holder: holder.name, fence });
     telemetry.event('info', 'order.answered', backend.id, {
@@ -172,25 +181,52 @@
       reply: reply.kind,
       tookMs: Math.round(clock.now() - startedMs),
     });
-    this.#learn(subject, reply, expectedCount);
+    this.#learn(subject, reply, expectedCount, startedMs);
     return reply;
   }
 
-  #learn(subject: OrderSubject, reply: OrderReply, expectedCount: number): void {
+  /** Whether the engine still shows what this node expects; if not, it has another holder, or none that is known. */
+  async #confirm(held: LeaseState & { kind: 'held' }): Promise<void> {
+    const { clock, control, backend } = this.#options;
+    const askedMs = clock.now();
+    const report = await control.report(backend);
+    if (this.#state !== held) return;
+    if (report === undefined) {
+      this.settle();
+    } else if (report.orderCount === held.nextCount) {
+      this.#provenUntilMs = askedMs + REPORT_VOUCHES_MS;
+    } else {
+      this.#meetForeignOrders(report.orderCount, askedMs, String(held.nextCount));
+    }
+  }
+
+  #meetForeignOrders(count: number, askedMs: number, expected: string): void {
+    // A count that went on after an own order is another holder's work. Before, it may be the former one's last.
+    this.#isContested ||= this.#hasOrdered;
+    this.#logLost(`count is ${count}, expected ${expected}`);
+    this.#enter({ kind: 'observing', count, sinceMs: askedMs });
+    this.#options.onForeignOrders();
+  }
+
+  /** An order was counted: for a lease from its arrival nobody else takes the engine, and the next one is on its way in time. */
+  #counted(expectedCount: number, startedMs: number): void {
+    this.#hasOrdered = true;
+    this.#provenUntilMs = startedMs + this.#options.timing.leaseMs - ORDER_TIMEOUT_MS;
+    this.#state = { kind: 'held', nextCount: expectedCount + 1 };
+  }
+
+  #learn(subject: OrderSubject, reply: OrderReply, expectedCount: number, startedMs: number): void {
     // A reset or close while the answer was on its way stands.
     if (this.#state.kind !== 'held' || this.#state.nextCount !== expectedCount) return;
     const sinceMs = this.#options.clock.now();
     switch (reply.kind) {
       case 'accepted':
         this.#fencedOrders = 0;
-        this.#hasOrdered = true;
-        this.#state = { kind: 'held', nextCount: expectedCount + 1 };
+        this.#counted(expectedCount, startedMs);
         return;
       case 'done':
         // An unload is counted when it is done; a load that was not needed is not.
-        if (subject.action !== 'unload') return;
-        this.#hasOrdered = true;
-        this.#state = { kind: 'held', nextCount: expectedCount + 1 };
+        if (subject.action === 'unload') this.#counted(expectedCount, startedMs);
         return;
       case 'conflict':
         this.#enter({ kind: 'settling', possibleCounts: [expectedCount], sinceMs });
@@ -209,21 +245,13 @@
     }
   }
 
-  /** The fence for an order that expects a count; it never falls. */
-  #raiseFenceTo(count: number): number {
-    const { holder, term } = this.#options;
-    const ownPart = Math.min(term(), HIGHEST_TERM) * TERM_STEP + (holder.number % TERM_STEP);
-    this.#highestFence = Math.max(this.#highestFence, count * COUNT_STEP + ownPart);
-    return this.#highestFence;
-  }
-
   /**
    * The engine saw a higher fence: of a holder that is gone, whose last orders the report did not show yet, or of
    * one that is active. In the first case a few higher fences get through, in the second a whole lease is waited.
    * After an order that was taken it is the second.
    */
   #meetHigherFence(sinceMs: number): void {
-    this.#highestFence += COUNT_STEP;
+    this.#fence.raise();
     this.#fencedOrders += 1;
     if (!this.#hasOrdered && this.#fencedOrders <= MOST_FENCED_ORDERS) {
       this.#enter({ kind: 'settling', possibleCounts: undefined, sinceMs });
@@ -254,7 +282,7 @@
   }
 
   async #observe(state: LeaseState & { kind: 'observing' }): Promise<void> {
-    const { clock, timing, backend, control, mayOrder, mayObserve } = this.#options;
+    const { clock, timing, backend, control, mayOrder, mayTake, mayObserve } = this.#options;
     const askedMs = clock.now();
     const report = mayObserve() ? await control.report(backend) : undefined;
     if (this.#state !== state) return;
@@ -264,20 +292,21 @@
       return;
     }
     if (report.orderCount === 0 && mayOrder() && this.#options.mayTakeUnused()) {
-      this.#take(report, 'unused');
+      this.#take(report, askedMs, 'unused');
       return;
     }
     if (mayOrder() && !this.#isContested && this.#options.mayTakeAtOnce()) {
-      this.#take(report, 'fenced-off');
+      this.#take(report, askedMs, 'fenced-off');
       return;
     }
     const unchanged = report.orderCount === state.count;
+    if (!unchanged && state.count !== undefined) this.#options.onForeignOrders();
     const sinceMs = unchanged ? state.sinceMs : askedMs;
     const leftMs = sinceMs + timing.leaseMs + timing.leaseMarginMs - askedMs;
-    if (unchanged && leftMs <= 0 && mayOrder()) {
+    if (unchanged && leftMs <= 0 && mayOrder() && mayTake()) {
       this.#fencedOrders = 0;
       this.#isContested = false;
-      this.#take(report, 'observed');
+      this.#take(report, askedMs, 'observed');
       return;
     }
     this.#options.onReport(report);
@@ -293,6 +322,7 @@
       await this.#changed.waitUpTo(clock, leftMs);
       return;
     }
+    const askedMs = clock.now();
     const report = await control.report(backend);
     if (this.#state !== state) return;
     if (report === undefined) {
@@ -300,20 +330,18 @@
       return;
     }
     if (state.possibleCounts?.includes(report.orderCount) !== false) {
-      this.#take(report, 'settled');
+      this.#take(report, askedMs, 'settled');
       return;
     }
-    // A count that went on after an own order is another holder's work. Before, it may be the former one's last.
-    this.#isContested ||= this.#hasOrdered;
-    this.#logLost(`count is ${report.orderCount}, expected ${state.possibleCounts?.join(' or ')}`);
-    this.#state = { kind: 'observing', count: report.orderCount, sinceMs: clock.now() };
+    this.#meetForeignOrders(report.orderCount, askedMs, state.possibleCounts?.join(' or '));
   }
 
-  #take(report: EngineReport, how: string): void {
+  #take(report: EngineReport, askedMs: number, how: string): void {
     if (how !== 'settled') {
       this.#hasOrdered = false;
-      this.#raiseFenceTo(report.orderCount + FIRST_FENCE_LEAD);
+      this.#fence.startAt(report.orderCount);
     }
+    this.#provenUntilMs = askedMs + REPORT_VOUCHES_MS;
     this.#state = { kind: 'held', nextCount: report.orderCount };
     this.#options.telemetry.event('info', 'order-lease.held', this.#options.backend.id, {
       how,
--- a/packages/slots/src/peer-sight.ts
+++ b/packages/slots/src/peer-sight.ts
@@ -2,6 +2,8 @@
 
 /** Members that went out of sight count for this long as perhaps cut off. */
 const RECENT_MS = 8000;
+/** A node that sees the first of the others again has heard of their leader after this time: several periods of gossip. */
+const REUNITED_MS = 2000;
 
 /**
  * Whether this node is likely on the larger side of a partition, if there is one: it sees more than half of
@@ -17,6 +19,10 @@
   #visible = new Set<string>();
   /** Members that went out of sight without a word, and when that was noticed. */
   readonly #lostAtMs = new Map<string, number>();
+  /** When this node became a remainder; undefined if it is none. */
+  #remainderSinceMs: number | undefined;
+  /** When the first of the others came back in sight of a node that was a remainder. */
+  #backInSightMs = -Infinity;
 
   /** @param aloneAfterMs time after its start from which a node that never met another acts alone */
   constructor(clock: Clock, selfId: string, aloneAfterMs: number) {
@@ -34,7 +40,15 @@
     const nowMs = this.#clock.now();
     if (alive !== this.#alive) this.#see(alive, nowMs);
     for (const id of departed) if (!this.#visible.has(id)) this.#lostAtMs.delete(id);
-    for (const [id, lostMs] of this.#lostAtMs) if (nowMs - lostMs > RECENT_MS) this.#lostAtMs.delete(id);
+    this.#forget(nowMs);
+  }
+
+  #forget(nowMs: number): void {
+    const isOld = (lostMs: number): boolean => nowMs - lostMs > RECENT_MS;
+    if (![...this.#lostAtMs.values()].some(isOld)) return;
+    const sawMost = this.seesMost();
+    for (const [id, lostMs] of this.#lostAtMs) if (isOld(lostMs)) this.#lostAtMs.delete(id);
+    if (!sawMost) this.#remainderSinceMs ??= nowMs;
   }
 
   #see(alive: readonly string[], nowMs: number): void {
@@ -42,17 +56,35 @@
     this.#alive = alive;
     this.#visible = new Set(alive);
     for (const id of before) if (!this.#visible.has(id)) this.#lostAtMs.set(id, nowMs);
+    if (this.#remainderSinceMs !== undefined && alive.some((id) => !before.has(id))) {
+      this.#remainderSinceMs = undefined;
+      this.#backInSightMs = nowMs;
+    }
     for (const id of alive) this.#lostAtMs.delete(id);
   }
 
   /** Members in sight, without this node. */
-  get visibleCount(): number {
-    return this.#visible.size;
+  get visible(): ReadonlySet<string> {
+    return this.#visible;
   }
 
   /** Members that went out of sight without a word and are not forgotten yet. */
-  get lostCount(): number {
-    return this.#lostAtMs.size;
+  get lost(): readonly string[] {
+    return [...this.#lostAtMs.keys()];
+  }
+
+  /**
+   * Whether this node saw few of the others and then forgot those that it did not see, without any of them coming back: it may
+   * be cut off, and the others have a leader of their own.
+   */
+  get isRemainder(): boolean {
+    return this.#remainderSinceMs !== undefined || this.#clock.now() - this.#backInSightMs < REUNITED_MS;
+  }
+
+  /** How long it has been a remainder that sees nobody at all, in milliseconds; undefined if it sees any or is none. */
+  get aloneMs(): number | undefined {
+    if (this.#remainderSinceMs === undefined || this.#visible.size > 0) return undefined;
+    return this.#clock.now() - this.#remainderSinceMs;
   }
 
   seesAll(): boolean {
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -36,6 +36,10 @@
   readonly mayObserve: () => boolean;
   /** Whether an engine that never took an order can be taken at once, as no other node can lead. */
   readonly mayTakeUnused: () => boolean;
+  /** Whether engines whose count stood still for a lease can be taken, or the leader before may not know yet. */
+  readonly mayTake: () => boolean;
+  /** Reports show that another node gives orders to an engine. */
+  readonly onForeignOrders: () => void;
   /** Whether any engine can be taken at once, as engines check fences and the holder before is gone. */
   readonly mayTakeAtOnce: () => boolean;
   readonly memory: AdapterMemory;
@@ -156,6 +160,11 @@
     }
   }
 
+  /** Looks at once for engines that can be taken now. */
+  wakeLeases(): void {
+    for (const { lease } of this.#engines.all()) lease.wake();
+  }
+
   /** All nodes have told what they run, so idle adapters may give way. */
   usesKnown(): void {
     for (const { slots } of this.#engines.all()) slots.evictAfterMs = 0;
--- a/packages/slots/test/leadership.test.ts
+++ b/packages/slots/test/leadership.test.ts
@@ -17,6 +17,37 @@
   t.true(sight.seesMost(), 'members that are gone for long no longer count');
 });
 
+test('a node that saw few and forgot the others may be cut off until they are back for a while', async (t) => {
+  const clock = new VirtualClock();
+  const sight = new PeerSight(clock, 'a', 12_000);
+  sight.update(['b', 'c', 'd', 'e'], []);
+  sight.update(['b'], []);
+  t.false(sight.isRemainder);
+  await clock.runUntil(9000);
+  sight.update(['b'], []);
+  t.true(sight.seesMost());
+  t.true(sight.isRemainder);
+  t.is(sight.aloneMs, undefined);
+  sight.update([], []);
+  await clock.runUntil(18_000);
+  sight.update([], []);
+  t.is(sight.aloneMs, 9000);
+  sight.update(['c'], []);
+  t.true(sight.isRemainder, 'it may not have heard of their leader yet');
+  await clock.runUntil(21_000);
+  t.false(sight.isRemainder);
+});
+
+test('a node that forgets a few of many is no remainder', async (t) => {
+  const clock = new VirtualClock();
+  const sight = new PeerSight(clock, 'a', 12_000);
+  sight.update(['b', 'c', 'd', 'e'], []);
+  sight.update(['b', 'c', 'd'], []);
+  await clock.runUntil(9000);
+  sight.update(['b', 'c', 'd'], []);
+  t.false(sight.isRemainder);
+});
+
 test('of two halves the one with the smallest name leads', (t) => {
   const clock = new VirtualClock();
   const left = new PeerSight(clock, 'a', 12_000);
--- a/packages/slots/test/new-pool.ts
+++ b/packages/slots/test/new-pool.ts
@@ -20,6 +20,8 @@
     mayOrder: () => true,
     term: () => number,
     mayObserve: () => true,
+    mayTake: () => true,
+    onForeignOrders: () => undefined,
     mayTakeUnused: () => false,
     mayTakeAtOnce: () => false,
     memory: new AdapterMemory(),
--- a/packages/slots/test/order-lease.test.ts
+++ b/packages/slots/test/order-lease.test.ts
@@ -17,6 +17,7 @@
   mayTakeUnused = false,
   mayTakeAtOnce = (): boolean => false,
   term = (leasesMade += 1),
+  mayTake = (): boolean => true,
 ): { lease: OrderLease; reports: EngineReport[] } {
   const reports: EngineReport[] = [];
   const lease = new OrderLease({
@@ -29,6 +30,8 @@
     mayOrder,
     term: () => term,
     mayObserve: () => true,
+    mayTake,
+    onForeignOrders: () => undefined,
     mayTakeUnused: () => mayTakeUnused,
     mayTakeAtOnce,
     onReport: (report) => reports.push(report),
@@ -53,6 +56,58 @@
   t.is(engine.taken.length, 1);
 });
 
+test('a holder that gave no order for a lease finds out before its next one that another node took the engine', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e');
+  const idle = newLease(clock, engine, 9).lease;
+  await clock.runUntil(5000);
+  void idle.order(load('a'));
+  await clock.runUntil(5500);
+  const other = newLease(clock, engine, 1).lease;
+  await clock.runUntil(12_000);
+  void other.order(load('b'));
+  await clock.runUntil(12_500);
+  t.true(idle.held, 'nothing told it so far');
+  const late = idle.order(load('c'));
+  await clock.runUntil(12_600);
+  t.deepEqual(await late, { kind: 'not-held' });
+  t.false(idle.held);
+  t.is(engine.arrived.length, 2);
+  t.deepEqual(engine.violations, []);
+});
+
+test('a holder that can not ask an idle engine gives it no order, and goes on when it answers', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e');
+  const { lease } = newLease(clock, engine, 1);
+  await clock.runUntil(8000);
+  engine.reachable = false;
+  const order = lease.order(load('a'));
+  await clock.runUntil(8100);
+  t.deepEqual(await order, { kind: 'not-held' });
+  engine.reachable = true;
+  await clock.runUntil(9500);
+  t.true(lease.held);
+  void lease.order(load('a'));
+  await clock.runUntil(9600);
+  t.is(engine.arrived.length, 1);
+});
+
+test('an engine that stood still for a lease is taken only once the leader before knows', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e');
+  let mayTake = false;
+  const always = (): boolean => true;
+  const never = (): boolean => false;
+  const { lease } = newLease(clock, engine, 1, always, false, never, 1, () => mayTake);
+  await clock.runUntil(10_000);
+  t.false(lease.held);
+  mayTake = true;
+  lease.wake();
+  await clock.runUntil(10_100);
+  t.true(lease.held);
+});
+
 test('a challenger never takes turns with a holder that goes on', async (t) => {
   const clock = new VirtualClock();
   const engine = new SimulatedEngine(clock, 'e');
