--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -27,6 +27,7 @@
   type UsesParams,
 } from './cluster/slot-protocol.js';
 import { SlotService, type EngineFences } from './cluster/slot-service.js';
+import { holderNumber } from './cluster/holder-number.js';
 import { FleetShare } from './cluster/fleet-share.js';
 import { LoopLag } from './cluster/loop-lag.js';
 import {
@@ -173,7 +174,7 @@
       timing: settings.slotTiming,
       engineFences: settings.engineFences,
       switchedOff: settings.switchedOff,
-      holder: { name: settings.nodeId, number: ipNumber(settings.ip) },
+      holder: { name: settings.nodeId, number: holderNumber(settings.ip) },
       telemetry,
     });
     this.#context = {
@@ -383,8 +384,3 @@
 
 /** Name under which nodes are ranked as readers of the published state. */
 const READERS_POOL = 'published-state';
-
-/** An IPv4 address as a number, different for every machine. */
-function ipNumber(ip: string): number {
-  return ip.split('.').reduce((number, part) => number * 256 + Number(part), 0);
-}
