--- a/packages/clock/src/clock.ts
+++ b/packages/clock/src/clock.ts
@@ -8,7 +8,7 @@
 export interface Clock {
   /** Monotonic time in milliseconds; the zero point has no meaning. */
   now(): number;
-  /** Wall-clock time in milliseconds since the Unix epoch, for display and records only. */
+  /** Wall-clock time in milliseconds since the Unix epoch: for display, records, and numbers that are to rise over restarts. */
   wallTime(): number;
   /** Calls `callback` once after `delayMs` milliseconds. */
   setTimer(delayMs: number, callback: () => void): Timer;
--- a/packages/gateway/src/cluster/holder-number.ts
+++ b/packages/gateway/src/cluster/holder-number.ts
@@ -1,4 +1,6 @@
-/** An IPv4 address as a number, different for every machine. */
+import { hashSeed } from '@canvasridge/clock';
+
+/** A number for the machine with this address: two share one only by chance, whichever parts of their addresses differ. */
 export function holderNumber(ip: string): number {
-  return ip.split('.').reduce((number, part) => number * 256 + Number(part), 0) % 2 ** 22;
+  return hashSeed(ip);
 }
--- a/packages/slots/src/order-lease.ts
+++ b/packages/slots/src/order-lease.ts
@@ -21,7 +21,7 @@
 
 export interface OrderHolder {
   readonly name: string;
-  /** Different for every machine; its lowest 22 bits are used. */
+  /** Different for every machine; its lowest 14 bits are used. */
   readonly number: number;
 }
 
--- a/packages/slots/src/pool-leadership.ts
+++ b/packages/slots/src/pool-leadership.ts
@@ -23,11 +23,12 @@
 /** How long the first candidate sees no claim before it claims, and how much longer each one after it. */
 const CLAIM_AFTER_MS = 150;
 const CLAIM_STEP_MS = 600;
+const SECOND_MS = 1000;
 
 /**
  * Chooses the node that hands out the slots of one pool. A claim stands as long as its member is present, so
- * nodes that come back do not take a pool away. Two leaders at a time waste work and do no harm: orders are
- * kept apart by {@link OrderLease}.
+ * nodes that come back do not take a pool away. There can be two leaders for a moment, and for longer on two
+ * sides of a cut: who may give orders is asked anew for each, see {@link OrderLease}.
  */
 export class PoolLeadership {
   readonly #pool: string;
@@ -96,8 +97,9 @@
     }
     this.#unclaimedSinceMs ??= nowMs;
     if (nowMs - this.#unclaimedSinceMs < CLAIM_AFTER_MS + rank * CLAIM_STEP_MS) return;
-    // Clocks of machines differ and jump, so an epoch only counts on from what was seen.
-    this.#highestEpoch += 1;
+    // Clocks of machines differ and jump, so an epoch counts on from what was seen. The time takes the place of
+    // what nobody remembers after a loss of all: without it the next leader's fences can be lower.
+    this.#highestEpoch = Math.max(this.#highestEpoch + 1, Math.floor(this.#clock.wallTime() / SECOND_MS));
     this.#ownEpoch = this.#highestEpoch;
     this.#peers.publishClaim(this.#pool, this.#ownEpoch);
   }
