--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -2,7 +2,6 @@
 import type { BackendDescription, FleetState } from '@canvasridge/serving';
 import {
   AdapterMemory,
-  PauseDetector,
   type PoolFigures,
   PoolLeadership,
   SlotPool,
@@ -18,12 +17,11 @@
 import type { SlotSource } from '../backends/slot-picker.js';
 import type { Cluster } from './cluster.js';
 import { FormerLeader, type LeaderSight } from './former-leader.js';
-import { LeaderQuorum } from './leader-quorum.js';
+import { HANDOVER_MS, OrderPermission, type EngineFences } from './order-permission.js';
 import { OwnUses } from './own-uses.js';
 import type { PoolEntry } from './pool-entry.js';
 import { RemoteSlots, type LeaderConnection, type LeaderNetwork } from './remote-slots.js';
 import { SlotAnswers } from './slot-answers.js';
-import { isSoleLeader } from './sole-leader.js';
 import {
   RELEASE_METHOD,
   STARTED_METHOD,
@@ -44,26 +42,6 @@
 /** Beginnings of answers within this time are told together: each message costs both nodes processor time. */
 const STARTED_DELAY_MS = 12;
 const MOST_LEADERS_ASKED = 3;
-/**
- * A leader gives orders for so long after it asked most others and got answers. A leader that is cut off is believed dead by
- * the others 1.3 s later at the earliest (a probe and the suspicion), and the next one leads 0.15 s after that.
- */
-const QUORUM_AGE_MS = 1500;
-/**
- * A new leader takes no engine for so long, as the one before may still give orders until its quorum is too old, and one of them may
- * be on its way: 1.5 s and 0.6 s after the cut, where this node leads after 1.45 s at the earliest.
- */
-const HANDOVER_MS = 1000;
-/**
- * A node that may be cut off takes no engine for so long after it saw orders of a leader on the other side: cuts of a node
- * or a zone last minutes at times, and engines may stand idle for long.
- */
-const OTHER_LEADER_MS = 30_000;
-/**
- * Orders of a leader that was lost together with most others show for so long after that was noticed: the period and
- * the lag of reports. (It was lost more than a second before.)
- */
-const LAST_ORDERS_SHOWN_MS = 1000;
 /** A leader that sent something within this time is there: under load it sends several messages in it. */
 const HEARD_LATELY_MS = 600;
 /**
@@ -89,18 +67,14 @@
   readonly #uses: OwnUses;
   /** Answers to other nodes that take this one for the leader of a pool. */
   readonly answers: SlotAnswers;
-  readonly #pauses: PauseDetector;
   readonly #memory = new AdapterMemory();
   readonly #leaderChanged = new Notifier();
-  readonly #quorum: LeaderQuorum;
+  readonly #permission: OrderPermission;
   /** By pool: requests whose answers have begun and whose leader is not told yet. */
   readonly #startedToTell = new Map<string, string[]>();
   readonly #startedMs: number;
   #stopped = false;
   #resigned = false;
-  #permitted = false;
-  /** When this node was last paused or out of sight of the others, so that it may have missed a change. */
-  #unsureSinceMs = -Infinity;
 
   constructor(options: SlotServiceOptions) {
     this.#options = options;
@@ -110,20 +84,13 @@
     this.#uses = new OwnUses(options.clock);
     const { fleet, cluster } = options;
     this.answers = new SlotAnswers({ fleet, cluster, pools: this.#pools });
-    this.#quorum = new LeaderQuorum({
-      clock: options.clock,
-      random: options.random,
-      members: () => cluster.recentMembers(),
-      ask: (members, timeoutMs) => cluster.inReach(members, timeoutMs),
-      onBackInReach: (members) => cluster.catchUpWith(members),
+    this.#permission = new OrderPermission({
+      ...options,
+      onDoubt: (reason) => {
+        for (const entry of this.#pools.values()) entry.pool?.resetLeases(reason);
+      },
     });
     this.#startedMs = options.clock.now();
-    this.#pauses = new PauseDetector(options.clock, options.timing.leaseMs / 3);
-    this.#pauses.onPause((pausedMs) => {
-      options.telemetry.event('warn', 'process.paused', 'self', { pausedMs: Math.round(pausedMs) });
-      this.#unsureSinceMs = options.clock.now();
-      for (const entry of this.#pools.values()) entry.pool?.resetLeases('process was paused');
-    });
     options.fleet.onChange((change) => this.#fleetChanged(change));
   }
 
@@ -134,6 +101,7 @@
   /** Gives up all pools and takes no other; slots can still be asked for. */
   resign(): void {
     this.#resigned = true;
+    this.#permission.resign();
     for (const entry of this.#pools.values()) {
       entry.leadership.resign();
       this.#endRole(entry);
@@ -293,17 +261,8 @@
   }
 
   #tick(): void {
-    const { cluster, fleet } = this.#options;
-    this.#pauses.check();
-    cluster.update();
-    const permitted = cluster.seesMost();
-    if (permitted !== this.#permitted) this.#logSight(permitted);
-    if (!permitted && this.#permitted) {
-      this.#unsureSinceMs = this.#options.clock.now();
-      for (const entry of this.#pools.values()) entry.pool?.resetLeases('out of sight of most nodes');
-    }
-    this.#permitted = permitted;
-    if (this.#leads()) void this.#quorum.renew();
+    const { fleet } = this.#options;
+    this.#permission.update(this.#leads());
     for (const service of fleet.routes?.configuration.services ?? []) {
       if (service.engine === undefined) continue;
       const entry = this.#entry(service.name);
@@ -312,15 +271,6 @@
     }
   }
 
-  /** A node may give orders only while it sees most others: with `pool.leader` this tells who could when. */
-  #logSight(seesMost: boolean): void {
-    const { cluster, telemetry } = this.#options;
-    telemetry.event(seesMost ? 'info' : 'warn', 'peers.sight', cluster.selfId, {
-      seesMost,
-      ...cluster.sightFigures,
-    });
-  }
-
   #leads(): boolean {
     for (const { leading } of this.#pools.values()) if (leading) return true;
     return false;
@@ -412,48 +362,9 @@
     return followers.slice(0, isYoung ? YOUNG_OBSERVERS : 1).includes(cluster.selfId);
   }
 
-  #isSoleLeader({ leading, leadingSinceMs }: PoolEntry): boolean {
-    const { clock, timing, cluster } = this.#options;
-    const standing = { leadingSinceMs, unsureSinceMs: this.#unsureSinceMs, seesAll: cluster.seesAll() };
-    return leading && isSoleLeader(standing, clock.now(), timing.leaseMs + timing.leaseMarginMs);
-  }
-
-  /**
-   * Whether engines can be taken without waiting for a lease: they refuse lower fences, and no holder before
-   * this node can still be calm and in reach. A process that has just started is not, so what it does itself
-   * can't collide with one that is.
-   */
-  #mayTakeAtOnce(entry: PoolEntry): boolean {
-    const { clock, engineFences, switchedOff } = this.#options;
-    const isAllowed = engineFences.checked && !switchedOff.has('take-at-once');
-    if (!isAllowed || !entry.leading) return false;
-    const nowMs = clock.now();
-    if (nowMs - this.#startedMs < engineFences.settledAfterMs) return true;
-    return nowMs - this.#unsureSinceMs > engineFences.settledAfterMs && entry.former.isGone();
-  }
-
-  /**
-   * Whether an engine that stood still for a lease can be taken. For {@link HANDOVER_MS} the leader before may still give
-   * orders. A node that forgot most others may be cut off from them: orders that it did not give show their leader, and one
-   * that sees nobody is more likely cut off than the last one left.
-   */
-  #mayTake({ leadingSinceMs, foreignOrdersMs }: PoolEntry): boolean {
-    const { clock, cluster } = this.#options;
-    const nowMs = clock.now();
-    if (nowMs - leadingSinceMs < HANDOVER_MS) return false;
-    if (cluster.aloneMs !== undefined && cluster.aloneMs < OTHER_LEADER_MS) return false;
-    return !cluster.isRemainder || nowMs - foreignOrdersMs >= OTHER_LEADER_MS;
-  }
-
-  /** Orders of the leader before can show for a while after it was lost; later ones are another leader's. */
-  #noteForeignOrders(entry: PoolEntry): void {
-    const nowMs = this.#options.clock.now();
-    if (!this.#permitted && nowMs - this.#unsureSinceMs > LAST_ORDERS_SHOWN_MS) entry.foreignOrdersMs = nowMs;
-    if (this.#options.cluster.isRemainder) entry.foreignOrdersMs = nowMs;
-  }
-
   #newPool(name: string, entry: PoolEntry): SlotPool {
     const { clock, control, timing, holder, telemetry, fleet } = this.#options;
+    const permission = this.#permission;
     const pool = new SlotPool({
       service: name,
       clock,
@@ -461,13 +372,13 @@
       timing,
       holder,
       telemetry,
-      mayOrder: () => entry.leading && this.#mayOrder(),
+      mayOrder: () => entry.leading && permission.mayOrder(),
       term: () => entry.leadership.term,
       mayObserve: () => !this.#resigned,
-      mayTake: () => this.#mayTake(entry),
-      onForeignOrders: () => this.#noteForeignOrders(entry),
-      mayTakeUnused: () => this.#isSoleLeader(entry),
-      mayTakeAtOnce: () => this.#mayTakeAtOnce(entry),
+      mayTake: () => permission.mayTake(entry),
+      onForeignOrders: () => permission.noteForeignOrders(entry),
+      mayTakeUnused: () => permission.mayTakeUnused(entry),
+      mayTakeAtOnce: () => permission.mayTakeAtOnce(entry),
       memory: this.#memory,
       off: this.#options.switchedOff,
       adapterVersion: (model, adapter) => fleet.adapterVersion(model, adapter),
@@ -476,11 +387,6 @@
     return pool;
   }
 
-  #mayOrder(): boolean {
-    if (this.#resigned || !this.#permitted || this.#pauses.check()) return false;
-    return this.#quorum.ageMs <= QUORUM_AGE_MS;
-  }
-
   #fleetChanged(change: string): void {
     if (change === 'backends') this.#memory.observe(this.#listedBackends());
     for (const [name, { pool }] of this.#pools) {
@@ -521,11 +427,3 @@
   readonly switchedOff: SwitchedOff;
   readonly telemetry: Telemetry;
 }
-
-/** What the operator's settings say of fences. */
-export interface EngineFences {
-  /** Whether engines refuse an order whose fence is lower than one that they saw. */
-  readonly checked: boolean;
-  /** Time without trouble after which a node counts as calm, in milliseconds. */
-  readonly settledAfterMs: number;
-}
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -26,7 +26,8 @@
   type StartedParams,
   type UsesParams,
 } from './cluster/slot-protocol.js';
-import { SlotService, type EngineFences } from './cluster/slot-service.js';
+import type { EngineFences } from './cluster/order-permission.js';
+import { SlotService } from './cluster/slot-service.js';
 import { holderNumber } from './cluster/holder-number.js';
 import { FleetShare } from './cluster/fleet-share.js';
 import { LoopLag } from './cluster/loop-lag.js';
