--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,21 +1,20 @@
-import { hashSeed, jittered, Notifier, type Clock, type Random, type Timer } from '@canvasridge/clock';
+import { jittered, Notifier, type Clock, type Random, type Timer } from '@canvasridge/clock';
 import type { Telemetry } from '@canvasridge/telemetry';
 import { BroadcastQueue } from './broadcast-queue.js';
 import {
   decodeMessage,
   encodeMessage,
   encodeUpdate,
-  encodedSize,
   type EncodedUpdate,
   type GossipMessage,
   type MessageKind,
   type Update,
-  type VersionUpdate,
 } from './codec.js';
 import type { DatagramTransport } from './datagram-transport.js';
-import { isPresent, overrides, type Member, type MemberIdentity, type MemberState } from './member.js';
+import { isPresent, type Member, type MemberIdentity, type MemberState } from './member.js';
 import { MemberTable } from './member-table.js';
 import { RecordTable, type PublishedRecord } from './record-table.js';
+import { StateComparison, inBatches } from './state-comparison.js';
 import { DEFAULT_MEMBERSHIP_TIMING, type MembershipTiming } from './timing.js';
 
 /** What a node wants to hear from its membership. */
@@ -64,6 +63,7 @@
   readonly #random: Random;
   readonly #table: MemberTable;
   readonly #records = new RecordTable();
+  readonly #comparison: StateComparison;
   readonly #queue = new BroadcastQueue();
   readonly #newsQueued = new Notifier();
   readonly #awaitedAcks = new Map<number, () => void>();
@@ -73,7 +73,6 @@
   #state: MemberState = 'alive';
   #selfMember: Member | undefined;
   #presentWithSelf: { readonly others: readonly Member[]; readonly all: readonly Member[] } | undefined;
-  #lastDigest: { readonly of: string; readonly text: string } | undefined;
   #recordVersion: number;
   #sequence = 0;
   #lastProbeAtMs: number;
@@ -97,6 +96,7 @@
       forgetMs: this.#timing.forgetMs,
       onChange: (member, before) => this.#memberChanged(member, before),
     });
+    this.#comparison = new StateComparison(this.#table, this.#records, () => this.self());
     options.transport.onMessage((from, bytes) => this.#receive(from, bytes));
   }
 
@@ -206,7 +206,7 @@
   compareWith(ids: readonly string[]): void {
     for (const id of ids) {
       const member = this.#table.get(id);
-      if (member !== undefined) this.#send(member.gossip, 'digest', 0, this.#digest());
+      if (member !== undefined) this.#send(member.gossip, 'digest', 0, this.#comparison.digest());
     }
   }
 
@@ -264,7 +264,7 @@
         this.#stop.signal,
       );
       const partner = this.#random.pick(this.#table.present());
-      if (partner !== undefined) this.#send(partner.gossip, 'digest', 0, this.#digest());
+      if (partner !== undefined) this.#send(partner.gossip, 'digest', 0, this.#comparison.digest());
     }
   }
 
@@ -348,7 +348,7 @@
     // Whoever took this node for gone learns at once that it is not.
     if (this.#incarnation !== incarnation)
       this.#sendUpdates(from, 'gossip', 0, '', [encodeUpdate(this.#selfUpdate())]);
-    this.#compareVersions(from, decoded.updates);
+    this.#answerVersions(from, decoded.updates);
     this.#answer(from, decoded.message);
     const sender = this.#table.get(decoded.message.sender);
     if (sender !== undefined) this.#options.events.onRevision?.(sender, decoded.message.revision);
@@ -370,10 +370,11 @@
         });
         return;
       case 'join':
-        this.#sendWholeState(from, 'state');
+        this.#sendAll(from, 'state', this.#comparison.whole());
         return;
       case 'digest':
-        if (message.target !== this.#digest()) this.#sendAll(from, 'versions', this.#versions());
+        if (message.target !== this.#comparison.digest())
+          this.#sendAll(from, 'versions', this.#comparison.versions());
         return;
       case 'versions':
       case 'state':
@@ -457,21 +458,11 @@
       const { incarnation, state } = member;
       this.#broadcast(topic, { kind: 'member', identity: member, incarnation, state });
     } else {
-      this.#enqueue(topic, this.#transmissions, () => this.#encodeState(member));
+      this.#enqueue(topic, this.#transmissions, () => this.#comparison.encodeState(member));
     }
     this.#options.events.onMember?.(member, before);
   }
 
-  #encodeState(member: Member): EncodedUpdate {
-    return encodeUpdate({
-      kind: 'member-state',
-      id: member.id,
-      incarnation: member.incarnation,
-      state: member.state,
-      suspicionAgeMs: this.#table.suspicionAgeMs(member.id),
-    });
-  }
-
   #announceSelf(): void {
     this.#broadcast(`member/${this.identity.id}`, this.#selfUpdate());
   }
@@ -549,94 +540,18 @@
     this.#options.transport.send(address, encodeMessage(message));
   }
 
-  // --- comparing what is known --------------------------------------------------------------------
-
-  /** A short text that is the same on two nodes that know the same. */
-  #digest(): string {
-    const of = `${this.#table.version}/${this.#records.version}/${this.#incarnation}/${this.#state}`;
-    if (this.#lastDigest?.of !== of) {
-      const versions = this.#versions().map((version) => version.slice(1).join('/'));
-      this.#lastDigest = { of, text: String(hashSeed(versions.sort().join(','))) };
-    }
-    return this.#lastDigest.text;
-  }
-
-  #versions(): EncodedUpdate[] {
-    const present = this.#table.all().filter((member) => isPresent(member.state));
-    return [...present, this.self()].map((member) => this.#versionOf(member));
-  }
-
-  #versionOf(member: Member): EncodedUpdate {
-    const { id, incarnation, state } = member;
-    return encodeUpdate({
-      kind: 'version',
-      id,
-      incarnation,
-      state,
-      recordVersion: this.#records.highestVersion(id),
-    });
+  /** Sends updates in as many datagrams as they need. */
+  #sendAll(address: string, kind: MessageKind, updates: readonly EncodedUpdate[]): void {
+    for (const batch of inBatches(updates, this.#timing.datagramBytes))
+      this.#sendUpdates(address, kind, 0, '', batch);
   }
 
-  /**
-   * Answers a list of versions: sends what is newer here, and lists what is newer there, which the other
-   * side answers in the same way. Ends, since what is sent is then equal on both sides.
-   */
-  #compareVersions(from: string, updates: readonly Update[]): void {
-    const newerHere: EncodedUpdate[] = [];
-    const newerThere: EncodedUpdate[] = [];
-    for (const update of updates) {
-      if (update.kind === 'version') this.#compareVersion(update, newerHere, newerThere);
-    }
+  /** Answers a list of versions with what is newer here, and with a list of what is newer there. */
+  #answerVersions(from: string, updates: readonly Update[]): void {
+    const { newerHere, newerThere } = this.#comparison.compare(updates);
     if (newerHere.length > 0) this.#sendAll(from, 'state', newerHere);
     if (newerThere.length > 0) this.#sendAll(from, 'versions', newerThere);
   }
-
-  #compareVersion(theirs: VersionUpdate, newerHere: EncodedUpdate[], newerThere: EncodedUpdate[]): void {
-    const { id, incarnation, state, recordVersion } = theirs;
-    const mine = this.get(id);
-    if (mine === undefined) {
-      newerThere.push(
-        encodeUpdate({ kind: 'version', id, incarnation: 0, state: 'alive', recordVersion: 0 }),
-      );
-      return;
-    }
-    if (overrides(mine.incarnation, mine.state, theirs)) newerHere.push(this.#encodeMember(mine));
-    for (const record of this.#records.of(id)) {
-      if (record.version > recordVersion) newerHere.push(encodeUpdate({ kind: 'record', ...record }));
-    }
-    const behind = overrides(incarnation, state, mine) || recordVersion > this.#records.highestVersion(id);
-    if (behind && id !== this.identity.id) newerThere.push(this.#versionOf(mine));
-  }
-
-  #encodeMember(member: Member): EncodedUpdate {
-    const { incarnation, state } = member;
-    if (!isPresent(state)) return this.#encodeState(member);
-    return encodeUpdate({ kind: 'member', identity: member, incarnation, state });
-  }
-
-  /** Members and records as a whole, for one that joins. */
-  #sendWholeState(address: string, kind: MessageKind): void {
-    const members = [...this.#table.all(), this.self()].map((member) => this.#encodeMember(member));
-    const records = [...this.#records.all()].map((record) => encodeUpdate({ kind: 'record', ...record }));
-    this.#sendAll(address, kind, [...members, ...records]);
-  }
-
-  /** Sends updates in as many datagrams as they need. */
-  #sendAll(address: string, kind: MessageKind, updates: readonly EncodedUpdate[]): void {
-    let batch: EncodedUpdate[] = [];
-    let bytes = 0;
-    for (const update of updates) {
-      const size = encodedSize(update);
-      if (bytes + size > this.#timing.datagramBytes && batch.length > 0) {
-        this.#sendUpdates(address, kind, 0, '', batch);
-        batch = [];
-        bytes = 0;
-      }
-      batch.push(update);
-      bytes += size;
-    }
-    this.#sendUpdates(address, kind, 0, '', batch);
-  }
 }
 
 /** Records are hints for routing: a few forwards reach nearly all nodes, comparing repairs the rest. */
