--- a/packages/slots/src/peer-sight.ts
+++ b/packages/slots/src/peer-sight.ts
@@ -7,8 +7,8 @@
 
 /**
  * Whether this node is likely on the larger side of a partition, if there is one: it sees more than half of
- * the members that it saw of late. No proof is needed here, since the engines' own counts keep holders apart;
- * this keeps a node that was cut off from taking turns with the one that follows it.
+ * the members that it saw of late. It tells late, as members are looked at one after the other, and a node that forgot those
+ * that it lost sees most of the rest, so it is one of several things that have to hold before a node gives orders.
  */
 export class PeerSight {
   readonly #clock: Clock;
