--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -1,11 +1,9 @@
-import type { Clock, Timer } from '@canvasridge/clock';
+import type { Timer } from '@canvasridge/clock';
 import { adapterKey, type BackendDescription, type EngineProfile } from '@canvasridge/serving';
-import type { Telemetry } from '@canvasridge/telemetry';
 import { AdapterDemand } from './adapter-demand.js';
 import { AdapterLoader } from './adapter-loader.js';
 import type { AdapterMemory } from './adapter-memory.js';
 import { EngineChoice, backlogMs, isCrowded } from './engine-choice.js';
-import type { EngineControl } from './engine-control.js';
 import type { EngineEntry } from './engine-entry.js';
 import { EngineRegistry } from './engine-registry.js';
 import { EngineUses } from './engine-uses.js';
@@ -13,35 +11,18 @@
 import { LoadStarter, SPARE_SHARE } from './load-starter.js';
 import type { SwitchedOff } from './mechanisms.js';
 import { ModelLoader } from './model-loader.js';
-import type { OrderHolder } from './order-lease.js';
+import type { OrderLeaseOptions } from './order-lease.js';
 import { PoolIndex, countFetches } from './pool-index.js';
 import { describeEngines, type PoolFigures } from './pool-figures.js';
 import { RefusalPolicy } from './refusal-policy.js';
 import { RefusedRequests } from './refused-requests.js';
 import type { RefusalReason, RunningUse, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
 import { SlotTurnover } from './slot-turnover.js';
-import type { SlotTiming } from './timing.js';
 import { WaitingList, type WaitingRequest } from './waiting-list.js';
 
-export interface SlotPoolOptions {
+/** Who leads the pool and what it knows beside its engines; the leases of all engines share the rest. */
+export interface SlotPoolOptions extends Omit<OrderLeaseOptions, 'backend' | 'onReport'> {
   readonly service: string;
-  readonly clock: Clock;
-  readonly control: EngineControl;
-  readonly timing: SlotTiming;
-  readonly holder: OrderHolder;
-  readonly telemetry: Telemetry;
-  readonly mayOrder: () => boolean;
-  /** Rises with each change of the leader, as far as this node saw them. */
-  readonly term: () => number;
-  readonly mayObserve: () => boolean;
-  /** Whether an engine that never took an order can be taken at once, as no other node can lead. */
-  readonly mayTakeUnused: () => boolean;
-  /** Whether engines whose count stood still for a lease can be taken, or the leader before may not know yet. */
-  readonly mayTake: () => boolean;
-  /** Reports show that another node gives orders to an engine. */
-  readonly onForeignOrders: () => void;
-  /** Whether any engine can be taken at once, as engines check fences and the holder before is gone. */
-  readonly mayTakeAtOnce: () => boolean;
   readonly memory: AdapterMemory;
   /** Parts of the policy that are switched off. */
   readonly off: SwitchedOff;
