--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -55,6 +55,17 @@
     help: 'How late timers of the process ran in the last two seconds, mean',
     registers: [this.registry],
   });
+  readonly peerBytes = new Counter({
+    name: 'canvasridge_peer_bytes_total',
+    help: 'Bytes sent to other nodes over connections, by method, answers included',
+    labelNames: ['method'],
+    registers: [this.registry],
+  });
+  readonly peerWaiting = new Gauge({
+    name: 'canvasridge_peer_waiting_bytes',
+    help: 'Most bytes that waited to be sent to other nodes in the last second',
+    registers: [this.registry],
+  });
   readonly droppedLines = new Gauge({
     name: 'canvasridge_log_lines_dropped',
     help: 'Log lines left out since the start',
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -378,10 +378,28 @@
         this.metrics.poolWaiting.set({ pool: row.pool }, row.waiting);
         this.#options.telemetry.event('info', 'pool.state', row.pool, { ...row });
       }
+      this.#reportTraffic();
       await this.#options.clock.sleep(SECOND_MS);
     }
   }
+
+  /** One line a second at the most, only while much goes to other nodes: what it is, and what waits to be sent. */
+  #reportTraffic(): void {
+    const rows = this.#network.traffic.take();
+    const waitingBytes = this.#network.traffic.takeMostWaitingBytes();
+    for (const { method, bytes } of rows) this.metrics.peerBytes.inc({ method }, bytes);
+    this.metrics.peerWaiting.set(waitingBytes);
+    const [most] = rows;
+    if (most === undefined || (most.bytes < NOTABLE_TRAFFIC_BYTES && waitingBytes < NOTABLE_TRAFFIC_BYTES)) {
+      return;
+    }
+    const { method, ...traffic } = most;
+    this.#options.telemetry.event('info', 'peers.traffic', method, { ...traffic, waitingBytes });
+  }
 }
 
+/** From so many bytes a second on, what goes to other nodes is worth a line: a fourth of the smallest link, 7 Mbit/s. */
+const NOTABLE_TRAFFIC_BYTES = 220_000;
+
 /** Name under which nodes are ranked as readers of the published state. */
 const READERS_POOL = 'published-state';
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 export { GatewayNode, type GatewayOptions, type GatewaySettings } from './gateway-node.js';
 export { listen, type ListenError } from './client-server.js';
 export {
+  FOLLOW_METHOD,
   StateFollower,
   type FollowAnswer,
   type FollowRequest,
--- a/packages/gateway/src/peers/line-framing.ts
+++ b/packages/gateway/src/peers/line-framing.ts
@@ -22,8 +22,12 @@
   });
 }
 
-export function writeFrame(socket: Socket, value: unknown): void {
-  if (!socket.destroyed) socket.write(`${JSON.stringify(value)}\n`);
+/** Returns the bytes written, 0 if the socket is gone. */
+export function writeFrame(socket: Socket, value: unknown): number {
+  if (socket.destroyed) return 0;
+  const frame = Buffer.from(`${JSON.stringify(value)}\n`);
+  socket.write(frame);
+  return frame.length;
 }
 
 function parseFrame(line: string): unknown {
--- a/packages/gateway/src/peers/peer-network.ts
+++ b/packages/gateway/src/peers/peer-network.ts
@@ -1,6 +1,7 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { err, ok, type Result } from 'neverthrow';
 import { PeerConnection, type PeerMethods } from './peer-connection.js';
+import { PeerTraffic } from './peer-traffic.js';
 
 const CONNECT_TIMEOUT_MS = 400;
 
@@ -15,6 +16,8 @@
   readonly #methods: PeerMethods;
   readonly #outgoing = new Map<string, PeerConnection>();
   readonly #incoming = new Set<Socket>();
+  /** What goes to all peers together. */
+  readonly traffic = new PeerTraffic();
   readonly #onClose: (peer: PeerConnection) => void;
   readonly #onRefused: (address: string) => void;
   #server: Server | undefined;
@@ -64,7 +67,7 @@
     socket.once('error', (cause: NodeJS.ErrnoException) => {
       if (cause.code === 'ECONNREFUSED') this.#onRefused(address);
     });
-    const connection = new PeerConnection(socket, this.#methods, () => {
+    const connection = new PeerConnection(socket, this.#methods, this.traffic, () => {
       if (this.#outgoing.get(address) === connection) this.#outgoing.delete(address);
     });
     this.#outgoing.set(address, connection);
@@ -90,7 +93,7 @@
 
   #accept(socket: Socket): void {
     this.#incoming.add(socket);
-    const connection = new PeerConnection(socket, this.#methods, () => {
+    const connection = new PeerConnection(socket, this.#methods, this.traffic, () => {
       this.#incoming.delete(socket);
       this.#onClose(connection);
     });
--- /dev/null
+++ b/packages/gateway/test/link-network.ts
@@ -0,0 +1,115 @@
+import type { VirtualClock } from '@canvasridge/clock';
+import type { PeerCaller } from '../src/index.js';
+
+/** Time on the way between two machines, in milliseconds. */
+const DELAY_MS = 1;
+
+/** What a machine answers, by method. `waitingBytes` is what still waits to be sent to the asking machine. */
+export type LinkMethods = Readonly<Record<string, (params: unknown, waitingBytes: number) => unknown>>;
+
+interface Machine {
+  readonly bytesPerMs: number;
+  readonly methods: LinkMethods;
+  /** When what was written so far has left, and when what was sent so far has come in. */
+  sentMs: number;
+  receivedMs: number;
+  waitingBytes: number;
+  mostWaitingBytes: number;
+  sentBytes: number;
+  alive: boolean;
+}
+
+/**
+ * Calls between machines whose links carry so many bytes a millisecond each way, in virtual time. What is written waits
+ * at its sender until the links have carried it, and goes on its way also when nobody waits for it any more.
+ */
+export class LinkNetwork {
+  readonly #clock: VirtualClock;
+  readonly #machines = new Map<string, Machine>();
+  /** Bytes that wait, by sender and receiver. */
+  readonly #waiting = new Map<string, number>();
+
+  constructor(clock: VirtualClock) {
+    this.#clock = clock;
+  }
+
+  add(address: string, mbitPerSecond: number, methods: LinkMethods): void {
+    const bytesPerMs = (mbitPerSecond * 1_000_000) / 8 / 1000;
+    const idle = {
+      sentMs: 0,
+      receivedMs: 0,
+      waitingBytes: 0,
+      mostWaitingBytes: 0,
+      sentBytes: 0,
+      alive: true,
+    };
+    this.#machines.set(address, { bytesPerMs, methods, ...idle });
+  }
+
+  /** From now on a machine says nothing more, and nothing reaches it. */
+  silence(address: string): void {
+    this.#get(address).alive = false;
+  }
+
+  /** Bytes that a machine has sent. */
+  sentBytes(address: string): number {
+    return this.#get(address).sentBytes;
+  }
+
+  /** Most bytes that waited at a machine to be sent. */
+  mostWaitingBytes(address: string): number {
+    return this.#get(address).mostWaitingBytes;
+  }
+
+  /** The calls of a machine. */
+  callsOf(from: string): PeerCaller {
+    return {
+      to: (address) => ({
+        call: (method, params, timeoutMs) =>
+          new Promise((resolve) => {
+            this.#clock.setTimer(timeoutMs, () => resolve(undefined));
+            this.#send(from, address, { method, params }, () => {
+              const answer = this.#get(address).methods[method]?.(params, this.#waitingFor(address, from));
+              this.#send(address, from, { answer }, (message) =>
+                resolve((message as { answer: unknown }).answer),
+              );
+            });
+          }),
+      }),
+    };
+  }
+
+  #send(from: string, to: string, message: unknown, deliver: (message: unknown) => void): void {
+    const sender = this.#get(from);
+    const receiver = this.#get(to);
+    if (!sender.alive || !receiver.alive) return;
+    const text = JSON.stringify(message);
+    const nowMs = this.#clock.now();
+    sender.sentMs = Math.max(nowMs, sender.sentMs) + text.length / sender.bytesPerMs;
+    const cameMs = Math.max(nowMs, receiver.receivedMs) + text.length / receiver.bytesPerMs;
+    receiver.receivedMs = Math.max(cameMs, sender.sentMs) + DELAY_MS;
+    sender.sentBytes += text.length;
+    this.#changeWaiting(from, to, text.length);
+    this.#clock.setTimer(receiver.receivedMs - nowMs, () => {
+      this.#changeWaiting(from, to, -text.length);
+      if (receiver.alive) deliver(JSON.parse(text));
+    });
+  }
+
+  #changeWaiting(from: string, to: string, bytes: number): void {
+    const sender = this.#get(from);
+    sender.waitingBytes += bytes;
+    sender.mostWaitingBytes = Math.max(sender.mostWaitingBytes, sender.waitingBytes);
+    this.#waiting.set(`${from} ${to}`, this.#waitingFor(from, to) + bytes);
+  }
+
+  #waitingFor(from: string, to: string): number {
+    return this.#waiting.get(`${from} ${to}`) ?? 0;
+  }
+
+  #get(address: string): Machine {
+    const machine = this.#machines.get(address);
+    if (machine === undefined) throw new Error(`no machine at ${address}`);
+    return machine;
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/linked-fleet.ts
@@ -0,0 +1,120 @@
+import type { VirtualClock } from '@canvasridge/clock';
+import { FleetState, type BackendDescription, type ServingConfiguration } from '@canvasridge/serving';
+import { Telemetry } from '@canvasridge/telemetry';
+import { FOLLOW_METHOD, StateFollower, departureBudget, type FollowRequest } from '../src/index.js';
+import { LinkNetwork } from './link-network.js';
+
+/** Links of the machines in turn, in Mbit/s; the first ones, the strongest, read the store. */
+const READER_MBIT = 70;
+const FOLLOWER_MBITS = [7, 10, 20];
+const ZONES = 3;
+const BACKENDS = 100;
+const READ_PERIOD_MS = 500;
+const DRAIN_MS = 3000;
+
+interface Node {
+  readonly state: FleetState;
+  readonly follower: StateFollower;
+}
+
+export interface LinkedFleetOptions {
+  readonly nodes: number;
+  readonly readers: number;
+  readonly first: ServingConfiguration;
+}
+
+/** Nodes on links of a bandwidth, of which the first ones read a store and the others follow them, in virtual time. */
+export class LinkedFleet {
+  readonly #clock: VirtualClock;
+  readonly #network: LinkNetwork;
+  readonly #ids: readonly string[];
+  readonly #nodes: Node[] = [];
+  #published: ServingConfiguration;
+
+  constructor(clock: VirtualClock, { nodes, readers, first }: LinkedFleetOptions) {
+    this.#clock = clock;
+    this.#network = new LinkNetwork(clock);
+    this.#ids = Array.from({ length: nodes }, (_, index) => `node-${index}`);
+    this.#published = first;
+    for (const index of this.#ids.keys()) this.#nodes.push(this.#newNode(index, index < readers));
+    for (const { follower } of this.#nodes.slice(readers)) follower.start();
+  }
+
+  publish(configuration: ServingConfiguration): void {
+    this.#published = configuration;
+  }
+
+  silence(index: number): void {
+    this.#network.silence(this.#idOf(index));
+  }
+
+  /** Version of the configuration in force on each node. */
+  versions(): number[] {
+    return this.#nodes.map(({ state }) => state.configurationVersion);
+  }
+
+  /** Bytes sent by all nodes. */
+  sentBytes(): number {
+    return this.#ids.reduce((sum, id) => sum + this.#network.sentBytes(id), 0);
+  }
+
+  /** Most bytes that waited to be sent at any one node. */
+  mostWaitingBytes(): number {
+    return Math.max(...this.#ids.map((id) => this.#network.mostWaitingBytes(id)));
+  }
+
+  #idOf(index: number): string {
+    return this.#ids[index] ?? '';
+  }
+
+  #newNode(index: number, reads: boolean): Node {
+    const state = new FleetState();
+    state.applyConfiguration(this.#published);
+    state.replaceBackends(
+      1,
+      Array.from({ length: BACKENDS }, (_, number) => backend(number)),
+    );
+    const id = this.#idOf(index);
+    const follower = new StateFollower({
+      clock: this.#clock,
+      fleet: state,
+      network: this.#network.callsOf(id),
+      telemetry: new Telemetry({ processName: 'test', clock: this.#clock }),
+      selfId: id,
+      nodeCount: () => this.#ids.length,
+      ranked: () => this.#ids,
+      peerAddress: (peer) => peer,
+      zoneOf: (peer) => String(this.#ids.indexOf(peer) % ZONES),
+      needsWholeState: () => reads,
+      budget: departureBudget(DRAIN_MS),
+    });
+    const mbit = reads ? READER_MBIT : (FOLLOWER_MBITS[index % FOLLOWER_MBITS.length] ?? READER_MBIT);
+    this.#network.add(id, mbit, { [FOLLOW_METHOD]: (params) => follower.answer(params as FollowRequest) });
+    const node = { state, follower };
+    if (reads) void this.#keepReading(node, index);
+    return node;
+  }
+
+  async #keepReading({ state, follower }: Node, index: number): Promise<void> {
+    await this.#clock.sleep(index);
+    for (;;) {
+      state.applyConfiguration(this.#published);
+      state.confirmOperatorState(this.#published.version);
+      follower.heard();
+      await this.#clock.sleep(READ_PERIOD_MS);
+    }
+  }
+}
+
+function backend(number: number): { revision: number; value: BackendDescription } {
+  const value: BackendDescription = {
+    id: `engine-${number}`,
+    service: 'llm',
+    address: `10.0.0.${number}:8080`,
+    zone: String(number % ZONES),
+    state: 'ready',
+    slots: 96,
+    models: [{ name: 'base', adapters: [] }],
+  };
+  return { revision: 1, value };
+}
