--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -30,7 +30,7 @@
   readonly seeds: () => readonly string[];
   readonly configurationVersion: () => number;
   /** A peer shows a configuration version. */
-  readonly onPeerVersion: (peerAddress: string, version: number) => void;
+  readonly onPeerVersion: (peerAddress: string, version: number, zone: string) => void;
 }
 
 /** Quicker than the defaults for large fleets: a dead leader holds up loads. */
@@ -115,7 +115,7 @@
       events: {
         onMember: (member) => this.#remember(member),
         onRecord: () => this.#noteChange(),
-        onRevision: (member, revision) => options.onPeerVersion(member.peerUrl, revision),
+        onRevision: (member, revision) => options.onPeerVersion(member.peerUrl, revision, member.zone),
       },
       seeds: () => [...options.seeds(), ...this.#addresses],
       revision: options.configurationVersion,
--- /dev/null
+++ b/packages/gateway/src/cluster/configuration-fetcher.ts
@@ -0,0 +1,183 @@
+import type { Clock } from '@canvasridge/clock';
+import type { FleetState } from '@canvasridge/serving';
+import type { Telemetry } from '@canvasridge/telemetry';
+import { PART_METHOD, unpack, type PartReply, type PartRequest } from './configuration-parts.js';
+import type { PeerCaller } from './peer-caller.js';
+
+export interface ConfigurationFetcherOptions {
+  readonly clock: Clock;
+  readonly fleet: FleetState;
+  readonly network: PeerCaller;
+  readonly telemetry: Telemetry;
+}
+
+/** First bound on a part's way: a peer lets four parts wait at the most, 0.1 s of the slowest link. */
+const FIRST_TIMEOUT_MS = 300;
+/** A part is waited for so many times as long as the slowest one of late took. */
+const TIMEOUT_FACTOR = 4;
+const LONGEST_TIMEOUT_MS = 2000;
+/** Before a peer is asked again whose link is full. */
+const BUSY_PAUSE_MS = 60;
+/** A peer of another zone is asked if none of this zone has given anything for so long: bytes between zones are dear. */
+const FAR_AFTER_MS = 400;
+
+/** A peer that showed a newer configuration. */
+interface Source {
+  readonly address: string;
+  readonly isNear: boolean;
+}
+
+/** What has come so far of one packed configuration. */
+interface Partial {
+  readonly version: number;
+  readonly digest: string;
+  readonly totalBytes: number;
+  readonly chunks: Buffer[];
+  receivedBytes: number;
+}
+
+/**
+ * Brings a newer configuration here from the peers that show one. One part is asked for at a time, from one peer; where a
+ * peer says nothing the next one is asked for the rest, so that nothing is sent twice that has arrived. How long a part
+ * is waited for follows from how long parts take.
+ */
+export class ConfigurationFetcher {
+  readonly #options: ConfigurationFetcherOptions;
+  #sources: Source[] = [];
+  #wanted = 0;
+  #partial: Partial | undefined;
+  #running = false;
+  #stopped = false;
+  #timeoutMs = FIRST_TIMEOUT_MS;
+  #progressMs = 0;
+
+  constructor(options: ConfigurationFetcherOptions) {
+    this.#options = options;
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /**
+   * A peer holds this version.
+   * @param isNear it is in this node's zone
+   */
+  offered(version: number, address: string, isNear: boolean): void {
+    const { clock, fleet } = this.#options;
+    if (version <= fleet.configurationVersion || this.#stopped) return;
+    this.#wanted = Math.max(this.#wanted, version);
+    const others = this.#sources.filter((source) => source.address !== address);
+    this.#sources = [...others, { address, isNear }];
+    if (this.#running) return;
+    this.#running = true;
+    this.#progressMs = clock.now();
+    void this.#fetch().finally(() => {
+      this.#running = false;
+    });
+  }
+
+  async #fetch(): Promise<void> {
+    const { clock, fleet, telemetry } = this.#options;
+    const startedMs = clock.now();
+    let calls = 0;
+    while (!this.#stopped && this.#wanted > fleet.configurationVersion) {
+      const source = this.#nextSource();
+      if (source === undefined) {
+        if (this.#sources.length === 0) break;
+        await clock.sleep(BUSY_PAUSE_MS);
+        continue;
+      }
+      calls += 1;
+      await this.#askPart(source);
+    }
+    this.#sources = [];
+    this.#partial = undefined;
+    telemetry.event('info', 'configuration.fetched', 'configuration', {
+      wanted: this.#wanted,
+      version: fleet.configurationVersion,
+      tookMs: Math.round(clock.now() - startedMs),
+      calls,
+      timeoutMs: Math.round(this.#timeoutMs),
+    });
+  }
+
+  /** The first near peer; a far one only after a while without progress. Undefined while there is none to be asked. */
+  #nextSource(): Source | undefined {
+    const near = this.#sources.find(({ isNear }) => isNear);
+    if (near !== undefined) return near;
+    const idleMs = this.#options.clock.now() - this.#progressMs;
+    return idleMs >= FAR_AFTER_MS || this.#partial !== undefined ? this.#sources[0] : undefined;
+  }
+
+  async #askPart(source: Source): Promise<void> {
+    const { clock, fleet, network } = this.#options;
+    const request: PartRequest = {
+      above: fleet.configurationVersion,
+      offset: this.#partial?.receivedBytes ?? 0,
+      ...(this.#partial === undefined ? {} : { digest: this.#partial.digest }),
+    };
+    const askedMs = clock.now();
+    const call = network.to(source.address).call(PART_METHOD, request, this.#timeoutMs);
+    const reply = (await call) as PartReply | undefined;
+    if (reply === undefined) {
+      this.#timeoutMs = Math.min(this.#timeoutMs * 2, LONGEST_TIMEOUT_MS);
+      this.#drop(source);
+    } else if (reply.kind === 'none') this.#drop(source);
+    else if (reply.kind === 'busy') {
+      this.#moveToEnd(source);
+      await clock.sleep(BUSY_PAUSE_MS);
+    } else {
+      const tookMs = clock.now() - askedMs;
+      this.#timeoutMs = Math.min(Math.max(tookMs * TIMEOUT_FACTOR, FIRST_TIMEOUT_MS), LONGEST_TIMEOUT_MS);
+      this.#take(reply, source);
+    }
+  }
+
+  #take(part: PartReply & { kind: 'part' }, source: Source): void {
+    this.#progressMs = this.#options.clock.now();
+    if (this.#partial?.digest !== part.digest) {
+      const { version, digest, totalBytes } = part;
+      this.#partial = { version, digest, totalBytes, chunks: [], receivedBytes: 0 };
+    }
+    const partial = this.#partial;
+    const bytes = Buffer.from(part.data, 'base64');
+    if (part.offset !== partial.receivedBytes || bytes.length === 0) {
+      this.#drop(source);
+      return;
+    }
+    partial.chunks.push(bytes);
+    partial.receivedBytes += bytes.length;
+    if (partial.receivedBytes >= partial.totalBytes) this.#finish(partial, source);
+  }
+
+  #finish(partial: Partial, source: Source): void {
+    this.#partial = undefined;
+    const { fleet } = this.#options;
+    const { version, digest, chunks } = partial;
+    try {
+      const configuration = unpack({ version, digest, bytes: Buffer.concat(chunks) });
+      if (configuration !== undefined) {
+        fleet.applyConfiguration(configuration);
+        return;
+      }
+      this.#refuse(source, version, 'digest differs');
+    } catch (cause) {
+      this.#refuse(source, version, String(cause));
+    }
+  }
+
+  #refuse(source: Source, version: number, problem: string): void {
+    this.#options.telemetry.event('error', 'configuration.unreadable', source.address, { version, problem });
+    this.#drop(source);
+  }
+
+  #drop(source: Source): void {
+    this.#sources = this.#sources.filter(({ address }) => address !== source.address);
+  }
+
+  #moveToEnd(source: Source): void {
+    this.#drop(source);
+    this.#sources = [...this.#sources, source];
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/cluster/configuration-parts.ts
@@ -0,0 +1,103 @@
+import { createHash } from 'node:crypto';
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
+import type { FleetState, ServingConfiguration } from '@canvasridge/serving';
+
+/** Asks a peer for one part of the configuration that it holds. */
+export const PART_METHOD = 'fleet.configuration-part';
+
+/** Params of {@link PART_METHOD}. */
+export interface PartRequest {
+  /** Version that the asking node has in force, 0 for none. */
+  readonly above: number;
+  /** Digest of the packed configuration of which parts are here already; absent for the first one. */
+  readonly digest?: string;
+  /** Bytes of it that are here. */
+  readonly offset: number;
+}
+
+/**
+ * `part`: some bytes of the packed configuration, base64; `busy`: what was written to the asking node before is still on
+ * its way; `none`: the peer holds nothing newer.
+ */
+export type PartReply =
+  | {
+      readonly kind: 'part';
+      readonly version: number;
+      readonly digest: string;
+      readonly totalBytes: number;
+      readonly offset: number;
+      readonly data: string;
+    }
+  | { readonly kind: 'busy' }
+  | { readonly kind: 'none' };
+
+/** A part passes a link of 7 Mbit/s, the slowest that the users describe, in 25 ms. */
+const PART_BYTES = 16_384;
+/**
+ * So much may wait to be sent to one peer when something large is added: four parts, 0.1 s of the slowest link. Anything
+ * more would be made again before the one before has arrived.
+ */
+export const MOST_WAITING_FOR_PEER_BYTES = 65_536;
+/** The same for all peers together: a thirtieth of a heap of 128 MB, with room for what is being encoded. */
+export const MOST_WAITING_BYTES = 4 * 1024 * 1024;
+/** 1,200 routes of 220 bytes become 40 KB at this level, in 3 ms of a whole core; higher levels take twice as long for 5% less. */
+const PACK_LEVEL = 3;
+/** Larger than any document that the publishing store takes (1 MB), with the product's longer names. */
+const MOST_UNPACKED_BYTES = 16 * 1024 * 1024;
+
+/** A configuration as it travels between nodes. */
+export interface PackedConfiguration {
+  readonly version: number;
+  readonly digest: string;
+  readonly bytes: Buffer;
+}
+
+/** Bytes that wait to be sent. */
+export interface WaitingBytes {
+  /** To the peer that asks. */
+  readonly forPeer: number;
+  /** To all peers. */
+  readonly forAll: number;
+}
+
+/** Whether something large may be written to a peer now. */
+export function hasRoom({ forPeer, forAll }: WaitingBytes): boolean {
+  return forPeer <= MOST_WAITING_FOR_PEER_BYTES && forAll <= MOST_WAITING_BYTES;
+}
+
+/** Hands the configuration in force out in parts. It is packed once for each version. */
+export class ConfigurationParts {
+  readonly #fleet: FleetState;
+  #packed: PackedConfiguration | undefined;
+
+  constructor(fleet: FleetState) {
+    this.#fleet = fleet;
+  }
+
+  answer(request: PartRequest, waiting: WaitingBytes): PartReply {
+    const configuration = this.#fleet.routes?.configuration;
+    if (configuration === undefined || configuration.version <= request.above) return { kind: 'none' };
+    if (!hasRoom(waiting)) return { kind: 'busy' };
+    if (this.#packed?.version !== configuration.version) this.#packed = pack(configuration);
+    const { version, digest, bytes } = this.#packed;
+    const offset = request.digest === digest ? request.offset : 0;
+    const data = bytes.subarray(offset, offset + PART_BYTES).toString('base64');
+    return { kind: 'part', version, digest, totalBytes: bytes.length, offset, data };
+  }
+}
+
+function pack(configuration: ServingConfiguration): PackedConfiguration {
+  const bytes = deflateRawSync(JSON.stringify(configuration), { level: PACK_LEVEL });
+  return { version: configuration.version, digest: digestOf(bytes), bytes };
+}
+
+/** Undefined if the bytes are not those of the digest. */
+export function unpack({ digest, bytes }: PackedConfiguration): ServingConfiguration | undefined {
+  if (digestOf(bytes) !== digest) return undefined;
+  const text = inflateRawSync(bytes, { maxOutputLength: MOST_UNPACKED_BYTES }).toString('utf8');
+  return JSON.parse(text) as ServingConfiguration;
+}
+
+function digestOf(bytes: Buffer): string {
+  return createHash('sha1').update(bytes).digest('base64');
+}
--- /dev/null
+++ b/packages/gateway/src/cluster/peer-caller.ts
@@ -0,0 +1,7 @@
+/** Calls other nodes. */
+export interface PeerCaller {
+  to(address: string): {
+    /** Undefined if no answer came in time. */
+    call(method: string, params: unknown, timeoutMs: number): Promise<unknown>;
+  };
+}
--- a/packages/gateway/src/cluster/state-exchange.ts
+++ b/packages/gateway/src/cluster/state-exchange.ts
@@ -1,15 +1,13 @@
 import { Notifier, type Clock, type Random } from '@canvasridge/clock';
 import type { FleetSnapshot, FleetState } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
-import type { PeerNetwork } from '../peers/peer-network.js';
+import { hasRoom, type WaitingBytes } from './configuration-parts.js';
+import type { PeerCaller } from './peer-caller.js';
 
 const CALL_TIMEOUT_MS = 1500;
 /** Pause between two looks at peers while the store gives this node no answers. */
 const POLL_PERIOD_MS = 600;
 
-/** Peers asked at the same time: with a new version in a large fleet, many show it at once. */
-const MOST_ASKED = 2;
-
 export const SNAPSHOT_METHOD = 'fleet.snapshot';
 
 /** Params of {@link SNAPSHOT_METHOD}: what the asking node knows already. */
@@ -22,27 +20,38 @@
   readonly routingDigest: number;
 }
 
-/** Learns published state from peers: when one shows a newer configuration, and while the store is silent. */
+/**
+ * What a peer tells: its state, unless the asking node holds the same, and its version of the configuration, which is
+ * fetched in parts.
+ */
+export interface SnapshotAnswer {
+  readonly configurationVersion: number;
+  readonly snapshot?: FleetSnapshot;
+}
+
+/** Learns published state from peers while the store is silent. */
 export class StateExchange {
   readonly #fleet: FleetState;
-  readonly #network: PeerNetwork;
+  readonly #network: PeerCaller;
   readonly #clock: Clock;
   readonly #random: Random;
   readonly #telemetry: Telemetry;
   readonly #peers: () => readonly string[];
-  readonly #asking = new Set<string>();
+  readonly #onConfigurationOffered: (version: number, address: string) => void;
   readonly #lost = new Notifier();
   #sourceAnswers = false;
   #stopped = false;
 
   constructor(options: {
     readonly fleet: FleetState;
-    readonly network: PeerNetwork;
+    readonly network: PeerCaller;
     readonly clock: Clock;
     readonly random: Random;
     readonly telemetry: Telemetry;
     /** Peer addresses that may be asked. */
     readonly peers: () => readonly string[];
+    /** A peer has this version of the configuration in force. */
+    readonly onConfigurationOffered: (version: number, address: string) => void;
   }) {
     this.#fleet = options.fleet;
     this.#network = options.network;
@@ -50,6 +59,7 @@
     this.#random = options.random;
     this.#telemetry = options.telemetry;
     this.#peers = options.peers;
+    this.#onConfigurationOffered = options.onConfigurationOffered;
   }
 
   start(): void {
@@ -71,10 +81,6 @@
     });
   }
 
-  peerShows(address: string, version: number): void {
-    if (version > this.#fleet.configurationVersion) void this.#ask(address);
-  }
-
   async #poll(): Promise<void> {
     while (!this.#stopped) {
       if (this.#sourceAnswers) await this.#lost.wait();
@@ -86,26 +92,31 @@
   }
 
   async #ask(address: string): Promise<void> {
-    if (this.#asking.has(address) || this.#asking.size >= MOST_ASKED) return;
-    this.#asking.add(address);
     const known: SnapshotRequest = {
       operatorRevision: this.#fleet.operatorRevision,
       operatorDigest: this.#fleet.operatorDigest,
       backendsRevision: this.#fleet.backendsRevision,
       routingDigest: this.#fleet.routingDigest,
     };
-    const answer = await this.#network.to(address).call(SNAPSHOT_METHOD, known, CALL_TIMEOUT_MS);
-    this.#asking.delete(address);
-    if (answer === undefined || answer === null) return;
-    this.#fleet.merge(answer as FleetSnapshot);
+    const reply = await this.#network.to(address).call(SNAPSHOT_METHOD, known, CALL_TIMEOUT_MS);
+    if (reply === undefined) return;
+    const { configurationVersion, snapshot } = reply as SnapshotAnswer;
+    this.#onConfigurationOffered(configurationVersion, address);
+    if (snapshot !== undefined) this.#fleet.merge(snapshot);
   }
 }
 
-/** The answer to a peer: nothing if it holds the same, or is not behind. */
-export function snapshotFor(fleet: FleetState, known: SnapshotRequest): FleetSnapshot | null {
+/** The answer to a peer: without the state if it holds the same, is not behind, or its link is full. */
+export function snapshotFor(
+  fleet: FleetState,
+  known: SnapshotRequest,
+  waiting: WaitingBytes,
+): SnapshotAnswer {
+  const { configurationVersion } = fleet;
   const hasOperatorNews =
     fleet.operatorRevision >= known.operatorRevision && fleet.operatorDigest !== known.operatorDigest;
   const hasBackendNews =
     fleet.backendsRevision >= known.backendsRevision && fleet.routingDigest !== known.routingDigest;
-  return hasOperatorNews || hasBackendNews ? fleet.snapshot() : null;
+  if ((!hasOperatorNews && !hasBackendNews) || !hasRoom(waiting)) return { configurationVersion };
+  return { configurationVersion, snapshot: { ...fleet.snapshot(), configuration: undefined } };
 }
--- a/packages/gateway/src/cluster/state-follower.ts
+++ b/packages/gateway/src/cluster/state-follower.ts
@@ -1,7 +1,9 @@
 import { Notifier, type Clock } from '@canvasridge/clock';
 import type { BackendListing, FleetState, OperatorState } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
+import { hasRoom, type WaitingBytes } from './configuration-parts.js';
 import type { DepartureBudget } from './departure-budget.js';
+import type { PeerCaller } from './peer-caller.js';
 
 export const FOLLOW_METHOD = 'fleet.follow';
 
@@ -13,7 +15,6 @@
   readonly operatorRevision: number;
   /** See {@link FleetState.operatorDigest}. */
   readonly operatorDigest: number;
-  readonly configurationVersion: number;
 }
 
 /** What a reader of the store tells a follower. */
@@ -24,28 +25,28 @@
   readonly backendsRevision: number;
   /** Present if the follower's list differs and is not newer. */
   readonly listing?: BackendListing;
+  /** Version of the configuration that the reader has in force; it is fetched in parts, see `ConfigurationFetcher`. */
+  readonly configurationVersion: number;
   /** Present if what the follower holds differs and is not newer. */
   readonly operatorState?: OperatorState;
+  /** So much waits to be sent to the follower that nothing was added: the answer says nothing of what the reader holds. */
+  readonly withheld?: true;
 }
 
 /** Fleets up to this many nodes read the store on each of them. */
 const SMALL_FLEET = 16;
 /** Nodes that read the store for all others of a larger fleet. */
 const READERS = 6;
-const CALL_TIMEOUT_MS = 300;
+/**
+ * An answer that is on its way is waited for so long, and its reader not asked again meanwhile: what is made anew for each
+ * question fills the link on which the answer before is still coming. Other readers are asked after a hedge.
+ */
+const CALL_TIMEOUT_MS = 1000;
 /** A node that has just started knows after this time how large the fleet is. */
 const DECIDED_AFTER_MS = 700;
 /** A sender does not wait for readers longer than so many hedges. */
 const SENDER_WAIT_HEDGES = 2;
 
-/** Calls other nodes. */
-export interface PeerCaller {
-  to(address: string): {
-    /** Undefined if no answer came in time. */
-    call(method: string, params: unknown, timeoutMs: number): Promise<unknown>;
-  };
-}
-
 export interface StateFollowerOptions {
   readonly clock: Clock;
   readonly fleet: FleetState;
@@ -62,6 +63,8 @@
   /** Whether this node hands out slots or is next to do so, and so needs the whole list. */
   readonly needsWholeState: () => boolean;
   readonly budget: DepartureBudget;
+  /** A reader has this version of the configuration in force. */
+  readonly onConfigurationOffered: (version: number, address: string, isNear: boolean) => void;
 }
 
 /**
@@ -78,6 +81,8 @@
   #startedMs: number;
   #reading = true;
   #next = 0;
+  /** Questions that are not answered yet, by the reader's id. */
+  readonly #open = new Map<string, Promise<void>>();
   #lastReaders: { readonly ranked: readonly string[]; readonly readers: readonly string[] } | undefined;
   #refreshing: Promise<void> | undefined;
   #refreshedMs = -Infinity;
@@ -144,8 +149,10 @@
   }
 
   /** Answers a follower. */
-  answer(known: FollowRequest): FollowAnswer {
+  answer(known: FollowRequest, waiting: WaitingBytes): FollowAnswer {
     const { clock, fleet } = this.#options;
+    const { backendsRevision, configurationVersion } = fleet;
+    if (!hasRoom(waiting)) return { backendsRevision, configurationVersion, withheld: true };
     const hasListing =
       fleet.routingDigest !== known.routingDigest && fleet.backendsRevision >= known.backendsRevision;
     const hasOperatorState =
@@ -153,9 +160,10 @@
     const ageMs = clock.now() - this.#heardMs;
     return {
       ...(this.#reading && Number.isFinite(ageMs) ? { ageMs: Math.ceil(ageMs) } : {}),
-      backendsRevision: fleet.backendsRevision,
+      backendsRevision,
+      configurationVersion,
       ...(hasListing ? { listing: fleet.listing() } : {}),
-      ...(hasOperatorState ? { operatorState: this.#operatorState(known) } : {}),
+      ...(hasOperatorState ? { operatorState: fleet.operatorState() } : {}),
     };
   }
 
@@ -180,13 +188,6 @@
     this.#refreshing = undefined;
   }
 
-  /** Without the configuration if the follower has it, as it may be large. */
-  #operatorState(known: FollowRequest): OperatorState {
-    const state = this.#options.fleet.operatorState();
-    const isKnown = (state.configuration?.version ?? 0) <= known.configurationVersion;
-    return isKnown ? { ...state, configuration: undefined } : state;
-  }
-
   async #run(): Promise<void> {
     const { clock, budget } = this.#options;
     while (!this.#stopped) {
@@ -233,6 +234,7 @@
     const { clock, budget } = this.#options;
     const completeBeforeMs = this.#completeMs;
     for (const reader of this.#inOrder(readers)) {
+      if (this.#open.has(reader)) continue;
       const answered = this.#ask(reader);
       await Promise.race([answered, clock.sleep(budget.hedgeMs)]);
       const isNewer = this.#completeMs > completeBeforeMs;
@@ -240,7 +242,16 @@
     }
   }
 
-  async #ask(id: string): Promise<void> {
+  /** Asks a reader, unless its answer to the question before is still on its way. */
+  #ask(id: string): Promise<void> {
+    const open = this.#open.get(id);
+    if (open !== undefined) return open;
+    const asked = this.#askOnce(id).finally(() => this.#open.delete(id));
+    this.#open.set(id, asked);
+    return asked;
+  }
+
+  async #askOnce(id: string): Promise<void> {
     const { network, fleet, clock, peerAddress } = this.#options;
     const address = peerAddress(id);
     if (address === undefined) return;
@@ -249,12 +260,18 @@
       routingDigest: fleet.routingDigest,
       operatorRevision: fleet.operatorRevision,
       operatorDigest: fleet.operatorDigest,
-      configurationVersion: fleet.configurationVersion,
     };
     const askedMs = clock.now();
     const reply = await network.to(address).call(FOLLOW_METHOD, known, CALL_TIMEOUT_MS);
     if (reply === undefined) return;
-    this.#take(reply as FollowAnswer, known, askedMs);
+    const answer = reply as FollowAnswer;
+    this.#options.onConfigurationOffered(answer.configurationVersion, address, this.#isNear(id));
+    if (answer.withheld !== true) this.#take(answer, known, askedMs);
+  }
+
+  #isNear(id: string): boolean {
+    const { zoneOf, selfId } = this.#options;
+    return zoneOf(id) === zoneOf(selfId);
   }
 
   #take(answer: FollowAnswer, known: FollowRequest, askedMs: number): void {
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -37,10 +37,17 @@
   snapshotFor,
   type SnapshotRequest,
 } from './cluster/state-exchange.js';
+import { ConfigurationFetcher } from './cluster/configuration-fetcher.js';
+import {
+  ConfigurationParts,
+  PART_METHOD,
+  type PartRequest,
+  type WaitingBytes,
+} from './cluster/configuration-parts.js';
 import { FOLLOW_METHOD, StateFollower, type FollowRequest } from './cluster/state-follower.js';
 import { GatewayMetrics } from './gateway-metrics.js';
 import { PeerNetwork } from './peers/peer-network.js';
-import type { PeerMethods } from './peers/peer-connection.js';
+import type { PeerConnection, PeerMethods } from './peers/peer-connection.js';
 import type { RequestDialect } from './request/dialect.js';
 import { Exchange, type ExchangeContext } from './request/exchange.js';
 import type { SlotDecision } from '@canvasridge/slots';
@@ -105,6 +112,8 @@
   readonly #slots: SlotService;
   readonly #exchange: StateExchange;
   readonly #follower: StateFollower;
+  readonly #parts: ConfigurationParts;
+  readonly #fetcher: ConfigurationFetcher;
   readonly #connections = new BackendConnections();
   readonly #clients: ClientServer;
   readonly #lag: LoopLag;
@@ -145,13 +154,25 @@
       telemetry,
       seeds: options.seeds,
       configurationVersion: () => this.fleet.configurationVersion,
-      onPeerVersion: (address, version) => this.#exchange.peerShows(address, version),
+      onPeerVersion: (address, version, zone) =>
+        this.#fetcher.offered(version, address, zone === settings.zone),
     });
     this.directory = new Directory(this.#cluster, () => this.#slots.leaders());
     this.#share = new FleetShare(clock, this.directory, settings.nodeId);
     const peers = (): string[] => this.#cluster.peerAddresses();
     const { fleet } = this;
-    this.#exchange = new StateExchange({ fleet, network: this.#network, clock, random, telemetry, peers });
+    this.#parts = new ConfigurationParts(fleet);
+    this.#fetcher = new ConfigurationFetcher({ clock, fleet, network: this.#network, telemetry });
+    this.#exchange = new StateExchange({
+      fleet,
+      network: this.#network,
+      clock,
+      random,
+      telemetry,
+      peers,
+      // A node that polls has lost the store: it takes what it can get wherever that is.
+      onConfigurationOffered: (version, address) => this.#fetcher.offered(version, address, true),
+    });
     this.#follower = new StateFollower({
       clock,
       fleet,
@@ -164,6 +185,7 @@
       zoneOf: (id) => this.#cluster.zoneOf(id),
       needsWholeState: () => this.#slots.takesPart,
       budget: this.#budget,
+      onConfigurationOffered: (version, address, isNear) => this.#fetcher.offered(version, address, isNear),
     });
     this.#slots = new SlotService({
       clock,
@@ -294,6 +316,7 @@
   /** Ends at once, as a crash would. */
   close(): void {
     this.#exchange.stop();
+    this.#fetcher.stop();
     this.#follower.stop();
     this.#slots.stop();
     this.#lag.stop();
@@ -315,8 +338,10 @@
 
   #methods(): PeerMethods {
     return {
-      [SNAPSHOT_METHOD]: (params) => snapshotFor(this.fleet, params as SnapshotRequest),
-      [FOLLOW_METHOD]: (params) => this.#follower.answer(params as FollowRequest),
+      [SNAPSHOT_METHOD]: (params, peer) =>
+        snapshotFor(this.fleet, params as SnapshotRequest, this.#waiting(peer)),
+      [FOLLOW_METHOD]: (params, peer) => this.#follower.answer(params as FollowRequest, this.#waiting(peer)),
+      [PART_METHOD]: (params, peer) => this.#parts.answer(params as PartRequest, this.#waiting(peer)),
       [ACQUIRE_METHOD]: (params, peer) => this.#slots.answers.onAcquire(params as AcquireParams, peer),
       [CANCEL_METHOD]: (params, peer) => this.#slots.answers.onCancel(params as ReleaseParams, peer),
       [STARTED_METHOD]: (params) => this.#slots.answers.onStarted(params as StartedParams),
@@ -326,6 +351,10 @@
     };
   }
 
+  #waiting(peer: PeerConnection): WaitingBytes {
+    return { forPeer: peer.waitingBytes, forAll: this.#network.traffic.waitingBytes };
+  }
+
   #retryBudget(service: string): RetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,9 +6,16 @@
   StateFollower,
   type FollowAnswer,
   type FollowRequest,
-  type PeerCaller,
   type StateFollowerOptions,
 } from './cluster/state-follower.js';
+export type { PeerCaller } from './cluster/peer-caller.js';
+export { ConfigurationFetcher } from './cluster/configuration-fetcher.js';
+export {
+  ConfigurationParts,
+  PART_METHOD,
+  type PartRequest,
+  type WaitingBytes,
+} from './cluster/configuration-parts.js';
 export { departureBudget, type DepartureBudget } from './cluster/departure-budget.js';
 export { RemoteSlots, type LeaderConnection, type LeaderNetwork } from './cluster/remote-slots.js';
 export { Directory } from './cluster/directory.js';
--- a/packages/gateway/test/followed-fleet.ts
+++ b/packages/gateway/test/followed-fleet.ts
@@ -19,6 +19,7 @@
 /** Time from one reading of the store to the next. */
 export const READ_PERIOD_MS = 500;
 
+const NOTHING_WAITS = { forPeer: 0, forAll: 0 };
 const CONFIGURATION: ServingConfiguration = {
   version: 3,
   routes: [],
@@ -125,7 +126,7 @@
       network: {
         to: (address) => ({
           call: (_method, params) => {
-            const answer = readerOf(address)?.follower.answer(params as FollowRequest);
+            const answer = readerOf(address)?.follower.answer(params as FollowRequest, NOTHING_WAITS);
             return Promise.resolve(answer && (JSON.parse(JSON.stringify(answer)) as unknown));
           },
         }),
@@ -138,6 +139,7 @@
       zoneOf: () => 'z',
       needsWholeState: () => false,
       budget: departureBudget(DRAIN_MS),
+      onConfigurationOffered: () => undefined,
     };
   }
 }
--- a/packages/gateway/test/large-configuration.test.ts
+++ b/packages/gateway/test/large-configuration.test.ts
@@ -14,7 +14,7 @@
 
 const NODES = 83;
 const READERS = 6;
-const ROUTES = 1800;
+const ROUTES = 2400;
 /** Time within which a configuration has to be in force on every node. */
 const APPLY_MS = 3000;
 /** A node may hold so much for its peers: a small part of a heap of 128 MB. */
--- a/packages/gateway/test/link-network.ts
+++ b/packages/gateway/test/link-network.ts
@@ -1,11 +1,11 @@
 import type { VirtualClock } from '@canvasridge/clock';
-import type { PeerCaller } from '../src/index.js';
+import type { PeerCaller, WaitingBytes } from '../src/index.js';
 
 /** Time on the way between two machines, in milliseconds. */
 const DELAY_MS = 1;
 
-/** What a machine answers, by method. `waitingBytes` is what still waits to be sent to the asking machine. */
-export type LinkMethods = Readonly<Record<string, (params: unknown, waitingBytes: number) => unknown>>;
+/** What a machine answers, by method. */
+export type LinkMethods = Readonly<Record<string, (params: unknown, waiting: WaitingBytes) => unknown>>;
 
 interface Machine {
   readonly bytesPerMs: number;
@@ -69,7 +69,7 @@
           new Promise((resolve) => {
             this.#clock.setTimer(timeoutMs, () => resolve(undefined));
             this.#send(from, address, { method, params }, () => {
-              const answer = this.#get(address).methods[method]?.(params, this.#waitingFor(address, from));
+              const answer = this.#get(address).methods[method]?.(params, this.#waitingAt(address, from));
               this.#send(address, from, { answer }, (message) =>
                 resolve((message as { answer: unknown }).answer),
               );
@@ -103,6 +103,10 @@
     this.#waiting.set(`${from} ${to}`, this.#waitingFor(from, to) + bytes);
   }
 
+  #waitingAt(from: string, to: string): WaitingBytes {
+    return { forPeer: this.#waitingFor(from, to), forAll: this.#get(from).waitingBytes };
+  }
+
   #waitingFor(from: string, to: string): number {
     return this.#waiting.get(`${from} ${to}`) ?? 0;
   }
--- a/packages/gateway/test/linked-fleet.ts
+++ b/packages/gateway/test/linked-fleet.ts
@@ -1,7 +1,16 @@
 import type { VirtualClock } from '@canvasridge/clock';
 import { FleetState, type BackendDescription, type ServingConfiguration } from '@canvasridge/serving';
 import { Telemetry } from '@canvasridge/telemetry';
-import { FOLLOW_METHOD, StateFollower, departureBudget, type FollowRequest } from '../src/index.js';
+import {
+  ConfigurationFetcher,
+  ConfigurationParts,
+  FOLLOW_METHOD,
+  PART_METHOD,
+  StateFollower,
+  departureBudget,
+  type FollowRequest,
+  type PartRequest,
+} from '../src/index.js';
 import { LinkNetwork } from './link-network.js';
 
 /** Links of the machines in turn, in Mbit/s; the first ones, the strongest, read the store. */
@@ -75,11 +84,16 @@
       Array.from({ length: BACKENDS }, (_, number) => backend(number)),
     );
     const id = this.#idOf(index);
-    const follower = new StateFollower({
+    const shared = {
       clock: this.#clock,
       fleet: state,
       network: this.#network.callsOf(id),
       telemetry: new Telemetry({ processName: 'test', clock: this.#clock }),
+    };
+    const parts = new ConfigurationParts(state);
+    const fetcher = new ConfigurationFetcher(shared);
+    const follower = new StateFollower({
+      ...shared,
       selfId: id,
       nodeCount: () => this.#ids.length,
       ranked: () => this.#ids,
@@ -87,9 +101,13 @@
       zoneOf: (peer) => String(this.#ids.indexOf(peer) % ZONES),
       needsWholeState: () => reads,
       budget: departureBudget(DRAIN_MS),
+      onConfigurationOffered: (version, address, isNear) => fetcher.offered(version, address, isNear),
     });
     const mbit = reads ? READER_MBIT : (FOLLOWER_MBITS[index % FOLLOWER_MBITS.length] ?? READER_MBIT);
-    this.#network.add(id, mbit, { [FOLLOW_METHOD]: (params) => follower.answer(params as FollowRequest) });
+    this.#network.add(id, mbit, {
+      [FOLLOW_METHOD]: (params, waiting) => follower.answer(params as FollowRequest, waiting),
+      [PART_METHOD]: (params, waiting) => parts.answer(params as PartRequest, waiting),
+    });
     const node = { state, follower };
     if (reads) void this.#keepReading(node, index);
     return node;
--- a/packages/gateway/test/state-follower.test.ts
+++ b/packages/gateway/test/state-follower.test.ts
@@ -5,6 +5,7 @@
 import { StateFollower, departureBudget, type FollowAnswer, type FollowRequest } from '../src/index.js';
 
 const BUDGET = departureBudget(3000);
+const NOTHING_WAITS = { forPeer: 0, forAll: 0 };
 const CONFIGURATION: ServingConfiguration = {
   version: 3,
   routes: [],
@@ -53,7 +54,7 @@
           call: (_method, params) => {
             this.asked.push(address);
             if (this.silent) return Promise.resolve(undefined);
-            const answered = reader.answer(params as FollowRequest);
+            const answered = reader.answer(params as FollowRequest, NOTHING_WAITS);
             const answer: FollowAnswer = this.fresh(address) ? { ...answered, ageMs: 0 } : answered;
             return Promise.resolve(JSON.parse(JSON.stringify(answer)));
           },
@@ -80,6 +81,7 @@
       zoneOf: (id: string) => this.#zoneOf(numberOf(id)),
       needsWholeState: () => false,
       budget: BUDGET,
+      onConfigurationOffered: () => undefined,
     };
   }
 }
--- a/packages/serving/src/fleet-state.ts
+++ b/packages/serving/src/fleet-state.ts
@@ -37,11 +37,10 @@
   readonly backends: readonly Revised<BackendDescription>[];
 }
 
-/** What operators published beside the list of backends. */
+/** What operators published beside the list of backends and the configuration, which may be large. */
 export interface OperatorState {
   /** Revision of the newest entry that is part of it. */
   readonly revision: number;
-  readonly configuration: ServingConfiguration | undefined;
   readonly adapterVersions: readonly AdapterVersion[];
 }
 
@@ -107,7 +106,7 @@
     return this.#routingDigest.value;
   }
 
-  /** Tells whether two nodes hold the same entries of the operators. */
+  /** Tells whether two nodes hold the same entries of the operators; the configuration has its version for that. */
   get operatorDigest(): number {
     return this.#operatorDigest.value;
   }
@@ -154,7 +153,6 @@
   applyConfiguration(configuration: ServingConfiguration): boolean {
     if (configuration.version <= this.configurationVersion) return false;
     this.#routes = new RouteTable(configuration);
-    this.#operatorDigest.put(CONFIGURATION_KEY, String(configuration.version));
     this.#notify('configuration');
     return true;
   }
@@ -218,13 +216,11 @@
   operatorState(): OperatorState {
     return {
       revision: this.#operatorRevision,
-      configuration: this.#routes?.configuration,
       adapterVersions: [...this.#adapterVersions.values()],
     };
   }
 
   applyOperatorState(state: OperatorState): void {
-    if (state.configuration !== undefined) this.applyConfiguration(state.configuration);
     for (const published of state.adapterVersions) this.applyAdapterVersion(published);
     this.confirmOperatorState(state.revision);
   }
@@ -293,8 +289,6 @@
   }
 }
 
-const CONFIGURATION_KEY = 'configuration';
-
 function supersedes(entry: Revised<BackendDescription>, known: Revised<BackendDescription>): boolean {
   if (entry.revision !== known.revision) return entry.revision > known.revision;
   return known.partial === true && entry.partial !== true;
