Tenants: keys, public routes, priorities, and a lease on the configuration that a key's right ends with

Change: keys are looked up, 401 for unknown ones, the key withheld and the tenant named; the age of the configuration counts from the store's answer through readers, followers and peers, and no key is taken beyond 0.6 of the revocation bound; checked where the request is written.

--- a/packages/gateway/src/backends/picker.ts
+++ b/packages/gateway/src/backends/picker.ts
@@ -10,6 +10,10 @@
   readonly traceId: string;
   readonly route: HttpRoute;
   readonly service: BackendService;
+  /** Name of the tenant for whom it runs. */
+  readonly tenant: string | undefined;
+  /** 0 is the most urgent. */
+  readonly priority: number;
   readonly generation: GenerationFacts | undefined;
   /** Milliseconds since the client's request arrived. */
   readonly ageMs: number;
--- a/packages/gateway/src/cluster/state-exchange.ts
+++ b/packages/gateway/src/cluster/state-exchange.ts
@@ -2,6 +2,7 @@
 import type { FleetSnapshot, FleetState } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
 import { hasRoom, type WaitingBytes } from './configuration-parts.js';
+import type { ConfigurationFreshness } from './configuration-freshness.js';
 import type { PeerCaller } from './peer-caller.js';
 
 const CALL_TIMEOUT_MS = 1500;
@@ -26,6 +27,8 @@
  */
 export interface SnapshotAnswer {
   readonly configurationVersion: number;
+  /** See {@link ConfigurationFreshness}; absent if the peer never knew. */
+  readonly configurationAgeMs?: number;
   readonly snapshot?: FleetSnapshot;
 }
 
@@ -37,6 +40,7 @@
   readonly #random: Random;
   readonly #telemetry: Telemetry;
   readonly #peers: () => readonly string[];
+  readonly #freshness: ConfigurationFreshness;
   readonly #onConfigurationOffered: (version: number, address: string) => void;
   readonly #lost = new Notifier();
   #sourceAnswers = false;
@@ -50,6 +54,7 @@
     readonly telemetry: Telemetry;
     /** Peer addresses that may be asked. */
     readonly peers: () => readonly string[];
+    readonly freshness: ConfigurationFreshness;
     /** A peer has this version of the configuration in force. */
     readonly onConfigurationOffered: (version: number, address: string) => void;
   }) {
@@ -59,6 +64,7 @@
     this.#random = options.random;
     this.#telemetry = options.telemetry;
     this.#peers = options.peers;
+    this.#freshness = options.freshness;
     this.#onConfigurationOffered = options.onConfigurationOffered;
   }
 
@@ -98,10 +104,12 @@
       backendsRevision: this.#fleet.backendsRevision,
       routingDigest: this.#fleet.routingDigest,
     };
+    const askedMs = this.#clock.now();
     const reply = await this.#network.to(address).call(SNAPSHOT_METHOD, known, CALL_TIMEOUT_MS);
     if (reply === undefined) return;
-    const { configurationVersion, snapshot } = reply as SnapshotAnswer;
+    const { configurationVersion, configurationAgeMs = Infinity, snapshot } = reply as SnapshotAnswer;
     this.#onConfigurationOffered(configurationVersion, address);
+    this.#freshness.confirm(configurationVersion, askedMs - configurationAgeMs);
     if (snapshot !== undefined) this.#fleet.merge(snapshot);
   }
 }
@@ -109,14 +117,19 @@
 /** The answer to a peer: without the state if it holds the same, is not behind, or its link is full. */
 export function snapshotFor(
   fleet: FleetState,
+  freshness: ConfigurationFreshness,
   known: SnapshotRequest,
   waiting: WaitingBytes,
 ): SnapshotAnswer {
   const { configurationVersion } = fleet;
+  const configurationAgeMs = Math.ceil(freshness.ageMs);
+  const configuration = Number.isFinite(configurationAgeMs)
+    ? { configurationVersion, configurationAgeMs }
+    : { configurationVersion };
   const hasOperatorNews =
     fleet.operatorRevision >= known.operatorRevision && fleet.operatorDigest !== known.operatorDigest;
   const hasBackendNews =
     fleet.backendsRevision >= known.backendsRevision && fleet.routingDigest !== known.routingDigest;
-  if ((!hasOperatorNews && !hasBackendNews) || !hasRoom(waiting)) return { configurationVersion };
-  return { configurationVersion, snapshot: { ...fleet.snapshot(), configuration: undefined } };
+  if ((!hasOperatorNews && !hasBackendNews) || !hasRoom(waiting)) return configuration;
+  return { ...configuration, snapshot: { ...fleet.snapshot(), configuration: undefined } };
 }
--- a/packages/gateway/src/cluster/state-follower.ts
+++ b/packages/gateway/src/cluster/state-follower.ts
@@ -2,6 +2,7 @@
 import type { BackendListing, FleetState, OperatorState } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
 import { hasRoom, type WaitingBytes } from './configuration-parts.js';
+import type { ConfigurationFreshness } from './configuration-freshness.js';
 import type { DepartureBudget } from './departure-budget.js';
 import type { PeerCaller } from './peer-caller.js';
 
@@ -27,6 +28,8 @@
   readonly listing?: BackendListing;
   /** Version of the configuration that the reader has in force; it is fetched in parts, see `ConfigurationFetcher`. */
   readonly configurationVersion: number;
+  /** See {@link ConfigurationFreshness}; absent if the reader never knew. */
+  readonly configurationAgeMs?: number;
   /** Present if what the follower holds differs and is not newer. */
   readonly operatorState?: OperatorState;
   /** So much waits to be sent to the follower that nothing was added: the answer says nothing of what the reader holds. */
@@ -63,6 +66,7 @@
   /** Whether this node hands out slots or is next to do so, and so needs the whole list. */
   readonly needsWholeState: () => boolean;
   readonly budget: DepartureBudget;
+  readonly freshness: ConfigurationFreshness;
   /** A reader has this version of the configuration in force. */
   readonly onConfigurationOffered: (version: number, address: string, isNear: boolean) => void;
 }
@@ -150,9 +154,13 @@
 
   /** Answers a follower. */
   answer(known: FollowRequest, waiting: WaitingBytes): FollowAnswer {
-    const { clock, fleet } = this.#options;
+    const { clock, fleet, freshness } = this.#options;
     const { backendsRevision, configurationVersion } = fleet;
-    if (!hasRoom(waiting)) return { backendsRevision, configurationVersion, withheld: true };
+    const configurationAgeMs = Math.ceil(freshness.ageMs);
+    const configuration = Number.isFinite(configurationAgeMs)
+      ? { configurationVersion, configurationAgeMs }
+      : { configurationVersion };
+    if (!hasRoom(waiting)) return { backendsRevision, ...configuration, withheld: true };
     const hasListing =
       fleet.routingDigest !== known.routingDigest && fleet.backendsRevision >= known.backendsRevision;
     const hasOperatorState =
@@ -161,7 +169,7 @@
     return {
       ...(this.#reading && Number.isFinite(ageMs) ? { ageMs: Math.ceil(ageMs) } : {}),
       backendsRevision,
-      configurationVersion,
+      ...configuration,
       ...(hasListing ? { listing: fleet.listing() } : {}),
       ...(hasOperatorState ? { operatorState: fleet.operatorState() } : {}),
     };
@@ -192,7 +200,7 @@
     const { clock, budget } = this.#options;
     while (!this.#stopped) {
       const readers = this.#readers();
-      if (!readers.includes(this.#options.selfId) && this.isLarge) await this.#round(readers);
+      if (this.#mustAsk(readers)) await this.#round(readers.filter((id) => id !== this.#options.selfId));
       this.#setReading(this.#mustRead(readers));
       await clock.sleep(budget.pollMs);
     }
@@ -229,6 +237,13 @@
     return ageMs > budget.orphanedAgeMs;
   }
 
+  /** Followers ask readers; so does a reader of a large fleet that the store turns away, as others may be served. */
+  #mustAsk(readers: readonly string[]): boolean {
+    const { selfId, budget } = this.#options;
+    if (!this.isLarge) return false;
+    return !readers.includes(selfId) || this.listAgeMs > budget.trustedAgeMs;
+  }
+
   /** Asks readers one after another, until one tells news that is recent enough. A silent one is left behind. */
   async #round(readers: readonly string[]): Promise<void> {
     const { clock, budget } = this.#options;
@@ -265,7 +280,9 @@
     const reply = await network.to(address).call(FOLLOW_METHOD, known, CALL_TIMEOUT_MS);
     if (reply === undefined) return;
     const answer = reply as FollowAnswer;
-    this.#options.onConfigurationOffered(answer.configurationVersion, address, this.#isNear(id));
+    const { configurationVersion, configurationAgeMs = Infinity } = answer;
+    this.#options.onConfigurationOffered(configurationVersion, address, this.#isNear(id));
+    this.#options.freshness.confirm(configurationVersion, askedMs - configurationAgeMs);
     if (answer.withheld !== true) this.#take(answer, known, askedMs);
   }
 
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -44,6 +44,11 @@
     help: 'Time for which the list of backends may have changed unnoticed',
     registers: [this.registry],
   });
+  readonly configurationAge = new Gauge({
+    name: 'canvasridge_configuration_age_seconds',
+    help: 'Time since the configuration in force was known to be the newest',
+    registers: [this.registry],
+  });
   readonly departures = new Counter({
     name: 'canvasridge_backend_departures_total',
     help: 'Backends that this node found to leave, by state (draining, gone)',
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -44,6 +44,8 @@
   type PartRequest,
   type WaitingBytes,
 } from './cluster/configuration-parts.js';
+import { ConfigurationFreshness } from './cluster/configuration-freshness.js';
+import { usualAgeMs, type KeyLease } from './cluster/key-lease.js';
 import { FOLLOW_METHOD, StateFollower, type FollowRequest } from './cluster/state-follower.js';
 import { GatewayMetrics } from './gateway-metrics.js';
 import { PeerNetwork } from './peers/peer-network.js';
@@ -71,6 +73,8 @@
   readonly switchedOff: SwitchedOff;
   /** Time within which each node has to know that a backend leaves. */
   readonly drainMs: number;
+  /** How long a configuration gives rights that can be withdrawn, and how often it is confirmed for that. */
+  readonly keyLease: KeyLease;
   /** Time from the signal to stop until the process has to be gone. */
   readonly stopGraceMs: number;
   /** Whether the whole system starts for the first time. */
@@ -97,6 +101,8 @@
 const STOP_POLL_MS = 50;
 const TOKEN_BYTES = 6;
 const SECOND_MS = 1000;
+/** Longest watch of the operators' entries, where no key has to stop working within a time. */
+const LONGEST_OPERATOR_WATCH_MS = 5000;
 const READER_RETRY_MS = 700;
 /** A follower that had to read itself, and can't either: most likely no node can, and readers see the return first. */
 const ORPHAN_RETRY_MS = 2000;
@@ -112,6 +118,7 @@
   readonly #slots: SlotService;
   readonly #exchange: StateExchange;
   readonly #follower: StateFollower;
+  readonly #freshness: ConfigurationFreshness;
   readonly #parts: ConfigurationParts;
   readonly #fetcher: ConfigurationFetcher;
   readonly #connections = new BackendConnections();
@@ -125,6 +132,7 @@
   /** When requests that still run are given up, once this node stops. */
   #stopsAtMs = Infinity;
   #stopping = false;
+  #wasStale = false;
   #nextId = 0;
 
   private constructor(options: GatewayOptions, transport: UdpTransport) {
@@ -132,6 +140,7 @@
     this.fleet = options.fleet;
     const { settings, clock, telemetry } = options;
     this.#budget = departureBudget(settings.drainMs);
+    this.#checkKeyLease();
     const prefix = settings.firstStart ? '' : RESTARTED_PREFIX;
     const processToken = prefix + randomBytes(TOKEN_BYTES).toString('hex');
     const random = new Random(hashSeed(processToken));
@@ -161,6 +170,8 @@
     this.#share = new FleetShare(clock, this.directory, settings.nodeId);
     const peers = (): string[] => this.#cluster.peerAddresses();
     const { fleet } = this;
+    this.#freshness = new ConfigurationFreshness(clock, fleet);
+    const freshness = this.#freshness;
     this.#parts = new ConfigurationParts(fleet);
     this.#fetcher = new ConfigurationFetcher({ clock, fleet, network: this.#network, telemetry });
     this.#exchange = new StateExchange({
@@ -170,6 +181,7 @@
       random,
       telemetry,
       peers,
+      freshness,
       // A node that polls has lost the store: it takes what it can get wherever that is.
       onConfigurationOffered: (version, address) => this.#fetcher.offered(version, address, true),
     });
@@ -185,6 +197,7 @@
       zoneOf: (id) => this.#cluster.zoneOf(id),
       needsWholeState: () => this.#slots.takesPart,
       budget: this.#budget,
+      freshness,
       onConfigurationOffered: (version, address, isNear) => this.#fetcher.offered(version, address, isNear),
     });
     this.#slots = new SlotService({
@@ -215,6 +228,7 @@
       random: () => random.next(),
       listAgeMs: () => this.#follower.listAgeMs,
       refreshIfOld: () => this.#follower.refreshIfOld(),
+      configurationLease: () => ({ ageMs: freshness.ageMs, leaseMs: settings.keyLease.leaseMs }),
       telemetry,
       metrics: this.metrics,
     };
@@ -246,9 +260,24 @@
     return ok(node);
   }
 
+  /** Says so where even calm nodes would refuse keys: no setting is changed for it, as that would break a bound. */
+  #checkKeyLease(): void {
+    const { keyLease, nodeId } = this.#options.settings;
+    const usualMs = usualAgeMs(keyLease, this.#budget);
+    if (!(usualMs > keyLease.leaseMs) || keyLease.leaseMs === Infinity) return;
+    const { leaseMs } = keyLease;
+    this.#options.telemetry.event('error', 'configuration.lease-too-short', nodeId, { leaseMs, usualMs });
+  }
+
   /** Whether clients should be sent here. */
   get ready(): boolean {
-    return !this.#stopping && this.fleet.routes !== undefined;
+    return !this.#stopping && this.fleet.routes !== undefined && !this.#isStale;
+  }
+
+  /** Whether this node can't tell any more which keys hold, so that it refuses all requests that bear one. */
+  get #isStale(): boolean {
+    const { keyLease } = this.#options.settings;
+    return this.fleet.routes?.tenants !== undefined && this.#freshness.ageMs > keyLease.leaseMs;
   }
 
   /** Whether the published state can be read directly; otherwise it is learnt from peers. */
@@ -283,6 +312,19 @@
     return this.#follower.listAgeMs;
   }
 
+  /**
+   * The configuration in force was the newest one in the store at this moment of this node's clock. Not to be called
+   * while the store holds one that can't be read: it may withdraw rights.
+   */
+  configurationConfirmed(asOfMs: number): void {
+    this.#freshness.confirm(this.fleet.configurationVersion, asOfMs);
+  }
+
+  /** Longest wait for changes of the operators' entries, in milliseconds. */
+  get operatorWatchMs(): number {
+    return Math.min(this.#options.settings.keyLease.watchMs, LONGEST_OPERATOR_WATCH_MS);
+  }
+
   /** The list of backends was read just now, or is known not to have changed. */
   sourceHeard(): void {
     this.#follower.heard();
@@ -339,7 +381,7 @@
   #methods(): PeerMethods {
     return {
       [SNAPSHOT_METHOD]: (params, peer) =>
-        snapshotFor(this.fleet, params as SnapshotRequest, this.#waiting(peer)),
+        snapshotFor(this.fleet, this.#freshness, params as SnapshotRequest, this.#waiting(peer)),
       [FOLLOW_METHOD]: (params, peer) => this.#follower.answer(params as FollowRequest, this.#waiting(peer)),
       [PART_METHOD]: (params, peer) => this.#parts.answer(params as PartRequest, this.#waiting(peer)),
       [ACQUIRE_METHOD]: (params, peer) => this.#slots.answers.onAcquire(params as AcquireParams, peer),
@@ -401,6 +443,8 @@
     while (!this.#stopping) {
       this.metrics.droppedLines.set(this.#options.droppedLines());
       this.metrics.listAge.set(this.#follower.listAgeMs / 1000);
+      this.metrics.configurationAge.set(this.#freshness.ageMs / 1000);
+      this.#reportStaleness();
       this.metrics.members.set(this.#cluster.serving().length);
       this.metrics.loopLag.set(this.#lag.meanMs / 1000);
       for (const row of this.#slots.describe()) {
@@ -412,6 +456,19 @@
     }
   }
 
+  /** One line for each change: from when to when requests with keys are refused. */
+  #reportStaleness(): void {
+    const isStale = this.#isStale;
+    if (isStale === this.#wasStale) return;
+    this.#wasStale = isStale;
+    this.#options.telemetry.event(isStale ? 'warn' : 'info', 'configuration.lease', 'configuration', {
+      state: isStale ? 'expired' : 'renewed',
+      ageMs: Math.round(this.#freshness.ageMs),
+      leaseMs: this.#options.settings.keyLease.leaseMs,
+      version: this.fleet.configurationVersion,
+    });
+  }
+
   /** One line a second at the most, only while much goes to other nodes: what it is, and what waits to be sent. */
   #reportTraffic(): void {
     const rows = this.#network.traffic.take();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -16,12 +16,21 @@
   type PartRequest,
   type WaitingBytes,
 } from './cluster/configuration-parts.js';
+export { ConfigurationFreshness } from './cluster/configuration-freshness.js';
+export { NO_KEY_LEASE, keyLease, type KeyLease } from './cluster/key-lease.js';
 export { departureBudget, type DepartureBudget } from './cluster/departure-budget.js';
 export { RemoteSlots, type LeaderConnection, type LeaderNetwork } from './cluster/remote-slots.js';
 export { Directory } from './cluster/directory.js';
 export type { RetryBudgetOptions } from './backends/retry-budget.js';
 export { RetryBudget } from './backends/retry-budget.js';
 export { GatewayMetrics } from './gateway-metrics.js';
+export {
+  identifyCaller,
+  type CallerIdentity,
+  type ConfigurationLease,
+  type Identification,
+  type IdentityProblem,
+} from './request/caller-identity.js';
 export type {
   AnswerFacts,
   AnswerHeaders,
--- a/packages/gateway/src/request/dialect.ts
+++ b/packages/gateway/src/request/dialect.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import type { CallerIdentity } from './caller-identity.js';
 
 /** A request for a model, as its headers tell. */
 export interface GenerationFacts {
@@ -19,6 +20,10 @@
   /** Id of the last event that the client has of a stream it continues. */
   readonly lastEventId: number | undefined;
   readonly generation: GenerationFacts | undefined;
+  /** The secret by which the client says which tenant it belongs to. */
+  readonly key: string | undefined;
+  /** Tokens of the prompt and the most of the answer together; undefined if the request names none. */
+  readonly tokens: number | undefined;
 }
 
 /** What the gateway adds to a request that it sends to a backend. */
@@ -29,6 +34,7 @@
   readonly lastEventId: number | undefined;
   /** 0 is the most urgent. */
   readonly priority: number | undefined;
+  readonly identity: CallerIdentity;
 }
 
 /** What the head of a backend's answer says of the request. */
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -8,6 +8,12 @@
 import type { RetryBudget } from '../backends/retry-budget.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
 import { AnswerSink } from './answer-sink.js';
+import {
+  identifyCaller,
+  type CallerIdentity,
+  type ConfigurationLease,
+  type Identification,
+} from './caller-identity.js';
 import { BackendAttempt, type AttemptOutcome, type SilenceLimit } from './backend-attempt.js';
 import { readBody } from './body.js';
 import type { RequestDialect, RequestFacts } from './dialect.js';
@@ -33,6 +39,8 @@
   readonly listAgeMs: () => number;
   /** Brings the list of backends up to date if it is so old that one may have left unnoticed for too long. */
   readonly refreshIfOld: () => Promise<void>;
+  /** How far the configuration in force may be relied upon for rights that can be withdrawn. */
+  readonly configurationLease: () => ConfigurationLease;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
 }
@@ -59,6 +67,7 @@
   readonly #stopsInMs: number;
   readonly #cancel = new AbortController();
   #route: HttpRoute | undefined;
+  #identity: CallerIdentity | undefined;
   #body: Buffer = EMPTY;
   #attempt: BackendAttempt | undefined;
   #ended = false;
@@ -109,6 +118,7 @@
       return;
     }
     this.#route = route;
+    if (!this.#identify(route)) return;
     const service = routes.service(pickService(route.services, this.#context.random()) ?? '');
     if (service === undefined) {
       this.#answer({ kind: 'not-run', reason: 'unknown-service', retryAfterMs: undefined });
@@ -138,6 +148,7 @@
   async #serve(route: HttpRoute, service: BackendService): Promise<void> {
     this.#context.budget(service.name).countRequest();
     while (!this.#ended) {
+      if (!this.#identify(route)) return;
       const picked = await this.#pick(route, service);
       if (this.#ended) {
         if (picked.kind === 'picked') picked.finish('cancelled');
@@ -155,6 +166,44 @@
     }
   }
 
+  /** Finds out for whom the request runs; answers it if that can't be told, or gives no right. */
+  #identify(route: HttpRoute): boolean {
+    const found = this.#lookUp(route);
+    if (found.kind === 'identified') {
+      this.#identity = found.identity;
+      return true;
+    }
+    const { problem } = found;
+    if (this.#sink.started) this.#breakOff(problem);
+    else if (this.#mayHaveRun) this.#answer({ kind: 'outcome-unknown', detail: problem });
+    else if (problem === 'no-key' || problem === 'unknown-key') {
+      this.#answer({ kind: 'unauthorized', detail: problem });
+    } else {
+      // Another node may know more, but not of an entry that is unreadable for all.
+      const retryAfterMs = problem === 'stale' ? RETRY_ELSEWHERE_MS : undefined;
+      this.#answer({ kind: 'not-run', reason: problem, retryAfterMs });
+    }
+    return false;
+  }
+
+  /** Right before the request is written: it waited for an engine and for a connection since the key was looked up. */
+  #isStillIdentified(route: HttpRoute): boolean {
+    const found = this.#lookUp(route);
+    if (found.kind !== 'identified') return false;
+    return nameOf(found.identity) === nameOf(this.#identity);
+  }
+
+  #lookUp(route: HttpRoute): Identification {
+    const routes = this.#context.fleet.routes;
+    if (routes === undefined) return { kind: 'refused', problem: 'stale' };
+    return identifyCaller(routes, route, this.#facts.key, this.#context.configurationLease());
+  }
+
+  #priority(route: HttpRoute): number {
+    const tenantPriority = this.#identity?.kind === 'tenant' ? this.#identity.tenant.priority : undefined;
+    return tenantPriority ?? route.priority;
+  }
+
   #pick(route: HttpRoute, service: BackendService): Promise<PickResult> {
     const picker = service.engine === undefined ? this.#context.plainPicker : this.#context.enginePicker;
     const context = {
@@ -162,6 +211,8 @@
       traceId: this.#facts.attemptId ?? 'none',
       route,
       service,
+      tenant: nameOf(this.#identity),
+      priority: this.#priority(route),
       generation: this.#facts.generation,
       ageMs: this.#ageMs(),
       timeoutMs: this.#timeoutMs(route),
@@ -185,6 +236,7 @@
     this.#sends += 1;
     if (this.#ended) return { kind: 'cancelled' };
     if (fleet.isLeaving(backend.id)) return { kind: 'not-run', reason: 'leaving' };
+    const identity = this.#identity ?? { kind: 'public' };
     const connection = connections.take(backend, service.maxConnections, this.#context.fleetShare());
     if (connection === undefined) return { kind: 'not-run', reason: 'no-connection' };
     const lastEventId = this.#lastEventId >= 0 ? this.#lastEventId : undefined;
@@ -199,14 +251,15 @@
           deadlineMs: Math.max(1, Math.floor(this.#leftMs(route) - RETURN_MARGIN_MS)),
           backendId: backend.id,
           lastEventId,
-          priority: service.engine === undefined ? undefined : route.priority,
+          priority: service.engine === undefined ? undefined : this.#priority(route),
+          identity,
         }),
         body: this.#body,
         attemptId: this.#facts.attemptId ?? '',
         stream: route.kind === 'stream',
         lastEventId: this.#lastEventId,
         silence: this.#silence(route, backend.id),
-        mayStart: () => !fleet.isLeaving(backend.id),
+        mayStart: () => !fleet.isLeaving(backend.id) && this.#isStillIdentified(route),
         onHeard: () => connections.heard(backend.id, clock.now()),
         onStarted: picked.started,
       },
@@ -345,6 +398,7 @@
       outcome,
       status,
       route: this.#route?.name,
+      tenant: nameOf(this.#identity),
       adapter: this.#facts.generation?.adapter,
       backend: this.#backendId === '' ? undefined : this.#backendId,
       how: this.#how === '' ? undefined : this.#how,
@@ -388,6 +442,11 @@
   }
 }
 
+/** The tenant's name, undefined for requests that run for nobody in particular. */
+function nameOf(identity: CallerIdentity | undefined): string | undefined {
+  return identity?.kind === 'tenant' ? identity.tenant.name : undefined;
+}
+
 const EMPTY: Buffer = Buffer.alloc(0);
 const RETRY_AFTER_REFUSAL_MS = 300;
 /** For a request that any other node can serve: no longer than it takes to connect to one. */
--- a/packages/gateway/src/request/final-answer.ts
+++ b/packages/gateway/src/request/final-answer.ts
@@ -1,6 +1,7 @@
 /** Answers that the gateway gives of its own, with a code that is stable and listed in docs/reference/errors.md. */
 export type FinalAnswer =
   | { readonly kind: 'no-route' }
+  | { readonly kind: 'unauthorized'; readonly detail: string }
   | { readonly kind: 'bad-request'; readonly detail: string }
   | { readonly kind: 'body-too-large' }
   | { readonly kind: 'not-ready' }
@@ -13,6 +14,8 @@
   switch (answer.kind) {
     case 'no-route':
       return 404;
+    case 'unauthorized':
+      return 401;
     case 'bad-request':
       return 400;
     case 'body-too-large':
--- a/packages/gateway/test/followed-fleet.ts
+++ b/packages/gateway/test/followed-fleet.ts
@@ -6,7 +6,7 @@
   type ServingConfiguration,
 } from '@canvasridge/serving';
 import { Telemetry } from '@canvasridge/telemetry';
-import { StateFollower, departureBudget, type FollowRequest } from '../src/index.js';
+import { ConfigurationFreshness, StateFollower, departureBudget, type FollowRequest } from '../src/index.js';
 
 /** Time within which a leaving backend has to get nothing more, as on the large deployments. */
 export const DRAIN_MS = 3000;
@@ -25,6 +25,7 @@
   routes: [],
   services: [],
   limits: { maxHeaderBytes: 8192, maxBodyBytes: 65_536, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
+  tenants: undefined,
 };
 
 export function backend(id: string, state: 'ready' | 'draining' = 'ready'): BackendDescription {
@@ -139,6 +140,7 @@
       zoneOf: () => 'z',
       needsWholeState: () => false,
       budget: departureBudget(DRAIN_MS),
+      freshness: new ConfigurationFreshness(this.clock, fleet),
       onConfigurationOffered: () => undefined,
     };
   }
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -1,7 +1,13 @@
 import { createServer, request, type IncomingMessage, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { Random, SystemClock } from '@canvasridge/clock';
-import { FleetState, type HttpRoute, type RouteKind, type ServingConfiguration } from '@canvasridge/serving';
+import {
+  FleetState,
+  type HttpRoute,
+  type RouteKind,
+  type ServingConfiguration,
+  type Tenant,
+} from '@canvasridge/serving';
 import { EventLogger, Telemetry } from '@canvasridge/telemetry';
 import { BackendConnections } from '../src/backends/backend-connections.js';
 import { LeastLoadedPicker } from '../src/backends/least-loaded-picker.js';
@@ -18,6 +24,8 @@
     deadlineMs: headers['deadline'] === undefined ? undefined : Number(headers['deadline']),
     lastEventId: undefined,
     generation: undefined,
+    key: headers['key'] as string | undefined,
+    tokens: headers['tokens'] === undefined ? undefined : Number(headers['tokens']),
   }),
   forwardHeaders: (rawHeaders, facts) => [
     ...rawHeaders.filter(
@@ -27,6 +35,7 @@
     facts.backendId,
     'left',
     String(facts.deadlineMs),
+    ...(facts.identity.kind === 'tenant' ? ['tenant', facts.identity.tenant.name] : []),
     ...(facts.lastEventId === undefined ? [] : ['last-event-id', String(facts.lastEventId)]),
   ],
   readAnswer: (status, headers) => ({
@@ -39,6 +48,8 @@
 };
 
 export const SERVICE = 'api';
+/** A configuration gives rights that can be withdrawn for so long. */
+export const LEASE_MS = 3000;
 export const HOST = 'a.example';
 
 export interface RouteChanges {
@@ -47,6 +58,12 @@
   readonly resumable?: boolean;
   readonly timeoutMs?: number;
   readonly objectiveMs?: number;
+  readonly isPublic?: boolean;
+}
+
+/** A tenant without a limit. */
+export function tenant(name: string, keys: readonly string[], changes: Partial<Tenant> = {}): Tenant {
+  return { name, keys, priority: undefined, quota: undefined, problem: undefined, ...changes };
 }
 
 /** What a client saw. */
@@ -65,6 +82,8 @@
   readonly lines: string[] = [];
   /** Runs between the choice of a backend and the send to it. */
   beforeSend: () => Promise<void> = () => Promise.resolve();
+  /** How old the configuration is in the eyes of the node. */
+  configurationAgeMs = 0;
   readonly #connections = new BackendConnections();
   readonly #backends: RawBackend[] = [];
   readonly #server: Server;
@@ -172,6 +191,7 @@
       random: () => random.next(),
       listAgeMs: () => 0,
       refreshIfOld: () => this.beforeSend(),
+      configurationLease: () => ({ ageMs: this.configurationAgeMs, leaseMs: LEASE_MS }),
       telemetry: new Telemetry({
         processName: 'test',
         clock,
@@ -183,7 +203,11 @@
 }
 
 /** One route, to one plain service. */
-export function configuration(changes: RouteChanges): ServingConfiguration {
+export function configuration(
+  changes: RouteChanges,
+  tenants?: readonly Tenant[],
+  version = 1,
+): ServingConfiguration {
   const route: HttpRoute = {
     name: 'r',
     host: HOST,
@@ -196,12 +220,14 @@
     priority: 1,
     attempts: 2,
     resumable: false,
+    isPublic: false,
     ...changes,
   };
   return {
-    version: 1,
+    version,
     routes: [route],
     services: [{ name: SERVICE, maxConnections: 50, engine: undefined }],
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
+    tenants,
   };
 }
--- a/packages/gateway/test/large-configuration.test.ts
+++ b/packages/gateway/test/large-configuration.test.ts
@@ -34,6 +34,7 @@
     priority: 1,
     attempts: 2,
     resumable: true,
+    isPublic: false,
   };
 }
 
@@ -43,6 +44,7 @@
     routes: Array.from({ length: routes }, (_, index) => route(index, version)),
     services: [],
     limits: { maxHeaderBytes: 8192, maxBodyBytes: 65_536, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
+    tenants: undefined,
   };
 }
 
--- a/packages/gateway/test/linked-fleet.ts
+++ b/packages/gateway/test/linked-fleet.ts
@@ -2,6 +2,7 @@
 import { FleetState, type BackendDescription, type ServingConfiguration } from '@canvasridge/serving';
 import { Telemetry } from '@canvasridge/telemetry';
 import {
+  ConfigurationFreshness,
   ConfigurationFetcher,
   ConfigurationParts,
   FOLLOW_METHOD,
@@ -101,6 +102,7 @@
       zoneOf: (peer) => String(this.#ids.indexOf(peer) % ZONES),
       needsWholeState: () => reads,
       budget: departureBudget(DRAIN_MS),
+      freshness: new ConfigurationFreshness(this.#clock, state),
       onConfigurationOffered: (version, address, isNear) => fetcher.offered(version, address, isNear),
     });
     const mbit = reads ? READER_MBIT : (FOLLOWER_MBITS[index % FOLLOWER_MBITS.length] ?? READER_MBIT);
--- a/packages/gateway/test/remote-slots.test.ts
+++ b/packages/gateway/test/remote-slots.test.ts
@@ -35,6 +35,7 @@
   model: 'base',
   adapter: 'a',
   priority: 0,
+  tenant: undefined,
   objectiveMs: 1000,
   ageMs: 0,
   timeoutMs: 5000,
--- a/packages/gateway/test/running-node.ts
+++ b/packages/gateway/test/running-node.ts
@@ -4,7 +4,7 @@
 import { DEFAULT_SLOT_TIMING } from '@canvasridge/slots';
 import { EventLogger, Telemetry } from '@canvasridge/telemetry';
 import type { ExecutionContext } from 'ava';
-import { GatewayNode } from '../src/index.js';
+import { GatewayNode, NO_KEY_LEASE } from '../src/index.js';
 import { SERVICE, configuration, dialect, type RouteChanges } from './harness.js';
 import { RawBackend, type RawAnswer } from './raw-backend.js';
 
@@ -66,6 +66,7 @@
       engineFences: { checked: false, settledAfterMs: 3000 },
       slotTiming: { ...DEFAULT_SLOT_TIMING, leaseMs: 3000 },
       drainMs: 2000,
+      keyLease: NO_KEY_LEASE,
       stopGraceMs: graceMs,
       firstStart: true,
     },
--- a/packages/gateway/test/state-follower.test.ts
+++ b/packages/gateway/test/state-follower.test.ts
@@ -2,7 +2,13 @@
 import { FleetState, type BackendDescription, type ServingConfiguration } from '@canvasridge/serving';
 import { Telemetry } from '@canvasridge/telemetry';
 import test from 'ava';
-import { StateFollower, departureBudget, type FollowAnswer, type FollowRequest } from '../src/index.js';
+import {
+  ConfigurationFreshness,
+  StateFollower,
+  departureBudget,
+  type FollowAnswer,
+  type FollowRequest,
+} from '../src/index.js';
 
 const BUDGET = departureBudget(3000);
 const NOTHING_WAITS = { forPeer: 0, forAll: 0 };
@@ -11,6 +17,7 @@
   routes: [],
   services: [],
   limits: { maxHeaderBytes: 8192, maxBodyBytes: 65_536, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
+  tenants: undefined,
 };
 
 function backend(id: string, state: 'ready' | 'draining', adapters: readonly string[]): BackendDescription {
@@ -81,6 +88,7 @@
       zoneOf: (id: string) => this.#zoneOf(numberOf(id)),
       needsWholeState: () => false,
       budget: BUDGET,
+      freshness: new ConfigurationFreshness(this.clock, this.own),
       onConfigurationOffered: () => undefined,
     };
   }
--- /dev/null
+++ b/packages/gateway/test/tenants.test.ts
@@ -0,0 +1,108 @@
+import test, { type ExecutionContext } from 'ava';
+import { Harness, LEASE_MS, configuration, tenant, type RouteChanges, type Seen } from './harness.js';
+import { success, type RawAnswer } from './raw-backend.js';
+
+const ANSWER: RawAnswer = (socket, id) => socket.write(success(id, 'done'));
+const TENANTS = [tenant('one', ['key-1', 'key-1b']), tenant('two', ['key-2'])];
+
+async function withTenants(
+  t: ExecutionContext,
+  changes: RouteChanges,
+  body: (harness: Harness) => Promise<void>,
+): Promise<void> {
+  const harness = await Harness.start({}, [ANSWER, ANSWER]);
+  harness.fleet.applyConfiguration(configuration(changes, TENANTS, 2));
+  try {
+    await body(harness);
+  } finally {
+    harness.stop();
+  }
+  t.false(harness.lines.join().includes('key-1'), 'a key stands in a log line');
+}
+
+function call(
+  harness: Harness,
+  key: string | undefined,
+  headers: Record<string, string> = {},
+): Promise<Seen> {
+  return harness.call('a1', '/x/', 'question', key === undefined ? headers : { ...headers, key });
+}
+
+test('a request runs for the tenant that holds its key', async (t) => {
+  await withTenants(t, {}, async (harness) => {
+    t.is((await call(harness, 'key-1b')).status, 200);
+    t.true(harness.backends.some(({ heads }) => heads.join().includes('tenant: one')));
+    t.true(harness.lines.some((line) => line.includes('request.finished') && line.includes('tenant=one')));
+  });
+});
+
+for (const [name, key] of [
+  ['without a key', undefined],
+  ['with a key that nobody holds', 'forged'],
+] as const) {
+  test(`a request ${name} is answered 401, and reaches no backend`, async (t) => {
+    await withTenants(t, {}, async (harness) => {
+      t.is((await call(harness, key)).status, 401);
+      t.is(harness.sends, 0);
+    });
+  });
+}
+
+test('a public route needs no key, but one that is given has to be held by a tenant', async (t) => {
+  await withTenants(t, { isPublic: true }, async (harness) => {
+    t.is((await call(harness, undefined)).status, 200);
+    t.is((await call(harness, 'key-2')).status, 200);
+    t.is((await call(harness, 'forged')).status, 401);
+    t.is(harness.sends, 2);
+  });
+});
+
+test('a node whose configuration may be outdated says that nothing ran, whether it knows the key or not', async (t) => {
+  await withTenants(t, {}, async (harness) => {
+    harness.configurationAgeMs = LEASE_MS + 1;
+    for (const key of ['key-1', 'forged', undefined]) t.is((await call(harness, key)).status, 503);
+    t.is(harness.sends, 0);
+  });
+});
+
+test('a key that is withdrawn between the choice of a backend and the send runs nothing', async (t) => {
+  await withTenants(t, {}, async (harness) => {
+    harness.beforeSend = () => {
+      harness.fleet.applyConfiguration(configuration({}, [tenant('two', ['key-2'])], 3));
+      return Promise.resolve();
+    };
+    t.is((await call(harness, 'key-1')).status, 401);
+    t.is(harness.sends, 0);
+  });
+});
+
+test('a lease that ends between the choice of a backend and the send runs nothing', async (t) => {
+  await withTenants(t, {}, async (harness) => {
+    harness.beforeSend = () => {
+      harness.configurationAgeMs = LEASE_MS + 1;
+      return Promise.resolve();
+    };
+    t.is((await call(harness, 'key-1')).status, 503);
+    t.is(harness.sends, 0);
+  });
+});
+
+test('a key that two tenants hold names none, and an entry that is not understood allows nothing', async (t) => {
+  const harness = await Harness.start({}, [ANSWER]);
+  const shared = [tenant('one', ['both']), tenant('two', ['both', 'own'])];
+  const unread = tenant('three', ['unread'], { problem: 'unit: not known' });
+  harness.fleet.applyConfiguration(configuration({}, [...shared, unread], 2));
+  t.is((await call(harness, 'both')).status, 503);
+  t.is((await call(harness, 'unread')).status, 503);
+  t.is((await call(harness, 'own')).status, 200);
+  t.is(harness.sends, 1);
+  harness.stop();
+});
+
+test('an empty list of tenants allows nobody', async (t) => {
+  const harness = await Harness.start({}, [ANSWER]);
+  harness.fleet.applyConfiguration(configuration({}, [], 2));
+  t.is((await call(harness, 'key-1')).status, 401);
+  t.is(harness.sends, 0);
+  harness.stop();
+});
--- a/packages/gateway/test/virtual-holders.ts
+++ b/packages/gateway/test/virtual-holders.ts
@@ -185,6 +185,7 @@
       model: MODEL,
       adapter: `a${this.#random.integer(ADAPTERS)}`,
       priority: 1,
+      tenant: undefined,
       objectiveMs: 1000,
       ageMs: 0,
       timeoutMs: 5000,
@@ -208,4 +209,5 @@
   routes: [],
   services: [{ name: SERVICE, maxConnections: 10, engine: PROFILE }],
   limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
+  tenants: undefined,
 };
--- a/packages/serving/src/configuration.ts
+++ b/packages/serving/src/configuration.ts
@@ -1,3 +1,5 @@
+import type { Tenant } from './tenants.js';
+
 /**
  * How often a request may run: `idempotent` any number of times, `at-most-once` once, `stream` once unless
  * its route is resumable. The answer of a `stream` is a series of server-sent events.
@@ -30,6 +32,8 @@
   readonly attempts: number;
   /** Whether a broken stream may go on at another backend. */
   readonly resumable: boolean;
+  /** Whether requests without a key run where the configuration names tenants. */
+  readonly isPublic: boolean;
 }
 
 /** A base model of a service. */
@@ -74,4 +78,6 @@
   readonly routes: readonly HttpRoute[];
   readonly services: readonly BackendService[];
   readonly limits: RequestLimits;
+  /** Undefined if requests need no key. An empty list allows nobody but on public routes. */
+  readonly tenants: readonly Tenant[] | undefined;
 }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -9,6 +9,7 @@
   ServingConfiguration,
   WeightedService,
 } from './configuration.js';
+export { TenantTable, type KeyLookup, type KeyProblem, type Tenant, type TenantQuota } from './tenants.js';
 export { RouteTable, pickService } from './route-table.js';
 export { adapterKey, type BackendDescription, type HeldAdapter, type HeldModel } from './backend.js';
 export { BackendLapses, type HeldRemoval } from './backend-lapses.js';
--- a/packages/serving/src/route-table.ts
+++ b/packages/serving/src/route-table.ts
@@ -1,3 +1,4 @@
+import { TenantTable } from './tenants.js';
 import type { BackendService, HttpRoute, ServingConfiguration, WeightedService } from './configuration.js';
 
 /**
@@ -7,10 +8,14 @@
 export class RouteTable {
   readonly configuration: ServingConfiguration;
   readonly #routesByHost = new Map<string, Map<string, HttpRoute>>();
+  /** Undefined if requests need no key. */
+  readonly tenants: TenantTable | undefined;
   readonly #services = new Map<string, BackendService>();
 
   constructor(configuration: ServingConfiguration) {
     this.configuration = configuration;
+    const { tenants } = configuration;
+    this.tenants = tenants === undefined ? undefined : new TenantTable(tenants);
     for (const route of configuration.routes) this.#add(route);
     for (const service of configuration.services) this.#services.set(service.name, service);
   }
--- a/packages/serving/test/fleet-state.test.ts
+++ b/packages/serving/test/fleet-state.test.ts
@@ -3,7 +3,7 @@
 
 function configuration(version: number): ServingConfiguration {
   const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-  return { version, routes: [], services: [], limits };
+  return { version, routes: [], services: [], limits, tenants: undefined };
 }
 
 function backend(id: string, state: 'ready' | 'draining' = 'ready'): BackendDescription {
--- a/packages/serving/test/route-table.test.ts
+++ b/packages/serving/test/route-table.test.ts
@@ -14,12 +14,13 @@
     priority: 1,
     attempts: 2,
     resumable: false,
+    isPublic: false,
   };
 }
 
 function configuration(routes: readonly HttpRoute[], version = 1): ServingConfiguration {
   const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-  return { version, routes, services: [], limits };
+  return { version, routes, services: [], limits, tenants: undefined };
 }
 
 const table = new RouteTable(
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -9,6 +9,8 @@
   readonly adapter: string | undefined;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Name of the tenant for whom it runs; undefined where requests run for nobody in particular. */
+  readonly tenant: string | undefined;
   readonly objectiveMs: number;
   /** Time since the client's request arrived. */
   readonly ageMs: number;
--- a/packages/slots/test/engine-speeds.test.ts
+++ b/packages/slots/test/engine-speeds.test.ts
@@ -40,6 +40,7 @@
       model: MODEL,
       adapter: `a${Math.floor(random.exponential(4))}`,
       priority: 1,
+      tenant: undefined,
       objectiveMs: OBJECTIVE_MS,
       ageMs: 0,
       timeoutMs: 5000,
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -25,6 +25,7 @@
     model: MODEL,
     adapter,
     priority: 1,
+    tenant: undefined,
     objectiveMs: 1000,
     ageMs: 0,
     timeoutMs: 5000,
