The fetch window follows the least delay of late, not single requests that come too early

Cause: on the deployment with 98 engines the window fell from 106 to its floor of 8 within 14 s while 340 of 490 slots were idle and a fetch took what it took before: three requests that found their adapter missing within 300 ms counted as a sign of too many, and a first use that failed was taken for the time of the fetch. Ways: counting missing ones (as it stood); least delay of late (a fetch in time vetoes, what fits is what is under way times the usual time by the least), kept. Tests: half of the fetches late on their engines no longer shrink it; a store that was slow for a while is used in full again.

--- a/packages/slots/src/adapter-loader.ts
+++ b/packages/slots/src/adapter-loader.ts
@@ -112,12 +112,10 @@
     slot.confirmed = true;
     if (slot.orderedMs === 0) return;
     const time = slot.warm ? this.#warmTime : this.#coldTime;
-    // A request that came long after the load tells nothing of how long it took.
     const tookMs = slot.firstUsedMs - slot.orderedMs;
-    if (tookMs <= time.guessMs * TELLING_FACTOR) {
-      time.longEnough();
-      if (!slot.warm) this.#window.inTime(tookMs, this.#options.fetchesUnderWay());
-    }
+    if (!slot.warm) this.#window.present(tookMs, this.#options.fetchesUnderWay());
+    // A request that came long after the load tells nothing of how long the guess has to be.
+    if (tookMs <= time.guessMs * TELLING_FACTOR) time.longEnough();
     slot.orderedMs = 0;
   }
 
@@ -132,6 +130,8 @@
       return;
     }
     slot.state = 'loading';
+    // The next use is the first that may find it.
+    slot.firstUsedMs = 0;
     if (slot.warm) {
       // It was not in the engine's memory after all, and is being fetched.
       slot.warm = false;
--- a/packages/slots/test/fetch-window.test.ts
+++ b/packages/slots/test/fetch-window.test.ts
@@ -21,7 +21,7 @@
       for (let fetch = 0; fetch < underWay; fetch += 1) window.missing(String(fetch), ageMs, underWay);
     }
     await clock.runUntil(clock.now() + Math.max(tookMs, 350));
-    for (let ended = 1; ended <= underWay; ended += 1) window.inTime(tookMs, underWay - ended);
+    for (let ended = 1; ended <= underWay; ended += 1) window.present(tookMs, underWay - ended);
     sizes.push(underWay);
   }
   return sizes;
@@ -40,7 +40,7 @@
 test('a window that is not used does not grow', (t) => {
   const window = new FetchWindow(new VirtualClock(), USUAL_MS);
   const before = window.size;
-  for (let fetches = 0; fetches < 100; fetches += 1) window.inTime(USUAL_MS, 1);
+  for (let fetches = 0; fetches < 100; fetches += 1) window.present(USUAL_MS, 1);
   t.is(window.size, before);
 });
 
@@ -66,6 +66,29 @@
   t.is(window.size, before);
 });
 
+test('fetches that are late while others come in time tell of their engines, however many they are', async (t) => {
+  const clock = new VirtualClock();
+  const window = new FetchWindow(clock, USUAL_MS);
+  for (let round = 0; round < 60; round += 1) {
+    await clock.runUntil(clock.now() + USUAL_MS);
+    const underWay = window.size;
+    for (let fetch = 0; fetch < underWay / 2; fetch += 1)
+      window.missing(`${round}/${fetch}`, 2 * USUAL_MS, underWay);
+    for (let ended = 1; ended <= underWay / 2; ended += 1) window.present(USUAL_MS, underWay - ended);
+  }
+  t.true(window.size > 100, `size ${window.size}`);
+});
+
+test('a window that shrank for a store that was slow for a while grows again', async (t) => {
+  const clock = new VirtualClock();
+  const window = new FetchWindow(clock, USUAL_MS);
+  await fetchInRounds(window, clock, 80, 30);
+  await fetchInRounds(window, clock, 8, 10);
+  t.true(window.size <= 16, `size ${window.size}`);
+  const sizes = await fetchInRounds(window, clock, 80, 80);
+  t.true(Math.max(...sizes) >= 40, `largest ${Math.max(...sizes)}`);
+});
+
 test('fetches that were only a little late do not shrink it', (t) => {
   const window = new FetchWindow(new VirtualClock(), USUAL_MS);
   const before = window.size;
