--- a/packages/telemetry/src/event-logger.ts
+++ b/packages/telemetry/src/event-logger.ts
@@ -19,6 +19,16 @@
   return parts.join(' ');
 }
 
+/** What a line tells of: one request, of which there are many, or the state of the process. */
+export type LineSubject = 'request' | 'state';
+
+/** Events of single requests begin so. */
+const REQUEST_EVENTS = ['request.', 'slot.'];
+
+function subjectOf(event: string): LineSubject {
+  return REQUEST_EVENTS.some((prefix) => event.startsWith(prefix)) ? 'request' : 'state';
+}
+
 /** Writes one line of key=value pairs for each event. */
 export class EventLogger {
   readonly #consola: ConsolaInstance;
@@ -31,12 +41,12 @@
   constructor(
     processName: string,
     level: LogLevel,
-    writeLine: (line: string) => void = writeToStandardError,
+    writeLine: (line: string, subject: LineSubject) => void = writeToStandardError,
   ) {
     this.#process = processName;
     this.#consola = createConsola({
       level: LEVEL_NUMBERS[level],
-      reporters: [{ log: (entry) => writeLine(String(entry.args[0])) }],
+      reporters: [{ log: ({ args }) => writeLine(String(args[0]), args[1] as LineSubject) }],
     });
   }
 
@@ -44,7 +54,7 @@
     if (LEVEL_NUMBERS[level] > this.#consola.level) return;
     const time = new Date().toISOString();
     const line = formatFields({ time, level, process: this.#process, event, ...fields });
-    this.#consola[level](line);
+    this.#consola[level](line, subjectOf(event));
   }
 }
 
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,5 +1,11 @@
 /** What a process shows of itself: logs, metrics and timeline events. */
-export { EventLogger, formatFields, type LogFields, type LogLevel } from './event-logger.js';
+export {
+  EventLogger,
+  formatFields,
+  type LineSubject,
+  type LogFields,
+  type LogLevel,
+} from './event-logger.js';
 export { StatsdMetrics, NullMetrics, type Metrics, type MetricName, METRICS } from './metrics.js';
 export { EventRing, type TimelineEvent, type TimelineDump } from './event-ring.js';
 export { Telemetry } from './telemetry.js';
--- a/packages/telemetry/src/line-sink.ts
+++ b/packages/telemetry/src/line-sink.ts
@@ -1,9 +1,16 @@
 import { write } from 'node:fs';
+import type { LineSubject } from './event-logger.js';
 
 /** Lines of so long are written together: each write wakes a second thread. So much is lost with a process that is killed. */
 const FLUSH_AFTER_MS = 200;
 const REPORT_PERIOD_MS = 5000;
 
+/**
+ * Part of the lines that is kept for the state of the process: a leader under load writes some hundred lines of requests
+ * a second, and its state has to be seen just then.
+ */
+const STATE_SHARE = 0.2;
+
 /** Bounds of a {@link LineSink}. */
 export interface LineSinkLimits {
   /** Bytes that may wait to be written. */
@@ -40,8 +47,8 @@
     return this.#dropped;
   }
 
-  writeLine(line: string): void {
-    if (!this.#allowed() || this.#pendingBytes + line.length > this.#limits.pendingBytes) {
+  writeLine(line: string, subject: LineSubject = 'state'): void {
+    if (!this.#allowed(subject) || this.#pendingBytes + line.length > this.#limits.pendingBytes) {
       this.#dropped += 1;
       return;
     }
@@ -79,13 +86,14 @@
     });
   }
 
-  #allowed(): boolean {
+  #allowed(subject: LineSubject): boolean {
     const nowMs = performance.now();
     const { linesPerSecond } = this.#limits;
     const earned = ((nowMs - this.#allowanceAtMs) / 1000) * linesPerSecond;
     this.#allowance = Math.min(linesPerSecond, this.#allowance + earned);
     this.#allowanceAtMs = nowMs;
-    if (this.#allowance < 1) return false;
+    const kept = subject === 'request' ? linesPerSecond * STATE_SHARE : 0;
+    if (this.#allowance < 1 + kept) return false;
     this.#allowance -= 1;
     return true;
   }
