--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { QuotaGate } from '@canvasridge/admission';
 import type { Clock } from '@canvasridge/clock';
-import { pickService, type BackendService, type FleetState, type HttpRoute } from '@canvasridge/serving';
+import { pickService, type BackendService, type HttpRoute } from '@canvasridge/serving';
 import type { UseOutcome } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { BackendConnections } from '../backends/backend-connections.js';
@@ -9,22 +8,16 @@
 import type { RetryBudget } from '../backends/retry-budget.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
 import { AnswerSink } from './answer-sink.js';
-import {
-  identifyCaller,
-  type CallerIdentity,
-  type ConfigurationLease,
-  type Identification,
-} from './caller-identity.js';
 import { BackendAttempt, type AttemptOutcome, type SilenceLimit } from './backend-attempt.js';
 import { readBody } from './body.js';
 import type { RequestDialect, RequestFacts } from './dialect.js';
 import { retryAfterOf, statusOf, type FinalAnswer } from './final-answer.js';
+import { RequestAdmission, type AdmissionContext } from './request-admission.js';
 
 /** What all exchanges of a node share. */
-export interface ExchangeContext {
+export interface ExchangeContext extends AdmissionContext {
   readonly clock: Clock;
   readonly dialect: RequestDialect;
-  readonly fleet: FleetState;
   readonly connections: BackendConnections;
   readonly plainPicker: BackendPicker;
   readonly enginePicker: BackendPicker;
@@ -40,10 +33,6 @@
   readonly listAgeMs: () => number;
   /** Brings the list of backends up to date if it is so old that one may have left unnoticed for too long. */
   readonly refreshIfOld: () => Promise<void>;
-  /** How far the configuration in force may be relied upon for rights that can be withdrawn. */
-  readonly configurationLease: () => ConfigurationLease;
-  /** What tenants may use over all nodes. */
-  readonly quotas: QuotaGate;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
 }
@@ -65,18 +54,16 @@
   readonly #request: IncomingMessage;
   readonly #sink: AnswerSink;
   readonly #facts: RequestFacts;
+  readonly #admission: RequestAdmission;
   readonly #arrivedMs: number;
   /** Time that is left for a request that comes while its node stops, in milliseconds. */
   readonly #stopsInMs: number;
   readonly #cancel = new AbortController();
   #route: HttpRoute | undefined;
-  #identity: CallerIdentity | undefined;
   #body: Buffer = EMPTY;
   #attempt: BackendAttempt | undefined;
   #ended = false;
   #mayHaveRun = false;
-  /** What was counted of the tenant's quota for this request. */
-  #charge: { readonly tenant: string; readonly units: number } | undefined;
   #sends = 0;
   #runs = 0;
   #excluded: string[] = [];
@@ -94,6 +81,7 @@
     this.#arrivedMs = context.clock.now();
     this.#stopsInMs = context.stopsInMs();
     this.#facts = context.dialect.readRequest(request.headers);
+    this.#admission = new RequestAdmission(context, this.#facts);
     this.#lastEventId = this.#facts.lastEventId ?? -1;
     this.#sink = new AnswerSink(response, context.isStopping);
     response.on('close', () => {
@@ -123,7 +111,7 @@
       return;
     }
     this.#route = route;
-    if (!this.#identify(route)) return;
+    if (!this.#identified(route)) return;
     const service = routes.service(pickService(route.services, this.#context.random()) ?? '');
     if (service === undefined) {
       this.#answer({ kind: 'not-run', reason: 'unknown-service', retryAfterMs: undefined });
@@ -154,7 +142,7 @@
     if (!(await this.#charged())) return;
     this.#context.budget(service.name).countRequest();
     while (!this.#ended) {
-      if (!this.#identify(route)) return;
+      if (!this.#identified(route)) return;
       const picked = await this.#pick(route, service);
       if (this.#ended) {
         if (picked.kind === 'picked') picked.finish('cancelled');
@@ -173,64 +161,30 @@
   }
 
   /** Finds out for whom the request runs; answers it if that can't be told, or gives no right. */
-  #identify(route: HttpRoute): boolean {
-    const found = this.#lookUp(route);
-    if (found.kind === 'identified') {
-      this.#identity = found.identity;
-      return true;
-    }
-    const { problem } = found;
-    if (this.#sink.started) this.#breakOff(problem);
-    else if (this.#mayHaveRun) this.#answer({ kind: 'outcome-unknown', detail: problem });
-    else if (problem === 'no-key' || problem === 'unknown-key') {
-      this.#answer({ kind: 'unauthorized', detail: problem });
+  #identified(route: HttpRoute): boolean {
+    const problem = this.#admission.identify(route);
+    if (problem === undefined) return true;
+    if (problem === 'no-key' || problem === 'unknown-key') {
+      this.#refuseWith({ kind: 'unauthorized', detail: problem }, problem);
     } else {
       // Another node may know more, but not of an entry that is unreadable for all.
-      const retryAfterMs = problem === 'stale' ? RETRY_ELSEWHERE_MS : undefined;
-      this.#answer({ kind: 'not-run', reason: problem, retryAfterMs });
+      this.#refuse(problem, problem === 'stale' ? RETRY_ELSEWHERE_MS : undefined);
     }
     return false;
   }
 
   /** Counts the request of its tenant's quota; answers it if there is nothing left. */
   async #charged(): Promise<boolean> {
-    if (this.#identity?.kind !== 'tenant') return true;
-    const { name, quota } = this.#identity.tenant;
-    if (quota === undefined) return true;
-    const units = quota.unit === 'tokens' ? (this.#facts.tokens ?? quota.plainTokens) : 1;
-    const decision = await this.#context.quotas.admit(name, units);
-    if (decision.kind === 'refused') {
+    const decision = await this.#admission.charge();
+    if (this.#ended) this.#refundUnlessRun();
+    else if (decision.kind === 'refused') {
       this.#answer({ kind: 'over-quota', retryAfterMs: decision.retryAfterMs });
-      return false;
     }
-    this.#charge = { tenant: name, units };
-    if (this.#ended) this.#refund();
     return !this.#ended;
   }
 
-  /** What did not run costs nothing. */
-  #refund(): void {
-    if (this.#charge === undefined || this.#mayHaveRun || this.#attempt?.sent === true) return;
-    this.#context.quotas.giveBack(this.#charge.tenant, this.#charge.units);
-    this.#charge = undefined;
-  }
-
-  /** Right before the request is written: it waited for an engine and for a connection since the key was looked up. */
-  #isStillIdentified(route: HttpRoute): boolean {
-    const found = this.#lookUp(route);
-    if (found.kind !== 'identified') return false;
-    return nameOf(found.identity) === nameOf(this.#identity);
-  }
-
-  #lookUp(route: HttpRoute): Identification {
-    const routes = this.#context.fleet.routes;
-    if (routes === undefined) return { kind: 'refused', problem: 'stale' };
-    return identifyCaller(routes, route, this.#facts.key, this.#context.configurationLease());
-  }
-
-  #priority(route: HttpRoute): number {
-    const tenantPriority = this.#identity?.kind === 'tenant' ? this.#identity.tenant.priority : undefined;
-    return tenantPriority ?? route.priority;
+  #refundUnlessRun(): void {
+    if (!this.#mayHaveRun && this.#attempt?.sent !== true) this.#admission.refund();
   }
 
   #pick(route: HttpRoute, service: BackendService): Promise<PickResult> {
@@ -240,8 +194,8 @@
       traceId: this.#facts.attemptId ?? 'none',
       route,
       service,
-      tenant: nameOf(this.#identity),
-      priority: this.#priority(route),
+      tenant: this.#admission.tenant,
+      priority: this.#admission.priority(route),
       generation: this.#facts.generation,
       ageMs: this.#ageMs(),
       timeoutMs: this.#timeoutMs(route),
@@ -265,7 +219,6 @@
     this.#sends += 1;
     if (this.#ended) return { kind: 'cancelled' };
     if (fleet.isLeaving(backend.id)) return { kind: 'not-run', reason: 'leaving' };
-    const identity = this.#identity ?? { kind: 'public' };
     const connection = connections.take(backend, service.maxConnections, this.#context.fleetShare());
     if (connection === undefined) return { kind: 'not-run', reason: 'no-connection' };
     const lastEventId = this.#lastEventId >= 0 ? this.#lastEventId : undefined;
@@ -280,15 +233,15 @@
           deadlineMs: Math.max(1, Math.floor(this.#leftMs(route) - RETURN_MARGIN_MS)),
           backendId: backend.id,
           lastEventId,
-          priority: service.engine === undefined ? undefined : this.#priority(route),
-          identity,
+          priority: service.engine === undefined ? undefined : this.#admission.priority(route),
+          identity: this.#admission.identity,
         }),
         body: this.#body,
         attemptId: this.#facts.attemptId ?? '',
         stream: route.kind === 'stream',
         lastEventId: this.#lastEventId,
         silence: this.#silence(route, backend.id),
-        mayStart: () => !fleet.isLeaving(backend.id) && this.#isStillIdentified(route),
+        mayStart: () => !fleet.isLeaving(backend.id) && this.#admission.isStillIdentified(route),
         onHeard: () => connections.heard(backend.id, clock.now()),
         onStarted: picked.started,
       },
@@ -368,9 +321,14 @@
   }
 
   #refuse(reason: string, retryAfterMs: number | undefined): void {
+    this.#refuseWith({ kind: 'not-run', reason, retryAfterMs }, reason);
+  }
+
+  /** Ends the request with an answer that says it has not run, where that is true. */
+  #refuseWith(answer: FinalAnswer, reason: string): void {
     if (this.#sink.started) this.#breakOff(reason);
     else if (this.#mayHaveRun) this.#answer({ kind: 'outcome-unknown', detail: reason });
-    else this.#answer({ kind: 'not-run', reason, retryAfterMs });
+    else this.#answer(answer);
   }
 
   /** Ends the request after a defect of this program, with an answer if none has begun. */
@@ -418,18 +376,18 @@
   #finished(outcome: string, status: number): void {
     if (this.#ended) return;
     this.#ended = true;
-    this.#refund();
+    this.#refundUnlessRun();
     const { telemetry, metrics, fleet } = this.#context;
     const ageMs = this.#ageMs();
     const firstByteMs = this.#sink.firstByteMs;
     metrics.requests.inc({ route_kind: this.#route?.kind ?? 'none', status: String(status) });
-    metrics.countTenant(nameOf(this.#identity), status);
+    metrics.countTenant(this.#admission.tenant, status);
     if (firstByteMs !== undefined) metrics.firstByte.observe((firstByteMs - this.#arrivedMs) / 1000);
     telemetry.event('info', 'request.finished', this.#facts.attemptId ?? 'none', {
       outcome,
       status,
       route: this.#route?.name,
-      tenant: nameOf(this.#identity),
+      tenant: this.#admission.tenant,
       adapter: this.#facts.generation?.adapter,
       backend: this.#backendId === '' ? undefined : this.#backendId,
       how: this.#how === '' ? undefined : this.#how,
@@ -473,11 +431,6 @@
   }
 }
 
-/** The tenant's name, undefined for requests that run for nobody in particular. */
-function nameOf(identity: CallerIdentity | undefined): string | undefined {
-  return identity?.kind === 'tenant' ? identity.tenant.name : undefined;
-}
-
 const EMPTY: Buffer = Buffer.alloc(0);
 const RETRY_AFTER_REFUSAL_MS = 300;
 /** For a request that any other node can serve: no longer than it takes to connect to one. */
