Tenants take turns by weight in the list of those that wait

Load: 16 tenants, 420 served of 696 asked a second, the second largest at six times its usual. Switch: fair-tenants.

--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -382,6 +382,7 @@
       memory: this.#memory,
       off: this.#options.switchedOff,
       adapterVersion: (model, adapter) => fleet.adapterVersion(model, adapter),
+      tenantWeight: (tenant) => fleet.routes?.tenants?.named(tenant)?.quota?.ratePerSecond ?? 1,
     });
     this.#setEngines(name, pool);
     return pool;
--- a/packages/slots/src/mechanisms.ts
+++ b/packages/slots/src/mechanisms.ts
@@ -21,6 +21,8 @@
   'early-refusal',
   /** Requests that come back after a refusal go before others of their age. */
   'returned-first',
+  /** Tenants take turns where one of them would fill the list of those that wait. */
+  'fair-tenants',
   /** Requests that are late already wait behind others. */
   'late-last',
 ] as const;
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -28,6 +28,8 @@
   readonly off: SwitchedOff;
   /** The version of an adapter that was published, 0 if none was. */
   readonly adapterVersion: (model: string, adapter: string) => number;
+  /** A tenant's part of what all may use, above 0. */
+  readonly tenantWeight: (tenant: string) => number;
 }
 
 /** Nodes tell a new leader within this time what they run on the engines; no adapter gives way before. */
@@ -98,7 +100,10 @@
     const learnsSpeed = !options.off.has('learnt-speed');
     this.#engines = new EngineRegistry({ clock, lease: options, after, onAdopted, learnsSpeed });
     const { speed } = this.#engines;
-    this.#waiting = new WaitingList((tokens) => tokens * speed.msPerToken, options.off);
+    this.#waiting = new WaitingList((tokens) => tokens * speed.msPerToken, options.off, {
+      gapMs: () => this.#turnover.meanGapMs(),
+      weightOf: options.tenantWeight,
+    });
     this.#choice = new EngineChoice(this.#engines, adapterVersion);
     this.#loads = new LoadStarter({
       clock,
@@ -334,7 +339,7 @@
 
   #grant(waiting: WaitingRequest, engine: EngineEntry, slot: AdapterSlot | undefined, nowMs: number): void {
     const { request } = waiting;
-    this.#waiting.remove(request.id);
+    this.#waiting.granted(request.id, nowMs);
     const { id, address } = engine.slots.backend;
     const aheadMs = engine.slots.backlog.aheadMs(nowMs);
     this.#log('slot.granted', waiting, {
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -11,6 +11,27 @@
 /** One that comes back after a refusal goes this much before others: a second refusal costs more. */
 const RETURNED_BONUS_MS = 150;
 
+/** How tenants share what becomes free. */
+export interface TenantTurns {
+  /** Mean time between two moments at which one that waits can start, in milliseconds. */
+  readonly gapMs: () => number;
+  /** A tenant's part beside others, above 0: what it may use by its quota, where it has one. */
+  readonly weightOf: (tenant: string) => number;
+}
+
+/** A request that waits, with what its turn goes by. */
+interface Row {
+  readonly waiting: WaitingRequest;
+  readonly late: number;
+  startByMs: number;
+}
+
+function inTurn(a: Row, b: Row): number {
+  return (
+    a.late - b.late || a.startByMs - b.startByMs || a.waiting.request.priority - b.waiting.request.priority
+  );
+}
+
 /** A request that waits for a slot. */
 export interface WaitingRequest {
   readonly request: SlotRequest;
@@ -34,17 +55,31 @@
 /**
  * Requests that wait, most urgent first: those that can still meet their objective before those that cannot,
  * each by the moment until which it has to start. Priority shifts that moment only a little: with strict
- * priority the long streams of one kind took all slots, and a kind of short ones waited until it was late.
+ * priority the long streams of one kind took all slots, and a kind of short ones waited until it was late. Tenants take
+ * turns where one of them would fill the list.
  */
 export class WaitingList {
   readonly #byId = new Map<string, WaitingRequest>();
   readonly #readMs: (tokens: number) => number;
   readonly #off: SwitchedOff;
+  readonly #turns: TenantTurns;
+  /** By tenant: until when the turns that it had of late last. */
+  readonly #turnsUntilMs = new Map<string, number>();
+  /** Time for which one turn of a tenant counts, by tenant; empty while fewer than two wait. */
+  #turnMs: ReadonlyMap<string, number> = new Map();
 
-  /** @param readMs how long a prompt of a length takes to be read */
-  constructor(readMs: (tokens: number) => number, off: SwitchedOff = new Set()) {
+  /**
+   * @param readMs how long a prompt of a length takes to be read
+   * @param turns how tenants share what becomes free
+   */
+  constructor(
+    readMs: (tokens: number) => number,
+    off: SwitchedOff = new Set(),
+    turns: TenantTurns = { gapMs: () => 0, weightOf: () => 1 },
+  ) {
     this.#readMs = readMs;
     this.#off = off;
+    this.#turns = turns;
   }
 
   get size(): number {
@@ -71,15 +106,55 @@
       late: this.#isLate(waiting, nowMs) ? 1 : 0,
       startByMs: this.#startByMs(waiting),
     }));
-    rows.sort(
-      (a, b) =>
-        a.late - b.late ||
-        a.startByMs - b.startByMs ||
-        a.waiting.request.priority - b.waiting.request.priority,
-    );
+    rows.sort(inTurn);
+    if (!this.#off.has('fair-tenants') && this.#takeTurns(rows, nowMs)) rows.sort(inTurn);
     return rows.map(({ waiting }) => waiting);
   }
 
+  /** A request is given an engine: its tenant has had its turn. */
+  granted(id: string, nowMs: number): void {
+    const waiting = this.remove(id);
+    const tenant = waiting?.request.tenant;
+    const turnMs = tenant === undefined ? undefined : this.#turnMs.get(tenant);
+    if (tenant === undefined || turnMs === undefined) return;
+    this.#turnsUntilMs.set(tenant, Math.max(this.#turnsUntilMs.get(tenant) ?? 0, nowMs) + turnMs);
+  }
+
+  /**
+   * Puts tenants in turn where several wait, by a virtual clock each: a request goes as if the ones of its tenant that were
+   * granted of late, and those before it here, had each waited for one of every tenant. With few waiting this moves nothing
+   * by more than some ms; a tenant that fills the list waits behind itself. Returns whether anything was moved.
+   */
+  #takeTurns(rows: Row[], nowMs: number): boolean {
+    this.#turnMs = this.#turnsOf(rows);
+    if (this.#turnMs.size === 0) {
+      this.#turnsUntilMs.clear();
+      return false;
+    }
+    const turnsMs = new Map<string, number>();
+    for (const row of rows) {
+      const { tenant } = row.waiting.request;
+      if (tenant === undefined) continue;
+      const aheadMs = turnsMs.get(tenant) ?? Math.max((this.#turnsUntilMs.get(tenant) ?? 0) - nowMs, 0);
+      turnsMs.set(tenant, aheadMs + (this.#turnMs.get(tenant) ?? 0));
+      row.startByMs += aheadMs;
+    }
+    return true;
+  }
+
+  /** A turn counts for the time in which all that wait have theirs, a tenant of twice the weight twice. */
+  #turnsOf(rows: readonly Row[]): ReadonlyMap<string, number> {
+    const weights = new Map<string, number>();
+    for (const { waiting } of rows) {
+      const { tenant } = waiting.request;
+      if (tenant !== undefined && !weights.has(tenant)) weights.set(tenant, this.#turns.weightOf(tenant));
+    }
+    if (weights.size < 2) return new Map();
+    const total = [...weights.values()].reduce((sum, weight) => sum + weight, 0);
+    const gapMs = this.#turns.gapMs();
+    return new Map([...weights].map(([tenant, weight]) => [tenant, (gapMs * total) / weight]));
+  }
+
   /** Age at which a request has to be sent to an engine that is free, to meet its objective. */
   startWithinMs({ objectiveMs, promptTokens }: SlotRequest): number {
     const latestMs = objectiveMs * (1 - RETURN_SHARE) - this.#readMs(promptTokens);
--- a/packages/slots/test/new-pool.ts
+++ b/packages/slots/test/new-pool.ts
@@ -26,6 +26,7 @@
     mayTakeAtOnce: () => false,
     memory: new AdapterMemory(),
     off: new Set(),
+    tenantWeight: () => 1,
     adapterVersion: (_model, adapter) => versions.get(adapter) ?? 0,
   });
   pool.setEngines(
