--- a/packages/gateway/src/cluster/fleet-quotas.ts
+++ b/packages/gateway/src/cluster/fleet-quotas.ts
@@ -5,7 +5,7 @@
   type LoanRequest,
   type QuotaDecision,
 } from '@canvasridge/admission';
-import type { QuotaRules } from '@canvasridge/admission';
+import type { QuotaRule, QuotaRules } from '@canvasridge/admission';
 import { hashSeed, type Clock } from '@canvasridge/clock';
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { Cluster } from './cluster.js';
@@ -27,6 +27,30 @@
 /** What the home and its borrowers see of the fleet. */
 export type QuotaSight = Pick<Cluster, 'selfId' | 'candidates' | 'peerAddress' | 'lostMembers'>;
 
+/** By how much operators let the units of a window exceed rate and burst, as nodes do not act as one. */
+export interface QuotaTolerance {
+  readonly windowSeconds: number;
+  /** Part of what the rule allows in a window. */
+  readonly overage: number;
+  /** Units beside that. */
+  readonly slack: number;
+}
+
+/**
+ * Part of the tolerance that callers get as a larger burst: requests are large beside the burst of a small tenant, and to
+ * refuse one that is within the window serves nobody. The rest is for what nodes out of sight of one another lend.
+ */
+const TOLERANCE_FOR_BURSTS = 0.5;
+
+/** The rule by which units are lent, so that what a window takes stays within rule and tolerance. */
+export function widened(rule: QuotaRule, tolerance: QuotaTolerance | undefined): QuotaRule {
+  if (tolerance === undefined) return rule;
+  const { windowSeconds, overage, slack } = tolerance;
+  const { ratePerSecond, burst } = rule;
+  const tolerated = overage * (ratePerSecond * windowSeconds + burst) + slack;
+  return { ratePerSecond, burst: burst + TOLERANCE_FOR_BURSTS * tolerated };
+}
+
 export interface FleetQuotasOptions {
   readonly clock: Clock;
   readonly cluster: QuotaSight;
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -1,5 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { QuotaRule } from '@canvasridge/admission';
 import { Random, hashSeed, type Clock } from '@canvasridge/clock';
 import { UdpTransport } from '@canvasridge/membership';
 import type { Departure, FleetState } from '@canvasridge/serving';
@@ -29,7 +30,13 @@
 import type { EngineFences } from './cluster/order-permission.js';
 import { SlotService } from './cluster/slot-service.js';
 import { holderNumber } from './cluster/holder-number.js';
-import { BORROW_METHOD, FleetQuotas, type BorrowParams } from './cluster/fleet-quotas.js';
+import {
+  BORROW_METHOD,
+  FleetQuotas,
+  widened,
+  type BorrowParams,
+  type QuotaTolerance,
+} from './cluster/fleet-quotas.js';
 import { FleetShare } from './cluster/fleet-share.js';
 import { LoopLag } from './cluster/loop-lag.js';
 import {
@@ -76,6 +83,8 @@
   readonly drainMs: number;
   /** How long a configuration gives rights that can be withdrawn, and how often it is confirmed for that. */
   readonly keyLease: KeyLease;
+  /** Undefined where operators say nothing of it. */
+  readonly quotaTolerance: QuotaTolerance | undefined;
   /** Time from the signal to stop until the process has to be gone. */
   readonly stopGraceMs: number;
   /** Whether the whole system starts for the first time. */
@@ -220,7 +229,7 @@
       cluster: this.#cluster,
       network: this.#network,
       telemetry,
-      rules: (tenant) => fleet.routes?.tenants?.named(tenant)?.quota,
+      rules: (tenant) => this.#quotaRule(tenant),
       subjectCount: () => fleet.routes?.tenants?.size ?? 0,
       fleetShare: () => this.#share.value,
     });
@@ -406,6 +415,11 @@
     };
   }
 
+  #quotaRule(tenant: string): QuotaRule | undefined {
+    const quota = this.fleet.routes?.tenants?.named(tenant)?.quota;
+    return quota === undefined ? undefined : widened(quota, this.#options.settings.quotaTolerance);
+  }
+
   #waiting(peer: PeerConnection): WaitingBytes {
     return { forPeer: peer.waitingBytes, forAll: this.#network.traffic.waitingBytes };
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,7 +20,14 @@
 export { NO_KEY_LEASE, keyLease, type KeyLease } from './cluster/key-lease.js';
 export { departureBudget, type DepartureBudget } from './cluster/departure-budget.js';
 export { RemoteSlots, type LeaderConnection, type LeaderNetwork } from './cluster/remote-slots.js';
-export { BORROW_METHOD, FleetQuotas, type BorrowParams, type QuotaSight } from './cluster/fleet-quotas.js';
+export {
+  BORROW_METHOD,
+  FleetQuotas,
+  widened,
+  type BorrowParams,
+  type QuotaSight,
+  type QuotaTolerance,
+} from './cluster/fleet-quotas.js';
 export { Directory } from './cluster/directory.js';
 export type { RetryBudgetOptions } from './backends/retry-budget.js';
 export { RetryBudget } from './backends/retry-budget.js';
--- a/packages/gateway/test/running-node.ts
+++ b/packages/gateway/test/running-node.ts
@@ -67,6 +67,7 @@
       slotTiming: { ...DEFAULT_SLOT_TIMING, leaseMs: 3000 },
       drainMs: 2000,
       keyLease: NO_KEY_LEASE,
+      quotaTolerance: undefined,
       stopGraceMs: graceMs,
       firstStart: true,
     },
--- a/packages/gateway/test/tenants.test.ts
+++ b/packages/gateway/test/tenants.test.ts
@@ -1,4 +1,5 @@
 import test, { type ExecutionContext } from 'ava';
+import { widened } from '../src/index.js';
 import { Harness, LEASE_MS, configuration, tenant, type RouteChanges, type Seen } from './harness.js';
 import { success, type RawAnswer } from './raw-backend.js';
 
@@ -162,3 +163,10 @@
     t.deepEqual(harness.givenBack, []);
   });
 });
+
+test('a burst is widened by half of what operators tolerate in a window', (t) => {
+  const rule = { ratePerSecond: 100, burst: 200 };
+  t.deepEqual(widened(rule, undefined), rule);
+  const tolerance = { windowSeconds: 8, overage: 0.25, slack: 50 };
+  t.deepEqual(widened(rule, tolerance), { ratePerSecond: 100, burst: 200 + 0.5 * (0.25 * 1000 + 50) });
+});
