--- a/packages/gateway/src/cluster/configuration-freshness.ts
+++ b/packages/gateway/src/cluster/configuration-freshness.ts
@@ -1,6 +1,14 @@
 import type { Clock } from '@canvasridge/clock';
 import type { FleetState } from '@canvasridge/serving';
 
+/** What a node tells others of the configuration that it has in force. */
+export interface ToldConfiguration {
+  /** 0 for none. */
+  readonly configurationVersion: number;
+  /** See {@link ConfigurationFreshness}; absent if the node never knew. */
+  readonly configurationAgeMs?: number;
+}
+
 /**
  * How long ago the configuration in force on this node was known to be the newest one published. Whoever tells of it
  * says how old its own knowledge is, so that the age counts from the store's answer, whatever way the news took. Only
@@ -31,6 +39,15 @@
     }
   }
 
+  /** What is told to other nodes. The age is absent if it was never known. */
+  get told(): ToldConfiguration {
+    const { configurationVersion } = this.#fleet;
+    const ageMs = Math.ceil(this.ageMs);
+    return Number.isFinite(ageMs)
+      ? { configurationVersion, configurationAgeMs: ageMs }
+      : { configurationVersion };
+  }
+
   /** Milliseconds; infinite before it was known at all. */
   get ageMs(): number {
     this.#settle();
--- a/packages/gateway/src/cluster/state-exchange.ts
+++ b/packages/gateway/src/cluster/state-exchange.ts
@@ -2,7 +2,7 @@
 import type { FleetSnapshot, FleetState } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
 import { hasRoom, type WaitingBytes } from './configuration-parts.js';
-import type { ConfigurationFreshness } from './configuration-freshness.js';
+import type { ConfigurationFreshness, ToldConfiguration } from './configuration-freshness.js';
 import type { PeerCaller } from './peer-caller.js';
 
 const CALL_TIMEOUT_MS = 1500;
@@ -25,10 +25,7 @@
  * What a peer tells: its state, unless the asking node holds the same, and its version of the configuration, which is
  * fetched in parts.
  */
-export interface SnapshotAnswer {
-  readonly configurationVersion: number;
-  /** See {@link ConfigurationFreshness}; absent if the peer never knew. */
-  readonly configurationAgeMs?: number;
+export interface SnapshotAnswer extends ToldConfiguration {
   readonly snapshot?: FleetSnapshot;
 }
 
@@ -121,11 +118,7 @@
   known: SnapshotRequest,
   waiting: WaitingBytes,
 ): SnapshotAnswer {
-  const { configurationVersion } = fleet;
-  const configurationAgeMs = Math.ceil(freshness.ageMs);
-  const configuration = Number.isFinite(configurationAgeMs)
-    ? { configurationVersion, configurationAgeMs }
-    : { configurationVersion };
+  const configuration = freshness.told;
   const hasOperatorNews =
     fleet.operatorRevision >= known.operatorRevision && fleet.operatorDigest !== known.operatorDigest;
   const hasBackendNews =
--- a/packages/gateway/src/cluster/state-follower.ts
+++ b/packages/gateway/src/cluster/state-follower.ts
@@ -2,7 +2,7 @@
 import type { BackendListing, FleetState, OperatorState } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
 import { hasRoom, type WaitingBytes } from './configuration-parts.js';
-import type { ConfigurationFreshness } from './configuration-freshness.js';
+import type { ConfigurationFreshness, ToldConfiguration } from './configuration-freshness.js';
 import type { DepartureBudget } from './departure-budget.js';
 import type { PeerCaller } from './peer-caller.js';
 
@@ -18,18 +18,14 @@
   readonly operatorDigest: number;
 }
 
-/** What a reader of the store tells a follower. */
-export interface FollowAnswer {
+/** What a reader of the store tells a follower. The configuration itself is fetched in parts: `ConfigurationFetcher`. */
+export interface FollowAnswer extends ToldConfiguration {
   /** Time since the reader last heard from the store, in milliseconds; absent if it does not read it. */
   readonly ageMs?: number;
   /** Revision up to which the reader's list of backends is complete. */
   readonly backendsRevision: number;
   /** Present if the follower's list differs and is not newer. */
   readonly listing?: BackendListing;
-  /** Version of the configuration that the reader has in force; it is fetched in parts, see `ConfigurationFetcher`. */
-  readonly configurationVersion: number;
-  /** See {@link ConfigurationFreshness}; absent if the reader never knew. */
-  readonly configurationAgeMs?: number;
   /** Present if what the follower holds differs and is not newer. */
   readonly operatorState?: OperatorState;
   /** So much waits to be sent to the follower that nothing was added: the answer says nothing of what the reader holds. */
@@ -155,11 +151,8 @@
   /** Answers a follower. */
   answer(known: FollowRequest, waiting: WaitingBytes): FollowAnswer {
     const { clock, fleet, freshness } = this.#options;
-    const { backendsRevision, configurationVersion } = fleet;
-    const configurationAgeMs = Math.ceil(freshness.ageMs);
-    const configuration = Number.isFinite(configurationAgeMs)
-      ? { configurationVersion, configurationAgeMs }
-      : { configurationVersion };
+    const { backendsRevision } = fleet;
+    const configuration = freshness.told;
     if (!hasRoom(waiting)) return { backendsRevision, ...configuration, withheld: true };
     const hasListing =
       fleet.routingDigest !== known.routingDigest && fleet.backendsRevision >= known.backendsRevision;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,7 @@
 export {
   ConfigurationParts,
   PART_METHOD,
+  type PartReply,
   type PartRequest,
   type WaitingBytes,
 } from './cluster/configuration-parts.js';
