--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -58,6 +58,7 @@
 import { GatewayMetrics } from './gateway-metrics.js';
 import { PeerNetwork } from './peers/peer-network.js';
 import type { PeerConnection, PeerMethods } from './peers/peer-connection.js';
+import { BodyRoom } from './request/body-room.js';
 import type { RequestDialect } from './request/dialect.js';
 import { Exchange, type ExchangeContext } from './request/exchange.js';
 import type { SlotDecision } from '@canvasridge/slots';
@@ -72,6 +73,8 @@
   /** Gossip over UDP and calls between nodes over TCP. */
   readonly peerPort: number;
   readonly peerKey: string;
+  /** Memory that the process may use. */
+  readonly memoryBytes: number;
   /** Processor time that this node may use, in cores of the usual speed. */
   readonly capacity: number;
   readonly retryBudget: RetryBudgetOptions;
@@ -110,6 +113,8 @@
 const STOP_MARGIN_MS = 350;
 const STOP_POLL_MS = 50;
 const TOKEN_BYTES = 6;
+/** Part of the process's memory for bodies of requests, beside a heap of 128 MB and the runtime's 50 MB on 250 MB. */
+const BODIES_SHARE = 0.15;
 const SECOND_MS = 1000;
 /** Longest watch of the operators' entries, where no key has to stop working within a time. */
 const LONGEST_OPERATOR_WATCH_MS = 5000;
@@ -250,6 +255,7 @@
       refreshIfOld: () => this.#follower.refreshIfOld(),
       configurationLease: () => ({ ageMs: freshness.ageMs, leaseMs: settings.keyLease.leaseMs }),
       quotas: this.#quotas,
+      bodyRoom: new BodyRoom(settings.memoryBytes * BODIES_SHARE),
       telemetry,
       metrics: this.metrics,
     };
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -10,6 +10,7 @@
 import { AnswerSink } from './answer-sink.js';
 import { BackendAttempt, type AttemptOutcome, type SilenceLimit } from './backend-attempt.js';
 import { readBody } from './body.js';
+import type { BodyRoom } from './body-room.js';
 import type { RequestDialect, RequestFacts } from './dialect.js';
 import { retryAfterOf, statusOf, type FinalAnswer } from './final-answer.js';
 import { RequestAdmission, type AdmissionContext } from './request-admission.js';
@@ -33,6 +34,7 @@
   readonly listAgeMs: () => number;
   /** Brings the list of backends up to date if it is so old that one may have left unnoticed for too long. */
   readonly refreshIfOld: () => Promise<void>;
+  readonly bodyRoom: BodyRoom;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
 }
@@ -118,12 +120,14 @@
       return;
     }
     const timer = this.#context.clock.setTimer(this.#timeoutMs(route), () => this.#timedOut());
-    const body = await readBody(this.#request, routes.configuration.limits.maxBodyBytes);
+    const { bodyRoom } = this.#context;
+    const body = await readBody(this.#request, routes.configuration.limits.maxBodyBytes, bodyRoom);
     if (body.isErr()) {
       if (body.error.kind === 'too-large') this.#answer({ kind: 'body-too-large' });
+      else if (body.error.kind === 'no-room') this.#refuse('no-room-for-body', RETRY_AFTER_REFUSAL_MS);
     } else {
       this.#body = body.value;
-      await this.#serve(route, service);
+      await this.#serve(route, service).finally(() => bodyRoom.giveBack(body.value.length));
     }
     timer.cancel();
   }
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -14,6 +14,7 @@
 import { LeastLoadedPicker } from '../src/backends/least-loaded-picker.js';
 import { RetryBudget } from '../src/backends/retry-budget.js';
 import { GatewayMetrics } from '../src/gateway-metrics.js';
+import { BodyRoom } from '../src/request/body-room.js';
 import type { RequestDialect } from '../src/request/dialect.js';
 import { Exchange, type ExchangeContext } from '../src/request/exchange.js';
 import { RawBackend, type RawAnswer } from './raw-backend.js';
@@ -85,6 +86,8 @@
   beforeSend: () => Promise<void> = () => Promise.resolve();
   /** How old the configuration is in the eyes of the node. */
   configurationAgeMs = 0;
+  /** Room for two bodies of the largest size at a time, and a little more. */
+  readonly bodyRoom = new BodyRoom(200_000);
   /** Decides on what tenants may use. */
   admit: (subject: string, units: number) => Promise<QuotaDecision> = () =>
     Promise.resolve({ kind: 'admitted' });
@@ -198,6 +201,7 @@
       listAgeMs: () => 0,
       refreshIfOld: () => this.beforeSend(),
       configurationLease: () => ({ ageMs: this.configurationAgeMs, leaseMs: LEASE_MS }),
+      bodyRoom: this.bodyRoom,
       quotas: {
         admit: (subject, units) => this.admit(subject, units),
         giveBack: (_, units) => {
--- a/packages/gateway/test/running-node.ts
+++ b/packages/gateway/test/running-node.ts
@@ -66,6 +66,7 @@
       engineFences: { checked: false, settledAfterMs: 3000 },
       slotTiming: { ...DEFAULT_SLOT_TIMING, leaseMs: 3000 },
       drainMs: 2000,
+      memoryBytes: 256 * 1024 * 1024,
       keyLease: NO_KEY_LEASE,
       quotaTolerance: undefined,
       stopGraceMs: graceMs,
