While the store's watches are held up, readings confirm the configuration

Change: a watch of the operators' entries is given up after a tenth of the lease, and a failed one is followed by a reading.

--- a/packages/gateway/src/cluster/key-lease.ts
+++ b/packages/gateway/src/cluster/key-lease.ts
@@ -9,6 +9,11 @@
 const LEASE_SHARE = 0.6;
 /** Part of the lease after which a watch of the operators' entries ends without news, so that a reader knows it is in touch. */
 const WATCH_SHARE = 0.3;
+/**
+ * Part of the lease for which a watch may be overdue: together with the watch 0.4, so that a reading after it still
+ * confirms the configuration before the lease of followers ends.
+ */
+const OVERDUE_SHARE = 0.1;
 /** A follower asks up to so many readers, one after another, before one answers. */
 const HEDGES = 3;
 
@@ -17,14 +22,16 @@
   /** A configuration that was known to be the newest for so long ago gives no right any more. */
   readonly leaseMs: number;
   readonly watchMs: number;
+  /** A watch that is overdue by this is given up, and the entries are read. */
+  readonly overdueMs: number;
 }
 
-export const NO_KEY_LEASE: KeyLease = { leaseMs: Infinity, watchMs: Infinity };
+export const NO_KEY_LEASE: KeyLease = { leaseMs: Infinity, watchMs: Infinity, overdueMs: Infinity };
 
 /** @param revocationMs time within which a withdrawn key must not be run for on any node */
 export function keyLease(revocationMs: number): KeyLease {
   const leaseMs = revocationMs * LEASE_SHARE;
-  return { leaseMs, watchMs: leaseMs * WATCH_SHARE };
+  return { leaseMs, watchMs: leaseMs * WATCH_SHARE, overdueMs: leaseMs * OVERDUE_SHARE };
 }
 
 /**
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -118,6 +118,7 @@
 const SECOND_MS = 1000;
 /** Longest watch of the operators' entries, where no key has to stop working within a time. */
 const LONGEST_OPERATOR_WATCH_MS = 5000;
+const LONGEST_OPERATOR_OVERDUE_MS = 1000;
 const READER_RETRY_MS = 700;
 /** A follower that had to read itself, and can't either: most likely no node can, and readers see the return first. */
 const ORPHAN_RETRY_MS = 2000;
@@ -347,9 +348,13 @@
     this.#freshness.confirm(this.fleet.configurationVersion, asOfMs);
   }
 
-  /** Longest wait for changes of the operators' entries, in milliseconds. */
-  get operatorWatchMs(): number {
-    return Math.min(this.#options.settings.keyLease.watchMs, LONGEST_OPERATOR_WATCH_MS);
+  /** Longest wait for changes of the operators' entries, and how long it may be overdue, in milliseconds. */
+  get operatorPace(): { readonly watchMs: number; readonly overdueMs: number } {
+    const { watchMs, overdueMs } = this.#options.settings.keyLease;
+    return {
+      watchMs: Math.min(watchMs, LONGEST_OPERATOR_WATCH_MS),
+      overdueMs: Math.min(overdueMs, LONGEST_OPERATOR_OVERDUE_MS),
+    };
   }
 
   /** The list of backends was read just now, or is known not to have changed. */
