A request is refused once it is known that it can't begin in its client's time, and no other

Cause: refusals went by 0.2, 0.45 and 0.48 of the objective or of the time left, with a fixed second to come back: called without gain by the users, and a request that could be served late was refused and came back to be refused again.

--- a/packages/slots/src/refusal-policy.ts
+++ b/packages/slots/src/refusal-policy.ts
@@ -3,7 +3,7 @@
 import type { EngineRegistry } from './engine-registry.js';
 import type { SwitchedOff } from './mechanisms.js';
 import type { PoolIndex } from './pool-index.js';
-import type { RefusalReason, SlotRequest } from './slot-request.js';
+import type { RefusalReason } from './slot-request.js';
 import type { SlotTurnover } from './slot-turnover.js';
 import type { WaitingList, WaitingRequest } from './waiting-list.js';
 
@@ -16,6 +16,8 @@
   readonly index: () => PoolIndex;
   /** Present guess of how long a fetch from the weight store takes, in milliseconds. */
   readonly coldLoadMs: () => number;
+  /** Fetches from the weight store that may be under way at the same time. */
+  readonly fetchWindow: () => number;
   /** Calls back after a time, unless the pool was closed meanwhile. */
   readonly after: (delayMs: number, action: () => void) => void;
   /** Ends the wait of a request that was taken off the list. */
@@ -23,86 +25,84 @@
   readonly off: SwitchedOff;
 }
 
-/** A refusal has to be known to the client within this part of its objective. */
-const EARLY_REFUSAL_SHARE = 0.2;
-/** Part of its time after which a request is given up if it is not likely to run in what is left. */
-const HALFWAY_SHARE = 0.45;
-/** Part of its time after which a request that still waits is given up: what is left has to be of use elsewhere. */
-const LONGEST_WAIT_SHARE = 0.48;
-/** A wait is short if it takes up to this part of what is left of a request's time. */
-const SOON_SHARE = 0.5;
-/** When a client comes back that was refused for want of an engine, or late. */
+/** How often those that wait are looked at: a refusal is known to its client a few hundredths of an objective later. */
+const LOOK_PERIOD_MS = 40;
+/** Engines that left the list may be back within this time, as after a moment in which the list was read anew. */
+const NO_ENGINE_GRACE_MS = 200;
+/** When a client comes back for which no engine serves the model: what it waits for tells no time. */
 const RETRY_WITHOUT_ENGINE_MS = 1000;
+/** A client is told no longer time than this: what is foreseen beyond it is a guess. */
+const LONGEST_RETRY_MS = 5000;
 
-/** Decides when a request that waits is refused: early if it can't be in time, or before half of its time is over. */
+/**
+ * Refuses a request as soon as it is known that it can't begin in the time that its client waits, and no other: a late
+ * answer reaches a client sooner than a refusal and a second try. Nothing goes by a part of the objective. What is
+ * foreseen is the time until its turn, by how fast slots become idle or fetches end, and the load after it.
+ */
 export class RefusalPolicy {
   readonly #options: RefusalPolicyOptions;
+  #isLooking = false;
 
   constructor(options: RefusalPolicyOptions) {
     this.#options = options;
   }
 
-  /** Looks at a request that began to wait at the moments at which it may have to be refused. */
-  watch(request: SlotRequest): void {
-    const { after } = this.#options;
-    const untilEarlyMs = request.objectiveMs * EARLY_REFUSAL_SHARE - request.ageMs;
-    after(Math.max(untilEarlyMs, 1), () => this.#refuseIfHopeless(request.id));
-    this.#afterAge(request, HALFWAY_SHARE, () => this.#giveUpIfHopeless(request.id));
-    this.#afterAge(request, LONGEST_WAIT_SHARE, () => this.#giveUp(request.id));
+  /** A request began to wait. */
+  watch(): void {
+    if (this.#isLooking) return;
+    this.#isLooking = true;
+    this.#options.after(LOOK_PERIOD_MS, () => {
+      this.#isLooking = false;
+      this.#refuseHopeless();
+      if (this.#options.waiting.size > 0) this.watch();
+    });
   }
 
-  /** Calls back when a part of the time in which a request has to start is over. */
-  #afterAge(request: SlotRequest, share: number, action: () => void): void {
-    this.#options.after(Math.max(request.startWithinMs * share - request.ageMs, 1), action);
+  #refuseHopeless(): void {
+    const { clock, waiting: list } = this.#options;
+    const nowMs = clock.now();
+    const inOrder = list.inOrder(nowMs);
+    const sinceMs = inOrder.reduce((first, { arrivedMs }) => Math.min(first, arrivedMs), nowMs);
+    const gapMs = this.#turnGapMs(sinceMs, nowMs);
+    let before = 0;
+    for (const waiting of inOrder) {
+      if (!this.#refuseIfHopeless(waiting, (before + 1) * gapMs, nowMs)) before += 1;
+    }
   }
 
-  /** Refuses a request while that is early enough, if it is not likely to get a slot within its objective. */
-  #refuseIfHopeless(requestId: string): void {
-    const { clock, engines, choice, waiting: list, index, off, refuse } = this.#options;
-    const waiting = list.get(requestId);
-    if (waiting === undefined || waiting.returned || off.has('early-refusal')) return;
+  /** @param turnMs time until a load can begin for it */
+  #refuseIfHopeless(waiting: WaitingRequest, turnMs: number, nowMs: number): boolean {
+    const { engines, choice, waiting: list, index, refuse, off } = this.#options;
     const { request } = waiting;
-    if (!engines.serves(request.model)) {
-      list.remove(requestId);
+    const ageMs = nowMs - waiting.arrivedMs;
+    const leftMs = request.startWithinMs - ageMs;
+    if (!engines.serves(request.model) && ageMs >= NO_ENGINE_GRACE_MS) {
+      list.remove(request.id);
       refuse(waiting, 'no-engine', RETRY_WITHOUT_ENGINE_MS);
-      return;
+      return true;
     }
-    if (choice.isLoading(request, index())) return;
-    const waitMs = this.#expectedWaitMs(waiting);
-    if (clock.now() - waiting.arrivedMs + waitMs <= list.startWithinMs(request)) return;
-    list.remove(requestId);
-    refuse(waiting, 'no-slot-in-time', waitMs);
-  }
-
-  /**
-   * Gives a late request up while the client still has time for another attempt, unless its turn comes soon.
-   * To hold it to its end and fail then is the worst for the client.
-   */
-  #giveUpIfHopeless(requestId: string): void {
-    const { choice, waiting: list, index } = this.#options;
-    const waiting = list.get(requestId);
-    if (waiting === undefined) return;
-    const { request } = waiting;
-    if (choice.isLoading(request, index())) return;
-    const leftMs = request.startWithinMs * (LONGEST_WAIT_SHARE - HALFWAY_SHARE);
-    if (this.#expectedWaitMs(waiting) > leftMs * SOON_SHARE) this.#giveUp(requestId);
-  }
-
-  #giveUp(requestId: string): void {
-    const { waiting: list, refuse } = this.#options;
-    const waiting = list.remove(requestId);
-    if (waiting !== undefined) refuse(waiting, 'no-slot-in-time', RETRY_WITHOUT_ENGINE_MS);
+    if (leftMs > 0 && (off.has('early-refusal') || choice.isLoading(request, index()))) return false;
+    const waitMs = this.#expectedWaitMs(waiting, turnMs, nowMs);
+    if (waitMs <= leftMs) return false;
+    list.remove(request.id);
+    refuse(waiting, 'no-slot-in-time', Math.min(waitMs, LONGEST_RETRY_MS));
+    return true;
   }
 
   /** How long until a request that waits can start: at an engine that has its adapter, or after a load. */
-  #expectedWaitMs(waiting: WaitingRequest): number {
-    const { clock, engines, choice, waiting: list, turnover, index, coldLoadMs } = this.#options;
-    const nowMs = clock.now();
+  #expectedWaitMs(waiting: WaitingRequest, turnMs: number, nowMs: number): number {
+    const { engines, choice, index, coldLoadMs } = this.#options;
     const engine = choice.best(waiting.request, index(), nowMs);
     const backlogEndsMs = engine === undefined ? Infinity : backlogMs(engine, nowMs);
-    const before = list.inOrder(nowMs).indexOf(waiting);
-    const turnMs = (before + 1) * turnover.meanGapMs();
+    if (waiting.request.adapter === undefined) return backlogEndsMs;
     const loadedMs = Math.max(turnMs, engines.untilFirstOrderMs()) + coldLoadMs();
     return Math.min(backlogEndsMs, loadedMs);
   }
+
+  /** Time between two loads that can begin: where slots are idle, as fetches end; else as slots become idle. */
+  #turnGapMs(sinceMs: number, nowMs: number): number {
+    const { turnover, index, coldLoadMs, fetchWindow } = this.#options;
+    const fetchGapMs = coldLoadMs() / fetchWindow();
+    return index().spareShare > 0 ? fetchGapMs : Math.max(fetchGapMs, turnover.presentGapMs(sinceMs, nowMs));
+  }
 }
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -123,6 +123,7 @@
       turnover: this.#turnover,
       index: () => this.#index(),
       coldLoadMs: () => this.#adapters.coldLoadMs,
+      fetchWindow: () => this.#adapters.fetchWindow,
       after,
       refuse: (waiting, reason, retryAfterMs) => this.#refuse(waiting, reason, retryAfterMs),
       off: options.off,
@@ -199,7 +200,7 @@
     this.#waiting.add(waiting);
     this.#place(waiting, this.#index(), nowMs);
     if (this.#waiting.get(request.id) === undefined) return;
-    this.#refusals.watch(request);
+    this.#refusals.watch();
   }
 
   /** The client went away, or the request is served in another way. */
--- a/packages/slots/src/slot-turnover.ts
+++ b/packages/slots/src/slot-turnover.ts
@@ -23,6 +23,14 @@
     this.#lastMs = nowMs;
   }
 
+  /**
+   * The same, or the time for which none has become idle where that is longer.
+   * @param sinceMs when the first of those that wait began to wait
+   */
+  presentGapMs(sinceMs: number, nowMs: number): number {
+    return Math.max(this.#gapMs, nowMs - Math.max(this.#lastMs ?? -Infinity, sinceMs));
+  }
+
   meanGapMs(): number {
     return this.#gapMs;
   }
