Before anything is known of the weight store, one fetch for each engine may be under way

Change: the first window is the number of engines, 12 at the least, until a fetch has told of the store. Tests: a first guess of 100 where 16 are served is corrected within a few rounds.

--- a/packages/slots/src/adapter-loader.ts
+++ b/packages/slots/src/adapter-loader.ts
@@ -55,6 +55,11 @@
     return this.#warmTime.guessMs;
   }
 
+  /** So many engines are listed. */
+  expectEngines(count: number): void {
+    this.#window.expect(count);
+  }
+
   /** Fetches from the weight store that may be under way at the same time. */
   get fetchWindow(): number {
     return this.#window.size;
--- a/packages/slots/src/fetch-window.ts
+++ b/packages/slots/src/fetch-window.ts
@@ -1,6 +1,9 @@
 import type { Clock } from '@canvasridge/clock';
 
-/** Fetches at once before anything is known: a store that serves fewer at full speed shows it within one fetch. */
+/**
+ * Fetches at once before anything is known, one for each engine but no fewer than this: a store that serves fewer at full
+ * speed shows it within one fetch, and one that serves more is used in full some rounds sooner.
+ */
 const INITIAL = 12;
 /** Every weight store that the users describe serves so many at full speed. */
 const LEAST = 8;
@@ -38,6 +41,8 @@
   #threshold = Infinity;
   #shrunkMs = -Infinity;
   #inTimeMs = -Infinity;
+  /** Whether any fetch has told of the store. */
+  #isTold = false;
   /** Fetches of late that were found to be lengthened: when that was seen last, and how long they took at the least. */
   readonly #lengthened = new Map<string, { readonly atMs: number; readonly leastMs: number }>();
 
@@ -48,6 +53,11 @@
     this.#usualAtMs = clock.now();
   }
 
+  /** So many engines are there; of interest only until the first fetch has told of the store itself. */
+  expect(engines: number): void {
+    if (!this.#isTold) this.#size = Math.max(INITIAL, engines);
+  }
+
   /** Fetches that may be under way. */
   get size(): number {
     return Math.floor(this.#size);
@@ -59,6 +69,7 @@
    * @param underWay fetches under way: a window that is not used does not grow
    */
   present(tookMs: number, underWay: number): void {
+    this.#isTold = true;
     const nowMs = this.#clock.now();
     this.#usualMs = Math.min(this.#usualMs * (1 + USUAL_DRIFT * (nowMs - this.#usualAtMs)), tookMs);
     this.#usualAtMs = nowMs;
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -134,6 +134,7 @@
   setEngines(backends: readonly BackendDescription[], profile: EngineProfile): void {
     this.#models.setRate(profile.storeLoadsPerSecond);
     this.#engines.update(backends, profile);
+    this.#adapters.expectEngines(backends.length);
     this.#lastIndex = undefined;
     this.schedule();
   }
--- a/packages/slots/test/fetch-window.test.ts
+++ b/packages/slots/test/fetch-window.test.ts
@@ -95,3 +95,22 @@
   for (let fetch = 0; fetch < 40; fetch += 1) window.missing(String(fetch), 280, 40);
   t.is(window.size, before);
 });
+
+test('before anything is known one fetch for each engine may be under way, and no more once the store has told', (t) => {
+  const window = new FetchWindow(new VirtualClock(), USUAL_MS);
+  window.expect(6);
+  t.is(window.size, 12);
+  window.expect(98);
+  t.is(window.size, 98);
+  window.present(USUAL_MS, 1);
+  window.expect(300);
+  t.is(window.size, 98);
+});
+
+test('a first guess far above what the store serves is corrected within a few rounds', async (t) => {
+  const clock = new VirtualClock();
+  const window = new FetchWindow(clock, USUAL_MS);
+  window.expect(100);
+  const sizes = await fetchInRounds(window, clock, 16, 12);
+  t.true(Math.max(...sizes.slice(4)) <= 16 * 1.6, `sizes ${sizes.join(' ')}`);
+});
