--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 /** The entry node that passes requests on to backends unaltered, and the policies by which it chooses them. */
-export { GatewayNode, type GatewayOptions, type GatewaySettings } from './gateway-node.js';
+export { GatewayNode } from './gateway-node.js';
+export type { GatewayOptions, GatewaySettings } from './gateway-settings.js';
 export { listen, type ListenError } from './client-server.js';
 export {
   FOLLOW_METHOD,
