--- a/packages/slots/src/engine-choice.ts
+++ b/packages/slots/src/engine-choice.ts
@@ -14,13 +14,6 @@
 /** Time after which an adapter of an older version serves no new requests. */
 const OUTDATED_GRACE_MS = 1500;
 
-/**
- * The first request to an adapter whose arrival was guessed goes ahead of the others by this time: an engine that lacks it
- * says so within a round trip, a few milliseconds and as many again for a busy node. Without that, all that wait for it
- * were sent at once: 641 of 8,357 arrivals at 98 engines were refused for 1,803 fetches.
- */
-export const PROBE_MS = 20;
-
 /** The version of an adapter that was published, 0 if none was. */
 export type PublishedVersion = (model: string, adapter: string) => number;
 
@@ -55,16 +48,6 @@
       );
   }
 
-  /** Whether a request was just sent ahead to an engine to which the adapter was on its way. */
-  isProbed(request: SlotRequest, index: PoolIndex, nowMs: number): boolean {
-    if (request.adapter === undefined) return false;
-    const key = adapterKey(request.model, request.adapter);
-    return index.holders(key).some(({ slots }) => {
-      const slot = slots.get(key);
-      return slot !== undefined && !request.excluded.includes(slots.backend.id) && isBeingProbed(slot, nowMs);
-    });
-  }
-
   /** Whether an engine has an adapter that is still good, so that another load there adds nothing. */
   holds(entry: EngineEntry, key: string): boolean {
     const slot = entry.slots.get(key);
@@ -85,7 +68,7 @@
 
   /** An adapter whose version was overtaken serves on for a short while, until a newer one is loaded. */
   #isUsable(slot: AdapterSlot, nowMs: number): boolean {
-    if (slot.state !== 'loaded' || isBeingProbed(slot, nowMs)) return false;
+    if (slot.state !== 'loaded') return false;
     if (this.#isCurrent(slot)) return true;
     if (slot.outdatedSinceMs === 0) slot.outdatedSinceMs = nowMs;
     return slot.users > 0 && nowMs - slot.outdatedSinceMs < OUTDATED_GRACE_MS;
@@ -96,11 +79,6 @@
   }
 }
 
-/** Whether an adapter's arrival was guessed, and the first request to it may not have found it. */
-function isBeingProbed({ orderedMs, firstUsedMs }: AdapterSlot, nowMs: number): boolean {
-  return orderedMs > 0 && firstUsedMs > 0 && nowMs - firstUsedMs < PROBE_MS;
-}
-
 /** How long an engine is busy with the prompts before a new one; a full engine counts as busy for ever. */
 export function backlogMs(entry: EngineEntry, nowMs: number): number {
   const { slots } = entry;
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -3,7 +3,7 @@
 import { AdapterDemand } from './adapter-demand.js';
 import { AdapterLoader } from './adapter-loader.js';
 import type { AdapterMemory } from './adapter-memory.js';
-import { EngineChoice, PROBE_MS, backlogMs, isCrowded } from './engine-choice.js';
+import { EngineChoice, backlogMs, isCrowded } from './engine-choice.js';
 import type { EngineEntry } from './engine-entry.js';
 import { EngineRegistry } from './engine-registry.js';
 import { EngineUses } from './engine-uses.js';
@@ -312,10 +312,7 @@
       return;
     }
     if (this.#choice.isLoading(request, index)) waiting.obstacle = 'loading';
-    else if (this.#choice.isProbed(request, index, nowMs)) {
-      waiting.obstacle = 'loading';
-      this.#lookAgainLater(PROBE_MS);
-    } else waiting.obstacle = this.#loads.start(waiting, index, aheadMs);
+    else waiting.obstacle = this.#loads.start(waiting, index, aheadMs);
     if (engine === undefined) return;
     if (aheadMs <= this.#longestBacklogMs(waiting, nowMs)) {
       this.#grant(waiting, engine, slot, nowMs);
@@ -332,11 +329,11 @@
     return Math.max(latestMs, Math.min(leftMs, request.objectiveMs * LONG_BACKLOG_SHARE));
   }
 
-  /** Backlogs shrink, and probes end, without an event, so requests that are held back for one are looked at again. */
-  #lookAgainLater(afterMs = BACKLOG_POLL_MS): void {
+  /** Backlogs shrink without an event, so requests that are held back for one are looked at again. */
+  #lookAgainLater(): void {
     if (this.#looksAgain) return;
     this.#looksAgain = true;
-    this.#after(afterMs, () => {
+    this.#after(BACKLOG_POLL_MS, () => {
       this.#looksAgain = false;
       this.#placeAll();
     });
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -399,24 +399,3 @@
   await clock.runUntil(HELD_MS + 2500);
   t.true(guessMs() < firstMs);
 });
-
-test('the first of several requests goes ahead to an adapter whose arrival was guessed', async (t) => {
-  const clock = new VirtualClock();
-  const pool = newPool(clock, [new SimulatedEngine(clock, 'e1')]);
-  await clock.runUntil(HELD_MS);
-  const granted: { readonly id: string; readonly atMs: number }[] = [];
-  for (let index = 0; index < 5; index += 1) {
-    pool.acquire(request('x'), (decision) => {
-      if (decision.kind === 'granted') granted.push({ id: decision.requestId, atMs: clock.now() });
-    });
-  }
-  while (granted.length === 0 && clock.now() < HELD_MS + 1000) await clock.runUntil(clock.now() + 1);
-  t.is(granted.length, 1);
-  pool.release(granted[0]?.id ?? '', 'not-present');
-  await clock.runUntil(clock.now() + 40);
-  t.is(granted.length, 1, 'nothing is sent after one that was refused');
-  await clock.runUntil(clock.now() + 18);
-  t.is(granted.length, 2, 'the next one tries again');
-  await clock.runUntil(clock.now() + 25);
-  t.is(granted.length, 5, 'all go once it was not refused');
-});
