--- a/packages/gateway/src/cluster/configuration-parts.ts
+++ b/packages/gateway/src/cluster/configuration-parts.ts
@@ -40,7 +40,7 @@
 export const MOST_WAITING_FOR_PEER_BYTES = 65_536;
 /** The same for all peers together: a thirtieth of a heap of 128 MB, with room for what is being encoded. */
 export const MOST_WAITING_BYTES = 4 * 1024 * 1024;
-/** 1,200 routes of 220 bytes become 40 KB at this level, in 3 ms of a whole core; higher levels take twice as long for 5% less. */
+/** 1,212 routes of 246 bytes with random names become 15 KB in 0.8 ms of a core; level 6 takes 2.0 ms for 3% less. */
 const PACK_LEVEL = 3;
 /** Larger than any document that the publishing store takes (1 MB), with the product's longer names. */
 const MOST_UNPACKED_BYTES = 16 * 1024 * 1024;
--- a/packages/gateway/src/cluster/fleet-quotas.ts
+++ b/packages/gateway/src/cluster/fleet-quotas.ts
@@ -64,8 +64,8 @@
 }
 
 /**
- * Subjects of which one node is the home: a node asks each home that it needs some three times a second, so that with
- * one of 16 subjects it sends 1 KB a second, and a home of 64 subjects lends to 80 nodes with a tenth of a core.
+ * Subjects of which one node is the home. A node asks each home that it needs some three times a second for all of its
+ * subjects together, so few homes keep the calls few; more of them share the work of a large number of subjects.
  */
 const SUBJECTS_PER_HOME = 64;
 /** A home in reach answers in a few milliseconds; a request waits no longer for one that is lost. */
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -44,7 +44,7 @@
 const STOP_MARGIN_MS = 350;
 const STOP_POLL_MS = 50;
 const TOKEN_BYTES = 6;
-/** Part of the process's memory for bodies of requests, beside a heap of 128 MB and the runtime's 50 MB on 250 MB. */
+/** Part of the process's memory for bodies of requests: 37 MB of 250, beside a heap of at most 128 MB. */
 const BODIES_SHARE = 0.15;
 const SECOND_MS = 1000;
 
--- a/packages/slots/src/fetch-window.ts
+++ b/packages/slots/src/fetch-window.ts
@@ -30,7 +30,7 @@
  * fetch of late took longer than the usual time, since one that came in time shows that the store keeps up, and others
  * that are late tell of their engine, of an order behind another, or of a lost one. What fits is then the number under way
  * times the usual time by the least of late. It grows by one with each fetch in time until that first happened, and by a
- * tenth for each window from then on: a store that was slow for a while is used in full some three seconds later.
+ * tenth for each window from then on: after a store was slow for a while, from a tenth to the whole in 25 windows.
  */
 export class FetchWindow {
   readonly #clock: Clock;
