--- a/packages/gateway/src/cluster/key-lease.ts
+++ b/packages/gateway/src/cluster/key-lease.ts
@@ -3,8 +3,8 @@
 /**
  * How the time within which a withdrawn key must stop working (the revocation bound) is divided. A node relies on its
  * configuration for {@link LEASE_SHARE} of the bound, counted from the store's answer; what is left of the bound is for a
- * request that was checked just before: its way to the engine. Operators count nothing as owed by a node that has had no
- * way to the store for 0.6 of the bound, so a longer lease would serve nobody.
+ * request that was checked just before: its way to the engine. Operators
+ * count nothing as owed by a node that has had no way to the store for so long.
  */
 const LEASE_SHARE = 0.6;
 /** Part of the lease after which a watch of the operators' entries ends without news, so that a reader knows it is in touch. */
