--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -80,7 +80,8 @@
   #controller: Dispatcher.DispatchController | undefined;
   #settled = false;
   #cancelled = false;
-  #sent = false;
+  #sentMs: number | undefined;
+  #begunMs: number | undefined;
   #status = 0;
   #headers: AnswerHeaders = {};
   #isSuccess = false;
@@ -98,7 +99,17 @@
 
   /** Whether the request may have reached the backend. */
   get sent(): boolean {
-    return this.#sent;
+    return this.#sentMs !== undefined;
+  }
+
+  /** Whether the first part of a success has come. */
+  get begun(): boolean {
+    return this.#begunMs !== undefined;
+  }
+
+  /** Time since the request was written, in milliseconds; 0 before. */
+  get runMs(): number {
+    return this.#sentMs === undefined ? 0 : this.#options.clock.now() - this.#sentMs;
   }
 
   get lastEventId(): number {
@@ -136,7 +147,7 @@
       controller.abort(new Error('the backend leaves'));
       return;
     }
-    this.#sent = true;
+    this.#sentMs = this.#options.clock.now();
   }
 
   onResponseStart(
@@ -165,7 +176,7 @@
     if (this.#settled) return;
     const bytes = this.#isStream ? this.#tracker.push(chunk) : chunk;
     if (bytes.length === 0) return;
-    if (this.#isSuccess && this.#size === 0 && !this.#passing) this.#options.onStarted();
+    if (this.#isSuccess && this.#begunMs === undefined) this.#begin();
     if (this.#isStream) this.#watchSilence();
     if (this.#passing) {
       this.#pass(controller, bytes);
@@ -177,6 +188,11 @@
       this.#startPassing(controller);
   }
 
+  #begin(): void {
+    this.#begunMs = this.#options.clock.now();
+    this.#options.onStarted();
+  }
+
   onResponseEnd(): void {
     if (this.#settled) return;
     if (this.#isFramed()) {
@@ -200,7 +216,7 @@
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
     if (this.#cancelled) this.#finish({ kind: 'cancelled' });
-    else if (!this.#sent) this.#finish({ kind: 'not-run', reason: 'unreachable' });
+    else if (!this.sent) this.#finish({ kind: 'not-run', reason: 'unreachable' });
     else if (this.#notRun) this.#finish({ kind: 'not-run', reason: this.#notRunReason() });
     else this.#finish({ kind: 'broken', detail: error.message });
   }
@@ -280,7 +296,7 @@
   }
 
   #giveUpSilent(): void {
-    const outcome: AttemptOutcome = this.#sent
+    const outcome: AttemptOutcome = this.sent
       ? { kind: 'broken', detail: 'silent' }
       : { kind: 'not-run', reason: 'unreachable' };
     this.#finish(outcome);
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -14,6 +14,7 @@
 import type { RequestDialect, RequestFacts } from './dialect.js';
 import { retryAfterOf, statusOf, type FinalAnswer } from './final-answer.js';
 import { RequestAdmission, type AdmissionContext } from './request-admission.js';
+import { requestFingerprint } from './request-fingerprint.js';
 
 /** What all exchanges of a node share. */
 export interface ExchangeContext extends AdmissionContext {
@@ -76,6 +77,7 @@
   #pickedMs: number | undefined;
   /** How old the list of backends was at that moment. */
   #listAgeMs: number | undefined;
+  #knownFingerprint: string | undefined;
 
   constructor(context: ExchangeContext, request: IncomingMessage, response: ServerResponse) {
     this.#context = context;
@@ -257,6 +259,7 @@
     const isWhole = outcome.kind === 'complete' || outcome.kind === 'failure' || outcome.kind === 'not-run';
     connections.release(backend.id, connection, isWhole);
     this.#lastEventId = attempt.lastEventId;
+    if (outcome.kind === 'broken') this.#interrupted(backend.id, attempt, outcome.detail);
     if (outcome.kind !== 'not-run') {
       this.#mayHaveRun ||= attempt.sent;
       this.#runs += 1;
@@ -264,6 +267,28 @@
     return outcome;
   }
 
+  /** A backend took the request, and its answer is not whole. */
+  #interrupted(backendId: string, attempt: BackendAttempt, detail: string): void {
+    this.#context.telemetry.event('info', 'request.interrupted', this.#facts.attemptId ?? 'none', {
+      fingerprint: this.#fingerprint,
+      backend: backendId,
+      detail,
+      runMs: Math.round(attempt.runMs),
+      begun: attempt.begun,
+    });
+  }
+
+  /** See {@link requestFingerprint}; worked out when it is first asked for, which few requests need. */
+  get #fingerprint(): string {
+    this.#knownFingerprint ??= requestFingerprint({
+      host: this.#request.headers.host ?? '',
+      target: this.#request.url ?? '',
+      tenant: this.#admission.tenant,
+      body: this.#body,
+    });
+    return this.#knownFingerprint;
+  }
+
   /** Ends the exchange if the outcome ends it. */
   #isFinal(outcome: AttemptOutcome, route: HttpRoute): boolean {
     switch (outcome.kind) {
