--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -77,6 +77,46 @@
   readonly whole: boolean;
 }
 
+/** One request on a connection of its own. */
+export function callNode(
+  port: number,
+  attemptId: string,
+  { path = '/x/', body = 'question', headers = {} }: CallParts = {},
+): Promise<Seen> {
+  return new Promise((resolve) => {
+    const outgoing = request(
+      {
+        host: '127.0.0.1',
+        port,
+        method: 'POST',
+        path,
+        headers: { host: HOST, 'attempt-id': attemptId, ...headers },
+        agent: false,
+      },
+      (incoming) => {
+        let text = '';
+        incoming.setEncoding('utf8');
+        incoming.on('data', (part: string) => {
+          text += part;
+        });
+        incoming.on('error', () => undefined);
+        incoming.on('close', () => {
+          const { statusCode = 0, headers: seen, complete } = incoming;
+          resolve({ status: statusCode, headers: seen, body: text, whole: complete });
+        });
+      },
+    );
+    outgoing.on('error', () => resolve({ status: 0, headers: {}, body: '', whole: false }));
+    outgoing.end(body);
+  });
+}
+
+export interface CallParts {
+  readonly path?: string;
+  readonly body?: string;
+  readonly headers?: Record<string, string>;
+}
+
 /** An exchange between real sockets: a client, the code under test, and backends that answer as told. */
 export class Harness {
   readonly fleet = new FleetState();
@@ -134,32 +174,7 @@
     headers: Record<string, string> = {},
   ): Promise<Seen> {
     const { port } = this.#server.address() as AddressInfo;
-    return new Promise((resolve) => {
-      const outgoing = request(
-        {
-          host: '127.0.0.1',
-          port,
-          method: 'POST',
-          path,
-          headers: { host: HOST, 'attempt-id': attemptId, ...headers },
-          agent: false,
-        },
-        (incoming) => {
-          let text = '';
-          incoming.setEncoding('utf8');
-          incoming.on('data', (part: string) => {
-            text += part;
-          });
-          incoming.on('error', () => undefined);
-          incoming.on('close', () => {
-            const { statusCode = 0, headers: seen, complete } = incoming;
-            resolve({ status: statusCode, headers: seen, body: text, whole: complete });
-          });
-        },
-      );
-      outgoing.on('error', () => resolve({ status: 0, headers: {}, body: '', whole: false }));
-      outgoing.end(body);
-    });
+    return callNode(port, attemptId, { path, body, headers });
   }
 
   /** Sends a request and closes its connection when `until` resolves. */
--- a/packages/gateway/test/running-node.ts
+++ b/packages/gateway/test/running-node.ts
@@ -9,6 +9,8 @@
 import { RawBackend, type RawAnswer } from './raw-backend.js';
 
 const LOOPBACK = '127.0.0.1';
+/** Time that a planned stop of a fleet's nodes may take, so that a test ends soon. */
+const FLEET_GRACE_MS = 800;
 
 export interface RunningNodeOptions {
   readonly route?: RouteChanges;
@@ -41,24 +43,75 @@
   answer: RawAnswer,
 ): Promise<RunningNode> {
   const attempts: string[] = [];
-  const lines: string[] = [];
   const backend = await RawBackend.start((socket, attemptId, head) => {
     attempts.push(attemptId);
     answer(socket, attemptId, head);
   });
-  const clock = new SystemClock();
+  t.teardown(() => backend.stop());
   const fleet = new FleetState();
   fleet.applyConfiguration(configuration({ timeoutMs: 60_000, ...route }));
   fleet.applyBackend(1, backend.description('i1', SERVICE));
+  const started = await startOn(fleet, { nodeId: 'n1', peerPort: await freePort(), seeds: [], graceMs });
+  return { ...started, attempts };
+}
+
+/** Nodes that know one another, before the same backends. */
+export interface RunningFleet {
+  readonly nodes: readonly Omit<RunningNode, 'attempts'>[];
+  readonly backends: readonly RawBackend[];
+  /** Starts one more node, which knows nothing but the addresses of the others. */
+  readonly add: () => Promise<Omit<RunningNode, 'attempts'>>;
+}
+
+/** Starts so many nodes and backends; all end with the test. */
+export async function startFleet(
+  t: ExecutionContext,
+  counts: { readonly nodes: number; readonly backends: number },
+  route: RouteChanges,
+  answer: RawAnswer,
+): Promise<RunningFleet> {
+  const backends: RawBackend[] = [];
+  for (let index = 0; index < counts.backends; index += 1) backends.push(await RawBackend.start(answer));
+  t.teardown(() => backends.forEach((backend) => backend.stop()));
+  const nodes: Omit<RunningNode, 'attempts'>[] = [];
+  const seeds: string[] = [];
+  const add = async (): Promise<Omit<RunningNode, 'attempts'>> => {
+    const fleet = new FleetState();
+    fleet.applyConfiguration(configuration({ timeoutMs: 60_000, ...route }));
+    backends.forEach((backend, index) =>
+      fleet.applyBackend(index + 1, backend.description(`i${index}`, SERVICE)),
+    );
+    const peerPort = await freePort();
+    const nodeId = `n${seeds.length}`;
+    const started = await startOn(fleet, { nodeId, peerPort, seeds: [...seeds], graceMs: FLEET_GRACE_MS });
+    t.teardown(() => started.node.stop());
+    seeds.push(`${LOOPBACK}:${peerPort}`);
+    nodes.push(started);
+    return started;
+  };
+  while (nodes.length < counts.nodes) await add();
+  return { nodes, backends, add };
+}
+
+interface NodePlace {
+  readonly nodeId: string;
+  readonly peerPort: number;
+  readonly seeds: readonly string[];
+  readonly graceMs: number;
+}
+
+async function startOn(fleet: FleetState, place: NodePlace): Promise<Omit<RunningNode, 'attempts'>> {
+  const lines: string[] = [];
+  const clock = new SystemClock();
   const port = await freePort();
   const node = await GatewayNode.start({
     settings: {
-      nodeId: 'n1',
+      nodeId: place.nodeId,
       zone: 'a',
       region: 'r',
       ip: LOOPBACK,
       frontPort: port,
-      peerPort: await freePort(),
+      peerPort: place.peerPort,
       peerKey: 'k',
       capacity: 1,
       retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 50 },
@@ -69,15 +122,15 @@
       memoryBytes: 256 * 1024 * 1024,
       keyLease: NO_KEY_LEASE,
       quotaTolerance: undefined,
-      stopGraceMs: graceMs,
+      stopGraceMs: place.graceMs,
       firstStart: true,
     },
-    seeds: () => [],
+    seeds: () => place.seeds,
     clock,
     telemetry: new Telemetry({
-      processName: 'test',
+      processName: place.nodeId,
       clock,
-      logger: new EventLogger('test', 'info', (line) => lines.push(line)),
+      logger: new EventLogger(place.nodeId, 'info', (line) => lines.push(line)),
     }),
     dialect,
     control: {
@@ -88,6 +141,5 @@
     droppedLines: () => 0,
   });
   if (node.isErr()) throw new Error(node.error.reason);
-  t.teardown(() => backend.stop());
-  return { node: node.value, port, attempts, lines };
+  return { node: node.value, port, lines };
 }
