--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -15,3 +15,6 @@
 export { QuotaLedger, type Loan, type LoanRequest, type QuotaLedgerOptions } from './quota/quota-ledger.js';
 export { QuotaShares, type QuotaSharesOptions } from './quota/quota-shares.js';
 export { QuotaWallet, type Borrow, type QuotaWalletOptions } from './quota/quota-wallet.js';
+export { INTERRUPTION_MS, InterruptionLedger } from './quarantine/interruption-ledger.js';
+export { type QuarantineGate } from './quarantine/quarantine-gate.js';
+export { QUARANTINE_MS, QuarantineList, type QuarantinedRequest } from './quarantine/quarantine-list.js';
--- /dev/null
+++ b/packages/admission/test/quarantine.test.ts
@@ -0,0 +1,61 @@
+/** Requests that end the backends that run them, in a fleet where backends end by themselves as well. */
+import { VirtualClock } from '@canvasridge/clock';
+import test from 'ava';
+import { INTERRUPTION_MS, InterruptionLedger, QUARANTINE_MS, QuarantineList } from '../src/index.js';
+
+test('backends that broke off under a request are counted once each', (t) => {
+  const ledger = new InterruptionLedger(new VirtualClock());
+  t.is(ledger.note('f', 'a'), 1);
+  t.is(ledger.note('f', 'a'), 1);
+  t.is(ledger.note('f', 'b'), 2);
+  t.is(ledger.note('g', 'c'), 1);
+  t.is(ledger.note('f', 'c'), 3);
+});
+
+test('interruptions that lie far back do not count', async (t) => {
+  const clock = new VirtualClock();
+  const ledger = new InterruptionLedger(clock);
+  ledger.note('f', 'a');
+  ledger.note('f', 'b');
+  await clock.runUntil(INTERRUPTION_MS + 1);
+  t.is(ledger.note('f', 'c'), 1);
+});
+
+test('of very many requests those interrupted last are remembered', (t) => {
+  const ledger = new InterruptionLedger(new VirtualClock());
+  ledger.note('first', 'a');
+  for (let index = 0; index < 5000; index += 1) ledger.note(`f${index}`, 'a');
+  t.is(ledger.note('first', 'b'), 1);
+  t.is(ledger.note('f4999', 'b'), 2);
+});
+
+test('a quarantine ends after its time, also where it was told of by another node', async (t) => {
+  const clock = new VirtualClock();
+  const own = new QuarantineList(clock);
+  const other = new QuarantineList(clock);
+  t.true(own.add({ fingerprint: 'f', ageMs: 0 }));
+  t.false(own.add({ fingerprint: 'f', ageMs: 0 }), 'it is not news');
+  await clock.runUntil(QUARANTINE_MS / 2);
+  for (const entry of own.entries()) other.add(entry);
+  t.is(other.remainingMs('f'), QUARANTINE_MS / 2);
+  await clock.runUntil(QUARANTINE_MS);
+  t.is(own.remainingMs('f'), undefined);
+  t.is(other.remainingMs('f'), undefined);
+  t.deepEqual(own.entries(), []);
+  t.false(
+    own.add({ fingerprint: 'f', ageMs: QUARANTINE_MS }),
+    'what has ended elsewhere is not taken up again',
+  );
+});
+
+test('a full list keeps the requests quarantined last', async (t) => {
+  const clock = new VirtualClock();
+  const list = new QuarantineList(clock);
+  for (let index = 0; index < 40; index += 1) {
+    list.add({ fingerprint: `f${index}`, ageMs: 0 });
+    await clock.runUntil(index + 1);
+  }
+  t.is(list.size, 32);
+  t.is(list.remainingMs('f0'), undefined);
+  t.not(list.remainingMs('f39'), undefined);
+});
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -1,3 +1,4 @@
+import type { QuarantinedRequest } from '@canvasridge/admission';
 import { hashSeed, Notifier, type Clock, type Random } from '@canvasridge/clock';
 import {
   DEFAULT_MEMBERSHIP_TIMING,
@@ -31,6 +32,8 @@
   readonly configurationVersion: () => number;
   /** A peer shows a configuration version. */
   readonly onPeerVersion: (peerAddress: string, version: number, zone: string) => void;
+  /** A peer has published requests that are kept from backends. */
+  readonly onQuarantine: () => void;
 }
 
 /** Quicker than the defaults for large fleets: a dead leader holds up loads. */
@@ -47,10 +50,12 @@
 /** A node that never met another acts alone only after this time. */
 const ALONE_AFTER_MS = 12_000;
 const REMEMBERED_ADDRESSES = 512;
+const SECOND_MS = 1000;
 /** Begins the token of a process that is not the first on its machine. */
 export const RESTARTED_PREFIX = 'restarted-';
 const CLAIM_PREFIX = 'lead/';
 const BUSY_KEY = 'busy';
+const QUARANTINE_KEY = 'quarantine';
 /** The count of nodes is the largest seen within this time. */
 const NODE_COUNT_WINDOW_MS = 30_000;
 
@@ -78,6 +83,9 @@
   readonly token: string;
 }
 
+/** A request's fingerprint, and the seconds since it was quarantined: short, as all of them fit into one datagram. */
+type QuarantineRow = readonly [fingerprint: string, ageSeconds: number];
+
 /** The other nodes, as this one sees them. */
 export class Cluster implements LeadershipPeers, DirectorySight {
   readonly #options: ClusterOptions;
@@ -114,7 +122,10 @@
       telemetry: options.telemetry,
       events: {
         onMember: (member) => this.#remember(member),
-        onRecord: () => this.#noteChange(),
+        onRecord: ({ key }) => {
+          this.#noteChange();
+          if (key === QUARANTINE_KEY) options.onQuarantine();
+        },
         onRevision: (member, revision) => options.onPeerVersion(member.peerUrl, revision, member.zone),
       },
       seeds: () => [...options.seeds(), ...this.#addresses],
@@ -247,6 +258,25 @@
     this.#membership.pushNow();
   }
 
+  publishQuarantine(requests: readonly QuarantinedRequest[]): void {
+    this.#membership.publish(
+      QUARANTINE_KEY,
+      requests.map(({ fingerprint, ageMs }): QuarantineRow => [fingerprint, Math.round(ageMs / SECOND_MS)]),
+    );
+    this.#membership.pushNow();
+  }
+
+  /** What others published of requests that are kept from backends; it holds also when its node has ended or started again. */
+  *quarantines(): Iterable<readonly QuarantinedRequest[]> {
+    for (const { key, owner, value } of this.#membership.records()) {
+      if (key !== QUARANTINE_KEY || owner === this.selfId) continue;
+      yield (value as readonly QuarantineRow[]).map(([fingerprint, ageSeconds]) => ({
+        fingerprint,
+        ageMs: ageSeconds * SECOND_MS,
+      }));
+    }
+  }
+
   /** What processes that run now published under a key; what one before a restart did says nothing of them. */
   *#published<T extends { readonly token: string }>(key: string): Iterable<{ member: Member; value: T }> {
     for (const record of this.#membership.records()) {
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -28,6 +28,17 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  readonly interrupted = new Counter({
+    name: 'canvasridge_requests_interrupted_total',
+    help: 'Sends that a backend broke off, by whether the answer had begun',
+    labelNames: ['begun'],
+    registers: [this.registry],
+  });
+  readonly quarantined = new Gauge({
+    name: 'canvasridge_requests_quarantined',
+    help: 'Requests that are sent to no backend, as several ended under them',
+    registers: [this.registry],
+  });
   readonly firstByte = new Histogram({
     name: 'canvasridge_first_byte_seconds',
     help: 'Arrival of a request to the first byte of its answer',
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -28,6 +28,7 @@
 import { holderNumber } from './cluster/holder-number.js';
 import { BORROW_METHOD, FleetQuotas, widened, type BorrowParams } from './cluster/fleet-quotas.js';
 import { PublishedState, publishedMethods } from './cluster/published-state.js';
+import { FleetQuarantine, INTERRUPTED_METHOD, type InterruptedParams } from './cluster/fleet-quarantine.js';
 import { FleetShare } from './cluster/fleet-share.js';
 import { LoopLag } from './cluster/loop-lag.js';
 import type { GatewayOptions } from './gateway-settings.js';
@@ -64,6 +65,7 @@
   readonly #lag: LoopLag;
   readonly #share: FleetShare;
   readonly #quotas: FleetQuotas;
+  readonly #quarantine: FleetQuarantine;
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #context: ExchangeContext;
   readonly #running = new Set<Exchange>();
@@ -99,6 +101,7 @@
       seeds: options.seeds,
       configurationVersion: () => this.fleet.configurationVersion,
       onPeerVersion: (address, version, zone) => this.published.peerShows(address, version, zone),
+      onQuarantine: () => this.#quarantine.update(),
     });
     this.directory = new Directory(this.#cluster, () => this.#slots.leaders());
     this.#share = new FleetShare(clock, this.directory, settings.nodeId);
@@ -136,6 +139,12 @@
       subjectCount: () => fleet.routes?.tenants?.size ?? 0,
       fleetShare: () => this.#share.value,
     });
+    this.#quarantine = new FleetQuarantine({
+      clock,
+      cluster: this.#cluster,
+      network: this.#network,
+      telemetry,
+    });
     this.#context = {
       clock,
       dialect: options.dialect,
@@ -153,6 +162,7 @@
       refreshIfOld: () => this.published.refreshIfOld(),
       configurationLease: () => this.published.configurationLease,
       quotas: this.#quotas,
+      quarantine: this.#quarantine,
       bodyRoom: new BodyRoom(settings.memoryBytes * BODIES_SHARE),
       telemetry,
       metrics: this.metrics,
@@ -238,6 +248,7 @@
   #methods(): PeerMethods {
     return {
       ...publishedMethods(() => this.published),
+      [INTERRUPTED_METHOD]: (params) => this.#quarantine.answer(params as InterruptedParams),
       [BORROW_METHOD]: (params) => this.#quotas.answer(params as BorrowParams),
       [ACQUIRE_METHOD]: (params, peer) => this.#slots.answers.onAcquire(params as AcquireParams, peer),
       [CANCEL_METHOD]: (params, peer) => this.#slots.answers.onCancel(params as ReleaseParams, peer),
@@ -307,6 +318,8 @@
       }
       this.#reportTraffic();
       if (this.fleet.routes?.tenants !== undefined) this.#quotas.update();
+      this.#quarantine.update();
+      this.metrics.quarantined.set(this.#quarantine.size);
       await this.#options.clock.sleep(SECOND_MS);
     }
   }
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -20,9 +20,15 @@
       readonly body: Buffer;
     }
   | { readonly kind: 'not-run'; readonly reason: NotRunReason }
-  | { readonly kind: 'broken'; readonly detail: string }
+  | { readonly kind: 'broken'; readonly detail: string; readonly how: BrokenHow }
   | { readonly kind: 'cancelled' };
 
+/**
+ * `connection-lost`: the backend's connection ended before its answer did, as it does when the backend ends;
+ * `bad-answer`: what came is no answer to the request; `silent`: nothing came for too long.
+ */
+export type BrokenHow = 'connection-lost' | 'bad-answer' | 'silent';
+
 /** `leaving`: the backend was found to leave before anything was sent. */
 export type NotRunReason = 'leaving' | 'unreachable' | 'refused' | 'not-present' | 'no-connection';
 
@@ -102,9 +108,9 @@
     return this.#sentMs !== undefined;
   }
 
-  /** Whether the first part of a success has come. */
-  get begun(): boolean {
-    return this.#begunMs !== undefined;
+  /** Time since the first part of a success came, in milliseconds; undefined if none has. */
+  get begunForMs(): number | undefined {
+    return this.#begunMs === undefined ? undefined : this.#options.clock.now() - this.#begunMs;
   }
 
   /** Time since the request was written, in milliseconds; 0 before. */
@@ -206,11 +212,11 @@
   #ended(wasCutOff: boolean): void {
     if (this.#settled) return;
     if (wasCutOff) {
-      this.#finish({ kind: 'broken', detail: 'connection ended within an answer' });
+      this.#finish({ kind: 'broken', detail: 'connection ended within an answer', how: 'connection-lost' });
     } else if (this.#notRun) this.#finish({ kind: 'not-run', reason: this.#notRunReason() });
     else if (!this.#isSuccess) this.#finish(this.#failure());
     else if (this.#isStream && this.#tracker.hasPartialEvent) {
-      this.#finish({ kind: 'broken', detail: 'ended within an event' });
+      this.#finish({ kind: 'broken', detail: 'ended within an event', how: 'bad-answer' });
     } else this.#complete();
   }
 
@@ -218,7 +224,7 @@
     if (this.#cancelled) this.#finish({ kind: 'cancelled' });
     else if (!this.sent) this.#finish({ kind: 'not-run', reason: 'unreachable' });
     else if (this.#notRun) this.#finish({ kind: 'not-run', reason: this.#notRunReason() });
-    else this.#finish({ kind: 'broken', detail: error.message });
+    else this.#finish({ kind: 'broken', detail: error.message, how: 'connection-lost' });
   }
 
   get #isStream(): boolean {
@@ -280,7 +286,7 @@
   }
 
   #reject(controller: Dispatcher.DispatchController, detail: string): void {
-    this.#finish({ kind: 'broken', detail });
+    this.#finish({ kind: 'broken', detail, how: 'bad-answer' });
     controller.abort(new Error(detail));
   }
 
@@ -297,7 +303,7 @@
 
   #giveUpSilent(): void {
     const outcome: AttemptOutcome = this.sent
-      ? { kind: 'broken', detail: 'silent' }
+      ? { kind: 'broken', detail: 'silent', how: 'silent' }
       : { kind: 'not-run', reason: 'unreachable' };
     this.#finish(outcome);
     this.#controller?.abort(new Error('silent'));
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { QuarantineGate } from '@canvasridge/admission';
 import type { Clock } from '@canvasridge/clock';
 import { pickService, type BackendService, type HttpRoute } from '@canvasridge/serving';
 import type { UseOutcome } from '@canvasridge/slots';
@@ -36,6 +37,7 @@
   /** Brings the list of backends up to date if it is so old that one may have left unnoticed for too long. */
   readonly refreshIfOld: () => Promise<void>;
   readonly bodyRoom: BodyRoom;
+  readonly quarantine: QuarantineGate;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
 }
@@ -145,9 +147,11 @@
   }
 
   async #serve(route: HttpRoute, service: BackendService): Promise<void> {
-    if (!(await this.#charged())) return;
+    // Looked for before it is charged, and again before each send: other nodes may have told of it meanwhile.
+    if (this.#isKeptBack() || !(await this.#charged())) return;
     this.#context.budget(service.name).countRequest();
     while (!this.#ended) {
+      if (this.#isKeptBack()) return;
       if (!this.#identified(route)) return;
       const picked = await this.#pick(route, service);
       if (this.#ended) {
@@ -166,6 +170,14 @@
     }
   }
 
+  /** Ends a request under which too many backends broke off: it is not what they were struck by, but what struck them. */
+  #isKeptBack(): boolean {
+    const quarantinedMs = this.#quarantinedMs();
+    if (quarantinedMs === undefined) return false;
+    this.#refuse('quarantined', quarantinedMs);
+    return true;
+  }
+
   /** Finds out for whom the request runs; answers it if that can't be told, or gives no right. */
   #identified(route: HttpRoute): boolean {
     const problem = this.#admission.identify(route);
@@ -247,7 +259,10 @@
         stream: route.kind === 'stream',
         lastEventId: this.#lastEventId,
         silence: this.#silence(route, backend.id),
-        mayStart: () => !fleet.isLeaving(backend.id) && this.#admission.isStillIdentified(route),
+        mayStart: () =>
+          !fleet.isLeaving(backend.id) &&
+          this.#admission.isStillIdentified(route) &&
+          this.#quarantinedMs() === undefined,
         onHeard: () => connections.heard(backend.id, clock.now()),
         onStarted: picked.started,
       },
@@ -259,7 +274,7 @@
     const isWhole = outcome.kind === 'complete' || outcome.kind === 'failure' || outcome.kind === 'not-run';
     connections.release(backend.id, connection, isWhole);
     this.#lastEventId = attempt.lastEventId;
-    if (outcome.kind === 'broken') this.#interrupted(backend.id, attempt, outcome.detail);
+    if (outcome.kind === 'broken') this.#interrupted(backend.id, attempt, outcome);
     if (outcome.kind !== 'not-run') {
       this.#mayHaveRun ||= attempt.sent;
       this.#runs += 1;
@@ -268,14 +283,26 @@
   }
 
   /** A backend took the request, and its answer is not whole. */
-  #interrupted(backendId: string, attempt: BackendAttempt, detail: string): void {
-    this.#context.telemetry.event('info', 'request.interrupted', this.#facts.attemptId ?? 'none', {
+  #interrupted(backendId: string, attempt: BackendAttempt, { how, detail }: BrokenOutcome): void {
+    const { telemetry, metrics, quarantine } = this.#context;
+    const { runMs, begunForMs } = attempt;
+    telemetry.event('info', 'request.interrupted', this.#facts.attemptId ?? 'none', {
       fingerprint: this.#fingerprint,
       backend: backendId,
+      how,
       detail,
-      runMs: Math.round(attempt.runMs),
-      begun: attempt.begun,
+      runMs: Math.round(runMs),
+      begunForMs: begunForMs === undefined ? undefined : Math.round(begunForMs),
     });
+    metrics.interrupted.inc({ begun: String(begunForMs !== undefined) });
+    const isBeginning = begunForMs === undefined || begunForMs < BEGINNING_MS;
+    if (how === 'connection-lost' && isBeginning) quarantine.interrupted(this.#fingerprint, backendId);
+  }
+
+  /** Time for which the request is kept from backends, as too many broke off under it; undefined if it is not. */
+  #quarantinedMs(): number | undefined {
+    const { quarantine } = this.#context;
+    return quarantine.isEmpty ? undefined : quarantine.remainingMs(this.#fingerprint);
   }
 
   /** See {@link requestFingerprint}; worked out when it is first asked for, which few requests need. */
@@ -461,6 +488,13 @@
 }
 
 const EMPTY: Buffer = Buffer.alloc(0);
+/**
+ * A request that ends its backend does so when its run begins. One that has been answered for longer than this was struck by
+ * another's end; of the streams of an engine, which last for up to 15 s, that is most.
+ */
+const BEGINNING_MS = 1000;
+
+type BrokenOutcome = AttemptOutcome & { readonly kind: 'broken' };
 const RETRY_AFTER_REFUSAL_MS = 300;
 /** For a request that any other node can serve: no longer than it takes to connect to one. */
 const RETRY_ELSEWHERE_MS = 20;
--- /dev/null
+++ b/packages/gateway/test/fleet-quarantine.test.ts
@@ -0,0 +1,143 @@
+/**
+ * Nodes of a large fleet, each of which sees one interruption of a request that comes again at another node each time. By
+ * when they know of it has a bound: machines have been in touch for some seconds before what they send counts.
+ */
+import { Telemetry } from '@canvasridge/telemetry';
+import test from 'ava';
+import { FleetQuarantine, type InterruptedParams } from '../src/cluster/fleet-quarantine.js';
+import { VirtualClusters, type VirtualNode } from './virtual-clusters.js';
+
+const ONE_WAY_MS = 2;
+const SETTLED_MS = 15_000;
+/** The least time that deployments so far leave to nodes. */
+const KNOWN_WITHIN_MS = 3000;
+
+class QuarantineFleet {
+  readonly nodes = new Map<string, FleetQuarantine>();
+  readonly clusters: VirtualClusters;
+  readonly #down = new Set<string>();
+  calls = 0;
+
+  constructor(count: number, lossShare: number, seed: number) {
+    const members: VirtualNode[] = Array.from({ length: count }, (_, index) => ({
+      id: `n${index}`,
+      capacity: index < 6 ? 2 : 1,
+      processToken: `p${index}`,
+    }));
+    this.clusters = new VirtualClusters(members, ['n0', 'n1', 'n2'], {
+      oneWayMs: ONE_WAY_MS,
+      lossShare,
+      seed,
+    });
+    this.clusters.onQuarantine = (id) => this.nodes.get(id)?.update();
+    const { clock } = this.clusters;
+    for (const [id, cluster] of this.clusters.clusters) {
+      const quarantine = new FleetQuarantine({
+        clock,
+        cluster,
+        network: {
+          to: (peer) => ({
+            call: async (_method, params, timeoutMs) => {
+              this.calls += 1;
+              const target = this.#down.has(peer) ? undefined : this.nodes.get(peer);
+              await clock.sleep(target === undefined ? timeoutMs : 2 * ONE_WAY_MS);
+              return target?.answer(params as InterruptedParams);
+            },
+          }),
+        },
+        telemetry: new Telemetry({ processName: id, clock }),
+      });
+      this.nodes.set(id, quarantine);
+      void this.#everySecond(id, quarantine);
+    }
+  }
+
+  run(durationMs: number): Promise<void> {
+    const { clock } = this.clusters;
+    return clock.runUntil(clock.now() + durationMs);
+  }
+
+  stop(id: string): void {
+    this.#down.add(id);
+    this.clusters.clusters.get(id)?.stop();
+  }
+
+  /** Names of running nodes that would still send a request. */
+  unaware(fingerprint: string): string[] {
+    const running = [...this.nodes].filter(([id]) => !this.#down.has(id));
+    return running.filter(([, node]) => node.remainingMs(fingerprint) === undefined).map(([id]) => id);
+  }
+
+  homes(): readonly string[] {
+    return this.clusters.clusters.get('n9')?.candidates('quarantine').slice(0, 3) ?? [];
+  }
+
+  async #everySecond(id: string, quarantine: FleetQuarantine): Promise<void> {
+    while (!this.#down.has(id)) {
+      quarantine.update();
+      await this.clusters.clock.sleep(1000);
+    }
+  }
+}
+
+for (const { nodes, lossShare } of [
+  { nodes: 12, lossShare: 0.05 },
+  { nodes: 195, lossShare: 0 },
+  { nodes: 195, lossShare: 0.03 },
+]) {
+  test(`${nodes} nodes know of a request in time, ${lossShare} of the datagrams lost`, async (t) => {
+    t.timeout(120_000);
+    const fleet = new QuarantineFleet(nodes, lossShare, 1);
+    await fleet.run(SETTLED_MS);
+    for (const [index, id] of ['n7', 'n8', 'n9'].entries())
+      fleet.nodes.get(id)?.interrupted('f', `i${index}`);
+    t.is(fleet.unaware('f').length, nodes, 'nothing is known yet');
+    await fleet.run(KNOWN_WITHIN_MS);
+    t.deepEqual(fleet.unaware('f'), []);
+    t.true(fleet.calls <= 9, `${fleet.calls} calls`);
+  });
+}
+
+test('it is known in time though two of the three that count end before the last interruption', async (t) => {
+  const fleet = new QuarantineFleet(12, 0, 2);
+  await fleet.run(SETTLED_MS);
+  const [first, second, third] = fleet.homes();
+  const callers = [...fleet.nodes.keys()].filter((id) => ![first, second, third].includes(id));
+  fleet.nodes.get(callers[0] ?? '')?.interrupted('f', 'i0');
+  fleet.nodes.get(callers[1] ?? '')?.interrupted('f', 'i1');
+  await fleet.run(100);
+  fleet.stop(first ?? '');
+  fleet.stop(second ?? '');
+  fleet.nodes.get(callers[2] ?? '')?.interrupted('f', 'i2');
+  await fleet.run(KNOWN_WITHIN_MS);
+  t.deepEqual(fleet.unaware('f'), []);
+});
+
+test('it is known though all three that count end before the last interruption, once others have taken their place', async (t) => {
+  const fleet = new QuarantineFleet(12, 0, 3);
+  await fleet.run(SETTLED_MS);
+  const homes = fleet.homes();
+  const callers = [...fleet.nodes.keys()].filter((id) => !homes.includes(id));
+  fleet.nodes.get(callers[0] ?? '')?.interrupted('f', 'i0');
+  fleet.nodes.get(callers[1] ?? '')?.interrupted('f', 'i1');
+  await fleet.run(100);
+  for (const home of homes) fleet.stop(home);
+  fleet.nodes.get(callers[2] ?? '')?.interrupted('f', 'i2');
+  await fleet.run(2 * KNOWN_WITHIN_MS);
+  t.deepEqual(fleet.unaware('f'), []);
+});
+
+test('a node keeps to what it was told after all that told it have ended', async (t) => {
+  const fleet = new QuarantineFleet(12, 0, 4);
+  await fleet.run(SETTLED_MS);
+  for (const [index, id] of ['n7', 'n8', 'n9'].entries()) fleet.nodes.get(id)?.interrupted('f', `i${index}`);
+  await fleet.run(KNOWN_WITHIN_MS);
+  for (const home of fleet.homes()) fleet.stop(home);
+  await fleet.run(200_000);
+  t.deepEqual(fleet.unaware('f'), []);
+  const published = [...(fleet.clusters.clusters.get('n11')?.quarantines() ?? [])].flat();
+  t.true(
+    published.some(({ fingerprint }) => fingerprint === 'f'),
+    'those in their place tell nodes that start',
+  );
+});
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -217,6 +217,7 @@
       refreshIfOld: () => this.beforeSend(),
       configurationLease: () => ({ ageMs: this.configurationAgeMs, leaseMs: LEASE_MS }),
       bodyRoom: this.bodyRoom,
+      quarantine: { isEmpty: true, remainingMs: () => undefined, interrupted: () => undefined },
       quotas: {
         admit: (subject, units) => this.admit(subject, units),
         giveBack: (_, units) => {
--- a/packages/gateway/test/interrupting-request.test.ts
+++ b/packages/gateway/test/interrupting-request.test.ts
@@ -1,27 +1,37 @@
 /**
  * Seen in operation: one request ended a dozen engines, one after another. Each that began to run it ended, and was back some
- * seconds later for the next time.
+ * seconds later, as another process, for the next time.
  *
  * A request whose backend breaks off was taken for one that is struck by the backend's fault, so it was sent to another
  * backend at once. When it came again, with the same path, caller and body, but as an attempt of its own and to another
  * node, nothing told that it was known. Shown by backends that break off each time they get that request, and serve all others.
  */
-import test from 'ava';
+import test, { type ExecutionContext } from 'ava';
 import { callNode } from './harness.js';
 import { success, type RawAnswer } from './raw-backend.js';
 import { startFleet, type RunningFleet } from './running-node.js';
 
 const ENDING = 'ends its backend';
-const BACKENDS = 8;
+const BACKENDS = 12;
 /** After so many backends have ended under it, a request is not sent any more. */
 const ENOUGH = 3;
 /** Long beyond what nodes need to tell one another, also on a machine with much else to do. */
 const MOST_WAIT_MS = 10_000;
 
-const answer: RawAnswer = (socket, attemptId, head) => {
-  if (/^what: ending/im.test(head)) socket.destroy();
-  else socket.write(success(attemptId, 'answer'));
-};
+/** Backends of which each ends for good when it gets the request that ends backends. */
+function startEndingFleet(t: ExecutionContext, nodes: number): Promise<RunningFleet> {
+  const answer: RawAnswer = (socket, attemptId, head) => {
+    if (!/^what: ending/im.test(head)) {
+      socket.write(success(attemptId, 'answer'));
+      return;
+    }
+    const { localPort } = socket;
+    void fleet.then(({ backends }) => backends.find(({ port }) => port === localPort)?.stop());
+    socket.destroy();
+  };
+  const fleet = startFleet(t, { nodes, backends: BACKENDS }, { attempts: 1 }, answer);
+  return fleet;
+}
 
 /** Requests that reached any backend, by what they are. */
 function sends(fleet: RunningFleet, what: string): number {
@@ -49,7 +59,7 @@
 
 test('a request under which three backends have ended is sent to no other, at whichever node it comes', async (t) => {
   t.timeout(60_000);
-  const fleet = await startFleet(t, { nodes: 4, backends: BACKENDS }, { attempts: 1 }, answer);
+  const fleet = await startEndingFleet(t, 4);
   for (let index = 0; index < ENOUGH; index += 1) {
     t.is((await call(fleet, index, `e${index}`, 'ending')).status, 502);
   }
@@ -65,7 +75,7 @@
 
 test('a node that starts later knows of it too', async (t) => {
   t.timeout(60_000);
-  const fleet = await startFleet(t, { nodes: 2, backends: BACKENDS }, { attempts: 1 }, answer);
+  const fleet = await startEndingFleet(t, 2);
   for (let index = 0; index < ENOUGH; index += 1) await call(fleet, index, `e${index}`, 'ending');
   await untilToldEverywhere(fleet);
   const added = await fleet.add();
--- a/packages/gateway/test/raw-backend.ts
+++ b/packages/gateway/test/raw-backend.ts
@@ -10,6 +10,7 @@
   /** Heads of the requests that arrived. */
   readonly heads: string[] = [];
   connections = 0;
+  #port = 0;
 
   private constructor(answer: RawAnswer) {
     this.#server = createServer((socket) => {
@@ -33,12 +34,24 @@
   static async start(answer: RawAnswer): Promise<RawBackend> {
     const backend = new RawBackend(answer);
     await new Promise<void>((resolve) => backend.#server.listen(0, '127.0.0.1', resolve));
+    backend.#port = (backend.#server.address() as AddressInfo).port;
     return backend;
   }
 
+  get port(): number {
+    return this.#port;
+  }
+
   description(id: string, service: string): BackendDescription {
-    const { port } = this.#server.address() as AddressInfo;
-    return { id, service, address: `127.0.0.1:${port}`, zone: 'a', state: 'ready', slots: 4, models: [] };
+    return {
+      id,
+      service,
+      address: `127.0.0.1:${this.#port}`,
+      zone: 'a',
+      state: 'ready',
+      slots: 4,
+      models: [],
+    };
   }
 
   stop(): void {
--- a/packages/gateway/test/virtual-clusters.ts
+++ b/packages/gateway/test/virtual-clusters.ts
@@ -24,6 +24,8 @@
   readonly clusters = new Map<string, Cluster>();
   /** Pairs of nodes, as `from>to`, between which nothing passes. */
   readonly cuts = new Set<string>();
+  /** A node heard that another one published requests that are kept from backends. */
+  onQuarantine: (id: string) => void = () => undefined;
   readonly #wire: VirtualWire;
   readonly #random: Random;
   readonly #receivers = new Map<string, (from: string, bytes: Uint8Array) => void>();
@@ -51,6 +53,7 @@
       seeds: () => seeds,
       configurationVersion: () => 0,
       onPeerVersion: () => undefined,
+      onQuarantine: () => this.onQuarantine(id),
     });
     cluster.start();
     return cluster;
