--- a/packages/admission/src/quarantine/interruption-ledger.ts
+++ b/packages/admission/src/quarantine/interruption-ledger.ts
@@ -43,10 +43,20 @@
     return interruptions.backends.size;
   }
 
+  /** The request has nothing to do with the ends of its backends, or needs not be counted any more. */
   forget(fingerprint: string): void {
     this.#byFingerprint.delete(fingerprint);
   }
 
+  /** Requests under which at least so many backends broke off of late, those interrupted last in front. */
+  suspects(backends: number): string[] {
+    const nowMs = this.#clock.now();
+    return [...this.#byFingerprint]
+      .filter(([, known]) => known.backends.size >= backends && nowMs - known.lastMs <= INTERRUPTION_MS)
+      .map(([fingerprint]) => fingerprint)
+      .reverse();
+  }
+
   #dropOldest(): void {
     if (this.#byFingerprint.size <= MOST_REQUESTS) return;
     const oldest = this.#byFingerprint.keys().next();
--- a/packages/admission/src/quarantine/quarantine-gate.ts
+++ b/packages/admission/src/quarantine/quarantine-gate.ts
@@ -4,10 +4,12 @@
  * cause.
  */
 export interface QuarantineGate {
-  /** Whether no request is kept from backends, so that none has to be looked up. */
+  /** Whether no request is kept from backends or suspected, so that none has to be looked up. */
   readonly isEmpty: boolean;
   /** Time for which a request is kept from backends still, in milliseconds; undefined if it is not. */
   remainingMs(fingerprint: string): number | undefined;
   /** @param backendId names one start of the process of the backend that broke off under the request */
   interrupted(fingerprint: string, backendId: string): void;
+  /** A backend ran the request to an end of its own, so it is not what ends backends. */
+  endedWell(fingerprint: string): void;
 }
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -83,8 +83,18 @@
   readonly token: string;
 }
 
-/** A request's fingerprint, and the seconds since it was quarantined: short, as all of them fit into one datagram. */
-type QuarantineRow = readonly [fingerprint: string, ageSeconds: number];
+/** What a node publishes of requests under which backends broke off, by their fingerprints. */
+export interface PublishedQuarantine {
+  readonly quarantined: readonly QuarantinedRequest[];
+  /** Those that are quarantined if another backend breaks off before one has run them to an end. */
+  readonly suspects: readonly string[];
+}
+
+/** The same as it travels: short, as all of it fits into one datagram. */
+interface QuarantineRecord {
+  readonly quarantined: readonly (readonly [fingerprint: string, ageSeconds: number])[];
+  readonly suspects: readonly string[];
+}
 
 /** The other nodes, as this one sees them. */
 export class Cluster implements LeadershipPeers, DirectorySight {
@@ -258,22 +268,25 @@
     this.#membership.pushNow();
   }
 
-  publishQuarantine(requests: readonly QuarantinedRequest[]): void {
-    this.#membership.publish(
-      QUARANTINE_KEY,
-      requests.map(({ fingerprint, ageMs }): QuarantineRow => [fingerprint, Math.round(ageMs / SECOND_MS)]),
-    );
+  publishQuarantine({ quarantined, suspects }: PublishedQuarantine): void {
+    const value: QuarantineRecord = {
+      quarantined: quarantined.map(({ fingerprint, ageMs }) => [fingerprint, Math.round(ageMs / SECOND_MS)]),
+      suspects,
+    };
+    this.#membership.publish(QUARANTINE_KEY, value);
     this.#membership.pushNow();
   }
 
   /** What others published of requests that are kept from backends; it holds also when its node has ended or started again. */
-  *quarantines(): Iterable<readonly QuarantinedRequest[]> {
+  *quarantines(): Iterable<PublishedQuarantine> {
     for (const { key, owner, value } of this.#membership.records()) {
       if (key !== QUARANTINE_KEY || owner === this.selfId) continue;
-      yield (value as readonly QuarantineRow[]).map(([fingerprint, ageSeconds]) => ({
+      const { quarantined, suspects } = value as QuarantineRecord;
+      const requests = quarantined.map(([fingerprint, ageSeconds]) => ({
         fingerprint,
         ageMs: ageSeconds * SECOND_MS,
       }));
+      yield { quarantined: requests, suspects };
     }
   }
 
--- a/packages/gateway/src/cluster/fleet-quarantine.ts
+++ b/packages/gateway/src/cluster/fleet-quarantine.ts
@@ -13,6 +13,14 @@
 /** Tells a home under which requests backends broke off. */
 export const INTERRUPTED_METHOD = 'quarantine.interrupted';
 
+/** Tells a home of a request that a backend has run to an end. */
+export const ENDED_WELL_METHOD = 'quarantine.ended-well';
+
+/** Params of {@link ENDED_WELL_METHOD}. */
+export interface EndedWellParams {
+  readonly fingerprint: string;
+}
+
 /** A backend broke off under a request. */
 export interface Interruption {
   readonly fingerprint: string;
@@ -48,6 +56,13 @@
  * together, a request that is sent again at once meets a second end by chance, and would be served at its third send.
  */
 const ENOUGH_BACKENDS = 3;
+/**
+ * From so many on a request is suspected: whoever sees it end well says so. One that many send again and again, such as a
+ * question for a state, would otherwise be under every backend's end some time.
+ */
+const SUSPECTED_BACKENDS = 2;
+/** As many as fit beside a full list into one gossip datagram. */
+const MOST_SUSPECTS = 12;
 /** Nodes that count: one may end, and one be cut off, before the third interruption. */
 const HOMES = 3;
 const HOMES_POOL = 'quarantine';
@@ -70,11 +85,14 @@
  */
 export class FleetQuarantine implements QuarantineGate {
   readonly #options: FleetQuarantineOptions;
-  readonly #ledger: InterruptionLedger;
+  /** What this node has counted as a home. */
+  #ledger: InterruptionLedger;
   readonly #list: QuarantineList;
   /** Those seen last come last. */
   #own: OwnInterruption[] = [];
   #telling = false;
+  #home = false;
+  #suspects: ReadonlySet<string> = new Set();
   #published = '';
   #publishedMs = -Infinity;
 
@@ -85,7 +103,7 @@
   }
 
   get isEmpty(): boolean {
-    return this.#list.size === 0;
+    return this.#list.size === 0 && this.#suspects.size === 0;
   }
 
   get size(): number {
@@ -97,8 +115,8 @@
   }
 
   interrupted(fingerprint: string, backendId: string): void {
-    // Counted here as well: a node that is cut off from all homes still learns from what it sees itself.
-    this.#count(fingerprint, backendId);
+    this.#beHome(this.#isHome());
+    if (this.#home) this.#count(fingerprint, backendId);
     this.#own.push({ fingerprint, backend: backendId, atMs: this.#options.clock.now(), knownTo: new Set() });
     this.#own = this.#own.slice(-MOST_OWN);
     if (this.#telling) return;
@@ -109,36 +127,73 @@
     });
   }
 
-  /** Answers a node that takes this one for a home; any node counts, as rankings differ while members come and go. */
-  answer({ interruptions }: InterruptedParams): true {
+  endedWell(fingerprint: string): void {
+    if (!this.#suspects.has(fingerprint)) return;
+    this.#suspects = new Set([...this.#suspects].filter((suspect) => suspect !== fingerprint));
+    this.#own = this.#own.filter((interruption) => interruption.fingerprint !== fingerprint);
+    const params: EndedWellParams = { fingerprint };
+    this.answerEndedWell(params);
+    for (const id of this.#otherHomes()) {
+      const address = this.#options.cluster.peerAddress(id);
+      if (address !== undefined) void this.#call(address, ENDED_WELL_METHOD, params);
+    }
+  }
+
+  answerEndedWell({ fingerprint }: EndedWellParams): true {
+    this.#ledger.forget(fingerprint);
+    return true;
+  }
+
+  /** Answers a node that takes this one for a home; false if this one does not, so that it is told again later. */
+  answer({ interruptions }: InterruptedParams): boolean {
+    this.#beHome(this.#isHome());
+    if (!this.#home) return false;
     for (const { fingerprint, backend } of interruptions) this.#count(fingerprint, backend);
     return true;
   }
 
   /** To be called when another node has published its list, and about once a second. */
   update(): void {
-    for (const list of this.#options.cluster.quarantines()) {
-      for (const request of list) this.#add(request, 'peer');
+    this.#beHome(this.#isHome());
+    const suspects = this.#ledger.suspects(SUSPECTED_BACKENDS);
+    for (const published of this.#options.cluster.quarantines()) {
+      for (const request of published.quarantined) this.#add(request, 'peer');
+      suspects.push(...published.suspects);
     }
-    if (this.#homes().includes(this.#options.cluster.selfId)) this.#publish();
+    this.#suspects = new Set(suspects);
+    if (this.#home) this.#publish();
     this.#tellHomes();
   }
 
+  #beHome(isHome: boolean): void {
+    if (isHome === this.#home) return;
+    this.#home = isHome;
+    // Who is no home is not told which requests ended well, so each time as home begins anew.
+    this.#ledger = new InterruptionLedger(this.#options.clock);
+    if (isHome) for (const { fingerprint, backend } of this.#own) this.#count(fingerprint, backend);
+  }
+
+  #isHome(): boolean {
+    return this.#homes().includes(this.#options.cluster.selfId);
+  }
+
+  #otherHomes(): readonly string[] {
+    return this.#homes().filter((id) => id !== this.#options.cluster.selfId);
+  }
+
   #homes(): readonly string[] {
     return this.#options.cluster.candidates(HOMES_POOL).slice(0, HOMES);
   }
 
   #tellHomes(): void {
-    const { cluster, clock } = this.#options;
-    this.#own = this.#own.filter(({ atMs }) => clock.now() - atMs <= INTERRUPTION_MS);
-    for (const id of this.#homes()) {
-      if (id !== cluster.selfId) void this.#tell(id);
-    }
+    const nowMs = this.#options.clock.now();
+    this.#own = this.#own.filter(({ atMs }) => nowMs - atMs <= INTERRUPTION_MS);
+    for (const id of this.#otherHomes()) void this.#tell(id);
   }
 
   /** Tells a home what its process has not been told, or may not have heard. */
   async #tell(id: string): Promise<void> {
-    const { cluster, network } = this.#options;
+    const { cluster } = this.#options;
     const address = cluster.peerAddress(id);
     const home = cluster.processOf(id)?.token;
     if (address === undefined || home === undefined) return;
@@ -147,8 +202,16 @@
     const params: InterruptedParams = {
       interruptions: news.map(({ fingerprint, backend }) => ({ fingerprint, backend })),
     };
-    const heard = await network.to(address).call(INTERRUPTED_METHOD, params, TELL_TIMEOUT_MS);
-    if (heard === true) for (const { knownTo } of news) knownTo.add(home);
+    const heard = await this.#call(address, INTERRUPTED_METHOD, params);
+    if (heard) for (const { knownTo } of news) knownTo.add(home);
+  }
+
+  async #call(
+    address: string,
+    method: string,
+    params: InterruptedParams | EndedWellParams,
+  ): Promise<boolean> {
+    return (await this.#options.network.to(address).call(method, params, TELL_TIMEOUT_MS)) === true;
   }
 
   #count(fingerprint: string, backend: string): void {
@@ -172,12 +235,14 @@
   /** Tells all nodes, if there is anything that they were not told, or if they were told long ago. */
   #publish(): void {
     const { clock, cluster } = this.#options;
-    const entries = this.#list.entries();
-    const content = entries.map(({ fingerprint }) => fingerprint).join(' ');
+    const quarantined = this.#list.entries();
+    const suspects = this.#ledger.suspects(SUSPECTED_BACKENDS).slice(0, MOST_SUSPECTS);
+    const fingerprints = quarantined.map(({ fingerprint }) => fingerprint);
+    const content = [...fingerprints, '', ...suspects].join(' ').trim();
     const isDue = content !== '' && clock.now() - this.#publishedMs >= REPUBLISH_MS;
     if (content === this.#published && !isDue) return;
     this.#published = content;
     this.#publishedMs = clock.now();
-    cluster.publishQuarantine(entries);
+    cluster.publishQuarantine({ quarantined, suspects });
   }
 }
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -28,7 +28,13 @@
 import { holderNumber } from './cluster/holder-number.js';
 import { BORROW_METHOD, FleetQuotas, widened, type BorrowParams } from './cluster/fleet-quotas.js';
 import { PublishedState, publishedMethods } from './cluster/published-state.js';
-import { FleetQuarantine, INTERRUPTED_METHOD, type InterruptedParams } from './cluster/fleet-quarantine.js';
+import {
+  ENDED_WELL_METHOD,
+  FleetQuarantine,
+  INTERRUPTED_METHOD,
+  type EndedWellParams,
+  type InterruptedParams,
+} from './cluster/fleet-quarantine.js';
 import { FleetShare } from './cluster/fleet-share.js';
 import { LoopLag } from './cluster/loop-lag.js';
 import type { GatewayOptions } from './gateway-settings.js';
@@ -249,6 +255,7 @@
     return {
       ...publishedMethods(() => this.published),
       [INTERRUPTED_METHOD]: (params) => this.#quarantine.answer(params as InterruptedParams),
+      [ENDED_WELL_METHOD]: (params) => this.#quarantine.answerEndedWell(params as EndedWellParams),
       [BORROW_METHOD]: (params) => this.#quotas.answer(params as BorrowParams),
       [ACQUIRE_METHOD]: (params, peer) => this.#slots.answers.onAcquire(params as AcquireParams, peer),
       [CANCEL_METHOD]: (params, peer) => this.#slots.answers.onCancel(params as ReleaseParams, peer),
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -299,6 +299,12 @@
     if (how === 'connection-lost' && isBeginning) quarantine.interrupted(this.#fingerprint, backendId);
   }
 
+  /** A backend ran the request to an end of its own, good or bad. */
+  #endedWell(): void {
+    const { quarantine } = this.#context;
+    if (!quarantine.isEmpty) quarantine.endedWell(this.#fingerprint);
+  }
+
   /** Time for which the request is kept from backends, as too many broke off under it; undefined if it is not. */
   #quarantinedMs(): number | undefined {
     const { quarantine } = this.#context;
@@ -320,11 +326,13 @@
   #isFinal(outcome: AttemptOutcome, route: HttpRoute): boolean {
     switch (outcome.kind) {
       case 'complete':
+        this.#endedWell();
         this.#finished('complete', outcome.status);
         return true;
       case 'cancelled':
         return true;
       case 'failure':
+        this.#endedWell();
         if (this.#isRepeatable(route) && this.#runs < route.attempts && !this.#sink.started) return false;
         this.#passFailure(outcome);
         return true;
--- a/packages/gateway/test/fleet-quarantine.test.ts
+++ b/packages/gateway/test/fleet-quarantine.test.ts
@@ -4,7 +4,12 @@
  */
 import { Telemetry } from '@canvasridge/telemetry';
 import test from 'ava';
-import { FleetQuarantine, type InterruptedParams } from '../src/cluster/fleet-quarantine.js';
+import {
+  FleetQuarantine,
+  INTERRUPTED_METHOD,
+  type EndedWellParams,
+  type InterruptedParams,
+} from '../src/cluster/fleet-quarantine.js';
 import { VirtualClusters, type VirtualNode } from './virtual-clusters.js';
 
 const ONE_WAY_MS = 2;
@@ -37,11 +42,12 @@
         cluster,
         network: {
           to: (peer) => ({
-            call: async (_method, params, timeoutMs) => {
+            call: async (method, params, timeoutMs) => {
               this.calls += 1;
               const target = this.#down.has(peer) ? undefined : this.nodes.get(peer);
               await clock.sleep(target === undefined ? timeoutMs : 2 * ONE_WAY_MS);
-              return target?.answer(params as InterruptedParams);
+              if (method === INTERRUPTED_METHOD) return target?.answer(params as InterruptedParams);
+              return target?.answerEndedWell(params as EndedWellParams);
             },
           }),
         },
@@ -135,9 +141,23 @@
   for (const home of fleet.homes()) fleet.stop(home);
   await fleet.run(200_000);
   t.deepEqual(fleet.unaware('f'), []);
-  const published = [...(fleet.clusters.clusters.get('n11')?.quarantines() ?? [])].flat();
+  const published = [...(fleet.clusters.clusters.get('n11')?.quarantines() ?? [])];
+  const quarantined = published.flatMap((list) => list.quarantined);
   t.true(
-    published.some(({ fingerprint }) => fingerprint === 'f'),
+    quarantined.some(({ fingerprint }) => fingerprint === 'f'),
     'those in their place tell nodes that start',
   );
 });
+
+test('a request that a backend runs to its end at another node is suspected no longer', async (t) => {
+  const fleet = new QuarantineFleet(12, 0, 5);
+  await fleet.run(SETTLED_MS);
+  for (let round = 0; round < 4; round += 1) {
+    fleet.nodes.get('n7')?.interrupted('polled', `i${round}a`);
+    fleet.nodes.get('n8')?.interrupted('polled', `i${round}b`);
+    await fleet.run(KNOWN_WITHIN_MS);
+    fleet.nodes.get('n9')?.endedWell('polled');
+    await fleet.run(KNOWN_WITHIN_MS);
+  }
+  t.is(fleet.unaware('polled').length, 12, 'it is sent by all');
+});
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -217,7 +217,12 @@
       refreshIfOld: () => this.beforeSend(),
       configurationLease: () => ({ ageMs: this.configurationAgeMs, leaseMs: LEASE_MS }),
       bodyRoom: this.bodyRoom,
-      quarantine: { isEmpty: true, remainingMs: () => undefined, interrupted: () => undefined },
+      quarantine: {
+        isEmpty: true,
+        remainingMs: () => undefined,
+        interrupted: () => undefined,
+        endedWell: () => undefined,
+      },
       quotas: {
         admit: (subject, units) => this.admit(subject, units),
         giveBack: (_, units) => {
