--- a/packages/gateway/test/followed-fleet.ts
+++ b/packages/gateway/test/followed-fleet.ts
@@ -45,6 +45,8 @@
   readonly lapses: BackendLapses;
   /** Whether the store is in reach; if not, nothing tells the node so until its calls time out. */
   connected = true;
+  /** How long an answer of the store waits until the node has processor time to work on it. */
+  lateMs = 0;
   #at = 0;
 
   constructor(
@@ -64,6 +66,7 @@
 
   readonly follower: StateFollower;
 
+  /** Takes over an answer of the store that was made `lateMs` ago. */
   read(events: readonly StoreEvent[]): void {
     if (!this.connected) return;
     this.lapses.beginUpdate();
@@ -114,7 +117,9 @@
   async #keepReading(reader: Reader, index: number): Promise<void> {
     await this.clock.sleep(index);
     for (;;) {
-      reader.read(this.#events);
+      const answer = [...this.#events];
+      if (reader.lateMs > 0) await this.clock.sleep(reader.lateMs);
+      reader.read(answer);
       await this.clock.sleep(READ_PERIOD_MS);
     }
   }
