--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -6,3 +6,4 @@
 export { Random, hashSeed } from './random.js';
 export { jittered, Backoff, type BackoffOptions } from './backoff.js';
 export { Notifier } from './notifier.js';
+export { LoopTurns } from './loop-turns.js';
--- a/packages/gateway/src/cluster/departure-budget.ts
+++ b/packages/gateway/src/cluster/departure-budget.ts
@@ -5,7 +5,7 @@
  * Where each node reads the store, the news takes one step: a reader pauses after changes, so that many come together.
  * Where a few nodes read it for the others, a follower's list is at most
  * `trustedAge + poll + three hedges` = 0.57 of the bound old while it reaches a reader in touch with the store, with
- * calls on their way and waits for processor time on top: an
+ * calls on their way and the follower's own waits for processor time on top (a reader's are part of the age that it tells): an
  * answer counts only if its reader heard from the store `trustedAge` ago or later, and a reader that is silent is
  * passed over after a hedge. What is left is for the sender: to ask for a slot, to connect, for what its link holds.
  */
@@ -19,6 +19,11 @@
 const HEDGE_SHARE = 0.03;
 /** From this age on a sender asks readers before it gives a backend a request. */
 const SEND_AGE_SHARE = 0.62;
+/**
+ * From this age on it asks them again right before the request is written, which waited since then for a connection or for
+ * processor time: 0.15 is left for what the sender's link holds.
+ */
+const LAST_LOOK_SHARE = 0.85;
 /** From this age on a follower reads the store itself. */
 const ORPHANED_AGE_SHARE = 0.75;
 
@@ -38,6 +43,7 @@
   /** A reader that has not answered for this long is left behind, and the next one asked. */
   readonly hedgeMs: number;
   readonly sendAgeMs: number;
+  readonly lastLookMs: number;
   readonly orphanedAgeMs: number;
 }
 
@@ -52,6 +58,7 @@
     pollMs: drainMs * POLL_SHARE,
     hedgeMs: drainMs * HEDGE_SHARE,
     sendAgeMs: drainMs * SEND_AGE_SHARE,
+    lastLookMs: drainMs * LAST_LOOK_SHARE,
     orphanedAgeMs: drainMs * ORPHANED_AGE_SHARE,
   };
 }
--- a/packages/gateway/src/cluster/published-state.ts
+++ b/packages/gateway/src/cluster/published-state.ts
@@ -178,9 +178,9 @@
     };
   }
 
-  /** The list of backends was read just now, or is known not to have changed. */
-  sourceHeard(): void {
-    this.#follower.heard();
+  /** The list of backends was complete in the store at this moment of this node's clock. */
+  sourceHeard(asOfMs: number): void {
+    this.#follower.heard(asOfMs);
   }
 
   /**
@@ -198,6 +198,11 @@
     return this.#follower.listAgeMs;
   }
 
+  /** Whether the list of backends has to be brought up to date before a request that waited since then is written. */
+  get isListTooOld(): boolean {
+    return this.#follower.isListTooOld;
+  }
+
   /** Brings the list of backends up to date if it is so old that one may have left unnoticed for too long. */
   refreshIfOld(): Promise<void> {
     return this.#follower.refreshIfOld();
--- a/packages/gateway/src/cluster/state-follower.ts
+++ b/packages/gateway/src/cluster/state-follower.ts
@@ -137,10 +137,14 @@
     return this.#options.nodeCount() > SMALL_FLEET;
   }
 
-  /** The store answered this node. */
-  heard(): void {
-    this.#heardMs = this.#options.clock.now();
-    this.#completeMs = this.#heardMs;
+  /**
+   * The store answered this node.
+   * @param asOfMs moment at which the list was complete, not that in which this node worked on the answer: a node that
+   *   others follow and that gets no processor time would vouch for what it has not read yet
+   */
+  heard(asOfMs: number): void {
+    this.#heardMs = Math.max(this.#heardMs, asOfMs);
+    this.#completeMs = Math.max(this.#completeMs, asOfMs);
   }
 
   /** How old the list of backends is: a backend may have said since then that it leaves. Infinite if none is known. */
@@ -168,6 +172,16 @@
     };
   }
 
+  /**
+   * Whether a request that is about to be written has to wait for the readers once more. Not if they were asked a moment ago:
+   * where none knows more, the list stands.
+   */
+  get isListTooOld(): boolean {
+    const { clock, budget } = this.#options;
+    const wasAsked = clock.now() - this.#refreshedMs < budget.lastLookMs - budget.sendAgeMs;
+    return this.isLarge && this.listAgeMs > budget.lastLookMs && !wasAsked;
+  }
+
   /**
    * Before a request is sent: if the list is so old that a backend may have left unnoticed for too long, asks all
    * readers and waits a moment for them. Where none knows more, as while the store is away, the list stands.
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -165,6 +165,7 @@
       nextId: () => `${processToken}/${(this.#nextId += 1)}`,
       random: () => random.next(),
       listAgeMs: () => this.published.listAgeMs,
+      isListTooOld: () => this.published.isListTooOld,
       refreshIfOld: () => this.published.refreshIfOld(),
       configurationLease: () => this.published.configurationLease,
       quotas: this.#quotas,
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -29,8 +29,16 @@
  */
 export type BrokenHow = 'connection-lost' | 'bad-answer' | 'silent';
 
-/** `leaving`: the backend was found to leave before anything was sent. */
-export type NotRunReason = 'leaving' | 'unreachable' | 'refused' | 'not-present' | 'no-connection';
+/** What was found right before the request was written, so that nothing was sent. */
+export type HeldBack =
+  /** The backend leaves. */
+  | 'leaving'
+  /** Whether it leaves is not known well enough. */
+  | 'old-list'
+  /** The request itself may not be sent any more. */
+  | 'not-allowed';
+
+export type NotRunReason = HeldBack | 'unreachable' | 'refused' | 'not-present' | 'no-connection';
 
 export interface AttemptOptions {
   readonly connection: BackendConnection;
@@ -41,8 +49,8 @@
   readonly headers: string[];
   readonly body: Buffer;
   readonly attemptId: string;
-  /** Asked when the connection is ready, right before the request is written: whether the backend still takes work. */
-  readonly mayStart: () => boolean;
+  /** Asked when the connection is ready, right before the request is written: why it is not; undefined if it is. */
+  readonly heldBack: () => HeldBack | undefined;
   /** Called whenever the backend sent something. */
   readonly onHeard: () => void;
   /** Called once, when the first part of a success came. */
@@ -148,9 +156,10 @@
       controller.abort(new Error('cancelled'));
       return;
     }
-    if (!this.#options.mayStart()) {
-      this.#finish({ kind: 'not-run', reason: 'leaving' });
-      controller.abort(new Error('the backend leaves'));
+    const reason = this.#options.heldBack();
+    if (reason !== undefined) {
+      this.#finish({ kind: 'not-run', reason });
+      controller.abort(new Error(reason));
       return;
     }
     this.#sentMs = this.#options.clock.now();
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -9,7 +9,13 @@
 import type { RetryBudget } from '../backends/retry-budget.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
 import { AnswerSink } from './answer-sink.js';
-import { BackendAttempt, type AttemptOutcome, type SilenceLimit } from './backend-attempt.js';
+import {
+  BackendAttempt,
+  type AttemptOutcome,
+  type HeldBack,
+  type NotRunReason,
+  type SilenceLimit,
+} from './backend-attempt.js';
 import { readBody } from './body.js';
 import type { BodyRoom } from './body-room.js';
 import type { RequestDialect, RequestFacts } from './dialect.js';
@@ -34,6 +40,8 @@
   readonly random: () => number;
   /** How old the list of backends is, in milliseconds. */
   readonly listAgeMs: () => number;
+  /** Whether that age has to be looked at again right before a request is written. */
+  readonly isListTooOld: () => boolean;
   /** Brings the list of backends up to date if it is so old that one may have left unnoticed for too long. */
   readonly refreshIfOld: () => Promise<void>;
   readonly bodyRoom: BodyRoom;
@@ -151,7 +159,7 @@
     if (this.#isKeptBack() || !(await this.#charged())) return;
     this.#context.budget(service.name).countRequest();
     while (!this.#ended) {
-      if (this.#isKeptBack()) return;
+      if (this.#isKeptBack() || this.#isOverdue(route)) return;
       if (!this.#identified(route)) return;
       const picked = await this.#pick(route, service);
       if (this.#ended) {
@@ -170,6 +178,13 @@
     }
   }
 
+  /** Ends a request whose time is over though its timer has not run yet, as in a process that was held up. */
+  #isOverdue(route: HttpRoute): boolean {
+    if (this.#leftMs(route) > 0) return false;
+    this.#timedOut();
+    return true;
+  }
+
   /** Ends a request under which too many backends broke off: it is not what they were struck by, but what struck them. */
   #isKeptBack(): boolean {
     const quarantinedMs = this.#quarantinedMs();
@@ -259,10 +274,7 @@
         stream: route.kind === 'stream',
         lastEventId: this.#lastEventId,
         silence: this.#silence(route, backend.id),
-        mayStart: () =>
-          !fleet.isLeaving(backend.id) &&
-          this.#admission.isStillIdentified(route) &&
-          this.#quarantinedMs() === undefined,
+        heldBack: () => this.#heldBack(route, backend.id),
         onHeard: () => connections.heard(backend.id, clock.now()),
         onStarted: picked.started,
       },
@@ -282,6 +294,17 @@
     return outcome;
   }
 
+  /** Looks at all that may have changed while the request waited for its connection, or the process for processor time. */
+  #heldBack(route: HttpRoute, backendId: string): HeldBack | undefined {
+    const isAllowed =
+      this.#leftMs(route) > 0 &&
+      this.#admission.isStillIdentified(route) &&
+      this.#quarantinedMs() === undefined;
+    if (!isAllowed) return 'not-allowed';
+    if (this.#context.fleet.isLeaving(backendId)) return 'leaving';
+    return this.#context.isListTooOld() ? 'old-list' : undefined;
+  }
+
   /** A backend took the request, and its answer is not whole. */
   #interrupted(backendId: string, attempt: BackendAttempt, { how, detail }: BrokenOutcome): void {
     const { telemetry, metrics, quarantine } = this.#context;
@@ -359,14 +382,14 @@
       this.#giveUp(outcome);
       return false;
     }
-    // What was found to leave before anything was sent to it is no retry.
-    const wasSent = outcome.kind !== 'not-run' || outcome.reason !== 'leaving';
+    // What was held back before anything was sent is no retry.
+    const wasSent = outcome.kind !== 'not-run' || !HELD_BACK.has(outcome.reason);
     if (this.#sends >= MOST_SENDS || (wasSent && !this.#context.budget(service.name).take())) {
       this.#giveUp(outcome);
       return false;
     }
-    const isMissingAdapter = outcome.kind === 'not-run' && outcome.reason === 'not-present';
-    if (!isMissingAdapter) this.#excluded = [...this.#excluded, this.#backendId];
+    const isBlameless = outcome.kind === 'not-run' && BLAMELESS.has(outcome.reason);
+    if (!isBlameless) this.#excluded = [...this.#excluded, this.#backendId];
     this.#context.metrics.retries.inc({ service: service.name });
     this.#context.telemetry.event('info', 'request.retried', this.#facts.attemptId ?? '', {
       after: outcome.kind,
@@ -502,6 +525,14 @@
  */
 const BEGINNING_MS = 1000;
 
+const HELD_BACK: ReadonlySet<NotRunReason> = new Set<HeldBack>(['leaving', 'old-list', 'not-allowed']);
+/** Reasons for which the same backend may be chosen again. */
+const BLAMELESS: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
+  'not-present',
+  'old-list',
+  'not-allowed',
+]);
+
 type BrokenOutcome = AttemptOutcome & { readonly kind: 'broken' };
 const RETRY_AFTER_REFUSAL_MS = 300;
 /** For a request that any other node can serve: no longer than it takes to connect to one. */
--- a/packages/gateway/test/followed-fleet.ts
+++ b/packages/gateway/test/followed-fleet.ts
@@ -66,8 +66,8 @@
 
   readonly follower: StateFollower;
 
-  /** Takes over an answer of the store that was made `lateMs` ago. */
-  read(events: readonly StoreEvent[]): void {
+  /** Takes over an answer of the store that was made at this moment. */
+  read(events: readonly StoreEvent[], asOfMs: number): void {
     if (!this.connected) return;
     this.lapses.beginUpdate();
     for (const event of events.filter(({ revision }) => revision > this.#at)) {
@@ -76,7 +76,7 @@
       this.#at = event.revision;
     }
     this.state.confirmBackends(this.#at);
-    this.follower.heard();
+    this.follower.heard(asOfMs);
   }
 }
 
@@ -118,8 +118,9 @@
     await this.clock.sleep(index);
     for (;;) {
       const answer = [...this.#events];
+      const madeMs = this.clock.now();
       if (reader.lateMs > 0) await this.clock.sleep(reader.lateMs);
-      reader.read(answer);
+      reader.read(answer, madeMs);
       await this.clock.sleep(READ_PERIOD_MS);
     }
   }
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -124,6 +124,8 @@
   readonly lines: string[] = [];
   /** Runs between the choice of a backend and the send to it. */
   beforeSend: () => Promise<void> = () => Promise.resolve();
+  /** Whether the list of backends is too old for a request that is about to be written. */
+  isListTooOld: () => boolean = () => false;
   /** How old the configuration is in the eyes of the node. */
   configurationAgeMs = 0;
   /** Room for two bodies of the largest size at a time, and a little more. */
@@ -214,6 +216,7 @@
       nextId: () => String((nextId += 1)),
       random: () => random.next(),
       listAgeMs: () => 0,
+      isListTooOld: () => this.isListTooOld(),
       refreshIfOld: () => this.beforeSend(),
       configurationLease: () => ({ ageMs: this.configurationAgeMs, leaseMs: LEASE_MS }),
       bodyRoom: this.bodyRoom,
--- a/packages/gateway/test/key-lease.test.ts
+++ b/packages/gateway/test/key-lease.test.ts
@@ -125,7 +125,7 @@
       if (node.inTouch && askedMs >= node.frozenUntilMs && node.follower.reads) {
         node.state.applyConfiguration(published);
         node.freshness.confirm(published.version, askedMs);
-        node.follower.heard();
+        node.follower.heard(askedMs);
       }
       await this.clock.sleep(watchMs);
     }
--- a/packages/gateway/test/late-node.test.ts
+++ b/packages/gateway/test/late-node.test.ts
@@ -57,3 +57,20 @@
   t.is(harness.sends, 1);
   t.is(seen.status, 503, 'it has not run and never will');
 });
+
+test('a list that grew too old while a request waited is looked at again before the request is written', async (t) => {
+  const harness = await Harness.start({ attempts: 1 }, [(socket, id) => socket.write(success(id, 'answer'))]);
+  t.teardown(() => harness.stop());
+  let looks = 0;
+  let isOld = true;
+  harness.beforeSend = () => {
+    looks += 1;
+    // The first look finds the list recent, the second one brings it up to date.
+    if (looks === 2) isOld = false;
+    return Promise.resolve();
+  };
+  harness.isListTooOld = () => isOld;
+  t.is((await harness.call('a1')).status, 200);
+  t.is(looks, 2);
+  t.is(harness.sends, 1);
+});
--- a/packages/gateway/test/leaving-backends.test.ts
+++ b/packages/gateway/test/leaving-backends.test.ts
@@ -42,10 +42,13 @@
   await fleet.clock.runUntil(5000);
   t.true(fleet.own.isLeaving('x'));
   behind.connected = true;
-  behind.read([
-    { revision: 20, id: 'x', value: undefined },
-    { revision: 30, id: 'z', value: backend('z') },
-  ]);
+  behind.read(
+    [
+      { revision: 20, id: 'x', value: undefined },
+      { revision: 30, id: 'z', value: backend('z') },
+    ],
+    fleet.clock.now(),
+  );
   t.false(behind.state.isLeaving('x'));
   fleet.publish(30, 'z', backend('z'));
   fleet.own.applyListing(behind.state.listing());
--- a/packages/gateway/test/linked-fleet.ts
+++ b/packages/gateway/test/linked-fleet.ts
@@ -120,7 +120,7 @@
     for (;;) {
       state.applyConfiguration(this.#published);
       state.confirmOperatorState(this.#published.version);
-      follower.heard();
+      follower.heard(this.#clock.now());
       await this.#clock.sleep(READ_PERIOD_MS);
     }
   }
