--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -7,3 +7,4 @@
 export { jittered, Backoff, type BackoffOptions } from './backoff.js';
 export { Notifier } from './notifier.js';
 export { LoopTurns } from './loop-turns.js';
+export { SuspendableClock } from './suspendable-clock.js';
--- a/packages/gateway/test/running-node.ts
+++ b/packages/gateway/test/running-node.ts
@@ -1,10 +1,10 @@
 import { createServer, type AddressInfo } from 'node:net';
-import { SystemClock } from '@canvasridge/clock';
-import { FleetState } from '@canvasridge/serving';
+import { SystemClock, type Clock } from '@canvasridge/clock';
+import { FleetState, type Tenant } from '@canvasridge/serving';
 import { DEFAULT_SLOT_TIMING } from '@canvasridge/slots';
 import { EventLogger, Telemetry } from '@canvasridge/telemetry';
 import type { ExecutionContext } from 'ava';
-import { GatewayNode, NO_KEY_LEASE } from '../src/index.js';
+import { GatewayNode, NO_KEY_LEASE, type KeyLease } from '../src/index.js';
 import { SERVICE, configuration, dialect, type RouteChanges } from './harness.js';
 import { RawBackend, type RawAnswer } from './raw-backend.js';
 
@@ -14,6 +14,9 @@
 
 export interface RunningNodeOptions {
   readonly route?: RouteChanges;
+  /** Where operators name tenants: who they are, and how long a node relies on what it knows of them. */
+  readonly tenants?: { readonly all: readonly Tenant[]; readonly lease: KeyLease };
+  readonly clock?: Clock;
   /** Time that a planned stop may take. */
   readonly graceMs: number;
 }
@@ -39,7 +42,7 @@
 /** Starts a node with one route, to a backend that answers as told. Who starts it stops it. */
 export async function startNode(
   t: ExecutionContext,
-  { route = {}, graceMs }: RunningNodeOptions,
+  { route = {}, graceMs, tenants, clock }: RunningNodeOptions,
   answer: RawAnswer,
 ): Promise<RunningNode> {
   const attempts: string[] = [];
@@ -49,9 +52,10 @@
   });
   t.teardown(() => backend.stop());
   const fleet = new FleetState();
-  fleet.applyConfiguration(configuration({ timeoutMs: 60_000, ...route }));
+  fleet.applyConfiguration(configuration({ timeoutMs: 60_000, ...route }, tenants?.all));
   fleet.applyBackend(1, backend.description('i1', SERVICE));
-  const started = await startOn(fleet, { nodeId: 'n1', peerPort: await freePort(), seeds: [], graceMs });
+  const place = { nodeId: 'n1', peerPort: await freePort(), seeds: [], graceMs };
+  const started = await startOn(fleet, place, clock, tenants?.lease);
   return { ...started, attempts };
 }
 
@@ -100,9 +104,13 @@
   readonly graceMs: number;
 }
 
-async function startOn(fleet: FleetState, place: NodePlace): Promise<Omit<RunningNode, 'attempts'>> {
+async function startOn(
+  fleet: FleetState,
+  place: NodePlace,
+  clock: Clock = new SystemClock(),
+  keyLease: KeyLease = NO_KEY_LEASE,
+): Promise<Omit<RunningNode, 'attempts'>> {
   const lines: string[] = [];
-  const clock = new SystemClock();
   const port = await freePort();
   const node = await GatewayNode.start({
     settings: {
@@ -120,7 +128,7 @@
       slotTiming: { ...DEFAULT_SLOT_TIMING, leaseMs: 3000 },
       drainMs: 2000,
       memoryBytes: 256 * 1024 * 1024,
-      keyLease: NO_KEY_LEASE,
+      keyLease,
       quotaTolerance: undefined,
       stopGraceMs: place.graceMs,
       firstStart: true,
--- a/packages/gateway/test/virtual-clusters.ts
+++ b/packages/gateway/test/virtual-clusters.ts
@@ -1,4 +1,4 @@
-import { Random, VirtualClock } from '@canvasridge/clock';
+import { Random, SuspendableClock, VirtualClock } from '@canvasridge/clock';
 import type { DatagramTransport } from '@canvasridge/membership';
 import { Telemetry } from '@canvasridge/telemetry';
 import { Cluster } from '../src/cluster/cluster.js';
@@ -22,6 +22,8 @@
 export class VirtualClusters {
   readonly clock = new VirtualClock();
   readonly clusters = new Map<string, Cluster>();
+  /** Clocks of the nodes' machines; what is sent to one that is suspended is lost. */
+  readonly clocks = new Map<string, SuspendableClock>();
   /** Pairs of nodes, as `from>to`, between which nothing passes. */
   readonly cuts = new Set<string>();
   /** A node heard that another one published requests that are kept from backends. */
@@ -38,6 +40,8 @@
   }
 
   #start({ id, capacity, processToken }: VirtualNode, seeds: readonly string[]): Cluster {
+    const clock = new SuspendableClock(this.clock);
+    this.clocks.set(id, clock);
     const cluster = new Cluster({
       nodeId: id,
       zone: 'z',
@@ -47,9 +51,9 @@
       processToken,
       capacity,
       transport: this.#transport(id),
-      clock: this.clock,
+      clock,
       random: Random.derive(this.#wire.seed, id),
-      telemetry: new Telemetry({ processName: id, clock: this.clock }),
+      telemetry: new Telemetry({ processName: id, clock }),
       seeds: () => seeds,
       configurationVersion: () => 0,
       onPeerVersion: () => undefined,
@@ -65,7 +69,9 @@
       localAddress: address,
       send: (to, bytes) => {
         if (this.#random.next() < lossShare || this.cuts.has(`${address}>${to}`)) return;
-        this.clock.setTimer(oneWayMs, () => this.#receivers.get(to)?.(address, bytes));
+        this.clock.setTimer(oneWayMs, () => {
+          if (this.clocks.get(to)?.isSuspended !== true) this.#receivers.get(to)?.(address, bytes);
+        });
       },
       onMessage: (receiver) => this.#receivers.set(address, receiver),
       close: () => this.#receivers.delete(address),
--- a/packages/gateway/test/virtual-holders.ts
+++ b/packages/gateway/test/virtual-holders.ts
@@ -1,4 +1,4 @@
-import { Random } from '@canvasridge/clock';
+import { Random, type Clock, type SuspendableClock } from '@canvasridge/clock';
 import { FleetState, type BackendDescription, type ServingConfiguration } from '@canvasridge/serving';
 import {
   DEFAULT_SLOT_TIMING,
@@ -45,29 +45,39 @@
   readonly cluster: Cluster;
   readonly slots: SlotService;
   readonly control: CutControl;
+  /** Of the node's machine. */
+  readonly clock: SuspendableClock;
 }
 
-/** One node's calls to engines, which can be cut off. */
+/** One node's calls to engines, which can be cut off. A machine that is suspended hears of an answer when it goes on. */
 class CutControl implements EngineControl {
   isCut = false;
   readonly #inner: EngineControl;
-  readonly #sleep: (ms: number) => Promise<void>;
+  readonly #clock: Clock;
 
-  constructor(inner: EngineControl, sleep: (ms: number) => Promise<void>) {
+  constructor(inner: EngineControl, clock: Clock) {
     this.#inner = inner;
-    this.#sleep = sleep;
+    this.#clock = clock;
   }
 
   async report(backend: BackendDescription): Promise<EngineReport | undefined> {
-    if (!this.isCut) return this.#inner.report(backend);
-    await this.#sleep(REPORT_TIMEOUT_MS);
-    return undefined;
+    if (this.isCut) {
+      await this.#clock.sleep(REPORT_TIMEOUT_MS);
+      return undefined;
+    }
+    const report = await this.#inner.report(backend);
+    await this.#clock.sleep(0);
+    return report;
   }
 
   async order(backend: BackendDescription, order: EngineOrder): Promise<OrderReply> {
-    if (!this.isCut) return this.#inner.order(backend, order);
-    await this.#sleep(ORDER_TIMEOUT_MS);
-    return { kind: 'unknown', detail: 'no answer' };
+    if (this.isCut) {
+      await this.#clock.sleep(ORDER_TIMEOUT_MS);
+      return { kind: 'unknown', detail: 'no answer' };
+    }
+    const reply = await this.#inner.order(backend, order);
+    await this.#clock.sleep(0);
+    return reply;
   }
 }
 
@@ -137,13 +147,14 @@
   }
 
   #startNode(id: string, index: number): HolderNode {
-    const { clock, clusters } = this.#wire;
+    const { clocks, clusters } = this.#wire;
     const cluster = clusters.get(id);
-    if (cluster === undefined) throw new Error(`no cluster of ${id}`);
+    const clock = clocks.get(id);
+    if (cluster === undefined || clock === undefined) throw new Error(`no cluster of ${id}`);
     const fleet = new FleetState();
     fleet.applyConfiguration(CONFIGURATION);
     for (const { description } of this.engines) fleet.applyBackend(1, { ...description, service: SERVICE });
-    const control = new CutControl(new SimulatedControl(this.engines), (ms) => clock.sleep(ms));
+    const control = new CutControl(new SimulatedControl(this.engines), clock);
     const slots = new SlotService({
       clock,
       random: this.#random,
@@ -158,12 +169,11 @@
       telemetry: new Telemetry({ processName: id, clock }),
     });
     slots.start();
-    return { id, cluster, slots, control };
+    return { id, cluster, slots, control, clock };
   }
 
   /** Requests of one node, in bursts with rests between them; they go to the leader only where that is this node. */
-  async #request({ id, slots }: HolderNode): Promise<void> {
-    const { clock } = this.#wire;
+  async #request({ id, slots, clock }: HolderNode): Promise<void> {
     for (let count = 0; ; count += 1) {
       const isRest = count % BURST_REQUESTS === 0;
       await clock.sleep(isRest ? this.#random.next() * LONGEST_REST_MS : SHORTEST_GAP_MS);
