Ages and leases go on while a machine is suspended

Cause: every age was a difference of the steady clock, which stands still while a machine is suspended, so a woken node took what it had been told for as recent as before. Class: time that passes unseen. Change: ContinuousClock goes on: the time of day is compared with the steady clock at each look, and where it went ahead the machine's uptime tells whether it was set; where the uptime can't be believed it counts as suspended. Membership, published state, slots and orders, quotas, quarantine and the readers of the store go by it; single requests keep the steady clock, which a set time of day leaves alone.

--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -2,6 +2,7 @@
 export type { Clock, Timer } from './clock.js';
 export { SystemClock } from './system-clock.js';
 export { VirtualClock } from './virtual-clock.js';
+export { ContinuousClock } from './continuous-clock.js';
 export { HostClock } from './host-clock.js';
 export { Random, hashSeed } from './random.js';
 export { jittered, Backoff, type BackoffOptions } from './backoff.js';
--- a/packages/clock/src/system-clock.ts
+++ b/packages/clock/src/system-clock.ts
@@ -1,6 +1,10 @@
+import { uptime } from 'node:os';
 import { sleepOn, type Clock, type Timer } from './clock.js';
 
-/** Clock of the operating system. `now` is CLOCK_MONOTONIC, which goes on while a process is stopped. */
+/**
+ * Clock of the operating system. `now` is CLOCK_MONOTONIC, which goes on while a process is stopped, but not while its
+ * machine is suspended; see `ContinuousClock`.
+ */
 export class SystemClock implements Clock {
   now(): number {
     return performance.now();
@@ -10,6 +14,10 @@
     return Date.now();
   }
 
+  uptimeMs(): number {
+    return uptime() * 1000;
+  }
+
   setTimer(delayMs: number, callback: () => void): Timer {
     const handle = setTimeout(callback, delayMs);
     return { cancel: () => clearTimeout(handle) };
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { QuotaRule } from '@canvasridge/admission';
-import { Random, hashSeed } from '@canvasridge/clock';
+import { ContinuousClock, Random, hashSeed, type Clock } from '@canvasridge/clock';
 import { UdpTransport } from '@canvasridge/membership';
 import type { Departure, FleetState } from '@canvasridge/serving';
 import { err, ok, type Result } from 'neverthrow';
@@ -60,7 +60,12 @@
   readonly fleet: FleetState;
   readonly metrics = new GatewayMetrics();
   readonly directory: Directory;
-  /** What this node knows of the published state; whoever reads the store tells it. */
+  /**
+   * For all that others told or lent to this node: it grows old while the machine is suspended. Single requests go by the
+   * steady clock, which a change of the time of day leaves alone.
+   */
+  readonly fleetClock: Clock;
+  /** What this node knows of the published state; whoever reads the store tells it. Its moments are those of `fleetClock`. */
   readonly published: PublishedState;
   readonly #options: GatewayOptions;
   readonly #cluster: Cluster;
@@ -84,6 +89,8 @@
     this.#options = options;
     this.fleet = options.fleet;
     const { settings, clock, telemetry } = options;
+    const fleetClock = new ContinuousClock(clock);
+    this.fleetClock = fleetClock;
     const prefix = settings.firstStart ? '' : RESTARTED_PREFIX;
     const processToken = prefix + randomBytes(TOKEN_BYTES).toString('hex');
     const random = new Random(hashSeed(processToken));
@@ -101,7 +108,7 @@
       processToken,
       capacity: settings.capacity,
       transport,
-      clock,
+      clock: fleetClock,
       random,
       telemetry,
       seeds: options.seeds,
@@ -110,11 +117,11 @@
       onQuarantine: () => this.#quarantine.update(),
     });
     this.directory = new Directory(this.#cluster, () => this.#slots.leaders());
-    this.#share = new FleetShare(clock, this.directory, settings.nodeId);
+    this.#share = new FleetShare(fleetClock, this.directory, settings.nodeId);
     const { fleet } = this;
     this.published = new PublishedState({
       ...settings,
-      clock,
+      clock: fleetClock,
       random,
       telemetry,
       metrics: this.metrics,
@@ -124,7 +131,7 @@
       needsWholeState: () => this.#slots.takesPart,
     });
     this.#slots = new SlotService({
-      clock,
+      clock: fleetClock,
       random,
       fleet,
       cluster: this.#cluster,
@@ -137,7 +144,7 @@
       telemetry,
     });
     this.#quotas = new FleetQuotas({
-      clock,
+      clock: fleetClock,
       cluster: this.#cluster,
       network: this.#network,
       telemetry,
@@ -146,7 +153,7 @@
       fleetShare: () => this.#share.value,
     });
     this.#quarantine = new FleetQuarantine({
-      clock,
+      clock: fleetClock,
       cluster: this.#cluster,
       network: this.#network,
       telemetry,
--- a/packages/gateway/test/suspended-machine.test.ts
+++ b/packages/gateway/test/suspended-machine.test.ts
@@ -40,14 +40,14 @@
     socket.write(success(id, 'answer')),
   );
   t.teardown(() => running.node.stop());
-  const { published } = running.node;
-  published.configurationConfirmed(clock.now());
+  const { published, fleetClock } = running.node;
+  published.configurationConfirmed(fleetClock.now());
   const headers = { key: 'key' };
   t.is((await callNode(running.port, 'before', { headers })).status, 200);
   clock.lose(SUSPENDED_MS);
   t.is((await callNode(running.port, 'woken', { headers })).status, 503);
   t.deepEqual(running.attempts, ['before']);
-  published.configurationConfirmed(clock.now());
+  published.configurationConfirmed(fleetClock.now());
   t.is((await callNode(running.port, 'after', { headers })).status, 200);
 });
 
--- a/packages/gateway/test/virtual-holders.ts
+++ b/packages/gateway/test/virtual-holders.ts
@@ -1,4 +1,4 @@
-import { Random, type Clock, type SuspendableClock } from '@canvasridge/clock';
+import { ContinuousClock, Random, type Clock, type SuspendableClock } from '@canvasridge/clock';
 import { FleetState, type BackendDescription, type ServingConfiguration } from '@canvasridge/serving';
 import {
   DEFAULT_SLOT_TIMING,
@@ -156,7 +156,7 @@
     for (const { description } of this.engines) fleet.applyBackend(1, { ...description, service: SERVICE });
     const control = new CutControl(new SimulatedControl(this.engines), clock);
     const slots = new SlotService({
-      clock,
+      clock: new ContinuousClock(clock),
       random: this.#random,
       fleet,
       cluster,
