Red: a woken leader that was not told of the next one

The play that was left (7 nodes, 2.5 s, seed 31), traced: the woken node announces itself anew before anybody tells it that it was taken for dead, so it never hears of the claim made meanwhile and leads on for 4 s beside the elected one.

--- a/packages/gateway/test/suspended-machine.test.ts
+++ b/packages/gateway/test/suspended-machine.test.ts
@@ -60,6 +60,8 @@
   { nodes: 7, suspendedMs: 8000, seed: 19 },
   { nodes: 5, suspendedMs: 5000, seed: 21 },
   { nodes: 7, suspendedMs: 3500, seed: 29 },
+  // The only one left once ages went on: the woken leader was not told that another one had been elected meanwhile.
+  { nodes: 7, suspendedMs: 2500, seed: 31 },
 ];
 /** Spreads the moment of the suspension over the leader's periods. */
 const PHASE_MS = 137;
