A node that was paused asks members what it missed

Cause: after a pause a node announced itself anew, so nobody told it that it had been taken for dead, and what was told meanwhile (a claim to lead) came only with the comparison each 4 s or so. Change: it compares what it knows with three members as soon as it notices the pause.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -279,6 +279,8 @@
     });
     this.#incarnation += 1;
     this.#announceSelf();
+    // Others go on as if this node had been there, and news that it missed are not told again by themselves.
+    this.compareWith(this.#someMembers(COMPARED_AT_ONCE).map(({ id }) => id));
   }
 
   #nextProbeTarget(): Member | undefined {
