--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -172,6 +172,7 @@
       nextId: () => `${processToken}/${(this.#nextId += 1)}`,
       random: () => random.next(),
       listAgeMs: () => this.published.listAgeMs,
+      lagMs: () => this.#lag.meanMs,
       isListTooOld: () => this.published.isListTooOld,
       refreshIfOld: () => this.published.refreshIfOld(),
       configurationLease: () => this.published.configurationLease,
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -44,6 +44,8 @@
   readonly isListTooOld: () => boolean;
   /** Brings the list of backends up to date if it is so old that one may have left unnoticed for too long. */
   readonly refreshIfOld: () => Promise<void>;
+  /** How late the process runs its timers, in milliseconds. */
+  readonly lagMs: () => number;
   readonly bodyRoom: BodyRoom;
   readonly quarantine: QuarantineGate;
   readonly telemetry: Telemetry;
@@ -85,8 +87,10 @@
   #how = '';
   /** Age at which the last backend was picked. */
   #pickedMs: number | undefined;
-  /** How old the list of backends was at that moment. */
+  /** How old the list of backends was when the last request was written. */
   #listAgeMs: number | undefined;
+  /** Age at which the last request was written. */
+  #sentMs: number | undefined;
   #knownFingerprint: string | undefined;
 
   constructor(context: ExchangeContext, request: IncomingMessage, response: ServerResponse) {
@@ -248,7 +252,6 @@
     this.#backendId = backend.id;
     this.#how = picked.how;
     this.#pickedMs = this.#ageMs();
-    this.#listAgeMs = this.#context.listAgeMs();
     this.#sends += 1;
     if (this.#ended) return { kind: 'cancelled' };
     if (fleet.isLeaving(backend.id)) return { kind: 'not-run', reason: 'leaving' };
@@ -300,6 +303,8 @@
       this.#leftMs(route) > 0 &&
       this.#admission.isStillIdentified(route) &&
       this.#quarantinedMs() === undefined;
+    this.#sentMs = this.#ageMs();
+    this.#listAgeMs = this.#context.listAgeMs();
     if (!isAllowed) return 'not-allowed';
     if (this.#context.fleet.isLeaving(backendId)) return 'leaving';
     return this.#context.isListTooOld() ? 'old-list' : undefined;
@@ -480,7 +485,9 @@
       how: this.#how === '' ? undefined : this.#how,
       sends: this.#sends,
       pickedMs: this.#pickedMs === undefined ? undefined : Math.round(this.#pickedMs),
+      sentMs: this.#sentMs === undefined ? undefined : Math.round(this.#sentMs),
       listAgeMs: this.#listAgeMs === undefined ? undefined : Math.round(this.#listAgeMs),
+      lagMs: Math.round(this.#context.lagMs()),
       ageMs: Math.round(ageMs),
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs - this.#arrivedMs),
       configuration: fleet.configurationVersion,
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -216,6 +216,7 @@
       nextId: () => String((nextId += 1)),
       random: () => random.next(),
       listAgeMs: () => 0,
+      lagMs: () => 0,
       isListTooOld: () => this.isListTooOld(),
       refreshIfOld: () => this.beforeSend(),
       configurationLease: () => ({ ageMs: this.configurationAgeMs, leaseMs: LEASE_MS }),
