--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -1,30 +1,24 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { QuarantineGate } from '@canvasridge/admission';
 import type { Clock } from '@canvasridge/clock';
 import { pickService, type BackendService, type HttpRoute } from '@canvasridge/serving';
-import type { UseOutcome } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { BackendConnections } from '../backends/backend-connections.js';
 import type { BackendPicker, PickResult } from '../backends/picker.js';
 import type { RetryBudget } from '../backends/retry-budget.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
 import { AnswerSink } from './answer-sink.js';
-import {
-  BackendAttempt,
-  type AttemptOutcome,
-  type HeldBack,
-  type NotRunReason,
-  type SilenceLimit,
-} from './backend-attempt.js';
+import { detailOf, mayChooseAgain, useOutcomeOf, wasWritten } from './attempt-outcomes.js';
+import { BackendAttempt, type AttemptOutcome, type HeldBack, type SilenceLimit } from './backend-attempt.js';
 import { readBody } from './body.js';
 import type { BodyRoom } from './body-room.js';
 import type { RequestDialect, RequestFacts } from './dialect.js';
 import { retryAfterOf, statusOf, type FinalAnswer } from './final-answer.js';
 import { RequestAdmission, type AdmissionContext } from './request-admission.js';
-import { requestFingerprint } from './request-fingerprint.js';
+import { RequestQuarantine, type QuarantineContext } from './request-quarantine.js';
+import { silenceLimit } from './silence-limit.js';
 
 /** What all exchanges of a node share. */
-export interface ExchangeContext extends AdmissionContext {
+export interface ExchangeContext extends AdmissionContext, QuarantineContext {
   readonly clock: Clock;
   readonly dialect: RequestDialect;
   readonly connections: BackendConnections;
@@ -47,7 +41,6 @@
   /** How late the process runs its timers, in milliseconds. */
   readonly lagMs: () => number;
   readonly bodyRoom: BodyRoom;
-  readonly quarantine: QuarantineGate;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
 }
@@ -56,13 +49,6 @@
 const MOST_SENDS = 5;
 /** Time kept back for the answer's way to the client, so that its deadline is not passed on whole. */
 const RETURN_MARGIN_MS = 10;
-/** An attempt of a repeatable request is tried elsewhere after this many objectives without a sign. */
-const SILENT_OBJECTIVES = 2;
-const LEAST_SILENCE_MS = 250;
-const MOST_SILENCE_MS = 1300;
-/** What is added while the backend answers other requests. */
-const BUSY_SILENCE_MS = 1000;
-
 /** One client request from its head to its end. */
 export class Exchange {
   readonly #context: ExchangeContext;
@@ -70,6 +56,7 @@
   readonly #sink: AnswerSink;
   readonly #facts: RequestFacts;
   readonly #admission: RequestAdmission;
+  readonly #quarantine: RequestQuarantine;
   readonly #arrivedMs: number;
   /** Time that is left for a request that comes while its node stops, in milliseconds. */
   readonly #stopsInMs: number;
@@ -91,7 +78,6 @@
   #listAgeMs: number | undefined;
   /** Age at which the last request was written. */
   #sentMs: number | undefined;
-  #knownFingerprint: string | undefined;
 
   constructor(context: ExchangeContext, request: IncomingMessage, response: ServerResponse) {
     this.#context = context;
@@ -100,6 +86,12 @@
     this.#stopsInMs = context.stopsInMs();
     this.#facts = context.dialect.readRequest(request.headers);
     this.#admission = new RequestAdmission(context, this.#facts);
+    this.#quarantine = new RequestQuarantine(context, this.#facts.attemptId ?? 'none', () => ({
+      host: request.headers.host ?? '',
+      target: request.url ?? '',
+      tenant: this.#admission.tenant,
+      body: this.#body,
+    }));
     this.#lastEventId = this.#facts.lastEventId ?? -1;
     this.#sink = new AnswerSink(response, context.isStopping);
     response.on('close', () => {
@@ -191,9 +183,9 @@
 
   /** Ends a request under which too many backends broke off: it is not what they were struck by, but what struck them. */
   #isKeptBack(): boolean {
-    const quarantinedMs = this.#quarantinedMs();
-    if (quarantinedMs === undefined) return false;
-    this.#refuse('quarantined', quarantinedMs);
+    const { keptMs } = this.#quarantine;
+    if (keptMs === undefined) return false;
+    this.#refuse('quarantined', keptMs);
     return true;
   }
 
@@ -289,7 +281,7 @@
     const isWhole = outcome.kind === 'complete' || outcome.kind === 'failure' || outcome.kind === 'not-run';
     connections.release(backend.id, connection, isWhole);
     this.#lastEventId = attempt.lastEventId;
-    if (outcome.kind === 'broken') this.#interrupted(backend.id, attempt, outcome);
+    this.#quarantine.attemptEnded(backend.id, attempt, outcome);
     if (outcome.kind !== 'not-run') {
       this.#mayHaveRun ||= attempt.sent;
       this.#runs += 1;
@@ -302,7 +294,7 @@
     const isAllowed =
       this.#leftMs(route) > 0 &&
       this.#admission.isStillIdentified(route) &&
-      this.#quarantinedMs() === undefined;
+      this.#quarantine.keptMs === undefined;
     this.#sentMs = this.#ageMs();
     this.#listAgeMs = this.#context.listAgeMs();
     if (!isAllowed) return 'not-allowed';
@@ -310,57 +302,15 @@
     return this.#context.isListTooOld() ? 'old-list' : undefined;
   }
 
-  /** A backend took the request, and its answer is not whole. */
-  #interrupted(backendId: string, attempt: BackendAttempt, { how, detail }: BrokenOutcome): void {
-    const { telemetry, metrics, quarantine } = this.#context;
-    const { runMs, begunForMs } = attempt;
-    telemetry.event('info', 'request.interrupted', this.#facts.attemptId ?? 'none', {
-      fingerprint: this.#fingerprint,
-      backend: backendId,
-      how,
-      detail,
-      runMs: Math.round(runMs),
-      begunForMs: begunForMs === undefined ? undefined : Math.round(begunForMs),
-    });
-    metrics.interrupted.inc({ begun: String(begunForMs !== undefined) });
-    const isBeginning = begunForMs === undefined || begunForMs < BEGINNING_MS;
-    if (how === 'connection-lost' && isBeginning) quarantine.interrupted(this.#fingerprint, backendId);
-  }
-
-  /** A backend ran the request to an end of its own, good or bad. */
-  #endedWell(): void {
-    const { quarantine } = this.#context;
-    if (!quarantine.isEmpty) quarantine.endedWell(this.#fingerprint);
-  }
-
-  /** Time for which the request is kept from backends, as too many broke off under it; undefined if it is not. */
-  #quarantinedMs(): number | undefined {
-    const { quarantine } = this.#context;
-    return quarantine.isEmpty ? undefined : quarantine.remainingMs(this.#fingerprint);
-  }
-
-  /** See {@link requestFingerprint}; worked out when it is first asked for, which few requests need. */
-  get #fingerprint(): string {
-    this.#knownFingerprint ??= requestFingerprint({
-      host: this.#request.headers.host ?? '',
-      target: this.#request.url ?? '',
-      tenant: this.#admission.tenant,
-      body: this.#body,
-    });
-    return this.#knownFingerprint;
-  }
-
   /** Ends the exchange if the outcome ends it. */
   #isFinal(outcome: AttemptOutcome, route: HttpRoute): boolean {
     switch (outcome.kind) {
       case 'complete':
-        this.#endedWell();
         this.#finished('complete', outcome.status);
         return true;
       case 'cancelled':
         return true;
       case 'failure':
-        this.#endedWell();
         if (this.#isRepeatable(route) && this.#runs < route.attempts && !this.#sink.started) return false;
         this.#passFailure(outcome);
         return true;
@@ -387,14 +337,12 @@
       this.#giveUp(outcome);
       return false;
     }
-    // What was held back before anything was sent is no retry.
-    const wasSent = outcome.kind !== 'not-run' || !HELD_BACK.has(outcome.reason);
-    if (this.#sends >= MOST_SENDS || (wasSent && !this.#context.budget(service.name).take())) {
+    const costsRetry = wasWritten(outcome);
+    if (this.#sends >= MOST_SENDS || (costsRetry && !this.#context.budget(service.name).take())) {
       this.#giveUp(outcome);
       return false;
     }
-    const isBlameless = outcome.kind === 'not-run' && BLAMELESS.has(outcome.reason);
-    if (!isBlameless) this.#excluded = [...this.#excluded, this.#backendId];
+    if (!mayChooseAgain(outcome)) this.#excluded = [...this.#excluded, this.#backendId];
     this.#context.metrics.retries.inc({ service: service.name });
     this.#context.telemetry.event('info', 'request.retried', this.#facts.attemptId ?? '', {
       after: outcome.kind,
@@ -498,12 +446,10 @@
     return route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
   }
 
+  /** The last attempt that is allowed has no limit of its own. */
   #silence(route: HttpRoute, backendId: string): SilenceLimit | undefined {
     if (!this.#isRepeatable(route) || this.#runs + 1 >= route.attempts) return undefined;
-    const wantedMs = Math.max(route.objectiveMs * SILENT_OBJECTIVES, LEAST_SILENCE_MS);
-    const firstMs = Math.min(wantedMs, MOST_SILENCE_MS);
-    const backendHeardMs = (): number => this.#context.connections.heardMs(backendId);
-    return { firstMs, mostMs: Math.max(wantedMs, firstMs) + BUSY_SILENCE_MS, backendHeardMs };
+    return silenceLimit(route, () => this.#context.connections.heardMs(backendId));
   }
 
   #timeoutMs(route: HttpRoute): number {
@@ -526,49 +472,6 @@
 }
 
 const EMPTY: Buffer = Buffer.alloc(0);
-/**
- * A request that ends its backend does so when its run begins. One that has been answered for longer than this was struck by
- * another's end; of the streams of an engine, which last for up to 15 s, that is most.
- */
-const BEGINNING_MS = 1000;
-
-const HELD_BACK: ReadonlySet<NotRunReason> = new Set<HeldBack>(['leaving', 'old-list', 'not-allowed']);
-/** Reasons for which the same backend may be chosen again. */
-const BLAMELESS: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
-  'not-present',
-  'old-list',
-  'not-allowed',
-]);
-
-type BrokenOutcome = AttemptOutcome & { readonly kind: 'broken' };
 const RETRY_AFTER_REFUSAL_MS = 300;
 /** For a request that any other node can serve: no longer than it takes to connect to one. */
 const RETRY_ELSEWHERE_MS = 20;
-
-function useOutcomeOf(outcome: AttemptOutcome): UseOutcome {
-  switch (outcome.kind) {
-    case 'complete':
-      return 'served';
-    case 'cancelled':
-      return 'cancelled';
-    case 'failure':
-    case 'broken':
-      return 'failed';
-    case 'not-run':
-      return outcome.reason === 'not-present' ? 'not-present' : 'refused';
-  }
-}
-
-function detailOf(outcome: AttemptOutcome): string {
-  switch (outcome.kind) {
-    case 'not-run':
-      return outcome.reason;
-    case 'broken':
-      return outcome.detail;
-    case 'failure':
-      return `status ${outcome.status}`;
-    case 'complete':
-    case 'cancelled':
-      return outcome.kind;
-  }
-}
