--- a/packages/admission/src/quarantine/quarantine-gate.ts
+++ b/packages/admission/src/quarantine/quarantine-gate.ts
@@ -8,8 +8,12 @@
   readonly isEmpty: boolean;
   /** Time for which a request is kept from backends still, in milliseconds; undefined if it is not. */
   remainingMs(fingerprint: string): number | undefined;
-  /** @param backendId names one start of the process of the backend that broke off under the request */
-  interrupted(fingerprint: string, backendId: string): void;
+  /**
+   * Resolves once it is known whether the request is kept from backends for it, or if that takes too long for one that is to
+   * be sent again.
+   * @param backendId names one start of the process of the backend that broke off under the request
+   */
+  interrupted(fingerprint: string, backendId: string): Promise<void>;
   /** A backend ran the request to an end of its own, so it is not what ends backends. */
   endedWell(fingerprint: string): void;
 }
--- a/packages/gateway/src/cluster/fleet-quarantine.ts
+++ b/packages/gateway/src/cluster/fleet-quarantine.ts
@@ -32,6 +32,9 @@
   readonly interruptions: readonly Interruption[];
 }
 
+/** Those of the requests that are kept from backends now; null from a node that does not take itself for a home. */
+export type InterruptedReply = readonly string[] | null;
+
 /** What is seen of the fleet. */
 export type QuarantineSight = Pick<
   Cluster,
@@ -67,7 +70,12 @@
 const HOMES = 3;
 const HOMES_POOL = 'quarantine';
 /** All that ran on an engine that ended is told together. */
-const GATHER_MS = 20;
+const GATHER_MS = 5;
+/**
+ * A request is not sent again before a home has answered, or for so long: without that the third backend's end was followed by
+ * a fourth, as the request was on its way again when the homes had counted. A home answers within some 10 ms.
+ */
+const VERDICT_MS = 60;
 /** A home in reach answers in a few milliseconds; one that does not is told again a second later. */
 const TELL_TIMEOUT_MS = 500;
 /**
@@ -90,7 +98,8 @@
   readonly #list: QuarantineList;
   /** Those seen last come last. */
   #own: OwnInterruption[] = [];
-  #telling = false;
+  /** Resolves when a home has answered what was gathered. */
+  #telling: Promise<void> | undefined;
   #home = false;
   #suspects: ReadonlySet<string> = new Set();
   #published = '';
@@ -114,28 +123,28 @@
     return this.#list.remainingMs(fingerprint);
   }
 
-  interrupted(fingerprint: string, backendId: string): void {
+  async interrupted(fingerprint: string, backendId: string): Promise<void> {
+    const { clock } = this.#options;
     this.#beHome(this.#isHome());
     if (this.#home) this.#count(fingerprint, backendId);
-    this.#own.push({ fingerprint, backend: backendId, atMs: this.#options.clock.now(), knownTo: new Set() });
+    this.#own.push({ fingerprint, backend: backendId, atMs: clock.now(), knownTo: new Set() });
     this.#own = this.#own.slice(-MOST_OWN);
-    if (this.#telling) return;
-    this.#telling = true;
-    this.#options.clock.setTimer(GATHER_MS, () => {
-      this.#telling = false;
-      this.#tellHomes();
-    });
+    this.#telling ??= this.#tellSoon();
+    // What the homes count is counted here as well.
+    if (this.#home) return;
+    await Promise.race([this.#telling, clock.sleep(VERDICT_MS)]);
   }
 
   endedWell(fingerprint: string): void {
     if (!this.#suspects.has(fingerprint)) return;
     this.#suspects = new Set([...this.#suspects].filter((suspect) => suspect !== fingerprint));
     this.#own = this.#own.filter((interruption) => interruption.fingerprint !== fingerprint);
+    const { cluster, network } = this.#options;
     const params: EndedWellParams = { fingerprint };
     this.answerEndedWell(params);
     for (const id of this.#otherHomes()) {
-      const address = this.#options.cluster.peerAddress(id);
-      if (address !== undefined) void this.#call(address, ENDED_WELL_METHOD, params);
+      const address = cluster.peerAddress(id);
+      if (address !== undefined) void network.to(address).call(ENDED_WELL_METHOD, params, TELL_TIMEOUT_MS);
     }
   }
 
@@ -144,12 +153,14 @@
     return true;
   }
 
-  /** Answers a node that takes this one for a home; false if this one does not, so that it is told again later. */
-  answer({ interruptions }: InterruptedParams): boolean {
+  /** Answers a node that takes this one for a home. */
+  answer({ interruptions }: InterruptedParams): InterruptedReply {
     this.#beHome(this.#isHome());
-    if (!this.#home) return false;
+    if (!this.#home) return null;
     for (const { fingerprint, backend } of interruptions) this.#count(fingerprint, backend);
-    return true;
+    return interruptions
+      .map(({ fingerprint }) => fingerprint)
+      .filter((fingerprint) => this.#list.remainingMs(fingerprint) !== undefined);
   }
 
   /** To be called when another node has published its list, and about once a second. */
@@ -162,7 +173,8 @@
     }
     this.#suspects = new Set(suspects);
     if (this.#home) this.#publish();
-    this.#tellHomes();
+    // What a home does not answer is told again with the next update.
+    void Promise.allSettled(this.#tellHomes());
   }
 
   #beHome(isHome: boolean): void {
@@ -185,15 +197,22 @@
     return this.#options.cluster.candidates(HOMES_POOL).slice(0, HOMES);
   }
 
-  #tellHomes(): void {
+  async #tellSoon(): Promise<void> {
+    await this.#options.clock.sleep(GATHER_MS);
+    this.#telling = undefined;
+    await Promise.any(this.#tellHomes()).catch(() => undefined);
+  }
+
+  /** Each resolves when its home has answered, and rejects if it has not. */
+  #tellHomes(): Promise<void>[] {
     const nowMs = this.#options.clock.now();
     this.#own = this.#own.filter(({ atMs }) => nowMs - atMs <= INTERRUPTION_MS);
-    for (const id of this.#otherHomes()) void this.#tell(id);
+    return this.#otherHomes().map((id) => this.#tell(id));
   }
 
   /** Tells a home what its process has not been told, or may not have heard. */
   async #tell(id: string): Promise<void> {
-    const { cluster } = this.#options;
+    const { cluster, network } = this.#options;
     const address = cluster.peerAddress(id);
     const home = cluster.processOf(id)?.token;
     if (address === undefined || home === undefined) return;
@@ -202,16 +221,11 @@
     const params: InterruptedParams = {
       interruptions: news.map(({ fingerprint, backend }) => ({ fingerprint, backend })),
     };
-    const heard = await this.#call(address, INTERRUPTED_METHOD, params);
-    if (heard) for (const { knownTo } of news) knownTo.add(home);
-  }
-
-  async #call(
-    address: string,
-    method: string,
-    params: InterruptedParams | EndedWellParams,
-  ): Promise<boolean> {
-    return (await this.#options.network.to(address).call(method, params, TELL_TIMEOUT_MS)) === true;
+    const reply = (await network.to(address).call(INTERRUPTED_METHOD, params, TELL_TIMEOUT_MS)) as
+      InterruptedReply | undefined;
+    if (reply === undefined || reply === null) throw new Error(`${id} does not count`);
+    for (const { knownTo } of news) knownTo.add(home);
+    for (const fingerprint of reply) this.#add({ fingerprint, ageMs: 0 }, 'peer');
   }
 
   #count(fingerprint: string, backend: string): void {
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -281,11 +281,11 @@
     const isWhole = outcome.kind === 'complete' || outcome.kind === 'failure' || outcome.kind === 'not-run';
     connections.release(backend.id, connection, isWhole);
     this.#lastEventId = attempt.lastEventId;
-    this.#quarantine.attemptEnded(backend.id, attempt, outcome);
     if (outcome.kind !== 'not-run') {
       this.#mayHaveRun ||= attempt.sent;
       this.#runs += 1;
     }
+    await this.#quarantine.attemptEnded(backend.id, attempt, outcome);
     return outcome;
   }
 
--- a/packages/gateway/src/request/request-quarantine.ts
+++ b/packages/gateway/src/request/request-quarantine.ts
@@ -36,20 +36,20 @@
     return quarantine.isEmpty ? undefined : quarantine.remainingMs(this.#fingerprint);
   }
 
-  /** Takes note of how an attempt ended. */
-  attemptEnded(backendId: string, attempt: BackendAttempt, outcome: AttemptOutcome): void {
+  /** Takes note of how an attempt ended; resolves when the request may be sent again, if it is not kept then. */
+  async attemptEnded(backendId: string, attempt: BackendAttempt, outcome: AttemptOutcome): Promise<void> {
     const { quarantine } = this.#context;
     // An end of the backend's own, good or bad: the request is not what ends backends.
     const endedWell = outcome.kind === 'complete' || outcome.kind === 'failure';
     if (endedWell && !quarantine.isEmpty) quarantine.endedWell(this.#fingerprint);
-    if (outcome.kind === 'broken') this.#interrupted(backendId, attempt, outcome);
+    if (outcome.kind === 'broken') await this.#interrupted(backendId, attempt, outcome);
   }
 
-  #interrupted(
+  async #interrupted(
     backendId: string,
     { runMs, begunForMs }: BackendAttempt,
     { how, detail }: AttemptOutcome & { readonly kind: 'broken' },
-  ): void {
+  ): Promise<void> {
     const { telemetry, metrics, quarantine } = this.#context;
     telemetry.event('info', 'request.interrupted', this.#traceId, {
       fingerprint: this.#fingerprint,
@@ -61,7 +61,8 @@
     });
     metrics.interrupted.inc({ begun: String(begunForMs !== undefined) });
     const isBeginning = begunForMs === undefined || begunForMs < BEGINNING_MS;
-    if (how === 'connection-lost' && isBeginning) quarantine.interrupted(this.#fingerprint, backendId);
+    if (how !== 'connection-lost' || !isBeginning) return;
+    await quarantine.interrupted(this.#fingerprint, backendId);
   }
 
   get #fingerprint(): string {
--- a/packages/gateway/test/fleet-quarantine.test.ts
+++ b/packages/gateway/test/fleet-quarantine.test.ts
@@ -96,7 +96,7 @@
     const fleet = new QuarantineFleet(nodes, lossShare, 1);
     await fleet.run(SETTLED_MS);
     for (const [index, id] of ['n7', 'n8', 'n9'].entries())
-      fleet.nodes.get(id)?.interrupted('f', `i${index}`);
+      void fleet.nodes.get(id)?.interrupted('f', `i${index}`);
     t.is(fleet.unaware('f').length, nodes, 'nothing is known yet');
     await fleet.run(KNOWN_WITHIN_MS);
     t.deepEqual(fleet.unaware('f'), []);
@@ -109,12 +109,12 @@
   await fleet.run(SETTLED_MS);
   const [first, second, third] = fleet.homes();
   const callers = [...fleet.nodes.keys()].filter((id) => ![first, second, third].includes(id));
-  fleet.nodes.get(callers[0] ?? '')?.interrupted('f', 'i0');
-  fleet.nodes.get(callers[1] ?? '')?.interrupted('f', 'i1');
+  void fleet.nodes.get(callers[0] ?? '')?.interrupted('f', 'i0');
+  void fleet.nodes.get(callers[1] ?? '')?.interrupted('f', 'i1');
   await fleet.run(100);
   fleet.stop(first ?? '');
   fleet.stop(second ?? '');
-  fleet.nodes.get(callers[2] ?? '')?.interrupted('f', 'i2');
+  void fleet.nodes.get(callers[2] ?? '')?.interrupted('f', 'i2');
   await fleet.run(KNOWN_WITHIN_MS);
   t.deepEqual(fleet.unaware('f'), []);
 });
@@ -124,11 +124,11 @@
   await fleet.run(SETTLED_MS);
   const homes = fleet.homes();
   const callers = [...fleet.nodes.keys()].filter((id) => !homes.includes(id));
-  fleet.nodes.get(callers[0] ?? '')?.interrupted('f', 'i0');
-  fleet.nodes.get(callers[1] ?? '')?.interrupted('f', 'i1');
+  void fleet.nodes.get(callers[0] ?? '')?.interrupted('f', 'i0');
+  void fleet.nodes.get(callers[1] ?? '')?.interrupted('f', 'i1');
   await fleet.run(100);
   for (const home of homes) fleet.stop(home);
-  fleet.nodes.get(callers[2] ?? '')?.interrupted('f', 'i2');
+  void fleet.nodes.get(callers[2] ?? '')?.interrupted('f', 'i2');
   await fleet.run(2 * KNOWN_WITHIN_MS);
   t.deepEqual(fleet.unaware('f'), []);
 });
@@ -136,7 +136,8 @@
 test('a node keeps to what it was told after all that told it have ended', async (t) => {
   const fleet = new QuarantineFleet(12, 0, 4);
   await fleet.run(SETTLED_MS);
-  for (const [index, id] of ['n7', 'n8', 'n9'].entries()) fleet.nodes.get(id)?.interrupted('f', `i${index}`);
+  for (const [index, id] of ['n7', 'n8', 'n9'].entries())
+    void fleet.nodes.get(id)?.interrupted('f', `i${index}`);
   await fleet.run(KNOWN_WITHIN_MS);
   for (const home of fleet.homes()) fleet.stop(home);
   await fleet.run(200_000);
@@ -153,11 +154,32 @@
   const fleet = new QuarantineFleet(12, 0, 5);
   await fleet.run(SETTLED_MS);
   for (let round = 0; round < 4; round += 1) {
-    fleet.nodes.get('n7')?.interrupted('polled', `i${round}a`);
-    fleet.nodes.get('n8')?.interrupted('polled', `i${round}b`);
+    void fleet.nodes.get('n7')?.interrupted('polled', `i${round}a`);
+    void fleet.nodes.get('n8')?.interrupted('polled', `i${round}b`);
     await fleet.run(KNOWN_WITHIN_MS);
     fleet.nodes.get('n9')?.endedWell('polled');
     await fleet.run(KNOWN_WITHIN_MS);
   }
   t.is(fleet.unaware('polled').length, 12, 'it is sent by all');
 });
+
+test('a node that saw the last interruption knows the verdict before it sends the request again', async (t) => {
+  const fleet = new QuarantineFleet(12, 0, 6);
+  await fleet.run(SETTLED_MS);
+  const homes = fleet.homes();
+  const [first, second, third] = [...fleet.nodes.entries()].filter(([id]) => !homes.includes(id));
+  void first?.[1].interrupted('f', 'i0');
+  void second?.[1].interrupted('f', 'i1');
+  await fleet.run(100);
+  let keptMs: number | undefined;
+  let toldMs = Infinity;
+  const { clock } = fleet.clusters;
+  const seenMs = clock.now();
+  void third?.[1].interrupted('f', 'i2').then(() => {
+    keptMs = third[1].remainingMs('f');
+    toldMs = clock.now() - seenMs;
+  });
+  await fleet.run(100);
+  t.not(keptMs, undefined);
+  t.true(toldMs < 20, `${toldMs} ms`);
+});
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -224,7 +224,7 @@
       quarantine: {
         isEmpty: true,
         remainingMs: () => undefined,
-        interrupted: () => undefined,
+        interrupted: () => Promise.resolve(),
         endedWell: () => undefined,
       },
       quotas: {
