A suspension that may be a time of day that was set costs a look, not a lease

And a clock that may run ahead let waits for the rights of others end early. Change: the steady clock (never ahead of the time that has passed) for all waits, membership, quotas and measures of engines; the continuous one (never behind it) for own rights: list and configuration ages, the leader's quorum, what orders have proved. A leader that notices a suspension asks most others anew, learns what it missed, and confirms each engine's count; it gives up no engine.

--- a/packages/clock/src/continuous-clock.ts
+++ b/packages/clock/src/continuous-clock.ts
@@ -8,11 +8,13 @@
 const BELIEVED_AFTER = 30;
 
 /**
- * Time that goes on while the machine is suspended, for all that ends after a time: leases, ages, rights that were lent. The
- * steady clock (CLOCK_MONOTONIC), on which timers run, stands still meanwhile. The time of day does not, but can be set, and
- * the machine's uptime does not, but is dear to read. So the time of day is looked at each time: where it has gone on by
- * more than the steady clock, the uptime tells whether it was set. Where the uptime can't be believed, it counts as
- * suspended: to take a right for ended that has not costs its renewal, the other way round it is used by two.
+ * Time that goes on while the machine is suspended, for what this process may do or believe until a time has passed: its own
+ * leases, the age of what it was told. The steady clock (CLOCK_MONOTONIC), on which timers run, stands still meanwhile. The
+ * time of day does not, but can be set, and the machine's uptime does not, but is dear to read. So the time of day is looked
+ * at each time: where it has gone on by more than the steady clock, the uptime tells whether it was set. Where the uptime
+ * can't be believed, it counts as suspended: to take an own right for ended that has not costs its renewal, the other way
+ * round it is used by two. So this is never less than the time that has passed, and the steady clock never more: to wait
+ * until a right of others has ended, take that one.
  */
 export class ContinuousClock implements Clock {
   readonly #base: Clock;
@@ -44,6 +46,12 @@
     return steadyMs + this.#suspendedMs;
   }
 
+  /** For how long the machine was suspended so far, in milliseconds; rises when a suspension is noticed. */
+  get suspendedMs(): number {
+    this.now();
+    return this.#suspendedMs;
+  }
+
   wallTime(): number {
     return this.#base.wallTime();
   }
--- a/packages/gateway/src/cluster/leader-quorum.ts
+++ b/packages/gateway/src/cluster/leader-quorum.ts
@@ -41,6 +41,13 @@
     return this.#options.clock.now() - this.#answeredMs;
   }
 
+  /** This node may have missed anything: it has to be answered anew, and to learn what it missed before that counts. */
+  doubt(): void {
+    this.#answeredMs = -Infinity;
+    this.#askedMs = -Infinity;
+    this.#isInReach = false;
+  }
+
   /** Asks anew if it is time to; to be called often. */
   async renew(): Promise<void> {
     const { clock, random, members, ask, onBackInReach } = this.#options;
--- a/packages/gateway/src/cluster/order-permission.ts
+++ b/packages/gateway/src/cluster/order-permission.ts
@@ -1,4 +1,4 @@
-import type { Clock, Random } from '@canvasridge/clock';
+import type { Clock, ContinuousClock, Random } from '@canvasridge/clock';
 import { PauseDetector, type SlotTiming, type SwitchedOff } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { Cluster } from './cluster.js';
@@ -15,7 +15,10 @@
 }
 
 export interface OrderPermissionOptions {
+  /** For waiting until rights of others have ended. */
   readonly clock: Clock;
+  /** For rights of this node. */
+  readonly fleetClock: ContinuousClock;
   readonly random: Random;
   readonly cluster: Cluster;
   readonly timing: SlotTiming;
@@ -25,6 +28,8 @@
   readonly telemetry: Telemetry;
   /** What this node knew of engines may be wrong, since it was paused or out of sight. */
   readonly onDoubt: (reason: string) => void;
+  /** The machine was suspended, or so it seems: what this node holds has to be confirmed. */
+  readonly onSuspended: () => void;
 }
 
 /**
@@ -59,15 +64,17 @@
   readonly #startedMs: number;
   #seesMost = false;
   #resigned = false;
+  #suspendedMs: number;
   /** When this node was last paused or out of sight of the others, so that it may have missed a change. */
   #unsureSinceMs = -Infinity;
 
   constructor(options: OrderPermissionOptions) {
     this.#options = options;
-    const { clock, random, cluster, timing, telemetry, onDoubt } = options;
+    const { clock, fleetClock, random, cluster, timing, telemetry, onDoubt } = options;
     this.#startedMs = clock.now();
+    this.#suspendedMs = fleetClock.suspendedMs;
     this.#quorum = new LeaderQuorum({
-      clock,
+      clock: fleetClock,
       random,
       members: () => cluster.recentMembers(),
       ask: (members, timeoutMs) => cluster.inReach(members, timeoutMs),
@@ -85,6 +92,7 @@
   update(leads: boolean): void {
     const { clock, cluster, onDoubt } = this.#options;
     this.#pauses.check();
+    this.#noticeSuspension();
     cluster.update();
     const seesMost = cluster.seesMost();
     if (seesMost !== this.#seesMost) this.#logSight(seesMost);
@@ -103,7 +111,7 @@
 
   /** Whether a node that leads may give orders now; asked before each. */
   mayOrder(): boolean {
-    if (this.#resigned || !this.#seesMost || this.#pauses.check()) return false;
+    if (this.#resigned || !this.#seesMost || this.#pauses.check() || this.#noticeSuspension()) return false;
     return this.#quorum.ageMs <= QUORUM_AGE_MS;
   }
 
@@ -148,6 +156,23 @@
     return nowMs - this.#unsureSinceMs > engineFences.settledAfterMs && former.isGone();
   }
 
+  /**
+   * Looks whether the machine was suspended. A time of day that was set may look the same, so what this node holds is not given
+   * up: it orders again once most others have answered, it has learnt what it missed, and each engine shows the count it expects.
+   */
+  #noticeSuspension(): boolean {
+    const { clock, fleetClock, telemetry, onSuspended } = this.#options;
+    const { suspendedMs } = fleetClock;
+    const newMs = suspendedMs - this.#suspendedMs;
+    if (newMs === 0) return false;
+    this.#suspendedMs = suspendedMs;
+    telemetry.event('warn', 'process.suspended', 'self', { suspendedMs: Math.round(newMs) });
+    this.#unsureSinceMs = clock.now();
+    this.#quorum.doubt();
+    onSuspended();
+    return true;
+  }
+
   /** With `pool.leader` this tells which node could give orders when. */
   #logSight(seesMost: boolean): void {
     const { cluster, telemetry } = this.#options;
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -1,4 +1,4 @@
-import { Notifier, type Clock, type Random } from '@canvasridge/clock';
+import { Notifier, type Clock, type ContinuousClock, type Random } from '@canvasridge/clock';
 import type { BackendDescription, FleetState } from '@canvasridge/serving';
 import {
   AdapterMemory,
@@ -89,6 +89,9 @@
       onDoubt: (reason) => {
         for (const entry of this.#pools.values()) entry.pool?.resetLeases(reason);
       },
+      onSuspended: () => {
+        for (const entry of this.#pools.values()) entry.pool?.settleLeases();
+      },
     });
     this.#startedMs = options.clock.now();
     options.fleet.onChange((change) => this.#fleetChanged(change));
@@ -363,11 +366,12 @@
   }
 
   #newPool(name: string, entry: PoolEntry): SlotPool {
-    const { clock, control, timing, holder, telemetry, fleet } = this.#options;
+    const { clock, fleetClock, control, timing, holder, telemetry, fleet } = this.#options;
     const permission = this.#permission;
     const pool = new SlotPool({
       service: name,
       clock,
+      fleetClock,
       control,
       timing,
       holder,
@@ -416,6 +420,8 @@
 
 export interface SlotServiceOptions {
   readonly clock: Clock;
+  /** Goes on while the machine is suspended. */
+  readonly fleetClock: ContinuousClock;
   readonly random: Random;
   readonly fleet: FleetState;
   readonly cluster: Cluster;
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { QuotaRule } from '@canvasridge/admission';
-import { ContinuousClock, Random, hashSeed, type Clock } from '@canvasridge/clock';
+import { ContinuousClock, Random, hashSeed } from '@canvasridge/clock';
 import { UdpTransport } from '@canvasridge/membership';
 import type { Departure, FleetState } from '@canvasridge/serving';
 import { err, ok, type Result } from 'neverthrow';
@@ -61,10 +61,10 @@
   readonly metrics = new GatewayMetrics();
   readonly directory: Directory;
   /**
-   * For all that others told or lent to this node: it grows old while the machine is suspended. Single requests go by the
-   * steady clock, which a change of the time of day leaves alone.
+   * For what others told this node, and what it may do for it: that grows old while the machine is suspended. Single requests, and
+   * waits for the end of what others may do, go by the steady clock.
    */
-  readonly fleetClock: Clock;
+  readonly fleetClock: ContinuousClock;
   /** What this node knows of the published state; whoever reads the store tells it. Its moments are those of `fleetClock`. */
   readonly published: PublishedState;
   readonly #options: GatewayOptions;
@@ -108,7 +108,7 @@
       processToken,
       capacity: settings.capacity,
       transport,
-      clock: fleetClock,
+      clock,
       random,
       telemetry,
       seeds: options.seeds,
@@ -117,7 +117,7 @@
       onQuarantine: () => this.#quarantine.update(),
     });
     this.directory = new Directory(this.#cluster, () => this.#slots.leaders());
-    this.#share = new FleetShare(fleetClock, this.directory, settings.nodeId);
+    this.#share = new FleetShare(clock, this.directory, settings.nodeId);
     const { fleet } = this;
     this.published = new PublishedState({
       ...settings,
@@ -131,7 +131,8 @@
       needsWholeState: () => this.#slots.takesPart,
     });
     this.#slots = new SlotService({
-      clock: fleetClock,
+      clock,
+      fleetClock,
       random,
       fleet,
       cluster: this.#cluster,
@@ -144,7 +145,7 @@
       telemetry,
     });
     this.#quotas = new FleetQuotas({
-      clock: fleetClock,
+      clock,
       cluster: this.#cluster,
       network: this.#network,
       telemetry,
@@ -153,7 +154,7 @@
       fleetShare: () => this.#share.value,
     });
     this.#quarantine = new FleetQuarantine({
-      clock: fleetClock,
+      clock,
       cluster: this.#cluster,
       network: this.#network,
       telemetry,
--- a/packages/gateway/test/virtual-clusters.ts
+++ b/packages/gateway/test/virtual-clusters.ts
@@ -1,4 +1,4 @@
-import { ContinuousClock, Random, SuspendableClock, VirtualClock } from '@canvasridge/clock';
+import { Random, SuspendableClock, VirtualClock } from '@canvasridge/clock';
 import type { DatagramTransport } from '@canvasridge/membership';
 import { Telemetry } from '@canvasridge/telemetry';
 import { Cluster } from '../src/cluster/cluster.js';
@@ -51,7 +51,7 @@
       processToken,
       capacity,
       transport: this.#transport(id),
-      clock: new ContinuousClock(clock),
+      clock,
       random: Random.derive(this.#wire.seed, id),
       telemetry: new Telemetry({ processName: id, clock }),
       seeds: () => seeds,
--- a/packages/gateway/test/virtual-holders.ts
+++ b/packages/gateway/test/virtual-holders.ts
@@ -156,7 +156,8 @@
     for (const { description } of this.engines) fleet.applyBackend(1, { ...description, service: SERVICE });
     const control = new CutControl(new SimulatedControl(this.engines), clock);
     const slots = new SlotService({
-      clock: new ContinuousClock(clock),
+      clock,
+      fleetClock: new ContinuousClock(clock),
       random: this.#random,
       fleet,
       cluster,
--- a/packages/slots/src/order-lease.ts
+++ b/packages/slots/src/order-lease.ts
@@ -28,7 +28,10 @@
 export interface OrderLeaseOptions {
   readonly backend: BackendDescription;
   readonly control: EngineControl;
+  /** Never ahead of the time that has passed: for waiting until the lease of another holder has ended. */
   readonly clock: Clock;
+  /** Never behind it, also where the machine was suspended: for what orders and reports have proved. */
+  readonly fleetClock: Clock;
   readonly timing: SlotTiming;
   readonly holder: OrderHolder;
   readonly telemetry: Telemetry;
@@ -92,7 +95,7 @@
   #isContested = false;
   #state: LeaseState = { kind: 'observing', count: undefined, sinceMs: 0 };
   #turn: Promise<void> = Promise.resolve();
-  /** Until when no other node can have become holder, as far as orders and reports have shown. */
+  /** Until when no other node can have become holder, as far as orders and reports have shown, on the fleet clock. */
   #provenUntilMs = -Infinity;
   readonly #fence: OrderFence;
 
@@ -166,12 +169,14 @@
   }
 
   async #send(subject: OrderSubject): Promise<OrderReply | NotHeld> {
-    const { backend, control, holder, mayOrder, clock, telemetry } = this.#options;
-    if (this.#state.kind === 'held' && clock.now() >= this.#provenUntilMs) await this.#confirm(this.#state);
+    const { backend, control, holder, mayOrder, clock, fleetClock, telemetry } = this.#options;
+    if (this.#state.kind === 'held' && fleetClock.now() >= this.#provenUntilMs)
+      await this.#confirm(this.#state);
     if (!mayOrder() || this.#state.kind !== 'held') return { kind: 'not-held' };
     const expectedCount = this.#state.nextCount;
     const fence = this.#fence.raiseTo(expectedCount);
     const startedMs = clock.now();
+    const startedFleetMs = fleetClock.now();
     const reply = await control.order(backend, { ...subject, expectedCount, holder: holder.name, fence });
     telemetry.event('info', 'order.answered', backend.id, {
       action: subject.action,
@@ -181,20 +186,21 @@
       reply: reply.kind,
       tookMs: Math.round(clock.now() - startedMs),
     });
-    this.#learn(subject, reply, expectedCount, startedMs);
+    this.#learn(subject, reply, expectedCount, startedFleetMs);
     return reply;
   }
 
   /** Whether the engine still shows what this node expects; if not, it has another holder, or none that is known. */
   async #confirm(held: LeaseState & { kind: 'held' }): Promise<void> {
-    const { clock, control, backend } = this.#options;
+    const { clock, fleetClock, control, backend } = this.#options;
     const askedMs = clock.now();
+    const askedFleetMs = fleetClock.now();
     const report = await control.report(backend);
     if (this.#state !== held) return;
     if (report === undefined) {
       this.settle();
     } else if (report.orderCount === held.nextCount) {
-      this.#provenUntilMs = askedMs + REPORT_VOUCHES_MS;
+      this.#provenUntilMs = askedFleetMs + REPORT_VOUCHES_MS;
     } else {
       this.#meetForeignOrders(report.orderCount, askedMs, String(held.nextCount));
     }
@@ -209,24 +215,24 @@
   }
 
   /** An order was counted: for a lease from its arrival nobody else takes the engine, and the next one is on its way in time. */
-  #counted(expectedCount: number, startedMs: number): void {
+  #counted(expectedCount: number, startedFleetMs: number): void {
     this.#hasOrdered = true;
-    this.#provenUntilMs = startedMs + this.#options.timing.leaseMs - ORDER_TIMEOUT_MS;
+    this.#provenUntilMs = startedFleetMs + this.#options.timing.leaseMs - ORDER_TIMEOUT_MS;
     this.#state = { kind: 'held', nextCount: expectedCount + 1 };
   }
 
-  #learn(subject: OrderSubject, reply: OrderReply, expectedCount: number, startedMs: number): void {
+  #learn(subject: OrderSubject, reply: OrderReply, expectedCount: number, startedFleetMs: number): void {
     // A reset or close while the answer was on its way stands.
     if (this.#state.kind !== 'held' || this.#state.nextCount !== expectedCount) return;
     const sinceMs = this.#options.clock.now();
     switch (reply.kind) {
       case 'accepted':
         this.#fencedOrders = 0;
-        this.#counted(expectedCount, startedMs);
+        this.#counted(expectedCount, startedFleetMs);
         return;
       case 'done':
         // An unload is counted when it is done; a load that was not needed is not.
-        if (subject.action === 'unload') this.#counted(expectedCount, startedMs);
+        if (subject.action === 'unload') this.#counted(expectedCount, startedFleetMs);
         return;
       case 'conflict':
         this.#enter({ kind: 'settling', possibleCounts: [expectedCount], sinceMs });
@@ -282,8 +288,9 @@
   }
 
   async #observe(state: LeaseState & { kind: 'observing' }): Promise<void> {
-    const { clock, timing, backend, control, mayOrder, mayTake, mayObserve } = this.#options;
+    const { clock, fleetClock, timing, backend, control, mayOrder, mayTake, mayObserve } = this.#options;
     const askedMs = clock.now();
+    const askedFleetMs = fleetClock.now();
     const report = mayObserve() ? await control.report(backend) : undefined;
     if (this.#state !== state) return;
     if (report === undefined) {
@@ -292,11 +299,11 @@
       return;
     }
     if (report.orderCount === 0 && mayOrder() && this.#options.mayTakeUnused()) {
-      this.#take(report, askedMs, 'unused');
+      this.#take(report, askedFleetMs, 'unused');
       return;
     }
     if (mayOrder() && !this.#isContested && this.#options.mayTakeAtOnce()) {
-      this.#take(report, askedMs, 'fenced-off');
+      this.#take(report, askedFleetMs, 'fenced-off');
       return;
     }
     const unchanged = report.orderCount === state.count;
@@ -306,7 +313,7 @@
     if (unchanged && leftMs <= 0 && mayOrder() && mayTake()) {
       this.#fencedOrders = 0;
       this.#isContested = false;
-      this.#take(report, askedMs, 'observed');
+      this.#take(report, askedFleetMs, 'observed');
       return;
     }
     this.#options.onReport(report);
@@ -316,13 +323,14 @@
   }
 
   async #settled(state: LeaseState & { kind: 'settling' }): Promise<void> {
-    const { clock, timing, backend, control } = this.#options;
+    const { clock, fleetClock, timing, backend, control } = this.#options;
     const leftMs = state.sinceMs + timing.settleMs - clock.now();
     if (leftMs > 0) {
       await this.#changed.waitUpTo(clock, leftMs);
       return;
     }
     const askedMs = clock.now();
+    const askedFleetMs = fleetClock.now();
     const report = await control.report(backend);
     if (this.#state !== state) return;
     if (report === undefined) {
@@ -330,18 +338,18 @@
       return;
     }
     if (state.possibleCounts?.includes(report.orderCount) !== false) {
-      this.#take(report, askedMs, 'settled');
+      this.#take(report, askedFleetMs, 'settled');
       return;
     }
     this.#meetForeignOrders(report.orderCount, askedMs, state.possibleCounts?.join(' or '));
   }
 
-  #take(report: EngineReport, askedMs: number, how: string): void {
+  #take(report: EngineReport, askedFleetMs: number, how: string): void {
     if (how !== 'settled') {
       this.#hasOrdered = false;
       this.#fence.startAt(report.orderCount);
     }
-    this.#provenUntilMs = askedMs + REPORT_VOUCHES_MS;
+    this.#provenUntilMs = askedFleetMs + REPORT_VOUCHES_MS;
     this.#state = { kind: 'held', nextCount: report.orderCount };
     this.#options.telemetry.event('info', 'order-lease.held', this.#options.backend.id, {
       how,
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -176,6 +176,11 @@
     for (const { lease } of this.#engines.all()) lease.reset(reason);
   }
 
+  /** Reads what every engine that is held shows before its next order. */
+  settleLeases(): void {
+    for (const { lease } of this.#engines.all()) lease.settle();
+  }
+
   /** Answers everything that waits with a refusal and stops. */
   close(): void {
     this.#closed = true;
--- a/packages/slots/test/new-pool.ts
+++ b/packages/slots/test/new-pool.ts
@@ -13,6 +13,7 @@
   const pool = new SlotPool({
     service: 'llm',
     clock,
+    fleetClock: clock,
     control: new SimulatedControl(engines),
     timing: { ...DEFAULT_SLOT_TIMING, leaseMs: LEASE_MS },
     holder: { name: `node-${number}`, number },
--- a/packages/slots/test/order-lease.test.ts
+++ b/packages/slots/test/order-lease.test.ts
@@ -24,6 +24,7 @@
     backend: engine.description,
     control: new SimulatedControl([engine]),
     clock,
+    fleetClock: clock,
     timing: TIMING,
     holder: { name: `node-${number}`, number },
     telemetry: new Telemetry({ processName: 'test', clock }),
