A process that is held up between reading two clocks sees no suspension

Cause: the time of day is read after the steady clock, and what passes between the two looked like time that the machine was suspended. Change: a gap counts only if a second look shows it. The test fails on the code before (400 ms) and passes.

--- a/packages/clock/src/continuous-clock.ts
+++ b/packages/clock/src/continuous-clock.ts
@@ -34,16 +34,10 @@
   }
 
   now(): number {
-    const steadyMs = this.#base.now();
-    const wallLeadMs = this.#base.wallTime() - steadyMs;
-    const wallGapMs = wallLeadMs - this.#wallLeadMs;
+    const { steadyMs, wallGapMs } = this.#look();
     const isGap = Math.abs(wallGapMs) > TOLERANCE_MS;
-    if (isGap || steadyMs - this.#checkedMs >= CHECK_MS) {
-      this.#checkedMs = steadyMs;
-      this.#wallLeadMs = wallLeadMs;
-      this.#suspendedMs += this.#suspendedSince(isGap ? wallGapMs : 0, steadyMs);
-    }
-    return steadyMs + this.#suspendedMs;
+    if (isGap || steadyMs - this.#checkedMs >= CHECK_MS) this.#check();
+    return this.#base.now() + this.#suspendedMs;
   }
 
   /** For how long the machine was suspended so far, in milliseconds; rises when a suspension is noticed. */
@@ -64,6 +58,19 @@
     return this.#base.sleep(delayMs, signal);
   }
 
+  #look(): { readonly steadyMs: number; readonly wallGapMs: number } {
+    const steadyMs = this.#base.now();
+    return { steadyMs, wallGapMs: this.#base.wallTime() - steadyMs - this.#wallLeadMs };
+  }
+
+  /** Looks once more: a process that was held up between reading the two clocks has seen a gap that there is not. */
+  #check(): void {
+    const { steadyMs, wallGapMs } = this.#look();
+    this.#checkedMs = steadyMs;
+    this.#wallLeadMs += wallGapMs;
+    this.#suspendedMs += this.#suspendedSince(Math.abs(wallGapMs) > TOLERANCE_MS ? wallGapMs : 0, steadyMs);
+  }
+
   #suspendedSince(wallGapMs: number, steadyMs: number): number {
     const isBelieved = this.#uptimeKeptStep >= BELIEVED_AFTER;
     const leadMs = this.#readUptimeLead(steadyMs);
--- a/packages/clock/test/continuous-clock.test.ts
+++ b/packages/clock/test/continuous-clock.test.ts
@@ -3,11 +3,30 @@
 
 const LONG_MS = 60_000;
 
+/** Virtual time that can go on without an event, as while a process is held up. */
+class SkippingClock extends VirtualClock {
+  #skippedMs = 0;
+
+  skip(byMs: number): void {
+    this.#skippedMs += byMs;
+  }
+
+  override now(): number {
+    return super.now() + this.#skippedMs;
+  }
+
+  override wallTime(): number {
+    return super.wallTime() + this.#skippedMs;
+  }
+}
+
 /** A machine whose time of day can be set, and whose uptime is as told. */
 class Machine implements Clock {
-  readonly base = new VirtualClock();
+  readonly base = new SkippingClock();
   readonly #steady = new SuspendableClock(this.base);
   readonly continuous: ContinuousClock;
+  /** How long the process is held up before it reads the time of day next. */
+  holdUpOnceMs = 0;
   #setMs = 0;
   readonly #uptime: (trueMs: number) => number;
 
@@ -21,6 +40,8 @@
   }
 
   wallTime(): number {
+    this.base.skip(this.holdUpOnceMs);
+    this.holdUpOnceMs = 0;
     return this.base.wallTime() + this.#setMs;
   }
 
@@ -100,3 +121,11 @@
   }
   t.is(machine.continuous.now(), 120_000);
 });
+
+test('a process that is held up between reading the two clocks sees no suspension', async (t) => {
+  const machine = new Machine(() => 0);
+  await machine.run(5000);
+  machine.holdUpOnceMs = 400;
+  t.is(machine.continuous.now(), 5400);
+  t.is(machine.continuous.suspendedMs, 0);
+});
