--- a/packages/gateway/test/virtual-clusters.ts
+++ b/packages/gateway/test/virtual-clusters.ts
@@ -39,6 +39,12 @@
     for (const node of nodes) this.clusters.set(node.id, this.#start(node, seeds));
   }
 
+  /** The process of a node ends without a word, and another one starts on its machine that knows nothing but the seeds. */
+  restart(node: VirtualNode, seeds: readonly string[]): void {
+    this.clusters.get(node.id)?.stop();
+    this.clusters.set(node.id, this.#start(node, seeds));
+  }
+
   #start({ id, capacity, processToken }: VirtualNode, seeds: readonly string[]): Cluster {
     const clock = new SuspendableClock(this.clock);
     this.clocks.set(id, clock);
