--- /dev/null
+++ b/packages/gateway/test/request-quarantine.test.ts
@@ -0,0 +1,39 @@
+/**
+ * Seen in operation: a request under which three engines had ended was sent on four times more, though nodes count such ends.
+ *
+ * What a backend says of its own, an error before it has run anything among it, was taken for a run that ended well, and the
+ * ends counted so far were forgotten. Only a whole success shows that a request does not end what runs it.
+ */
+import { SystemClock } from '@canvasridge/clock';
+import { Telemetry } from '@canvasridge/telemetry';
+import test from 'ava';
+import { GatewayMetrics } from '../src/gateway-metrics.js';
+import type { AttemptOutcome, BackendAttempt } from '../src/request/backend-attempt.js';
+import { RequestQuarantine } from '../src/request/request-quarantine.js';
+
+const ATTEMPT = { runMs: 80, begunForMs: undefined } as unknown as BackendAttempt;
+
+async function clearedBy(outcome: AttemptOutcome): Promise<boolean> {
+  let isCleared = false;
+  const clock = new SystemClock();
+  const quarantine = {
+    isEmpty: false,
+    remainingMs: () => undefined,
+    interrupted: () => Promise.resolve(),
+    endedWell: () => {
+      isCleared = true;
+    },
+  };
+  const telemetry = new Telemetry({ processName: 'test', clock });
+  const context = { quarantine, telemetry, metrics: new GatewayMetrics() };
+  const parts = { host: 'h', target: '/x/', tenant: undefined, body: Buffer.alloc(0) };
+  await new RequestQuarantine(context, 'a1', () => parts).attemptEnded('i1', ATTEMPT, outcome);
+  return isCleared;
+}
+
+test('only a whole success clears a request of the ends of its backends', async (t) => {
+  t.true(await clearedBy({ kind: 'complete', status: 200 }));
+  t.false(await clearedBy({ kind: 'failure', status: 500, headers: {}, body: Buffer.alloc(0) }));
+  t.false(await clearedBy({ kind: 'not-run', reason: 'refused' }));
+  t.false(await clearedBy({ kind: 'cancelled' }));
+});
