--- a/packages/admission/src/quarantine/quarantine-gate.ts
+++ b/packages/admission/src/quarantine/quarantine-gate.ts
@@ -14,6 +14,6 @@
    * @param backendId names one start of the process of the backend that broke off under the request
    */
   interrupted(fingerprint: string, backendId: string): Promise<void>;
-  /** A backend ran the request to an end of its own, so it is not what ends backends. */
+  /** A backend answered the request with a whole success, so it is not what ends backends. */
   endedWell(fingerprint: string): void;
 }
--- a/packages/gateway/src/request/request-quarantine.ts
+++ b/packages/gateway/src/request/request-quarantine.ts
@@ -39,9 +39,8 @@
   /** Takes note of how an attempt ended; resolves when the request may be sent again, if it is not kept then. */
   async attemptEnded(backendId: string, attempt: BackendAttempt, outcome: AttemptOutcome): Promise<void> {
     const { quarantine } = this.#context;
-    // An end of the backend's own, good or bad: the request is not what ends backends.
-    const endedWell = outcome.kind === 'complete' || outcome.kind === 'failure';
-    if (endedWell && !quarantine.isEmpty) quarantine.endedWell(this.#fingerprint);
+    // A failure clears nothing: a backend may give one before it has run the request.
+    if (outcome.kind === 'complete' && !quarantine.isEmpty) quarantine.endedWell(this.#fingerprint);
     if (outcome.kind === 'broken') await this.#interrupted(backendId, attempt, outcome);
   }
 
