--- /dev/null
+++ b/packages/gateway/src/backends/backend-notices.ts
@@ -0,0 +1,55 @@
+import type { Clock } from '@canvasridge/clock';
+import type { BackendNotice, FleetState } from '@canvasridge/serving';
+import type { Telemetry } from '@canvasridge/telemetry';
+import type { GatewayMetrics } from '../gateway-metrics.js';
+
+export interface BackendNoticesOptions {
+  readonly fleet: FleetState;
+  readonly clock: Clock;
+  readonly telemetry: Telemetry;
+  readonly metrics: GatewayMetrics;
+}
+
+/** Lines of one backend are this far apart, in milliseconds: one that leaves says so in each of its answers. */
+const LINE_PERIOD_MS = 1000;
+/** Backends whose last line is remembered: more than a large fleet has. */
+const MOST_BACKENDS = 2048;
+
+/** What backends say of themselves in the heads of their answers. */
+export class BackendNotices {
+  readonly #options: BackendNoticesOptions;
+  /** By id: when the last line was written, in milliseconds of the node's clock. */
+  readonly #linesAtMs = new Map<string, number>();
+
+  constructor(options: BackendNoticesOptions) {
+    this.#options = options;
+  }
+
+  /** The head of an answer of this backend came. */
+  heard(backendId: string, notice: BackendNotice): void {
+    if (!notice.isLeaving && notice.backoffMs === undefined) return;
+    const { metrics } = this.#options;
+    if (notice.isLeaving) metrics.notices.inc({ notice: 'leaving' });
+    if (notice.backoffMs !== undefined) metrics.notices.inc({ notice: 'backoff' });
+    this.#log(backendId, notice);
+  }
+
+  #log(backendId: string, { isLeaving, backoffMs }: BackendNotice): void {
+    const { clock, telemetry, fleet } = this.#options;
+    const nowMs = clock.now();
+    if (nowMs - (this.#linesAtMs.get(backendId) ?? -Infinity) < LINE_PERIOD_MS) return;
+    this.#linesAtMs.delete(backendId);
+    this.#linesAtMs.set(backendId, nowMs);
+    if (this.#linesAtMs.size > MOST_BACKENDS) this.#forgetOldest();
+    telemetry.event('info', 'backend.notice', backendId, {
+      leaving: isLeaving,
+      backoffMs,
+      listed: fleet.backend(backendId)?.state ?? 'not',
+    });
+  }
+
+  #forgetOldest(): void {
+    const oldest = this.#linesAtMs.keys().next();
+    if (oldest.done !== true) this.#linesAtMs.delete(oldest.value);
+  }
+}
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -77,6 +77,12 @@
     labelNames: ['state'],
     registers: [this.registry],
   });
+  readonly notices = new Counter({
+    name: 'canvasridge_backend_notices_total',
+    help: 'Answers in which a backend said something of itself, by notice (leaving, backoff)',
+    labelNames: ['notice'],
+    registers: [this.registry],
+  });
   readonly loopLag = new Gauge({
     name: 'canvasridge_loop_lag_seconds',
     help: 'How late timers of the process ran in the last two seconds, mean',
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -6,6 +6,7 @@
 import type { Departure, FleetState } from '@canvasridge/serving';
 import { err, ok, type Result } from 'neverthrow';
 import { BackendConnections } from './backends/backend-connections.js';
+import { BackendNotices } from './backends/backend-notices.js';
 import { LeastLoadedPicker } from './backends/least-loaded-picker.js';
 import { RetryBudget } from './backends/retry-budget.js';
 import { SlotPicker } from './backends/slot-picker.js';
@@ -164,6 +165,7 @@
       dialect: options.dialect,
       fleet,
       connections: this.#connections,
+      notices: new BackendNotices({ fleet, clock, telemetry, metrics: this.metrics }),
       plainPicker: new LeastLoadedPicker(fleet, clock, random),
       enginePicker: new SlotPicker(fleet, this.#slots, clock),
       budget: (service) => this.#retryBudget(service),
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -1,5 +1,6 @@
 import type { Clock, Timer } from '@canvasridge/clock';
 import { EventStreamTracker } from '@canvasridge/http-bindings';
+import type { BackendNotice } from '@canvasridge/serving';
 import type { Dispatcher } from 'undici';
 import type { BackendConnection } from '../backends/backend-connection.js';
 import type { AnswerSink } from './answer-sink.js';
@@ -51,6 +52,8 @@
   readonly attemptId: string;
   /** Asked when the connection is ready, right before the request is written: why it is not; undefined if it is. */
   readonly heldBack: () => HeldBack | undefined;
+  /** Called with what the backend says of itself, as soon as the head of its answer came. */
+  readonly onNotice: (notice: BackendNotice) => void;
   /** Called whenever the backend sent something. */
   readonly onHeard: () => void;
   /** Called once, when the first part of a success came. */
@@ -172,6 +175,7 @@
   ): void {
     const { dialect, attemptId } = this.#options;
     const facts = dialect.readAnswer(status, headers);
+    this.#options.onNotice(facts.notice);
     this.#status = status;
     this.#headers = headers;
     this.#notRun = facts.notRun;
--- a/packages/gateway/src/request/dialect.ts
+++ b/packages/gateway/src/request/dialect.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import type { BackendNotice } from '@canvasridge/serving';
 import type { CallerIdentity } from './caller-identity.js';
 
 /** A request for a model, as its headers tell. */
@@ -44,6 +45,7 @@
   readonly attemptId: string | undefined;
   /** Carries the mark that every answer of a backend's own work carries. */
   readonly signed: boolean;
+  readonly notice: BackendNotice;
 }
 
 export type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>;
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -3,6 +3,7 @@
 import { pickService, type BackendService, type HttpRoute } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { BackendConnections } from '../backends/backend-connections.js';
+import type { BackendNotices } from '../backends/backend-notices.js';
 import type { BackendPicker, PickResult } from '../backends/picker.js';
 import type { RetryBudget } from '../backends/retry-budget.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
@@ -22,6 +23,7 @@
   readonly clock: Clock;
   readonly dialect: RequestDialect;
   readonly connections: BackendConnections;
+  readonly notices: BackendNotices;
   readonly plainPicker: BackendPicker;
   readonly enginePicker: BackendPicker;
   readonly budget: (service: string) => RetryBudget;
@@ -270,6 +272,7 @@
         lastEventId: this.#lastEventId,
         silence: this.#silence(route, backend.id),
         heldBack: () => this.#heldBack(route, backend.id),
+        onNotice: (notice) => this.#context.notices.heard(backend.id, notice),
         onHeard: () => connections.heard(backend.id, clock.now()),
         onStarted: picked.started,
       },
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -11,6 +11,7 @@
 } from '@canvasridge/serving';
 import { EventLogger, Telemetry } from '@canvasridge/telemetry';
 import { BackendConnections } from '../src/backends/backend-connections.js';
+import { BackendNotices } from '../src/backends/backend-notices.js';
 import { LeastLoadedPicker } from '../src/backends/least-loaded-picker.js';
 import { RetryBudget } from '../src/backends/retry-budget.js';
 import { GatewayMetrics } from '../src/gateway-metrics.js';
@@ -44,6 +45,10 @@
     notRun: headers['not-run'] !== undefined || status === 421,
     attemptId: headers['attempt-id'] as string | undefined,
     signed: headers['response-stamp'] !== undefined,
+    notice: {
+      isLeaving: headers['leaving'] !== undefined,
+      backoffMs: headers['backoff'] === undefined ? undefined : Number(headers['backoff']),
+    },
   }),
   refusalHeaders: (retryAfterMs) =>
     retryAfterMs === undefined ? {} : { 'retry-after': (retryAfterMs / 1000).toFixed(3) },
@@ -201,12 +206,19 @@
     const random = new Random(1);
     const picker = new LeastLoadedPicker(this.fleet, clock, random);
     const budget = new RetryBudget(clock, { ratio: 0.2, windowMs: 10_000, slack: 50 }, () => 1);
+    const telemetry = new Telemetry({
+      processName: 'test',
+      clock,
+      logger: new EventLogger('test', 'info', (line) => this.lines.push(line)),
+    });
+    const metrics = new GatewayMetrics();
     let nextId = 0;
     return {
       clock,
       dialect,
       fleet: this.fleet,
       connections: this.#connections,
+      notices: new BackendNotices({ fleet: this.fleet, clock, telemetry, metrics }),
       plainPicker: picker,
       enginePicker: picker,
       budget: () => budget,
@@ -233,12 +245,8 @@
           this.givenBack.push(units);
         },
       },
-      telemetry: new Telemetry({
-        processName: 'test',
-        clock,
-        logger: new EventLogger('test', 'info', (line) => this.lines.push(line)),
-      }),
-      metrics: new GatewayMetrics(),
+      telemetry,
+      metrics,
     };
   }
 }
--- a/packages/serving/src/backend.ts
+++ b/packages/serving/src/backend.ts
@@ -24,6 +24,14 @@
   readonly models: readonly HeldModel[];
 }
 
+/** What a backend says of itself in the head of an answer, whatever the answer is to and whatever it says beside. */
+export interface BackendNotice {
+  /** This start of its process leaves: it is to be given nothing more. */
+  readonly isLeaving: boolean;
+  /** It wants nothing from this node for so long, in milliseconds; undefined where it says nothing of it. */
+  readonly backoffMs: number | undefined;
+}
+
 /** Key of an adapter among all adapters of all models. */
 export function adapterKey(model: string, adapter: string): string {
   return `${model}/${adapter}`;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -11,7 +11,13 @@
 } from './configuration.js';
 export { TenantTable, type KeyLookup, type KeyProblem, type Tenant, type TenantQuota } from './tenants.js';
 export { RouteTable, pickService } from './route-table.js';
-export { adapterKey, type BackendDescription, type HeldAdapter, type HeldModel } from './backend.js';
+export {
+  adapterKey,
+  type BackendDescription,
+  type BackendNotice,
+  type HeldAdapter,
+  type HeldModel,
+} from './backend.js';
 export { BackendLapses, type HeldRemoval } from './backend-lapses.js';
 export {
   FleetState,
