--- a/packages/gateway/src/backends/backend-notices.ts
+++ b/packages/gateway/src/backends/backend-notices.ts
@@ -32,6 +32,8 @@
     if (notice.isLeaving) metrics.notices.inc({ notice: 'leaving' });
     if (notice.backoffMs !== undefined) metrics.notices.inc({ notice: 'backoff' });
     this.#log(backendId, notice);
+    // Sooner than the list, which says nothing of it while the store is away: requests went on to such a backend for 11 s.
+    if (notice.isLeaving) this.#options.fleet.noteAnnounced(backendId, 'answer');
   }
 
   #log(backendId: string, { isLeaving, backoffMs }: BackendNotice): void {
--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -55,7 +55,8 @@
       ageMs: context.ageMs,
       timeoutMs: context.timeoutMs,
       startWithinMs: context.startWithinMs,
-      excluded: context.excluded,
+      // The leader may not know of these yet: each slot there would be given back.
+      excluded: [...context.excluded, ...this.#fleet.announcedOf(context.service.name)],
       promptTokens: generation.promptTokens,
       promptKey: generation.promptKey,
     };
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -294,12 +294,12 @@
   }
 
   /** One line for each state of each backend that leaves: with those of all nodes it shows who learnt it when. */
-  #departed({ id, state, revision }: Departure): void {
+  #departed({ id, state, revision, via }: Departure): void {
     this.metrics.departures.inc({ state });
     this.#options.telemetry.event('info', 'backend.leaving', id, {
       state,
       revision,
-      via: this.published.readsSource ? 'store' : 'reader',
+      via: via === 'list' ? (this.published.readsSource ? 'store' : 'reader') : via,
       listAgeMs: Math.round(this.published.listAgeMs),
     });
   }
--- a/packages/gateway/test/slot-picker.test.ts
+++ b/packages/gateway/test/slot-picker.test.ts
@@ -91,6 +91,15 @@
   t.deepEqual(leader.released, [{ requestId: 'r1', outcome: 'refused' }]);
 });
 
+test('an engine that said so to this node is not asked for in the first place, however its entry stands', async (t) => {
+  const { picked, leader } = await pickAfter((fleet) => {
+    listBoth(fleet);
+    fleet.noteAnnounced('leaving', 'answer');
+  });
+  t.is(picked, 'stays');
+  t.deepEqual(leader.released, []);
+});
+
 test('nor is one that this node knows to be gone', async (t) => {
   const { picked } = await pickAfter((fleet) => {
     listBoth(fleet);
--- a/packages/serving/src/fleet-state.ts
+++ b/packages/serving/src/fleet-state.ts
@@ -1,3 +1,4 @@
+import { AnnouncedDepartures } from './announced-departures.js';
 import { adapterKey, type BackendDescription } from './backend.js';
 import type { ServingConfiguration } from './configuration.js';
 import { DepartedBackends } from './departed-backends.js';
@@ -52,10 +53,14 @@
 export interface Departure {
   readonly id: string;
   readonly state: 'draining' | 'gone';
-  /** Revision of the publishing store at which it was told. */
+  /** Revision of the publishing store at which it was told, or up to which the list was known when the backend said so itself. */
   readonly revision: number;
+  readonly via: DepartureSource;
 }
 
+/** Who told of a leaving: the `list`, an `answer` of the backend to this node, or a `peer` to which it answered so. */
+export type DepartureSource = 'list' | 'answer' | 'peer';
+
 type DepartureListener = (departure: Departure) => void;
 
 /**
@@ -70,6 +75,7 @@
   readonly #adapterVersions = new Map<string, AdapterVersion>();
   #routes: RouteTable | undefined;
   readonly #departed = new DepartedBackends();
+  readonly #announced = new AnnouncedDepartures();
   readonly #routingDigest = new SetDigest();
   readonly #operatorDigest = new SetDigest();
   #backendsRevision = 0;
@@ -122,7 +128,8 @@
   }
 
   backend(id: string): BackendDescription | undefined {
-    return this.#backends.get(id)?.value;
+    const entry = this.#backends.get(id);
+    return entry === undefined ? undefined : this.#asKnown(entry.value);
   }
 
   /** Revision of a listed backend's entry. */
@@ -132,7 +139,32 @@
 
   /** Whether a backend is known to leave or to have left, so that it must be given nothing more. */
   isLeaving(id: string): boolean {
-    return this.#departed.has(id) || this.backend(id)?.state === 'draining';
+    const isKnownToLeave = this.#departed.has(id) || this.#announced.has(id);
+    return isKnownToLeave || this.#backends.get(id)?.value.state === 'draining';
+  }
+
+  /** Whether a backend said itself that it leaves. */
+  hasAnnounced(id: string): boolean {
+    return this.#announced.has(id);
+  }
+
+  /** Backends of a service that said so and are still listed as ready, so that others may not know. */
+  announcedOf(service: string): readonly string[] {
+    const isUntold = ({ id }: BackendDescription): boolean =>
+      this.#announced.has(id) && this.#backends.get(id)?.value.state === 'ready';
+    return this.backendsOf(service)
+      .filter(isUntold)
+      .map(({ id }) => id);
+  }
+
+  /** A backend said itself that it leaves: it counts as draining as long as its process lives, whatever the list says. */
+  noteAnnounced(id: string, via: DepartureSource): void {
+    if (this.#announced.has(id)) return;
+    const wasLeaving = this.isLeaving(id);
+    this.#announced.add(id, (known) => this.#backends.has(known));
+    if (wasLeaving) return;
+    this.#notifyDeparture({ id, state: 'draining', revision: this.#backendsRevision, via });
+    this.#backendsChanged(this.#backendsRevision);
   }
 
   /** Listed backends of a service, leaving ones included. */
@@ -140,8 +172,8 @@
     return this.#backendsByService.get(service) ?? [];
   }
 
-  allBackends(): Iterable<Revised<BackendDescription>> {
-    return this.#backends.values();
+  *allBackends(): Iterable<Revised<BackendDescription>> {
+    for (const entry of this.#backends.values()) yield { ...entry, value: this.#asKnown(entry.value) };
   }
 
   /** The published version of an adapter, 0 if none was named. */
@@ -243,6 +275,14 @@
     this.replaceBackends(snapshot.backendsRevision, snapshot.backends);
   }
 
+  /**
+   * What the list says, corrected by what the backend said itself. Peers are sent the list as it was published: it has
+   * to be the same on all that hold the same revision.
+   */
+  #asKnown(listed: BackendDescription): BackendDescription {
+    return this.#announced.has(listed.id) ? { ...listed, state: 'draining' } : listed;
+  }
+
   /** Whether an entry says more than what is known of its backend, its departure included. */
   #isNews(entry: Revised<BackendDescription>): boolean {
     const { id } = entry.value;
@@ -252,13 +292,14 @@
   }
 
   #take(entry: Revised<BackendDescription>): void {
-    const { id, state } = entry.value;
-    const stateBefore = this.#backends.get(id)?.value.state;
+    const { id } = entry.value;
+    const { state } = this.#asKnown(entry.value);
+    const stateBefore = this.backend(id)?.state;
     this.#backends.set(id, entry);
     this.#departed.forget(id);
     this.#routingDigest.put(id, routingContent(entry.value));
     if (state === 'draining' && stateBefore !== 'draining') {
-      this.#notifyDeparture({ id, state, revision: entry.revision });
+      this.#notifyDeparture({ id, state, revision: entry.revision, via: 'list' });
     }
   }
 
@@ -266,13 +307,14 @@
     this.#backends.delete(id);
     this.#departed.note(id, revision);
     this.#routingDigest.delete(id);
-    this.#notifyDeparture({ id, state: 'gone', revision });
+    this.#notifyDeparture({ id, state: 'gone', revision, via: 'list' });
   }
 
   #backendsChanged(revision: number): void {
     this.#backendsRevision = Math.max(this.#backendsRevision, revision);
     this.#backendsByService.clear();
-    for (const { value } of this.#backends.values()) {
+    for (const { value: listed } of this.#backends.values()) {
+      const value = this.#asKnown(listed);
       const group = this.#backendsByService.get(value.service);
       if (group === undefined) this.#backendsByService.set(value.service, [value]);
       else group.push(value);
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -24,6 +24,7 @@
   type AdapterVersion,
   type BackendListing,
   type Departure,
+  type DepartureSource,
   type FleetChange,
   type FleetSnapshot,
   type OperatorState,
--- a/packages/serving/test/fleet-state.test.ts
+++ b/packages/serving/test/fleet-state.test.ts
@@ -69,3 +69,50 @@
     );
   }
 });
+
+test('a backend that said itself that it leaves counts as draining, and peers get its entry as it was published', (t) => {
+  const fleet = new FleetState();
+  const told: unknown[] = [];
+  fleet.onDeparture((departure) => told.push(departure));
+  fleet.applyBackend(10, backend('i1'));
+  const { routingDigest } = fleet;
+  fleet.noteAnnounced('i1', 'answer');
+  fleet.noteAnnounced('i1', 'peer');
+  t.deepEqual(told, [{ id: 'i1', state: 'draining', revision: 10, via: 'answer' }]);
+  t.true(fleet.isLeaving('i1'));
+  t.is(fleet.backend('i1')?.state, 'draining');
+  t.deepEqual(
+    fleet.backendsOf('llm').map(({ state }) => state),
+    ['draining'],
+  );
+  t.deepEqual(fleet.announcedOf('llm'), ['i1']);
+  t.is(fleet.listing().backends[0]?.value.state, 'ready');
+  t.is(fleet.routingDigest, routingDigest);
+  fleet.applyBackend(20, backend('i1', 'draining'));
+  t.deepEqual(fleet.announcedOf('llm'), [], 'all that read the list know now');
+  t.is(told.length, 1);
+});
+
+test('what a backend said holds for its process: before it is listed, after a lapse, and not for another start', (t) => {
+  const fleet = new FleetState();
+  fleet.noteAnnounced('i1', 'answer');
+  fleet.applyBackend(10, backend('i1'));
+  t.is(fleet.backend('i1')?.state, 'draining');
+  fleet.removeBackend(20, 'i1');
+  fleet.replaceBackends(30, [
+    { revision: 25, value: backend('i1') },
+    { revision: 30, value: backend('i1@2') },
+  ]);
+  t.true(fleet.isLeaving('i1'));
+  t.is(fleet.backend('i1')?.state, 'draining');
+  t.false(fleet.isLeaving('i1@2'));
+});
+
+test('however many backends said so, those that are listed stay known', (t) => {
+  const fleet = new FleetState();
+  fleet.applyBackend(1, backend('listed'));
+  fleet.noteAnnounced('listed', 'answer');
+  for (let index = 0; index < 5000; index += 1) fleet.noteAnnounced(`gone-${index}`, 'answer');
+  t.true(fleet.isLeaving('listed'));
+  t.false(fleet.hasAnnounced('gone-0'), 'the memory is bounded');
+});
