--- a/packages/gateway/src/backends/backend-notices.ts
+++ b/packages/gateway/src/backends/backend-notices.ts
@@ -1,10 +1,12 @@
 import type { Clock } from '@canvasridge/clock';
 import type { BackendNotice, FleetState } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
+import type { BackendBackoffs } from './backend-backoffs.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
 
 export interface BackendNoticesOptions {
   readonly fleet: FleetState;
+  readonly backoffs: BackendBackoffs;
   readonly clock: Clock;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
@@ -28,9 +30,12 @@
   /** The head of an answer of this backend came. */
   heard(backendId: string, notice: BackendNotice): void {
     if (!notice.isLeaving && notice.backoffMs === undefined) return;
-    const { metrics } = this.#options;
+    const { metrics, backoffs } = this.#options;
     if (notice.isLeaving) metrics.notices.inc({ notice: 'leaving' });
-    if (notice.backoffMs !== undefined) metrics.notices.inc({ notice: 'backoff' });
+    if (notice.backoffMs !== undefined) {
+      metrics.notices.inc({ notice: 'backoff' });
+      backoffs.note(backendId, notice.backoffMs);
+    }
     this.#log(backendId, notice);
     // Sooner than the list, which says nothing of it while the store is away: requests went on to such a backend for 11 s.
     if (notice.isLeaving) this.#options.fleet.noteAnnounced(backendId, 'answer');
--- a/packages/gateway/src/backends/least-loaded-picker.ts
+++ b/packages/gateway/src/backends/least-loaded-picker.ts
@@ -1,6 +1,7 @@
 import type { Clock, Random } from '@canvasridge/clock';
 import type { BackendDescription, FleetState } from '@canvasridge/serving';
 import type { UseOutcome } from '@canvasridge/slots';
+import type { BackendAvailability } from './backend-availability.js';
 import type { BackendPicker, PickContext, PickResult } from './picker.js';
 
 /** A failure counts as so many running requests, halved with each half-life. */
@@ -22,12 +23,14 @@
  */
 export class LeastLoadedPicker implements BackendPicker {
   readonly #fleet: FleetState;
+  readonly #availability: BackendAvailability;
   readonly #clock: Clock;
   readonly #random: Random;
   readonly #records = new Map<string, BackendRecord>();
 
-  constructor(fleet: FleetState, clock: Clock, random: Random) {
+  constructor(fleet: FleetState, availability: BackendAvailability, clock: Clock, random: Random) {
     this.#fleet = fleet;
+    this.#availability = availability;
     this.#clock = clock;
     this.#random = random;
     fleet.onChange((change) => {
@@ -37,9 +40,7 @@
 
   pick(context: PickContext): Promise<PickResult> {
     const backend = this.#best(context);
-    if (backend === undefined) {
-      return Promise.resolve({ kind: 'none', reason: 'no-backend', retryAfterMs: NO_BACKEND_RETRY_MS });
-    }
+    if (backend === undefined) return Promise.resolve(this.#none(context));
     const record = this.#record(backend.id);
     record.running += 1;
     const startedMs = this.#clock.now();
@@ -47,12 +48,20 @@
     return Promise.resolve({ kind: 'picked', backend, how: 'least-loaded', started: ignore, finish });
   }
 
+  #none({ service, excluded }: PickContext): PickResult {
+    const retryAfterMs = this.#availability.retryAfterMs(service.name, excluded);
+    return retryAfterMs === undefined
+      ? { kind: 'none', reason: 'no-backend', retryAfterMs: NO_BACKEND_RETRY_MS }
+      : { kind: 'none', reason: 'backing-off', retryAfterMs };
+  }
+
   #best(context: PickContext): BackendDescription | undefined {
     const nowMs = this.#clock.now();
     let best: BackendDescription | undefined;
     let bestScore = Infinity;
     for (const backend of this.#fleet.backendsOf(context.service.name)) {
       if (backend.state !== 'ready' || context.excluded.includes(backend.id)) continue;
+      if (this.#availability.isBackingOff(backend.id)) continue;
       const score = this.#score(this.#record(backend.id), nowMs);
       if (score >= bestScore) continue;
       best = backend;
--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@canvasridge/clock';
 import { adapterKey, type BackendDescription, type FleetState } from '@canvasridge/serving';
 import type { SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
+import type { BackendAvailability } from './backend-availability.js';
 import type { BackendPicker, PickContext, PickResult } from './picker.js';
 
 /** Asks the node that leads a pool for slots. */
@@ -30,13 +31,15 @@
  */
 export class SlotPicker implements BackendPicker {
   readonly #fleet: FleetState;
+  readonly #availability: BackendAvailability;
   readonly #slots: SlotSource;
   readonly #clock: Clock;
   readonly #sightings = new Map<string, Sighting>();
   readonly #running = new Map<string, number>();
 
-  constructor(fleet: FleetState, slots: SlotSource, clock: Clock) {
+  constructor(fleet: FleetState, availability: BackendAvailability, slots: SlotSource, clock: Clock) {
     this.#fleet = fleet;
+    this.#availability = availability;
     this.#slots = slots;
     this.#clock = clock;
   }
@@ -44,6 +47,9 @@
   async pick(context: PickContext, cancelled: AbortSignal): Promise<PickResult> {
     const { generation } = context;
     if (generation === undefined) return { kind: 'none', reason: 'no-model-named', retryAfterMs: undefined };
+    const pool = context.service.name;
+    const retryAfterMs = this.#availability.retryAfterMs(pool, context.excluded);
+    if (retryAfterMs !== undefined) return { kind: 'none', reason: 'backing-off', retryAfterMs };
     const request: SlotRequest = {
       id: context.id,
       traceId: context.traceId,
@@ -55,22 +61,24 @@
       ageMs: context.ageMs,
       timeoutMs: context.timeoutMs,
       startWithinMs: context.startWithinMs,
-      // The leader may not know of these yet: each slot there would be given back.
-      excluded: [...context.excluded, ...this.#fleet.announcedOf(context.service.name)],
+      // The leader can't know of these: each slot there would be given back.
+      excluded: [...context.excluded, ...this.#availability.closedTo(pool)],
       promptTokens: generation.promptTokens,
       promptKey: generation.promptKey,
     };
-    const pool = context.service.name;
+    const askedMs = this.#clock.now();
     const decision = await this.#slots.acquire(pool, request, cancelled);
     if (decision === undefined) return this.#withoutLeader(context, request);
     if (decision.kind === 'refused') {
       return { kind: 'none', reason: decision.reason, retryAfterMs: decision.retryAfterMs };
     }
     const backend = this.#granted(pool, decision);
-    if (this.#fleet.isLeaving(backend.id) || this.#isGone(decision)) {
-      // This node has heard that the engine leaves before the leader has: the request asks again for another one.
-      this.#slots.release(pool, request.id, 'refused');
-      return this.pick({ ...context, excluded: [...context.excluded, backend.id] }, cancelled);
+    const giveBack = this.#mustGiveBack(decision);
+    if (giveBack !== undefined) {
+      this.#slots.release(pool, request.id, giveBack);
+      const excluded = [...context.excluded, backend.id];
+      const ageMs = context.ageMs + this.#clock.now() - askedMs;
+      return this.pick({ ...context, excluded, ageMs }, cancelled);
     }
     return {
       kind: 'picked',
@@ -84,6 +92,15 @@
     };
   }
 
+  /** Why a slot must be given back, so that the request asks again for another one; undefined if it can be used. */
+  #mustGiveBack(decision: SlotDecision & { kind: 'granted' }): UseOutcome | undefined {
+    const { backendId } = decision;
+    // This node has heard that the engine leaves before the leader has.
+    if (this.#fleet.isLeaving(backendId) || this.#isGone(decision)) return 'refused';
+    // It turned another request of this node away while this one waited for its slot. To other nodes it may be good.
+    return this.#availability.isBackingOff(backendId) ? 'cancelled' : undefined;
+  }
+
   /**
    * Whether an engine that is not listed here has left the list, and is not just new: its entry is older than the list.
    * A node that started after the engine left never saw it, and a leader that is cut off still names it.
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -5,6 +5,8 @@
 import { UdpTransport } from '@canvasridge/membership';
 import type { Departure, FleetState } from '@canvasridge/serving';
 import { err, ok, type Result } from 'neverthrow';
+import { BackendAvailability } from './backends/backend-availability.js';
+import { BackendBackoffs } from './backends/backend-backoffs.js';
 import { BackendConnections } from './backends/backend-connections.js';
 import { BackendNotices } from './backends/backend-notices.js';
 import { LeastLoadedPicker } from './backends/least-loaded-picker.js';
@@ -160,14 +162,21 @@
       network: this.#network,
       telemetry,
     });
+    const backoffs = new BackendBackoffs(clock);
+    const availability = new BackendAvailability({
+      fleet,
+      backoffs,
+      othersServe: () => this.#cluster.serving().length > 1,
+    });
     this.#context = {
       clock,
       dialect: options.dialect,
       fleet,
       connections: this.#connections,
-      notices: new BackendNotices({ fleet, clock, telemetry, metrics: this.metrics }),
-      plainPicker: new LeastLoadedPicker(fleet, clock, random),
-      enginePicker: new SlotPicker(fleet, this.#slots, clock),
+      notices: new BackendNotices({ fleet, backoffs, clock, telemetry, metrics: this.metrics }),
+      availability,
+      plainPicker: new LeastLoadedPicker(fleet, availability, clock, random),
+      enginePicker: new SlotPicker(fleet, availability, this.#slots, clock),
       budget: (service) => this.#retryBudget(service),
       fleetShare: () => this.#share.value,
       isStopping: () => this.#stopping,
--- a/packages/gateway/src/request/attempt-outcomes.ts
+++ b/packages/gateway/src/request/attempt-outcomes.ts
@@ -1,10 +1,16 @@
 import type { UseOutcome } from '@canvasridge/slots';
 import type { AttemptOutcome, HeldBack, NotRunReason } from './backend-attempt.js';
 
-const HELD_BACK: ReadonlySet<NotRunReason> = new Set<HeldBack>(['leaving', 'old-list', 'not-allowed']);
+const HELD_BACK: ReadonlySet<NotRunReason> = new Set<HeldBack>([
+  'leaving',
+  'backing-off',
+  'old-list',
+  'not-allowed',
+]);
 /** Reasons that lie with the request or this node, so that the same backend may be chosen again. */
 const BLAMELESS: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
   'not-present',
+  'backing-off',
   'old-list',
   'not-allowed',
 ]);
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -34,6 +34,8 @@
 export type HeldBack =
   /** The backend leaves. */
   | 'leaving'
+  /** The backend wants nothing from this node for a while. */
+  | 'backing-off'
   /** Whether it leaves is not known well enough. */
   | 'old-list'
   /** The request itself may not be sent any more. */
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@canvasridge/clock';
 import { pickService, type BackendService, type HttpRoute } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
+import { RETRY_ELSEWHERE_MS, type BackendAvailability } from '../backends/backend-availability.js';
 import type { BackendConnections } from '../backends/backend-connections.js';
 import type { BackendNotices } from '../backends/backend-notices.js';
 import type { BackendPicker, PickResult } from '../backends/picker.js';
@@ -24,6 +25,7 @@
   readonly dialect: RequestDialect;
   readonly connections: BackendConnections;
   readonly notices: BackendNotices;
+  readonly availability: BackendAvailability;
   readonly plainPicker: BackendPicker;
   readonly enginePicker: BackendPicker;
   readonly budget: (service: string) => RetryBudget;
@@ -242,13 +244,14 @@
     picked: PickResult & { kind: 'picked' },
   ): Promise<AttemptOutcome> {
     const { backend } = picked;
-    const { dialect, connections, clock, fleet } = this.#context;
+    const { dialect, connections, clock, fleet, availability } = this.#context;
     this.#backendId = backend.id;
     this.#how = picked.how;
     this.#pickedMs = this.#ageMs();
     this.#sends += 1;
     if (this.#ended) return { kind: 'cancelled' };
     if (fleet.isLeaving(backend.id)) return { kind: 'not-run', reason: 'leaving' };
+    if (availability.isBackingOff(backend.id)) return { kind: 'not-run', reason: 'backing-off' };
     const connection = connections.take(backend, service.maxConnections, this.#context.fleetShare());
     if (connection === undefined) return { kind: 'not-run', reason: 'no-connection' };
     const lastEventId = this.#lastEventId >= 0 ? this.#lastEventId : undefined;
@@ -302,6 +305,7 @@
     this.#listAgeMs = this.#context.listAgeMs();
     if (!isAllowed) return 'not-allowed';
     if (this.#context.fleet.isLeaving(backendId)) return 'leaving';
+    if (this.#context.availability.isBackingOff(backendId)) return 'backing-off';
     return this.#context.isListTooOld() ? 'old-list' : undefined;
   }
 
@@ -476,5 +480,3 @@
 
 const EMPTY: Buffer = Buffer.alloc(0);
 const RETRY_AFTER_REFUSAL_MS = 300;
-/** For a request that any other node can serve: no longer than it takes to connect to one. */
-const RETRY_ELSEWHERE_MS = 20;
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -10,6 +10,8 @@
   type Tenant,
 } from '@canvasridge/serving';
 import { EventLogger, Telemetry } from '@canvasridge/telemetry';
+import { BackendAvailability } from '../src/backends/backend-availability.js';
+import { BackendBackoffs } from '../src/backends/backend-backoffs.js';
 import { BackendConnections } from '../src/backends/backend-connections.js';
 import { BackendNotices } from '../src/backends/backend-notices.js';
 import { LeastLoadedPicker } from '../src/backends/least-loaded-picker.js';
@@ -131,6 +133,8 @@
   beforeSend: () => Promise<void> = () => Promise.resolve();
   /** Whether the list of backends is too old for a request that is about to be written. */
   isListTooOld: () => boolean = () => false;
+  /** Whether there are other nodes to which callers may go. */
+  othersServe = false;
   /** How old the configuration is in the eyes of the node. */
   configurationAgeMs = 0;
   /** Room for two bodies of the largest size at a time, and a little more. */
@@ -204,7 +208,10 @@
 
   #context(clock: SystemClock): ExchangeContext {
     const random = new Random(1);
-    const picker = new LeastLoadedPicker(this.fleet, clock, random);
+    const { fleet } = this;
+    const backoffs = new BackendBackoffs(clock);
+    const availability = new BackendAvailability({ fleet, backoffs, othersServe: () => this.othersServe });
+    const picker = new LeastLoadedPicker(fleet, availability, clock, random);
     const budget = new RetryBudget(clock, { ratio: 0.2, windowMs: 10_000, slack: 50 }, () => 1);
     const telemetry = new Telemetry({
       processName: 'test',
@@ -218,7 +225,8 @@
       dialect,
       fleet: this.fleet,
       connections: this.#connections,
-      notices: new BackendNotices({ fleet: this.fleet, clock, telemetry, metrics }),
+      notices: new BackendNotices({ fleet, backoffs, clock, telemetry, metrics }),
+      availability,
       plainPicker: picker,
       enginePicker: picker,
       budget: () => budget,
--- a/packages/gateway/test/slot-picker.test.ts
+++ b/packages/gateway/test/slot-picker.test.ts
@@ -2,6 +2,8 @@
 import { FleetState, type BackendDescription } from '@canvasridge/serving';
 import type { SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
 import test from 'ava';
+import { BackendAvailability } from '../src/backends/backend-availability.js';
+import { BackendBackoffs } from '../src/backends/backend-backoffs.js';
 import type { PickContext } from '../src/backends/picker.js';
 import { SlotPicker, type SlotSource } from '../src/backends/slot-picker.js';
 
@@ -12,6 +14,8 @@
 /** A leader that has not heard yet that an engine leaves: it names the first that is not excluded. */
 class LateLeader implements SlotSource {
   readonly released: { requestId: string; outcome: UseOutcome }[] = [];
+  /** Runs while a request waits for its slot. */
+  whileWaiting: () => Promise<void> = () => Promise.resolve();
 
   constructor(
     readonly engines: readonly string[],
@@ -19,6 +23,7 @@
   ) {}
 
   async acquire(_pool: string, request: SlotRequest): Promise<SlotDecision> {
+    await this.whileWaiting();
     const backendId = this.engines.find((id) => !request.excluded.includes(id)) ?? 'none';
     const { entryRevision } = this;
     const told = entryRevision === undefined || backendId !== 'leaving' ? {} : { entryRevision };
@@ -77,7 +82,10 @@
   const fleet = new FleetState();
   change(fleet);
   const leader = new LateLeader(['leaving', 'stays'], entryRevision);
-  const picker = new SlotPicker(fleet, leader, new VirtualClock());
+  const clock = new VirtualClock();
+  const backoffs = new BackendBackoffs(clock);
+  const availability = new BackendAvailability({ fleet, backoffs, othersServe: () => true });
+  const picker = new SlotPicker(fleet, availability, leader, clock);
   const result = await picker.pick(CONTEXT, new AbortController().signal);
   return { picked: result.kind === 'picked' ? result.backend.id : result.reason, leader };
 }
@@ -128,3 +136,66 @@
   const { picked } = await pickAfter((fleet) => fleet.applyBackend(2, engine('stays')));
   t.is(picked, 'leaving');
 });
+
+interface Shedding {
+  readonly picker: SlotPicker;
+  readonly leader: LateLeader;
+  readonly clock: VirtualClock;
+  readonly backoffs: BackendBackoffs;
+}
+
+/** Two engines that the leader grants, and what they asked this node for. */
+function beforeShedding(): Shedding {
+  const fleet = new FleetState();
+  listBoth(fleet);
+  const leader = new LateLeader(['leaving', 'stays'], undefined);
+  const clock = new VirtualClock();
+  const backoffs = new BackendBackoffs(clock);
+  const availability = new BackendAvailability({ fleet, backoffs, othersServe: () => true });
+  return { picker: new SlotPicker(fleet, availability, leader, clock), leader, clock, backoffs };
+}
+
+const NEVER = new AbortController().signal;
+
+test('an engine that wants nothing from this node is not asked for until its time has ended', async (t) => {
+  const { picker, leader, clock, backoffs } = beforeShedding();
+  backoffs.note('leaving', 1000);
+  t.like(await picker.pick(CONTEXT, NEVER), { backend: { id: 'stays' } });
+  t.deepEqual(leader.released, []);
+  await clock.runUntil(1000);
+  t.like(await picker.pick(CONTEXT, NEVER), { backend: { id: 'leaving' } });
+});
+
+test('a slot at an engine that asked for a time meanwhile is given back as unused, and another one asked for', async (t) => {
+  const { picker, leader, backoffs, clock } = beforeShedding();
+  let waits = 0;
+  leader.whileWaiting = async () => {
+    waits += 1;
+    if (waits > 1) return;
+    await clock.runUntil(50);
+    backoffs.note('leaving', 1000);
+  };
+  t.like(await picker.pick(CONTEXT, NEVER), { backend: { id: 'stays' } });
+  t.deepEqual(leader.released, [{ requestId: 'r1', outcome: 'cancelled' }]);
+  t.is(waits, 2);
+});
+
+test('where all engines want nothing, a request is refused without asking, to be served by another node', async (t) => {
+  const { picker, leader, backoffs } = beforeShedding();
+  let asked = false;
+  leader.whileWaiting = () => {
+    asked = true;
+    return Promise.resolve();
+  };
+  backoffs.note('leaving', 1000);
+  backoffs.note('stays', 2000);
+  t.deepEqual(await picker.pick(CONTEXT, NEVER), { kind: 'none', reason: 'backing-off', retryAfterMs: 20 });
+  t.false(asked);
+});
+
+test('nor is one whose only other engine it has tried', async (t) => {
+  const { picker, backoffs } = beforeShedding();
+  backoffs.note('leaving', 1000);
+  const context = { ...CONTEXT, excluded: ['stays'] };
+  t.like(await picker.pick(context, NEVER), { kind: 'none', reason: 'backing-off' });
+});
