--- a/packages/gateway/src/cluster/own-uses.ts
+++ b/packages/gateway/src/cluster/own-uses.ts
@@ -31,8 +31,11 @@
     if (use !== undefined) use.started = true;
   }
 
-  end(requestId: string): void {
+  /** The engine on which a request ran; undefined if none is known. */
+  end(requestId: string): string | undefined {
+    const use = this.#uses.get(requestId);
     this.#uses.delete(requestId);
+    return use?.backendId;
   }
 
   /** What runs on the engines of a pool now. */
--- a/packages/gateway/src/cluster/slot-answers.ts
+++ b/packages/gateway/src/cluster/slot-answers.ts
@@ -88,6 +88,7 @@
   }
 
   onRelease(params: ReleaseParams, peer: PeerConnection): void {
+    if (typeof params.leaving === 'string') this.#options.fleet.noteAnnounced(params.leaving, 'peer');
     this.#peerUses.forget(peer, params.requestId);
     this.#pools.get(params.pool)?.pool?.release(params.requestId, params.outcome);
   }
--- a/packages/gateway/src/cluster/slot-protocol.ts
+++ b/packages/gateway/src/cluster/slot-protocol.ts
@@ -37,6 +37,8 @@
   readonly pool: string;
   readonly requestId: string;
   readonly outcome: UseOutcome;
+  /** The engine of the request, where it has told the sender that it leaves and its entry does not say so yet. */
+  readonly leaving?: string;
 }
 
 /** What a request that is not wanted any more is told; nobody reads it. */
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -14,6 +14,7 @@
   type UseOutcome,
 } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
+import type { BackendAvailability } from '../backends/backend-availability.js';
 import type { SlotSource } from '../backends/slot-picker.js';
 import type { Cluster } from './cluster.js';
 import { FormerLeader, type LeaderSight } from './former-leader.js';
@@ -215,13 +216,17 @@
   }
 
   release(poolName: string, requestId: string, outcome: UseOutcome): void {
-    this.#uses.end(requestId);
+    const backendId = this.#uses.end(requestId);
     const entry = this.#pools.get(poolName);
     if (entry?.pool !== undefined && entry.leading) {
       entry.pool.release(requestId, outcome);
       return;
     }
-    const params: ReleaseParams = { pool: poolName, requestId, outcome };
+    const { fleet } = this.#options;
+    const isNews = backendId !== undefined && fleet.announcedOf(poolName).includes(backendId);
+    // Without it the leader orders adapters onto that engine for other nodes until each of them was told.
+    const leaving = isNews ? { leaving: backendId } : {};
+    const params: ReleaseParams = { pool: poolName, requestId, outcome, ...leaving };
     this.#leaderConnection(poolName)?.notify(RELEASE_METHOD, params);
   }
 
@@ -384,6 +389,7 @@
       mayTakeUnused: () => permission.mayTakeUnused(entry),
       mayTakeAtOnce: () => permission.mayTakeAtOnce(entry),
       memory: this.#memory,
+      isBackingOff: (id) => this.#options.availability.isBackingOff(id),
       off: this.#options.switchedOff,
       adapterVersion: (model, adapter) => fleet.adapterVersion(model, adapter),
       tenantWeight: (tenant) => fleet.routes?.tenants?.named(tenant)?.quota?.ratePerSecond ?? 1,
@@ -427,6 +433,7 @@
   readonly cluster: Cluster;
   readonly network: SlotNetwork;
   readonly control: EngineControl;
+  readonly availability: Pick<BackendAvailability, 'isBackingOff'>;
   readonly timing: SlotTiming;
   readonly holder: OrderHolder;
   readonly engineFences: EngineFences;
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -133,6 +133,14 @@
       network: this.#network,
       needsWholeState: () => this.#slots.takesPart,
     });
+    const backoffs = new BackendBackoffs(clock);
+    const availability = new BackendAvailability({
+      fleet,
+      backoffs,
+      othersServe: () => this.#cluster.serving().length > 1,
+    });
+    const notices = new BackendNotices({ fleet, backoffs, clock, telemetry, metrics: this.metrics });
+    options.control.onNotice((id, notice) => notices.heard(id, notice));
     this.#slots = new SlotService({
       clock,
       fleetClock,
@@ -141,6 +149,7 @@
       cluster: this.#cluster,
       network: this.#network,
       control: options.control,
+      availability,
       timing: settings.slotTiming,
       engineFences: settings.engineFences,
       switchedOff: settings.switchedOff,
@@ -162,18 +171,12 @@
       network: this.#network,
       telemetry,
     });
-    const backoffs = new BackendBackoffs(clock);
-    const availability = new BackendAvailability({
-      fleet,
-      backoffs,
-      othersServe: () => this.#cluster.serving().length > 1,
-    });
     this.#context = {
       clock,
       dialect: options.dialect,
       fleet,
       connections: this.#connections,
-      notices: new BackendNotices({ fleet, backoffs, clock, telemetry, metrics: this.metrics }),
+      notices,
       availability,
       plainPicker: new LeastLoadedPicker(fleet, availability, clock, random),
       enginePicker: new SlotPicker(fleet, availability, this.#slots, clock),
--- a/packages/gateway/test/running-node.ts
+++ b/packages/gateway/test/running-node.ts
@@ -142,6 +142,7 @@
     }),
     dialect,
     control: {
+      onNotice: () => undefined,
       report: () => Promise.resolve(undefined),
       order: () => Promise.resolve({ kind: 'unknown', detail: 'none here' }),
     },
--- a/packages/gateway/test/virtual-holders.ts
+++ b/packages/gateway/test/virtual-holders.ts
@@ -5,6 +5,7 @@
   type EngineControl,
   type EngineOrder,
   type EngineReport,
+  type NoticeListener,
   type OrderReply,
   type SlotRequest,
 } from '@canvasridge/slots';
@@ -60,6 +61,10 @@
     this.#clock = clock;
   }
 
+  onNotice(listener: NoticeListener): void {
+    this.#inner.onNotice(listener);
+  }
+
   async report(backend: BackendDescription): Promise<EngineReport | undefined> {
     if (this.isCut) {
       await this.#clock.sleep(REPORT_TIMEOUT_MS);
@@ -163,6 +168,7 @@
       cluster,
       network: { to: () => NO_CONNECTION, drop: () => undefined, heardWithin: () => false },
       control,
+      availability: { isBackingOff: () => false },
       timing: { ...DEFAULT_SLOT_TIMING, leaseMs: LEASE_MS },
       holder: { name: id, number: index + 1 },
       engineFences: { checked: false, settledAfterMs: LEASE_MS },
--- a/packages/slots/src/engine-control.ts
+++ b/packages/slots/src/engine-control.ts
@@ -1,4 +1,4 @@
-import type { BackendDescription, HeldModel } from '@canvasridge/serving';
+import type { BackendDescription, BackendNotice, HeldModel } from '@canvasridge/serving';
 
 /** An adapter that is on its way to an engine. */
 export interface PendingAdapter {
@@ -49,8 +49,12 @@
 /** An order is on its way for so long at the most, in milliseconds: one that is not answered by then never arrives. */
 export const ORDER_TIMEOUT_MS = 600;
 
+export type NoticeListener = (backendId: string, notice: BackendNotice) => void;
+
 /** Calls to engines. None of them rejects. */
 export interface EngineControl {
+  /** Calls back with what engines say of themselves in answers to orders and reports. */
+  onNotice(listener: NoticeListener): void;
   /** Undefined when the engine gave no usable answer. */
   report(backend: BackendDescription): Promise<EngineReport | undefined>;
   order(backend: BackendDescription, order: EngineOrder): Promise<OrderReply>;
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -2,6 +2,7 @@
 export {
   ORDER_TIMEOUT_MS,
   type EngineControl,
+  type NoticeListener,
   type EngineOrder,
   type EngineReport,
   type OrderReply,
--- a/packages/slots/src/load-starter.ts
+++ b/packages/slots/src/load-starter.ts
@@ -23,6 +23,8 @@
   readonly memory: AdapterMemory;
   readonly demand: AdapterDemand;
   readonly waiting: WaitingList;
+  /** Whether an engine turned this node away and wants nothing from it, orders included, for a while. */
+  readonly isBackingOff: (backendId: string) => boolean;
   readonly off: SwitchedOff;
 }
 
@@ -96,6 +98,7 @@
     const { engines, choice } = this.#options;
     const { model, adapter } = request;
     if (adapter === undefined || !engines.mayServe(entry, request)) return false;
+    if (this.#options.isBackingOff(entry.slots.backend.id)) return false;
     return entry.slots.models.has(model) && !choice.holds(entry, adapterKey(model, adapter));
   }
 }
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -28,6 +28,8 @@
   readonly off: SwitchedOff;
   /** The version of an adapter that was published, 0 if none was. */
   readonly adapterVersion: (model: string, adapter: string) => number;
+  /** Whether an engine turned this node away and wants nothing from it for a while; to other nodes it may be good. */
+  readonly isBackingOff: (backendId: string) => boolean;
   /** A tenant's part of what all may use, above 0. */
   readonly tenantWeight: (tenant: string) => number;
 }
@@ -113,6 +115,7 @@
       memory,
       demand: this.#demand,
       waiting: this.#waiting,
+      isBackingOff: options.isBackingOff,
       off: options.off,
     });
     this.#refusals = new RefusalPolicy({
--- a/packages/slots/test/new-pool.ts
+++ b/packages/slots/test/new-pool.ts
@@ -9,6 +9,7 @@
   engines: readonly SimulatedEngine[],
   number = 1,
   versions: ReadonlyMap<string, number> = new Map(),
+  isBackingOff: (engine: string) => boolean = () => false,
 ): SlotPool {
   const pool = new SlotPool({
     service: 'llm',
@@ -28,6 +29,7 @@
     memory: new AdapterMemory(),
     off: new Set(),
     tenantWeight: () => 1,
+    isBackingOff,
     adapterVersion: (_model, adapter) => versions.get(adapter) ?? 0,
   });
   pool.setEngines(
--- a/packages/slots/test/simulated-engines.ts
+++ b/packages/slots/test/simulated-engines.ts
@@ -175,6 +175,11 @@
     this.#engines = new Map(engines.map((engine) => [engine.description.id, engine]));
   }
 
+  /** Simulated engines say nothing of themselves beside what they are asked for. */
+  onNotice(): void {
+    return;
+  }
+
   async report(backend: BackendDescription): Promise<EngineReport | undefined> {
     return this.#engines.get(backend.id)?.report();
   }
