--- a/packages/membership/src/codec.ts
+++ b/packages/membership/src/codec.ts
@@ -125,6 +125,11 @@
   }
 }
 
+/** A version below all others: whoever knows the member answers with all that it knows of it. */
+export function askFor(id: string): EncodedUpdate {
+  return encodeUpdate({ kind: 'version', id, incarnation: 0, state: 'alive', recordVersion: 0 });
+}
+
 export function encodedSize(encoded: EncodedUpdate): number {
   return pack(encoded).length;
 }
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -2,6 +2,7 @@
 import type { Telemetry } from '@canvasridge/telemetry';
 import { BroadcastQueue } from './broadcast-queue.js';
 import {
+  askFor,
   decodeMessage,
   encodeMessage,
   encodeUpdate,
@@ -385,12 +386,16 @@
     }
   }
 
-  /** A sender that is believed gone is told so, and refutes; one that is not known here learns of this node. */
+  /**
+   * A sender that is believed gone is told so, and refutes. One that is not known here learns of this node and is asked for itself:
+   * where all seeds have started again, nobody else would tell of one that stayed, and members that compare look only at those that
+   * the other side names. Two nodes led the same engines for a minute without it.
+   */
   #introduceTo(sender: string, address: string): void {
     const known = this.#table.get(sender);
     if (known !== undefined && isPresent(known.state)) return;
     if (known === undefined) {
-      this.#sendUpdates(address, 'gossip', 0, '', [encodeUpdate(this.#selfUpdate())]);
+      this.#sendUpdates(address, 'gossip', 0, '', [encodeUpdate(this.#selfUpdate()), askFor(sender)]);
       return;
     }
     const verdict = encodeUpdate({
--- a/packages/membership/src/state-comparison.ts
+++ b/packages/membership/src/state-comparison.ts
@@ -1,5 +1,12 @@
 import { hashSeed } from '@canvasridge/clock';
-import { encodeUpdate, encodedSize, type EncodedUpdate, type Update, type VersionUpdate } from './codec.js';
+import {
+  askFor,
+  encodeUpdate,
+  encodedSize,
+  type EncodedUpdate,
+  type Update,
+  type VersionUpdate,
+} from './codec.js';
 import { isPresent, overrides, type Member } from './member.js';
 import type { MemberTable } from './member-table.js';
 import type { RecordTable } from './record-table.js';
@@ -74,9 +81,7 @@
     const self = this.#self();
     const mine = id === self.id ? self : this.#table.get(id);
     if (mine === undefined) {
-      newerThere.push(
-        encodeUpdate({ kind: 'version', id, incarnation: 0, state: 'alive', recordVersion: 0 }),
-      );
+      newerThere.push(askFor(id));
       return;
     }
     if (overrides(mine.incarnation, mine.state, theirs)) newerHere.push(this.#encodeMember(mine));
