A request that may be given to none of the engines is refused at once

Callers whose node must use none of the engines (all leave, all want nothing from it, or it was tried at all) were held until their time was over: the leader looked only at whether any engine serves the model. Refused after the grace of 200 ms with 300 ms to come back.

--- a/packages/slots/src/engine-registry.ts
+++ b/packages/slots/src/engine-registry.ts
@@ -52,10 +52,19 @@
     return isReady(entry) && !request.excluded.includes(entry.slots.backend.id);
   }
 
-  /** Whether any engine that takes requests holds the model. */
+  /** Whether any engine that takes requests holds the model, those included that the request must not be given to. */
   serves(model: string): boolean {
+    return this.#some(model, isReady);
+  }
+
+  /** Whether an engine that may be given the request holds its model. */
+  servesRequest(request: SlotRequest): boolean {
+    return this.#some(request.model, (entry) => this.mayServe(entry, request));
+  }
+
+  #some(model: string, fits: (entry: EngineEntry) => boolean): boolean {
     for (const entry of this.#engines.values()) {
-      if (isReady(entry) && entry.slots.models.has(model)) return true;
+      if (fits(entry) && entry.slots.models.has(model)) return true;
     }
     return false;
   }
--- a/packages/slots/src/refusal-policy.ts
+++ b/packages/slots/src/refusal-policy.ts
@@ -31,6 +31,8 @@
 const NO_ENGINE_GRACE_MS = 200;
 /** When a client comes back for which no engine serves the model: what it waits for tells no time. */
 const RETRY_WITHOUT_ENGINE_MS = 1000;
+/** The same where engines serve it and the request may be given to none of them: it comes again as a new one. */
+const RETRY_AFTER_EXCLUSION_MS = 300;
 /** A client is told no longer time than this: what is foreseen beyond it is a guess. */
 const LONGEST_RETRY_MS = 5000;
 
@@ -76,9 +78,11 @@
     const { request } = waiting;
     const ageMs = nowMs - waiting.arrivedMs;
     const leftMs = request.startWithinMs - ageMs;
-    if (!engines.serves(request.model) && ageMs >= NO_ENGINE_GRACE_MS) {
+    if (!engines.servesRequest(request) && ageMs >= NO_ENGINE_GRACE_MS) {
       list.remove(request.id);
-      refuse(waiting, 'no-engine', RETRY_WITHOUT_ENGINE_MS);
+      // Its node must use none of the engines that serve the model; another node may.
+      const isServed = engines.serves(request.model);
+      refuse(waiting, 'no-engine', isServed ? RETRY_AFTER_EXCLUSION_MS : RETRY_WITHOUT_ENGINE_MS);
       return true;
     }
     if (leftMs > 0 && (off.has('early-refusal') || choice.isLoading(request, index()))) return false;
--- a/packages/slots/test/backing-off.test.ts
+++ b/packages/slots/test/backing-off.test.ts
@@ -7,7 +7,7 @@
 const HELD_MS = 5000;
 const LOADED_MS = 600;
 
-function request(adapter: string): SlotRequest {
+function request(adapter: string, excluded: readonly string[] = []): SlotRequest {
   return {
     id: `r-${adapter}`,
     traceId: `t-${adapter}`,
@@ -19,7 +19,7 @@
     ageMs: 0,
     timeoutMs: 5000,
     startWithinMs: 5000,
-    excluded: [],
+    excluded,
     promptTokens: 100,
     promptKey: undefined,
   };
@@ -48,3 +48,17 @@
   t.like(granted.get('a'), { kind: 'granted', backendId: 'e1' });
   pool.close();
 });
+
+test('a request that may be given to no engine is refused at once, and not held until its time is over', async (t) => {
+  const clock = new VirtualClock();
+  const engines = [new SimulatedEngine(clock, 'e1'), new SimulatedEngine(clock, 'e2')];
+  const pool = newPool(clock, engines);
+  await clock.runUntil(HELD_MS);
+  let decision: SlotDecision | undefined;
+  pool.acquire(request('x', ['e1', 'e2']), (given) => {
+    decision = given;
+  });
+  await clock.runUntil(HELD_MS + 300);
+  t.like(decision, { kind: 'refused', reason: 'no-engine', retryAfterMs: 300 });
+  pool.close();
+});
