News that are not known are passed over by themselves: datagrams, and records of other shapes

Seen by reading for what two builds beside each other do: one update of an unknown code made a node throw away the whole datagram, so it would take all nodes of a later build for dead; a published record of another shape was a TypeError in the middle of a look at requests that are kept from backends, which ends the process. Now more positions than known are passed over, an unknown update by itself (one line a sender and minute, membership.unread), and of an unknown kind of message the updates count; records are read once by a schema, and one of another shape counts as not published (one line a record, peer.record-unread). Builds landed before this one still drop such datagrams, so no code is added yet. Also: looking at all backends copies only those that announced a leaving.

--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -10,7 +10,15 @@
 } from '@canvasridge/membership';
 import { PeerSight, type LeadershipPeers, type PoolClaim } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
+import type * as z from 'zod';
 import type { DirectorySight } from './directory.js';
+import {
+  PeerRecordReader,
+  peerRecords,
+  type BusyRecord,
+  type ClaimRecord,
+  type QuarantineRecord,
+} from './peer-records.js';
 
 export interface ClusterOptions {
   readonly nodeId: string;
@@ -73,16 +81,6 @@
   readonly candidates: Map<string, readonly string[]>;
 }
 
-interface ClaimRecord {
-  readonly epoch: number;
-  readonly token: string;
-}
-
-/** Published by a node that has more to do than it can bear; null once it is calm again. */
-interface BusyRecord {
-  readonly token: string;
-}
-
 /** What a node publishes of requests under which backends broke off, by their fingerprints. */
 export interface PublishedQuarantine {
   readonly quarantined: readonly QuarantinedRequest[];
@@ -90,16 +88,11 @@
   readonly suspects: readonly string[];
 }
 
-/** The same as it travels: short, as all of it fits into one datagram. */
-interface QuarantineRecord {
-  readonly quarantined: readonly (readonly [fingerprint: string, ageSeconds: number])[];
-  readonly suspects: readonly string[];
-}
-
 /** The other nodes, as this one sees them. */
 export class Cluster implements LeadershipPeers, DirectorySight {
   readonly #options: ClusterOptions;
   readonly #membership: Membership;
+  readonly #records: PeerRecordReader;
   readonly #sight: PeerSight;
   readonly #addresses = new Set<string>();
   /** Notified when a member or what one published changes. */
@@ -113,6 +106,7 @@
 
   constructor(options: ClusterOptions) {
     this.#options = options;
+    this.#records = new PeerRecordReader(options.telemetry);
     this.#sight = new PeerSight(options.clock, options.nodeId, ALONE_AFTER_MS);
     const { peerAddress, frontAddress } = options;
     this.#membership = new Membership({
@@ -249,7 +243,7 @@
 
   claims(pool: string): readonly PoolClaim[] {
     const claims: PoolClaim[] = [];
-    for (const { member, value } of this.#published<ClaimRecord>(CLAIM_PREFIX + pool)) {
+    for (const { member, value } of this.#published(peerRecords.claim, CLAIM_PREFIX + pool)) {
       const { state } = member;
       if (member.id === this.selfId || (state !== 'alive' && state !== 'suspect')) continue;
       claims.push({ memberId: member.id, epoch: value.epoch });
@@ -259,7 +253,7 @@
 
   /** Names of members that have more to do than they can bear. */
   busy(): ReadonlySet<string> {
-    return new Set([...this.#published<BusyRecord>(BUSY_KEY)].map(({ member }) => member.id));
+    return new Set([...this.#published(peerRecords.busy, BUSY_KEY)].map(({ member }) => member.id));
   }
 
   publishBusy(busy: boolean): void {
@@ -271,7 +265,7 @@
   publishQuarantine({ quarantined, suspects }: PublishedQuarantine): void {
     const value: QuarantineRecord = {
       quarantined: quarantined.map(({ fingerprint, ageMs }) => [fingerprint, Math.round(ageMs / SECOND_MS)]),
-      suspects,
+      suspects: [...suspects],
     };
     this.#membership.publish(QUARANTINE_KEY, value);
     this.#membership.pushNow();
@@ -279,9 +273,11 @@
 
   /** What others published of requests that are kept from backends; it holds also when its node has ended or started again. */
   *quarantines(): Iterable<PublishedQuarantine> {
-    for (const { key, owner, value } of this.#membership.records()) {
-      if (key !== QUARANTINE_KEY || owner === this.selfId) continue;
-      const { quarantined, suspects } = value as QuarantineRecord;
+    for (const record of this.#membership.records()) {
+      if (record.key !== QUARANTINE_KEY || record.owner === this.selfId) continue;
+      const value = this.#records.read(peerRecords.quarantine, record);
+      if (value === undefined) continue;
+      const { quarantined, suspects } = value;
       const requests = quarantined.map(([fingerprint, ageSeconds]) => ({
         fingerprint,
         ageMs: ageSeconds * SECOND_MS,
@@ -291,12 +287,15 @@
   }
 
   /** What processes that run now published under a key; what one before a restart did says nothing of them. */
-  *#published<T extends { readonly token: string }>(key: string): Iterable<{ member: Member; value: T }> {
+  *#published<T extends { readonly token: string }>(
+    schema: z.ZodType<T>,
+    key: string,
+  ): Iterable<{ member: Member; value: T }> {
     for (const record of this.#membership.records()) {
       if (record.key !== key) continue;
-      const value = record.value as T | null;
+      const value = this.#records.read(schema, record);
       const member = this.#membership.get(record.owner);
-      if (value !== null && member?.processToken === value.token) yield { member, value };
+      if (value !== undefined && member?.processToken === value.token) yield { member, value };
     }
   }
 
--- a/packages/membership/src/codec.ts
+++ b/packages/membership/src/codec.ts
@@ -3,33 +3,41 @@
 import type { MemberIdentity, MemberState } from './member.js';
 
 /**
- * Messages between nodes, as MessagePack arrays. Positions are listed at the schemas; everything
- * that arrives is checked, and what does not match is dropped.
+ * Messages between nodes, as MessagePack arrays. Positions are listed at the schemas; everything that arrives is checked.
+ * A node of another build may send what is not known here: more positions than listed are passed over, an update of an unknown code or
+ * form by itself, and of a message of an unknown kind its updates count. So a build may add positions at the end, codes and kinds;
+ * those of builds before this one drop the whole message for an update that they don't know.
  */
 const text = z.string().max(256);
 const stateCode = z.int().min(0).max(4);
 const STATES: readonly MemberState[] = ['alive', 'suspect', 'draining', 'dead', 'left'];
 
 /** [0, id, incarnation, state, age of the suspicion in ms] */
-const memberStateUpdate = z.tuple([z.literal(0), text, z.int().min(0), stateCode, z.int().min(0)]);
+const memberStateUpdate = z
+  .tuple([z.literal(0), text, z.int().min(0), stateCode, z.int().min(0)])
+  .rest(z.unknown());
 /** [1, id, incarnation, state, zone, region, gossip, peerUrl, callerUrl, processToken, capacity] */
-const memberUpdate = z.tuple([
-  z.literal(1),
-  text,
-  z.int().min(0),
-  stateCode,
-  text,
-  text,
-  text,
-  text,
-  text,
-  text,
-  z.number().min(0),
-]);
+const memberUpdate = z
+  .tuple([
+    z.literal(1),
+    text,
+    z.int().min(0),
+    stateCode,
+    text,
+    text,
+    text,
+    text,
+    text,
+    text,
+    z.number().min(0),
+  ])
+  .rest(z.unknown());
 /** [2, owner, key, version, value] */
-const recordUpdate = z.tuple([z.literal(2), text, text, z.number().min(0), z.unknown()]);
+const recordUpdate = z.tuple([z.literal(2), text, text, z.number().min(0), z.unknown()]).rest(z.unknown());
 /** [3, id, incarnation, state, highest version of its records] */
-const versionUpdate = z.tuple([z.literal(3), text, z.int().min(0), stateCode, z.number().min(0)]);
+const versionUpdate = z
+  .tuple([z.literal(3), text, z.int().min(0), stateCode, z.number().min(0)])
+  .rest(z.unknown());
 type EncodedNews =
   | z.infer<typeof memberStateUpdate>
   | z.infer<typeof memberUpdate>
@@ -45,14 +53,9 @@
 const MOST_UPDATES = 2000;
 
 /** [kind, sender, sender's revision, sequence, target, updates] */
-const message = z.tuple([
-  z.enum(['ping', 'ack', 'ping-request', 'gossip', 'join', 'digest', 'versions', 'state']),
-  text,
-  z.int().min(0),
-  z.int().min(0),
-  text,
-  z.array(z.unknown()).max(MOST_UPDATES),
-]);
+const message = z
+  .tuple([text, text, z.int().min(0), z.int().min(0), text, z.array(z.unknown()).max(MOST_UPDATES)])
+  .rest(z.unknown());
 
 /** News about a member without its addresses. */
 export interface MemberStateUpdate {
@@ -92,8 +95,28 @@
 
 export type Update = MemberStateUpdate | MemberUpdate | RecordUpdate | VersionUpdate;
 
-export type MessageKind =
-  'ping' | 'ack' | 'ping-request' | 'gossip' | 'join' | 'digest' | 'versions' | 'state';
+const MESSAGE_KINDS = [
+  'ping',
+  'ack',
+  'ping-request',
+  'gossip',
+  'join',
+  'digest',
+  'versions',
+  'state',
+] as const;
+
+export type MessageKind = (typeof MESSAGE_KINDS)[number];
+
+const KIND_BY_NAME: ReadonlyMap<string, MessageKind> = new Map(MESSAGE_KINDS.map((kind) => [kind, kind]));
+
+/** What one datagram said. */
+export interface DecodedMessage {
+  readonly message: GossipMessage;
+  readonly updates: readonly Update[];
+  /** What is not known here: updates of an unknown code or form, and 1 for an unknown kind of message. */
+  readonly unread: number;
+}
 
 export interface GossipMessage {
   readonly kind: MessageKind;
@@ -146,7 +169,7 @@
 }
 
 /** The message and its updates, or undefined when the bytes are no message. Never throws. */
-export function decodeMessage(bytes: Uint8Array): { message: GossipMessage; updates: Update[] } | undefined {
+export function decodeMessage(bytes: Uint8Array): DecodedMessage | undefined {
   let value: unknown;
   try {
     value = unpack(bytes);
@@ -155,16 +178,18 @@
   }
   const checked = message.safeParse(value);
   if (!checked.success) return undefined;
-  const [kind, sender, revision, sequence, target, encoded] = checked.data;
+  const [told, sender, revision, sequence, target, encoded] = checked.data;
+  const kind = KIND_BY_NAME.get(told);
   const updates: EncodedNews[] = [];
   for (const entry of encoded) {
     const news = checkUpdate(entry);
-    if (news === undefined) return undefined;
-    updates.push(news);
+    if (news !== undefined) updates.push(news);
   }
   return {
-    message: { kind, sender, revision, sequence, target, updates },
+    // A message of an unknown kind asks for nothing that could be done here.
+    message: { kind: kind ?? 'gossip', sender, revision, sequence, target, updates },
     updates: updates.map(decodeUpdate),
+    unread: encoded.length - updates.length + (kind === undefined ? 1 : 0),
   };
 }
 
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -49,6 +49,10 @@
 /** A connection attempt began this long before its refusal is told, at the most. */
 const REFUSAL_AGE_MS = 600;
 const PAUSE_FACTOR = 3;
+/** Time between two lines about what one sender says that is not known here. */
+const UNREAD_LINE_PERIOD_MS = 60_000;
+/** More than a fleet has members, so that ids that change don't add up. */
+const MOST_UNREAD_SENDERS = 1024;
 const REJOIN_PERIOD_MS = 8000;
 const START_SPAN_MS = 10_000;
 
@@ -58,6 +62,8 @@
  */
 export class Membership {
   readonly identity: MemberIdentity;
+  /** By sender: when the last such line was written. */
+  readonly #unreadLinesMs = new Map<string, number>();
   readonly #options: MembershipOptions;
   readonly #timing: MembershipTiming;
   readonly #clock: Clock;
@@ -346,6 +352,7 @@
     if (this.#stop.signal.aborted) return;
     const decoded = decodeMessage(bytes);
     if (decoded === undefined) return;
+    if (decoded.unread > 0) this.#noteUnread(decoded.message.sender, decoded.unread);
     const incarnation = this.#incarnation;
     for (const update of decoded.updates) this.#apply(update);
     // Whoever took this node for gone learns at once that it is not.
@@ -357,6 +364,15 @@
     if (sender !== undefined) this.#options.events.onRevision?.(sender, decoded.message.revision);
   }
 
+  /** A sender of another build says more than is known here: one line a sender and minute. */
+  #noteUnread(sender: string, count: number): void {
+    const nowMs = this.#clock.now();
+    if (nowMs - (this.#unreadLinesMs.get(sender) ?? -Infinity) < UNREAD_LINE_PERIOD_MS) return;
+    this.#unreadLinesMs.set(sender, nowMs);
+    if (this.#unreadLinesMs.size > MOST_UNREAD_SENDERS) this.#unreadLinesMs.clear();
+    this.#options.telemetry.event('info', 'membership.unread', sender, { count });
+  }
+
   #answer(from: string, message: GossipMessage): void {
     switch (message.kind) {
       case 'ping':
--- /dev/null
+++ b/packages/membership/test/later-builds.test.ts
@@ -0,0 +1,92 @@
+/** Datagrams as a later build may send them: what is not known is passed over by itself, and the rest of the datagram counts. */
+import fc from 'fast-check';
+import test from 'ava';
+import { Random, VirtualClock } from '@canvasridge/clock';
+import { Telemetry } from '@canvasridge/telemetry';
+import { pack } from 'msgpackr';
+import { Membership, decodeMessage, type DatagramTransport } from '../src/index.js';
+
+const KNOWN = [0, 'b', 1, 1, 5];
+
+function datagram(updates: readonly unknown[], kind = 'gossip', more: readonly unknown[] = []): Uint8Array {
+  return pack([kind, 'a', 1, 2, '', updates, ...more]);
+}
+
+test('an update that is not known is passed over, and those beside it count', (t) => {
+  for (const unknown of [[9, 'x'], [0, 'b'], 'text', null, { code: 1 }, [], [2, 'b', 'k', -1, {}]]) {
+    const decoded = decodeMessage(datagram([KNOWN, unknown, KNOWN]));
+    t.is(decoded?.updates.length, 2, JSON.stringify(unknown));
+    t.is(decoded?.unread, 1);
+  }
+});
+
+test('positions beyond the known ones are passed over, of updates and of messages', (t) => {
+  const decoded = decodeMessage(datagram([[...KNOWN, 'later', 7]], 'ping', [{ level: 2 }]));
+  t.is(decoded?.unread, 0);
+  t.like(decoded?.message, { kind: 'ping', sender: 'a', sequence: 2 });
+  t.like(decoded?.updates[0], { kind: 'member-state', id: 'b', suspicionAgeMs: 5 });
+});
+
+test('of a message of an unknown kind its updates count, and it asks for nothing', (t) => {
+  const decoded = decodeMessage(datagram([KNOWN], 'later-kind'));
+  t.like(decoded, { unread: 1, message: { kind: 'gossip' } });
+  t.is(decoded?.updates.length, 1);
+});
+
+test('however updates are mutated, those that were left as they are count', (t) => {
+  const junk = fc.oneof(fc.anything(), fc.array(fc.anything(), { maxLength: 12 }));
+  fc.assert(
+    fc.property(fc.array(junk, { maxLength: 6 }), fc.nat(6), (others, at) => {
+      const updates = [...others.slice(0, at), KNOWN, ...others.slice(at)];
+      const decoded = decodeMessage(datagram(updates));
+      return (
+        decoded === undefined ||
+        decoded.updates.some((update) => update.kind === 'member-state' && update.id === 'b')
+      );
+    }),
+    { seed: 1, numRuns: 500 },
+  );
+  t.pass();
+});
+
+test('a member takes news that stand beside unknown ones, and writes one line of it', async (t) => {
+  const clock = new VirtualClock();
+  const lines: string[] = [];
+  let receive: (from: string, bytes: Uint8Array) => void = () => undefined;
+  const transport: DatagramTransport = {
+    localAddress: 'me:1',
+    send: () => undefined,
+    onMessage: (receiver) => {
+      receive = receiver;
+    },
+    close: () => undefined,
+  };
+  const telemetry = new Telemetry({ processName: 'me', clock });
+  telemetry.event = (_level, name) => lines.push(name);
+  const member = new Membership({
+    identity: {
+      id: 'me',
+      zone: 'a',
+      region: 'r',
+      gossip: 'me:1',
+      peerUrl: 'me:1',
+      callerUrl: 'me:2',
+      processToken: 't',
+      capacity: 1,
+    },
+    transport,
+    clock,
+    random: new Random(1),
+    telemetry,
+    events: {},
+    seeds: () => [],
+    revision: () => 0,
+  });
+  member.start();
+  const other = [1, 'b', 1, 0, 'a', 'r', 'b:1', 'b:1', 'b:2', 'token', 1];
+  for (let index = 0; index < 3; index += 1) receive('b:1', datagram([[9, 'later'], other]));
+  await clock.runUntil(10);
+  t.is(member.get('b')?.processToken, 'token');
+  t.is(lines.filter((name) => name === 'membership.unread').length, 1);
+  member.stop();
+});
--- a/packages/serving/src/fleet-state.ts
+++ b/packages/serving/src/fleet-state.ts
@@ -174,7 +174,10 @@
   }
 
   *allBackends(): Iterable<Revised<BackendDescription>> {
-    for (const entry of this.#backends.values()) yield { ...entry, value: this.#asKnown(entry.value) };
+    for (const entry of this.#backends.values()) {
+      const value = this.#asKnown(entry.value);
+      yield value === entry.value ? entry : { ...entry, value };
+    }
   }
 
   /** The published version of an adapter, 0 if none was named. */
