--- a/packages/slots/test/backing-off.test.ts
+++ b/packages/slots/test/backing-off.test.ts
@@ -1,30 +1,13 @@
 import { VirtualClock } from '@canvasridge/clock';
 import test from 'ava';
-import type { SlotDecision, SlotRequest } from '../src/index.js';
+import type { SlotDecision } from '../src/index.js';
 import { newPool } from './new-pool.js';
-import { MODEL, SimulatedEngine } from './simulated-engines.js';
+import { newRequest as request } from './new-request.js';
+import { SimulatedEngine } from './simulated-engines.js';
 
 const HELD_MS = 5000;
 const LOADED_MS = 600;
 
-function request(adapter: string, excluded: readonly string[] = []): SlotRequest {
-  return {
-    id: `r-${adapter}`,
-    traceId: `t-${adapter}`,
-    model: MODEL,
-    adapter,
-    priority: 1,
-    tenant: undefined,
-    objectiveMs: 1000,
-    ageMs: 0,
-    timeoutMs: 5000,
-    startWithinMs: 5000,
-    excluded,
-    promptTokens: 100,
-    promptKey: undefined,
-  };
-}
-
 test('no adapter is loaded onto an engine that wants nothing from the leader, and one that is there is still granted', async (t) => {
   const clock = new VirtualClock();
   const engines = [new SimulatedEngine(clock, 'e1'), new SimulatedEngine(clock, 'e2')];
@@ -32,18 +15,21 @@
   const pool = newPool(clock, engines, 1, new Map(), (id) => id === backingOff);
   await clock.runUntil(HELD_MS);
   const granted = new Map<string, SlotDecision>();
+  let held = '';
   const ask = async (adapter: string): Promise<void> => {
-    pool.acquire(request(adapter), (decision) => granted.set(adapter, decision));
+    const asked = request(adapter, { promptTokens: 100 });
+    held = asked.id;
+    pool.acquire(asked, (decision) => granted.set(adapter, decision));
     await clock.runUntil(clock.now() + LOADED_MS);
   };
-  for (const adapter of ['a', 'b', 'c', 'd']) await ask(adapter);
+  for (const adapter of ['b', 'c', 'd', 'a']) await ask(adapter);
   t.deepEqual(
     engines.map(({ taken }) => taken.length),
     [4, 0],
   );
   for (const decision of granted.values()) t.like(decision, { kind: 'granted', backendId: 'e1' });
   backingOff = 'e1';
-  pool.release('r-a', 'served');
+  pool.release(held, 'served');
   await ask('a');
   t.like(granted.get('a'), { kind: 'granted', backendId: 'e1' });
   pool.close();
@@ -55,7 +41,7 @@
   const pool = newPool(clock, engines);
   await clock.runUntil(HELD_MS);
   let decision: SlotDecision | undefined;
-  pool.acquire(request('x', ['e1', 'e2']), (given) => {
+  pool.acquire(request('x', { excluded: ['e1', 'e2'] }), (given) => {
     decision = given;
   });
   await clock.runUntil(HELD_MS + 300);
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -1,42 +1,15 @@
 import { Random, VirtualClock } from '@canvasridge/clock';
 import test from 'ava';
-import {
-  type SlotPool,
-  WaitingList,
-  type SlotDecision,
-  type SlotRequest,
-  type UseOutcome,
-} from '../src/index.js';
+import { type SlotPool, WaitingList, type SlotDecision, type UseOutcome } from '../src/index.js';
 import { newPool } from './new-pool.js';
+import { newRequest as request } from './new-request.js';
 import { PromptReader } from './prompt-reader.js';
-import { LEASE_MS, MODEL, PROFILE, SimulatedEngine } from './simulated-engines.js';
+import { LEASE_MS, PROFILE, SimulatedEngine } from './simulated-engines.js';
 
 const HELD_MS = 5000;
 /** Time that engines take to read the prompt of a usual request. */
 const READ_MS = 50;
 
-let nextId = 0;
-
-function request(adapter: string | undefined, changes: Partial<SlotRequest> = {}): SlotRequest {
-  nextId += 1;
-  return {
-    id: `r${nextId}`,
-    traceId: `t${nextId}`,
-    model: MODEL,
-    adapter,
-    priority: 1,
-    tenant: undefined,
-    objectiveMs: 1000,
-    ageMs: 0,
-    timeoutMs: 5000,
-    startWithinMs: changes.timeoutMs ?? 5000,
-    excluded: [],
-    promptTokens: 1000,
-    promptKey: undefined,
-    ...changes,
-  };
-}
-
 /** Requests that take all adapter slots of one engine, and keep them. */
 async function fillSlots(clock: VirtualClock, pool: SlotPool): Promise<void> {
   for (const adapter of ['a', 'b', 'c', 'd', 'e', 'f']) {
