--- a/packages/gateway/src/backends/backend-notices.ts
+++ b/packages/gateway/src/backends/backend-notices.ts
@@ -29,8 +29,10 @@
 
   /** The head of an answer of this backend came. */
   heard(backendId: string, notice: BackendNotice): void {
-    if (!notice.isLeaving && notice.backoffMs === undefined) return;
+    const namesLimit = typeof notice.rateLimit === 'number';
+    if (!notice.isLeaving && notice.backoffMs === undefined && !namesLimit) return;
     const { metrics, backoffs } = this.#options;
+    if (namesLimit) metrics.notices.inc({ notice: 'rate-limit' });
     if (notice.isLeaving) metrics.notices.inc({ notice: 'leaving' });
     if (notice.backoffMs !== undefined) {
       metrics.notices.inc({ notice: 'backoff' });
@@ -41,7 +43,7 @@
     if (notice.isLeaving) this.#options.fleet.noteAnnounced(backendId, 'answer');
   }
 
-  #log(backendId: string, { isLeaving, backoffMs }: BackendNotice): void {
+  #log(backendId: string, { isLeaving, backoffMs, rateLimit }: BackendNotice): void {
     const { clock, telemetry, fleet } = this.#options;
     const nowMs = clock.now();
     if (nowMs - (this.#linesAtMs.get(backendId) ?? -Infinity) < LINE_PERIOD_MS) return;
@@ -51,6 +53,7 @@
     telemetry.event('info', 'backend.notice', backendId, {
       leaving: isLeaving,
       backoffMs,
+      ratePerSecond: rateLimit,
       listed: fleet.backend(backendId)?.state ?? 'not',
     });
   }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -85,7 +85,7 @@
   });
   readonly notices = new Counter({
     name: 'canvasridge_backend_notices_total',
-    help: 'Answers in which a backend said something of itself, by notice (leaving, backoff)',
+    help: 'Answers in which a backend said something of itself, by notice (leaving, backoff, rate-limit)',
     labelNames: ['notice'],
     registers: [this.registry],
   });
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -50,6 +50,7 @@
     notice: {
       isLeaving: headers['leaving'] !== undefined,
       backoffMs: headers['backoff'] === undefined ? undefined : Number(headers['backoff']),
+      rateLimit: headers['rate-limit'] === undefined ? 'none' : Number(headers['rate-limit']),
     },
   }),
   refusalHeaders: (retryAfterMs) =>
--- a/packages/serving/src/backend.ts
+++ b/packages/serving/src/backend.ts
@@ -30,6 +30,11 @@
   readonly isLeaving: boolean;
   /** It wants nothing from this node for so long, in milliseconds; undefined where it says nothing of it. */
   readonly backoffMs: number | undefined;
+  /**
+   * Requests a second that it takes from all nodes together, for as long as it says so; `none` where an answer of its own work
+   * names no such limit; undefined where the answer can't tell.
+   */
+  readonly rateLimit: number | 'none' | undefined;
 }
 
 /** Key of an adapter among all adapters of all models. */
