--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -14,6 +14,7 @@
 export { type QuotaDecision, type QuotaGate, type QuotaRule, type QuotaRules } from './quota/quota-gate.js';
 export { QuotaLedger, type Loan, type LoanRequest, type QuotaLedgerOptions } from './quota/quota-ledger.js';
 export { QuotaShares, type QuotaSharesOptions } from './quota/quota-shares.js';
+export { UnitBucket } from './quota/unit-bucket.js';
 export { QuotaWallet, type Borrow, type QuotaWalletOptions } from './quota/quota-wallet.js';
 export { INTERRUPTION_MS, InterruptionLedger } from './quarantine/interruption-ledger.js';
 export { type QuarantineGate } from './quarantine/quarantine-gate.js';
--- a/packages/gateway/src/backends/backend-availability.ts
+++ b/packages/gateway/src/backends/backend-availability.ts
@@ -36,6 +36,11 @@
     return this.#options.rateLimits.perSecond(id) !== undefined;
   }
 
+  /** Another node has heard that the backend names no limit any more. */
+  forgetRateLimit(id: string): void {
+    this.#options.rateLimits.forget(id);
+  }
+
   /** Takes a unit of that limit for one request; false if none is left. */
   takeUnit(id: string): Promise<boolean> {
     return this.#options.rateLimits.take(id);
--- a/packages/gateway/src/backends/backend-notices.ts
+++ b/packages/gateway/src/backends/backend-notices.ts
@@ -9,6 +9,8 @@
   readonly fleet: FleetState;
   readonly backoffs: BackendBackoffs;
   readonly rateLimits: BackendRateLimits;
+  /** What a backend names as its limit now, in requests a second; undefined: none any more. */
+  readonly onRateLimit: (backendId: string, perSecond: number | undefined) => void;
   readonly clock: Clock;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
@@ -34,7 +36,7 @@
    * @param isRateCounted whether it answers a request that was sent within the backend's limit
    */
   heard(backendId: string, notice: BackendNotice, isRateCounted: boolean): void {
-    this.#options.rateLimits.heard(backendId, notice.rateLimit, isRateCounted);
+    this.#heardRateLimit(backendId, notice.rateLimit, isRateCounted);
     const namesLimit = typeof notice.rateLimit === 'number';
     if (!notice.isLeaving && notice.backoffMs === undefined && !namesLimit) return;
     const { metrics, backoffs } = this.#options;
@@ -49,6 +51,13 @@
     if (notice.isLeaving) this.#options.fleet.noteAnnounced(backendId, 'answer');
   }
 
+  #heardRateLimit(backendId: string, limit: BackendNotice['rateLimit'], isRateCounted: boolean): void {
+    const { rateLimits, onRateLimit } = this.#options;
+    rateLimits.heard(backendId, limit, isRateCounted);
+    if (typeof limit === 'number') onRateLimit(backendId, limit);
+    else if (limit === 'none' && isRateCounted) onRateLimit(backendId, undefined);
+  }
+
   #log(backendId: string, { isLeaving, backoffMs, rateLimit }: BackendNotice): void {
     const { clock, telemetry, fleet } = this.#options;
     const nowMs = clock.now();
--- a/packages/gateway/src/backends/backend-rate-limits.ts
+++ b/packages/gateway/src/backends/backend-rate-limits.ts
@@ -67,6 +67,21 @@
     return perSecond === undefined ? undefined : rateLimitRule(perSecond);
   }
 
+  /** All backends that name a limit, with the rule that follows from it. */
+  all(): { readonly backendId: string; readonly rule: QuotaRule }[] {
+    const rows = [];
+    for (const backendId of [...this.#stated.keys()]) {
+      const rule = this.rule(backendId);
+      if (rule !== undefined) rows.push({ backendId, rule });
+    }
+    return rows;
+  }
+
+  /** Another node has heard, later than this one, that the backend names no limit any more. */
+  forget(backendId: string): void {
+    this.#stated.delete(backendId);
+  }
+
   /** Whether any backend may name a limit. */
   get isEmpty(): boolean {
     return this.#stated.size === 0;
--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -73,7 +73,9 @@
       return { kind: 'none', reason: decision.reason, retryAfterMs: decision.retryAfterMs };
     }
     const backend = this.#granted(pool, decision);
-    const isRateCounted = this.#availability.isRateLimited(backend.id);
+    if (decision.ratePerSecond === null) this.#availability.forgetRateLimit(backend.id);
+    const isRateCounted =
+      typeof decision.ratePerSecond === 'number' || this.#availability.isRateLimited(backend.id);
     const giveBack = await this.#mustGiveBack(decision);
     if (giveBack !== undefined) {
       this.#slots.release(pool, request.id, giveBack);
@@ -101,6 +103,8 @@
     if (this.#fleet.isLeaving(backendId) || this.#isGone(decision)) return 'refused';
     // It turned another request of this node away while this one waited for its slot. To other nodes it may be good.
     if (this.#availability.isBackingOff(backendId)) return 'cancelled';
+    // Granted within its limit, by a leader that counts what all nodes send.
+    if (typeof decision.ratePerSecond === 'number') return undefined;
     if (!this.#availability.isRateLimited(backendId)) return undefined;
     return (await this.#availability.takeUnit(backendId)) ? undefined : 'cancelled';
   }
--- a/packages/gateway/src/cluster/slot-answers.ts
+++ b/packages/gateway/src/cluster/slot-answers.ts
@@ -1,11 +1,13 @@
 import type { FleetState } from '@canvasridge/serving';
 import type { SlotDecision } from '@canvasridge/slots';
+import { rateLimitRule } from '../backends/backend-rate-limits.js';
 import type { PeerConnection } from '../peers/peer-connection.js';
 import type { Cluster } from './cluster.js';
 import { PeerUses } from './peer-uses.js';
 import type { PoolEntry } from './pool-entry.js';
 import {
   DECIDED_METHOD,
+  rateLimitParams,
   type AcquireParams,
   type AcquireReply,
   type ReleaseParams,
@@ -87,6 +89,14 @@
     if (others.length > 0 && others.every(({ id }) => told.has(id))) pool?.usesKnown();
   }
 
+  onRateLimit(params: unknown): void {
+    const { data } = rateLimitParams.safeParse(params);
+    const entry = data === undefined ? undefined : this.#pools.get(data.pool);
+    if (data === undefined || entry?.leading !== true) return;
+    const { backendId, perSecond } = data;
+    entry.pool?.setRateLimit(backendId, perSecond === null ? undefined : rateLimitRule(perSecond));
+  }
+
   onRelease(params: ReleaseParams, peer: PeerConnection): void {
     if (typeof params.leaving === 'string') this.#options.fleet.noteAnnounced(params.leaving, 'peer');
     this.#peerUses.forget(peer, params.requestId);
--- a/packages/gateway/src/cluster/slot-protocol.ts
+++ b/packages/gateway/src/cluster/slot-protocol.ts
@@ -1,3 +1,4 @@
+import * as z from 'zod';
 import type { RunningUse, SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
 
 /** JSON-RPC methods by which nodes ask the leader of a pool for slots. */
@@ -7,6 +8,7 @@
 export const STARTED_METHOD = 'slots.started';
 export const USES_METHOD = 'slots.uses';
 export const RELEASE_METHOD = 'slots.release';
+export const RATE_LIMIT_METHOD = 'slots.rate-limit';
 
 /** Params of {@link ACQUIRE_METHOD}. The answer is a {@link AcquireReply}; a queued one is decided later. */
 export interface AcquireParams {
@@ -41,6 +43,15 @@
   readonly leaving?: string;
 }
 
+/** Params of {@link RATE_LIMIT_METHOD}: an engine has named to the sender how many requests it takes from all nodes together. */
+export const rateLimitParams = z.object({
+  pool: z.string(),
+  backendId: z.string(),
+  /** Requests a second; null where it names no limit any more. */
+  perSecond: z.number().nonnegative().nullable(),
+});
+export type RateLimitParams = z.infer<typeof rateLimitParams>;
+
 /** What a request that is not wanted any more is told; nobody reads it. */
 export function cancelledDecision(requestId: string): SlotDecision {
   return { kind: 'refused', requestId, reason: 'stopping', retryAfterMs: 0 };
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -15,19 +15,23 @@
 } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { BackendAvailability } from '../backends/backend-availability.js';
+import { rateLimitRule, type BackendRateLimits } from '../backends/backend-rate-limits.js';
 import type { SlotSource } from '../backends/slot-picker.js';
 import type { Cluster } from './cluster.js';
 import { FormerLeader, type LeaderSight } from './former-leader.js';
 import { HANDOVER_MS, OrderPermission, type EngineFences } from './order-permission.js';
 import { OwnUses } from './own-uses.js';
 import type { PoolEntry } from './pool-entry.js';
+import { RateLimitNews } from './rate-limit-news.js';
 import { RemoteSlots, type LeaderConnection, type LeaderNetwork } from './remote-slots.js';
 import { SlotAnswers } from './slot-answers.js';
 import {
+  RATE_LIMIT_METHOD,
   RELEASE_METHOD,
   STARTED_METHOD,
   USES_METHOD,
   cancelledDecision,
+  type RateLimitParams,
   type ReleaseParams,
   type StartedParams,
   type UsesParams,
@@ -66,6 +70,7 @@
   readonly #pools = new Map<string, PoolEntry>();
   readonly #asked: RemoteSlots;
   readonly #uses: OwnUses;
+  readonly #rateLimitNews: RateLimitNews;
   /** Answers to other nodes that take this one for the leader of a pool. */
   readonly answers: SlotAnswers;
   readonly #memory = new AdapterMemory();
@@ -83,6 +88,10 @@
       options.cluster.checkPeer(address),
     );
     this.#uses = new OwnUses(options.clock);
+    this.#rateLimitNews = new RateLimitNews({
+      rateLimits: options.rateLimits,
+      tell: (backendId, perSecond) => this.#tellRateLimit(backendId, perSecond),
+    });
     const { fleet, cluster } = options;
     this.answers = new SlotAnswers({ fleet, cluster, pools: this.#pools });
     this.#permission = new OrderPermission({
@@ -149,7 +158,10 @@
     for (let asked = 1; ; asked += 1) {
       const aged = { ...request, ageMs: request.ageMs + clock.now() - askedMs };
       const decision = await this.#acquireOnce(poolName, aged, cancelled);
-      if (decision?.kind === 'granted') this.#uses.begin(poolName, request, decision.backendId);
+      if (decision?.kind === 'granted') {
+        this.#uses.begin(poolName, request, decision.backendId);
+        this.#rateLimitNews.granted(decision);
+      }
       const isStopping = decision?.kind === 'refused' && decision.reason === 'stopping';
       if (!isStopping || cancelled.aborted || asked === MOST_LEADERS_ASKED) return decision;
       await clock.sleep(TICK_MS);
@@ -181,6 +193,23 @@
     return entry.leadership.leader;
   }
 
+  /** An engine named in an answer to this node how many requests a second it takes; undefined: it does so no more. */
+  rateLimitHeard(backendId: string, perSecond: number | undefined): void {
+    this.#rateLimitNews.heard(backendId, perSecond);
+  }
+
+  #tellRateLimit(backendId: string, perSecond: number | null): void {
+    const pool = this.#options.fleet.backend(backendId)?.service;
+    const entry = pool === undefined ? undefined : this.#pools.get(pool);
+    if (pool === undefined || entry === undefined) return;
+    if (entry.leading) {
+      entry.pool?.setRateLimit(backendId, perSecond === null ? undefined : rateLimitRule(perSecond));
+      return;
+    }
+    const params: RateLimitParams = { pool, backendId, perSecond };
+    this.#leaderConnection(pool)?.notify(RATE_LIMIT_METHOD, params);
+  }
+
   began(poolName: string, request: SlotRequest, backendId: string): void {
     this.#uses.begin(poolName, request, backendId);
   }
@@ -287,6 +316,7 @@
   #followLeader(pool: string, entry: PoolEntry): void {
     const { leader } = entry.leadership;
     entry.former.note(leader);
+    this.#rateLimitNews.leaderChanged();
     this.#tellUses(pool, entry);
     this.#asked.leaderChanged(
       pool,
@@ -346,6 +376,8 @@
     entry.leading = true;
     entry.leadingSinceMs = this.#options.clock.now();
     entry.pool.lead();
+    for (const { backendId, rule } of this.#options.rateLimits.all())
+      entry.pool.setRateLimit(backendId, rule);
     this.#options.clock.setTimer(HANDOVER_MS, () => entry.pool?.wakeLeases());
     for (const use of this.#uses.of(name)) entry.pool.adoptUse(use);
     this.answers.checkUsesKnown(entry);
@@ -399,7 +431,10 @@
   }
 
   #fleetChanged(change: string): void {
-    if (change === 'backends') this.#memory.observe(this.#listedBackends());
+    if (change === 'backends') {
+      this.#memory.observe(this.#listedBackends());
+      this.#rateLimitNews.retain((id) => this.#options.fleet.backend(id) !== undefined);
+    }
     for (const [name, { pool }] of this.#pools) {
       if (pool === undefined) continue;
       if (change === 'adapter-version') pool.schedule();
@@ -434,6 +469,7 @@
   readonly network: SlotNetwork;
   readonly control: EngineControl;
   readonly availability: Pick<BackendAvailability, 'isBackingOff'>;
+  readonly rateLimits: Pick<BackendRateLimits, 'perSecond' | 'all'>;
   readonly timing: SlotTiming;
   readonly holder: OrderHolder;
   readonly engineFences: EngineFences;
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -20,6 +20,7 @@
   ACQUIRE_METHOD,
   CANCEL_METHOD,
   DECIDED_METHOD,
+  RATE_LIMIT_METHOD,
   RELEASE_METHOD,
   STARTED_METHOD,
   USES_METHOD,
@@ -156,6 +157,7 @@
       fleet,
       backoffs,
       rateLimits,
+      onRateLimit: (id, perSecond) => this.#slots.rateLimitHeard(id, perSecond),
       clock,
       telemetry,
       metrics: this.metrics,
@@ -170,6 +172,7 @@
       network: this.#network,
       control: options.control,
       availability,
+      rateLimits,
       timing: settings.slotTiming,
       engineFences: settings.engineFences,
       switchedOff: settings.switchedOff,
@@ -319,6 +322,7 @@
       [STARTED_METHOD]: (params) => this.#slots.answers.onStarted(params as StartedParams),
       [USES_METHOD]: (params, peer) => this.#slots.answers.onUses(params as UsesParams, peer),
       [RELEASE_METHOD]: (params, peer) => this.#slots.answers.onRelease(params as ReleaseParams, peer),
+      [RATE_LIMIT_METHOD]: (params) => this.#slots.answers.onRateLimit(params),
       [DECIDED_METHOD]: (params) => this.#slots.onDecided(params as SlotDecision),
     };
   }
--- a/packages/gateway/test/slot-picker.test.ts
+++ b/packages/gateway/test/slot-picker.test.ts
@@ -3,6 +3,7 @@
 import type { SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
 import test from 'ava';
 import { BackendAvailability } from '../src/backends/backend-availability.js';
+import { BackendRateLimits } from '../src/backends/backend-rate-limits.js';
 import { BackendBackoffs } from '../src/backends/backend-backoffs.js';
 import type { PickContext } from '../src/backends/picker.js';
 import { SlotPicker, type SlotSource } from '../src/backends/slot-picker.js';
@@ -21,6 +22,8 @@
   constructor(
     readonly engines: readonly string[],
     readonly entryRevision: number | undefined,
+    /** Limit within which engines are granted: see {@link SlotDecision}. */
+    readonly ratePerSecond?: number | null,
   ) {}
 
   async acquire(_pool: string, request: SlotRequest): Promise<SlotDecision> {
@@ -28,7 +31,8 @@
     const backendId = this.engines.find((id) => !request.excluded.includes(id)) ?? 'none';
     const { entryRevision } = this;
     const told = entryRevision === undefined || backendId !== 'leaving' ? {} : { entryRevision };
-    return { kind: 'granted', requestId: request.id, backendId, address: `${backendId}:1`, ...told };
+    const rate = this.ratePerSecond === undefined ? {} : { ratePerSecond: this.ratePerSecond };
+    return { kind: 'granted', requestId: request.id, backendId, address: `${backendId}:1`, ...told, ...rate };
   }
 
   began(): void {
@@ -212,3 +216,38 @@
   const context = { ...CONTEXT, excluded: ['stays'] };
   t.like(await picker.pick(context, NEVER), { kind: 'none', reason: 'backing-off' });
 });
+
+/** What becomes of an engine that named a limit to this node, of which no unit is left, as the leader grants it. */
+async function pickLimited(
+  ratePerSecond: number | null | undefined,
+): Promise<{ picked: string; isLimited: boolean }> {
+  const fleet = new FleetState();
+  listBoth(fleet);
+  const clock = new VirtualClock();
+  const rateLimits = new BackendRateLimits({
+    clock,
+    admit: () => Promise.resolve({ kind: 'refused', retryAfterMs: 500 }),
+  });
+  rateLimits.heard('leaving', 1.4, false);
+  const backoffs = new BackendBackoffs(clock);
+  const availability = new BackendAvailability({
+    fleet,
+    backoffs,
+    rateLimits,
+    clock,
+    othersServe: () => true,
+  });
+  const leader = new LateLeader(['leaving', 'stays'], undefined, ratePerSecond);
+  const result = await new SlotPicker(fleet, availability, leader, clock).pick(CONTEXT, NEVER);
+  const picked = result.kind === 'picked' ? result.backend.id : result.reason;
+  return { picked, isLimited: rateLimits.perSecond('leaving') !== undefined };
+}
+
+test('an engine that a leader grants without regard to its limit, as a build before does, needs a unit all the same', async (t) => {
+  t.deepEqual(await pickLimited(undefined), { picked: 'stays', isLimited: true });
+});
+
+test('one that is granted within its limit needs none; a limit that the leader knows to have ended is forgotten', async (t) => {
+  t.deepEqual(await pickLimited(1.4), { picked: 'leaving', isLimited: true });
+  t.deepEqual(await pickLimited(null), { picked: 'leaving', isLimited: false });
+});
--- a/packages/gateway/test/virtual-holders.ts
+++ b/packages/gateway/test/virtual-holders.ts
@@ -14,6 +14,7 @@
 import type { Cluster } from '../src/cluster/cluster.js';
 import type { LeaderConnection } from '../src/cluster/remote-slots.js';
 import { SlotService } from '../src/cluster/slot-service.js';
+import { noRateLimits } from './free-backends.js';
 import { VirtualClusters } from './virtual-clusters.js';
 
 const SERVICE = 'llm';
@@ -169,6 +170,7 @@
       network: { to: () => NO_CONNECTION, drop: () => undefined, heardWithin: () => false },
       control,
       availability: { isBackingOff: () => false },
+      rateLimits: noRateLimits(clock),
       timing: { ...DEFAULT_SLOT_TIMING, leaseMs: LEASE_MS },
       holder: { name: id, number: index + 1 },
       engineFences: { checked: false, settledAfterMs: LEASE_MS },
--- a/packages/slots/src/engine-choice.ts
+++ b/packages/slots/src/engine-choice.ts
@@ -32,6 +32,7 @@
     let best: EngineEntry | undefined;
     for (const entry of this.#candidates(request, index)) {
       if (!this.#engines.mayServe(entry, request) || !this.#suits(entry, request, nowMs)) continue;
+      if (!entry.rate.hasRoom) continue;
       if (best === undefined || costMs(entry, index, nowMs) < costMs(best, index, nowMs)) best = entry;
     }
     return best;
@@ -48,6 +49,14 @@
       );
   }
 
+  /** Whether an engine that could run the request takes no more at present. */
+  isRateLimited(request: SlotRequest, index: PoolIndex): boolean {
+    for (const entry of this.#candidates(request, index)) {
+      if (!entry.rate.hasRoom && this.#engines.mayServe(entry, request)) return true;
+    }
+    return false;
+  }
+
   /** Whether an engine has an adapter that is still good, so that another load there adds nothing. */
   holds(entry: EngineEntry, key: string): boolean {
     const slot = entry.slots.get(key);
--- a/packages/slots/src/engine-entry.ts
+++ b/packages/slots/src/engine-entry.ts
@@ -1,3 +1,4 @@
+import type { EngineRate } from './engine-rate.js';
 import type { EngineSlots } from './engine-slots.js';
 import type { OrderLease } from './order-lease.js';
 
@@ -5,6 +6,7 @@
 export interface EngineEntry {
   readonly slots: EngineSlots;
   readonly lease: OrderLease;
+  readonly rate: EngineRate;
   /** When it left the published list; undefined while it is listed. It is given no work meanwhile. */
   unlistedSinceMs: number | undefined;
 }
--- a/packages/slots/src/engine-registry.ts
+++ b/packages/slots/src/engine-registry.ts
@@ -2,6 +2,7 @@
 import type { BackendDescription, EngineProfile } from '@canvasridge/serving';
 import type { EngineReport } from './engine-control.js';
 import type { EngineEntry } from './engine-entry.js';
+import { EngineRate } from './engine-rate.js';
 import { EngineSlots } from './engine-slots.js';
 import { OrderLease, type OrderLeaseOptions } from './order-lease.js';
 import { speedOfFellows, type ReadingSpeed } from './reading-speed.js';
@@ -62,6 +63,20 @@
     return this.#some(request.model, (entry) => this.mayServe(entry, request));
   }
 
+  /**
+   * Requests a second that the engines which may be given the request and hold its model take together; undefined unless all of
+   * them name a limit.
+   */
+  ratePerSecond(request: SlotRequest): number | undefined {
+    let sum: number | undefined;
+    for (const entry of this.#engines.values()) {
+      if (!this.mayServe(entry, request) || !entry.slots.models.has(request.model)) continue;
+      if (entry.rate.rule === undefined) return undefined;
+      sum = (sum ?? 0) + entry.rate.rule.ratePerSecond;
+    }
+    return sum;
+  }
+
   #some(model: string, fits: (entry: EngineEntry) => boolean): boolean {
     for (const entry of this.#engines.values()) {
       if (fits(entry) && entry.slots.models.has(model)) return true;
@@ -124,7 +139,8 @@
       mayObserve: () => shared.mayObserve() && isListed(),
       onReport,
     });
-    this.#engines.set(backend.id, { slots, lease, unlistedSinceMs: undefined });
+    const rate = new EngineRate(clock);
+    this.#engines.set(backend.id, { slots, lease, rate, unlistedSinceMs: undefined });
   }
 }
 
--- a/packages/slots/src/load-starter.ts
+++ b/packages/slots/src/load-starter.ts
@@ -44,8 +44,8 @@
     const { engines, adapters, memory, demand: popularity } = this.#options;
     const { model, adapter } = waiting.request;
     if (adapter === undefined || index.able.length === 0) return 'no-room';
-    const able = index.able.filter(
-      (entry) => this.#isCandidate(entry, waiting.request) && canLoadMore(entry),
+    const able = preferUnlimited(
+      index.able.filter((entry) => this.#isCandidate(entry, waiting.request) && canLoadMore(entry)),
     );
     if (able.length === 0) return 'no-room';
     const demand = this.#demandOf(waiting, adapterKey(model, adapter), index, aheadMs);
@@ -102,3 +102,9 @@
     return entry.slots.models.has(model) && !choice.holds(entry, adapterKey(model, adapter));
   }
 }
+
+/** An adapter on an engine that names a limit is of little use there: such engines come last, and none without room for a request. */
+function preferUnlimited(able: readonly EngineEntry[]): readonly EngineEntry[] {
+  const unlimited = able.filter(({ rate }) => rate.rule === undefined);
+  return unlimited.length > 0 ? unlimited : able.filter(({ rate }) => rate.hasRoom);
+}
--- a/packages/slots/src/refusal-policy.ts
+++ b/packages/slots/src/refusal-policy.ts
@@ -68,16 +68,20 @@
     const gapMs = this.#turnGapMs(sinceMs, nowMs);
     let before = 0;
     for (const waiting of inOrder) {
-      if (!this.#refuseIfHopeless(waiting, (before + 1) * gapMs, nowMs)) before += 1;
+      if (!this.#refuseIfHopeless(waiting, before, gapMs, nowMs)) before += 1;
     }
   }
 
-  /** @param turnMs time until a load can begin for it */
-  #refuseIfHopeless(waiting: WaitingRequest, turnMs: number, nowMs: number): boolean {
+  /**
+   * @param before requests whose turn comes first
+   * @param gapMs time between two loads that can begin
+   */
+  #refuseIfHopeless(waiting: WaitingRequest, before: number, gapMs: number, nowMs: number): boolean {
     const { engines, choice, waiting: list, index, refuse, off } = this.#options;
     const { request } = waiting;
     const ageMs = nowMs - waiting.arrivedMs;
     const leftMs = request.startWithinMs - ageMs;
+    const turnMs = (before + 1) * gapMs;
     if (!engines.servesRequest(request) && ageMs >= NO_ENGINE_GRACE_MS) {
       list.remove(request.id);
       // Its node must use none of the engines that serve the model; another node may.
@@ -86,7 +90,8 @@
       return true;
     }
     if (leftMs > 0 && (off.has('early-refusal') || choice.isLoading(request, index()))) return false;
-    const waitMs = this.#expectedWaitMs(waiting, turnMs, nowMs);
+    const rateTurnMs = ((before + 1) / (engines.ratePerSecond(request) ?? Infinity)) * 1000;
+    const waitMs = Math.max(this.#expectedWaitMs(waiting, turnMs, nowMs), rateTurnMs);
     if (waitMs <= leftMs) return false;
     list.remove(request.id);
     refuse(waiting, 'no-slot-in-time', Math.min(waitMs, LONGEST_RETRY_MS));
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -1,3 +1,4 @@
+import type { QuotaRule } from '@canvasridge/admission';
 import type { Timer } from '@canvasridge/clock';
 import { adapterKey, type BackendDescription, type EngineProfile } from '@canvasridge/serving';
 import { AdapterDemand } from './adapter-demand.js';
@@ -212,6 +213,14 @@
     this.#refusals.watch();
   }
 
+  /** An engine names a limit for the requests of all nodes together, or names it no more (undefined). */
+  setRateLimit(engineId: string, rule: QuotaRule | undefined): void {
+    const entry = this.#engines.get(engineId);
+    if (entry === undefined) return;
+    entry.rate.rule = rule;
+    this.schedule();
+  }
+
   /** The client went away, or the request is served in another way. */
   cancel(requestId: string): void {
     this.#waiting.remove(requestId);
@@ -303,6 +312,7 @@
     if (request.adapter === undefined) {
       waiting.obstacle = 'no-engine';
       if (engine !== undefined) this.#grant(waiting, engine, undefined, nowMs);
+      else if (this.#awaitsRate(request, index)) waiting.obstacle = 'rate-limit';
       return;
     }
     const slot = engine?.slots.get(adapterKey(request.model, request.adapter));
@@ -321,7 +331,10 @@
     }
     if (this.#choice.isLoading(request, index)) waiting.obstacle = 'loading';
     else waiting.obstacle = this.#loads.start(waiting, index, aheadMs);
-    if (engine === undefined) return;
+    if (engine === undefined) {
+      if (this.#awaitsRate(request, index) && waiting.obstacle !== 'loading') waiting.obstacle = 'rate-limit';
+      return;
+    }
     if (aheadMs <= this.#longestBacklogMs(waiting, nowMs)) {
       this.#grant(waiting, engine, slot, nowMs);
       return;
@@ -330,6 +343,13 @@
     this.#lookAgainLater();
   }
 
+  /** Whether an engine that has what the request needs takes no more at present; it is looked at again as units come. */
+  #awaitsRate(request: SlotRequest, index: PoolIndex): boolean {
+    const awaits = this.#choice.isRateLimited(request, index);
+    if (awaits) this.#lookAgainLater();
+    return awaits;
+  }
+
   /** Prompts ahead with which a request still goes to an engine. */
   #longestBacklogMs({ request, arrivedMs }: WaitingRequest, nowMs: number): number {
     const leftMs = this.#waiting.startWithinMs(request) - (nowMs - arrivedMs);
@@ -360,7 +380,8 @@
     engine.slots.backlog.sent(request.id, request.promptTokens, nowMs);
     this.#uses.begin(request.id, engine, slot);
     this.#endIfLost(request.id, request.timeoutMs - request.ageMs);
-    waiting.decide({ kind: 'granted', requestId: request.id, backendId: id, address });
+    engine.rate.take();
+    waiting.decide({ kind: 'granted', requestId: request.id, backendId: id, address, ...rateOf(engine) });
   }
 
   /** A user of a slot that vanished without a word must not keep it for ever. */
@@ -405,3 +426,9 @@
     this.#timers.add(timer);
   }
 }
+
+/** What a grant tells of the engine's limit. */
+function rateOf({ rate }: EngineEntry): { ratePerSecond?: number | null } {
+  if (rate.rule !== undefined) return { ratePerSecond: rate.rule.ratePerSecond };
+  return rate.hasEnded ? { ratePerSecond: null } : {};
+}
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -35,6 +35,11 @@
       readonly requestId: string;
       readonly backendId: string;
       readonly address: string;
+      /**
+       * Requests a second within which the engine was granted, as it names such a limit; null where it named one that has ended;
+       * absent if the granting node has heard of none.
+       */
+      readonly ratePerSecond?: number | null;
       /** Revision of the engine's entry as the granting node knows it; absent if that one has lost sight of it. */
       readonly entryRevision?: number;
     }
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -47,10 +47,11 @@
 /**
  * What a request waits for: `loading`: its adapter, which is on its way; `backlog`: an engine that has it and is
  * behind; `no-room`: a slot, as no engine can take another adapter; `too-late`: an adapter that is not fetched,
- * since that would take too long or another engine has it in memory; `fetch-limit`: other fetches to end.
+ * since that would take too long or another engine has it in memory; `fetch-limit`: other fetches to end; `rate-limit`: an
+ * engine that has it and takes no more at present.
  */
 export type WaitObstacle =
-  'none' | 'no-engine' | 'loading' | 'backlog' | 'no-room' | 'too-late' | 'fetch-limit';
+  'none' | 'rate-limit' | 'no-engine' | 'loading' | 'backlog' | 'no-room' | 'too-late' | 'fetch-limit';
 
 /**
  * Requests that wait, most urgent first: those that can still meet their objective before those that cannot,
