--- a/packages/gateway/test/fleet-quarantine.test.ts
+++ b/packages/gateway/test/fleet-quarantine.test.ts
@@ -104,6 +104,20 @@
   });
 }
 
+/*
+ * Seen in a test of whole nodes on a busy machine: a node went on sending a request ten seconds after the others had quarantined it.
+ */
+test('a request that was suspected for a while is known in time when it is quarantined', async (t) => {
+  const fleet = new QuarantineFleet(12, 0, 6);
+  await fleet.run(SETTLED_MS);
+  void fleet.nodes.get('n7')?.interrupted('f', 'i0');
+  void fleet.nodes.get('n8')?.interrupted('f', 'i1');
+  await fleet.run(KNOWN_WITHIN_MS);
+  void fleet.nodes.get('n9')?.interrupted('f', 'i2');
+  await fleet.run(KNOWN_WITHIN_MS);
+  t.deepEqual(fleet.unaware('f'), []);
+});
+
 test('it is known in time though two of the three that count end before the last interruption', async (t) => {
   const fleet = new QuarantineFleet(12, 0, 2);
   await fleet.run(SETTLED_MS);
