A request that moves from suspects to quarantined is published at once

Callers' backends went on ending under such a request: each node that was not told by itself sent it once more, for up to a minute. Cause: a home compares its list with what it published by one line of text, trimmed; a suspect alone and the same request quarantined alone gave the same line. Excluded: lost datagrams and unread records (all nodes held the homes' records, with the request as a suspect). Why it holds: both lists are compared as they are.

--- a/packages/gateway/src/cluster/fleet-quarantine.ts
+++ b/packages/gateway/src/cluster/fleet-quarantine.ts
@@ -85,6 +85,8 @@
 const MOST_OWN = 192;
 /** Homes publish their list anew after this time, so that a node that starts gets ages that are not older. */
 const REPUBLISH_MS = 60_000;
+/** Content of a list of no requests, quarantined or suspected. */
+const NOTHING_PUBLISHED = JSON.stringify([[], []]);
 
 /**
  * Requests that are kept from backends by all nodes. A request comes again at any node, so the nodes tell a few homes of
@@ -102,7 +104,7 @@
   #telling: Promise<void> | undefined;
   #home = false;
   #suspects: ReadonlySet<string> = new Set();
-  #published = '';
+  #published = NOTHING_PUBLISHED;
   #publishedMs = -Infinity;
 
   constructor(options: FleetQuarantineOptions) {
@@ -252,8 +254,9 @@
     const quarantined = this.#list.entries();
     const suspects = this.#ledger.suspects(SUSPECTED_BACKENDS).slice(0, MOST_SUSPECTS);
     const fingerprints = quarantined.map(({ fingerprint }) => fingerprint);
-    const content = [...fingerprints, '', ...suspects].join(' ').trim();
-    const isDue = content !== '' && clock.now() - this.#publishedMs >= REPUBLISH_MS;
+    // Which of the two lists a request is on counts: one that moves from suspects to quarantined is news.
+    const content = JSON.stringify([fingerprints, suspects]);
+    const isDue = content !== NOTHING_PUBLISHED && clock.now() - this.#publishedMs >= REPUBLISH_MS;
     if (content === this.#published && !isDue) return;
     this.#published = content;
     this.#publishedMs = clock.now();
--- a/packages/gateway/test/fleet-quarantine.test.ts
+++ b/packages/gateway/test/fleet-quarantine.test.ts
@@ -106,6 +106,10 @@
 
 /*
  * Seen in a test of whole nodes on a busy machine: a node went on sending a request ten seconds after the others had quarantined it.
+ *
+ * A home publishes its list when that has changed. To see that, it compared the names of quarantined and suspected requests in one
+ * line of text without its outer blanks, in which one suspect alone and the same request quarantined alone looked alike.
+ * Proved by the records that nodes held at the end: all three homes had the request on their lists, and had published it as a suspect.
  */
 test('a request that was suspected for a while is known in time when it is quarantined', async (t) => {
   const fleet = new QuarantineFleet(12, 0, 6);
