What a node asks the home of a backend's limit is read by a schema

Rules come from the borrower, so a malformed one would be lent by. The home goes by the rule of whoever asks, never by its own knowledge, which may be older. Test: eight wrong shapes, none answered.

--- a/packages/gateway/src/cluster/fleet-quotas.ts
+++ b/packages/gateway/src/cluster/fleet-quotas.ts
@@ -7,6 +7,7 @@
 } from '@canvasridge/admission';
 import type { QuotaRule, QuotaRules } from '@canvasridge/admission';
 import { hashSeed, type Clock } from '@canvasridge/clock';
+import * as z from 'zod';
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { Cluster } from './cluster.js';
 import type { PeerCaller } from './peer-caller.js';
@@ -50,6 +51,34 @@
   readonly requests: readonly LoanRequest[];
 }
 
+/** Params of {@link RATE_BORROW_METHOD} as they come: each request brings the rule that its node goes by. */
+const rateBorrowParams = z.object({
+  node: z.string(),
+  group: z.number(),
+  requests: z.array(
+    z.object({
+      subject: z.string(),
+      needed: z.array(z.number().positive()),
+      ahead: z.number().nonnegative(),
+      returned: z.number().nonnegative(),
+      demand: z.number().nonnegative(),
+      share: z.number().optional(),
+      rule: z.object({ ratePerSecond: z.number().positive(), burst: z.number().nonnegative() }),
+    }),
+  ),
+});
+
+/** Undefined for what is no such question. */
+export function readRateBorrow(params: unknown): BorrowParams | undefined {
+  const { data } = rateBorrowParams.safeParse(params);
+  if (data === undefined) return undefined;
+  // A share that is absent is told as absent.
+  const requests = data.requests.map(({ share, ...rest }) =>
+    share === undefined ? rest : { ...rest, share },
+  );
+  return { ...data, requests };
+}
+
 /** Null from a node that does not take itself for the home. */
 export type BorrowReply = readonly Loan[] | null;
 
@@ -185,7 +214,7 @@
       const { clock, rules, cluster, telemetry, kind } = this.#options;
       ledger = new QuotaLedger({
         clock,
-        rules,
+        rules: kind.tellsRules ? () => undefined : rules,
         retries: kind.retries,
         outOfSight: () => new Set(cluster.lostMembers()),
       });
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -37,6 +37,7 @@
   FleetQuotas,
   RATE_BORROW_METHOD,
   TENANT_QUOTAS,
+  readRateBorrow,
   widened,
   type BorrowParams,
 } from './cluster/fleet-quotas.js';
@@ -316,7 +317,10 @@
       [INTERRUPTED_METHOD]: (params) => this.#quarantine.answer(params as InterruptedParams),
       [ENDED_WELL_METHOD]: (params) => this.#quarantine.answerEndedWell(params as EndedWellParams),
       [BORROW_METHOD]: (params) => this.#quotas.answer(params as BorrowParams),
-      [RATE_BORROW_METHOD]: (params) => this.#backendRates.answer(params as BorrowParams),
+      [RATE_BORROW_METHOD]: (params) => {
+        const read = readRateBorrow(params);
+        return read === undefined ? null : this.#backendRates.answer(read);
+      },
       [ACQUIRE_METHOD]: (params, peer) => this.#slots.answers.onAcquire(params as AcquireParams, peer),
       [CANCEL_METHOD]: (params, peer) => this.#slots.answers.onCancel(params as ReleaseParams, peer),
       [STARTED_METHOD]: (params) => this.#slots.answers.onStarted(params as StartedParams),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -28,6 +28,7 @@
   FleetQuotas,
   RATE_BORROW_METHOD,
   TENANT_QUOTAS,
+  readRateBorrow,
   widened,
   type BorrowParams,
   type QuotaSight,
--- a/packages/gateway/test/rate-limit-homes.test.ts
+++ b/packages/gateway/test/rate-limit-homes.test.ts
@@ -7,7 +7,7 @@
   BACKEND_RATES,
   FleetQuotas,
   RATE_BORROW_METHOD,
-  type BorrowParams,
+  readRateBorrow,
   type QuotaSight,
 } from '../src/index.js';
 
@@ -97,10 +97,10 @@
   async #call(peer: string, method: string, params: unknown, timeoutMs: number): Promise<unknown> {
     const isLost = this.silent.has(peer) || method !== RATE_BORROW_METHOD;
     await this.clock.sleep(isLost ? timeoutMs : 3);
+    if (isLost) return undefined;
     // As it travels: what is undefined is left out.
-    return isLost
-      ? undefined
-      : this.nodes.get(peer)?.rates.answer(JSON.parse(JSON.stringify(params)) as BorrowParams);
+    const read = readRateBorrow(JSON.parse(JSON.stringify(params)));
+    return read === undefined ? null : this.nodes.get(peer)?.rates.answer(read);
   }
 }
 
@@ -179,3 +179,27 @@
   await fleet.send(10, 40);
   t.true(fleet.sentMs.length >= 2 && fleet.fullest <= allowed(0), `${fleet.sentMs.length} sent`);
 });
+
+test('what is no question for units is not answered, whatever it is', (t) => {
+  const request = {
+    subject: 'i1',
+    needed: [1],
+    ahead: 0,
+    returned: 0,
+    demand: 1,
+    rule: { ratePerSecond: 1, burst: 2 },
+  };
+  const question = { node: 'n1', group: 0, requests: [request], later: 1 };
+  t.deepEqual(readRateBorrow(question)?.requests, [request]);
+  const wrong: unknown[] = [
+    undefined,
+    null,
+    'text',
+    { ...question, requests: {} },
+    { ...question, requests: [{ ...request, rule: undefined }] },
+    { ...question, requests: [{ ...request, rule: { ratePerSecond: -1, burst: 2 } }] },
+    { ...question, requests: [{ ...request, needed: [-5] }] },
+    { ...question, requests: [{ ...request, returned: 'all' }] },
+  ];
+  for (const params of wrong) t.is(readRateBorrow(params), undefined, JSON.stringify(params));
+});
