--- a/packages/gateway/test/rate-limit-homes.test.ts
+++ b/packages/gateway/test/rate-limit-homes.test.ts
@@ -1,113 +1,12 @@
 /** The allowance of a backend that names a limit, lent by one node to all that have heard of it, in virtual time. */
-import { Random, VirtualClock, hashSeed } from '@canvasridge/clock';
-import { Telemetry } from '@canvasridge/telemetry';
+import { VirtualClock } from '@canvasridge/clock';
 import test from 'ava';
 import { BackendRateLimits } from '../src/backends/backend-rate-limits.js';
-import {
-  BACKEND_RATES,
-  FleetQuotas,
-  RATE_BORROW_METHOD,
-  readRateBorrow,
-  type QuotaSight,
-} from '../src/index.js';
+import { readRateBorrow } from '../src/index.js';
+import { BACKEND, LimitedFleet, allowed } from './limited-fleet.js';
 
-const BACKEND = 'i1';
-const WINDOW_MS = 4000;
 const SEEDS = [1, 2, 3, 4, 5];
 
-interface Node {
-  readonly id: string;
-  readonly limits: BackendRateLimits;
-  readonly rates: FleetQuotas;
-  /** Nodes that it takes for serving, the home first. */
-  ranking: readonly string[];
-}
-
-/** Nodes before one backend, with requests that each of them would send there. */
-class Fleet {
-  readonly clock = new VirtualClock();
-  readonly nodes = new Map<string, Node>();
-  readonly sentMs: number[] = [];
-  /** Nodes that answer no other. */
-  readonly silent = new Set<string>();
-  readonly #random: Random;
-
-  constructor(count: number, seed: number) {
-    this.#random = new Random(hashSeed(`rate-limit-${seed}`));
-    const ids = Array.from({ length: count }, (_, index) => `n${index}`);
-    for (const id of ids) this.#addNode(id, ids);
-  }
-
-  /** All nodes hear of the limit. */
-  name(perSecond: number): void {
-    for (const { limits } of this.nodes.values()) limits.heard(BACKEND, perSecond, false);
-  }
-
-  /** Requests of all nodes for some seconds, so many a second over all of them. */
-  async send(perSecond: number, seconds: number): Promise<void> {
-    const untilMs = this.clock.now() + seconds * 1000;
-    while (this.clock.now() < untilMs) {
-      const gapMs = (-Math.log(1 - this.#random.next()) * 1000) / perSecond;
-      await this.clock.runUntil(this.clock.now() + gapMs);
-      const node = this.#random.pick([...this.nodes.values()]);
-      void node?.limits.take(BACKEND).then((isTaken) => {
-        if (isTaken) this.sentMs.push(this.clock.now());
-      });
-    }
-  }
-
-  /** The most requests in any span of the window's length. */
-  get fullest(): number {
-    let most = 0;
-    let first = 0;
-    for (const [index, atMs] of this.sentMs.entries()) {
-      while ((this.sentMs[first] ?? atMs) <= atMs - WINDOW_MS) first += 1;
-      most = Math.max(most, index - first + 1);
-    }
-    return most;
-  }
-
-  #addNode(id: string, ranking: readonly string[]): void {
-    const { clock } = this;
-    const cluster: QuotaSight = {
-      selfId: id,
-      candidates: () => this.nodes.get(id)?.ranking ?? ranking,
-      peerAddress: (peer) => peer,
-      lostMembers: () => [],
-    };
-    const limits: BackendRateLimits = new BackendRateLimits({
-      clock,
-      admit: (backendId) => rates.admit(backendId, 1),
-    });
-    const rates: FleetQuotas = new FleetQuotas({
-      kind: BACKEND_RATES,
-      clock,
-      cluster,
-      network: {
-        to: (peer) => ({ call: (method, params, timeoutMs) => this.#call(peer, method, params, timeoutMs) }),
-      },
-      telemetry: new Telemetry({ processName: 'test', clock }),
-      rules: (backendId) => limits.rule(backendId),
-      subjectCount: () => 1,
-      fleetShare: () => 1 / ranking.length,
-    });
-    this.nodes.set(id, { id, limits, rates, ranking });
-  }
-
-  async #call(peer: string, method: string, params: unknown, timeoutMs: number): Promise<unknown> {
-    const isLost = this.silent.has(peer) || method !== RATE_BORROW_METHOD;
-    await this.clock.sleep(isLost ? timeoutMs : 3);
-    if (isLost) return undefined;
-    // As it travels: what is undefined is left out.
-    const read = readRateBorrow(JSON.parse(JSON.stringify(params)));
-    return read === undefined ? null : this.nodes.get(peer)?.rates.answer(read);
-  }
-}
-
-function allowed(perSecond: number): number {
-  return (1.5 * perSecond * WINDOW_MS) / 1000 + 5;
-}
-
 for (const [count, perSecond] of [
   [9, 0.4],
   [9, 1.4],
@@ -116,7 +15,7 @@
 ] as const) {
   test(`${count} nodes keep a limit of ${perSecond} a second together, and use it`, async (t) => {
     for (const seed of SEEDS) {
-      const fleet = new Fleet(count, seed);
+      const fleet = new LimitedFleet(count, seed);
       fleet.name(perSecond);
       const seconds = 50;
       await fleet.send(perSecond * 4, seconds);
@@ -130,7 +29,7 @@
 
 test('nodes whose home changes, or is lost, keep the limit all the same', async (t) => {
   for (const seed of SEEDS) {
-    const fleet = new Fleet(9, seed);
+    const fleet = new LimitedFleet(9, seed);
     const { nodes } = fleet;
     fleet.name(3);
     await fleet.send(12, 10);
@@ -147,7 +46,7 @@
 });
 
 test('a node that gets no answer from the home sends nothing there, and no node is left closed for good', async (t) => {
-  const fleet = new Fleet(9, 1);
+  const fleet = new LimitedFleet(9, 1);
   fleet.name(3);
   fleet.silent.add('n0');
   await fleet.send(12, 20);
@@ -174,7 +73,7 @@
 });
 
 test('a backend that takes nothing at all is still asked now and then whether that has ended', async (t) => {
-  const fleet = new Fleet(9, 1);
+  const fleet = new LimitedFleet(9, 1);
   fleet.name(0);
   await fleet.send(10, 40);
   t.true(fleet.sentMs.length >= 2 && fleet.fullest <= allowed(0), `${fleet.sentMs.length} sent`);
