A caller that is refused for a backend's limit is told when there is something left of it

It was sent to another node after 20 ms, as where a backend turned this node alone away; but a limit is for all nodes together, so that its retry found nothing there either. Reason rate-limited in answers and lines; pool.state counts engines with a limit.

--- a/packages/gateway/src/backends/backend-availability.ts
+++ b/packages/gateway/src/backends/backend-availability.ts
@@ -18,6 +18,13 @@
 /** Part of its objective after which a request can't be answered in it any more: the rest is for the backend's work. */
 const LATEST_START_SHARE = 0.7;
 
+/** Why nothing may be sent to any backend of a service, and until when. */
+interface Closure {
+  readonly remainingMs: number;
+  /** `rate-limited`: all of them name limits, of which nothing is left; `backing-off`: some want nothing from this node. */
+  readonly reason: 'rate-limited' | 'backing-off';
+}
+
 /** Which backends this node may give requests to, by the list and by what they said to this node. */
 export class BackendAvailability {
   readonly #options: BackendAvailabilityOptions;
@@ -65,39 +72,48 @@
   /**
    * To be asked before a backend is chosen. Where nothing is left but backends that want nothing from this node now, a request waits
    * for the first of them if it can still be answered within its objective then; else it is refused at once, to be served by another
-   * node, which may not have been turned away. Of four ways, on the same seeds, this one served most in time where backends turn a
-   * part of all requests away (8,945 of 9,403; 8,681 by refusing at once, 8,408 by waiting as long as the caller does; docs/design/notices.md).
+   * node, which may not have been turned away, or when there is something left of a limit. Other ways stand in docs/design/notices.md.
    * Resolves with the refusal, or undefined once a backend may be chosen.
    */
   async refusal(context: PickContext, cancelled: AbortSignal): Promise<PickResult | undefined> {
     const { clock, othersServe } = this.#options;
     const sinceMs = clock.now();
     for (;;) {
-      const closedMs = this.#closedMs(context);
-      if (closedMs === undefined || cancelled.aborted) return undefined;
+      const closure = this.#closure(context);
+      if (closure === undefined || cancelled.aborted) return undefined;
+      const { remainingMs, reason } = closure;
       const ageMs = context.ageMs + clock.now() - sinceMs;
-      if (ageMs + closedMs > context.route.objectiveMs * LATEST_START_SHARE) {
-        const retryAfterMs = othersServe() ? Math.min(closedMs, RETRY_ELSEWHERE_MS) : closedMs;
-        return { kind: 'none', reason: 'backing-off', retryAfterMs };
+      if (ageMs + remainingMs > context.route.objectiveMs * LATEST_START_SHARE) {
+        // A limit is for all nodes together: none of them has anything left of it.
+        const isBetterElsewhere = reason === 'backing-off' && othersServe();
+        const retryAfterMs = isBetterElsewhere ? Math.min(remainingMs, RETRY_ELSEWHERE_MS) : remainingMs;
+        return { kind: 'none', reason, retryAfterMs };
       }
-      await clock.sleep(closedMs);
+      await clock.sleep(remainingMs);
     }
   }
 
   /**
-   * How long until the first backend of the service takes requests of this node again, in milliseconds; undefined while there is one
-   * that does, or none at all. One that the request was sent to counts only for its time: it is not chosen again before.
+   * When the first backend of the service takes requests of this node again; undefined while there is one that does, or none
+   * at all. One that the request was sent to counts only for its time: it is not chosen again before.
    */
-  #closedMs({ service, excluded }: PickContext): number | undefined {
+  #closure({ service, excluded }: PickContext): Closure | undefined {
     const { fleet, backoffs, rateLimits } = this.#options;
     if (backoffs.active().length === 0 && rateLimits.isEmpty) return undefined;
-    let soonestMs = Infinity;
+    let soonest: Closure | undefined;
+    let isRateLimited = true;
     for (const { id, state } of fleet.backendsOf(service.name)) {
       if (state !== 'ready') continue;
-      const remainingMs = Math.max(backoffs.remainingMs(id), rateLimits.closedMs(id));
-      if (remainingMs > 0) soonestMs = Math.min(soonestMs, remainingMs);
-      else if (!excluded.includes(id)) return undefined;
+      const limitedMs = rateLimits.closedMs(id);
+      const remainingMs = Math.max(backoffs.remainingMs(id), limitedMs);
+      if (remainingMs === 0) {
+        if (excluded.includes(id)) continue;
+        return undefined;
+      }
+      isRateLimited &&= limitedMs > 0;
+      const reason = isRateLimited ? 'rate-limited' : 'backing-off';
+      soonest = { remainingMs: Math.min(soonest?.remainingMs ?? Infinity, remainingMs), reason };
     }
-    return soonestMs === Infinity ? undefined : soonestMs;
+    return soonest;
   }
 }
--- a/packages/gateway/test/rate-limit.test.ts
+++ b/packages/gateway/test/rate-limit.test.ts
@@ -33,3 +33,13 @@
   t.is(statuses.filter((status) => status === 200).length, harness.sends);
   t.is(statuses.filter((status) => status === 503).length, CALLS - harness.sends);
 });
+
+test('a caller that is refused for a limit is told when something is left of it, which no other node has sooner', async (t) => {
+  const harness = await start(t, [limited]);
+  harness.othersServe = true;
+  let seen = await harness.call('first');
+  for (let index = 0; index < CALLS && seen.status === 200; index += 1)
+    seen = await harness.call(`a${index}`);
+  t.is(seen.status, 503);
+  t.true(Number(seen.headers['retry-after']) > 1, `${seen.headers['retry-after']} s`);
+});
--- a/packages/slots/src/pool-figures.ts
+++ b/packages/slots/src/pool-figures.ts
@@ -22,6 +22,8 @@
   readonly busy: number;
   /** Engines that are given nothing for a moment, after a failure. */
   readonly avoided: number;
+  /** Engines that name how many requests a second they take. */
+  readonly rateLimited: number;
   /** Adapters with requests, without, and on their way. */
   readonly slotsInUse: number;
   readonly slotsIdle: number;
@@ -39,6 +41,7 @@
     held: entries.filter(({ lease }) => lease.held).length,
     busy: entries.filter((entry) => entry.slots.busy).length,
     avoided: entries.filter((entry) => entry.slots.avoidUntilMs > nowMs).length,
+    rateLimited: entries.filter(({ rate }) => rate.rule !== undefined).length,
     slotsInUse: slots.filter((slot) => slot.users > 0).length,
     slotsIdle: slots.filter((slot) => slot.users === 0 && slot.state === 'loaded').length,
     slotsLoading: slots.filter((slot) => slot.state === 'loading').length,
