--- a/packages/gateway/test/slot-picker.test.ts
+++ b/packages/gateway/test/slot-picker.test.ts
@@ -80,6 +80,15 @@
   fleet.applyBackend(2, engine('stays'));
 }
 
+function availabilityOf(
+  fleet: FleetState,
+  clock: VirtualClock,
+  backoffs: BackendBackoffs,
+  rateLimits = noRateLimits(clock),
+): BackendAvailability {
+  return new BackendAvailability({ fleet, backoffs, rateLimits, clock, othersServe: () => true });
+}
+
 async function pickAfter(
   change: (fleet: FleetState) => void,
   entryRevision?: number,
@@ -89,13 +98,7 @@
   const leader = new LateLeader(['leaving', 'stays'], entryRevision);
   const clock = new VirtualClock();
   const backoffs = new BackendBackoffs(clock);
-  const availability = new BackendAvailability({
-    fleet,
-    backoffs,
-    rateLimits: noRateLimits(clock),
-    clock,
-    othersServe: () => true,
-  });
+  const availability = availabilityOf(fleet, clock, backoffs);
   const picker = new SlotPicker(fleet, availability, leader, clock);
   const result = await picker.pick(CONTEXT, new AbortController().signal);
   return { picked: result.kind === 'picked' ? result.backend.id : result.reason, leader };
@@ -162,13 +165,7 @@
   const leader = new LateLeader(['leaving', 'stays'], undefined);
   const clock = new VirtualClock();
   const backoffs = new BackendBackoffs(clock);
-  const availability = new BackendAvailability({
-    fleet,
-    backoffs,
-    rateLimits: noRateLimits(clock),
-    clock,
-    othersServe: () => true,
-  });
+  const availability = availabilityOf(fleet, clock, backoffs);
   return { picker: new SlotPicker(fleet, availability, leader, clock), leader, clock, backoffs };
 }
 
@@ -230,13 +227,7 @@
   });
   rateLimits.heard('leaving', 1.4, false);
   const backoffs = new BackendBackoffs(clock);
-  const availability = new BackendAvailability({
-    fleet,
-    backoffs,
-    rateLimits,
-    clock,
-    othersServe: () => true,
-  });
+  const availability = availabilityOf(fleet, clock, backoffs, rateLimits);
   const leader = new LateLeader(['leaving', 'stays'], undefined, ratePerSecond);
   const result = await new SlotPicker(fleet, availability, leader, clock).pick(CONTEXT, NEVER);
   const picked = result.kind === 'picked' ? result.backend.id : result.reason;
