--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -67,6 +67,11 @@
     labelNames: ['pool'],
     registers: [this.registry],
   });
+  readonly storeEra = new Gauge({
+    name: 'canvasridge_store_era',
+    help: 'Era of the publishing store, which rises each time it comes back from a copy',
+    registers: [this.registry],
+  });
   readonly listAge = new Gauge({
     name: 'canvasridge_backend_list_age_seconds',
     help: 'Time for which the list of backends may have changed unnoticed',
