What was read before the store came back from a copy counts as older than all that is read after it

Cause: entries, lists and grants were ordered by the store's revision alone. Class: an order taken from somebody else's counter, which he may set back.

Fix: the store's answers name its era. A node's revisions belong to one era; on a new one it keeps what it holds as older than all that is read in it, reads both prefixes as a whole, and discards answers that were overtaken. The copy tells old truths: a backend that said it leaves goes on leaving, one that had left gets nothing until its entry has lapsed again, a live one that the copy lacks has two seconds to be written again. A peer that names no era is believed until a new era has begun.

--- a/packages/gateway/src/backends/backend-availability.ts
+++ b/packages/gateway/src/backends/backend-availability.ts
@@ -61,12 +61,12 @@
   /** Backends of a service that this node must not use though others may: who chooses for it may not know of them. */
   closedTo(service: string): readonly string[] {
     const { fleet, backoffs } = this.#options;
-    const announced = fleet.announcedOf(service);
+    const departures = fleet.unlistedDepartures(service);
     const backingOff = backoffs.active();
     // Nearly always: each request asks this.
-    if (backingOff.length === 0) return announced;
+    if (backingOff.length === 0) return departures;
     const ofService = backingOff.filter((id) => fleet.backend(id)?.service === service);
-    return [...new Set([...announced, ...ofService])];
+    return [...new Set([...departures, ...ofService])];
   }
 
   /**
--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -113,9 +113,9 @@
    * Whether an engine that is not listed here has left the list, and is not just new: its entry is older than the list.
    * A node that started after the engine left never saw it, and a leader that is cut off still names it.
    */
-  #isGone({ backendId, entryRevision }: SlotDecision & { kind: 'granted' }): boolean {
+  #isGone({ backendId, entryEra, entryRevision }: SlotDecision & { kind: 'granted' }): boolean {
     if (this.#fleet.backend(backendId) !== undefined || entryRevision === undefined) return false;
-    return entryRevision <= this.#fleet.backendsRevision;
+    return this.#fleet.backendsReach({ era: entryEra, revision: entryRevision });
   }
 
   /** The leader may know an engine that is not listed here yet. */
--- a/packages/gateway/src/cluster/slot-answers.ts
+++ b/packages/gateway/src/cluster/slot-answers.ts
@@ -53,8 +53,11 @@
   /** So that a node that does not list the engine can tell whether it is new or gone. */
   #withEntryRevision(decision: SlotDecision): SlotDecision {
     if (decision.kind === 'refused') return decision;
-    const entryRevision = this.#options.fleet.entryRevision(decision.backendId);
-    return entryRevision === undefined ? decision : { ...decision, entryRevision };
+    const { fleet } = this.#options;
+    const entryRevision = fleet.entryRevision(decision.backendId);
+    if (entryRevision === undefined) return decision;
+    const { era } = fleet;
+    return { ...decision, entryRevision, ...(era === undefined ? {} : { entryEra: era }) };
   }
 
   onCancel(params: ReleaseParams, peer: PeerConnection): void {
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -252,7 +252,10 @@
       return;
     }
     const { fleet } = this.#options;
-    const isNews = backendId !== undefined && fleet.announcedOf(poolName).includes(backendId);
+    const isNews =
+      backendId !== undefined &&
+      fleet.hasAnnounced(backendId) &&
+      fleet.unlistedDepartures(poolName).includes(backendId);
     // Without it the leader orders adapters onto that engine for other nodes until each of them was told.
     const leaving = isNews ? { leaving: backendId } : {};
     const params: ReleaseParams = { pool: poolName, requestId, outcome, ...leaving };
--- a/packages/gateway/src/cluster/state-exchange.ts
+++ b/packages/gateway/src/cluster/state-exchange.ts
@@ -13,6 +13,8 @@
 
 /** Params of {@link SNAPSHOT_METHOD}: what the asking node knows already. */
 export interface SnapshotRequest {
+  /** Era of both revisions; absent if the node knows none, or is of a build that reads none. */
+  readonly era?: number | undefined;
   readonly operatorRevision: number;
   /** See {@link FleetState.operatorDigest}. */
   readonly operatorDigest: number;
@@ -96,6 +98,7 @@
 
   async #ask(address: string): Promise<void> {
     const known: SnapshotRequest = {
+      era: this.#fleet.era,
       operatorRevision: this.#fleet.operatorRevision,
       operatorDigest: this.#fleet.operatorDigest,
       backendsRevision: this.#fleet.backendsRevision,
@@ -119,10 +122,13 @@
   waiting: WaitingBytes,
 ): SnapshotAnswer {
   const configuration = freshness.told;
+  const { era } = known;
   const hasOperatorNews =
-    fleet.operatorRevision >= known.operatorRevision && fleet.operatorDigest !== known.operatorDigest;
+    fleet.operatorDigest !== known.operatorDigest &&
+    fleet.operatorReaches({ era, revision: known.operatorRevision });
   const hasBackendNews =
-    fleet.backendsRevision >= known.backendsRevision && fleet.routingDigest !== known.routingDigest;
+    fleet.routingDigest !== known.routingDigest &&
+    fleet.backendsReach({ era, revision: known.backendsRevision });
   if ((!hasOperatorNews && !hasBackendNews) || !hasRoom(waiting)) return configuration;
   return { ...configuration, snapshot: { ...fleet.snapshot(), configuration: undefined } };
 }
--- a/packages/gateway/src/cluster/state-follower.ts
+++ b/packages/gateway/src/cluster/state-follower.ts
@@ -10,6 +10,8 @@
 
 /** Params of {@link FOLLOW_METHOD}: what the asking node holds of the published state. */
 export interface FollowRequest {
+  /** Era of both revisions; absent if the node knows none, or is of a build that reads none. */
+  readonly era?: number | undefined;
   readonly backendsRevision: number;
   /** See {@link FleetState.routingDigest}. */
   readonly routingDigest: number;
@@ -20,6 +22,8 @@
 
 /** What a reader of the store tells a follower. The configuration itself is fetched in parts: `ConfigurationFetcher`. */
 export interface FollowAnswer extends ToldConfiguration {
+  /** Era of the revisions; see {@link FollowRequest}. */
+  readonly era?: number | undefined;
   /** Time since the reader last heard from the store, in milliseconds; absent if it does not read it. */
   readonly ageMs?: number;
   /** Revision up to which the reader's list of backends is complete. */
@@ -122,7 +126,7 @@
    */
   #undecidedMs(): number {
     const { clock, fleet } = this.#options;
-    const isWhole = fleet.routes !== undefined && fleet.backendsRevision > 0;
+    const isWhole = fleet.routes !== undefined && fleet.isListKnown;
     return isWhole ? this.#startedMs + DECIDED_AFTER_MS - clock.now() : 0;
   }
 
@@ -155,16 +159,19 @@
   /** Answers a follower. */
   answer(known: FollowRequest, waiting: WaitingBytes): FollowAnswer {
     const { clock, fleet, freshness } = this.#options;
-    const { backendsRevision } = fleet;
+    const { era, backendsRevision } = fleet;
     const configuration = freshness.told;
-    if (!hasRoom(waiting)) return { backendsRevision, ...configuration, withheld: true };
+    if (!hasRoom(waiting)) return { era, backendsRevision, ...configuration, withheld: true };
     const hasListing =
-      fleet.routingDigest !== known.routingDigest && fleet.backendsRevision >= known.backendsRevision;
+      fleet.routingDigest !== known.routingDigest &&
+      fleet.backendsReach({ era: known.era, revision: known.backendsRevision });
     const hasOperatorState =
-      fleet.operatorDigest !== known.operatorDigest && fleet.operatorRevision >= known.operatorRevision;
+      fleet.operatorDigest !== known.operatorDigest &&
+      fleet.operatorReaches({ era: known.era, revision: known.operatorRevision });
     const ageMs = clock.now() - this.#heardMs;
     return {
       ...(this.#reading && Number.isFinite(ageMs) ? { ageMs: Math.ceil(ageMs) } : {}),
+      era,
       backendsRevision,
       ...configuration,
       ...(hasListing ? { listing: fleet.listing() } : {}),
@@ -239,7 +246,7 @@
   #mustRead(readers: readonly string[]): boolean {
     const { selfId, fleet, needsWholeState, budget, clock } = this.#options;
     if (!this.isLarge || readers.includes(selfId) || needsWholeState()) return true;
-    if (fleet.routes === undefined || fleet.backendsRevision === 0) return true;
+    if (fleet.routes === undefined || !fleet.isListKnown) return true;
     const ageMs = Math.min(this.listAgeMs, clock.now() - this.#startedMs);
     return ageMs > budget.orphanedAgeMs;
   }
@@ -278,6 +285,7 @@
     const address = peerAddress(id);
     if (address === undefined) return;
     const known: FollowRequest = {
+      era: fleet.era,
       backendsRevision: fleet.backendsRevision,
       routingDigest: fleet.routingDigest,
       operatorRevision: fleet.operatorRevision,
@@ -289,6 +297,9 @@
     const answer = reply as FollowAnswer;
     const { configurationVersion, configurationAgeMs = Infinity } = answer;
     this.#options.onConfigurationOffered(configurationVersion, address, this.#isNear(id));
+    if (answer.operatorState !== undefined) fleet.applyOperatorState(answer.operatorState);
+    // What a reader knows of an earlier era confirms nothing that was written in this one.
+    if (!fleet.admitEra(answer.era)) return;
     this.#options.freshness.confirm(configurationVersion, askedMs - configurationAgeMs);
     if (answer.withheld !== true) this.#take(answer, known, askedMs);
   }
@@ -300,13 +311,11 @@
 
   #take(answer: FollowAnswer, known: FollowRequest, askedMs: number): void {
     const { fleet } = this.#options;
-    const { listing, operatorState } = answer;
-    if (operatorState !== undefined) fleet.applyOperatorState(operatorState);
+    const { listing, backendsRevision } = answer;
+    const isBehind = known.era === fleet.era && backendsRevision < known.backendsRevision;
     if (listing !== undefined) fleet.applyListing(listing);
     // A reader that is not behind and sends no list holds the same one.
-    else if (answer.backendsRevision >= known.backendsRevision) {
-      fleet.confirmBackends(answer.backendsRevision);
-    }
+    else if (!isBehind) fleet.confirmBackends(backendsRevision);
     if (answer.ageMs !== undefined) this.#completeMs = Math.max(this.#completeMs, askedMs - answer.ageMs);
   }
 
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -3,7 +3,7 @@
 import type { QuotaRule } from '@canvasridge/admission';
 import { ContinuousClock, Random, hashSeed } from '@canvasridge/clock';
 import { UdpTransport } from '@canvasridge/membership';
-import type { Departure, FleetState } from '@canvasridge/serving';
+import type { Departure, FleetState, NewEra } from '@canvasridge/serving';
 import { err, ok, type Result } from 'neverthrow';
 import { BackendAvailability } from './backends/backend-availability.js';
 import { BackendBackoffs } from './backends/backend-backoffs.js';
@@ -237,6 +237,7 @@
     this.#lag = new LoopLag(clock, (busy) => this.#busyChanged(busy));
     fleet.onChange((change) => this.#fleetChanged(change));
     fleet.onDeparture((departure) => this.#departed(departure));
+    fleet.onNewEra((era) => this.#eraBegan(era));
   }
 
   /** Binds sockets and starts all tasks. */
@@ -351,12 +352,23 @@
     this.metrics.departures.inc({ state });
     this.#options.telemetry.event('info', 'backend.leaving', id, {
       state,
+      era: this.fleet.era,
       revision,
       via: via === 'list' ? (this.published.readsSource ? 'store' : 'reader') : via,
       listAgeMs: Math.round(this.published.listAgeMs),
     });
   }
 
+  /** One line for each era on each node; the list that it held goes on to be used until it is read again. */
+  #eraBegan({ from, to }: NewEra): void {
+    this.#options.telemetry.event('warn', 'store.era', 'store', {
+      from: from ?? 'none',
+      to,
+      backends: [...this.fleet.allBackends()].length,
+      listAgeMs: Math.round(this.published.listAgeMs),
+    });
+  }
+
   #busyChanged(busy: boolean): void {
     const lagMs = Math.round(this.#lag.meanMs);
     this.#options.telemetry.event('info', 'process.busy', this.#options.settings.nodeId, { busy, lagMs });
--- a/packages/gateway/test/followed-fleet.ts
+++ b/packages/gateway/test/followed-fleet.ts
@@ -59,6 +59,7 @@
       heartbeatMs: HEARTBEAT_MS,
       listAgeMs: () => this.follower.listAgeMs,
       onHeld: () => undefined,
+      onListedAgain: () => undefined,
     });
     this.state.applyConfiguration(CONFIGURATION);
     this.follower = node(this.state);
--- /dev/null
+++ b/packages/gateway/test/restored-fleet.ts
@@ -0,0 +1,195 @@
+import type { Random, VirtualClock } from '@canvasridge/clock';
+import {
+  BackendLapses,
+  FleetState,
+  type BackendDescription,
+  type Revised,
+  type ServingConfiguration,
+} from '@canvasridge/serving';
+import { Telemetry } from '@canvasridge/telemetry';
+import { ConfigurationFreshness, StateFollower, departureBudget, type FollowRequest } from '../src/index.js';
+
+/** Time within which a leaving backend has to get nothing more. */
+export const DRAIN_MS = 3000;
+/** Time between two heartbeats of a backend, and after which its entry goes without one. */
+export const HEARTBEAT_MS = 1200;
+const LAPSE_MS = 3 * HEARTBEAT_MS;
+const READERS = 6;
+const READ_PERIOD_MS = 500;
+const LONGEST_ABSENCE_MS = 4000;
+const OLDEST_COPY_MS = 6000;
+const LONGEST_REWRITE_MS = 1500;
+const SMALL_FLEET = 16;
+
+const NOTHING_WAITS = { forPeer: 0, forAll: 0 };
+const CONFIGURATION: ServingConfiguration = {
+  version: 3,
+  routes: [],
+  services: [],
+  limits: { maxHeaderBytes: 8192, maxBodyBytes: 65_536, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
+  tenants: undefined,
+};
+
+export function backend(id: string, state: 'ready' | 'draining', slots = 4): BackendDescription {
+  return { id, service: 'llm', address: `${id}:1`, zone: 'z', state, slots, models: [] };
+}
+
+interface Write {
+  readonly id: string;
+  readonly revision: number;
+  /** Undefined for a removal. */
+  readonly value: BackendDescription | undefined;
+}
+
+/** The publishing store in virtual time: it can be away, and come back from a copy. */
+export class RestoredStore {
+  era = 1;
+  isAway = false;
+  /** When it was away last, or came back. */
+  troubledMs = -Infinity;
+  #writes: Write[] = [];
+  /** The last write of each writer, whether it was lost since or not. */
+  readonly #intended = new Map<string, BackendDescription | undefined>();
+  readonly #clock: VirtualClock;
+  readonly #random: Random;
+
+  constructor(clock: VirtualClock, random: Random) {
+    this.#clock = clock;
+    this.#random = random;
+  }
+
+  get revision(): number {
+    return this.#writes.at(-1)?.revision ?? 0;
+  }
+
+  /** Resolves once the store has taken the write. */
+  async write(id: string, value: BackendDescription | undefined): Promise<void> {
+    while (this.isAway) await this.#clock.sleep(100);
+    this.#intended.set(id, value);
+    this.#writes.push({ id, value, revision: this.revision + 1 });
+  }
+
+  after(revision: number): readonly Write[] {
+    return this.#writes.filter((write) => write.revision > revision);
+  }
+
+  /** All entries that stand in the store. */
+  entries(): readonly Revised<BackendDescription>[] {
+    const last = new Map(this.#writes.map((write) => [write.id, write]));
+    return [...last.values()].flatMap(({ revision, value }) =>
+      value === undefined ? [] : [{ revision, value }],
+    );
+  }
+
+  /** Is away for a moment and comes back from a copy; its writers write again what is lost. */
+  async restore(isAlive: (id: string) => boolean): Promise<void> {
+    const copy = [...this.#writes];
+    await this.#clock.sleep(this.#random.next() * OLDEST_COPY_MS);
+    this.isAway = true;
+    await this.#clock.sleep(this.#random.next() * LONGEST_ABSENCE_MS);
+    this.#writes = copy;
+    this.era += 1;
+    this.isAway = false;
+    this.troubledMs = this.#clock.now();
+    for (const { value } of this.entries()) if (!isAlive(value.id)) void this.#lapse(value.id, isAlive);
+    for (const id of this.#random.shuffle([...this.#intended.keys()])) void this.#writeAgain(id);
+  }
+
+  /** Writes what a writer wrote last, if the store lacks it. */
+  async #writeAgain(id: string): Promise<void> {
+    await this.#clock.sleep(this.#random.next() * LONGEST_REWRITE_MS);
+    const intended = this.#intended.get(id);
+    const stored = this.entries().find(({ value }) => value.id === id)?.value;
+    if (stored !== intended) await this.write(id, intended);
+  }
+
+  async #lapse(id: string, isAlive: (id: string) => boolean): Promise<void> {
+    await this.#clock.sleep(LAPSE_MS);
+    const isListed = this.entries().some(({ value }) => value.id === id);
+    if (isListed && !isAlive(id)) await this.write(id, undefined);
+  }
+}
+
+/** A node that reads the store where the fleet is small or it is one of the readers, and follows readers elsewhere. */
+export class RestoredNode {
+  readonly state = new FleetState();
+  readonly follower: StateFollower;
+  readonly #lapses: BackendLapses;
+  readonly #clock: VirtualClock;
+  readonly #store: RestoredStore;
+  #at: { readonly era: number; revision: number } | undefined;
+
+  /** @param nodes all nodes of the fleet, this one included once it is made; those beyond the given ones do nothing */
+  constructor(
+    readonly index: number,
+    nodes: readonly RestoredNode[],
+    { clock, store, count }: { clock: VirtualClock; store: RestoredStore; count: number },
+  ) {
+    this.#clock = clock;
+    this.#store = store;
+    const ids = Array.from({ length: count }, (_, number) => `node-${number}`);
+    this.follower = new StateFollower({
+      clock,
+      fleet: this.state,
+      network: {
+        to: (address) => ({
+          call: (_method, params) => {
+            const asked = nodes[ids.indexOf(address)];
+            const answer = asked?.follower.answer(params as FollowRequest, NOTHING_WAITS);
+            return Promise.resolve(answer && (JSON.parse(JSON.stringify(answer)) as unknown));
+          },
+        }),
+      },
+      telemetry: new Telemetry({ processName: 'test', clock }),
+      selfId: `node-${index}`,
+      nodeCount: () => count,
+      ranked: () => ids,
+      peerAddress: (id) => id,
+      zoneOf: () => 'z',
+      needsWholeState: () => false,
+      budget: departureBudget(DRAIN_MS),
+      freshness: new ConfigurationFreshness(clock, this.state),
+      onConfigurationOffered: () => undefined,
+    });
+    this.#lapses = new BackendLapses({
+      fleet: this.state,
+      clock,
+      heartbeatMs: HEARTBEAT_MS,
+      listAgeMs: () => this.follower.listAgeMs,
+      onHeld: () => undefined,
+      onListedAgain: () => undefined,
+    });
+    this.state.applyConfiguration(CONFIGURATION);
+    const isReader = count <= SMALL_FLEET || index < READERS;
+    this.follower.start();
+    void this.#keepReading(isReader);
+  }
+
+  async #keepReading(isReader: boolean): Promise<void> {
+    await this.#clock.sleep(this.index * 37);
+    for (;;) {
+      if ((isReader || this.follower.reads) && !this.#store.isAway) this.#read();
+      await this.#clock.sleep(READ_PERIOD_MS);
+    }
+  }
+
+  #read(): void {
+    const { era, revision } = this.#store;
+    this.state.enterEra(era);
+    this.#lapses.beginUpdate();
+    if (this.#at?.era !== era) {
+      this.#at = { era, revision };
+      this.#lapses.replace(revision, this.#store.entries());
+    } else {
+      for (const write of this.#store.after(this.#at.revision)) this.#apply(write);
+      this.#at.revision = revision;
+      this.state.confirmBackends(revision);
+    }
+    this.follower.heard(this.#clock.now());
+  }
+
+  #apply({ revision, id, value }: Write): void {
+    if (value === undefined) this.#lapses.remove(revision, id);
+    else this.state.applyBackend(revision, value);
+  }
+}
--- a/packages/gateway/test/slot-picker.test.ts
+++ b/packages/gateway/test/slot-picker.test.ts
@@ -24,13 +24,18 @@
     readonly entryRevision: number | undefined,
     /** Limit within which engines are granted: see {@link SlotDecision}. */
     readonly ratePerSecond?: number | null,
+    readonly entryEra?: number,
   ) {}
 
   async acquire(_pool: string, request: SlotRequest): Promise<SlotDecision> {
     await this.whileWaiting();
     const backendId = this.engines.find((id) => !request.excluded.includes(id)) ?? 'none';
-    const { entryRevision } = this;
-    const told = entryRevision === undefined || backendId !== 'leaving' ? {} : { entryRevision };
+    const { entryRevision, entryEra } = this;
+    const point = {
+      ...(entryRevision === undefined ? {} : { entryRevision }),
+      ...(entryEra === undefined ? {} : { entryEra }),
+    };
+    const told = backendId === 'leaving' ? point : {};
     const rate = this.ratePerSecond === undefined ? {} : { ratePerSecond: this.ratePerSecond };
     return { kind: 'granted', requestId: request.id, backendId, address: `${backendId}:1`, ...told, ...rate };
   }
@@ -92,10 +97,11 @@
 async function pickAfter(
   change: (fleet: FleetState) => void,
   entryRevision?: number,
+  entryEra?: number,
 ): Promise<{ picked: string; leader: LateLeader }> {
   const fleet = new FleetState();
   change(fleet);
-  const leader = new LateLeader(['leaving', 'stays'], entryRevision);
+  const leader = new LateLeader(['leaving', 'stays'], entryRevision, undefined, entryEra);
   const clock = new VirtualClock();
   const backoffs = new BackendBackoffs(clock);
   const availability = availabilityOf(fleet, clock, backoffs);
@@ -146,6 +152,18 @@
   t.is(picked, 'leaving');
 });
 
+// Guards against grants by a leader that has not heard yet that the publishing store came back from a copy, and the reverse.
+test('an engine whose entry is of an earlier era than the list of this node is gone, one of a later era is new', async (t) => {
+  const inEra = (fleet: FleetState): void => {
+    fleet.enterEra(2);
+    neverSaw(fleet);
+  };
+  t.is((await pickAfter(inEra, 99, 1)).picked, 'stays');
+  t.is((await pickAfter(inEra, 21, 2)).picked, 'leaving');
+  t.is((await pickAfter(inEra, 1, 3)).picked, 'leaving');
+  t.is((await pickAfter(inEra, 20)).picked, 'stays', 'a leader that names no era');
+});
+
 test('an engine that is not listed here yet is used on the word of the leader', async (t) => {
   const { picked } = await pickAfter((fleet) => fleet.applyBackend(2, engine('stays')));
   t.is(picked, 'leaving');
--- a/packages/serving/src/backend-lapses.ts
+++ b/packages/serving/src/backend-lapses.ts
@@ -1,14 +1,17 @@
 import type { Clock } from '@canvasridge/clock';
 import type { BackendDescription } from './backend.js';
-import type { FleetState, Revised } from './fleet-state.js';
+import type { FleetState } from './fleet-state.js';
+import type { Revised } from './published.js';
 
 /**
  * Entries of backends that live also lapse while the publishing store is away. By the platform's pages they are back
  * within this time after its return; one that is missing then is gone.
  */
-const RETURN_WINDOW_MS = 2000;
+export const RETURN_WINDOW_MS = 2000;
 /** An entry lapses after three heartbeats of silence, the first of which may have begun just before the store went. */
 const HEARTBEATS_TO_LAPSE = 2;
+/** After so many heartbeats without its backend an entry of a copy has lapsed again. */
+const HEARTBEATS_IN_COPY = 3;
 
 /** A removal that takes effect only after `leftMs`, in milliseconds, unless the entry is back by then. */
 export interface HeldRemoval {
@@ -26,27 +29,44 @@
   readonly listAgeMs: () => number;
   /** Called for each removal that takes effect only after a while. */
   readonly onHeld: (held: HeldRemoval) => void;
+  /** Called with the backends that had left before the store came back from a copy and turned out to live. */
+  readonly onListedAgain: (ids: readonly string[]) => void;
 }
 
 /**
  * Applies removals from the list of backends. One that is seen right after the publishing store was away takes effect
- * only if the entry is not back in time, as it may only have lapsed. A backend that said it leaves gets no such time,
- * nor does any if the store was away for less than an entry needs to lapse.
+ * only if the entry is not back in time, as it may only have lapsed, or may not be part of the copy from which the store came
+ * back. A backend that said it leaves gets no such time, nor does any if the store was away for less than an entry needs to
+ * lapse and came back as it was.
  */
 export class BackendLapses {
   readonly #options: BackendLapsesOptions;
   #returnedMs = -Infinity;
+  /** The store has come back from a copy, and nothing was read of it yet. */
+  #isCopyUnread = false;
 
   constructor(options: BackendLapsesOptions) {
     this.#options = options;
+    options.fleet.onNewEra(({ to }) => this.#eraBegan(to));
   }
 
   /** The store has answered: to be called before what it tells is applied, also where it tells no change. */
   beginUpdate(): void {
     const { clock, heartbeatMs, listAgeMs } = this.#options;
     const awayMs = listAgeMs();
-    if (Number.isFinite(awayMs) && awayMs >= HEARTBEATS_TO_LAPSE * heartbeatMs)
-      this.#returnedMs = clock.now();
+    const mayHaveLapsed = Number.isFinite(awayMs) && awayMs >= HEARTBEATS_TO_LAPSE * heartbeatMs;
+    if (mayHaveLapsed || this.#isCopyUnread) this.#returnedMs = clock.now();
+    this.#isCopyUnread = false;
+  }
+
+  #eraBegan(era: number): void {
+    const { clock, fleet, heartbeatMs, onListedAgain } = this.#options;
+    this.#isCopyUnread = true;
+    clock.setTimer(HEARTBEATS_IN_COPY * heartbeatMs + RETURN_WINDOW_MS, () => {
+      if (fleet.era !== era) return;
+      const ids = fleet.endReturn();
+      if (ids.length > 0) onListedAgain(ids);
+    });
   }
 
   remove(revision: number, id: string): void {
@@ -80,6 +100,10 @@
       return;
     }
     onHeld({ id, revision, leftMs });
-    clock.setTimer(leftMs, () => fleet.removeBackend(revision, id));
+    const { era } = fleet;
+    clock.setTimer(leftMs, () => {
+      // The list of a newer era tells of it anew.
+      if (fleet.era === era) fleet.removeBackend(revision, id);
+    });
   }
 }
--- a/packages/serving/src/fleet-state.ts
+++ b/packages/serving/src/fleet-state.ts
@@ -2,49 +2,18 @@
 import { adapterKey, type BackendDescription } from './backend.js';
 import type { ServingConfiguration } from './configuration.js';
 import { DepartedBackends } from './departed-backends.js';
+import type {
+  AdapterVersion,
+  BackendListing,
+  FleetSnapshot,
+  OperatorState,
+  PublishedPoint,
+  Revised,
+} from './published.js';
+import { PublishingEra } from './publishing-era.js';
 import { RouteTable } from './route-table.js';
 import { SetDigest } from './set-digest.js';
 
-/** A value with the revision of the publishing store at which it was written. */
-export interface Revised<T> {
-  readonly revision: number;
-  readonly value: T;
-  /** Some of what was written is left out, so that the whole entry of the same revision rules. */
-  readonly partial?: boolean;
-}
-
-/** The published version of an adapter. */
-export interface AdapterVersion {
-  readonly model: string;
-  readonly adapter: string;
-  readonly version: number;
-}
-
-/** All that was published, as one node knows it; sent to peers whose own view is older. */
-export interface FleetSnapshot {
-  /** Revision of the newest entry of the operators that is part of it. */
-  readonly operatorRevision: number;
-  readonly configuration: ServingConfiguration | undefined;
-  readonly adapterVersions: readonly AdapterVersion[];
-  /** Revision up to which the list of backends is complete. */
-  readonly backendsRevision: number;
-  readonly backends: readonly Revised<BackendDescription>[];
-}
-
-/** What a node needs for routing of the list of backends: all but the adapters that they hold. */
-export interface BackendListing {
-  /** Revision up to which the list is complete. */
-  readonly revision: number;
-  readonly backends: readonly Revised<BackendDescription>[];
-}
-
-/** What operators published beside the list of backends and the configuration, which may be large. */
-export interface OperatorState {
-  /** Revision of the newest entry that is part of it. */
-  readonly revision: number;
-  readonly adapterVersions: readonly AdapterVersion[];
-}
-
 export type FleetChange = 'configuration' | 'adapter-version' | 'backends';
 
 type ChangeListener = (change: FleetChange) => void;
@@ -63,13 +32,24 @@
 
 type DepartureListener = (departure: Departure) => void;
 
+/** The publishing store came back from a copy. */
+export interface NewEra {
+  /** Undefined if none was known. */
+  readonly from: number | undefined;
+  readonly to: number;
+}
+
+type EraListener = (era: NewEra) => void;
+
 /**
  * What this node knows of the published state. Nothing goes back: of two configurations, adapter versions
- * or entries of a backend the newer one rules, whichever way and in whichever order they arrive.
+ * or entries of a backend the newer one rules, whichever way and in whichever order they arrive. All revisions are of one era
+ * of the publishing store; what was known before it counts as older than all that is read in it.
  */
 export class FleetState {
   readonly #listeners: ChangeListener[] = [];
   readonly #departureListeners: DepartureListener[] = [];
+  readonly #eraListeners: EraListener[] = [];
   readonly #backends = new Map<string, Revised<BackendDescription>>();
   readonly #backendsByService = new Map<string, BackendDescription[]>();
   readonly #adapterVersions = new Map<string, AdapterVersion>();
@@ -78,6 +58,8 @@
   readonly #announced = new AnnouncedDepartures();
   readonly #routingDigest = new SetDigest();
   readonly #operatorDigest = new SetDigest();
+  readonly #era = new PublishingEra();
+  #isListKnown = false;
   #backendsRevision = 0;
   #operatorRevision = 0;
 
@@ -90,6 +72,70 @@
     this.#departureListeners.push(listener);
   }
 
+  /** Calls back when what is known is of an earlier era, and has to be read again. */
+  onNewEra(listener: EraListener): void {
+    this.#eraListeners.push(listener);
+  }
+
+  /** Era of the publishing store to which revisions here belong; undefined if it names none. */
+  get era(): number | undefined {
+    return this.#era.current;
+  }
+
+  /**
+   * The publishing store is in this era. If that is a new one, a backend that said it leaves still does, and one that had left is
+   * not given anything until {@link endReturn}: the copy may list both as ready.
+   */
+  enterEra(to: number): void {
+    const from = this.#era.current;
+    if (!this.#era.enter(to) || !this.#isListKnown) return;
+    this.#backendsRevision = 0;
+    this.#operatorRevision = 0;
+    for (const [id, entry] of this.#backends) {
+      if (entry.value.state === 'draining') this.#announced.add(id, (known) => this.#backends.has(known));
+      this.#backends.set(id, { ...entry, revision: 0 });
+    }
+    this.#departed.beginEra();
+    for (const listener of this.#eraListeners) listener({ from, to });
+  }
+
+  /**
+   * Takes note of the era in which a peer tells of the published state.
+   * @returns false if it is an earlier one, so that what the peer holds must not be taken
+   */
+  admitEra(era: number | undefined): boolean {
+    const order = this.#era.compare(era);
+    if (order > 0 && era !== undefined) this.enterEra(era);
+    return order >= 0;
+  }
+
+  /** By now the entries of backends that are gone have lapsed in the new era too: those that are still listed live. */
+  endReturn(): readonly string[] {
+    const listed = this.#departed.endReturn().filter((id) => this.#backends.has(id));
+    if (listed.length > 0) this.#backendsChanged(this.#backendsRevision);
+    return listed;
+  }
+
+  /** Whether the list of backends here is not older than that of a peer. */
+  backendsReach(point: PublishedPoint): boolean {
+    return this.#reaches(this.#backendsRevision, point);
+  }
+
+  /** The same for the entries of the operators. */
+  operatorReaches(point: PublishedPoint): boolean {
+    return this.#reaches(this.#operatorRevision, point);
+  }
+
+  #reaches(ownRevision: number, { era, revision }: PublishedPoint): boolean {
+    const order = this.#era.compare(era);
+    return order < 0 || (order === 0 && ownRevision >= revision);
+  }
+
+  /** Whether the list of backends was ever read here, or taken over from a peer. */
+  get isListKnown(): boolean {
+    return this.#isListKnown;
+  }
+
   /** Routes of the configuration in force; undefined until one is known. */
   get routes(): RouteTable | undefined {
     return this.#routes;
@@ -148,11 +194,11 @@
     return this.#announced.has(id);
   }
 
-  /** Backends of a service that said so and are still listed as ready, so that others may not know. */
-  announcedOf(service: string): readonly string[] {
-    if (this.#announced.isEmpty) return [];
+  /** Backends of a service that are known to leave though they are listed as ready, so that others may not know. */
+  unlistedDepartures(service: string): readonly string[] {
+    if (this.#announced.isEmpty && !this.#departed.isReturning) return [];
     const isUntold = ({ id }: BackendDescription): boolean =>
-      this.#announced.has(id) && this.#backends.get(id)?.value.state === 'ready';
+      this.#isCorrected(id) && this.#backends.get(id)?.value.state === 'ready';
     return this.backendsOf(service)
       .filter(isUntold)
       .map(({ id }) => id);
@@ -234,11 +280,13 @@
   /** Nothing changed up to `revision`. */
   confirmBackends(revision: number): void {
     this.#backendsRevision = Math.max(this.#backendsRevision, revision);
+    this.#isListKnown ||= revision > 0;
   }
 
   /** What peers need that do not read the list of backends themselves. */
   listing(): BackendListing {
     return {
+      era: this.era,
       revision: this.#backendsRevision,
       backends: [...this.#backends.values()].map(withoutAdapters),
     };
@@ -246,11 +294,12 @@
 
   /** Takes over the listing of a peer that reads the list of backends. */
   applyListing(listing: BackendListing): void {
-    this.replaceBackends(listing.revision, listing.backends);
+    if (this.admitEra(listing.era)) this.replaceBackends(listing.revision, listing.backends);
   }
 
   operatorState(): OperatorState {
     return {
+      era: this.era,
       revision: this.#operatorRevision,
       adapterVersions: [...this.#adapterVersions.values()],
     };
@@ -258,11 +307,12 @@
 
   applyOperatorState(state: OperatorState): void {
     for (const published of state.adapterVersions) this.applyAdapterVersion(published);
-    this.confirmOperatorState(state.revision);
+    if (this.admitEra(state.era)) this.confirmOperatorState(state.revision);
   }
 
   snapshot(): FleetSnapshot {
     return {
+      era: this.era,
       operatorRevision: this.#operatorRevision,
       configuration: this.#routes?.configuration,
       adapterVersions: [...this.#adapterVersions.values()],
@@ -275,16 +325,21 @@
   merge(snapshot: FleetSnapshot): void {
     if (snapshot.configuration !== undefined) this.applyConfiguration(snapshot.configuration);
     for (const published of snapshot.adapterVersions) this.applyAdapterVersion(published);
+    if (!this.admitEra(snapshot.era)) return;
     this.confirmOperatorState(snapshot.operatorRevision);
     this.replaceBackends(snapshot.backendsRevision, snapshot.backends);
   }
 
   /**
-   * What the list says, corrected by what the backend said itself. Peers are sent the list as it was published: it has
+   * What the list says, corrected by what else is known of the backend. Peers are sent the list as it was published: it has
    * to be the same on all that hold the same revision.
    */
   #asKnown(listed: BackendDescription): BackendDescription {
-    return this.#announced.has(listed.id) ? { ...listed, state: 'draining' } : listed;
+    return this.#isCorrected(listed.id) ? { ...listed, state: 'draining' } : listed;
+  }
+
+  #isCorrected(id: string): boolean {
+    return this.#announced.has(id) || this.#departed.hadLeftBefore(id);
   }
 
   /** Whether an entry says more than what is known of its backend, its departure included. */
@@ -315,7 +370,7 @@
   }
 
   #backendsChanged(revision: number): void {
-    this.#backendsRevision = Math.max(this.#backendsRevision, revision);
+    this.confirmBackends(revision);
     this.#backendsByService.clear();
     for (const { value: listed } of this.#backends.values()) {
       const value = this.#asKnown(listed);
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -18,15 +18,19 @@
   type HeldAdapter,
   type HeldModel,
 } from './backend.js';
-export { BackendLapses, type HeldRemoval } from './backend-lapses.js';
+export { BackendLapses, RETURN_WINDOW_MS, type HeldRemoval } from './backend-lapses.js';
 export {
   FleetState,
-  type AdapterVersion,
-  type BackendListing,
   type Departure,
   type DepartureSource,
   type FleetChange,
-  type FleetSnapshot,
-  type OperatorState,
-  type Revised,
+  type NewEra,
 } from './fleet-state.js';
+export type {
+  AdapterVersion,
+  BackendListing,
+  FleetSnapshot,
+  OperatorState,
+  PublishedPoint,
+  Revised,
+} from './published.js';
--- a/packages/serving/test/backend-lapses.test.ts
+++ b/packages/serving/test/backend-lapses.test.ts
@@ -21,6 +21,7 @@
     heartbeatMs: HEARTBEAT_MS,
     listAgeMs: () => this.clock.now() - this.completeMs,
     onHeld: () => undefined,
+    onListedAgain: () => undefined,
   });
 
   constructor() {
--- a/packages/serving/test/fleet-state.test.ts
+++ b/packages/serving/test/fleet-state.test.ts
@@ -85,11 +85,11 @@
     fleet.backendsOf('llm').map(({ state }) => state),
     ['draining'],
   );
-  t.deepEqual(fleet.announcedOf('llm'), ['i1']);
+  t.deepEqual(fleet.unlistedDepartures('llm'), ['i1']);
   t.is(fleet.listing().backends[0]?.value.state, 'ready');
   t.is(fleet.routingDigest, routingDigest);
   fleet.applyBackend(20, backend('i1', 'draining'));
-  t.deepEqual(fleet.announcedOf('llm'), [], 'all that read the list know now');
+  t.deepEqual(fleet.unlistedDepartures('llm'), [], 'all that read the list know now');
   t.is(told.length, 1);
 });
 
