--- a/packages/gateway/src/cluster/published-state.ts
+++ b/packages/gateway/src/cluster/published-state.ts
@@ -141,6 +141,7 @@
 
   /** A peer shows that it has a version of the configuration in force. */
   peerShows(address: string, version: number, zone: string): void {
+    this.#freshness.shown(version);
     this.#fetcher.offered(version, address, zone === this.#options.zone);
   }
 
