Tests of a route's time-out leave a busy machine time to send the request

The routes' time-outs were 150 and 200 ms; a machine that is busy does not write the request by then, and 503 "not run" is the true answer. Traced: on, beside 14 busy processes, 2 of 3 runs fail with that status; with 1,500 ms 2 of 2 pass. What is checked stays: 504 once the request was sent, and a late answer that reaches nobody.

--- a/packages/gateway/test/exchange.test.ts
+++ b/packages/gateway/test/exchange.test.ts
@@ -89,6 +89,9 @@
   });
 }
 
+/** Time-out of a route whose backend says nothing: also a busy machine sends the request before, or its answer says "not run". */
+const SILENT_ROUTE_MS = 1500;
+
 test('an answer without length ends with its connection', async (t) => {
   const unframed: RawAnswer = (socket, id) =>
     socket.end(
@@ -167,7 +170,7 @@
 
 test("a route's time-out gives a final answer at once", async (t) => {
   const silent: RawAnswer = () => undefined;
-  await withHarness(t, { kind: 'at-most-once', timeoutMs: 150 }, [silent], async (harness) => {
+  await withHarness(t, { kind: 'at-most-once', timeoutMs: SILENT_ROUTE_MS }, [silent], async (harness) => {
     t.is((await harness.call('a1')).status, 504);
   });
 });
@@ -176,10 +179,10 @@
   let requests = 0;
   const late: RawAnswer = (socket, id) => {
     requests += 1;
-    if (requests === 1) setTimeout(() => socket.write(success(id, 'late')), 250);
+    if (requests === 1) setTimeout(() => socket.write(success(id, 'late')), SILENT_ROUTE_MS + 100);
     else socket.write(success(id, 'in time'));
   };
-  await withHarness(t, { kind: 'at-most-once', timeoutMs: 200 }, [late], async (harness) => {
+  await withHarness(t, { kind: 'at-most-once', timeoutMs: SILENT_ROUTE_MS }, [late], async (harness) => {
     t.is((await harness.call('a1')).status, 504);
     const seen = await harness.call('a2');
     t.is(seen.body, 'in time');
