Red: a request that is served all the time is kept from backends after three of them end at one moment

Not mended: believing a request that was served before would also believe one that ends its backends only from some moment on, which the rule of attempts does not allow.

--- a/packages/gateway/test/fleet-quarantine.test.ts
+++ b/packages/gateway/test/fleet-quarantine.test.ts
@@ -201,3 +201,18 @@
   t.not(keptMs, undefined);
   t.true(toldMs < 20, `${toldMs} ms`);
 });
+
+// Guards against refusing for an hour what many callers send alike, as it ran on three backends that ended for another reason.
+test('a request that is served all the time is not kept from backends after three of them end at one moment', async (t) => {
+  const fleet = new QuarantineFleet(12, 0, 7);
+  await fleet.run(SETTLED_MS);
+  for (let second = 0; second < 5; second += 1) {
+    for (const node of fleet.nodes.values()) node.endedWell('common');
+    await fleet.run(1000);
+  }
+  for (const [index, id] of ['n7', 'n8', 'n9'].entries())
+    void fleet.nodes.get(id)?.interrupted('common', `i${index}`);
+  for (const id of ['n3', 'n4', 'n5']) fleet.nodes.get(id)?.endedWell('common');
+  await fleet.run(KNOWN_WITHIN_MS);
+  t.is(fleet.unaware('common').length, 12);
+});
