An era that a peer names as anything but a whole number is not entered

Answers of peers are cast, so a text or a fraction would have become the node's era, and the store's own answers outdated for good. Found by reading; test in new-era.

--- a/packages/serving/src/publishing-era.ts
+++ b/packages/serving/src/publishing-era.ts
@@ -22,8 +22,10 @@
   /**
    * How an era that a peer names relates to this node's: negative for an older one, positive for a newer one. A peer that names
    * none may be of a build that reads none, and goes by revisions alone: it is believed only as long as no new era has begun.
+   * What is no whole number counts as older than all.
    */
   compare(era: number | undefined): number {
+    if (era !== undefined && !Number.isSafeInteger(era)) return -Infinity;
     const told = era ?? this.#first;
     if (told === this.#current) return 0;
     return (told ?? -Infinity) - (this.#current ?? -Infinity);
--- a/packages/serving/test/new-era.test.ts
+++ b/packages/serving/test/new-era.test.ts
@@ -152,6 +152,15 @@
   t.true(fleet.backendsReach({ revision: 12 }));
 });
 
+test('an era of a peer that is no whole number is not entered', (t) => {
+  const { fleet } = new Node();
+  for (const era of ['2', 2.5, NaN, null, Infinity] as unknown as readonly number[]) {
+    fleet.applyListing({ era, revision: 12, backends: [] });
+    t.is(fleet.era, 1);
+    t.is(fleet.backend('stays')?.state, 'ready', String(era));
+  }
+});
+
 test('nodes that know no era go by revisions alone', (t) => {
   const one = new FleetState();
   const other = new FleetState();
