--- a/packages/serving/src/backend-lapses.ts
+++ b/packages/serving/src/backend-lapses.ts
@@ -42,8 +42,8 @@
 export class BackendLapses {
   readonly #options: BackendLapsesOptions;
   #returnedMs = -Infinity;
-  /** The store has come back from a copy, and nothing was read of it yet. */
-  #isCopyUnread = false;
+  /** Until then a first reading finds the copy from which the store has come back; later ones find what lives. */
+  #copyUntilMs = -Infinity;
 
   constructor(options: BackendLapsesOptions) {
     this.#options = options;
@@ -55,14 +55,15 @@
     const { clock, heartbeatMs, listAgeMs } = this.#options;
     const awayMs = listAgeMs();
     const mayHaveLapsed = Number.isFinite(awayMs) && awayMs >= HEARTBEATS_TO_LAPSE * heartbeatMs;
-    if (mayHaveLapsed || this.#isCopyUnread) this.#returnedMs = clock.now();
-    this.#isCopyUnread = false;
+    if (mayHaveLapsed || clock.now() < this.#copyUntilMs) this.#returnedMs = clock.now();
+    this.#copyUntilMs = -Infinity;
   }
 
   #eraBegan(era: number): void {
     const { clock, fleet, heartbeatMs, onListedAgain } = this.#options;
-    this.#isCopyUnread = true;
-    clock.setTimer(HEARTBEATS_IN_COPY * heartbeatMs + RETURN_WINDOW_MS, () => {
+    const returnMs = HEARTBEATS_IN_COPY * heartbeatMs + RETURN_WINDOW_MS;
+    this.#copyUntilMs = clock.now() + returnMs;
+    clock.setTimer(returnMs, () => {
       if (fleet.era !== era) return;
       const ids = fleet.endReturn();
       if (ids.length > 0) onListedAgain(ids);
--- a/packages/serving/src/fleet-state.ts
+++ b/packages/serving/src/fleet-state.ts
@@ -88,7 +88,9 @@
    */
   enterEra(to: number): void {
     const from = this.#era.current;
-    if (!this.#era.enter(to) || !this.#isListKnown) return;
+    if (!this.#era.enter(to)) return;
+    const isNothingKnown = from === undefined && !this.#isListKnown;
+    if (isNothingKnown) return;
     this.#backendsRevision = 0;
     this.#operatorRevision = 0;
     for (const [id, entry] of this.#backends) {
--- a/packages/serving/test/new-era.test.ts
+++ b/packages/serving/test/new-era.test.ts
@@ -60,6 +60,14 @@
   t.deepEqual(eras, [{ from: 4, to: 6 }]);
 });
 
+test('an era that rises before the list was read is a new one for the entries of the operators', (t) => {
+  const fleet = new FleetState();
+  fleet.enterEra(1);
+  fleet.confirmOperatorState(50);
+  fleet.enterEra(2);
+  t.is(fleet.operatorRevision, 0);
+});
+
 test('entries of a new era are taken at any revision', (t) => {
   const { fleet, lapses } = new Node();
   fleet.enterEra(2);
@@ -113,6 +121,15 @@
   t.is(other.fleet.backend('stays'), undefined);
 });
 
+test('a node that begins to read long after the return takes a removal at once', async (t) => {
+  const node = new Node();
+  node.fleet.enterEra(2);
+  await node.clock.runUntil(COPY_LAPSED_MS);
+  node.lapses.beginUpdate();
+  node.lapses.replace(4, []);
+  t.is(node.fleet.backend('stays'), undefined);
+});
+
 test('a removal that was held in one era does not take effect in the next one', async (t) => {
   const node = new Node();
   node.returned(4, []);
