Tests of followers: one builder of their options; readers of an earlier build in a new era

No check changes. New: a follower goes by readers that name no era until a new one has begun, then reads the store itself (upgrades.md).

--- a/packages/gateway/test/followed-fleet.ts
+++ b/packages/gateway/test/followed-fleet.ts
@@ -1,12 +1,7 @@
 import { VirtualClock } from '@canvasridge/clock';
-import {
-  BackendLapses,
-  FleetState,
-  type BackendDescription,
-  type ServingConfiguration,
-} from '@canvasridge/serving';
-import { Telemetry } from '@canvasridge/telemetry';
-import { ConfigurationFreshness, StateFollower, departureBudget, type FollowRequest } from '../src/index.js';
+import { BackendLapses, FleetState, type BackendDescription } from '@canvasridge/serving';
+import { StateFollower } from '../src/index.js';
+import { BARE_CONFIGURATION, NOTHING_WAITS, followerOptions } from './follower-options.js';
 
 /** Time within which a leaving backend has to get nothing more, as on the large deployments. */
 export const DRAIN_MS = 3000;
@@ -19,15 +14,6 @@
 /** Time from one reading of the store to the next. */
 export const READ_PERIOD_MS = 500;
 
-const NOTHING_WAITS = { forPeer: 0, forAll: 0 };
-const CONFIGURATION: ServingConfiguration = {
-  version: 3,
-  routes: [],
-  services: [],
-  limits: { maxHeaderBytes: 8192, maxBodyBytes: 65_536, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
-  tenants: undefined,
-};
-
 export function backend(id: string, state: 'ready' | 'draining' = 'ready'): BackendDescription {
   return { id, service: 'llm', address: `${id}:1`, zone: 'z', state, slots: 4, models: [] };
 }
@@ -61,7 +47,7 @@
       onHeld: () => undefined,
       onListedAgain: () => undefined,
     });
-    this.state.applyConfiguration(CONFIGURATION);
+    this.state.applyConfiguration(BARE_CONFIGURATION);
     this.follower = node(this.state);
   }
 
@@ -97,7 +83,7 @@
         new Reader(this.clock, (state) => new StateFollower(this.#options(`node-${index}`, state))),
     );
     this.follower = new StateFollower(this.#options(this.#ids.at(-1) ?? '', this.own));
-    this.own.applyConfiguration(CONFIGURATION);
+    this.own.applyConfiguration(BARE_CONFIGURATION);
     for (const [index, reader] of this.readers.entries()) void this.#keepReading(reader, index);
   }
 
@@ -128,27 +114,13 @@
 
   #options(selfId: string, fleet: FleetState): ConstructorParameters<typeof StateFollower>[0] {
     const readerOf = (address: string): Reader | undefined => this.readers[this.#ids.indexOf(address)];
-    return {
+    return followerOptions({
       clock: this.clock,
       fleet,
-      network: {
-        to: (address) => ({
-          call: (_method, params) => {
-            const answer = readerOf(address)?.follower.answer(params as FollowRequest, NOTHING_WAITS);
-            return Promise.resolve(answer && (JSON.parse(JSON.stringify(answer)) as unknown));
-          },
-        }),
-      },
-      telemetry: new Telemetry({ processName: 'test', clock: this.clock }),
+      ids: this.#ids,
       selfId,
-      nodeCount: () => NODES,
-      ranked: () => this.#ids,
-      peerAddress: (id) => id,
-      zoneOf: () => 'z',
-      needsWholeState: () => false,
-      budget: departureBudget(DRAIN_MS),
-      freshness: new ConfigurationFreshness(this.clock, fleet),
-      onConfigurationOffered: () => undefined,
-    };
+      drainMs: DRAIN_MS,
+      answer: (address, known) => readerOf(address)?.follower.answer(known, NOTHING_WAITS),
+    });
   }
 }
--- /dev/null
+++ b/packages/gateway/test/follower-options.ts
@@ -0,0 +1,59 @@
+import type { Clock } from '@canvasridge/clock';
+import type { FleetState, ServingConfiguration } from '@canvasridge/serving';
+import { Telemetry } from '@canvasridge/telemetry';
+import {
+  ConfigurationFreshness,
+  departureBudget,
+  type FollowAnswer,
+  type FollowRequest,
+  type StateFollower,
+} from '../src/index.js';
+
+export const NOTHING_WAITS = { forPeer: 0, forAll: 0 };
+
+/** A configuration without routes, services or tenants. */
+export const BARE_CONFIGURATION: ServingConfiguration = {
+  version: 3,
+  routes: [],
+  services: [],
+  limits: { maxHeaderBytes: 8192, maxBodyBytes: 65_536, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
+  tenants: undefined,
+};
+
+type Options = ConstructorParameters<typeof StateFollower>[0];
+
+/** Options of a follower among nodes that are ranked as given, each of which is its own peer address. */
+export function followerOptions(given: {
+  readonly clock: Clock;
+  readonly fleet: FleetState;
+  readonly ids: readonly string[];
+  readonly selfId: string;
+  readonly drainMs: number;
+  readonly zoneOf?: (id: string) => string;
+  /** What the node of an address answers; undefined for silence. */
+  readonly answer: (address: string, known: FollowRequest) => FollowAnswer | undefined;
+}): Options {
+  const { clock, fleet, ids, selfId, drainMs, zoneOf = () => 'z', answer } = given;
+  return {
+    clock,
+    fleet,
+    network: {
+      to: (address) => ({
+        call: (_method, params) => {
+          const reply = answer(address, params as FollowRequest);
+          return Promise.resolve(reply && (JSON.parse(JSON.stringify(reply)) as unknown));
+        },
+      }),
+    },
+    telemetry: new Telemetry({ processName: 'test', clock }),
+    selfId,
+    nodeCount: () => ids.length,
+    ranked: () => ids,
+    peerAddress: (id) => id,
+    zoneOf,
+    needsWholeState: () => false,
+    budget: departureBudget(drainMs),
+    freshness: new ConfigurationFreshness(clock, fleet),
+    onConfigurationOffered: () => undefined,
+  };
+}
--- a/packages/gateway/test/restored-fleet.ts
+++ b/packages/gateway/test/restored-fleet.ts
@@ -1,13 +1,7 @@
 import type { Random, VirtualClock } from '@canvasridge/clock';
-import {
-  BackendLapses,
-  FleetState,
-  type BackendDescription,
-  type Revised,
-  type ServingConfiguration,
-} from '@canvasridge/serving';
-import { Telemetry } from '@canvasridge/telemetry';
-import { ConfigurationFreshness, StateFollower, departureBudget, type FollowRequest } from '../src/index.js';
+import { BackendLapses, FleetState, type BackendDescription, type Revised } from '@canvasridge/serving';
+import { StateFollower } from '../src/index.js';
+import { BARE_CONFIGURATION, NOTHING_WAITS, followerOptions } from './follower-options.js';
 
 /** Time within which a leaving backend has to get nothing more. */
 export const DRAIN_MS = 3000;
@@ -21,15 +15,6 @@
 const LONGEST_REWRITE_MS = 1500;
 const SMALL_FLEET = 16;
 
-const NOTHING_WAITS = { forPeer: 0, forAll: 0 };
-const CONFIGURATION: ServingConfiguration = {
-  version: 3,
-  routes: [],
-  services: [],
-  limits: { maxHeaderBytes: 8192, maxBodyBytes: 65_536, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
-  tenants: undefined,
-};
-
 export function backend(id: string, state: 'ready' | 'draining', slots = 4): BackendDescription {
   return { id, service: 'llm', address: `${id}:1`, zone: 'z', state, slots, models: [] };
 }
@@ -128,29 +113,16 @@
     this.#clock = clock;
     this.#store = store;
     const ids = Array.from({ length: count }, (_, number) => `node-${number}`);
-    this.follower = new StateFollower({
-      clock,
-      fleet: this.state,
-      network: {
-        to: (address) => ({
-          call: (_method, params) => {
-            const asked = nodes[ids.indexOf(address)];
-            const answer = asked?.follower.answer(params as FollowRequest, NOTHING_WAITS);
-            return Promise.resolve(answer && (JSON.parse(JSON.stringify(answer)) as unknown));
-          },
-        }),
-      },
-      telemetry: new Telemetry({ processName: 'test', clock }),
-      selfId: `node-${index}`,
-      nodeCount: () => count,
-      ranked: () => ids,
-      peerAddress: (id) => id,
-      zoneOf: () => 'z',
-      needsWholeState: () => false,
-      budget: departureBudget(DRAIN_MS),
-      freshness: new ConfigurationFreshness(clock, this.state),
-      onConfigurationOffered: () => undefined,
-    });
+    this.follower = new StateFollower(
+      followerOptions({
+        clock,
+        fleet: this.state,
+        ids,
+        selfId: `node-${index}`,
+        drainMs: DRAIN_MS,
+        answer: (address, known) => nodes[ids.indexOf(address)]?.follower.answer(known, NOTHING_WAITS),
+      }),
+    );
     this.#lapses = new BackendLapses({
       fleet: this.state,
       clock,
@@ -159,7 +131,7 @@
       onHeld: () => undefined,
       onListedAgain: () => undefined,
     });
-    this.state.applyConfiguration(CONFIGURATION);
+    this.state.applyConfiguration(BARE_CONFIGURATION);
     const isReader = count <= SMALL_FLEET || index < READERS;
     this.follower.start();
     void this.#keepReading(isReader);
--- a/packages/gateway/test/state-follower.test.ts
+++ b/packages/gateway/test/state-follower.test.ts
@@ -1,25 +1,11 @@
 import { VirtualClock } from '@canvasridge/clock';
-import { FleetState, type BackendDescription, type ServingConfiguration } from '@canvasridge/serving';
-import { Telemetry } from '@canvasridge/telemetry';
+import { FleetState, type BackendDescription } from '@canvasridge/serving';
 import test from 'ava';
-import {
-  ConfigurationFreshness,
-  StateFollower,
-  departureBudget,
-  type FollowAnswer,
-  type FollowRequest,
-} from '../src/index.js';
-
-const BUDGET = departureBudget(3000);
-const NOTHING_WAITS = { forPeer: 0, forAll: 0 };
-const CONFIGURATION: ServingConfiguration = {
-  version: 3,
-  routes: [],
-  services: [],
-  limits: { maxHeaderBytes: 8192, maxBodyBytes: 65_536, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
-  tenants: undefined,
-};
+import { StateFollower, departureBudget, type FollowAnswer, type FollowRequest } from '../src/index.js';
+import { BARE_CONFIGURATION, NOTHING_WAITS, followerOptions } from './follower-options.js';
 
+const DRAIN_MS = 3000;
+const BUDGET = departureBudget(DRAIN_MS);
 function backend(id: string, state: 'ready' | 'draining', adapters: readonly string[]): BackendDescription {
   const held = adapters.map((name) => ({ name, version: 1 }));
   return {
@@ -49,48 +35,34 @@
   constructor(count: number, zoneOf: (index: number) => string = () => 'a') {
     this.#zoneOf = zoneOf;
     const ids = Array.from({ length: count }, (_, index) => `node-${index}`);
-    const reader = new StateFollower({ ...this.#options(ids, ids[0] ?? ''), fleet: this.published });
-    this.published.applyConfiguration(CONFIGURATION);
+    const reader = this.#follower(this.published, ids, ids[0] ?? '', () => undefined);
+    this.published.applyConfiguration(BARE_CONFIGURATION);
     this.published.confirmOperatorState(10);
     this.published.replaceBackends(10, [{ revision: 5, value: backend('e1', 'ready', ['a']) }]);
-    this.follower = new StateFollower({
-      ...this.#options(ids, ids.at(-1) ?? ''),
-      fleet: this.own,
-      network: {
-        to: (address) => ({
-          call: (_method, params) => {
-            this.asked.push(address);
-            if (this.silent) return Promise.resolve(undefined);
-            const answered = reader.answer(params as FollowRequest, NOTHING_WAITS);
-            const answer: FollowAnswer = this.fresh(address) ? { ...answered, ageMs: 0 } : answered;
-            return Promise.resolve(JSON.parse(JSON.stringify(answer)));
-          },
-        }),
-      },
+    this.follower = this.#follower(this.own, ids, ids.at(-1) ?? '', (address, known) => {
+      this.asked.push(address);
+      if (this.silent) return undefined;
+      const answered = reader.answer(known, NOTHING_WAITS);
+      return this.fresh(address) ? { ...answered, ageMs: 0 } : answered;
     });
   }
 
   /** The node reads the store by itself once, as after its start. */
   readOnce(): void {
-    this.own.applyConfiguration(CONFIGURATION);
+    this.own.applyConfiguration(BARE_CONFIGURATION);
     this.own.replaceBackends(9, [{ revision: 5, value: backend('e1', 'ready', ['a']) }]);
   }
 
-  #options(ids: readonly string[], selfId: string) {
-    return {
-      clock: this.clock,
-      network: { to: () => ({ call: () => Promise.resolve(undefined) }) },
-      telemetry: new Telemetry({ processName: 'test', clock: this.clock }),
-      selfId,
-      nodeCount: () => ids.length,
-      ranked: () => ids,
-      peerAddress: (id: string) => id,
-      zoneOf: (id: string) => this.#zoneOf(numberOf(id)),
-      needsWholeState: () => false,
-      budget: BUDGET,
-      freshness: new ConfigurationFreshness(this.clock, this.own),
-      onConfigurationOffered: () => undefined,
-    };
+  #follower(
+    fleet: FleetState,
+    ids: readonly string[],
+    selfId: string,
+    answer: (address: string, known: FollowRequest) => FollowAnswer | undefined,
+  ): StateFollower {
+    const zoneOf = (id: string): string => this.#zoneOf(numberOf(id));
+    return new StateFollower(
+      followerOptions({ clock: this.clock, fleet, ids, selfId, drainMs: DRAIN_MS, zoneOf, answer }),
+    );
   }
 }
 
@@ -167,6 +139,22 @@
   t.false(fleet.follower.reads);
 });
 
+// Guards against an old list that a reader of an earlier build vouches for, as it passes over what the store wrote again.
+test('readers that name no era are followed until a new one has begun, and then the node reads itself', async (t) => {
+  const fleet = new Fleet(40);
+  fleet.own.enterEra(1);
+  fleet.readOnce();
+  fleet.follower.start();
+  await fleet.clock.runUntil(6000);
+  t.false(fleet.follower.reads);
+  fleet.own.enterEra(2);
+  await fleet.clock.runUntil(6000 + BUDGET.orphanedAgeMs + 2 * BUDGET.pollMs);
+  t.true(fleet.follower.reads);
+  fleet.published.enterEra(2);
+  await fleet.clock.runUntil(12_000);
+  t.false(fleet.follower.reads, 'readers that have read the new era are followed again');
+});
+
 test('adapters that come and go on a backend are no change for followers', (t) => {
   const empty = new FleetState().routingDigest;
   const one = new FleetState();
