The first era that a store names after others were read without one is a new one

If it names the first era only once it has come back, a node that has entered it took the list of a peer that had not heard of it for one of the same era, with its higher revision, and was deaf to its own store until revisions had caught up.

A store that names no era is now an era of its own, older than each that is named, and nodes tell it to each other; only a message without the field counts as of a build that reads none. Tests: a list of a peer that is behind (red before by the code: an absent era compared as the first one), and a stand-in that names eras from its first return.

--- a/packages/gateway/src/cluster/published-state.ts
+++ b/packages/gateway/src/cluster/published-state.ts
@@ -223,7 +223,7 @@
   /** To be called about once a second: figures, and one line for each change of {@link isStale}. */
   report(): void {
     const { metrics, telemetry, keyLease, fleet } = this.#options;
-    if (fleet.era !== undefined) metrics.storeEra.set(fleet.era);
+    metrics.storeEra.set(fleet.era);
     metrics.listAge.set(this.listAgeMs / 1000);
     metrics.configurationAge.set(this.#freshness.ageMs / 1000);
     const { isStale } = this;
--- a/packages/gateway/src/cluster/slot-answers.ts
+++ b/packages/gateway/src/cluster/slot-answers.ts
@@ -55,9 +55,7 @@
     if (decision.kind === 'refused') return decision;
     const { fleet } = this.#options;
     const entryRevision = fleet.entryRevision(decision.backendId);
-    if (entryRevision === undefined) return decision;
-    const { era } = fleet;
-    return { ...decision, entryRevision, ...(era === undefined ? {} : { entryEra: era }) };
+    return entryRevision === undefined ? decision : { ...decision, entryRevision, entryEra: fleet.era };
   }
 
   onCancel(params: ReleaseParams, peer: PeerConnection): void {
--- a/packages/gateway/src/cluster/state-exchange.ts
+++ b/packages/gateway/src/cluster/state-exchange.ts
@@ -13,7 +13,7 @@
 
 /** Params of {@link SNAPSHOT_METHOD}: what the asking node knows already. */
 export interface SnapshotRequest {
-  /** Era of both revisions; absent if the node knows none, or is of a build that reads none. */
+  /** Era of both revisions; absent from a build that reads none. */
   readonly era?: number | undefined;
   readonly operatorRevision: number;
   /** See {@link FleetState.operatorDigest}. */
--- a/packages/gateway/src/cluster/state-follower.ts
+++ b/packages/gateway/src/cluster/state-follower.ts
@@ -10,7 +10,7 @@
 
 /** Params of {@link FOLLOW_METHOD}: what the asking node holds of the published state. */
 export interface FollowRequest {
-  /** Era of both revisions; absent if the node knows none, or is of a build that reads none. */
+  /** Era of both revisions; absent from a build that reads none. */
   readonly era?: number | undefined;
   readonly backendsRevision: number;
   /** See {@link FleetState.routingDigest}. */
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -69,7 +69,7 @@
   });
   readonly storeEra = new Gauge({
     name: 'canvasridge_store_era',
-    help: 'Era of the publishing store, which rises each time it comes back from a copy',
+    help: 'Era of the publishing store, which rises each time it comes back from a copy; -1 if it names none',
     registers: [this.registry],
   });
   readonly listAge = new Gauge({
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -362,7 +362,7 @@
   /** One line for each era on each node; the list that it held goes on to be used until it is read again. */
   #eraBegan({ from, to }: NewEra): void {
     this.#options.telemetry.event('warn', 'store.era', 'store', {
-      from: from ?? 'none',
+      from,
       to,
       backends: [...this.fleet.allBackends()].length,
       listAgeMs: Math.round(this.published.listAgeMs),
--- a/packages/gateway/test/state-follower.test.ts
+++ b/packages/gateway/test/state-follower.test.ts
@@ -28,6 +28,8 @@
   readonly follower: StateFollower;
   fresh: (id: string) => boolean = () => true;
   silent = false;
+  /** Whether readers are of a build that reads eras. */
+  namesEra = true;
 
   readonly #zoneOf: (index: number) => string;
 
@@ -42,7 +44,8 @@
     this.follower = this.#follower(this.own, ids, ids.at(-1) ?? '', (address, known) => {
       this.asked.push(address);
       if (this.silent) return undefined;
-      const answered = reader.answer(known, NOTHING_WAITS);
+      const told = reader.answer(known, NOTHING_WAITS);
+      const answered = this.namesEra ? told : { ...told, era: undefined };
       return this.fresh(address) ? { ...answered, ageMs: 0 } : answered;
     });
   }
@@ -142,6 +145,7 @@
 // Guards against an old list that a reader of an earlier build vouches for, as it passes over what the store wrote again.
 test('readers that name no era are followed until a new one has begun, and then the node reads itself', async (t) => {
   const fleet = new Fleet(40);
+  fleet.namesEra = false;
   fleet.own.enterEra(1);
   fleet.readOnce();
   fleet.follower.start();
@@ -150,6 +154,7 @@
   fleet.own.enterEra(2);
   await fleet.clock.runUntil(6000 + BUDGET.orphanedAgeMs + 2 * BUDGET.pollMs);
   t.true(fleet.follower.reads);
+  fleet.namesEra = true;
   fleet.published.enterEra(2);
   await fleet.clock.runUntil(12_000);
   t.false(fleet.follower.reads, 'readers that have read the new era are followed again');
--- a/packages/serving/src/fleet-state.ts
+++ b/packages/serving/src/fleet-state.ts
@@ -10,7 +10,7 @@
   PublishedPoint,
   Revised,
 } from './published.js';
-import { PublishingEra } from './publishing-era.js';
+import { NO_ERA, PublishingEra } from './publishing-era.js';
 import { RouteTable } from './route-table.js';
 import { SetDigest } from './set-digest.js';
 
@@ -34,8 +34,8 @@
 
 /** The publishing store came back from a copy. */
 export interface NewEra {
-  /** Undefined if none was known. */
-  readonly from: number | undefined;
+  /** `NO_ERA` if none was named. */
+  readonly from: number;
   readonly to: number;
 }
 
@@ -77,8 +77,8 @@
     this.#eraListeners.push(listener);
   }
 
-  /** Era of the publishing store to which revisions here belong; undefined if it names none. */
-  get era(): number | undefined {
+  /** Era of the publishing store to which revisions here belong; `NO_ERA` if it names none. */
+  get era(): number {
     return this.#era.current;
   }
 
@@ -88,9 +88,8 @@
    */
   enterEra(to: number): void {
     const from = this.#era.current;
-    if (!this.#era.enter(to)) return;
-    const isNothingKnown = from === undefined && !this.#isListKnown;
-    if (isNothingKnown) return;
+    const isFirst = from === NO_ERA && !this.#isListKnown;
+    if (!this.#era.enter(to, isFirst) || isFirst) return;
     this.#backendsRevision = 0;
     this.#operatorRevision = 0;
     for (const [id, entry] of this.#backends) {
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -26,6 +26,7 @@
   type FleetChange,
   type NewEra,
 } from './fleet-state.js';
+export { NO_ERA } from './publishing-era.js';
 export type {
   AdapterVersion,
   BackendListing,
--- a/packages/serving/src/published.ts
+++ b/packages/serving/src/published.ts
@@ -18,7 +18,7 @@
 
 /** A point in the history of the publishing store. Revisions of two eras can't be compared. */
 export interface PublishedPoint {
-  /** Absent where a node knows none, as one of a build that does not read it. */
+  /** `NO_ERA` where the store has named none; absent from a build that reads none. */
   readonly era?: number | undefined;
   readonly revision: number;
 }
--- a/packages/serving/src/publishing-era.ts
+++ b/packages/serving/src/publishing-era.ts
@@ -1,33 +1,38 @@
+/** The era of a store that names none, which is older than each that is named. */
+export const NO_ERA = -1;
+
 /**
  * The era of the publishing store that a node's revisions belong to. The store begins a new one when it comes back from a
  * copy: revisions go back, and are given out again.
  */
 export class PublishingEra {
-  #first: number | undefined;
-  #current: number | undefined;
+  #current = NO_ERA;
+  /** What a node of a build that reads no era tells counts as of this one. */
+  #unnamed = NO_ERA;
 
-  /** Undefined as long as none was named, as by a store that has none. */
-  get current(): number | undefined {
+  get current(): number {
     return this.#current;
   }
 
-  /** Returns whether this era is newer than the one before. */
-  enter(era: number): boolean {
-    if (this.#current !== undefined && era <= this.#current) return false;
-    this.#first ??= era;
+  /**
+   * Enters an era unless it is no newer than the one before.
+   * @param isFirst whether nothing is known of an earlier one
+   * @returns whether it was entered
+   */
+  enter(era: number, isFirst: boolean): boolean {
+    if (era <= this.#current) return false;
     this.#current = era;
+    if (isFirst) this.#unnamed = era;
     return true;
   }
 
   /**
-   * How an era that a peer names relates to this node's: negative for an older one, positive for a newer one. A peer that names
-   * none may be of a build that reads none, and goes by revisions alone: it is believed only as long as no new era has begun.
-   * What is no whole number counts as older than all.
+   * How the era of a peer relates to this node's: negative for an older one, positive for a newer one. A peer of a build that
+   * reads none goes by revisions alone: it is believed only until a new era begins. What is no whole number counts as older
+   * than all.
    */
   compare(era: number | undefined): number {
-    if (era !== undefined && !Number.isSafeInteger(era)) return -Infinity;
-    const told = era ?? this.#first;
-    if (told === this.#current) return 0;
-    return (told ?? -Infinity) - (this.#current ?? -Infinity);
+    const told = era === undefined ? this.#unnamed : era;
+    return Number.isSafeInteger(told) ? told - this.#current : -Infinity;
   }
 }
--- a/packages/serving/test/new-era.test.ts
+++ b/packages/serving/test/new-era.test.ts
@@ -169,6 +169,26 @@
   t.true(fleet.backendsReach({ revision: 12 }));
 });
 
+// Guards against the old list of a peer that has not heard yet of the first era that the store names.
+test('a node of the first named era takes nothing from one that has read the store without any', (t) => {
+  const behind = new FleetState();
+  behind.replaceBackends(90, [{ revision: 80, value: backend('stays') }]);
+  const ahead = new FleetState();
+  ahead.applyListing(behind.listing());
+  ahead.enterEra(2);
+  ahead.applyBackend(5, backend('stays', 'draining'));
+  ahead.applyListing(behind.listing());
+  t.is(ahead.backendsRevision, 5);
+  t.true(ahead.isLeaving('stays'));
+  const started = new FleetState();
+  started.enterEra(2);
+  started.applyBackend(5, backend('stays', 'draining'));
+  started.applyListing(behind.listing());
+  t.is(started.backendsRevision, 5, 'nor does one that started in it');
+  ahead.applyListing({ ...behind.listing(), era: undefined });
+  t.is(ahead.backendsRevision, 5, 'nor from a build that reads no era');
+});
+
 test('an era of a peer that is no whole number is not entered', (t) => {
   const { fleet } = new Node();
   for (const era of ['2', 2.5, NaN, null, Infinity] as unknown as readonly number[]) {
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -42,7 +42,7 @@
       readonly ratePerSecond?: number | null;
       /** Revision of the engine's entry as the granting node knows it; absent if that one has lost sight of it. */
       readonly entryRevision?: number;
-      /** Era of the publishing store in which that revision counts; absent if none is known, or in a build that reads none. */
+      /** Era of the publishing store in which that revision counts; absent from a build that reads none. */
       readonly entryEra?: number;
     }
   | {
