--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -38,14 +38,23 @@
   readonly #availability: BackendAvailability;
   readonly #slots: SlotSource;
   readonly #clock: Clock;
+  readonly #zone: string;
   readonly #recentServers = new Map<string, RecentServer>();
   readonly #running = new Map<string, number>();
 
-  constructor(fleet: FleetState, availability: BackendAvailability, slots: SlotSource, clock: Clock) {
+  /** @param zone the zone of this node */
+  constructor(
+    fleet: FleetState,
+    availability: BackendAvailability,
+    slots: SlotSource,
+    clock: Clock,
+    zone: string,
+  ) {
     this.#fleet = fleet;
     this.#availability = availability;
     this.#slots = slots;
     this.#clock = clock;
+    this.#zone = zone;
   }
 
   async pick(context: PickContext, cancelled: AbortSignal): Promise<PickResult> {
@@ -63,6 +72,8 @@
       priority: context.priority,
       tenant: context.tenant,
       objectiveMs: context.route.objectiveMs,
+      gapObjectiveMs: context.route.gapObjectiveMs,
+      zone: this.#zone,
       ageMs: context.ageMs + this.#clock.now() - askedMs,
       timeoutMs: context.timeoutMs,
       startWithinMs: context.startWithinMs,
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -223,7 +223,7 @@
       notices,
       availability,
       plainPicker: new LeastLoadedPicker(fleet, availability, clock, random),
-      enginePicker: new SlotPicker(fleet, availability, this.#slots, clock),
+      enginePicker: new SlotPicker(fleet, availability, this.#slots, clock, settings.zone),
       budget: (service) => this.#retryBudget(service),
       fleetShare: () => this.#fleetShare.value,
       isStopping: () => this.#stopping,
--- a/packages/gateway/test/slot-picker.test.ts
+++ b/packages/gateway/test/slot-picker.test.ts
@@ -115,7 +115,7 @@
   const clock = new VirtualClock();
   const backoffs = new BackendBackoffs(clock);
   const availability = availabilityOf(fleet, clock, backoffs);
-  const picker = new SlotPicker(fleet, availability, leader, clock);
+  const picker = new SlotPicker(fleet, availability, leader, clock, 'a');
   const result = await picker.pick(CONTEXT, new AbortController().signal);
   return { picked: result.kind === 'picked' ? result.backend.id : result.reason, leader };
 }
@@ -198,7 +198,7 @@
   const clock = new VirtualClock();
   const backoffs = new BackendBackoffs(clock);
   const availability = availabilityOf(fleet, clock, backoffs);
-  return { picker: new SlotPicker(fleet, availability, leader, clock), leader, clock, backoffs };
+  return { picker: new SlotPicker(fleet, availability, leader, clock, 'a'), leader, clock, backoffs };
 }
 
 const NOT_CANCELLED = new AbortController().signal;
@@ -268,7 +268,7 @@
   const backoffs = new BackendBackoffs(clock);
   const availability = availabilityOf(fleet, clock, backoffs, rateLimits);
   const leader = new OutdatedLeader(['leaving', 'stays'], undefined, ratePerSecond);
-  const result = await new SlotPicker(fleet, availability, leader, clock).pick(CONTEXT, NOT_CANCELLED);
+  const result = await new SlotPicker(fleet, availability, leader, clock, 'a').pick(CONTEXT, NOT_CANCELLED);
   const picked = result.kind === 'picked' ? result.backend.id : result.reason;
   return { picked, isLimited: rateLimits.perSecond('leaving') !== undefined };
 }
--- a/packages/serving/src/configuration.ts
+++ b/packages/serving/src/configuration.ts
@@ -28,6 +28,11 @@
   readonly patienceMs: number | undefined;
   /** Latency objective: time to the answer, or to the first event of a stream. */
   readonly objectiveMs: number;
+  /**
+   * Longest pause between two events with which a stream still meets its objective; undefined if none is set, as in
+   * configurations from nodes of earlier builds.
+   */
+  readonly gapObjectiveMs?: number | undefined;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Maximum number of backends to which one request may be sent. */
--- a/packages/slots/src/mechanisms.ts
+++ b/packages/slots/src/mechanisms.ts
@@ -25,6 +25,22 @@
   'fair-tenants',
   /** Requests that can no longer meet their objective wait behind the others. */
   'late-last',
+  /** Backends with few slots are granted to requests by one node for all. Disabled: each node counts its own requests. */
+  'granted-backends',
+  /** Nodes tell a new leader which order counts they have seen, and when. Disabled: it relies on its own reports. */
+  'shared-sightings',
+  /** A node that knows no configuration yet tells clients to return later the longer that lasts. Disabled: a fixed time. */
+  'outage-retry',
+  /** The time that loads take is learnt from bounds. Disabled: it is raised by each miss and lowered by each hit. */
+  'load-time-bounds',
+  /** How many adapters engines keep in host memory is learnt. Disabled: the initial estimate is used. */
+  'learnt-memory',
+  /** Engines are compared by how fast each one decodes and reads prompts. Disabled: running requests cost the same on all. */
+  'engine-pace',
+  /** Engines are spared prompts that would delay the streams running there. */
+  'stream-pauses',
+  /** Engines in the zone of the requesting node are preferred if they are otherwise equal. */
+  'own-zone',
 ] as const;
 
 export type Mechanism = (typeof MECHANISMS)[number];
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -13,6 +13,10 @@
   readonly tenant: string | undefined;
   /** Target for the time from the arrival of the client's request to its first event. */
   readonly objectiveMs: number;
+  /** Longest pause between two events with which its stream still meets its objective; absent if none is set. */
+  readonly gapObjectiveMs?: number | undefined;
+  /** Zone of the node that sends the request to its engine; absent from earlier builds. */
+  readonly zone?: string;
   /** Time since the client's request arrived. */
   readonly ageMs: number;
   /** Age after which a response is of no use. */
