Retry-After of nodes that can't serve yet grows with the outage

Callers have one retry. Nodes without a configuration told them 0.5 s, so after a power loss with the store down for longer nearly all returned within the outage and were refused for good. A stale node told 20 ms although the peers that it sees are as stale.

The time is now derived from how long the outage has lasted, at least 1 s and an eighth of the caller's time once a read has failed, spread at random; a node that lost its peers sends callers elsewhere at once. The line request.finished tells retryAfterMs. Switch: outage-retry.

--- a/packages/gateway/src/cluster/configuration-freshness.ts
+++ b/packages/gateway/src/cluster/configuration-freshness.ts
@@ -41,6 +41,11 @@
     });
   }
 
+  /** The newest version that any node has announced; 0 if none was. */
+  get newestVersion(): number {
+    return this.#newest.version;
+  }
+
   /** Records that some node has this version in force, or had it at an earlier time. */
   onVersionSeen(version: number, atMs = this.#clock.now()): void {
     const { version: newest, sinceMs } = this.#newest;
--- a/packages/gateway/src/cluster/published-state.ts
+++ b/packages/gateway/src/cluster/published-state.ts
@@ -88,6 +88,7 @@
   readonly #exchange: StateExchange;
   readonly #follower: StateFollower;
   #wasStale = false;
+  #hasStoreFailed = false;
 
   constructor(options: PublishedStateOptions) {
     this.#options = options;
@@ -154,9 +155,25 @@
 
   /** Sets whether the published state can be read directly; otherwise it is learnt from peers. */
   setStoreAvailable(isAvailable: boolean): void {
+    if (isAvailable) this.#hasStoreFailed = false;
     this.#exchange.isStoreAvailable = isAvailable;
   }
 
+  /** Records that a read of the store failed; until then a read that has not ended is merely under way. */
+  recordStoreFailure(): void {
+    this.#hasStoreFailed = true;
+  }
+
+  /** Whether a read of the store has failed since all of it could last be read. */
+  get hasStoreFailed(): boolean {
+    return this.#hasStoreFailed;
+  }
+
+  /** Whether another node has announced a newer configuration than this one has, so that it can be fetched there. */
+  get awaitsConfiguration(): boolean {
+    return this.#freshness.newestVersion > this.#options.fleet.configurationVersion;
+  }
+
   /** Whether this node reads the published state itself; otherwise other nodes read it on its behalf. */
   get readsStore(): boolean {
     return this.#follower.reads;
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -57,6 +57,7 @@
 import type { PeerMethods } from './peers/peer-connection.js';
 import { BodyMemoryBudget } from './request/body-memory-budget.js';
 import { Exchange, type ExchangeContext } from './request/exchange.js';
+import { ServingOutage } from './request/serving-outage.js';
 import type { SlotDecision } from '@canvasridge/slots';
 
 /**
@@ -215,6 +216,13 @@
       network: this.#network,
       telemetry,
     });
+    const outage = new ServingOutage({
+      clock: fleetClock,
+      published: this.published,
+      cluster: this.#cluster,
+      random: () => random.next(),
+      switchedOff: settings.switchedOff,
+    });
     this.#context = {
       clock,
       dialect: options.dialect,
@@ -231,6 +239,7 @@
       nextId: () => `${processToken}/${(this.#nextId += 1)}`,
       random: () => random.next(),
       listAgeMs: () => this.published.listAgeMs,
+      outageRetryMs: (cause, callerLeftMs) => outage.retryAfterMs(cause, callerLeftMs),
       lagMs: () => this.#loopLag.meanMs,
       isListTooOld: () => this.published.isListTooOld,
       refreshIfOld: () => this.published.refreshIfOld(),
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -21,6 +21,7 @@
 import type { RequestDialect, RequestFacts } from './dialect.js';
 import { retryAfterOf, statusOf, type GatewayResponse } from './gateway-response.js';
 import { RequestAdmission, type AdmissionContext } from './request-admission.js';
+import type { UnableCause } from './serving-outage.js';
 import { RequestQuarantine, type QuarantineContext } from './request-quarantine.js';
 import { inactivityLimit } from './inactivity-limit.js';
 
@@ -52,6 +53,8 @@
   readonly isListTooOld: () => boolean;
   /** Refreshes the backend list if it is so old that a backend may have left unnoticed for too long. */
   readonly refreshIfOld: () => Promise<void>;
+  /** Retry-After of requests that this node can not serve for want of the published state, in milliseconds. */
+  readonly outageRetryMs: (cause: UnableCause, callerLeftMs: number) => number;
   /** Event loop lag: how late the process runs its timers, in milliseconds. */
   readonly lagMs: () => number;
   readonly bodyMemory: BodyMemoryBudget;
@@ -102,6 +105,9 @@
   /** Age of the request when its last attempt was about to be written, in milliseconds. */
   #sentMs: number | undefined;
 
+  /** Retry-After of the response, in milliseconds, if it has one. */
+  #retryAfterMs: number | undefined;
+
   constructor(context: ExchangeContext, request: IncomingMessage, response: ServerResponse) {
     this.#context = context;
     this.#request = request;
@@ -134,7 +140,7 @@
   async #run(): Promise<void> {
     const routes = this.#context.fleet.routes;
     if (routes === undefined) {
-      this.#respond({ kind: 'not-ready' });
+      this.#respond({ kind: 'not-ready', retryAfterMs: this.#outageRetryMs('not-ready') });
       return;
     }
     const target = this.#request.url ?? '';
@@ -233,11 +239,16 @@
       this.#refuseWith({ kind: 'unauthorized', detail: problem }, problem);
     } else {
       // Another node may have a newer configuration, but an unreadable entry is unreadable on every node.
-      this.#refuse(problem, problem === 'stale' ? RETRY_ELSEWHERE_MS : undefined);
+      this.#refuse(problem, problem === 'stale' ? this.#outageRetryMs('stale') : undefined);
     }
     return false;
   }
 
+  #outageRetryMs(cause: UnableCause): number {
+    const callerLeftMs = (this.#facts.deadlineMs ?? Infinity) - this.#ageMs();
+    return this.#context.outageRetryMs(cause, callerLeftMs);
+  }
+
   /**
    * Charges the request to its tenant's quota. If the quota is used up, refuses the request; returns false
    * if the request has ended.
@@ -462,7 +473,8 @@
   #respond(response: GatewayResponse): void {
     if (this.#ended) return;
     const status = statusOf(response);
-    const headers = this.#context.dialect.refusalHeaders(retryAfterOf(response));
+    this.#retryAfterMs = retryAfterOf(response);
+    const headers = this.#context.dialect.refusalHeaders(this.#retryAfterMs);
     this.#sink.sendText(status, headers, `${response.kind}\n`);
     const detail = 'reason' in response ? response.reason : 'detail' in response ? response.detail : '';
     this.#finish(detail === '' ? response.kind : `${response.kind}: ${detail}`, status);
@@ -481,6 +493,7 @@
     telemetry.event('info', 'request.finished', this.#facts.attemptId ?? 'none', {
       outcome,
       status,
+      retryAfterMs: this.#retryAfterMs === undefined ? undefined : Math.round(this.#retryAfterMs),
       route: this.#route?.name,
       tenant: this.#admission.tenant,
       adapter: this.#facts.generation?.adapter,
--- a/packages/gateway/src/request/gateway-response.ts
+++ b/packages/gateway/src/request/gateway-response.ts
@@ -6,7 +6,8 @@
   | { readonly kind: 'over-quota'; readonly retryAfterMs: number }
   | { readonly kind: 'bad-request'; readonly detail: string }
   | { readonly kind: 'body-too-large' }
-  | { readonly kind: 'not-ready' }
+  /** The node knows no configuration yet. */
+  | { readonly kind: 'not-ready'; readonly retryAfterMs: number }
   | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number | undefined }
   | { readonly kind: 'outcome-unknown'; readonly detail: string }
   | { readonly kind: 'timed-out'; readonly mayHaveRun: boolean };
@@ -36,8 +37,5 @@
 
 /** Milliseconds after which the client may retry, if a retry is useful. */
 export function retryAfterOf(response: GatewayResponse): number | undefined {
-  if (response.kind === 'not-run' || response.kind === 'over-quota') return response.retryAfterMs;
-  return response.kind === 'not-ready' ? NOT_READY_RETRY_MS : undefined;
+  return 'retryAfterMs' in response ? response.retryAfterMs : undefined;
 }
-
-const NOT_READY_RETRY_MS = 500;
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -135,6 +135,8 @@
   beforeSend: () => Promise<void> = () => Promise.resolve();
   /** Whether the backend list is too old for a request to be written now. */
   isListTooOld: () => boolean = () => false;
+  /** Retry-After of requests that can't be served for want of a recent configuration. */
+  outageRetryMs: (cause: string, callerLeftMs: number) => number = () => 500;
   /** Whether other nodes serve requests, to which callers may go. */
   hasOtherServingNodes = false;
   /** Age of the configuration that the gateway reports. */
@@ -265,6 +267,7 @@
       nextId: () => String((nextId += 1)),
       random: () => random.next(),
       listAgeMs: () => 0,
+      outageRetryMs: (cause, callerLeftMs) => this.outageRetryMs(cause, callerLeftMs),
       lagMs: () => 0,
       isListTooOld: () => this.isListTooOld(),
       refreshIfOld: () => this.beforeSend(),
