explanations test: its verdict does not depend on the load of the machine

On a busy machine the case 'broken off' read 'other side closed' in place of 'read ECONNRESET', and 'too late' found that the request had not been written.

Cause: the backend of the test reset its connection 30 ms after its write, by the system clock. If the process read nothing within that time, the reset reached the gateway together with the data, which libuv reports as an ordinary end. The time-out of 150 ms ran before the request had reached the backend.

Change: the backend resets its connection when the client has received the first event, and the request that times out runs on a virtual clock that is advanced when the backend has got it. What the test expects is unchanged: each case still accepts one outcome only. The harness takes a clock and tells when data has come.

--- a/packages/gateway/test/explanations.test.ts
+++ b/packages/gateway/test/explanations.test.ts
@@ -1,6 +1,8 @@
 /**
  * Finds the cause of a failed request from its id and the log lines alone, as docs/OPERATIONS.md describes.
  */
+import { EventEmitter } from 'node:events';
+import { SystemClock, VirtualClock, type Clock } from '@canvasridge/clock';
 import test from 'ava';
 import { Harness, type RouteOverrides } from './harness.js';
 import { chunk, streamHead, type RawResponder } from './raw-backend.js';
@@ -40,16 +42,28 @@
 
 const refuses: RawResponder = (socket) =>
   socket.write('HTTP/1.1 503 Busy\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n');
+/** Emits the attempt id of a request whose client has received a part of the response. */
+const received = new EventEmitter();
+/**
+ * Resets the connection after the client has received the first event. A reset that reaches the gateway
+ * together with data is reported as an ordinary end of the connection.
+ */
 const breaksOff: RawResponder = (socket, id) => {
+  received.once(id, () => socket.resetAndDestroy());
   socket.write(streamHead(id) + chunk('id: 0\ndata: e0\n\n') + chunk('id: 1\nda'));
-  setTimeout(() => socket.resetAndDestroy(), 30);
 };
-const silent: RawResponder = () => undefined;
+const TIMEOUT_MS = 150;
+const silentClock = new VirtualClock();
+/** Does not respond; the time of the request runs from its arrival here. */
+const silent: RawResponder = () => {
+  void silentClock.runUntil(silentClock.now() + TIMEOUT_MS);
+};
 
 const cases: readonly {
   readonly name: string;
   readonly changes: RouteOverrides;
   readonly responders: readonly RawResponder[];
+  readonly clock?: Clock;
   readonly expected: Explanation;
 }[] = [
   {
@@ -71,18 +85,20 @@
   },
   {
     name: 'too late',
-    changes: { kind: 'at-most-once', timeoutMs: 150 },
+    changes: { kind: 'at-most-once', timeoutMs: TIMEOUT_MS },
     responders: [silent],
+    clock: silentClock,
     expected: { outcome: 'timed-out', backend: 'i1', sends: 1, retriedAfter: [] },
   },
 ];
 
-for (const { name, changes, responders, expected } of cases) {
+for (const { name, changes, responders, clock = new SystemClock(), expected } of cases) {
   test(`the log lines explain a request that was ${name}`, async (t) => {
-    const harness = await Harness.start(changes, responders);
+    const harness = await Harness.start(changes, responders, clock);
     t.teardown(() => harness.stop());
-    await harness.call('seen-by-its-client');
-    await harness.call('another');
+    for (const attemptId of ['seen-by-its-client', 'another']) {
+      await harness.call(attemptId, undefined, undefined, undefined, () => received.emit(attemptId));
+    }
     t.deepEqual(explain(harness.lines, 'seen-by-its-client'), expected);
   });
 }
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -1,7 +1,7 @@
 import { createServer, request, type IncomingMessage, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { QuotaShares, type QuotaDecision } from '@canvasridge/admission';
-import { Random, SystemClock } from '@canvasridge/clock';
+import { Random, SystemClock, type Clock } from '@canvasridge/clock';
 import {
   FleetState,
   type HttpRoute,
@@ -90,7 +90,7 @@
 export function callNode(
   port: number,
   attemptId: string,
-  { path = '/x/', body = 'question', headers = {} }: CallOptions = {},
+  { path = '/x/', body = 'question', headers = {}, onData }: CallOptions = {},
 ): Promise<ClientResponse> {
   return new Promise((resolve) => {
     const outgoing = request(
@@ -107,6 +107,7 @@
         incoming.setEncoding('utf8');
         incoming.on('data', (part: string) => {
           text += part;
+          onData?.();
         });
         incoming.on('error', () => undefined);
         incoming.on('close', () => {
@@ -124,6 +125,8 @@
   readonly path?: string;
   readonly body?: string;
   readonly headers?: Record<string, string>;
+  /** Called whenever the client has received a part of the response body. */
+  readonly onData?: () => void;
 }
 
 /** Runs exchanges over real sockets, between a client and scripted backends. */
@@ -163,8 +166,8 @@
   static async start(
     changes: RouteOverrides | undefined,
     responders: readonly RawResponder[],
+    clock: Clock = new SystemClock(),
   ): Promise<Harness> {
-    const clock = new SystemClock();
     const harness = new Harness((self) => self.#context(clock));
     if (changes !== undefined) harness.fleet.applyConfiguration(configuration(changes));
     for (const [index, answer] of responders.entries()) {
@@ -190,9 +193,10 @@
     path = '/x/',
     body = 'question',
     headers: Record<string, string> = {},
+    onData?: () => void,
   ): Promise<ClientResponse> {
     const { port } = this.#server.address() as AddressInfo;
-    return callNode(port, attemptId, { path, body, headers });
+    return callNode(port, attemptId, { path, body, headers, ...(onData === undefined ? {} : { onData }) });
   }
 
   /** Sends a request and closes its connection when `until` resolves. */
@@ -213,7 +217,7 @@
     for (const backend of this.#backends) backend.stop();
   }
 
-  #context(clock: SystemClock): ExchangeContext {
+  #context(clock: Clock): ExchangeContext {
     const random = new Random(1);
     const { fleet } = this;
     const backoffs = new BackendBackoffs(clock);
