Quarantine: a run that was sent before its request was suspected does not clear it

What callers could see: a request that begins to end its backends while earlier runs of it go on was sent to more than three of them, as each whole success of an earlier run cleared what was counted.

Change: each node keeps the time at which it learned of a suspect and reports a success only of a run that it sent since. Without the condition the new test fails.

Cost: more sound requests can be refused.

Tests changed: request-quarantine now also sees the time of the run that is reported; what it asserts of outcomes is unchanged.

--- a/packages/admission/src/quarantine/quarantine-gate.ts
+++ b/packages/admission/src/quarantine/quarantine-gate.ts
@@ -15,6 +15,10 @@
    * @param backendId identifies one start of the process of the backend that failed
    */
   interrupted(fingerprint: string, backendId: string): Promise<void>;
-  /** Reports that a backend completed the request successfully, so the request does not crash backends. */
-  completed(fingerprint: string): void;
+  /**
+   * Reports that a backend completed the request successfully, so the request does not crash backends. A run
+   * that was sent before the request was suspected does not show that: it may crash backends only since then.
+   * @param runMs time since the request was sent to that backend
+   */
+  completed(fingerprint: string, runMs?: number): void;
 }
--- a/packages/gateway/src/cluster/fleet-quarantine.ts
+++ b/packages/gateway/src/cluster/fleet-quarantine.ts
@@ -116,7 +116,8 @@
   /** Resolves when a home has answered the current batch. */
   #reporting: Promise<void> | undefined;
   #actsAsHome = false;
-  #suspects: ReadonlySet<string> = new Set();
+  /** The time at which this node learned of each suspect, by fingerprint. */
+  #suspects: ReadonlyMap<string, number> = new Map();
   #published = EMPTY_CONTENT;
   #publishedMs = -Infinity;
 
@@ -150,9 +151,11 @@
     await Promise.race([this.#reporting, clock.sleep(HOME_ANSWER_WAIT_MS)]);
   }
 
-  completed(fingerprint: string): void {
-    if (!this.#suspects.has(fingerprint)) return;
-    this.#suspects = new Set([...this.#suspects].filter((suspect) => suspect !== fingerprint));
+  completed(fingerprint: string, runMs = 0): void {
+    const sinceMs = this.#suspects.get(fingerprint);
+    const sentMs = this.#options.clock.now() - runMs;
+    if (sinceMs === undefined || sentMs < sinceMs) return;
+    this.#suspects = new Map([...this.#suspects].filter(([suspect]) => suspect !== fingerprint));
     this.#localInterruptions = this.#localInterruptions.filter(
       (interruption) => interruption.fingerprint !== fingerprint,
     );
@@ -188,7 +191,8 @@
       for (const request of published.quarantined) this.#add(request, 'peer');
       suspects.push(...published.suspects);
     }
-    this.#suspects = new Set(suspects);
+    const nowMs = this.#options.clock.now();
+    this.#suspects = new Map(suspects.map((suspect) => [suspect, this.#suspects.get(suspect) ?? nowMs]));
     if (this.#actsAsHome) this.#publish();
     // Reports that a home does not answer are repeated with the next update.
     void Promise.allSettled(this.#reportToHomes());
--- a/packages/gateway/src/request/request-quarantine.ts
+++ b/packages/gateway/src/request/request-quarantine.ts
@@ -50,7 +50,8 @@
   async attemptEnded(backendId: string, attempt: BackendAttempt, outcome: AttemptOutcome): Promise<void> {
     const { quarantine } = this.#context;
     // An error response does not clear a request: a backend may send one before it has run the request.
-    if (outcome.kind === 'complete' && !quarantine.isEmpty) quarantine.completed(this.#fingerprint);
+    if (outcome.kind === 'complete' && !quarantine.isEmpty)
+      quarantine.completed(this.#fingerprint, attempt.runMs);
     if (outcome.kind === 'broken') await this.#interrupted(backendId, attempt, outcome);
   }
 
--- a/packages/gateway/test/fleet-quarantine.test.ts
+++ b/packages/gateway/test/fleet-quarantine.test.ts
@@ -184,6 +184,21 @@
   t.is(fleet.unaware('polled').length, 12, 'all nodes send it');
 });
 
+// Guards against sending a request that begins to crash backends to more than three of them, because runs that
+// were sent to other backends before complete.
+test('a run that was sent before its request was suspected does not clear the request', async (t) => {
+  const fleet = new QuarantineFleet(12, 0, 8);
+  await fleet.run(SETTLED_MS);
+  void fleet.nodes.get('n7')?.interrupted('f', 'i0');
+  void fleet.nodes.get('n8')?.interrupted('f', 'i1');
+  await fleet.run(KNOWN_WITHIN_MS);
+  for (const node of fleet.nodes.values()) node.completed('f', 2 * KNOWN_WITHIN_MS);
+  await fleet.run(KNOWN_WITHIN_MS);
+  void fleet.nodes.get('n9')?.interrupted('f', 'i2');
+  await fleet.run(KNOWN_WITHIN_MS);
+  t.deepEqual(fleet.unaware('f'), []);
+});
+
 test('a node that saw the last interruption knows that the request is quarantined before it retries it', async (t) => {
   const fleet = new QuarantineFleet(12, 0, 6);
   await fleet.run(SETTLED_MS);
--- a/packages/gateway/test/request-quarantine.test.ts
+++ b/packages/gateway/test/request-quarantine.test.ts
@@ -15,22 +15,27 @@
 
 const ATTEMPT = { runMs: 80, begunForMs: undefined } as unknown as BackendAttempt;
 
-async function clearedBy(outcome: AttemptOutcome): Promise<boolean> {
-  let isCleared = false;
+/** The run time with which the request is reported as completed; undefined if it is not. */
+async function runMsOfClearing(outcome: AttemptOutcome): Promise<number | undefined> {
+  let clearingRunMs: number | undefined;
   const clock = new SystemClock();
   const quarantine = {
     isEmpty: false,
     remainingMs: () => undefined,
     interrupted: () => Promise.resolve(),
-    completed: () => {
-      isCleared = true;
+    completed: (_: string, runMs?: number) => {
+      clearingRunMs = runMs ?? 0;
     },
   };
   const telemetry = new Telemetry({ processName: 'test', clock });
   const context = { quarantine, telemetry, metrics: new GatewayMetrics() };
   const parts = { host: 'h', target: '/x/', tenant: undefined, body: Buffer.alloc(0) };
   await new RequestQuarantine(context, 'a1', () => parts).attemptEnded('i1', ATTEMPT, outcome);
-  return isCleared;
+  return clearingRunMs;
+}
+
+async function clearedBy(outcome: AttemptOutcome): Promise<boolean> {
+  return (await runMsOfClearing(outcome)) !== undefined;
 }
 
 test('only a complete success clears a request that is suspected of crashing backends', async (t) => {
@@ -39,3 +44,8 @@
   t.false(await clearedBy({ kind: 'not-run', reason: 'refused' }));
   t.false(await clearedBy({ kind: 'cancelled' }));
 });
+
+// Guards against a run that was sent before the request was suspected being taken for a later one.
+test('a completed request is reported with the time since it was sent', async (t) => {
+  t.is(await runMsOfClearing({ kind: 'complete', status: 200 }), ATTEMPT.runMs);
+});
