How many adapters engines keep in host memory is learnt

Engines of some deployments keep three times as many adapters as the fixed 34, others fewer. Adapters that they still had were fetched from the weight store, and where they keep fewer, requests were sent too early.

The order of use on each engine is now kept for up to 160 adapters on every node. The leader of a pool learns how deep in that order loads are quick: the number that contradicts the fewest of the last 64 loads believed to be from host memory. Adapters slightly beyond are tried now and then, twice as rarely after each failure. A slow load has other possible causes, so the number falls only if that explains two more loads. pool.state shows hostAdapters and warmLoadMs.

The switch learnt-memory turns it off.

--- a/packages/slots/src/adapter-loader.ts
+++ b/packages/slots/src/adapter-loader.ts
@@ -1,9 +1,10 @@
 import type { Clock } from '@canvasridge/clock';
+import { adapterKey } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
-import type { AdapterMemory } from './adapter-memory.js';
 import type { EngineEntry } from './engine-entry.js';
 import type { AdapterSlot, EngineSlots } from './engine-slots.js';
 import { FetchWindow } from './fetch-window.js';
+import type { HostMemory } from './host-memory.js';
 import type { LoadPlacement } from './load-placement.js';
 import { LoadProgress } from './load-progress.js';
 import type { LoadTime, LoadUse } from './load-time.js';
@@ -16,7 +17,7 @@
 export interface AdapterLoaderOptions {
   readonly clock: Clock;
   readonly timing: SlotTiming;
-  readonly memory: AdapterMemory;
+  readonly memory: HostMemory;
   /** The published version of an adapter, 0 if none was published. */
   readonly adapterVersion: (model: string, adapter: string) => number;
   /** Calls back after a delay, unless the pool is closed by then. */
@@ -33,6 +34,8 @@
 const RETRY_PRESENCE_MS = 50;
 /** The same where the next try is placed by what is known of load times. */
 const MIN_RETRY_MS = 20;
+/** A load that took less than this fraction of a fetch was from host memory. */
+const QUICK_SHARE = 0.5;
 /** An adapter that a report shows as loading is assumed loaded after this time. */
 const ADOPTED_ARRIVAL_MS = 150;
 /** An adapter that is missing this long after its load was ordered has been lost by the engine. */
@@ -92,6 +95,11 @@
     const { clock, memory, adapterVersion } = this.#options;
     if (victim !== undefined) victim.state = 'unloading';
     const isNewVersion = victim !== undefined && victim.model === model && victim.adapter === adapter;
+    // Nothing is known about whether engines keep old versions.
+    const memoryDepth = isNewVersion
+      ? undefined
+      : memory.depthOf(slots.backend.id, adapterKey(model, adapter));
+    if (warm && memoryDepth !== undefined) memory.recordTried(memoryDepth);
     const reserved = isNewVersion ? undefined : slots.reserve(model, adapter, 0, warm, clock.now());
     if (victim !== undefined && !(await this.#unload(entry, victim))) {
       if (reserved !== undefined) slots.removeIfSame(reserved);
@@ -108,7 +116,7 @@
     slot.orderedMs = clock.now();
     const reply = await lease.order({ action: 'load', model, adapter });
     if (reply.kind === 'accepted' || reply.kind === 'done') {
-      this.#awaitAccepted(entry, slot, reply.kind === 'done');
+      this.#awaitAccepted(entry, slot, reply.kind === 'done', memoryDepth);
       memory.record(slots.backend.id, slot.key);
     } else if (reply.kind !== 'unknown') {
       slots.removeIfSame(slot);
@@ -117,7 +125,12 @@
   }
 
   /** Waits until the adapter of an accepted load is likely loaded. */
-  #awaitAccepted(entry: EngineEntry, slot: AdapterSlot, isDone: boolean): void {
+  #awaitAccepted(
+    entry: EngineEntry,
+    slot: AdapterSlot,
+    isDone: boolean,
+    memoryDepth: number | undefined,
+  ): void {
     const nowMs = this.#options.clock.now();
     const loadTime = this.#estimateOf(slot);
     if (!this.#usesBounds) {
@@ -132,8 +145,9 @@
     const isPilot = !slot.warm && !loadTime.isKnown && this.#pilot.claim(slot);
     const firstTryMs = loadTime.firstTryMs() - (isPilot ? this.#pilot.leadMs : 0);
     const isTrial = firstTryMs < loadTime.estimateMs;
-    const { id } = entry.slots.backend;
-    this.#progress.set(slot, new LoadProgress(id, slot.key, nowMs, slot.warm, isTrial));
+    const { warm, key } = slot;
+    const start = { engineId: entry.slots.backend.id, key, acceptedMs: nowMs, warm, memoryDepth };
+    this.#progress.set(slot, new LoadProgress(start, isTrial));
     this.#markLoadedAt(slot, nowMs + firstTryMs);
   }
 
@@ -167,6 +181,7 @@
     }
     const use = progress?.useAt(slot.firstUsedMs) ?? useSinceOrder(slot);
     if (!slot.warm) this.#fetchWindow.recordArrival(use.ageMs, this.#options.fetchesInProgress());
+    if (slot.warm && use.ageMs < this.coldLoadMs * QUICK_SHARE) this.#recordInMemory(progress, true);
     if (slot.warm && progress !== undefined && progress.misses > 0) {
       // The second try was served, so it was a load from host memory that took longer than estimated.
       this.#warmEstimate.recordTooEarly({ ...use, ageMs: progress.missedAgeMs });
@@ -211,6 +226,7 @@
     if (slot.warm && progress.misses > 1) {
       // It was not in the engine's host memory after all and is being fetched from the weight store.
       slot.warm = false;
+      this.#recordInMemory(progress, false);
       outcome = 'fetched';
     } else if (slot.warm) outcome = 'late-or-fetched';
     else {
@@ -222,6 +238,12 @@
     this.#markLoadedAt(slot, Math.max(progress.acceptedMs + nextAgeMs, nowMs + MIN_RETRY_MS));
   }
 
+  /** Records whether the adapter of a load that was believed to be from host memory was there. */
+  #recordInMemory(progress: LoadProgress | undefined, warm: boolean): void {
+    if (progress?.memoryDepth === undefined) return;
+    this.#options.memory.recordOutcome(progress.memoryDepth, warm);
+  }
+
   /** Waits for an adapter of which it is not known when its load began. */
   #awaitUnknown(entry: EngineEntry, slot: AdapterSlot): void {
     const nowMs = this.#options.clock.now();
--- a/packages/slots/src/load-placement.ts
+++ b/packages/slots/src/load-placement.ts
@@ -1,6 +1,6 @@
 import type { AdapterPopularity } from './adapter-popularity.js';
-import type { AdapterMemory } from './adapter-memory.js';
 import { RUNNING_COST_MS } from './engine-selector.js';
+import type { HostMemory } from './host-memory.js';
 import type { DisabledMechanisms } from './mechanisms.js';
 import type { AdapterSlot, EngineSlots } from './engine-slots.js';
 
@@ -57,13 +57,14 @@
   candidates: readonly EngineSlots[],
   request: LoadRequest,
   popularity: AdapterPopularity,
-  memory: AdapterMemory,
+  memory: Pick<HostMemory, 'isWorthTrying'>,
 ): LoadPlacement | undefined {
   let best: LoadPlacement | undefined;
   let bestCost = request.maxStartDelayMs;
   const mayFetch = isFetchWorthwhile(request);
   for (const slots of candidates) {
-    const warm = !request.disabled.has('adapter-memory') && memory.has(slots.backend.id, request.key);
+    const warm =
+      !request.disabled.has('adapter-memory') && memory.isWorthTrying(slots.backend.id, request.key);
     if (!warm && !mayFetch) continue;
     const room = findRoom(slots, request, popularity);
     if (room === undefined) continue;
--- a/packages/slots/src/load-progress.ts
+++ b/packages/slots/src/load-progress.ts
@@ -5,6 +5,16 @@
 /** An adapter that was believed to be in host memory is tried a second time at this multiple of the first age. */
 const WARM_SECOND_TRY_FACTOR = 2;
 
+/** A load whose order an engine accepted. */
+export interface LoadStart {
+  readonly engineId: string;
+  readonly key: string;
+  readonly acceptedMs: number;
+  /** Whether the engine was believed to have the adapter in host memory. */
+  readonly warm: boolean;
+  readonly memoryDepth: number | undefined;
+}
+
 /** What is known of a load whose order the engine accepted. Ages count from the acceptance, when the engine starts it. */
 export class LoadProgress {
   /** Identifies the load. */
@@ -12,6 +22,8 @@
   readonly acceptedMs: number;
   /** Whether the engine was believed to have the adapter in host memory when the load was ordered. */
   readonly believedWarm: boolean;
+  /** Position of the adapter among those recently used on the engine; undefined if the load tells nothing about its memory. */
+  readonly memoryDepth: number | undefined;
   /** Since when the adapter has been considered loaded; -Infinity before that. */
   markedMs = -Infinity;
   /** Requests sent together count as one. */
@@ -22,10 +34,12 @@
   /** Whether it is tried before the estimated time, to test the estimate. */
   readonly isTrial: boolean;
 
-  constructor(engineId: string, key: string, acceptedMs: number, warm: boolean, isTrial: boolean) {
+  constructor(start: LoadStart, isTrial: boolean) {
+    const { engineId, key, acceptedMs } = start;
     this.load = `${engineId}/${key}/${acceptedMs}`;
     this.acceptedMs = acceptedMs;
-    this.believedWarm = warm;
+    this.believedWarm = start.warm;
+    this.memoryDepth = start.memoryDepth;
     this.isTrial = isTrial;
   }
 
--- a/packages/slots/src/load-starter.ts
+++ b/packages/slots/src/load-starter.ts
@@ -2,10 +2,10 @@
 import { adapterKey } from '@canvasridge/serving';
 import type { AdapterPopularity } from './adapter-popularity.js';
 import type { AdapterLoader } from './adapter-loader.js';
-import type { AdapterMemory } from './adapter-memory.js';
 import type { EngineSelector } from './engine-selector.js';
 import type { EngineEntry } from './engine-entry.js';
 import type { EngineRegistry } from './engine-registry.js';
+import type { HostMemory } from './host-memory.js';
 import { placeLoad, type LoadRequest } from './load-placement.js';
 import type { DisabledMechanisms } from './mechanisms.js';
 import { canLoadMore, type PoolIndex } from './pool-index.js';
@@ -20,7 +20,7 @@
   readonly engines: EngineRegistry;
   readonly selector: EngineSelector;
   readonly adapters: AdapterLoader;
-  readonly memory: AdapterMemory;
+  readonly memory: HostMemory;
   readonly adapterPopularity: AdapterPopularity;
   readonly waiting: WaitingList;
   /** Whether an engine told this node to back off for a while, which includes orders. */
--- a/packages/slots/src/pool-figures.ts
+++ b/packages/slots/src/pool-figures.ts
@@ -8,6 +8,10 @@
   readonly running: number;
   /** Current estimate of how long a fetch from the weight store takes. */
   readonly coldLoadMs: number;
+  /** Current estimate of how long a load from host memory takes. */
+  readonly warmLoadMs: number;
+  /** Estimated number of adapters that an engine keeps in host memory. */
+  readonly hostAdapters: number;
   /** Maximum number of concurrent fetches from the weight store. */
   readonly fetchWindow: number;
   /** Estimated prefill time of 1,000 prompt tokens, over all engines. */
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -9,6 +9,7 @@
 import { EngineRegistry } from './engine-registry.js';
 import { EngineUses, type EngineUse } from './engine-uses.js';
 import type { AdapterSlot, EngineSlots } from './engine-slots.js';
+import { HostMemory } from './host-memory.js';
 import { LoadStarter, SPARE_SHARE } from './load-starter.js';
 import type { DisabledMechanisms } from './mechanisms.js';
 import { ModelLoader } from './model-loader.js';
@@ -69,6 +70,7 @@
   readonly #uses: EngineUses;
   readonly #popularity: AdapterPopularity;
   readonly #turnover: SlotTurnover;
+  readonly #hostMemory: HostMemory;
   readonly #adapters: AdapterLoader;
   readonly #models: ModelLoader;
   readonly #loads: LoadStarter;
@@ -90,8 +92,17 @@
     const engines = (): Iterable<EngineEntry> => this.#engines.listed();
     const fetchesInProgress = (): number => countFetches(this.#engines.all());
     const shared = { clock, after, onChange };
-    const { telemetry, disabled } = options;
-    const loading = { timing, memory, adapterVersion, fetchesInProgress, telemetry, disabled };
+    const { telemetry, disabled, service } = options;
+    const learns = !disabled.has('learnt-memory');
+    this.#hostMemory = new HostMemory({ clock, memory, telemetry, service, learns });
+    const loading = {
+      timing,
+      memory: this.#hostMemory,
+      adapterVersion,
+      fetchesInProgress,
+      telemetry,
+      disabled,
+    };
     this.#adapters = new AdapterLoader({ ...shared, ...loading });
     this.#models = new ModelLoader({ ...shared, engines, pollMs: timing.observePeriodMs });
     this.#refused = new RefusedRequests(clock);
@@ -116,7 +127,7 @@
       engines: this.#engines,
       selector: this.#selector,
       adapters: this.#adapters,
-      memory,
+      memory: this.#hostMemory,
       adapterPopularity: this.#popularity,
       waiting: this.#waiting,
       isBackingOff: options.isBackingOff,
@@ -305,6 +316,8 @@
       waiting: this.#waiting.size,
       running: this.#uses.size,
       coldLoadMs: Math.round(this.#adapters.coldLoadMs),
+      warmLoadMs: Math.round(this.#adapters.warmLoadMs),
+      hostAdapters: this.#hostMemory.adaptersPerEngine,
       fetchWindow: this.#adapters.fetchWindow,
       readMsPer1000: Math.round(this.#engines.poolSpeed.msPerToken * 1000),
       gapMs: Math.round(this.#turnover.meanGapMs()),
--- a/packages/slots/test/adapter-loader.test.ts
+++ b/packages/slots/test/adapter-loader.test.ts
@@ -6,6 +6,7 @@
 import { AdapterMemory } from '../src/adapter-memory.js';
 import type { EngineEntry } from '../src/engine-entry.js';
 import { EngineRate } from '../src/engine-rate.js';
+import { HostMemory } from '../src/host-memory.js';
 import { EngineSlots, type AdapterSlot } from '../src/engine-slots.js';
 import type { Mechanism } from '../src/mechanisms.js';
 import type { OrderLease } from '../src/order-lease.js';
@@ -20,7 +21,13 @@
   const loader = new AdapterLoader({
     clock,
     timing: { ...DEFAULT_SLOT_TIMING, leaseMs: LEASE_MS },
-    memory: new AdapterMemory(),
+    memory: new HostMemory({
+      clock,
+      memory: new AdapterMemory(),
+      telemetry: new Telemetry({ processName: 'test', clock }),
+      service: 'llm',
+      learns: false,
+    }),
     adapterVersion: () => 1,
     after: (delayMs, action) => void clock.setTimer(delayMs, action),
     onChange: () => undefined,
--- a/packages/slots/test/simulated-loads.ts
+++ b/packages/slots/test/simulated-loads.ts
@@ -5,6 +5,7 @@
 import { AdapterMemory } from '../src/adapter-memory.js';
 import type { EngineEntry } from '../src/engine-entry.js';
 import { EngineRate } from '../src/engine-rate.js';
+import { HostMemory } from '../src/host-memory.js';
 import { EngineSlots, type AdapterSlot } from '../src/engine-slots.js';
 import type { Mechanism } from '../src/mechanisms.js';
 import type { OrderLease } from '../src/order-lease.js';
@@ -130,7 +131,13 @@
         observePeriodMs: 700,
         settleMs: 700,
       },
-      memory: new AdapterMemory(),
+      memory: new HostMemory({
+        clock,
+        memory: new AdapterMemory(),
+        telemetry: new Telemetry({ processName: 'test', clock }),
+        service: 'llm',
+        learns: false,
+      }),
       adapterVersion: () => 1,
       after: (delayMs, action) => void clock.setTimer(delayMs, action),
       onChange: () => this.#sendGroups(),
