Requests for slots and the waiting list need no model

The order of waiting requests (late ones last, start deadline, priority, fair shares of tenants) is to serve pools of plain backends as well. SlotRequest is split into a base, PoolRequest, and what only engines need; WaitingList takes an expected service time in place of the prefill estimate; GrantingPool is what messages need of a pool. A request without a model that reaches a pool of engines is refused at once. Requests to engines keep their shape on the wire.

--- a/packages/slots/src/pool-figures.ts
+++ b/packages/slots/src/pool-figures.ts
@@ -1,11 +1,8 @@
 import type { EngineEntry } from './engine-entry.js';
+import type { GrantFigures } from './granting-pool.js';
 
-/** Figures of a pool for logs and metrics. */
-export interface PoolFigures extends EngineFigures {
-  /** Waiting requests. */
-  readonly waiting: number;
-  /** Running requests. */
-  readonly running: number;
+/** Figures of a pool of engines for logs and metrics. */
+export interface PoolFigures extends EngineFigures, GrantFigures {
   /** Current estimate of how long a fetch from the weight store takes. */
   readonly coldLoadMs: number;
   /** Maximum number of concurrent fetches from the weight store. */
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -9,6 +9,7 @@
 import { EngineRegistry } from './engine-registry.js';
 import { EngineUses } from './engine-uses.js';
 import type { AdapterSlot, EngineSlots } from './engine-slots.js';
+import type { GrantingPool } from './granting-pool.js';
 import { LoadStarter, SPARE_SHARE } from './load-starter.js';
 import type { DisabledMechanisms } from './mechanisms.js';
 import { ModelLoader } from './model-loader.js';
@@ -17,7 +18,15 @@
 import { describeEngines, type PoolFigures } from './pool-figures.js';
 import { RefusalPolicy } from './refusal-policy.js';
 import { RefusedRequests } from './refused-requests.js';
-import type { RefusalReason, RunningUse, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
+import {
+  isEngineRequest,
+  type PoolRequest,
+  type RefusalReason,
+  type RunningUse,
+  type SlotDecision,
+  type SlotRequest,
+  type UseOutcome,
+} from './slot-request.js';
 import { SlotTurnover } from './slot-turnover.js';
 import { WaitingList, type WaitingRequest } from './waiting-list.js';
 
@@ -61,7 +70,7 @@
  * Grants the adapter slots of all engines of one service to requests, and orders loads and unloads of adapters for
  * requests that wait. It is active on one node at a time, the pool's leader. Its grants are kept in memory only.
  */
-export class SlotPool {
+export class SlotPool implements GrantingPool {
   readonly #options: SlotPoolOptions;
   readonly #engines: EngineRegistry;
   readonly #selector: EngineSelector;
@@ -104,10 +113,14 @@
     const learnsSpeed = !options.disabled.has('learnt-speed');
     this.#engines = new EngineRegistry({ clock, lease: options, after, onAdopted, learnsSpeed });
     const { poolSpeed } = this.#engines;
-    this.#waiting = new WaitingList((tokens) => tokens * poolSpeed.msPerToken, options.disabled, {
-      gapMs: () => this.#turnover.meanGapMs(),
-      weightOf: options.tenantWeight,
-    });
+    this.#waiting = new WaitingList(
+      ({ promptTokens }) => promptTokens * poolSpeed.msPerToken,
+      options.disabled,
+      {
+        gapMs: () => this.#turnover.meanGapMs(),
+        weightOf: options.tenantWeight,
+      },
+    );
     this.#selector = new EngineSelector(this.#engines, adapterVersion);
     this.#loads = new LoadStarter({
       clock,
@@ -198,7 +211,12 @@
   }
 
   /** Requests an engine. `decide` is called exactly once, possibly before this method returns. */
-  acquire(request: SlotRequest, decide: (decision: SlotDecision) => void): void {
+  acquire(request: PoolRequest, decide: (decision: SlotDecision) => void): void {
+    if (!isEngineRequest(request)) {
+      // Its node does not know yet that the service has become one of engines.
+      decide({ kind: 'refused', requestId: request.id, reason: 'no-engine', retryAfterMs: 0 });
+      return;
+    }
     const nowMs = this.#options.clock.now();
     const refusal = this.#refused.take(request.promptKey);
     // A request that was refused late can no longer meet its objective, so the retry's age is raised to be beyond it.
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -1,21 +1,16 @@
-/** A request for an engine of a pool. Times are in milliseconds. */
-export interface SlotRequest {
+/** What the leader of any pool needs to know of a request for a slot. Times are in milliseconds. */
+export interface PoolRequest {
   /** Unique per attempt of a request. */
   readonly id: string;
   /** The client's own id of the request, used in logs. */
   readonly traceId: string;
-  readonly model: string;
-  /** Undefined for the base model itself. */
-  readonly adapter: string | undefined;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** The tenant it runs for; undefined if it belongs to no tenant. */
   readonly tenant: string | undefined;
-  /** Target for the time from the arrival of the client's request to its first event. */
+  /** Target for the time from the arrival of the client's request to its first event, or to its response if it is not streamed. */
   readonly objectiveMs: number;
-  /** Longest pause between two events with which its stream still meets its objective; absent if none is set. */
-  readonly gapObjectiveMs?: number | undefined;
-  /** Zone of the node that sends the request to its engine; absent from earlier builds. */
+  /** Zone of the node that sends the request to its backend; absent from earlier builds. */
   readonly zone?: string;
   /** Time since the client's request arrived. */
   readonly ageMs: number;
@@ -23,16 +18,30 @@
   readonly timeoutMs: number;
   /** Age after which the client gives up if it has received nothing. */
   readonly startWithinMs: number;
-  /** Ids of engines that must not get the request, such as those it was sent to before. */
+  /** Ids of backends that must not get the request, such as those it was sent to before. */
   readonly excluded: readonly string[];
+}
+
+/** A request for an engine of a pool. Times are in milliseconds. */
+export interface SlotRequest extends PoolRequest {
+  readonly model: string;
+  /** Undefined for the base model itself. */
+  readonly adapter: string | undefined;
+  /** Longest pause between two events with which its stream still meets its objective; absent if none is set. */
+  readonly gapObjectiveMs?: number | undefined;
   /** Length of the prompt, which the engine processes before its first event. */
   readonly promptTokens: number;
   /** Equal for a request and its retry after a refusal, to recognize retries; undefined if they can't be recognized. */
   readonly promptKey: string | undefined;
 }
 
-/** Why a request was refused an engine. */
-export type RefusalReason = 'no-slot-in-time' | 'no-engine' | 'stopping';
+/** Whether a request names a model, as only requests for engines do. */
+export function isEngineRequest(request: PoolRequest): request is SlotRequest {
+  return 'model' in request && typeof request.model === 'string';
+}
+
+/** Why a request was refused a slot. `no-backend`: a pool of plain backends has none that it may be sent to. */
+export type RefusalReason = 'no-slot-in-time' | 'no-engine' | 'no-backend' | 'stopping';
 
 export type SlotDecision =
   | {
@@ -58,7 +67,10 @@
       readonly retryAfterMs: number;
     };
 
-/** A request that runs on an engine, as reported to a new leader by the node that sent it there. */
+/**
+ * A request that runs on a backend, as reported to a new leader by the node that sent it there. Requests to plain backends
+ * have an empty model and no prompt.
+ */
 export interface RunningUse {
   readonly requestId: string;
   readonly backendId: string;
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -1,5 +1,5 @@
 import type { DisabledMechanisms } from './mechanisms.js';
-import type { SlotDecision, SlotRequest } from './slot-request.js';
+import type { PoolRequest, SlotDecision, SlotRequest } from './slot-request.js';
 
 /** Fraction of the objective reserved for the way back of the first event and for unforeseen delays. */
 const FIRST_EVENT_MARGIN_SHARE = 0.12;
@@ -20,14 +20,14 @@
 }
 
 /** A waiting request with its sort keys. */
-interface QueueEntry {
-  readonly waiting: WaitingRequest;
+interface QueueEntry<R extends PoolRequest> {
+  readonly waiting: WaitingRequest<R>;
   /** 1 if the request can no longer meet its objective, else 0. */
   readonly late: number;
   startDeadlineMs: number;
 }
 
-function compareEntries(a: QueueEntry, b: QueueEntry): number {
+function compareEntries(a: QueueEntry<PoolRequest>, b: QueueEntry<PoolRequest>): number {
   return (
     a.late - b.late ||
     a.startDeadlineMs - b.startDeadlineMs ||
@@ -36,8 +36,8 @@
 }
 
 /** A request that waits for a slot. */
-export interface WaitingRequest {
-  readonly request: SlotRequest;
+export interface WaitingRequest<R extends PoolRequest = SlotRequest> {
+  readonly request: R;
   /** Arrival of the client's request on this node's clock. */
   readonly arrivedMs: number;
   /** Whether it is a retry after a refusal. A second refusal would be worse than a late response. */
@@ -63,9 +63,9 @@
  * long streams of one request kind took all slots while short requests of another kind waited until they were late.
  * Tenants are scheduled fairly, so that one of them cannot crowd out the others.
  */
-export class WaitingList {
-  readonly #byId = new Map<string, WaitingRequest>();
-  readonly #prefillMs: (tokens: number) => number;
+export class WaitingList<R extends PoolRequest = SlotRequest> {
+  readonly #byId = new Map<string, WaitingRequest<R>>();
+  readonly #expectedServiceMs: (request: R) => number;
   readonly #disabled: DisabledMechanisms;
   readonly #sharing: TenantSharing;
   /** The virtual clock of each tenant: the time up to which its recent grants count against it. */
@@ -73,13 +73,13 @@
   /** By tenant: how far one grant advances its virtual clock. Empty while fewer than two tenants wait. */
   #virtualCostMs: ReadonlyMap<string, number> = new Map();
 
-  /** @param prefillMs estimates how long an engine takes to process a prompt of this length */
+  /** @param expectedServiceMs estimates how long an idle backend takes until its response meets the objective: the prefill, or all of it */
   constructor(
-    prefillMs: (tokens: number) => number,
+    expectedServiceMs: (request: R) => number,
     disabled: DisabledMechanisms = new Set(),
     sharing: TenantSharing = { gapMs: () => 0, weightOf: () => 1 },
   ) {
-    this.#prefillMs = prefillMs;
+    this.#expectedServiceMs = expectedServiceMs;
     this.#disabled = disabled;
     this.#sharing = sharing;
   }
@@ -88,22 +88,22 @@
     return this.#byId.size;
   }
 
-  add(waiting: WaitingRequest): void {
+  add(waiting: WaitingRequest<R>): void {
     this.#byId.set(waiting.request.id, waiting);
   }
 
-  remove(id: string): WaitingRequest | undefined {
+  remove(id: string): WaitingRequest<R> | undefined {
     const waiting = this.#byId.get(id);
     this.#byId.delete(id);
     return waiting;
   }
 
-  get(id: string): WaitingRequest | undefined {
+  get(id: string): WaitingRequest<R> | undefined {
     return this.#byId.get(id);
   }
 
   /** Returns the requests, most urgent first. */
-  inOrder(nowMs: number): WaitingRequest[] {
+  inOrder(nowMs: number): WaitingRequest<R>[] {
     const entries = [...this.#byId.values()].map((waiting) => ({
       waiting,
       late: this.#isLate(waiting, nowMs) ? 1 : 0,
@@ -130,7 +130,7 @@
    * few requests waiting, the delays are a few milliseconds; a tenant that floods the list mostly delays itself. Returns
    * whether delays were applied.
    */
-  #delayByTenant(entries: QueueEntry[], nowMs: number): boolean {
+  #delayByTenant(entries: QueueEntry<R>[], nowMs: number): boolean {
     this.#virtualCostMs = this.#virtualCosts(entries);
     if (this.#virtualCostMs.size === 0) {
       this.#virtualTimeMs.clear();
@@ -149,7 +149,7 @@
   }
 
   /** The virtual cost of one grant by tenant: the time for one grant to each waiting tenant, divided by relative weight. */
-  #virtualCosts(entries: readonly QueueEntry[]): ReadonlyMap<string, number> {
+  #virtualCosts(entries: readonly QueueEntry<R>[]): ReadonlyMap<string, number> {
     const weights = new Map<string, number>();
     for (const { waiting } of entries) {
       const { tenant } = waiting.request;
@@ -161,22 +161,23 @@
     return new Map([...weights].map(([tenant, weight]) => [tenant, (gapMs * total) / weight]));
   }
 
-  /** Age at which a request has to be sent to an idle engine at the latest to meet its objective. */
-  latestStartAgeMs({ objectiveMs, promptTokens }: SlotRequest): number {
-    const idealMs = objectiveMs * (1 - FIRST_EVENT_MARGIN_SHARE) - this.#prefillMs(promptTokens);
+  /** Age at which a request has to be sent to an idle backend at the latest to meet its objective. */
+  latestStartAgeMs(request: R): number {
+    const { objectiveMs } = request;
+    const idealMs = objectiveMs * (1 - FIRST_EVENT_MARGIN_SHARE) - this.#expectedServiceMs(request);
     return Math.max(idealMs, objectiveMs * MIN_START_SHARE);
   }
 
-  all(): WaitingRequest[] {
+  all(): WaitingRequest<R>[] {
     return [...this.#byId.values()];
   }
 
-  #isLate({ request, arrivedMs }: WaitingRequest, nowMs: number): boolean {
+  #isLate({ request, arrivedMs }: WaitingRequest<R>, nowMs: number): boolean {
     return !this.#disabled.has('late-last') && nowMs - arrivedMs > this.latestStartAgeMs(request);
   }
 
   /** Time by which a request has to start, shifted by priority and for retries. */
-  #startDeadlineMs({ request, arrivedMs, returned }: WaitingRequest): number {
+  #startDeadlineMs({ request, arrivedMs, returned }: WaitingRequest<R>): number {
     const boostMs = returned && !this.#disabled.has('returned-first') ? RETURNED_BOOST_MS : 0;
     return arrivedMs + this.latestStartAgeMs(request) + request.priority * MS_PER_PRIORITY_LEVEL - boostMs;
   }
