--- /dev/null
+++ b/packages/gateway/src/cluster/slot-requester.ts
@@ -0,0 +1,236 @@
+import { Notifier, type Clock } from '@canvasridge/clock';
+import type { FleetState } from '@canvasridge/serving';
+import type { RunningUse, SlotDecision, SlotPool, SlotRequest, UseOutcome } from '@canvasridge/slots';
+import { rateLimitRule, type BackendRateLimits } from '../backends/backend-rate-limits.js';
+import type { SlotSource } from '../backends/slot-picker.js';
+import type { Cluster } from './cluster.js';
+import { OwnUses } from './own-uses.js';
+import type { PoolEntry } from './pool-entry.js';
+import { RateLimitReporter } from './rate-limit-reporter.js';
+import { RemoteSlots, type LeaderConnection, type LeaderNetwork } from './remote-slots.js';
+import {
+  RATE_LIMIT_METHOD,
+  RELEASE_METHOD,
+  STARTED_METHOD,
+  cancelledDecision,
+  type RateLimitParams,
+  type ReleaseParams,
+  type StartedParams,
+} from './slot-protocol.js';
+
+/**
+ * Starts of responses within this time are reported in one message: each message costs both nodes CPU time.
+ */
+const STARTED_BATCH_MS = 12;
+const MAX_LEADERS_ASKED = 3;
+/**
+ * Time within which a pool without a leader nearly always gets the next one: the first candidate claims it
+ * after 150 ms, and gossip brings that to all nodes within two periods; after a loss of all nodes, the
+ * candidates return one after the other.
+ */
+const ELECTION_MS = 800;
+/** A request older than this fraction of its objective can no longer start in time. */
+const LATEST_START_SHARE = 0.7;
+/** Pause before the next leader is asked, while a pool changes hands. */
+const NEXT_LEADER_DELAY_MS = 100;
+
+export interface SlotRequesterOptions {
+  readonly clock: Clock;
+  readonly fleet: FleetState;
+  readonly cluster: Cluster;
+  readonly network: LeaderNetwork;
+  readonly rateLimits: Pick<BackendRateLimits, 'perSecond' | 'all'>;
+  /** By the pool's name. */
+  readonly pools: ReadonlyMap<string, PoolEntry>;
+  /** The state for a pool, created if there is none. */
+  readonly entry: (pool: string) => PoolEntry;
+}
+
+/** Requests slots from the leaders of pools, whether that is this node or another, and reports to them what it runs. */
+export class SlotRequester implements SlotSource {
+  readonly #options: SlotRequesterOptions;
+  readonly #remoteSlots: RemoteSlots;
+  readonly #uses: OwnUses;
+  readonly #rateLimitReporter: RateLimitReporter;
+  readonly #leaderChanged = new Notifier();
+  /** By pool: requests whose responses have started, which has not been reported to the leader yet. */
+  readonly #unreportedStarts = new Map<string, string[]>();
+
+  constructor(options: SlotRequesterOptions) {
+    this.#options = options;
+    this.#remoteSlots = new RemoteSlots(options.clock, options.network, (address) =>
+      options.cluster.checkPeer(address),
+    );
+    this.#uses = new OwnUses(options.clock);
+    this.#rateLimitReporter = new RateLimitReporter({
+      rateLimits: options.rateLimits,
+      tell: (backendId, perSecond) => this.#reportRateLimit(backendId, perSecond),
+    });
+  }
+
+  /** What this node runs on the backends of a pool. */
+  usesOf(pool: string): RunningUse[] {
+    return this.#uses.of(pool);
+  }
+
+  /** Called when a pool has another leader; undefined if none is known. */
+  handleLeaderChange(pool: string, leader: string | undefined): void {
+    this.#remoteSlots.leaderChanged(
+      pool,
+      leader === undefined ? undefined : this.#options.cluster.peerAddress(leader),
+    );
+    this.#leaderChanged.notify();
+  }
+
+  /** Called when a leader has changed, before it is told anything else. */
+  forgetReportedRateLimits(): void {
+    this.#rateLimitReporter.leaderChanged();
+  }
+
+  /** Forgets the rate limits of backends that are not listed. */
+  retainRateLimits(isListed: (backendId: string) => boolean): void {
+    this.#rateLimitReporter.retain(isListed);
+  }
+
+  /** Requests a slot from the leader, and from the next leader if that one is giving up the pool. */
+  async acquire(
+    poolName: string,
+    request: SlotRequest,
+    cancelled: AbortSignal,
+  ): Promise<SlotDecision | undefined> {
+    const { clock } = this.#options;
+    const askedMs = clock.now();
+    for (let asked = 1; ; asked += 1) {
+      const aged = { ...request, ageMs: request.ageMs + clock.now() - askedMs };
+      const decision = await this.#acquireOnce(poolName, aged, cancelled);
+      if (decision?.kind === 'granted') {
+        this.#uses.begin(poolName, request, decision.backendId);
+        this.#rateLimitReporter.onGranted(decision);
+      }
+      const isStopping = decision?.kind === 'refused' && decision.reason === 'stopping';
+      if (!isStopping || cancelled.aborted || asked === MAX_LEADERS_ASKED) return decision;
+      await clock.sleep(NEXT_LEADER_DELAY_MS);
+    }
+  }
+
+  async #acquireOnce(
+    poolName: string,
+    request: SlotRequest,
+    cancelled: AbortSignal,
+  ): Promise<SlotDecision | undefined> {
+    const entry = this.#options.entry(poolName);
+    const leader = await this.#awaitLeader(entry, request);
+    if (cancelled.aborted) return cancelledDecision(request.id);
+    if (leader === undefined) return undefined;
+    if (entry.pool !== undefined && entry.leading) return this.#acquireHere(entry.pool, request, cancelled);
+    const address = this.#options.cluster.peerAddress(leader);
+    return address === undefined
+      ? undefined
+      : this.#remoteSlots.acquire(address, poolName, request, cancelled);
+  }
+
+  /**
+   * The leader, or undefined if none is found within the duration of an election or in time for the request.
+   */
+  async #awaitLeader(entry: PoolEntry, request: SlotRequest): Promise<string | undefined> {
+    const { clock } = this.#options;
+    const leftMs = request.objectiveMs * LATEST_START_SHARE - request.ageMs;
+    const untilMs = clock.now() + Math.min(leftMs, ELECTION_MS);
+    while (entry.leadership.leader === undefined && clock.now() < untilMs) {
+      await this.#leaderChanged.waitUpTo(clock, untilMs - clock.now());
+    }
+    return entry.leadership.leader;
+  }
+
+  /**
+   * Called when an engine's response to this node announced a rate limit, in requests per second, or with
+   * undefined if it no longer announces one.
+   */
+  onRateLimitAnnounced(backendId: string, perSecond: number | undefined): void {
+    this.#rateLimitReporter.onLimitAnnounced(backendId, perSecond);
+  }
+
+  #reportRateLimit(backendId: string, perSecond: number | null): void {
+    const pool = this.#options.fleet.backend(backendId)?.service;
+    const entry = pool === undefined ? undefined : this.#options.pools.get(pool);
+    if (pool === undefined || entry === undefined) return;
+    if (entry.leading) {
+      entry.pool?.setRateLimit(backendId, perSecond === null ? undefined : rateLimitRule(perSecond));
+      return;
+    }
+    const params: RateLimitParams = { pool, backendId, perSecond };
+    this.leaderConnection(pool)?.notify(RATE_LIMIT_METHOD, params);
+  }
+
+  startedWithoutGrant(poolName: string, request: SlotRequest, backendId: string): void {
+    this.#uses.begin(poolName, request, backendId);
+  }
+
+  started(poolName: string, requestId: string): void {
+    this.#uses.started(requestId);
+    const entry = this.#options.pools.get(poolName);
+    if (entry?.pool !== undefined && entry.leading) {
+      entry.pool.started(requestId);
+      return;
+    }
+    const unreported = this.#unreportedStarts.get(poolName);
+    if (unreported !== undefined) {
+      unreported.push(requestId);
+      return;
+    }
+    this.#unreportedStarts.set(poolName, [requestId]);
+    this.#options.clock.setTimer(STARTED_BATCH_MS, () => this.#reportStarted(poolName));
+  }
+
+  #reportStarted(poolName: string): void {
+    const requestIds = this.#unreportedStarts.get(poolName) ?? [];
+    this.#unreportedStarts.delete(poolName);
+    const params: StartedParams = { pool: poolName, requestIds };
+    this.leaderConnection(poolName)?.notify(STARTED_METHOD, params);
+  }
+
+  /** The connection to a pool's leader, if the leader is known and is another node. */
+  leaderConnection(poolName: string): LeaderConnection | undefined {
+    const leader = this.#options.pools.get(poolName)?.leadership.leader;
+    const address = leader === undefined ? undefined : this.#options.cluster.peerAddress(leader);
+    return address === undefined ? undefined : this.#options.network.to(address);
+  }
+
+  release(poolName: string, requestId: string, outcome: UseOutcome): void {
+    const backendId = this.#uses.end(requestId);
+    const entry = this.#options.pools.get(poolName);
+    if (entry?.pool !== undefined && entry.leading) {
+      entry.pool.release(requestId, outcome);
+      return;
+    }
+    const { fleet } = this.#options;
+    const isNews =
+      backendId !== undefined &&
+      fleet.hasAnnouncedShutdown(backendId) &&
+      fleet.leavingBackendsListedReady(poolName).includes(backendId);
+    // Without this the leader keeps ordering adapters onto that engine for other nodes until each of them has
+    // been told.
+    const leaving = isNews ? { leaving: backendId } : {};
+    const params: ReleaseParams = { pool: poolName, requestId, outcome, ...leaving };
+    this.leaderConnection(poolName)?.notify(RELEASE_METHOD, params);
+  }
+
+  #acquireHere(pool: SlotPool, request: SlotRequest, cancelled: AbortSignal): Promise<SlotDecision> {
+    return new Promise((resolve) => {
+      const onCancel = (): void => {
+        pool.cancel(request.id);
+        resolve(cancelledDecision(request.id));
+      };
+      cancelled.addEventListener('abort', onCancel, { once: true });
+      pool.acquire(request, (decision) => {
+        cancelled.removeEventListener('abort', onCancel);
+        resolve(decision);
+      });
+    });
+  }
+
+  /** Handles the decision of another leader about a request that was queued there. */
+  onDecided(decision: SlotDecision): void {
+    this.#remoteSlots.onDecided(decision);
+  }
+}
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -1,4 +1,4 @@
-import { Notifier, type Clock, type ContinuousClock, type Random } from '@canvasridge/clock';
+import type { Clock, ContinuousClock, Random } from '@canvasridge/clock';
 import type { BackendDescription, FleetState } from '@canvasridge/serving';
 import {
   AdapterMemory,
@@ -7,35 +7,20 @@
   SlotPool,
   type EngineControl,
   type OrderHolder,
-  type SlotDecision,
-  type SlotRequest,
   type SlotTiming,
   type DisabledMechanisms,
-  type UseOutcome,
 } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { BackendAvailability } from '../backends/backend-availability.js';
-import { rateLimitRule, type BackendRateLimits } from '../backends/backend-rate-limits.js';
-import type { SlotSource } from '../backends/slot-picker.js';
+import type { BackendRateLimits } from '../backends/backend-rate-limits.js';
 import type { Cluster } from './cluster.js';
 import { FormerLeader, type LeaderLiveness } from './former-leader.js';
 import { HANDOVER_MS, OrderPermission, type EngineFences } from './order-permission.js';
-import { OwnUses } from './own-uses.js';
 import type { PoolEntry } from './pool-entry.js';
-import { RateLimitReporter } from './rate-limit-reporter.js';
-import { RemoteSlots, type LeaderConnection, type LeaderNetwork } from './remote-slots.js';
+import type { LeaderNetwork } from './remote-slots.js';
 import { SlotAnswers } from './slot-answers.js';
-import {
-  RATE_LIMIT_METHOD,
-  RELEASE_METHOD,
-  STARTED_METHOD,
-  USES_METHOD,
-  cancelledDecision,
-  type RateLimitParams,
-  type ReleaseParams,
-  type StartedParams,
-  type UsesParams,
-} from './slot-protocol.js';
+import { USES_METHOD, type UsesParams } from './slot-protocol.js';
+import { SlotRequester } from './slot-requester.js';
 
 /**
  * Period in which a node checks members and leadership claims if it leads a pool, is next to lead one, knows
@@ -47,24 +32,11 @@
  * have nothing to do with slots, and on a weak machine frequent wake-ups take most of the CPU time.
  */
 const IDLE_TICK_MS = 400;
-/**
- * Starts of responses within this time are reported in one message: each message costs both nodes CPU time.
- */
-const STARTED_BATCH_MS = 12;
-const MAX_LEADERS_ASKED = 3;
 /**
  * A leader that sent something within this time counts as reachable: under load it sends several messages in
  * it.
  */
 const RECEIVED_RECENTLY_MS = 600;
-/**
- * Time within which a pool without a leader nearly always gets the next one: the first candidate claims it
- * after 150 ms, and gossip brings that to all nodes within two periods; after a loss of all nodes, the
- * candidates return one after the other.
- */
-const ELECTION_MS = 800;
-/** A request older than this fraction of its objective can no longer start in time. */
-const LATEST_START_SHARE = 0.7;
 /**
  * For this long after its start a node observes a pool if it is among the first few candidates, as any of
  * them may soon have to lead.
@@ -80,35 +52,28 @@
 const NO_PEERS_AFTER_MS = 1000;
 
 /**
- * Leads the pools for which this node is elected, and requests slots of all other pools from the nodes that
- * lead them.
+ * Takes part in the election of the leaders of all pools, and leads those for which this node is elected. Its
+ * requester asks the leaders for slots.
  */
-export class SlotService implements SlotSource {
+export class SlotService {
   readonly #options: SlotServiceOptions;
   readonly #pools = new Map<string, PoolEntry>();
-  readonly #remoteSlots: RemoteSlots;
-  readonly #uses: OwnUses;
-  readonly #rateLimitReporter: RateLimitReporter;
+  /** Requests slots for this node. */
+  readonly requester: SlotRequester;
   /** Handles requests of other nodes that consider this one the leader of a pool. */
   readonly answers: SlotAnswers;
   readonly #memory = new AdapterMemory();
-  readonly #leaderChanged = new Notifier();
   readonly #permission: OrderPermission;
-  /** By pool: requests whose responses have started, which has not been reported to the leader yet. */
-  readonly #unreportedStarts = new Map<string, string[]>();
   readonly #startedMs: number;
   #stopped = false;
   #resigned = false;
 
   constructor(options: SlotServiceOptions) {
     this.#options = options;
-    this.#remoteSlots = new RemoteSlots(options.clock, options.network, (address) =>
-      options.cluster.checkPeer(address),
-    );
-    this.#uses = new OwnUses(options.clock);
-    this.#rateLimitReporter = new RateLimitReporter({
-      rateLimits: options.rateLimits,
-      tell: (backendId, perSecond) => this.#reportRateLimit(backendId, perSecond),
+    this.requester = new SlotRequester({
+      ...options,
+      pools: this.#pools,
+      entry: (pool) => this.#entry(pool),
     });
     const { fleet, cluster } = options;
     this.answers = new SlotAnswers({ fleet, cluster, pools: this.#pools });
@@ -163,152 +128,6 @@
     return rows;
   }
 
-  // --- requesting slots --------------------------------------------------------------------------
-
-  /** Requests a slot from the leader, and from the next leader if that one is giving up the pool. */
-  async acquire(
-    poolName: string,
-    request: SlotRequest,
-    cancelled: AbortSignal,
-  ): Promise<SlotDecision | undefined> {
-    const { clock } = this.#options;
-    const askedMs = clock.now();
-    for (let asked = 1; ; asked += 1) {
-      const aged = { ...request, ageMs: request.ageMs + clock.now() - askedMs };
-      const decision = await this.#acquireOnce(poolName, aged, cancelled);
-      if (decision?.kind === 'granted') {
-        this.#uses.begin(poolName, request, decision.backendId);
-        this.#rateLimitReporter.onGranted(decision);
-      }
-      const isStopping = decision?.kind === 'refused' && decision.reason === 'stopping';
-      if (!isStopping || cancelled.aborted || asked === MAX_LEADERS_ASKED) return decision;
-      await clock.sleep(TICK_MS);
-    }
-  }
-
-  async #acquireOnce(
-    poolName: string,
-    request: SlotRequest,
-    cancelled: AbortSignal,
-  ): Promise<SlotDecision | undefined> {
-    const entry = this.#entry(poolName);
-    const leader = await this.#awaitLeader(entry, request);
-    if (cancelled.aborted) return cancelledDecision(request.id);
-    if (leader === undefined) return undefined;
-    if (entry.pool !== undefined && entry.leading) return this.#acquireHere(entry.pool, request, cancelled);
-    const address = this.#options.cluster.peerAddress(leader);
-    return address === undefined
-      ? undefined
-      : this.#remoteSlots.acquire(address, poolName, request, cancelled);
-  }
-
-  /**
-   * The leader, or undefined if none is found within the duration of an election or in time for the request.
-   */
-  async #awaitLeader(entry: PoolEntry, request: SlotRequest): Promise<string | undefined> {
-    const { clock } = this.#options;
-    const leftMs = request.objectiveMs * LATEST_START_SHARE - request.ageMs;
-    const untilMs = clock.now() + Math.min(leftMs, ELECTION_MS);
-    while (entry.leadership.leader === undefined && clock.now() < untilMs) {
-      await this.#leaderChanged.waitUpTo(clock, untilMs - clock.now());
-    }
-    return entry.leadership.leader;
-  }
-
-  /**
-   * Called when an engine's response to this node announced a rate limit, in requests per second, or with
-   * undefined if it no longer announces one.
-   */
-  onRateLimitAnnounced(backendId: string, perSecond: number | undefined): void {
-    this.#rateLimitReporter.onLimitAnnounced(backendId, perSecond);
-  }
-
-  #reportRateLimit(backendId: string, perSecond: number | null): void {
-    const pool = this.#options.fleet.backend(backendId)?.service;
-    const entry = pool === undefined ? undefined : this.#pools.get(pool);
-    if (pool === undefined || entry === undefined) return;
-    if (entry.leading) {
-      entry.pool?.setRateLimit(backendId, perSecond === null ? undefined : rateLimitRule(perSecond));
-      return;
-    }
-    const params: RateLimitParams = { pool, backendId, perSecond };
-    this.#leaderConnection(pool)?.notify(RATE_LIMIT_METHOD, params);
-  }
-
-  startedWithoutGrant(poolName: string, request: SlotRequest, backendId: string): void {
-    this.#uses.begin(poolName, request, backendId);
-  }
-
-  started(poolName: string, requestId: string): void {
-    this.#uses.started(requestId);
-    const entry = this.#pools.get(poolName);
-    if (entry?.pool !== undefined && entry.leading) {
-      entry.pool.started(requestId);
-      return;
-    }
-    const unreported = this.#unreportedStarts.get(poolName);
-    if (unreported !== undefined) {
-      unreported.push(requestId);
-      return;
-    }
-    this.#unreportedStarts.set(poolName, [requestId]);
-    this.#options.clock.setTimer(STARTED_BATCH_MS, () => this.#reportStarted(poolName));
-  }
-
-  #reportStarted(poolName: string): void {
-    const requestIds = this.#unreportedStarts.get(poolName) ?? [];
-    this.#unreportedStarts.delete(poolName);
-    const params: StartedParams = { pool: poolName, requestIds };
-    this.#leaderConnection(poolName)?.notify(STARTED_METHOD, params);
-  }
-
-  /** The connection to a pool's leader, if the leader is known and is another node. */
-  #leaderConnection(poolName: string): LeaderConnection | undefined {
-    const leader = this.#pools.get(poolName)?.leadership.leader;
-    const address = leader === undefined ? undefined : this.#options.cluster.peerAddress(leader);
-    return address === undefined ? undefined : this.#options.network.to(address);
-  }
-
-  release(poolName: string, requestId: string, outcome: UseOutcome): void {
-    const backendId = this.#uses.end(requestId);
-    const entry = this.#pools.get(poolName);
-    if (entry?.pool !== undefined && entry.leading) {
-      entry.pool.release(requestId, outcome);
-      return;
-    }
-    const { fleet } = this.#options;
-    const isNews =
-      backendId !== undefined &&
-      fleet.hasAnnouncedShutdown(backendId) &&
-      fleet.leavingBackendsListedReady(poolName).includes(backendId);
-    // Without this the leader keeps ordering adapters onto that engine for other nodes until each of them has
-    // been told.
-    const leaving = isNews ? { leaving: backendId } : {};
-    const params: ReleaseParams = { pool: poolName, requestId, outcome, ...leaving };
-    this.#leaderConnection(poolName)?.notify(RELEASE_METHOD, params);
-  }
-
-  #acquireHere(pool: SlotPool, request: SlotRequest, cancelled: AbortSignal): Promise<SlotDecision> {
-    return new Promise((resolve) => {
-      const onCancel = (): void => {
-        pool.cancel(request.id);
-        resolve(cancelledDecision(request.id));
-      };
-      cancelled.addEventListener('abort', onCancel, { once: true });
-      pool.acquire(request, (decision) => {
-        cancelled.removeEventListener('abort', onCancel);
-        resolve(decision);
-      });
-    });
-  }
-
-  /** Handles the decision of another leader about a request that was queued there. */
-  onDecided(decision: SlotDecision): void {
-    this.#remoteSlots.onDecided(decision);
-  }
-
-  // --- leading pools -----------------------------------------------------------------------------
-
   async #run(): Promise<void> {
     const { clock, cluster } = this.#options;
     while (!this.#stopped) {
@@ -345,13 +164,9 @@
   #onLeaderChanged(pool: string, entry: PoolEntry): void {
     const { leader } = entry.leadership;
     entry.formerLeader.recordLeader(leader);
-    this.#rateLimitReporter.leaderChanged();
+    this.requester.forgetReportedRateLimits();
     this.#reportUses(pool, entry);
-    this.#remoteSlots.leaderChanged(
-      pool,
-      leader === undefined ? undefined : this.#options.cluster.peerAddress(leader),
-    );
-    this.#leaderChanged.notify();
+    this.requester.handleLeaderChange(pool, leader);
   }
 
   #leaderLiveness(): LeaderLiveness {
@@ -369,8 +184,12 @@
   /** Reports to a new leader of a pool, if that is another node, what this node runs on the engines. */
   #reportUses(pool: string, entry: PoolEntry): void {
     if (entry.leadership.isLeader || this.#options.switchedOff.has('told-uses')) return;
-    const params: UsesParams = { pool, member: this.#options.cluster.selfId, uses: this.#uses.of(pool) };
-    this.#leaderConnection(pool)?.notify(USES_METHOD, params);
+    const params: UsesParams = {
+      pool,
+      member: this.#options.cluster.selfId,
+      uses: this.requester.usesOf(pool),
+    };
+    this.requester.leaderConnection(pool)?.notify(USES_METHOD, params);
   }
 
   #entry(pool: string): PoolEntry {
@@ -408,7 +227,7 @@
     for (const { backendId, rule } of this.#options.rateLimits.all())
       entry.pool.setRateLimit(backendId, rule);
     this.#options.clock.setTimer(HANDOVER_MS, () => entry.pool?.wakeLeases());
-    for (const use of this.#uses.of(name)) entry.pool.adoptUse(use);
+    for (const use of this.requester.usesOf(name)) entry.pool.adoptUse(use);
     this.answers.checkUsesKnown(entry);
   }
 
@@ -463,7 +282,7 @@
   #fleetChanged(change: string): void {
     if (change === 'backends') {
       this.#memory.observe(this.#listedBackends());
-      this.#rateLimitReporter.retain((id) => this.#options.fleet.backend(id) !== undefined);
+      this.requester.retainRateLimits((id) => this.#options.fleet.backend(id) !== undefined);
     }
     for (const [name, { pool }] of this.#pools) {
       if (pool === undefined) continue;
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -165,7 +165,7 @@
       fleet,
       backoffs,
       rateLimits,
-      onRateLimit: (id, perSecond) => this.#slots.onRateLimitAnnounced(id, perSecond),
+      onRateLimit: (id, perSecond) => this.#slots.requester.onRateLimitAnnounced(id, perSecond),
       clock,
       telemetry,
       metrics: this.metrics,
@@ -223,7 +223,7 @@
       notices,
       availability,
       plainPicker: new LeastLoadedPicker(fleet, availability, clock, random),
-      enginePicker: new SlotPicker(fleet, availability, this.#slots, clock, settings.zone),
+      enginePicker: new SlotPicker(fleet, availability, this.#slots.requester, clock, settings.zone),
       budget: (service) => this.#retryBudget(service),
       fleetShare: () => this.#fleetShare.value,
       isStopping: () => this.#stopping,
@@ -338,7 +338,7 @@
       [USES_METHOD]: (params, peer) => this.#slots.answers.onUses(params as UsesParams, peer),
       [RELEASE_METHOD]: (params, peer) => this.#slots.answers.onRelease(params as ReleaseParams, peer),
       [RATE_LIMIT_METHOD]: (params) => this.#slots.answers.onRateLimit(params),
-      [DECIDED_METHOD]: (params) => this.#slots.onDecided(params as SlotDecision),
+      [DECIDED_METHOD]: (params) => this.#slots.requester.onDecided(params as SlotDecision),
     };
   }
 
--- a/packages/gateway/test/virtual-holders.ts
+++ b/packages/gateway/test/virtual-holders.ts
@@ -193,11 +193,11 @@
       await clock.sleep(isIdle ? this.#random.next() * MAX_IDLE_MS : REQUEST_GAP_MS);
       if (!slots.leaders().has(id)) continue;
       const request = this.#newRequest(`${id}/${count}`);
-      void slots.acquire(SERVICE, request, new AbortController().signal).then(async (decision) => {
+      void slots.requester.acquire(SERVICE, request, new AbortController().signal).then(async (decision) => {
         if (decision?.kind !== 'granted') return;
         await clock.sleep(RUN_MS);
-        slots.started(SERVICE, request.id);
-        slots.release(SERVICE, request.id, 'served');
+        slots.requester.started(SERVICE, request.id);
+        slots.requester.release(SERVICE, request.id, 'served');
       });
     }
   }
