SlotPicker: the check of a grant against this node's knowledge is a class of its own

The picker for plain backends is to apply the same rules to what it is granted (leaving, backing off, rate limits).

--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -2,6 +2,7 @@
 import { adapterKey, type BackendDescription, type FleetState } from '@canvasridge/serving';
 import type { SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
 import type { BackendAvailability } from './backend-availability.js';
+import { GrantChecker } from './grant-checker.js';
 import type { BackendPicker, PickContext, PickResult } from './picker.js';
 
 /** Asks the leader of a pool, a node that assigns engine slots to requests, for slots. */
@@ -37,6 +38,7 @@
   readonly #fleet: FleetState;
   readonly #availability: BackendAvailability;
   readonly #slots: SlotSource;
+  readonly #grants: GrantChecker;
   readonly #clock: Clock;
   readonly #zone: string;
   readonly #recentServers = new Map<string, RecentServer>();
@@ -53,6 +55,7 @@
     this.#fleet = fleet;
     this.#availability = availability;
     this.#slots = slots;
+    this.#grants = new GrantChecker(fleet, availability);
     this.#clock = clock;
     this.#zone = zone;
   }
@@ -88,11 +91,11 @@
     if (decision.kind === 'refused') {
       return { kind: 'none', reason: decision.reason, retryAfterMs: decision.retryAfterMs };
     }
-    const backend = this.#grantedBackend(pool, decision);
+    const backend = this.#grants.backend(pool, decision);
     if (decision.ratePerSecond === null) this.#availability.forgetRateLimit(backend.id);
     const isChargedToRateLimit =
       typeof decision.ratePerSecond === 'number' || this.#availability.isRateLimited(backend.id);
-    const releaseOutcome = await this.#outcomeIfUnusable(decision);
+    const releaseOutcome = await this.#grants.outcomeIfUnusable(decision);
     if (releaseOutcome !== undefined) {
       this.#slots.release(pool, request.id, releaseOutcome);
       const excluded = [...context.excluded, backend.id];
@@ -112,41 +115,6 @@
     };
   }
 
-  /**
-   * The outcome with which a granted slot must be given back, after which the request asks for another one;
-   * undefined if the slot can be used.
-   */
-  async #outcomeIfUnusable(decision: SlotDecision & { kind: 'granted' }): Promise<UseOutcome | undefined> {
-    const { backendId } = decision;
-    // This node knows that the engine leaves before the leader does.
-    if (this.#fleet.isLeaving(backendId) || this.#hasLeftList(decision)) return 'refused';
-    // The engine refused another request of this node while this one waited for its slot. Other nodes may
-    // still use it.
-    if (this.#availability.isBackingOff(backendId)) return 'cancelled';
-    // The leader already charged the request to the rate limit, which it counts for all nodes.
-    if (typeof decision.ratePerSecond === 'number') return undefined;
-    if (!this.#availability.isRateLimited(backendId)) return undefined;
-    return (await this.#availability.takeRateLimitUnit(backendId)) ? undefined : 'cancelled';
-  }
-
-  /**
-   * Whether an engine that is missing from this node's list was removed from it, rather than added only
-   * recently: its entry is older than the list. A node that started after the engine left never listed it,
-   * and a leader that is cut off from list updates still grants it.
-   */
-  #hasLeftList({ backendId, entryEra, entryRevision }: SlotDecision & { kind: 'granted' }): boolean {
-    if (this.#fleet.backend(backendId) !== undefined || entryRevision === undefined) return false;
-    return this.#fleet.hasBackendsAsOf({ era: entryEra, revision: entryRevision });
-  }
-
-  /** The granted engine. The leader may know an engine that is not listed on this node yet. */
-  #grantedBackend(service: string, decision: SlotDecision & { kind: 'granted' }): BackendDescription {
-    const listed = this.#fleet.backend(decision.backendId);
-    if (listed !== undefined) return listed;
-    const { backendId: id, address } = decision;
-    return { id, service, address, zone: '', state: 'ready', slots: 1, models: [] };
-  }
-
   async #withoutLeader(
     context: PickContext,
     request: SlotRequest,
