BackendPool: one node grants the slots of backends with few slots

Each node counts only its own requests, so many nodes in front of few slots find out by being turned away. BackendPool keeps the grants of a whole service: order by WaitingList, choice by learnt service time, load, recent failures and zone, a backend that turned away a grant counts as full for a while, and a request whose turn can't come in time is refused at once with the estimate of its turn.

RecentFailures is shared with LeastLoadedPicker, which weighs failures as before.

--- a/packages/gateway/src/backends/least-loaded-picker.ts
+++ b/packages/gateway/src/backends/least-loaded-picker.ts
@@ -1,23 +1,16 @@
 import type { Clock, Random } from '@canvasridge/clock';
 import type { BackendDescription, FleetState } from '@canvasridge/serving';
-import type { UseOutcome } from '@canvasridge/slots';
+import { RecentFailures, type UseOutcome } from '@canvasridge/slots';
 import type { BackendAvailability } from './backend-availability.js';
 import type { BackendPicker, PickContext, PickResult } from './picker.js';
 
-/**
- * A recent failure adds this many running requests to the load of a backend; its weight halves with each
- * half-life.
- */
-const FAILURE_WEIGHT = 4;
-const FAILURE_HALF_LIFE_MS = 2500;
 /** Weight of the newest response time in the moving average of a backend. */
 const LATENCY_WEIGHT = 0.2;
 const NO_BACKEND_RETRY_MS = 500;
 
 interface BackendLoad {
   running: number;
-  failures: number;
-  failuresUpdatedMs: number;
+  readonly failures: RecentFailures;
   latencyMs: number;
 }
 
@@ -81,8 +74,7 @@
    * backend.
    */
   #score(load: BackendLoad, nowMs: number): number {
-    const failures = load.failures * 0.5 ** ((nowMs - load.failuresUpdatedMs) / FAILURE_HALF_LIFE_MS);
-    const work = load.running + FAILURE_WEIGHT * failures + this.#random.next() * 0.5;
+    const work = load.running + load.failures.load(nowMs) + this.#random.next() * 0.5;
     return (work + 0.5) * Math.max(load.latencyMs, 1);
   }
 
@@ -96,15 +88,13 @@
       return;
     }
     if (outcome === 'cancelled') return;
-    const decayed = load.failures * 0.5 ** ((nowMs - load.failuresUpdatedMs) / FAILURE_HALF_LIFE_MS);
-    load.failures = decayed + 1;
-    load.failuresUpdatedMs = nowMs;
+    load.failures.record(nowMs);
   }
 
   #loadOf(id: string): BackendLoad {
     let load = this.#loads.get(id);
     if (load === undefined) {
-      load = { running: 0, failures: 0, failuresUpdatedMs: 0, latencyMs: 0 };
+      load = { running: 0, failures: new RecentFailures(), latencyMs: 0 };
       this.#loads.set(id, load);
     }
     return load;
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -15,6 +15,8 @@
 export { PauseDetector } from './pause-detector.js';
 export { AdapterMemory } from './adapter-memory.js';
 export type { PoolFigures } from './pool-figures.js';
+export { BackendPool, type BackendPoolFigures, type BackendPoolOptions } from './backend-pool.js';
+export { RecentFailures } from './recent-failures.js';
 export { SlotPool, type SlotPoolOptions } from './slot-pool.js';
 export { WaitingList, type WaitingRequest } from './waiting-list.js';
 export type { GrantFigures, GrantingPool } from './granting-pool.js';
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -52,10 +52,22 @@
  * have the adapter have too many prompts queued. `no-room`: no engine can load another adapter. `too-late`: the adapter
  * is not fetched, because that would take too long or another engine has it in host memory. `fetch-limit`: too many
  * other fetches are in progress. `rate-limit`: an engine that could run it has reached its rate limit. `no-engine`: no
- * engine is available for a request to the base model.
+ * engine is available for a request to the base model. In a pool of plain backends: `no-slot`: all slots of the backends that it
+ * may be sent to are in use; `turned-away`: at least one of them turned away a granted request just now; `no-backend`: there
+ * is no such backend.
  */
 export type WaitObstacle =
-  'none' | 'rate-limit' | 'no-engine' | 'loading' | 'backlog' | 'no-room' | 'too-late' | 'fetch-limit';
+  | 'none'
+  | 'rate-limit'
+  | 'no-engine'
+  | 'loading'
+  | 'backlog'
+  | 'no-room'
+  | 'too-late'
+  | 'fetch-limit'
+  | 'no-slot'
+  | 'turned-away'
+  | 'no-backend';
 
 /**
  * The requests that wait for a slot, in order of urgency. Requests that can still meet their objective come before those
