BackendPool: one request beyond the slots, and slow slots to late requests

Two causes: a slot idles for four hops until its next request arrives, and slots of a slow backend went to the most urgent request, which then was late, while others that were late anyway waited for a fast one.

--- a/packages/slots/src/backend-choice.ts
+++ b/packages/slots/src/backend-choice.ts
@@ -4,16 +4,20 @@
 /** Fraction by which a backend in another zone counts as slower than one in the zone of the requesting node. */
 const OTHER_ZONE_SHARE = 0.1;
 
-/** Returns the backend with a free slot and the lowest expected time for a request; undefined if none has a free slot. */
+/**
+ * Returns the backend with the lowest expected time for a request among those with a free slot, or if there is none, among
+ * those that may queue it; undefined if no backend takes it now.
+ */
 export function chooseBackend(
   request: PoolRequest,
-  usable: Iterable<GrantedBackend>,
+  usable: readonly GrantedBackend[],
   nowMs: number,
 ): GrantedBackend | undefined {
+  const free = usable.filter((backend) => backend.hasFreeSlot(nowMs));
+  const candidates = free.length > 0 ? free : usable.filter((backend) => backend.mayQueue(nowMs));
   let best: GrantedBackend | undefined;
   let bestMs = Infinity;
-  for (const backend of usable) {
-    if (!backend.hasFreeSlot(nowMs)) continue;
+  for (const backend of candidates) {
     const expectedMs = expectedTimeMs(backend, request.zone, nowMs);
     if (expectedMs >= bestMs) continue;
     best = backend;
--- a/packages/slots/src/backend-pool.ts
+++ b/packages/slots/src/backend-pool.ts
@@ -135,6 +135,7 @@
     use.lostTimer.cancel();
     const { backend } = use;
     const nowMs = this.#options.clock.now();
+    if (outcome === 'refused') backend.recordTurnedAway(nowMs);
     backend.running -= 1;
     backend.serviceTime.end(nowMs, outcome === 'served');
     if (outcome !== 'served' && outcome !== 'cancelled') backend.failures.record(nowMs);
@@ -186,17 +187,32 @@
     return this.#ready().filter(({ description }) => !excluded.includes(description.id));
   }
 
-  /** Grants free slots to waiting requests in their order, until none of them can use one. */
+  /**
+   * Grants slots until no waiting request can use one: in order to those that meet their objective with it, and what is
+   * left to the others, of which those that are late in any case come first.
+   */
   #grantWaiting(): void {
     if (this.#isClosed || this.#waiting.size === 0) return;
     const nowMs = this.#options.clock.now();
-    const hasFreeSlot = (): boolean => this.#ready().some((backend) => backend.hasFreeSlot(nowMs));
-    if (!hasFreeSlot()) return;
-    for (const waiting of this.#waiting.inOrder(nowMs)) {
-      const backend = chooseBackend(waiting.request, this.#usable(waiting.request), nowMs);
-      if (backend !== undefined) this.#grant(waiting, backend, nowMs);
-      if (backend !== undefined && !hasFreeSlot()) return;
-    }
+    if (!this.#hasRoom(nowMs)) return;
+    const inOrder = this.#waiting.inOrder(nowMs);
+    const others = inOrder.filter((waiting) => !this.#grantIf(waiting, meetsObjective, nowMs));
+    const isLate = (waiting: WaitingRequest<PoolRequest>): boolean => this.#waiting.isLate(waiting, nowMs);
+    for (const waiting of others.filter(isLate)) this.#grantIf(waiting, () => true, nowMs);
+    for (const waiting of others) if (!isLate(waiting)) this.#grantIf(waiting, () => true, nowMs);
+  }
+
+  #hasRoom(nowMs: number): boolean {
+    return this.#ready().some((backend) => backend.mayQueue(nowMs));
+  }
+
+  /** Grants a request the best of the backends that fulfil a condition; returns whether there is one. */
+  #grantIf(waiting: WaitingRequest<PoolRequest>, condition: GrantCondition, nowMs: number): boolean {
+    if (!this.#hasRoom(nowMs)) return false;
+    const usable = this.#usable(waiting.request).filter((backend) => condition(waiting, backend, nowMs));
+    const backend = chooseBackend(waiting.request, usable, nowMs);
+    if (backend !== undefined) this.#grant(waiting, backend, nowMs);
+    return backend !== undefined;
   }
 
   #grant(waiting: WaitingRequest<PoolRequest>, backend: GrantedBackend, nowMs: number): void {
@@ -306,6 +322,21 @@
   }
 }
 
+type GrantCondition = (
+  waiting: WaitingRequest<PoolRequest>,
+  backend: GrantedBackend,
+  nowMs: number,
+) => boolean;
+
+/** Whether a request that is granted this backend now is expected to meet its objective. */
+function meetsObjective(
+  { request, arrivedMs }: WaitingRequest<PoolRequest>,
+  backend: GrantedBackend,
+  nowMs: number,
+): boolean {
+  return nowMs - arrivedMs + backend.serviceTime.meanMs(nowMs) <= request.objectiveMs;
+}
+
 function grantOf(requestId: string, { description }: GrantedBackend): SlotDecision {
   return { kind: 'granted', requestId, backendId: description.id, address: description.address };
 }
--- a/packages/slots/src/granted-backend.ts
+++ b/packages/slots/src/granted-backend.ts
@@ -2,6 +2,14 @@
 import { RecentFailures } from './recent-failures.js';
 import { ServiceTime } from './service-time.js';
 
+/**
+ * Requests granted to a backend beyond its slots. One waits in the queue of the backend itself when a slot becomes free,
+ * which would else idle while the news of it travels to the leader and the next request to the backend.
+ */
+const BEYOND_SLOTS = 1;
+/** A backend that turned away a request beyond its slots, as its own queue is full or it has none, gets no other for this long. */
+const NO_QUEUE_MS = 2000;
+
 /** What the leader of a pool of plain backends knows of one of them. */
 export class GrantedBackend {
   description: BackendDescription;
@@ -11,6 +19,7 @@
   running = 0;
   /** Until when it counts as full, since it turned away a granted request. */
   fullUntilMs = -Infinity;
+  #noQueueUntilMs = -Infinity;
 
   constructor(description: BackendDescription, nowMs: number, pool: ServiceTime) {
     this.description = description;
@@ -20,4 +29,17 @@
   hasFreeSlot(nowMs: number): boolean {
     return this.running < this.description.slots && nowMs >= this.fullUntilMs;
   }
+
+  /** Whether it may be sent a request that it starts at once or, unless it is slow, has to queue. */
+  mayQueue(nowMs: number): boolean {
+    if (this.hasFreeSlot(nowMs)) return true;
+    if (nowMs < Math.max(this.fullUntilMs, this.#noQueueUntilMs)) return false;
+    if (this.serviceTime.isSlow(nowMs)) return false;
+    return this.running < this.description.slots + BEYOND_SLOTS;
+  }
+
+  /** Records that it turned away a granted request; called before the request is taken off its count. */
+  recordTurnedAway(nowMs: number): void {
+    if (this.running > this.description.slots) this.#noQueueUntilMs = nowMs + NO_QUEUE_MS;
+  }
 }
--- a/packages/slots/src/service-time.ts
+++ b/packages/slots/src/service-time.ts
@@ -4,6 +4,8 @@
 const PRIOR_REQUESTS = 2;
 /** Half-life of the observations of one backend, in ms. */
 const BACKEND_HALF_LIFE_MS = 300;
+/** A backend this many times slower than the mean of its pool counts as slow. */
+const SLOW_FACTOR = 1.5;
 /** Half-life of the observations of a whole pool, in ms. */
 const POOL_HALF_LIFE_MS = 5000;
 
@@ -49,6 +51,11 @@
     return (this.#busyMs + priorMs * PRIOR_REQUESTS) / (this.#served + PRIOR_REQUESTS);
   }
 
+  /** Whether the mean is far above that of the pool. */
+  isSlow(nowMs: number): boolean {
+    return this.#pool !== undefined && this.meanMs(nowMs) > this.#pool.meanMs(nowMs) * SLOW_FACTOR;
+  }
+
   #advance(nowMs: number): void {
     const spanMs = nowMs - this.#updatedMs;
     if (spanMs <= 0) return;
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -118,7 +118,7 @@
   inOrder(nowMs: number): WaitingRequest<R>[] {
     const entries = [...this.#byId.values()].map((waiting) => ({
       waiting,
-      late: this.#isLate(waiting, nowMs) ? 1 : 0,
+      late: this.isLate(waiting, nowMs) ? 1 : 0,
       startDeadlineMs: this.#startDeadlineMs(waiting),
     }));
     entries.sort(compareEntries);
@@ -184,7 +184,8 @@
     return [...this.#byId.values()];
   }
 
-  #isLate({ request, arrivedMs }: WaitingRequest<R>, nowMs: number): boolean {
+  /** Whether a request can no longer be started in time to meet its objective. */
+  isLate({ request, arrivedMs }: WaitingRequest<R>, nowMs: number): boolean {
     return !this.#disabled.has('late-last') && nowMs - arrivedMs > this.latestStartAgeMs(request);
   }
 
--- a/packages/slots/test/new-backend-pool.ts
+++ b/packages/slots/test/new-backend-pool.ts
@@ -54,6 +54,11 @@
     return request.id;
   }
 
+  /** Requests slots that are held to the end. */
+  fill(count: number): void {
+    for (let asked = 0; asked < count; asked += 1) this.ask({ timeoutMs: 10_000, startWithinMs: 10_000 });
+  }
+
   /** The backend granted to a request; undefined if it waits or was refused. */
   grantedTo(id: string): string | undefined {
     const decision = this.decisions.get(id);
