Backends with fewer slots than the fleet has nodes are granted by one node

A service without engines whose ready backends together have fewer slots than there are nodes gets a pool with an elected leader, over the messages and elections of the pools of engines. GrantedBackendPicker asks it. Where no leader is known, or it does not answer within a share of the objective, the request is withdrawn and the node chooses by its own counts, as before; a silent leader is not asked for 400 ms. A queued request is asked for again, so that a frozen leader is noticed. 'granted- backends' in switchedOff leaves everything as it was.

--- a/packages/gateway/src/cluster/remote-slots.ts
+++ b/packages/gateway/src/cluster/remote-slots.ts
@@ -1,5 +1,5 @@
 import type { Clock, Timer } from '@canvasridge/clock';
-import type { SlotDecision, SlotRequest } from '@canvasridge/slots';
+import type { PoolRequest, SlotDecision } from '@canvasridge/slots';
 import {
   ACQUIRE_METHOD,
   CANCEL_METHOD,
@@ -17,6 +17,12 @@
 /** A queued request without a decision from its leader is decided here after its timeout plus this margin. */
 const DECISION_MARGIN_MS = 50;
 
+/** A queued request is checked after this many times the time in which its leader has to answer. */
+const CHECK_AFTER_ANSWERS = 2;
+
+/** A leader of plain backends that did not answer in time is not asked for this long. */
+const ASK_AGAIN_AFTER_MS = 400;
+
 /** Persistent connections to other nodes. */
 export interface LeaderNetwork {
   to(address: string): LeaderConnection;
@@ -50,6 +56,8 @@
   readonly #onSilent: (address: string) => void;
   readonly #queued = new Map<string, QueuedRequest>();
   #avoidLeaderUntilMs = 0;
+  /** By address of a leader of plain backends: until when it is not asked, as it did not answer. */
+  readonly #silentUntilMs = new Map<string, number>();
 
   /** @param onSilent called with the address of a leader that sent nothing after a request */
   constructor(clock: Clock, network: LeaderNetwork, onSilent: (address: string) => void) {
@@ -62,7 +70,7 @@
   async acquire(
     address: string,
     pool: string,
-    request: SlotRequest,
+    request: PoolRequest,
     cancelled: AbortSignal,
   ): Promise<SlotDecision | undefined> {
     if (this.#clock.now() < this.#avoidLeaderUntilMs) return undefined;
@@ -78,6 +86,45 @@
     return decided;
   }
 
+  /**
+   * Requests a slot of a plain backend, which can also be chosen without the leader: a leader that does not
+   * answer within `answerWithinMs` is not waited for, neither at first nor while the request is queued there:
+   * the request is withdrawn, and the leader is not asked for a short time. Undefined when the leader did not
+   * answer, or does not lead.
+   */
+  async acquireUnlessSilent(
+    address: string,
+    pool: string,
+    request: PoolRequest,
+    cancelled: AbortSignal,
+    answerWithinMs: number,
+  ): Promise<SlotDecision | undefined> {
+    if (this.#clock.now() < (this.#silentUntilMs.get(address) ?? -Infinity)) return undefined;
+    const peer = this.#network.to(address);
+    const decided = this.#awaitDecision(address, peer, pool, request, cancelled);
+    const askedMs = this.#clock.now();
+    for (;;) {
+      const aged = { ...request, ageMs: request.ageMs + this.#clock.now() - askedMs };
+      const params: AcquireParams = { pool, request: aged };
+      const reply = (await peer.call(ACQUIRE_METHOD, params, answerWithinMs)) as AcquireReply | undefined;
+      if (reply === undefined) this.#silentUntilMs.set(address, this.#clock.now() + ASK_AGAIN_AFTER_MS);
+      else this.#silentUntilMs.delete(address);
+      const queued = this.#queued.get(request.id);
+      if (reply?.kind === 'queued' && queued !== undefined) {
+        await Promise.race([decided, this.#clock.sleep(answerWithinMs * CHECK_AFTER_ANSWERS)]);
+        if (this.#queued.has(request.id)) continue;
+        return decided;
+      }
+      if (queued !== undefined && reply?.kind === 'decided') queued.finish(reply.decision);
+      else if (queued !== undefined) queued.finish(undefined);
+      const decision = await decided;
+      // Without this, a leader that gets the request late, or again after it was decided, would grant it to nobody.
+      if (decision?.kind !== 'granted' && reply?.kind !== 'decided')
+        peer.notify(CANCEL_METHOD, { pool, requestId: request.id, outcome: 'cancelled' });
+      return decision;
+    }
+  }
+
   /** Handles a decision of the leader about a request that was queued there. */
   onDecided(decision: SlotDecision): void {
     this.#queued.get(decision.requestId)?.finish(decision);
@@ -111,7 +158,7 @@
     address: string,
     peer: LeaderConnection,
     pool: string,
-    request: SlotRequest,
+    request: PoolRequest,
     cancelled: AbortSignal,
   ): Promise<SlotDecision | undefined> {
     const { id } = request;
--- /dev/null
+++ b/packages/gateway/src/cluster/scarce-backends.ts
@@ -0,0 +1,17 @@
+import type { BackendDescription, BackendService } from '@canvasridge/serving';
+
+/**
+ * Whether the slots of a service without engines are granted by one node: there are fewer of them than nodes, so
+ * that nodes can't divide them among themselves. Nodes with different lists may disagree for a while; one that
+ * asks for no grant chooses a backend itself.
+ */
+export function isScarce(
+  service: BackendService,
+  backends: readonly BackendDescription[],
+  nodeCount: number,
+): boolean {
+  if (service.engine !== undefined) return false;
+  const ready = backends.filter(({ state }) => state === 'ready');
+  const slots = ready.reduce((sum, backend) => sum + backend.slots, 0);
+  return slots > 0 && slots < nodeCount;
+}
--- a/packages/gateway/src/cluster/slot-answers.ts
+++ b/packages/gateway/src/cluster/slot-answers.ts
@@ -101,7 +101,7 @@
     const entry = data === undefined ? undefined : this.#pools.get(data.pool);
     if (data === undefined || entry?.leading !== true) return;
     const { backendId, perSecond } = data;
-    entry.pool?.setRateLimit(backendId, perSecond === null ? undefined : rateLimitRule(perSecond));
+    entry.engines?.setRateLimit(backendId, perSecond === null ? undefined : rateLimitRule(perSecond));
   }
 
   onRelease(params: ReleaseParams, peer: PeerConnection): void {
--- a/packages/gateway/src/cluster/slot-protocol.ts
+++ b/packages/gateway/src/cluster/slot-protocol.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod';
-import type { RunningUse, SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
+import type { PoolRequest, RunningUse, SlotDecision, UseOutcome } from '@canvasridge/slots';
 
 /** JSON-RPC methods by which nodes request slots from the leader of a pool. */
 export const ACQUIRE_METHOD = 'slots.acquire';
@@ -16,7 +16,8 @@
  */
 export interface AcquireParams {
   readonly pool: string;
-  readonly request: SlotRequest;
+  /** With the fields of a SlotRequest if the pool is one of engines. */
+  readonly request: PoolRequest;
 }
 
 export type AcquireReply =
--- a/packages/gateway/src/cluster/slot-requester.ts
+++ b/packages/gateway/src/cluster/slot-requester.ts
@@ -1,11 +1,21 @@
 import { Notifier, type Clock } from '@canvasridge/clock';
 import type { FleetState } from '@canvasridge/serving';
-import type { RunningUse, SlotDecision, SlotPool, SlotRequest, UseOutcome } from '@canvasridge/slots';
+import type {
+  DisabledMechanisms,
+  GrantingPool,
+  PoolRequest,
+  RunningUse,
+  SlotDecision,
+  SlotRequest,
+  UseOutcome,
+} from '@canvasridge/slots';
 import { rateLimitRule, type BackendRateLimits } from '../backends/backend-rate-limits.js';
+import type { PlainSlotSource } from '../backends/granted-backend-picker.js';
 import type { SlotSource } from '../backends/slot-picker.js';
 import type { Cluster } from './cluster.js';
 import { OwnUses } from './own-uses.js';
 import type { PoolEntry } from './pool-entry.js';
+import { isScarce } from './scarce-backends.js';
 import { RateLimitReporter } from './rate-limit-reporter.js';
 import { RemoteSlots, type LeaderConnection, type LeaderNetwork } from './remote-slots.js';
 import {
@@ -40,6 +50,8 @@
   readonly cluster: Cluster;
   readonly network: LeaderNetwork;
   readonly rateLimits: Pick<BackendRateLimits, 'perSecond' | 'all'>;
+  /** Mechanisms of the scheduling policy that are disabled. */
+  readonly switchedOff: DisabledMechanisms;
   /** By the pool's name. */
   readonly pools: ReadonlyMap<string, PoolEntry>;
   /** The state for a pool, created if there is none. */
@@ -47,7 +59,7 @@
 }
 
 /** Requests slots from the leaders of pools, whether that is this node or another, and reports to them what it runs. */
-export class SlotRequester implements SlotSource {
+export class SlotRequester implements SlotSource, PlainSlotSource {
   readonly #options: SlotRequesterOptions;
   readonly #remoteSlots: RemoteSlots;
   readonly #uses: OwnUses;
@@ -68,6 +80,13 @@
     });
   }
 
+  isGranted(service: string): boolean {
+    const { fleet, cluster, switchedOff } = this.#options;
+    const described = fleet.routes?.service(service);
+    if (described === undefined || switchedOff.has('granted-backends')) return false;
+    return isScarce(described, fleet.backendsOf(service), cluster.nodeCount);
+  }
+
   /** What this node runs on the backends of a pool. */
   usesOf(pool: string): RunningUse[] {
     return this.#uses.of(pool);
@@ -113,6 +132,34 @@
     }
   }
 
+  async acquirePlain(
+    poolName: string,
+    request: PoolRequest,
+    cancelled: AbortSignal,
+    answerWithinMs: number,
+  ): Promise<SlotDecision | undefined> {
+    const decision = await this.#acquirePlainOnce(poolName, request, cancelled, answerWithinMs);
+    if (decision?.kind === 'granted') this.#uses.begin(poolName, request, decision.backendId);
+    const isStopping = decision?.kind === 'refused' && decision.reason === 'stopping';
+    return isStopping ? undefined : decision;
+  }
+
+  async #acquirePlainOnce(
+    poolName: string,
+    request: PoolRequest,
+    cancelled: AbortSignal,
+    answerWithinMs: number,
+  ): Promise<SlotDecision | undefined> {
+    const { pools, cluster } = this.#options;
+    const entry = pools.get(poolName);
+    const leader = entry?.leadership.leader;
+    if (entry === undefined || leader === undefined) return undefined;
+    if (entry.pool !== undefined && entry.leading) return this.#acquireHere(entry.pool, request, cancelled);
+    const address = cluster.peerAddress(leader);
+    if (address === undefined) return undefined;
+    return this.#remoteSlots.acquireUnlessSilent(address, poolName, request, cancelled, answerWithinMs);
+  }
+
   async #acquireOnce(
     poolName: string,
     request: SlotRequest,
@@ -151,18 +198,21 @@
   }
 
   #reportRateLimit(backendId: string, perSecond: number | null): void {
-    const pool = this.#options.fleet.backend(backendId)?.service;
+    const { fleet } = this.#options;
+    const pool = fleet.backend(backendId)?.service;
+    // Leaders of plain backends count no rate limits: each node does before it sends.
+    if (pool !== undefined && fleet.routes?.service(pool)?.engine === undefined) return;
     const entry = pool === undefined ? undefined : this.#options.pools.get(pool);
     if (pool === undefined || entry === undefined) return;
     if (entry.leading) {
-      entry.pool?.setRateLimit(backendId, perSecond === null ? undefined : rateLimitRule(perSecond));
+      entry.engines?.setRateLimit(backendId, perSecond === null ? undefined : rateLimitRule(perSecond));
       return;
     }
     const params: RateLimitParams = { pool, backendId, perSecond };
     this.leaderConnection(pool)?.notify(RATE_LIMIT_METHOD, params);
   }
 
-  startedWithoutGrant(poolName: string, request: SlotRequest, backendId: string): void {
+  startedWithoutGrant(poolName: string, request: PoolRequest, backendId: string): void {
     this.#uses.begin(poolName, request, backendId);
   }
 
@@ -215,7 +265,7 @@
     this.leaderConnection(poolName)?.notify(RELEASE_METHOD, params);
   }
 
-  #acquireHere(pool: SlotPool, request: SlotRequest, cancelled: AbortSignal): Promise<SlotDecision> {
+  #acquireHere(pool: GrantingPool, request: PoolRequest, cancelled: AbortSignal): Promise<SlotDecision> {
     return new Promise((resolve) => {
       const onCancel = (): void => {
         pool.cancel(request.id);
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -2,7 +2,9 @@
 import type { BackendDescription, FleetState } from '@canvasridge/serving';
 import {
   AdapterMemory,
-  type PoolFigures,
+  BackendPool,
+  type GrantFigures,
+  type GrantingPool,
   PoolLeadership,
   SlotPool,
   type EngineControl,
@@ -80,10 +82,10 @@
     this.#permission = new OrderPermission({
       ...options,
       onStateUncertain: (reason) => {
-        for (const entry of this.#pools.values()) entry.pool?.resetLeases(reason);
+        for (const entry of this.#pools.values()) entry.engines?.resetLeases(reason);
       },
       onSuspended: () => {
-        for (const entry of this.#pools.values()) entry.pool?.settleLeases();
+        for (const entry of this.#pools.values()) entry.engines?.settleLeases();
       },
     });
     this.#startedMs = options.clock.now();
@@ -121,7 +123,7 @@
   }
 
   /** Statistics of the pools that this node leads. */
-  describe(): (PoolFigures & { pool: string })[] {
+  describe(): (GrantFigures & { pool: string })[] {
     const rows = [];
     for (const [pool, entry] of this.#pools)
       if (entry.pool !== undefined && entry.leading) rows.push({ pool, ...entry.pool.describe() });
@@ -149,15 +151,30 @@
     const { fleet } = this.#options;
     this.#permission.update(this.#leads());
     for (const service of fleet.routes?.configuration.services ?? []) {
-      if (service.engine === undefined) continue;
+      if (service.engine === undefined && !this.requester.isGranted(service.name)) {
+        this.#endGranting(service.name);
+        continue;
+      }
       const entry = this.#entry(service.name);
       if (entry.leadership.update()) this.#onLeaderChanged(service.name, entry);
       this.#updateRole(entry, service.name);
     }
   }
 
+  /** Gives up the pool of a service whose backends each node chooses itself again. */
+  #endGranting(service: string): void {
+    const entry = this.#pools.get(service);
+    if (entry === undefined) return;
+    entry.leadership.resign();
+    this.#endRole(entry);
+    this.#pools.delete(service);
+    this.requester.handleLeaderChange(service, undefined);
+  }
+
+  /** Whether this node leads a pool of engines, which needs the permission to give orders. */
   #leads(): boolean {
-    for (const { leading } of this.#pools.values()) if (leading) return true;
+    for (const { leading, engines } of this.#pools.values())
+      if (leading && engines !== undefined) return true;
     return false;
   }
 
@@ -201,6 +218,7 @@
         formerLeader: new FormerLeader(this.#leaderLiveness()),
         reportedMembers: new Set(),
         pool: undefined,
+        engines: undefined,
         leading: false,
         leadingSinceMs: 0,
         foreignOrdersMs: -Infinity,
@@ -225,8 +243,8 @@
     entry.leadingSinceMs = this.#options.clock.now();
     entry.pool.startLeading();
     for (const { backendId, rule } of this.#options.rateLimits.all())
-      entry.pool.setRateLimit(backendId, rule);
-    this.#options.clock.setTimer(HANDOVER_MS, () => entry.pool?.wakeLeases());
+      entry.engines?.setRateLimit(backendId, rule);
+    this.#options.clock.setTimer(HANDOVER_MS, () => entry.engines?.wakeLeases());
     for (const use of this.requester.usesOf(name)) entry.pool.adoptUse(use);
     this.answers.checkUsesKnown(entry);
   }
@@ -236,6 +254,7 @@
     entry.reportedMembers.clear();
     entry.pool?.close();
     entry.pool = undefined;
+    entry.engines = undefined;
   }
 
   /** Whether this node is next to lead, or started so recently that it may be. */
@@ -251,7 +270,31 @@
     return followers.slice(0, isStartingUp ? STARTUP_OBSERVERS : 1).includes(cluster.selfId);
   }
 
-  #newPool(name: string, entry: PoolEntry): SlotPool {
+  #newPool(name: string, entry: PoolEntry): GrantingPool {
+    if (this.#options.fleet.routes?.service(name)?.engine === undefined) return this.#newBackendPool(name);
+    entry.engines = this.#newEnginePool(name, entry);
+    return entry.engines;
+  }
+
+  #newBackendPool(name: string): BackendPool {
+    const { clock, telemetry, fleet, switchedOff } = this.#options;
+    const pool = new BackendPool({
+      service: name,
+      clock,
+      telemetry,
+      disabled: switchedOff,
+      isLeaving: (id) => fleet.isLeaving(id),
+      tenantWeight: (tenant) => this.#tenantWeight(tenant),
+    });
+    pool.setBackends(fleet.backendsOf(name));
+    return pool;
+  }
+
+  #tenantWeight(tenant: string): number {
+    return this.#options.fleet.routes?.tenants?.named(tenant)?.quota?.ratePerSecond ?? 1;
+  }
+
+  #newEnginePool(name: string, entry: PoolEntry): SlotPool {
     const { clock, fleetClock, control, timing, holder, telemetry, fleet } = this.#options;
     const permission = this.#permission;
     const pool = new SlotPool({
@@ -273,7 +316,7 @@
       isBackingOff: (id) => this.#options.availability.isBackingOff(id),
       disabled: this.#options.switchedOff,
       adapterVersion: (model, adapter) => fleet.adapterVersion(model, adapter),
-      tenantWeight: (tenant) => fleet.routes?.tenants?.named(tenant)?.quota?.ratePerSecond ?? 1,
+      tenantWeight: (tenant) => this.#tenantWeight(tenant),
     });
     this.#setEngines(name, pool);
     return pool;
@@ -284,10 +327,11 @@
       this.#memory.observe(this.#listedBackends());
       this.requester.retainRateLimits((id) => this.#options.fleet.backend(id) !== undefined);
     }
-    for (const [name, { pool }] of this.#pools) {
-      if (pool === undefined) continue;
-      if (change === 'adapter-version') pool.schedule();
-      else this.#setEngines(name, pool);
+    for (const [name, { pool, engines }] of this.#pools) {
+      if (pool instanceof BackendPool) pool.setBackends(this.#options.fleet.backendsOf(name));
+      if (engines === undefined) continue;
+      if (change === 'adapter-version') engines.schedule();
+      else this.#setEngines(name, engines);
     }
   }
 
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -10,6 +10,7 @@
 import { BackendConnections } from './backends/backend-connections.js';
 import { BackendRateLimits } from './backends/backend-rate-limits.js';
 import { BackendNotices } from './backends/backend-notices.js';
+import { GrantedBackendPicker } from './backends/granted-backend-picker.js';
 import { LeastLoadedPicker } from './backends/least-loaded-picker.js';
 import { RetryBudget } from './backends/retry-budget.js';
 import { SlotPicker } from './backends/slot-picker.js';
@@ -222,7 +223,14 @@
       connections: this.#connections,
       notices,
       availability,
-      plainPicker: new LeastLoadedPicker(fleet, availability, clock, random),
+      plainPicker: new GrantedBackendPicker(
+        fleet,
+        availability,
+        this.#slots.requester,
+        new LeastLoadedPicker(fleet, availability, clock, random),
+        clock,
+        settings.zone,
+      ),
       enginePicker: new SlotPicker(fleet, availability, this.#slots.requester, clock, settings.zone),
       budget: (service) => this.#retryBudget(service),
       fleetShare: () => this.#fleetShare.value,
