--- a/packages/gateway/src/cluster/scarce-backends.ts
+++ b/packages/gateway/src/cluster/scarce-backends.ts
@@ -11,7 +11,11 @@
   nodeCount: number,
 ): boolean {
   if (service.engine !== undefined) return false;
-  const ready = backends.filter(({ state }) => state === 'ready');
-  const slots = ready.reduce((sum, backend) => sum + backend.slots, 0);
-  return slots > 0 && slots < nodeCount;
+  let slots = 0;
+  for (const backend of backends) {
+    if (backend.state === 'ready') slots += backend.slots;
+    // Called for each request, and a service may have hundreds of backends.
+    if (slots >= nodeCount) return false;
+  }
+  return slots > 0;
 }
