--- a/packages/gateway/test/granted-backend-picker.test.ts
+++ b/packages/gateway/test/granted-backend-picker.test.ts
@@ -3,6 +3,7 @@
 import type { PoolRequest, SlotDecision, UseOutcome } from '@canvasridge/slots';
 import test from 'ava';
 import { BackendAvailability } from '../src/backends/backend-availability.js';
+import { BackendRateLimits } from '../src/backends/backend-rate-limits.js';
 import { BackendBackoffs } from '../src/backends/backend-backoffs.js';
 import { GrantedBackendPicker, type PlainSlotSource } from '../src/backends/granted-backend-picker.js';
 import { LeastLoadedPicker } from '../src/backends/least-loaded-picker.js';
@@ -52,13 +53,13 @@
   readonly picker: GrantedBackendPicker;
 }
 
-function newSetup(): Setup {
+function newSetup(newRateLimits = noRateLimits): Setup {
   const clock = new VirtualClock();
   const fleet = new FleetState();
   fleet.applyBackend(1, backend('a'));
   fleet.applyBackend(2, backend('b'));
   const backoffs = new BackendBackoffs(clock);
-  const rateLimits = noRateLimits(clock);
+  const rateLimits = newRateLimits(clock);
   const options = { fleet, backoffs, rateLimits, clock, hasOtherServingNodes: () => true };
   const availability = new BackendAvailability(options);
   const leader = new Leader();
@@ -119,3 +120,16 @@
   await picker.pick(newContext('r2'), NOT_CANCELLED);
   t.deepEqual(leader.asked.at(-1)?.excluded, ['a']);
 });
+
+test('A granted backend whose rate limit is used up is given back, and another is asked for', async (t) => {
+  const { picker, leader } = newSetup((clock) => {
+    const admit = (): Promise<{ kind: 'refused'; retryAfterMs: number }> =>
+      Promise.resolve({ kind: 'refused', retryAfterMs: 500 });
+    const rateLimits = new BackendRateLimits({ clock, admit });
+    rateLimits.recordNotice('a', 1.4, false);
+    return rateLimits;
+  });
+  const picked = await picker.pick(newContext('r1'), NOT_CANCELLED);
+  t.like(picked, { kind: 'picked', backend: { id: 'b' }, isChargedToRateLimit: false });
+  t.deepEqual(leader.reported, ['r1 cancelled']);
+});
