RemoteSlots: a grant to a request that was refused meanwhile is given back

A queued request is asked for again to notice a frozen leader. If the leader had refused it just before, it took the question for a new request; its grant reached nobody and held a slot until a second after the timeout. The answer is now looked at, and such a grant withdrawn. A node that does not lead is sent no withdrawal.

--- a/packages/gateway/src/cluster/remote-slots.ts
+++ b/packages/gateway/src/cluster/remote-slots.ts
@@ -119,7 +119,7 @@
       else if (queued !== undefined) queued.finish(undefined);
       const decision = await decided;
       // Without this, a leader that gets the request late, or again after it was decided, would grant it to nobody.
-      if (decision?.kind !== 'granted' && reply?.kind !== 'decided')
+      if (decision?.kind !== 'granted' && mayHold(reply))
         peer.notify(CANCEL_METHOD, { pool, requestId: request.id, outcome: 'cancelled' });
       return decision;
     }
@@ -182,3 +182,9 @@
     });
   }
 }
+
+/** Whether a leader that gave this answer may still grant the request, or has granted it. */
+function mayHold(reply: AcquireReply | undefined): boolean {
+  if (reply?.kind === 'decided') return reply.decision.kind === 'granted';
+  return reply?.kind !== 'not-leader';
+}
--- a/packages/gateway/test/silent-leader.test.ts
+++ b/packages/gateway/test/silent-leader.test.ts
@@ -24,11 +24,13 @@
   readonly sent: string[] = [];
   reply: unknown = { kind: 'queued' };
   isSilent = false;
+  whileAsked: () => void = () => undefined;
 
   constructor(readonly clock: VirtualClock) {}
 
   async call(method: string, _params: unknown, timeoutMs: number): Promise<unknown> {
     this.sent.push(method);
+    this.whileAsked();
     if (!this.isSilent) return this.reply;
     await this.clock.sleep(timeoutMs);
     return undefined;
@@ -109,7 +111,7 @@
   ask();
   await clock.runUntil(2);
   t.deepEqual(decisions, [undefined, undefined]);
-  t.is(leader.sent.filter((method) => method === 'slots.acquire').length, 2);
+  t.deepEqual(leader.sent, ['slots.acquire', 'slots.acquire']);
 });
 
 test('A request whose client left is withdrawn', async (t) => {
@@ -121,3 +123,17 @@
   await clock.runUntil(6);
   t.true(leader.sent.includes('slots.cancel'));
 });
+
+test('A grant to a request that asked again while it was refused is given back', async (t) => {
+  const { clock, leader, slots, decisions, ask } = newSetup();
+  ask();
+  await clock.runUntil(10);
+  leader.whileAsked = () => {
+    slots.onDecided({ kind: 'refused', requestId: 'r1', reason: 'no-slot-in-time', retryAfterMs: 70 });
+    const decision: SlotDecision = { kind: 'granted', requestId: 'r1', backendId: 'a', address: 'a:1' };
+    leader.reply = { kind: 'decided', decision };
+  };
+  await clock.runUntil(ANSWER_WITHIN_MS * 3);
+  t.like(decisions[0], { kind: 'refused' });
+  t.is(leader.sent.at(-1), 'slots.cancel');
+});
