--- a/packages/gateway/test/granted-backend-picker.test.ts
+++ b/packages/gateway/test/granted-backend-picker.test.ts
@@ -8,7 +8,8 @@
 import { GrantedBackendPicker, type PlainSlotSource } from '../src/backends/granted-backend-picker.js';
 import { LeastLoadedPicker } from '../src/backends/least-loaded-picker.js';
 import { noRateLimits } from './no-rate-limits.js';
-import { SERVICE, newContext } from './scarce-backends-simulation.js';
+import { newContext } from './scarce-backends-simulation.js';
+import { SERVICE } from './simulated-leader.js';
 
 /** A leader that grants the first backend that is not excluded, or does not answer. */
 class Leader implements PlainSlotSource {
