--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -10,6 +10,7 @@
 import { BackendConnections } from './backends/backend-connections.js';
 import { BackendRateLimits } from './backends/backend-rate-limits.js';
 import { BackendNotices } from './backends/backend-notices.js';
+import { GrantedBackendPicker } from './backends/granted-backend-picker.js';
 import { LeastLoadedPicker } from './backends/least-loaded-picker.js';
 import { RetryBudget } from './backends/retry-budget.js';
 import { SlotPicker } from './backends/slot-picker.js';
@@ -166,7 +167,7 @@
       fleet,
       backoffs,
       rateLimits,
-      onRateLimit: (id, perSecond) => this.#slots.onRateLimitAnnounced(id, perSecond),
+      onRateLimit: (id, perSecond) => this.#slots.requester.onRateLimitAnnounced(id, perSecond),
       clock,
       telemetry,
       metrics: this.metrics,
@@ -230,8 +231,15 @@
       connections: this.#connections,
       notices,
       availability,
-      plainPicker: new LeastLoadedPicker(fleet, availability, clock, random),
-      enginePicker: new SlotPicker(fleet, availability, this.#slots, clock, settings.zone),
+      plainPicker: new GrantedBackendPicker(
+        fleet,
+        availability,
+        this.#slots.requester,
+        new LeastLoadedPicker(fleet, availability, clock, random),
+        clock,
+        settings.zone,
+      ),
+      enginePicker: new SlotPicker(fleet, availability, this.#slots.requester, clock, settings.zone),
       budget: (service) => this.#retryBudget(service),
       fleetShare: () => this.#fleetShare.value,
       isStopping: () => this.#stopping,
@@ -347,7 +355,7 @@
       [USES_METHOD]: (params, peer) => this.#slots.answers.onUses(params as UsesParams, peer),
       [RELEASE_METHOD]: (params, peer) => this.#slots.answers.onRelease(params as ReleaseParams, peer),
       [RATE_LIMIT_METHOD]: (params) => this.#slots.answers.onRateLimit(params),
-      [DECIDED_METHOD]: (params) => this.#slots.onDecided(params as SlotDecision),
+      [DECIDED_METHOD]: (params) => this.#slots.requester.onDecided(params as SlotDecision),
     };
   }
 
