Split the placement of waiting requests out of SlotPool

RequestPlacement takes the decision between a grant, a load and further waiting, with its constants and its retry timer.

--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -4,12 +4,12 @@
 import { AdapterPopularity } from './adapter-popularity.js';
 import { AdapterLoader } from './adapter-loader.js';
 import type { AdapterMemory } from './adapter-memory.js';
-import { EngineSelector, startDelayMs, isCrowded } from './engine-selector.js';
+import { EngineSelector } from './engine-selector.js';
 import type { EngineEntry } from './engine-entry.js';
 import { EngineRegistry } from './engine-registry.js';
 import { EngineUses } from './engine-uses.js';
 import type { AdapterSlot, EngineSlots } from './engine-slots.js';
-import { LoadStarter, SPARE_SHARE } from './load-starter.js';
+import { LoadStarter } from './load-starter.js';
 import type { DisabledMechanisms } from './mechanisms.js';
 import { ModelLoader } from './model-loader.js';
 import type { OrderLeaseOptions } from './order-lease.js';
@@ -17,6 +17,7 @@
 import { describeEngines, type PoolFigures } from './pool-figures.js';
 import { RefusalPolicy } from './refusal-policy.js';
 import { RefusedRequests } from './refused-requests.js';
+import { RequestPlacement } from './request-placement.js';
 import type { RefusalReason, RunningUse, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
 import { SlotTurnover } from './slot-turnover.js';
 import { WaitingList, type WaitingRequest } from './waiting-list.js';
@@ -42,14 +43,6 @@
 const SCHEDULE_DELAY_MS = 4;
 /** A new request may be placed with an index up to this old. A run over all waiting requests builds a new one. */
 const MAX_INDEX_AGE_MS = 8;
-/** Backlog of an engine, as a fraction of the request's objective, above which a load on another engine is considered. */
-const SHORT_BACKLOG_SHARE = 0.15;
-/** Backlog, as a fraction of the objective, above which a request keeps waiting, as it can still get another engine. */
-const LONG_BACKLOG_SHARE = 0.45;
-/** The same limit for a request that is late in any case: it may only go where it delays few requests that are not. */
-const LATE_BACKLOG_SHARE = 0.2;
-/** How soon requests held back because of a long backlog are tried again. */
-const BACKLOG_POLL_MS = 40;
 /** A refusal counts as early if the request's age is at most this fraction of its objective. */
 const EARLY_REFUSAL_SHARE = 0.25;
 /** How long an engine is avoided after it failed a request. */
@@ -71,12 +64,11 @@
   readonly #turnover: SlotTurnover;
   readonly #adapters: AdapterLoader;
   readonly #models: ModelLoader;
-  readonly #loads: LoadStarter;
+  readonly #placement: RequestPlacement;
   readonly #timers = new Set<Timer>();
   readonly #refused: RefusedRequests;
   readonly #refusals: RefusalPolicy;
   #lastIndex: PoolIndex | undefined;
-  #isRetryScheduled = false;
   #isPlacementScheduled = false;
   #isClosed = false;
 
@@ -109,7 +101,7 @@
       weightOf: options.tenantWeight,
     });
     this.#selector = new EngineSelector(this.#engines, adapterVersion);
-    this.#loads = new LoadStarter({
+    const loads = new LoadStarter({
       clock,
       engines: this.#engines,
       selector: this.#selector,
@@ -120,6 +112,15 @@
       isBackingOff: options.isBackingOff,
       disabled: options.disabled,
     });
+    this.#placement = new RequestPlacement({
+      selector: this.#selector,
+      loads,
+      waiting: this.#waiting,
+      disabled: options.disabled,
+      grant: (waiting, engine, slot, nowMs) => this.#grant(waiting, engine, slot, nowMs),
+      after,
+      placeAll: () => this.#placeAll(),
+    });
     this.#refusals = new RefusalPolicy({
       clock,
       engines: this.#engines,
@@ -213,7 +214,7 @@
     if (request.adapter !== undefined)
       this.#popularity.recordRequest(adapterKey(request.model, request.adapter));
     this.#waiting.add(waiting);
-    this.#place(waiting, this.#index(), nowMs);
+    this.#placement.place(waiting, this.#index(), nowMs);
     if (this.#waiting.get(request.id) === undefined) return;
     this.#refusals.scheduleCheck();
   }
@@ -280,7 +281,7 @@
     if (this.#waiting.size === 0) return;
     const nowMs = this.#options.clock.now();
     const index = this.#newIndex(nowMs);
-    for (const waiting of this.#waiting.inOrder(nowMs)) this.#place(waiting, index, nowMs);
+    for (const waiting of this.#waiting.inOrder(nowMs)) this.#placement.place(waiting, index, nowMs);
   }
 
   /** Returns an index that is at most a few milliseconds old, because building one reads all slots of all engines. */
@@ -311,70 +312,6 @@
 
   // --- grants ------------------------------------------------------------------------------------
 
-  /** Grants a waiting request an engine if a suitable one is available. Otherwise orders a load where that helps. */
-  #place(waiting: WaitingRequest, index: PoolIndex, nowMs: number): void {
-    const { request } = waiting;
-    const engine = this.#selector.best(request, index, nowMs);
-    if (request.adapter === undefined) {
-      waiting.obstacle = 'no-engine';
-      if (engine !== undefined) this.#grant(waiting, engine, undefined, nowMs);
-      else if (this.#waitsForRateLimit(request, index)) waiting.obstacle = 'rate-limit';
-      return;
-    }
-    const slot = engine?.slots.get(adapterKey(request.model, request.adapter));
-    const backlogMs = engine === undefined ? Infinity : startDelayMs(engine, nowMs);
-    // A copy of the adapter on a second engine takes a slot from another adapter. It is made just to save time only
-    // while enough slots are idle.
-    const hasSpare = index.spareShare >= SPARE_SHARE || this.#options.disabled.has('spare-copies');
-    const copyAfterShare = hasSpare ? SHORT_BACKLOG_SHARE : LONG_BACKLOG_SHARE;
-    const copyAfterMs = Math.min(request.objectiveMs * copyAfterShare, this.#maxBacklogMs(waiting, nowMs));
-    const isShortBacklog = backlogMs <= copyAfterMs;
-    if (engine !== undefined && isShortBacklog && !isCrowded(engine)) {
-      this.#grant(waiting, engine, slot, nowMs);
-      return;
-    }
-    if (this.#selector.isLoading(request, index)) waiting.obstacle = 'loading';
-    else waiting.obstacle = this.#loads.start(waiting, index, backlogMs);
-    if (engine === undefined) {
-      if (this.#waitsForRateLimit(request, index) && waiting.obstacle !== 'loading')
-        waiting.obstacle = 'rate-limit';
-      return;
-    }
-    if (backlogMs <= this.#maxBacklogMs(waiting, nowMs)) {
-      this.#grant(waiting, engine, slot, nowMs);
-      return;
-    }
-    if (waiting.obstacle !== 'loading') waiting.obstacle = 'backlog';
-    this.#scheduleRetry();
-  }
-
-  /**
-   * Whether an engine that could run the request has reached its rate limit. If so, schedules another attempt, since no
-   * event tells when the limit allows a request again.
-   */
-  #waitsForRateLimit(request: SlotRequest, index: PoolIndex): boolean {
-    const isRateLimited = this.#selector.isRateLimited(request, index);
-    if (isRateLimited) this.#scheduleRetry();
-    return isRateLimited;
-  }
-
-  /** Longest backlog of an engine with which a request is still sent there. */
-  #maxBacklogMs({ request, arrivedMs }: WaitingRequest, nowMs: number): number {
-    const leftMs = this.#waiting.latestStartAgeMs(request) - (nowMs - arrivedMs);
-    const lateLimitMs = request.objectiveMs * LATE_BACKLOG_SHARE;
-    return Math.max(lateLimitMs, Math.min(leftMs, request.objectiveMs * LONG_BACKLOG_SHARE));
-  }
-
-  /** Schedules a placement run without an event: no event tells that a backlog shrank or a rate limit allows more. */
-  #scheduleRetry(): void {
-    if (this.#isRetryScheduled) return;
-    this.#isRetryScheduled = true;
-    this.#after(BACKLOG_POLL_MS, () => {
-      this.#isRetryScheduled = false;
-      this.#placeAll();
-    });
-  }
-
   #grant(waiting: WaitingRequest, engine: EngineEntry, slot: AdapterSlot | undefined, nowMs: number): void {
     const { request } = waiting;
     this.#waiting.granted(request.id, nowMs);
