One cost for choosing engines: learnt pace, pauses of streams, zones

Callers saw streams whose events paused beyond the objective, and slow engines that got as many requests and adapters as fast ones: the cost of an engine was its backlog and 8 ms for each running request, the same on every engine.

engineCost has named terms in milliseconds of callers' time, used for choosing among engines with the adapter and for placing loads: first event, end of the stream, running requests, pauses of running streams, exposure to later prompts, failure, eviction, loads in progress, zone. The inputs are gathered from what is believed of an engine: EnginePace (lasting and momentary, from prompts and streams, relative to the pool), PromptTimes, StreamKinds, RunningStreams. A young request whose prompt would make streams late waits for a shorter backlog or for a load elsewhere; an older one goes anyway. With the mechanisms engine-pace, stream-pauses and own-zone disabled, costs and choices are those of before.

--- a/packages/slots/src/engine-rate.ts
+++ b/packages/slots/src/engine-rate.ts
@@ -25,9 +25,10 @@
     this.#rule = rule;
   }
 
-  /** Whether the engine announced a limit before and announces none now. */
-  get hasEnded(): boolean {
-    return this.#hasEnded;
+  /** The limit as stated in a grant: null if a former limit has ended, absent if there never was one. */
+  get stated(): { ratePerSecond?: number | null } {
+    if (this.#rule !== undefined) return { ratePerSecond: this.#rule.ratePerSecond };
+    return this.#hasEnded ? { ratePerSecond: null } : {};
   }
 
   /** Whether one more request may be granted now. */
--- a/packages/slots/src/engine-selector.ts
+++ b/packages/slots/src/engine-selector.ts
@@ -1,7 +1,10 @@
 import { adapterKey } from '@canvasridge/serving';
+import { engineCost, totalMs, type CostInputs, type CostTerms } from './engine-cost.js';
+import type { EngineCosts } from './engine-costs.js';
 import type { EngineEntry } from './engine-entry.js';
 import type { EngineRegistry } from './engine-registry.js';
 import type { AdapterSlot } from './engine-slots.js';
+import { chooseFirstLowest, chooseLowest } from './lowest-cost.js';
 import type { PoolIndex } from './pool-index.js';
 import type { SlotRequest } from './slot-request.js';
 
@@ -10,35 +13,50 @@
  * memory fills up.
  */
 const CROWDED_BATCH_SHARE = 0.45;
-/** Cost of each running request on an engine in addition to its backlog, in ms, as each takes a part of every decode step. */
-export const RUNNING_COST_MS = 8;
-/** Additional cost of an engine that failed a request recently, in ms. */
-const AVOIDED_COST_MS = 500;
 /** How long an adapter may still get new requests after a newer version was published. */
 const OUTDATED_GRACE_MS = 1500;
 
 /** Returns the published version of an adapter, 0 if none was published. */
 export type PublishedVersion = (model: string, adapter: string) => number;
 
+/** An engine chosen for a request, and its cost. */
+export interface EngineChoice {
+  readonly entry: EngineEntry;
+  readonly inputs: CostInputs;
+  readonly terms: CostTerms;
+  readonly costMs: number;
+  readonly lastChosenMs: number;
+}
+
 /** Selects the engine that runs a request. */
 export class EngineSelector {
   readonly #engines: EngineRegistry;
+  readonly #costs: EngineCosts;
   readonly #publishedVersion: PublishedVersion;
 
-  constructor(engines: EngineRegistry, publishedVersion: PublishedVersion) {
+  constructor(engines: EngineRegistry, costs: EngineCosts, publishedVersion: PublishedVersion) {
     this.#engines = engines;
+    this.#costs = costs;
     this.#publishedVersion = publishedVersion;
   }
 
   /** Returns the engine with the lowest cost that has the request's model or adapter and room within its rate limit. */
-  best(request: SlotRequest, index: PoolIndex, nowMs: number): EngineEntry | undefined {
-    let best: EngineEntry | undefined;
+  best(request: SlotRequest, index: PoolIndex, nowMs: number): EngineChoice | undefined {
+    const choices: EngineChoice[] = [];
     for (const entry of this.#candidates(request, index)) {
       if (!this.#engines.mayServe(entry, request) || !this.#hasTarget(entry, request, nowMs)) continue;
       if (!entry.rate.hasRoom) continue;
-      if (best === undefined || costMs(entry, index, nowMs) < costMs(best, index, nowMs)) best = entry;
+      choices.push(this.#choice(entry, request, index, nowMs));
     }
-    return best;
+    const { disabled } = this.#costs;
+    return disabled.has('engine-pace') ? chooseFirstLowest(choices) : chooseLowest(choices);
+  }
+
+  #choice(entry: EngineEntry, request: SlotRequest, index: PoolIndex, nowMs: number): EngineChoice {
+    const inputs = this.#costs.forGrant(entry.slots, request, index.isAvoided(entry), nowMs);
+    const terms = engineCost(inputs, this.#costs.disabled);
+    const { lastChosenMs } = entry.slots;
+    return { entry, inputs, terms, costMs: totalMs(terms), lastChosenMs };
   }
 
   /** Whether the request's adapter is being loaded on an engine that the request does not exclude. */
@@ -105,9 +123,3 @@
 export function isCrowded({ slots }: EngineEntry): boolean {
   return slots.running >= slots.backend.slots * CROWDED_BATCH_SHARE;
 }
-
-function costMs(entry: EngineEntry, index: PoolIndex, nowMs: number): number {
-  const { slots } = entry;
-  const avoidedMs = index.isAvoided(entry) ? AVOIDED_COST_MS : 0;
-  return slots.backlog.remainingMs(nowMs) + RUNNING_COST_MS * slots.running + avoidedMs;
-}
--- a/packages/slots/src/engine-slots.ts
+++ b/packages/slots/src/engine-slots.ts
@@ -1,7 +1,9 @@
 import { adapterKey, type BackendDescription, type EngineProfile } from '@canvasridge/serving';
 import type { EngineReport } from './engine-control.js';
+import { EnginePace } from './engine-pace.js';
 import { PromptBacklog } from './prompt-backlog.js';
 import type { PrefillSpeed } from './prefill-speed.js';
+import { RunningStreams } from './running-streams.js';
 
 /** `unloading` includes adapters in an unknown state, which occupy a slot until a report shows otherwise. */
 export type SlotState = 'loading' | 'loaded' | 'unloading';
@@ -54,7 +56,12 @@
   /** No adapter is evicted before this time, because it may be in use without this node knowing. */
   evictAfterMs = 0;
 
+  /** When a request was last sent to it or a load was last ordered. */
+  lastChosenMs = 0;
+
   readonly backlog: PromptBacklog;
+  readonly pace = new EnginePace();
+  readonly streams = new RunningStreams();
 
   /** @param poolSpeed prefill speed over all engines of the pool */
   constructor(backend: BackendDescription, profile: EngineProfile, poolSpeed?: PrefillSpeed) {
--- a/packages/slots/src/engine-uses.ts
+++ b/packages/slots/src/engine-uses.ts
@@ -2,13 +2,19 @@
 import type { AdapterMemory } from './adapter-memory.js';
 import type { EngineEntry } from './engine-entry.js';
 import type { AdapterSlot } from './engine-slots.js';
+import type { SlotRequest } from './slot-request.js';
 import type { SlotTurnover } from './slot-turnover.js';
+import { streamKind } from './stream-kinds.js';
 
 /** A running request on an engine. */
 export interface EngineUse {
   readonly engineId: string;
   /** Undefined for a request to the base model. */
   readonly slot: AdapterSlot | undefined;
+  /** Objective for pauses of its stream, in milliseconds; undefined if it has none or another leader granted it. */
+  readonly gapObjectiveMs: number | undefined;
+  /** Kind of its stream; undefined if another leader granted it. */
+  readonly kind: string | undefined;
 }
 
 /** Tracks the running requests of a pool and updates the counters of their engines and adapter slots. */
@@ -32,13 +38,25 @@
     return this.#uses.get(requestId);
   }
 
-  /** Records that a request starts to run on an engine. */
-  begin(requestId: string, engine: EngineEntry, slot: AdapterSlot | undefined): void {
+  /**
+   * Records that a request starts to run on an engine.
+   * @param request undefined if another leader granted it
+   */
+  begin(
+    requestId: string,
+    engine: EngineEntry,
+    slot: AdapterSlot | undefined,
+    request: SlotRequest | undefined,
+  ): void {
     const engineId = engine.slots.backend.id;
+    const gapObjectiveMs = request?.gapObjectiveMs;
+    const kind = request === undefined ? undefined : streamKind(request);
+    const nowMs = this.#clock.now();
     engine.slots.running += 1;
-    this.#uses.set(requestId, { engineId, slot });
+    engine.slots.streams.add(gapObjectiveMs);
+    engine.slots.lastChosenMs = nowMs;
+    this.#uses.set(requestId, { engineId, slot, gapObjectiveMs, kind });
     if (slot === undefined) return;
-    const nowMs = this.#clock.now();
     slot.users += 1;
     slot.lastUsedMs = nowMs;
     if (slot.firstUsedMs === 0) slot.firstUsedMs = nowMs;
@@ -51,7 +69,10 @@
     if (use === undefined) return undefined;
     this.#uses.delete(requestId);
     const engine = engineOf(use.engineId);
-    if (engine !== undefined) engine.slots.running -= 1;
+    if (engine !== undefined) {
+      engine.slots.running -= 1;
+      engine.slots.streams.remove(use.gapObjectiveMs);
+    }
     if (use.slot !== undefined) this.#endSlotUse(use.slot);
     return use;
   }
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -17,7 +17,14 @@
 export type { PoolFigures } from './pool-figures.js';
 export { SlotPool, type SlotPoolOptions } from './slot-pool.js';
 export { WaitingList, type WaitingRequest } from './waiting-list.js';
-export type { RefusalReason, RunningUse, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
+export type {
+  RefusalReason,
+  RunningUse,
+  SlotDecision,
+  SlotRequest,
+  StreamProgress,
+  UseOutcome,
+} from './slot-request.js';
 export { DEFAULT_SLOT_TIMING, type SlotTiming } from './timing.js';
 export { PoolLeadership, type LeadershipPeers, type PoolClaim } from './pool-leadership.js';
 export { PeerVisibility } from './peer-visibility.js';
--- a/packages/slots/src/load-placement.ts
+++ b/packages/slots/src/load-placement.ts
@@ -1,8 +1,11 @@
 import type { AdapterPopularity } from './adapter-popularity.js';
 import type { AdapterMemory } from './adapter-memory.js';
-import { RUNNING_COST_MS } from './engine-selector.js';
+import { engineCost, totalMs } from './engine-cost.js';
+import type { EngineCosts } from './engine-costs.js';
 import type { DisabledMechanisms } from './mechanisms.js';
 import type { AdapterSlot, EngineSlots } from './engine-slots.js';
+import { chooseFirstLowest, type Candidate } from './lowest-cost.js';
+import type { SlotRequest } from './slot-request.js';
 
 /** The engine on which to load an adapter. */
 export interface LoadPlacement {
@@ -15,7 +18,7 @@
 
 /** A request to load an adapter for a waiting request, with the current load estimates. */
 export interface LoadRequest {
-  readonly model: string;
+  readonly request: SlotRequest;
   readonly key: string;
   readonly nowMs: number;
   /** Age of the waiting request. */
@@ -23,10 +26,9 @@
   /** Age at which the waiting request has to be sent to an idle engine at the latest to meet its objective. */
   readonly latestStartAgeMs: number;
   /**
-   * The cost of a load, mainly the delay until the request can start after it, must be below this: the time until the
-   * request could start on an engine that has the adapter; Infinity if there is none.
+   * The cost of a load must be below this: the cost of the best engine that has the adapter; Infinity if there is none.
    */
-  readonly maxStartDelayMs: number;
+  readonly maxCostMs: number;
   /** Whether an engine likely has the adapter in its host memory. */
   readonly hasWarmEngine: boolean;
   /** Whether one more fetch from the weight store may start. */
@@ -40,12 +42,6 @@
 
 /** Fraction of its latest start age for which a request waits for an engine that has its adapter in host memory. */
 const WARM_WAIT_SHARE = 0.5;
-/** Cost of each load in progress on the engine, in ms. */
-const LOADING_COST_MS = 40;
-/** Cost of evicting an adapter, in ms per unit of its request rate. */
-const EVICTION_COST_MS = 25;
-/** Cost per ms of prefill recently sent to the engine: engines that got much work will likely get more. */
-const RECENT_WORK_COST = 0.15;
 
 /**
  * Selects the engine with the lowest cost to load an adapter on, or undefined. An engine that likely has the adapter in
@@ -58,21 +54,20 @@
   request: LoadRequest,
   popularity: AdapterPopularity,
   memory: AdapterMemory,
+  costs: EngineCosts,
 ): LoadPlacement | undefined {
-  let best: LoadPlacement | undefined;
-  let bestCost = request.maxStartDelayMs;
+  const placements: (LoadPlacement & Candidate)[] = [];
   const mayFetch = isFetchWorthwhile(request);
   for (const slots of candidates) {
     const warm = !request.disabled.has('adapter-memory') && memory.has(slots.backend.id, request.key);
     if (!warm && !mayFetch) continue;
     const room = findRoom(slots, request, popularity);
     if (room === undefined) continue;
-    const cost = costOf(slots, room.victim, warm, request, popularity);
-    if (cost >= bestCost) continue;
-    best = { slots, victim: room.victim, warm };
-    bestCost = cost;
+    const costMs = costOf(slots, room.victim, warm, request, popularity, costs);
+    if (costMs >= request.maxCostMs) continue;
+    placements.push({ slots, victim: room.victim, warm, costMs, lastChosenMs: slots.lastChosenMs });
   }
-  return best;
+  return chooseFirstLowest(placements);
 }
 
 function isFetchWorthwhile(request: LoadRequest): boolean {
@@ -89,7 +84,7 @@
   popularity: AdapterPopularity,
 ): { victim: AdapterSlot | undefined } | undefined {
   const present = slots.get(request.key);
-  if (present === undefined && slots.hasRoomFor(request.model)) return { victim: undefined };
+  if (present === undefined && slots.hasRoomFor(request.request.model)) return { victim: undefined };
   const victim = present ?? leastDemanded(slots, popularity, request.nowMs);
   if (victim === undefined || !slots.isEvictable(victim, request.nowMs)) return undefined;
   return { victim };
@@ -114,22 +109,16 @@
   return best;
 }
 
-/** Estimated time until a request could start after a load on this engine, plus penalties for side effects, in ms. */
 function costOf(
   slots: EngineSlots,
   victim: AdapterSlot | undefined,
   warm: boolean,
   request: LoadRequest,
   popularity: AdapterPopularity,
+  costs: EngineCosts,
 ): number {
   const loadMs = warm ? request.warmLoadMs : request.coldLoadMs;
-  const evictionMs = victim === undefined ? 0 : Math.min(popularity.rate(victim.key), 4) * EVICTION_COST_MS;
-  const busyMs = RUNNING_COST_MS * slots.running + LOADING_COST_MS * slots.loadingCount;
-  // The engine processes its queued prompts while it loads the adapter, so the two times overlap.
-  const recentMs = request.disabled.has('recent-work')
-    ? 0
-    : RECENT_WORK_COST * slots.backlog.recentWorkMs(request.nowMs);
-  const backlogMs = slots.backlog.remainingMs(request.nowMs);
-  const startMs = request.disabled.has('overlapped-load') ? loadMs + backlogMs : Math.max(loadMs, backlogMs);
-  return startMs + evictionMs + busyMs + recentMs;
+  const evictedRate = victim === undefined ? 0 : popularity.rate(victim.key);
+  const inputs = costs.forLoad(slots, request.request, { loadMs, evictedRate }, request.nowMs);
+  return totalMs(engineCost(inputs, request.disabled));
 }
--- a/packages/slots/src/load-starter.ts
+++ b/packages/slots/src/load-starter.ts
@@ -3,6 +3,7 @@
 import type { AdapterPopularity } from './adapter-popularity.js';
 import type { AdapterLoader } from './adapter-loader.js';
 import type { AdapterMemory } from './adapter-memory.js';
+import type { EngineCosts } from './engine-costs.js';
 import type { EngineSelector } from './engine-selector.js';
 import type { EngineEntry } from './engine-entry.js';
 import type { EngineRegistry } from './engine-registry.js';
@@ -25,6 +26,7 @@
   readonly waiting: WaitingList;
   /** Whether an engine told this node to back off for a while, which includes orders. */
   readonly isBackingOff: (backendId: string) => boolean;
+  readonly costs: EngineCosts;
   readonly disabled: DisabledMechanisms;
 }
 
@@ -38,42 +40,44 @@
 
   /**
    * Orders the load of a request's adapter if possible. Returns what the request waits for now.
-   * @param backlogMs shortest backlog of the engines that have the adapter; a load must be quicker than that
+   * @param maxCostMs cost of the best engine that has the adapter; a load must cost less than that
    */
-  start(waiting: WaitingRequest, index: PoolIndex, backlogMs: number): WaitObstacle {
-    const { engines, adapters, memory, adapterPopularity: popularity } = this.#options;
+  start(waiting: WaitingRequest, index: PoolIndex, maxCostMs: number): WaitObstacle {
+    const { engines, adapters, memory, adapterPopularity: popularity, costs } = this.#options;
     const { model, adapter } = waiting.request;
     if (adapter === undefined || index.loadTargets.length === 0) return 'no-room';
     const candidates = preferUnlimited(
       index.loadTargets.filter((entry) => this.#isCandidate(entry, waiting.request) && canLoadMore(entry)),
     );
     if (candidates.length === 0) return 'no-room';
-    const loadRequest = this.#describeLoad(waiting, adapterKey(model, adapter), index, backlogMs);
+    const loadRequest = this.#describeLoad(waiting, adapterKey(model, adapter), index, maxCostMs);
     const placement = placeLoad(
       candidates.map((entry) => entry.slots),
       loadRequest,
       popularity,
       memory,
+      costs,
     );
     const entry = placement === undefined ? undefined : engines.get(placement.slots.backend.id);
     if (placement === undefined || entry === undefined)
       return loadRequest.mayFetch ? 'too-late' : 'fetch-limit';
+    entry.slots.lastChosenMs = loadRequest.nowMs;
     index.loadStarted(loadRequest.key, entry, !placement.warm);
     void adapters.load(entry, placement, model, adapter);
     return 'loading';
   }
 
-  #describeLoad(waiting: WaitingRequest, key: string, index: PoolIndex, backlogMs: number): LoadRequest {
+  #describeLoad(waiting: WaitingRequest, key: string, index: PoolIndex, maxCostMs: number): LoadRequest {
     const { clock, adapters, waiting: list, disabled } = this.#options;
     const { request, arrivedMs } = waiting;
     const nowMs = clock.now();
     return {
-      model: request.model,
+      request,
       key,
       nowMs,
       ageMs: nowMs - arrivedMs,
       latestStartAgeMs: list.latestStartAgeMs(request),
-      maxStartDelayMs: backlogMs,
+      maxCostMs,
       hasWarmEngine: this.#hasWarmEngine(request, key),
       mayFetch: index.fetches < adapters.fetchWindow,
       hasSpare: index.spareShare >= SPARE_SHARE,
--- a/packages/slots/src/pool-figures.ts
+++ b/packages/slots/src/pool-figures.ts
@@ -38,12 +38,17 @@
   readonly mostBacklogMs: number;
   /** Shortest prompt backlog of an engine. */
   readonly leastBacklogMs: number;
+  /** Lasting pace of the slowest engine, in percent of the pool's mean time; 100 is the mean. */
+  readonly slowestPacePercent: number;
+  /** Lasting pace of the fastest engine, likewise. */
+  readonly fastestPacePercent: number;
 }
 
 /** Computes the figures of these engines. */
 export function describeEngines(entries: readonly EngineEntry[], nowMs: number): EngineFigures {
   const slots = entries.flatMap((entry) => [...entry.slots.slots.values()]);
   const backlogs = entries.map((entry) => Math.round(entry.slots.backlog.remainingMs(nowMs)));
+  const paces = entries.map((entry) => Math.round(entry.slots.pace.lasting(nowMs) * 100));
   return {
     engines: entries.length,
     held: entries.filter(({ lease }) => lease.held).length,
@@ -54,6 +59,8 @@
     slotsIdle: slots.filter((slot) => slot.users === 0 && slot.state === 'loaded').length,
     slotsLoading: slots.filter((slot) => slot.state === 'loading').length,
     mostBacklogMs: Math.max(0, ...backlogs),
+    slowestPacePercent: paces.length === 0 ? 100 : Math.max(...paces),
+    fastestPacePercent: paces.length === 0 ? 100 : Math.min(...paces),
     leastBacklogMs: backlogs.length === 0 ? 0 : Math.min(...backlogs),
   };
 }
--- a/packages/slots/src/refusal-policy.ts
+++ b/packages/slots/src/refusal-policy.ts
@@ -105,7 +105,7 @@
   #expectedWaitMs(waiting: WaitingRequest, turnMs: number, nowMs: number): number {
     const { engines, selector, index, coldLoadMs } = this.#options;
     const engine = selector.best(waiting.request, index(), nowMs);
-    const backlogEndsMs = engine === undefined ? Infinity : startDelayMs(engine, nowMs);
+    const backlogEndsMs = engine === undefined ? Infinity : startDelayMs(engine.entry, nowMs);
     if (waiting.request.adapter === undefined) return backlogEndsMs;
     const loadedMs = Math.max(turnMs, engines.untilOrdersPossibleMs()) + coldLoadMs();
     return Math.min(backlogEndsMs, loadedMs);
--- a/packages/slots/src/request-placement.ts
+++ b/packages/slots/src/request-placement.ts
@@ -1,6 +1,6 @@
 import { adapterKey } from '@canvasridge/serving';
-import type { EngineEntry } from './engine-entry.js';
-import { isCrowded, startDelayMs, type EngineSelector } from './engine-selector.js';
+import { delaysStreams, expectedPauseMs } from './engine-cost.js';
+import { isCrowded, startDelayMs, type EngineChoice, type EngineSelector } from './engine-selector.js';
 import type { AdapterSlot } from './engine-slots.js';
 import { SPARE_SHARE, type LoadStarter } from './load-starter.js';
 import type { DisabledMechanisms } from './mechanisms.js';
@@ -14,6 +14,8 @@
 const LONG_BACKLOG_SHARE = 0.45;
 /** The same limit for a request that is late in any case: it may only go where it delays few requests that are not. */
 const LATE_BACKLOG_SHARE = 0.2;
+/** Fraction of its latest start age up to which a request waits to spare running streams a pause. */
+const SPARE_STREAMS_SHARE = 0.3;
 /** How soon requests held back because of a long backlog are tried again. */
 const BACKLOG_POLL_MS = 40;
 
@@ -25,7 +27,7 @@
   /** Grants the request this engine, and the slot of its adapter unless it is for the base model. */
   readonly grant: (
     waiting: WaitingRequest,
-    engine: EngineEntry,
+    choice: EngineChoice,
     slot: AdapterSlot | undefined,
     nowMs: number,
   ) => void;
@@ -48,10 +50,11 @@
   place(waiting: WaitingRequest, index: PoolIndex, nowMs: number): void {
     const { selector, loads, grant, disabled } = this.#options;
     const { request } = waiting;
-    const engine = selector.best(request, index, nowMs);
+    const choice = selector.best(request, index, nowMs);
+    const engine = choice?.entry;
     if (request.adapter === undefined) {
       waiting.obstacle = 'no-engine';
-      if (engine !== undefined) grant(waiting, engine, undefined, nowMs);
+      if (choice !== undefined) grant(waiting, choice, undefined, nowMs);
       else if (this.#waitsForRateLimit(request, index)) waiting.obstacle = 'rate-limit';
       return;
     }
@@ -63,25 +66,38 @@
     const copyAfterShare = hasSpare ? SHORT_BACKLOG_SHARE : LONG_BACKLOG_SHARE;
     const copyAfterMs = Math.min(request.objectiveMs * copyAfterShare, this.#maxBacklogMs(waiting, nowMs));
     const isShortBacklog = backlogMs <= copyAfterMs;
-    if (engine !== undefined && isShortBacklog && !isCrowded(engine)) {
-      grant(waiting, engine, slot, nowMs);
+    const sparesStreams = choice !== undefined && this.#maySpareStreams(waiting, choice, nowMs);
+    // To spare streams a pause, an adapter is copied only if no other request waits for a load.
+    const mayCopy = hasSpare && this.#options.waiting.size <= 1;
+    const isNear = choice !== undefined && isShortBacklog && !isCrowded(choice.entry);
+    if (isNear && !sparesStreams) {
+      grant(waiting, choice, slot, nowMs);
       return;
     }
     if (selector.isLoading(request, index)) waiting.obstacle = 'loading';
-    else waiting.obstacle = loads.start(waiting, index, backlogMs);
-    if (engine === undefined) {
+    else if (isNear && !mayCopy) waiting.obstacle = 'backlog';
+    else waiting.obstacle = loads.start(waiting, index, maxLoadCostMs(choice, backlogMs, mayCopy));
+    if (choice === undefined) {
       if (this.#waitsForRateLimit(request, index) && waiting.obstacle !== 'loading')
         waiting.obstacle = 'rate-limit';
       return;
     }
-    if (backlogMs <= this.#maxBacklogMs(waiting, nowMs)) {
-      grant(waiting, engine, slot, nowMs);
+    const isHeld = sparesStreams && (waiting.obstacle === 'loading' || isDelayByBacklog(choice));
+    if (!isHeld && backlogMs <= this.#maxBacklogMs(waiting, nowMs)) {
+      grant(waiting, choice, slot, nowMs);
       return;
     }
     if (waiting.obstacle !== 'loading') waiting.obstacle = 'backlog';
     this.#scheduleRetry();
   }
 
+  /** Whether the request is young enough to wait, as its prompt would make streams late that run on the engine. */
+  #maySpareStreams({ request, arrivedMs }: WaitingRequest, { inputs }: EngineChoice, nowMs: number): boolean {
+    const { disabled, waiting } = this.#options;
+    if (disabled.has('stream-pauses') || !delaysStreams(inputs)) return false;
+    return nowMs - arrivedMs <= waiting.latestStartAgeMs(request) * SPARE_STREAMS_SHARE;
+  }
+
   /**
    * Whether an engine that could run the request has reached its rate limit. If so, schedules another attempt, since no
    * event tells when the limit allows a request again.
@@ -109,3 +125,18 @@
     });
   }
 }
+
+/** Whether the streams are delayed by the queued prompts, so that waiting helps, rather than by the request's own. */
+function isDelayByBacklog({ inputs }: EngineChoice): boolean {
+  return expectedPauseMs({ ...inputs, backlogMs: 0 }) <= inputs.shortestGapMs;
+}
+
+/**
+ * What a load may cost: less than the best engine that has the adapter, or anything if none can take the request.
+ * @param mayCopy whether the pauses of streams count, for which alone an adapter is not loaded otherwise
+ */
+function maxLoadCostMs(choice: EngineChoice | undefined, backlogMs: number, mayCopy: boolean): number {
+  if (choice === undefined || backlogMs === Infinity) return Infinity;
+  const { first, end, pauses } = choice.terms;
+  return first + end + (mayCopy ? pauses : 0);
+}
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -4,7 +4,9 @@
 import { AdapterPopularity } from './adapter-popularity.js';
 import { AdapterLoader } from './adapter-loader.js';
 import type { AdapterMemory } from './adapter-memory.js';
-import { EngineSelector } from './engine-selector.js';
+import { largestTerm } from './engine-cost.js';
+import { EngineCosts } from './engine-costs.js';
+import { EngineSelector, type EngineChoice } from './engine-selector.js';
 import type { EngineEntry } from './engine-entry.js';
 import { EngineRegistry } from './engine-registry.js';
 import { EngineUses } from './engine-uses.js';
@@ -13,13 +15,22 @@
 import type { DisabledMechanisms } from './mechanisms.js';
 import { ModelLoader } from './model-loader.js';
 import type { OrderLeaseOptions } from './order-lease.js';
+import { PaceLearner } from './pace-learner.js';
 import { PoolIndex, countFetches } from './pool-index.js';
 import { describeEngines, type PoolFigures } from './pool-figures.js';
 import { RefusalPolicy } from './refusal-policy.js';
 import { RefusedRequests } from './refused-requests.js';
 import { RequestPlacement } from './request-placement.js';
-import type { RefusalReason, RunningUse, SlotDecision, SlotRequest, UseOutcome } from './slot-request.js';
+import type {
+  RefusalReason,
+  RunningUse,
+  SlotDecision,
+  SlotRequest,
+  StreamProgress,
+  UseOutcome,
+} from './slot-request.js';
 import { SlotTurnover } from './slot-turnover.js';
+import { StreamKinds } from './stream-kinds.js';
 import { WaitingList, type WaitingRequest } from './waiting-list.js';
 
 /** Options of a pool. The inherited ones are passed to the order lease of each engine. */
@@ -65,6 +76,7 @@
   readonly #adapters: AdapterLoader;
   readonly #models: ModelLoader;
   readonly #placement: RequestPlacement;
+  readonly #paces: PaceLearner;
   readonly #timers = new Set<Timer>();
   readonly #refused: RefusedRequests;
   readonly #refusals: RefusalPolicy;
@@ -100,7 +112,10 @@
       gapMs: () => this.#turnover.meanGapMs(),
       weightOf: options.tenantWeight,
     });
-    this.#selector = new EngineSelector(this.#engines, adapterVersion);
+    const kinds = new StreamKinds();
+    this.#paces = new PaceLearner(kinds);
+    const costs = new EngineCosts({ poolSpeed, kinds, disabled: options.disabled });
+    this.#selector = new EngineSelector(this.#engines, costs, adapterVersion);
     const loads = new LoadStarter({
       clock,
       engines: this.#engines,
@@ -110,6 +125,7 @@
       adapterPopularity: this.#popularity,
       waiting: this.#waiting,
       isBackingOff: options.isBackingOff,
+      costs,
       disabled: options.disabled,
     });
     this.#placement = new RequestPlacement({
@@ -117,7 +133,7 @@
       loads,
       waiting: this.#waiting,
       disabled: options.disabled,
-      grant: (waiting, engine, slot, nowMs) => this.#grant(waiting, engine, slot, nowMs),
+      grant: (waiting, choice, slot, nowMs) => this.#grant(waiting, choice, slot, nowMs),
       after,
       placeAll: () => this.#placeAll(),
     });
@@ -175,7 +191,7 @@
     const nowMs = this.#options.clock.now();
     const { model, adapter, requestId } = use;
     const slot = adapter === undefined ? undefined : entry.slots.get(adapterKey(model, adapter));
-    this.#uses.begin(requestId, entry, slot);
+    this.#uses.begin(requestId, entry, slot, undefined);
     if (!use.started) entry.slots.backlog.add(requestId, use.promptTokens, nowMs);
     this.#releaseAfterTimeout(requestId, use.leftMs);
   }
@@ -237,16 +253,21 @@
     const use = this.#uses.get(requestId);
     const entry = use === undefined ? undefined : this.#engines.get(use.engineId);
     if (use === undefined || entry === undefined) return;
-    entry.slots.backlog.recordProcessed(requestId, this.#options.clock.now());
+    this.#paces.recordProcessed(entry.slots, requestId, this.#options.clock.now());
     if (use.slot !== undefined) this.#adapters.recordServed(use.slot);
     this.schedule();
   }
 
-  /** Called when a granted request has ended. */
-  release(requestId: string, outcome: UseOutcome): void {
+  /**
+   * Called when a granted request has ended.
+   * @param progress how fast its events came; undefined if unknown, as from nodes of earlier builds
+   */
+  release(requestId: string, outcome: UseOutcome, progress?: StreamProgress): void {
     const use = this.#uses.end(requestId, (id) => this.#engines.get(id));
     if (use === undefined) return;
     const entry = this.#engines.get(use.engineId);
+    if (entry !== undefined && use.kind !== undefined && progress !== undefined)
+      this.#paces.recordStream(entry.slots, use.kind, progress, this.#options.clock.now());
     if (entry !== undefined) this.#applyOutcome(outcome, requestId, entry, use.slot);
     this.schedule();
   }
@@ -258,7 +279,7 @@
     slot: AdapterSlot | undefined,
   ): void {
     const nowMs = this.#options.clock.now();
-    if (outcome === 'served') entry.slots.backlog.recordProcessed(requestId, nowMs);
+    if (outcome === 'served') this.#paces.recordProcessed(entry.slots, requestId, nowMs);
     else entry.slots.backlog.drop(requestId);
     if (outcome === 'not-present') this.#handleMissing(entry, slot, nowMs);
     else if (outcome === 'failed' || outcome === 'refused') {
@@ -312,8 +333,9 @@
 
   // --- grants ------------------------------------------------------------------------------------
 
-  #grant(waiting: WaitingRequest, engine: EngineEntry, slot: AdapterSlot | undefined, nowMs: number): void {
+  #grant(waiting: WaitingRequest, choice: EngineChoice, slot: AdapterSlot | undefined, nowMs: number): void {
     const { request } = waiting;
+    const { entry: engine, terms, costMs } = choice;
     this.#waiting.granted(request.id, nowMs);
     const { id, address } = engine.slots.backend;
     const aheadMs = engine.slots.backlog.remainingMs(nowMs);
@@ -321,12 +343,14 @@
       engine: id,
       aheadMs: Math.round(aheadMs),
       running: engine.slots.running,
+      costMs: Math.round(costMs),
+      costTerm: largestTerm(terms),
     });
     engine.slots.backlog.add(request.id, request.promptTokens, nowMs);
-    this.#uses.begin(request.id, engine, slot);
+    this.#uses.begin(request.id, engine, slot, request);
     this.#releaseAfterTimeout(request.id, request.timeoutMs - request.ageMs);
     engine.rate.take();
-    waiting.decide({ kind: 'granted', requestId: request.id, backendId: id, address, ...rateOf(engine) });
+    waiting.decide({ kind: 'granted', requestId: request.id, backendId: id, address, ...engine.rate.stated });
   }
 
   /** Releases a granted request some time after its timeout, so that a node that disappeared does not keep its slots. */
@@ -371,9 +395,3 @@
     this.#timers.add(timer);
   }
 }
-
-/** The engine's rate limit as stated in a grant: null if a former limit has ended, absent if there never was one. */
-function rateOf({ rate }: EngineEntry): { ratePerSecond?: number | null } {
-  if (rate.rule !== undefined) return { ratePerSecond: rate.rule.ratePerSecond };
-  return rate.hasEnded ? { ratePerSecond: null } : {};
-}
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -71,5 +71,11 @@
   readonly leftMs: number;
 }
 
+/** How fast the events of a stream came: how many after the first arrival, and how long they took in milliseconds. */
+export interface StreamProgress {
+  readonly events: number;
+  readonly spanMs: number;
+}
+
 /** How a granted request ended, from the engine's point of view. `not-present`: the engine lacked the model or adapter. */
 export type UseOutcome = 'served' | 'not-present' | 'refused' | 'failed' | 'cancelled';
--- a/packages/slots/test/new-pool.ts
+++ b/packages/slots/test/new-pool.ts
@@ -1,6 +1,6 @@
 import type { VirtualClock } from '@canvasridge/clock';
 import { Telemetry } from '@canvasridge/telemetry';
-import { AdapterMemory, DEFAULT_SLOT_TIMING, SlotPool } from '../src/index.js';
+import { AdapterMemory, DEFAULT_SLOT_TIMING, SlotPool, type DisabledMechanisms } from '../src/index.js';
 import { LEASE_MS, PROFILE, SimulatedControl, type SimulatedEngine } from './simulated-engines.js';
 
 /** Creates a pool over simulated engines that check no fences, led by the node with this number. */
@@ -10,6 +10,7 @@
   number = 1,
   versions: ReadonlyMap<string, number> = new Map(),
   isBackingOff: (engine: string) => boolean = () => false,
+  disabled: DisabledMechanisms = new Set(),
 ): SlotPool {
   const pool = new SlotPool({
     service: 'llm',
@@ -27,7 +28,7 @@
     mayTakeUnused: () => false,
     mayTakeAtOnce: () => false,
     memory: new AdapterMemory(),
-    disabled: new Set(),
+    disabled,
     tenantWeight: () => 1,
     isBackingOff,
     adapterVersion: (_model, adapter) => versions.get(adapter) ?? 0,
--- a/packages/slots/test/simulated-engines.ts
+++ b/packages/slots/test/simulated-engines.ts
@@ -54,7 +54,7 @@
   readonly #history: { atMs: number; report: EngineReport }[] = [];
   #count = 0;
 
-  constructor(clock: Clock, id: string) {
+  constructor(clock: Clock, id: string, changes: Partial<BackendDescription> = {}) {
     this.#clock = clock;
     this.description = {
       id,
@@ -64,6 +64,7 @@
       state: 'ready',
       slots: PROFILE.batchSlots,
       models: [{ name: MODEL, adapters: [] }],
+      ...changes,
     };
     this.#recordState();
   }
