Nodes tell the leader how fast the events of a stream came

The leader compares engines by their pace, of which it saw only the times of prompts. With slots.release a node now tells how many events came after the first data and over how long, unless the client itself delayed them.

--- a/packages/gateway/src/backends/picker.ts
+++ b/packages/gateway/src/backends/picker.ts
@@ -1,5 +1,5 @@
 import type { BackendDescription, BackendService, HttpRoute } from '@canvasridge/serving';
-import type { UseOutcome } from '@canvasridge/slots';
+import type { StreamProgress, UseOutcome } from '@canvasridge/slots';
 import type { GenerationFacts } from '../request/dialect.js';
 
 /** What a picker knows about the request that needs a backend. */
@@ -37,8 +37,8 @@
       readonly isChargedToRateLimit: boolean;
       /** Call once, when the backend has started its response. */
       readonly started: () => void;
-      /** Call once, when the attempt has ended. */
-      readonly finish: (outcome: UseOutcome) => void;
+      /** Call once, when the attempt has ended; with how fast its events came if it was a stream. */
+      readonly finish: (outcome: UseOutcome, progress?: StreamProgress) => void;
     }
   | { readonly kind: 'none'; readonly reason: string; readonly retryAfterMs: number | undefined };
 
--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@canvasridge/clock';
 import { adapterKey, type BackendDescription, type FleetState } from '@canvasridge/serving';
-import type { SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
+import type { SlotDecision, SlotRequest, StreamProgress, UseOutcome } from '@canvasridge/slots';
 import type { BackendAvailability } from './backend-availability.js';
 import type { BackendPicker, PickContext, PickResult } from './picker.js';
 
@@ -12,7 +12,8 @@
   startedWithoutGrant(pool: string, request: SlotRequest, backendId: string): void;
   /** Reports that the engine has started its response. */
   started(pool: string, requestId: string): void;
-  release(pool: string, requestId: string, outcome: UseOutcome): void;
+  /** @param progress how fast the events of its stream came; undefined if it was none or that is not known */
+  release(pool: string, requestId: string, outcome: UseOutcome, progress?: StreamProgress): void;
 }
 
 /** After serving an adapter, an engine is assumed to keep it loaded for this long. */
@@ -105,8 +106,8 @@
       how: 'granted',
       isChargedToRateLimit,
       started: () => this.#slots.started(pool, request.id),
-      finish: (outcome) => {
-        this.#slots.release(pool, request.id, outcome);
+      finish: (outcome, progress) => {
+        this.#slots.release(pool, request.id, outcome, progress);
         if (outcome === 'served') this.#rememberServer(request, backend.id);
       },
     };
--- a/packages/gateway/src/cluster/slot-answers.ts
+++ b/packages/gateway/src/cluster/slot-answers.ts
@@ -8,6 +8,7 @@
 import {
   DECIDED_METHOD,
   rateLimitParams,
+  streamProgress,
   type AcquireParams,
   type AcquireReply,
   type ReleaseParams,
@@ -108,7 +109,9 @@
     if (typeof params.leaving === 'string')
       this.#options.fleet.recordAnnouncedShutdown(params.leaving, 'peer');
     this.#peerUses.forget(peer, params.requestId);
-    this.#pools.get(params.pool)?.pool?.release(params.requestId, params.outcome);
+    this.#pools
+      .get(params.pool)
+      ?.pool?.release(params.requestId, params.outcome, streamProgress.safeParse(params.progress).data);
   }
 
   /**
--- a/packages/gateway/src/cluster/slot-protocol.ts
+++ b/packages/gateway/src/cluster/slot-protocol.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod';
-import type { RunningUse, SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
+import type { RunningUse, SlotDecision, SlotRequest, StreamProgress, UseOutcome } from '@canvasridge/slots';
 
 /** JSON-RPC methods by which nodes request slots from the leader of a pool. */
 export const ACQUIRE_METHOD = 'slots.acquire';
@@ -48,8 +48,20 @@
    * yet.
    */
   readonly leaving?: string;
+  /** How fast the events of its stream came; absent from earlier builds and if it is not known. */
+  readonly progress?: StreamProgress | undefined;
 }
 
+/** Bounds of what a node may report, far above any stream. */
+const MAX_EVENTS = 1_000_000;
+const MAX_SPAN_MS = 86_400_000;
+
+/** Checks {@link ReleaseParams.progress} of a message from another node. */
+export const streamProgress = z.object({
+  events: z.number().int().positive().max(MAX_EVENTS),
+  spanMs: z.number().nonnegative().max(MAX_SPAN_MS),
+});
+
 /**
  * Params of {@link RATE_LIMIT_METHOD}: an engine has announced to the sender how many requests it accepts
  * from all nodes together.
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -11,6 +11,7 @@
   type SlotRequest,
   type SlotTiming,
   type DisabledMechanisms,
+  type StreamProgress,
   type UseOutcome,
 } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
@@ -269,11 +270,11 @@
     return address === undefined ? undefined : this.#options.network.to(address);
   }
 
-  release(poolName: string, requestId: string, outcome: UseOutcome): void {
+  release(poolName: string, requestId: string, outcome: UseOutcome, progress?: StreamProgress): void {
     const backendId = this.#uses.end(requestId);
     const entry = this.#pools.get(poolName);
     if (entry?.pool !== undefined && entry.leading) {
-      entry.pool.release(requestId, outcome);
+      entry.pool.release(requestId, outcome, progress);
       return;
     }
     const { fleet } = this.#options;
@@ -284,7 +285,7 @@
     // Without this the leader keeps ordering adapters onto that engine for other nodes until each of them has
     // been told.
     const leaving = isNews ? { leaving: backendId } : {};
-    const params: ReleaseParams = { pool: poolName, requestId, outcome, ...leaving };
+    const params: ReleaseParams = { pool: poolName, requestId, outcome, progress, ...leaving };
     this.#leaderConnection(poolName)?.notify(RELEASE_METHOD, params);
   }
 
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -1,6 +1,7 @@
 import type { Clock, Timer } from '@canvasridge/clock';
 import { EventStreamTracker } from '@canvasridge/http-bindings';
 import type { BackendNotice } from '@canvasridge/serving';
+import type { StreamProgress } from '@canvasridge/slots';
 import type { Dispatcher } from 'undici';
 import type { BackendConnection } from '../backends/backend-connection.js';
 import type { ResponseSink } from './response-sink.js';
@@ -123,6 +124,12 @@
   #cancelled = false;
   #sentMs: number | undefined;
   #startedMs: number | undefined;
+  /** Events in the first data of a stream. */
+  #firstEvents = 0;
+  /** When the last events of a stream arrived. */
+  #lastEventsMs = 0;
+  /** Whether the client read so slowly that the backend had to wait. */
+  #wasPaused = false;
   #status = 0;
   #headers: ResponseHeaders = {};
   #isSuccess = false;
@@ -153,6 +160,13 @@
     return this.#sentMs === undefined ? 0 : this.#options.clock.now() - this.#sentMs;
   }
 
+  /** How fast the backend sent the events after the first data; undefined if there were none or the client delayed them. */
+  get progress(): StreamProgress | undefined {
+    if (this.#startedMs === undefined || !this.#isStream || this.#wasPaused) return undefined;
+    const events = this.#tracker.eventCount - this.#firstEvents;
+    return events > 0 ? { events, spanMs: this.#lastEventsMs - this.#startedMs } : undefined;
+  }
+
   get lastEventId(): number {
     return this.#tracker.lastEventId;
   }
@@ -220,7 +234,10 @@
     const bytes = this.#isStream ? this.#tracker.push(chunk) : chunk;
     if (bytes.length === 0) return;
     if (this.#isSuccess && this.#startedMs === undefined) this.#markStarted();
-    if (this.#isStream) this.#restartInactivityTimer();
+    if (this.#isStream) {
+      this.#lastEventsMs = this.#options.clock.now();
+      this.#restartInactivityTimer();
+    }
     if (this.#forwarding) {
       this.#forward(controller, bytes);
       return;
@@ -233,6 +250,7 @@
 
   #markStarted(): void {
     this.#startedMs = this.#options.clock.now();
+    this.#firstEvents = this.#tracker.eventCount;
     this.#options.onStarted();
   }
 
@@ -317,6 +335,7 @@
 
   #forward(controller: Dispatcher.DispatchController, bytes: Buffer): void {
     if (this.#sink.write(bytes)) return;
+    this.#wasPaused = true;
     controller.pause();
     this.#inactivityTimer?.cancel();
     this.#sink.onDrain(() => {
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '@canvasridge/clock';
 import { pickService, type BackendService, type HttpRoute } from '@canvasridge/serving';
+import type { StreamProgress } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
 import { RETRY_ELSEWHERE_MS, type BackendAvailability } from '../backends/backend-availability.js';
 import type { BackendConnections } from '../backends/backend-connections.js';
@@ -95,6 +96,8 @@
   #lastEventId = -1;
   #backendId = '';
   #pickMethod = '';
+  /** How fast the events of the last attempt came. */
+  #progress: StreamProgress | undefined;
   /** Age of the request when the last backend was picked, in milliseconds. */
   #pickedMs: number | undefined;
   /** Age of the backend list when the last attempt was about to be written, in milliseconds. */
@@ -195,7 +198,7 @@
       }
       await this.#context.refreshIfOld();
       const outcome = await this.#send(route, service, picked);
-      picked.finish(useOutcomeOf(outcome));
+      picked.finish(useOutcomeOf(outcome), this.#progress);
       if (this.#ended || this.#endIfFinal(outcome, route)) return;
       if (!this.#retryOrEnd(route, service, outcome)) return;
     }
@@ -284,6 +287,7 @@
     this.#pickMethod = picked.how;
     this.#pickedMs = this.#ageMs();
     this.#sends += 1;
+    this.#progress = undefined;
     if (this.#ended) return { kind: 'cancelled' };
     if (fleet.isLeaving(backend.id)) return { kind: 'not-run', reason: 'leaving' };
     if (availability.isBackingOff(backend.id)) return { kind: 'not-run', reason: 'backing-off' };
@@ -324,6 +328,7 @@
       outcome.kind === 'complete' || outcome.kind === 'failure' || outcome.kind === 'not-run';
     connections.release(backend.id, connection, isReusable);
     this.#lastEventId = attempt.lastEventId;
+    this.#progress = attempt.progress;
     if (outcome.kind !== 'not-run') {
       this.#mayHaveRun ||= attempt.sent;
       this.#runs += 1;
--- a/packages/http-bindings/src/event-stream-tracker.ts
+++ b/packages/http-bindings/src/event-stream-tracker.ts
@@ -13,6 +13,8 @@
   #partialEvent: Buffer = EMPTY;
   /** Id of the last complete event that was passed on; -1 before the first. */
   lastEventId: number;
+  /** Number of complete events that were passed on. */
+  eventCount = 0;
 
   constructor(lastEventId = -1) {
     this.lastEventId = lastEventId;
@@ -38,6 +40,7 @@
   }
 
   #recordLastEventId(events: Buffer): Buffer {
+    this.eventCount += countEvents(events);
     let at = events.lastIndexOf(ID_FIELD);
     if (at !== -1) at += ID_FIELD.length;
     else if (events.subarray(0, FIRST_ID_FIELD.length).equals(FIRST_ID_FIELD)) at = FIRST_ID_FIELD.length;
@@ -46,6 +49,16 @@
   }
 }
 
+function countEvents(events: Buffer): number {
+  let count = 0;
+  let at = events.indexOf(EVENT_END);
+  while (at !== -1) {
+    count += 1;
+    at = events.indexOf(EVENT_END, at + EVENT_END.length);
+  }
+  return count;
+}
+
 function endsEvent(chunk: Buffer): boolean {
   const { length } = chunk;
   return length >= 2 && chunk[length - 1] === LINE_FEED && chunk[length - 2] === LINE_FEED;
