--- a/packages/slots/src/request-placement.ts
+++ b/packages/slots/src/request-placement.ts
@@ -67,16 +67,14 @@
     const copyAfterMs = Math.min(request.objectiveMs * copyAfterShare, this.#maxBacklogMs(waiting, nowMs));
     const isShortBacklog = backlogMs <= copyAfterMs;
     const sparesStreams = choice !== undefined && this.#maySpareStreams(waiting, choice, nowMs);
-    // To spare streams a pause, an adapter is copied only if no other request waits for a load.
-    const mayCopy = hasSpare && this.#options.waiting.size <= 1;
     const isNear = choice !== undefined && isShortBacklog && !isCrowded(choice.entry);
     if (isNear && !sparesStreams) {
       grant(waiting, choice, slot, nowMs);
       return;
     }
     if (selector.isLoading(request, index)) waiting.obstacle = 'loading';
-    else if (isNear && !mayCopy) waiting.obstacle = 'backlog';
-    else waiting.obstacle = loads.start(waiting, index, maxLoadCostMs(choice, backlogMs, mayCopy));
+    else if (isNear && !hasSpare) waiting.obstacle = 'backlog';
+    else waiting.obstacle = loads.start(waiting, index, maxLoadCostMs(choice, backlogMs, hasSpare));
     if (choice === undefined) {
       if (this.#waitsForRateLimit(request, index) && waiting.obstacle !== 'loading')
         waiting.obstacle = 'rate-limit';
@@ -133,10 +131,10 @@
 
 /**
  * What a load may cost: less than the best engine that has the adapter, or anything if none can take the request.
- * @param mayCopy whether the pauses of streams count, for which alone an adapter is not loaded otherwise
+ * @param hasSpare whether enough slots are spare that the pauses of streams count
  */
-function maxLoadCostMs(choice: EngineChoice | undefined, backlogMs: number, mayCopy: boolean): number {
+function maxLoadCostMs(choice: EngineChoice | undefined, backlogMs: number, hasSpare: boolean): number {
   if (choice === undefined || backlogMs === Infinity) return Infinity;
   const { first, end, pauses } = choice.terms;
-  return first + end + (mayCopy ? pauses : 0);
+  return first + end + (hasSpare ? pauses : 0);
 }
