--- a/packages/gateway/src/cluster/slot-requester.ts
+++ b/packages/gateway/src/cluster/slot-requester.ts
@@ -7,6 +7,7 @@
   RunningUse,
   SlotDecision,
   SlotRequest,
+  StreamProgress,
   UseOutcome,
 } from '@canvasridge/slots';
 import { rateLimitRule, type BackendRateLimits } from '../backends/backend-rate-limits.js';
@@ -246,11 +247,11 @@
     return address === undefined ? undefined : this.#options.network.to(address);
   }
 
-  release(poolName: string, requestId: string, outcome: UseOutcome): void {
+  release(poolName: string, requestId: string, outcome: UseOutcome, progress?: StreamProgress): void {
     const backendId = this.#uses.end(requestId);
     const entry = this.#options.pools.get(poolName);
     if (entry?.pool !== undefined && entry.leading) {
-      entry.pool.release(requestId, outcome);
+      entry.pool.release(requestId, outcome, progress);
       return;
     }
     const { fleet } = this.#options;
@@ -261,7 +262,7 @@
     // Without this the leader keeps ordering adapters onto that engine for other nodes until each of them has
     // been told.
     const leaving = isNews ? { leaving: backendId } : {};
-    const params: ReleaseParams = { pool: poolName, requestId, outcome, ...leaving };
+    const params: ReleaseParams = { pool: poolName, requestId, outcome, progress, ...leaving };
     this.leaderConnection(poolName)?.notify(RELEASE_METHOD, params);
   }
 
--- a/packages/slots/src/granting-pool.ts
+++ b/packages/slots/src/granting-pool.ts
@@ -1,4 +1,4 @@
-import type { PoolRequest, RunningUse, SlotDecision, UseOutcome } from './slot-request.js';
+import type { PoolRequest, RunningUse, SlotDecision, StreamProgress, UseOutcome } from './slot-request.js';
 
 /** Figures of any pool for logs and metrics. */
 export interface GrantFigures {
@@ -21,8 +21,11 @@
   cancel(requestId: string): void;
   /** Called when the response of a granted request has started. */
   started(requestId: string): void;
-  /** Called when a granted request has ended; ignored for a request that is unknown or has ended before. */
-  release(requestId: string, outcome: UseOutcome): void;
+  /**
+   * Called when a granted request has ended; ignored for a request that is unknown or has ended before.
+   * @param progress how fast the events of its stream came; undefined if it was none or that is not known
+   */
+  release(requestId: string, outcome: UseOutcome, progress?: StreamProgress): void;
   /** Adds a running request that a former leader granted, or that was sent without a grant. */
   adoptUse(use: RunningUse): void;
   /** Called when all nodes have reported their running requests. */
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -27,6 +27,7 @@
   type RunningUse,
   type SlotDecision,
   type SlotRequest,
+  type StreamProgress,
   type UseOutcome,
 } from './slot-request.js';
 export { DEFAULT_SLOT_TIMING, type SlotTiming } from './timing.js';
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -4,31 +4,36 @@
 import { AdapterPopularity } from './adapter-popularity.js';
 import { AdapterLoader } from './adapter-loader.js';
 import type { AdapterMemory } from './adapter-memory.js';
-import { EngineSelector, startDelayMs, isCrowded } from './engine-selector.js';
+import { largestTerm } from './engine-cost.js';
+import { EngineCosts } from './engine-costs.js';
+import { EngineSelector, type EngineChoice } from './engine-selector.js';
 import type { EngineEntry } from './engine-entry.js';
 import { EngineRegistry } from './engine-registry.js';
 import { EngineUses, type EngineUse } from './engine-uses.js';
 import type { AdapterSlot, EngineSlots } from './engine-slots.js';
 import type { GrantingPool } from './granting-pool.js';
 import { HostMemory } from './host-memory.js';
-import { LoadStarter, SPARE_SHARE } from './load-starter.js';
+import { LoadStarter } from './load-starter.js';
 import type { DisabledMechanisms } from './mechanisms.js';
 import { ModelLoader } from './model-loader.js';
 import type { OrderLeaseOptions } from './order-lease.js';
+import { PaceLearner } from './pace-learner.js';
 import { PoolIndex, countFetches } from './pool-index.js';
 import { describeEngines, type PoolFigures } from './pool-figures.js';
 import { RefusalPolicy } from './refusal-policy.js';
 import { RefusedRequests } from './refused-requests.js';
+import { RequestPlacement } from './request-placement.js';
 import {
   isEngineRequest,
   type PoolRequest,
   type RefusalReason,
   type RunningUse,
   type SlotDecision,
-  type SlotRequest,
+  type StreamProgress,
   type UseOutcome,
 } from './slot-request.js';
 import { SlotTurnover } from './slot-turnover.js';
+import { StreamKinds } from './stream-kinds.js';
 import { WaitingList, type WaitingRequest } from './waiting-list.js';
 
 /** Options of a pool. The inherited ones are passed to the order lease of each engine. */
@@ -52,14 +57,6 @@
 const SCHEDULE_DELAY_MS = 4;
 /** A new request may be placed with an index up to this old. A run over all waiting requests builds a new one. */
 const MAX_INDEX_AGE_MS = 8;
-/** Backlog of an engine, as a fraction of the request's objective, above which a load on another engine is considered. */
-const SHORT_BACKLOG_SHARE = 0.15;
-/** Backlog, as a fraction of the objective, above which a request keeps waiting, as it can still get another engine. */
-const LONG_BACKLOG_SHARE = 0.45;
-/** The same limit for a request that is late in any case: it may only go where it delays few requests that are not. */
-const LATE_BACKLOG_SHARE = 0.2;
-/** How soon requests held back because of a long backlog are tried again. */
-const BACKLOG_POLL_MS = 40;
 /** A refusal counts as early if the request's age is at most this fraction of its objective. */
 const EARLY_REFUSAL_SHARE = 0.25;
 /** How long an engine is avoided after it failed a request. */
@@ -82,12 +79,12 @@
   readonly #hostMemory: HostMemory;
   readonly #adapters: AdapterLoader;
   readonly #models: ModelLoader;
-  readonly #loads: LoadStarter;
+  readonly #placement: RequestPlacement;
+  readonly #paces: PaceLearner;
   readonly #timers = new Set<Timer>();
   readonly #refused: RefusedRequests;
   readonly #refusals: RefusalPolicy;
   #lastIndex: PoolIndex | undefined;
-  #isRetryScheduled = false;
   #isPlacementScheduled = false;
   #isClosed = false;
 
@@ -134,8 +131,11 @@
         weightOf: options.tenantWeight,
       },
     );
-    this.#selector = new EngineSelector(this.#engines, adapterVersion);
-    this.#loads = new LoadStarter({
+    const kinds = new StreamKinds();
+    this.#paces = new PaceLearner(kinds);
+    const costs = new EngineCosts({ poolSpeed, kinds, disabled: options.disabled });
+    this.#selector = new EngineSelector(this.#engines, costs, adapterVersion);
+    const loads = new LoadStarter({
       clock,
       engines: this.#engines,
       selector: this.#selector,
@@ -144,8 +144,18 @@
       adapterPopularity: this.#popularity,
       waiting: this.#waiting,
       isBackingOff: options.isBackingOff,
+      costs,
       disabled: options.disabled,
     });
+    this.#placement = new RequestPlacement({
+      selector: this.#selector,
+      loads,
+      waiting: this.#waiting,
+      disabled: options.disabled,
+      grant: (waiting, choice, slot, nowMs) => this.#grant(waiting, choice, slot, nowMs),
+      after,
+      placeAll: () => this.#placeAll(),
+    });
     this.#refusals = new RefusalPolicy({
       clock,
       engines: this.#engines,
@@ -200,7 +210,7 @@
     const nowMs = this.#options.clock.now();
     const { model, adapter, requestId } = use;
     const slot = adapter === undefined ? undefined : entry.slots.get(adapterKey(model, adapter));
-    this.#uses.begin(requestId, entry, slot);
+    this.#uses.begin(requestId, entry, slot, undefined);
     if (!use.started) entry.slots.backlog.add(requestId, use.promptTokens, nowMs);
     this.#releaseAfterTimeout(requestId, use.leftMs);
   }
@@ -244,7 +254,7 @@
     if (request.adapter !== undefined)
       this.#popularity.recordRequest(adapterKey(request.model, request.adapter));
     this.#waiting.add(waiting);
-    this.#place(waiting, this.#index(), nowMs);
+    this.#placement.place(waiting, this.#index(), nowMs);
     if (this.#waiting.get(request.id) === undefined) return;
     this.#refusals.scheduleCheck();
   }
@@ -267,16 +277,21 @@
     const use = this.#uses.get(requestId);
     const entry = use === undefined ? undefined : this.#engines.get(use.engineId);
     if (use === undefined || entry === undefined) return;
-    entry.slots.backlog.recordProcessed(requestId, this.#options.clock.now());
+    this.#paces.recordProcessed(entry.slots, requestId, this.#options.clock.now());
     if (use.slot !== undefined) this.#adapters.recordServed(use.slot);
     this.schedule();
   }
 
-  /** Called when a granted request has ended. */
-  release(requestId: string, outcome: UseOutcome): void {
+  /**
+   * Called when a granted request has ended.
+   * @param progress how fast its events came; undefined if unknown, as from nodes of earlier builds
+   */
+  release(requestId: string, outcome: UseOutcome, progress?: StreamProgress): void {
     const use = this.#uses.end(requestId, (id) => this.#engines.get(id));
     if (use === undefined) return;
     const entry = this.#engines.get(use.engineId);
+    if (entry !== undefined && use.kind !== undefined && progress !== undefined)
+      this.#paces.recordStream(entry.slots, use.kind, progress, this.#options.clock.now());
     if (entry !== undefined) this.#applyOutcome(outcome, requestId, entry, use);
     this.schedule();
   }
@@ -288,7 +303,7 @@
     { slot, beganMs }: EngineUse,
   ): void {
     const nowMs = this.#options.clock.now();
-    if (outcome === 'served') entry.slots.backlog.recordProcessed(requestId, nowMs);
+    if (outcome === 'served') this.#paces.recordProcessed(entry.slots, requestId, nowMs);
     else entry.slots.backlog.drop(requestId);
     if (outcome === 'not-present') this.#handleMissing(entry, slot, beganMs);
     else if (outcome === 'failed' || outcome === 'refused') {
@@ -311,7 +326,7 @@
     if (this.#waiting.size === 0) return;
     const nowMs = this.#options.clock.now();
     const index = this.#newIndex(nowMs);
-    for (const waiting of this.#waiting.inOrder(nowMs)) this.#place(waiting, index, nowMs);
+    for (const waiting of this.#waiting.inOrder(nowMs)) this.#placement.place(waiting, index, nowMs);
   }
 
   /** Returns an index that is at most a few milliseconds old, because building one reads all slots of all engines. */
@@ -344,72 +359,9 @@
 
   // --- grants ------------------------------------------------------------------------------------
 
-  /** Grants a waiting request an engine if a suitable one is available. Otherwise orders a load where that helps. */
-  #place(waiting: WaitingRequest, index: PoolIndex, nowMs: number): void {
-    const { request } = waiting;
-    const engine = this.#selector.best(request, index, nowMs);
-    if (request.adapter === undefined) {
-      waiting.obstacle = 'no-engine';
-      if (engine !== undefined) this.#grant(waiting, engine, undefined, nowMs);
-      else if (this.#waitsForRateLimit(request, index)) waiting.obstacle = 'rate-limit';
-      return;
-    }
-    const slot = engine?.slots.get(adapterKey(request.model, request.adapter));
-    const backlogMs = engine === undefined ? Infinity : startDelayMs(engine, nowMs);
-    // A copy of the adapter on a second engine takes a slot from another adapter. It is made just to save time only
-    // while enough slots are idle.
-    const hasSpare = index.spareShare >= SPARE_SHARE || this.#options.disabled.has('spare-copies');
-    const copyAfterShare = hasSpare ? SHORT_BACKLOG_SHARE : LONG_BACKLOG_SHARE;
-    const copyAfterMs = Math.min(request.objectiveMs * copyAfterShare, this.#maxBacklogMs(waiting, nowMs));
-    const isShortBacklog = backlogMs <= copyAfterMs;
-    if (engine !== undefined && isShortBacklog && !isCrowded(engine)) {
-      this.#grant(waiting, engine, slot, nowMs);
-      return;
-    }
-    if (this.#selector.isLoading(request, index)) waiting.obstacle = 'loading';
-    else waiting.obstacle = this.#loads.start(waiting, index, backlogMs);
-    if (engine === undefined) {
-      if (this.#waitsForRateLimit(request, index) && waiting.obstacle !== 'loading')
-        waiting.obstacle = 'rate-limit';
-      return;
-    }
-    if (backlogMs <= this.#maxBacklogMs(waiting, nowMs)) {
-      this.#grant(waiting, engine, slot, nowMs);
-      return;
-    }
-    if (waiting.obstacle !== 'loading') waiting.obstacle = 'backlog';
-    this.#scheduleRetry();
-  }
-
-  /**
-   * Whether an engine that could run the request has reached its rate limit. If so, schedules another attempt, since no
-   * event tells when the limit allows a request again.
-   */
-  #waitsForRateLimit(request: SlotRequest, index: PoolIndex): boolean {
-    const isRateLimited = this.#selector.isRateLimited(request, index);
-    if (isRateLimited) this.#scheduleRetry();
-    return isRateLimited;
-  }
-
-  /** Longest backlog of an engine with which a request is still sent there. */
-  #maxBacklogMs({ request, arrivedMs }: WaitingRequest, nowMs: number): number {
-    const leftMs = this.#waiting.latestStartAgeMs(request) - (nowMs - arrivedMs);
-    const lateLimitMs = request.objectiveMs * LATE_BACKLOG_SHARE;
-    return Math.max(lateLimitMs, Math.min(leftMs, request.objectiveMs * LONG_BACKLOG_SHARE));
-  }
-
-  /** Schedules a placement run without an event: no event tells that a backlog shrank or a rate limit allows more. */
-  #scheduleRetry(): void {
-    if (this.#isRetryScheduled) return;
-    this.#isRetryScheduled = true;
-    this.#after(BACKLOG_POLL_MS, () => {
-      this.#isRetryScheduled = false;
-      this.#placeAll();
-    });
-  }
-
-  #grant(waiting: WaitingRequest, engine: EngineEntry, slot: AdapterSlot | undefined, nowMs: number): void {
+  #grant(waiting: WaitingRequest, choice: EngineChoice, slot: AdapterSlot | undefined, nowMs: number): void {
     const { request } = waiting;
+    const { entry: engine, terms, costMs } = choice;
     this.#waiting.granted(request.id, nowMs);
     const { id, address } = engine.slots.backend;
     const aheadMs = engine.slots.backlog.remainingMs(nowMs);
@@ -417,12 +369,14 @@
       engine: id,
       aheadMs: Math.round(aheadMs),
       running: engine.slots.running,
+      costMs: Math.round(costMs),
+      costTerm: largestTerm(terms),
     });
     engine.slots.backlog.add(request.id, request.promptTokens, nowMs);
-    this.#uses.begin(request.id, engine, slot);
+    this.#uses.begin(request.id, engine, slot, request);
     this.#releaseAfterTimeout(request.id, request.timeoutMs - request.ageMs);
     engine.rate.take();
-    waiting.decide({ kind: 'granted', requestId: request.id, backendId: id, address, ...rateOf(engine) });
+    waiting.decide({ kind: 'granted', requestId: request.id, backendId: id, address, ...engine.rate.stated });
   }
 
   /** Releases a granted request some time after its timeout, so that a node that disappeared does not keep its slots. */
@@ -467,9 +421,3 @@
     this.#timers.add(timer);
   }
 }
-
-/** The engine's rate limit as stated in a grant: null if a former limit has ended, absent if there never was one. */
-function rateOf({ rate }: EngineEntry): { ratePerSecond?: number | null } {
-  if (rate.rule !== undefined) return { ratePerSecond: rate.rule.ratePerSecond };
-  return rate.hasEnded ? { ratePerSecond: null } : {};
-}
