Leaders of plain backends read no store and stay in the directory

Plain backends have no adapters to know of and no leases to observe, and requests for them are sent without a leader when one is lost.

Change: only pools of engines count for both, and nobody observes a plain pool.

--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -116,10 +116,25 @@
     return false;
   }
 
-  /** Ids of the nodes that lead pools, as far as this node knows. */
+  /** Whether this node leads or observes a pool of engines, for which it has to know their adapters. */
+  get hasEngineRole(): boolean {
+    for (const { engines } of this.#pools.values()) if (engines !== undefined) return true;
+    return false;
+  }
+
+  /**
+   * Ids of the nodes that lead pools of engines, as far as this node knows. Losing one stalls all loads of its
+   * pool, whereas requests for plain backends are sent without a leader.
+   */
   leaders(): ReadonlySet<string> {
-    const leaders = [...this.#pools.values()].map(({ leadership }) => leadership.leader);
-    return new Set(leaders.filter((leader) => leader !== undefined));
+    const leaders = new Set<string>();
+    for (const [name, { leadership }] of this.#pools)
+      if (leadership.leader !== undefined && this.#hasEngines(name)) leaders.add(leadership.leader);
+    return leaders;
+  }
+
+  #hasEngines(service: string): boolean {
+    return this.#options.fleet.routes?.service(service)?.engine !== undefined;
   }
 
   /** Statistics of the pools that this node leads. */
@@ -232,7 +247,8 @@
   #updateRole(entry: PoolEntry, name: string): void {
     const leads = entry.leadership.isLeader;
     if (entry.leading && !leads) this.#endRole(entry);
-    const observes = leads || this.#observes(name);
+    // A pool of plain backends has no leases to observe in advance.
+    const observes = leads || (this.#hasEngines(name) && this.#observes(name));
     if (!observes) {
       if (entry.pool !== undefined) this.#endRole(entry);
       return;
@@ -271,7 +287,7 @@
   }
 
   #newPool(name: string, entry: PoolEntry): GrantingPool {
-    if (this.#options.fleet.routes?.service(name)?.engine === undefined) return this.#newBackendPool(name);
+    if (!this.#hasEngines(name)) return this.#newBackendPool(name);
     entry.engines = this.#newEnginePool(name, entry);
     return entry.engines;
   }
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -152,7 +152,7 @@
       fleet,
       cluster: this.#cluster,
       network: this.#network,
-      needsWholeState: () => this.#slots.hasPoolRole,
+      needsWholeState: () => this.#slots.hasEngineRole,
     });
     const backoffs = new BackendBackoffs(clock);
     const rateLimits = new BackendRateLimits({ clock, admit: (id) => this.#backendRates.admit(id, 1) });
