Uses of an adapter count from the sending of the request that ran

A request that missed reset the time of the first use of its adapter. If one that was sent with it ran, its use was dated to time 0: the age became the negative uptime of the node. The estimate of fetches fell to 4 ms, later loads were tried after 5 to 9 ms, and the window of fetches did not grow any more, since its shortest fetch was negative. A group has several requests and engines may finish the load between their arrivals, so this is to be expected.

The use is now dated by the request that ran; the time of the first use is not kept any more. The test failed before: the estimate was 4 ms, and with that assertion taken out the window stayed at 12. Tests set the removed field only to pass that time, which is now an argument; their assertions are unchanged.

--- a/packages/slots/src/adapter-loader.ts
+++ b/packages/slots/src/adapter-loader.ts
@@ -169,8 +169,11 @@
     return false;
   }
 
-  /** Called when a request ran on the adapter, which shows that it was loaded in time. */
-  recordServed(slot: AdapterSlot): void {
+  /**
+   * Called when a request ran on the adapter, which shows that it was loaded in time.
+   * @param sentMs when the request was sent
+   */
+  recordServed(slot: AdapterSlot, sentMs: number): void {
     slot.confirmed = true;
     if (slot.orderedMs === 0) return;
     const progress = this.#progress.get(slot);
@@ -179,7 +182,7 @@
       slot.orderedMs = 0;
       return;
     }
-    const use = progress?.useAt(slot.firstUsedMs) ?? useSinceOrder(slot);
+    const use = progress?.useAt(sentMs) ?? useSinceOrder(slot, sentMs);
     if (!slot.warm) this.#fetchWindow.recordArrival(use.ageMs, this.#options.fetchesInProgress());
     if (slot.warm && use.ageMs < this.coldLoadMs * QUICK_SHARE) this.#recordInMemory(progress, true);
     if (slot.warm && progress !== undefined && progress.misses > 0) {
@@ -209,8 +212,6 @@
       return;
     }
     slot.state = 'loading';
-    // The next use counts as the first one after the load.
-    slot.firstUsedMs = 0;
     if (progress !== undefined) this.#awaitLate(entry, slot, progress, sentMs);
     else this.#awaitUnknown(entry, slot);
   }
@@ -260,9 +261,9 @@
       this.#options.after(Math.max(leftMs, RETRY_PRESENCE_MS), () => this.#markLoaded(slot));
       return;
     }
-    const use = { ...useSinceOrder(slot), load: `${entry.slots.backend.id}/${slot.key}` };
+    const use = { ...useSinceOrder(slot, nowMs), load: `${entry.slots.backend.id}/${slot.key}` };
     this.#coldEstimate.recordTooEarly(use);
-    this.#fetchWindow.recordMissing(use.load, nowMs - slot.orderedMs, this.#options.fetchesInProgress());
+    this.#fetchWindow.recordMissing(use.load, use.ageMs, this.#options.fetchesInProgress());
     this.#options.after(RETRY_PRESENCE_MS, () => this.#markLoaded(slot));
   }
 
@@ -333,7 +334,7 @@
   }
 }
 
-/** The first use of an adapter, with its age counted from the sending of the order. */
-function useSinceOrder(slot: AdapterSlot): LoadUse {
-  return { load: slot.key, acceptedMs: slot.orderedMs, ageMs: slot.firstUsedMs - slot.orderedMs };
+/** A use of an adapter by a request sent at this time, with its age counted from the sending of the order. */
+function useSinceOrder(slot: AdapterSlot, sentMs: number): LoadUse {
+  return { load: slot.key, acceptedMs: slot.orderedMs, ageMs: sentMs - slot.orderedMs };
 }
--- a/packages/slots/src/engine-slots.ts
+++ b/packages/slots/src/engine-slots.ts
@@ -18,8 +18,6 @@
   lastUsedMs: number;
   /** When its load was ordered; 0 if it was found loaded or the load's duration has been learnt from. */
   orderedMs: number;
-  /** When a request was first sent to use it after that; 0 if none was. */
-  firstUsedMs: number;
   /**
    * Whether a request ran on it or a report showed it as loaded. Until then it may still be loading, and engines may not
    * count orders for an adapter that is.
@@ -102,7 +100,6 @@
       users: 0,
       lastUsedMs: nowMs,
       orderedMs: nowMs,
-      firstUsedMs: 0,
       confirmed: false,
       warm,
       outdatedSinceMs: 0,
--- a/packages/slots/src/engine-uses.ts
+++ b/packages/slots/src/engine-uses.ts
@@ -43,7 +43,6 @@
     if (slot === undefined) return;
     slot.users += 1;
     slot.lastUsedMs = nowMs;
-    if (slot.firstUsedMs === 0) slot.firstUsedMs = nowMs;
     this.#memory.record(engineId, slot.key);
   }
 
--- a/packages/slots/src/load-time.ts
+++ b/packages/slots/src/load-time.ts
@@ -1,4 +1,4 @@
-/** A load whose adapter was used, as seen from the first request that was sent to use it. */
+/** A load whose adapter was used, as seen from a request that was sent to use it. */
 export interface LoadUse {
   /** Identifies the load, so that one that is found missing repeatedly counts once. */
   readonly load: string;
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -250,7 +250,7 @@
     const entry = use === undefined ? undefined : this.#engines.get(use.engineId);
     if (use === undefined || entry === undefined) return;
     entry.slots.backlog.recordProcessed(requestId, this.#options.clock.now());
-    if (use.slot !== undefined) this.#adapters.recordServed(use.slot);
+    if (use.slot !== undefined) this.#adapters.recordServed(use.slot, use.beganMs);
     this.schedule();
   }
 
@@ -275,7 +275,7 @@
     if (outcome === 'not-present') this.#handleMissing(entry, slot, beganMs);
     else if (outcome === 'failed' || outcome === 'refused') {
       entry.slots.avoidUntilMs = nowMs + AVOID_AFTER_FAILURE_MS;
-    } else if (outcome === 'served' && slot !== undefined) this.#adapters.recordServed(slot);
+    } else if (outcome === 'served' && slot !== undefined) this.#adapters.recordServed(slot, beganMs);
   }
 
   /** Schedules a placement run for all waiting requests. Calls in quick succession share one run. */
--- a/packages/slots/test/adapter-loader.test.ts
+++ b/packages/slots/test/adapter-loader.test.ts
@@ -17,6 +17,7 @@
 function newLoader(
   clock: VirtualClock,
   disabled: readonly Mechanism[] = [],
+  fetchesInProgress = 1,
 ): { loader: AdapterLoader; entry: EngineEntry } {
   const loader = new AdapterLoader({
     clock,
@@ -31,7 +32,7 @@
     adapterVersion: () => 1,
     after: (delayMs, action) => void clock.setTimer(delayMs, action),
     onChange: () => undefined,
-    fetchesInProgress: () => 1,
+    fetchesInProgress: () => fetchesInProgress,
     telemetry: new Telemetry({ processName: 'test', clock }),
     disabled: new Set(disabled),
   });
@@ -62,7 +63,6 @@
   const slot = entry.slots.get(adapterKey(MODEL, adapter));
   if (slot === undefined) throw new Error('no slot was reserved');
   await runUntilMarked(clock, slot);
-  slot.firstUsedMs = clock.now();
   return slot;
 }
 
@@ -84,6 +84,30 @@
   t.is(slot.state, 'loaded');
 });
 
+// One request of a group missed, another one that was sent with it ran: its use was dated to time 0, which made loads seem to
+// take less than no time, so that all later ones were tried at once and the window of fetches stayed at its minimum.
+test('a request that runs after one sent with it found the adapter missing counts from when it was sent', async (t) => {
+  const clock = new VirtualClock();
+  const { loader, entry } = newLoader(clock, [], 12);
+  await clock.runUntil(60_000);
+  const slot = await loadUntilMarked(clock, loader, entry, 'a');
+  const sentMs = clock.now();
+  await clock.runUntil(sentMs + 5);
+  loader.handleMissing(entry, slot, sentMs);
+  await clock.runUntil(sentMs + 30);
+  loader.recordServed(slot, sentMs);
+  t.true(loader.coldLoadMs > 200, `estimate ${loader.coldLoadMs} ms`);
+  const window = loader.fetchWindow;
+  for (const adapter of ['b', 'c', 'd']) {
+    const startedMs = clock.now();
+    const later = await loadUntilMarked(clock, loader, entry, adapter);
+    t.true(clock.now() - startedMs > 200, `tried after ${clock.now() - startedMs} ms`);
+    loader.recordServed(later, clock.now());
+    entry.slots.removeIfSame(later);
+  }
+  t.true(loader.fetchWindow > window, `window ${loader.fetchWindow}, before ${window}`);
+});
+
 // A report marked all loading adapters as loaded after a fixed time, also those whose load had just been accepted.
 test('a report does not make a load of this node count as done early', async (t) => {
   const clock = new VirtualClock();
@@ -135,7 +159,7 @@
   const clock = new VirtualClock();
   const { loader, entry } = newLoader(clock);
   const slot = await loadUntilMarked(clock, loader, entry, 'a');
-  loader.recordServed(slot);
+  loader.recordServed(slot, clock.now());
   const before = loader.coldLoadMs;
   loader.handleMissing(entry, slot, clock.now());
   t.is(slot.state, 'unloading');
--- a/packages/slots/test/simulated-loads.ts
+++ b/packages/slots/test/simulated-loads.ts
@@ -229,8 +229,7 @@
   #send(load: Load): void {
     load.isSent = true;
     const sentMs = this.#clock.now();
-    const { slot, entry } = load;
-    if (slot.firstUsedMs === 0) slot.firstUsedMs = sentMs;
+    const { entry } = load;
     this.#clock.setTimer(2 + this.#random.integer(4), () => {
       const present = load.endedMs !== undefined;
       const nowMs = this.#clock.now();
@@ -243,7 +242,7 @@
         warm: !load.isFetch,
       });
       load.earlier += 1;
-      if (present) this.#clock.setTimer(PREFILL_MS, () => this.#finish(load));
+      if (present) this.#clock.setTimer(PREFILL_MS, () => this.#finish(load, sentMs));
       else this.#clock.setTimer(2 + this.#random.integer(4), () => this.#miss(entry, load, sentMs));
     });
   }
@@ -253,8 +252,8 @@
     this.#loader.handleMissing(entry, load.slot, sentMs);
   }
 
-  #finish(load: Load): void {
-    this.#loader.recordServed(load.slot);
+  #finish(load: Load, sentMs: number): void {
+    this.#loader.recordServed(load.slot, sentMs);
     load.entry.slots.removeIfSame(load.slot);
     this.#loads.delete(load.slot.key);
   }
