A use before the answer to the order of its load is not learnt from

A report may show a load as in progress, and a request run on it, before the order is answered. Its age since the answer was negative, so the estimate of all fetches fell to 4 ms and the shortest time and the window's baseline became negative. Such a use is ignored now, as it is if no answer was received.

--- a/packages/slots/src/adapter-loader.ts
+++ b/packages/slots/src/adapter-loader.ts
@@ -178,7 +178,8 @@
     if (slot.orderedMs === 0) return;
     const progress = this.#progress.get(slot);
     this.#progress.delete(slot);
-    if (this.#usesBounds && progress === undefined) {
+    const isAfterAcceptance = progress !== undefined && sentMs > progress.acceptedMs;
+    if (this.#usesBounds && !isAfterAcceptance) {
       slot.orderedMs = 0;
       return;
     }
--- a/packages/slots/test/adapter-loader.test.ts
+++ b/packages/slots/test/adapter-loader.test.ts
@@ -13,11 +13,12 @@
 import { DEFAULT_SLOT_TIMING } from '../src/timing.js';
 import { LEASE_MS, MODEL, PROFILE, SimulatedEngine } from './simulated-engines.js';
 
-/** A loader whose orders are all accepted after 4 ms, and one engine. */
+/** A loader whose orders are all accepted after the given time, and one engine. */
 function newLoader(
   clock: VirtualClock,
   disabled: readonly Mechanism[] = [],
   fetchesInProgress = 1,
+  answerMs = 4,
 ): { loader: AdapterLoader; entry: EngineEntry } {
   const loader = new AdapterLoader({
     clock,
@@ -38,7 +39,7 @@
   });
   const lease = {
     order: async () => {
-      await clock.sleep(4);
+      await clock.sleep(answerMs);
       return { kind: 'accepted' };
     },
     settle: () => undefined,
@@ -108,6 +109,24 @@
   t.true(loader.fetchWindow > window, `window ${loader.fetchWindow}, before ${window}`);
 });
 
+// The answer to an order came later than a report of its load and a request that ran on it, so that its age was negative.
+test('a request sent before the order of its load was answered says nothing about the time of loads', async (t) => {
+  const clock = new VirtualClock();
+  const { loader, entry } = newLoader(clock, [], 1, 400);
+  await clock.runUntil(1000);
+  void loader.load(entry, { slots: entry.slots, victim: undefined, warm: false }, MODEL, 'a');
+  await clock.runUntil(1010);
+  loader.awaitPending(entry.slots);
+  const slot = entry.slots.get(adapterKey(MODEL, 'a'));
+  if (slot === undefined) return t.fail('no slot was reserved');
+  await runUntilMarked(clock, slot);
+  const sentMs = clock.now();
+  await clock.runUntil(1410);
+  const before = loader.coldLoadMs;
+  loader.recordServed(slot, sentMs);
+  t.is(loader.coldLoadMs, before);
+});
+
 // A report marked all loading adapters as loaded after a fixed time, also those whose load had just been accepted.
 test('a report does not make a load of this node count as done early', async (t) => {
   const clock = new VirtualClock();
