A late miss does not count an adapter as lost that a later request ran on

A request whose miss was reported after another one had run on the adapter found no load in progress, so the adapter counted as lost: it was unusable, and orders to its engine were held back, until a report. A miss is ignored now if a request sent later has run.

--- a/packages/slots/src/adapter-loader.ts
+++ b/packages/slots/src/adapter-loader.ts
@@ -56,6 +56,8 @@
   readonly #progress = new WeakMap<AdapterSlot, LoadProgress>();
   /** When each loading adapter is next considered loaded. An earlier timer of the same adapter does nothing. */
   readonly #dueMs = new WeakMap<AdapterSlot, number>();
+  /** When the last request that ran on each adapter was sent. An earlier one that misses says nothing about now. */
+  readonly #ranSentMs = new WeakMap<AdapterSlot, number>();
 
   constructor(options: AdapterLoaderOptions) {
     this.#options = options;
@@ -175,6 +177,7 @@
    */
   recordServed(slot: AdapterSlot, sentMs: number): void {
     slot.confirmed = true;
+    this.#ranSentMs.set(slot, Math.max(this.#ranSentMs.get(slot) ?? -Infinity, sentMs));
     if (slot.orderedMs === 0) return;
     const progress = this.#progress.get(slot);
     this.#progress.delete(slot);
@@ -201,6 +204,7 @@
   handleMissing(entry: EngineEntry, slot: AdapterSlot, sentMs: number): void {
     const nowMs = this.#options.clock.now();
     if (entry.slots.get(slot.key) !== slot || slot.state !== 'loaded') return;
+    if (sentMs < (this.#ranSentMs.get(slot) ?? -Infinity)) return;
     const progress = this.#progress.get(slot);
     // Requests that were sent together fail together, also if one of them reports that late.
     if (progress !== undefined && sentMs < progress.markedMs) return;
--- a/packages/slots/test/adapter-loader.test.ts
+++ b/packages/slots/test/adapter-loader.test.ts
@@ -109,6 +109,21 @@
   t.true(loader.fetchWindow > window, `window ${loader.fetchWindow}, before ${window}`);
 });
 
+// The late report of a miss made an adapter count as lost that had been used since, and held back orders to its engine.
+test('a miss of a request sent before one that ran on the adapter is ignored', async (t) => {
+  const clock = new VirtualClock();
+  const { loader, entry } = newLoader(clock);
+  const slot = await loadUntilMarked(clock, loader, entry, 'a');
+  const sentMs = clock.now();
+  await clock.runUntil(sentMs + 60);
+  loader.recordServed(slot, sentMs + 1);
+  loader.handleMissing(entry, slot, sentMs);
+  t.is(slot.state, 'loaded');
+  await clock.runUntil(sentMs + 100);
+  loader.handleMissing(entry, slot, sentMs + 80);
+  t.is(slot.state, 'unloading');
+});
+
 // The answer to an order came later than a report of its load and a request that ran on it, so that its age was negative.
 test('a request sent before the order of its load was answered says nothing about the time of loads', async (t) => {
   const clock = new VirtualClock();
