An adapter counts as loaded once a request ran on it

After a miss of one request of a group, the others that had run did not end the wait for the next try: new requests for the adapter were held back for 15 to 50% of the load's time although it was known to be there. The test failed before with the slot 'loading'.

--- a/packages/slots/src/adapter-loader.ts
+++ b/packages/slots/src/adapter-loader.ts
@@ -178,6 +178,7 @@
   recordServed(slot: AdapterSlot, sentMs: number): void {
     slot.confirmed = true;
     this.#ranSentMs.set(slot, Math.max(this.#ranSentMs.get(slot) ?? -Infinity, sentMs));
+    if (this.#usesBounds) this.#markLoaded(slot);
     if (slot.orderedMs === 0) return;
     const progress = this.#progress.get(slot);
     this.#progress.delete(slot);
--- a/packages/slots/test/adapter-loader.test.ts
+++ b/packages/slots/test/adapter-loader.test.ts
@@ -109,6 +109,18 @@
   t.true(loader.fetchWindow > window, `window ${loader.fetchWindow}, before ${window}`);
 });
 
+// After a miss of its group, an adapter that a request ran on was still held back until the time of the next try.
+test('an adapter counts as loaded once a request ran on it', async (t) => {
+  const clock = new VirtualClock();
+  const { loader, entry } = newLoader(clock);
+  const slot = await loadUntilMarked(clock, loader, entry, 'a');
+  const sentMs = clock.now();
+  await clock.runUntil(sentMs + 5);
+  loader.handleMissing(entry, slot, sentMs);
+  loader.recordServed(slot, sentMs + 1);
+  t.is(slot.state, 'loaded');
+});
+
 // The late report of a miss made an adapter count as lost that had been used since, and held back orders to its engine.
 test('a miss of a request sent before one that ran on the adapter is ignored', async (t) => {
   const clock = new VirtualClock();
