--- a/packages/slots/src/adapter-loader.ts
+++ b/packages/slots/src/adapter-loader.ts
@@ -36,6 +36,8 @@
 const MIN_RETRY_MS = 20;
 /** A load that took less than this fraction of a fetch was from host memory. */
 const QUICK_SHARE = 0.5;
+/** After this many loads in a row that seemed fetched against belief, loads from host memory may be slower than estimated. */
+const SLOW_AFTER_FETCHED = 4;
 /** An adapter that a report shows as loading is assumed loaded after this time. */
 const ADOPTED_ARRIVAL_MS = 150;
 /** An adapter that is missing this long after its load was ordered has been lost by the engine. */
@@ -56,6 +58,8 @@
   readonly #progress = new WeakMap<AdapterSlot, LoadProgress>();
   /** When each loading adapter is next considered loaded. An earlier timer of the same adapter does nothing. */
   readonly #dueMs = new WeakMap<AdapterSlot, number>();
+  /** Number of loads since the last quick one that were believed to be from host memory and seemed fetched. */
+  #fetchedInRow = 0;
   /** When the last request that ran on each adapter was sent. An earlier one that misses says nothing about now. */
   readonly #ranSentMs = new WeakMap<AdapterSlot, number>();
 
@@ -189,7 +193,10 @@
     }
     const use = progress?.useAt(sentMs) ?? useSinceOrder(slot, sentMs);
     if (!slot.warm) this.#fetchWindow.recordArrival(use.ageMs, this.#options.fetchesInProgress());
-    if (slot.warm && use.ageMs < this.coldLoadMs * QUICK_SHARE) this.#recordInMemory(progress, true);
+    if (slot.warm && this.#isQuick(use.ageMs)) {
+      this.#fetchedInRow = 0;
+      this.#recordInMemory(progress, true);
+    }
     if (slot.warm && progress !== undefined && progress.misses > 0) {
       // The second try was served, so it was a load from host memory that took longer than estimated.
       this.#warmEstimate.recordTooEarly({ ...use, ageMs: progress.missedAgeMs });
@@ -230,7 +237,8 @@
     this.#pilot.recordMiss(slot);
     let nextAgeMs = progress.nextTryAgeMs;
     let outcome = 'late-alone';
-    if (slot.warm && progress.misses > 1) {
+    if (slot.warm && progress.misses > 1 && !this.#mayBeSlow(nextAgeMs)) {
+      this.#fetchedInRow += 1;
       // It was not in the engine's host memory after all and is being fetched from the weight store.
       slot.warm = false;
       this.#recordInMemory(progress, false);
@@ -245,6 +253,15 @@
     this.#markLoadedAt(slot, Math.max(progress.acceptedMs + nextAgeMs, nowMs + MIN_RETRY_MS));
   }
 
+  #isQuick(ageMs: number): boolean {
+    return ageMs < this.coldLoadMs * QUICK_SHARE;
+  }
+
+  /** Whether a load that is tried next at this age may be from host memory although it was missing twice. */
+  #mayBeSlow(nextAgeMs: number): boolean {
+    return this.#fetchedInRow >= SLOW_AFTER_FETCHED && this.#isQuick(nextAgeMs);
+  }
+
   /** Records whether the adapter of a load that was believed to be from host memory was there. */
   #recordInMemory(progress: LoadProgress | undefined, warm: boolean): void {
     if (progress?.memoryDepth === undefined) return;
--- a/packages/slots/test/adapter-loads.test.ts
+++ b/packages/slots/test/adapter-loads.test.ts
@@ -63,6 +63,13 @@
     t.true(meanBeyondMs(warm) <= MAX_BEYOND_MS, `waited ${meanBeyondMs(warm)} ms beyond the load`);
   });
 
+  // Loads from host memory that took over twice the assumed time were taken for fetches, each one anew.
+  test(`loads from host memory that take longer than assumed are learnt, seed ${seed}`, async (t) => {
+    const attempts = await run({ seed, warmShare: 0.5, loadMs: () => 1000, fullSpeedFetches: 400 });
+    const warm = between(attempts, 10_000, Infinity).filter((attempt) => attempt.warm);
+    t.true(missedShare(warm) <= 2 * MAX_MISSED_SHARE, `missed ${missedShare(warm)}`);
+  });
+
   // Each retry of a load that was late on its engine raised the estimate of all loads.
   test(`loads that are late on their engine do not delay the others, seed ${seed}`, async (t) => {
     const attempts = await run({ seed, lostShare: 0.01 });
