--- a/packages/slots/src/adapter-loader.ts
+++ b/packages/slots/src/adapter-loader.ts
@@ -36,6 +36,8 @@
 const MIN_RETRY_MS = 20;
 /** A load that took less than this fraction of a fetch was from host memory. */
 const QUICK_SHARE = 0.5;
+/** After this many loads in a row that seemed fetched against belief, loads from host memory may be slower than estimated. */
+const SLOW_AFTER_FETCHED = 4;
 /** An adapter that a report shows as loading is assumed loaded after this time. */
 const ADOPTED_ARRIVAL_MS = 150;
 /** An adapter that is missing this long after its load was ordered has been lost by the engine. */
@@ -56,6 +58,10 @@
   readonly #progress = new WeakMap<AdapterSlot, LoadProgress>();
   /** When each loading adapter is next considered loaded. An earlier timer of the same adapter does nothing. */
   readonly #dueMs = new WeakMap<AdapterSlot, number>();
+  /** Number of loads since the last quick one that were believed to be from host memory and seemed fetched. */
+  #fetchedInRow = 0;
+  /** When the last request that ran on each adapter was sent. An earlier one that misses says nothing about now. */
+  readonly #ranSentMs = new WeakMap<AdapterSlot, number>();
 
   constructor(options: AdapterLoaderOptions) {
     this.#options = options;
@@ -169,19 +175,28 @@
     return false;
   }
 
-  /** Called when a request ran on the adapter, which shows that it was loaded in time. */
-  recordServed(slot: AdapterSlot): void {
+  /**
+   * Called when a request ran on the adapter, which shows that it was loaded in time.
+   * @param sentMs when the request was sent
+   */
+  recordServed(slot: AdapterSlot, sentMs: number): void {
     slot.confirmed = true;
+    this.#ranSentMs.set(slot, Math.max(this.#ranSentMs.get(slot) ?? -Infinity, sentMs));
+    if (this.#usesBounds) this.#markLoaded(slot);
     if (slot.orderedMs === 0) return;
     const progress = this.#progress.get(slot);
     this.#progress.delete(slot);
-    if (this.#usesBounds && progress === undefined) {
+    const isAfterAcceptance = progress !== undefined && sentMs > progress.acceptedMs;
+    if (this.#usesBounds && !isAfterAcceptance) {
       slot.orderedMs = 0;
       return;
     }
-    const use = progress?.useAt(slot.firstUsedMs) ?? useSinceOrder(slot);
+    const use = progress?.useAt(sentMs) ?? useSinceOrder(slot, sentMs);
     if (!slot.warm) this.#fetchWindow.recordArrival(use.ageMs, this.#options.fetchesInProgress());
-    if (slot.warm && use.ageMs < this.coldLoadMs * QUICK_SHARE) this.#recordInMemory(progress, true);
+    if (slot.warm && this.#isQuick(use.ageMs)) {
+      this.#fetchedInRow = 0;
+      this.#recordInMemory(progress, true);
+    }
     if (slot.warm && progress !== undefined && progress.misses > 0) {
       // The second try was served, so it was a load from host memory that took longer than estimated.
       this.#warmEstimate.recordTooEarly({ ...use, ageMs: progress.missedAgeMs });
@@ -197,6 +212,7 @@
   handleMissing(entry: EngineEntry, slot: AdapterSlot, sentMs: number): void {
     const nowMs = this.#options.clock.now();
     if (entry.slots.get(slot.key) !== slot || slot.state !== 'loaded') return;
+    if (sentMs < (this.#ranSentMs.get(slot) ?? -Infinity)) return;
     const progress = this.#progress.get(slot);
     // Requests that were sent together fail together, also if one of them reports that late.
     if (progress !== undefined && sentMs < progress.markedMs) return;
@@ -209,8 +225,6 @@
       return;
     }
     slot.state = 'loading';
-    // The next use counts as the first one after the load.
-    slot.firstUsedMs = 0;
     if (progress !== undefined) this.#awaitLate(entry, slot, progress, sentMs);
     else this.#awaitUnknown(entry, slot);
   }
@@ -223,7 +237,8 @@
     this.#pilot.recordMiss(slot);
     let nextAgeMs = progress.nextTryAgeMs;
     let outcome = 'late-alone';
-    if (slot.warm && progress.misses > 1) {
+    if (slot.warm && progress.misses > 1 && !this.#mayBeSlow(nextAgeMs)) {
+      this.#fetchedInRow += 1;
       // It was not in the engine's host memory after all and is being fetched from the weight store.
       slot.warm = false;
       this.#recordInMemory(progress, false);
@@ -238,6 +253,15 @@
     this.#markLoadedAt(slot, Math.max(progress.acceptedMs + nextAgeMs, nowMs + MIN_RETRY_MS));
   }
 
+  #isQuick(ageMs: number): boolean {
+    return ageMs < this.coldLoadMs * QUICK_SHARE;
+  }
+
+  /** Whether a load that is tried next at this age may be from host memory although it was missing twice. */
+  #mayBeSlow(nextAgeMs: number): boolean {
+    return this.#fetchedInRow >= SLOW_AFTER_FETCHED && this.#isQuick(nextAgeMs);
+  }
+
   /** Records whether the adapter of a load that was believed to be from host memory was there. */
   #recordInMemory(progress: LoadProgress | undefined, warm: boolean): void {
     if (progress?.memoryDepth === undefined) return;
@@ -260,9 +284,9 @@
       this.#options.after(Math.max(leftMs, RETRY_PRESENCE_MS), () => this.#markLoaded(slot));
       return;
     }
-    const use = { ...useSinceOrder(slot), load: `${entry.slots.backend.id}/${slot.key}` };
+    const use = { ...useSinceOrder(slot, nowMs), load: `${entry.slots.backend.id}/${slot.key}` };
     this.#coldEstimate.recordTooEarly(use);
-    this.#fetchWindow.recordMissing(use.load, nowMs - slot.orderedMs, this.#options.fetchesInProgress());
+    this.#fetchWindow.recordMissing(use.load, use.ageMs, this.#options.fetchesInProgress());
     this.#options.after(RETRY_PRESENCE_MS, () => this.#markLoaded(slot));
   }
 
@@ -333,7 +357,7 @@
   }
 }
 
-/** The first use of an adapter, with its age counted from the sending of the order. */
-function useSinceOrder(slot: AdapterSlot): LoadUse {
-  return { load: slot.key, acceptedMs: slot.orderedMs, ageMs: slot.firstUsedMs - slot.orderedMs };
+/** A use of an adapter by a request sent at this time, with its age counted from the sending of the order. */
+function useSinceOrder(slot: AdapterSlot, sentMs: number): LoadUse {
+  return { load: slot.key, acceptedMs: slot.orderedMs, ageMs: sentMs - slot.orderedMs };
 }
--- a/packages/slots/test/adapter-loader.test.ts
+++ b/packages/slots/test/adapter-loader.test.ts
@@ -13,10 +13,12 @@
 import { DEFAULT_SLOT_TIMING } from '../src/timing.js';
 import { LEASE_MS, MODEL, PROFILE, SimulatedEngine } from './simulated-engines.js';
 
-/** A loader whose orders are all accepted after 4 ms, and one engine. */
+/** A loader whose orders are all accepted after the given time, and one engine. */
 function newLoader(
   clock: VirtualClock,
   disabled: readonly Mechanism[] = [],
+  fetchesInProgress = 1,
+  answerMs = 4,
 ): { loader: AdapterLoader; entry: EngineEntry } {
   const loader = new AdapterLoader({
     clock,
@@ -31,13 +33,13 @@
     adapterVersion: () => 1,
     after: (delayMs, action) => void clock.setTimer(delayMs, action),
     onChange: () => undefined,
-    fetchesInProgress: () => 1,
+    fetchesInProgress: () => fetchesInProgress,
     telemetry: new Telemetry({ processName: 'test', clock }),
     disabled: new Set(disabled),
   });
   const lease = {
     order: async () => {
-      await clock.sleep(4);
+      await clock.sleep(answerMs);
       return { kind: 'accepted' };
     },
     settle: () => undefined,
@@ -62,7 +64,6 @@
   const slot = entry.slots.get(adapterKey(MODEL, adapter));
   if (slot === undefined) throw new Error('no slot was reserved');
   await runUntilMarked(clock, slot);
-  slot.firstUsedMs = clock.now();
   return slot;
 }
 
@@ -84,6 +85,75 @@
   t.is(slot.state, 'loaded');
 });
 
+// One request of a group missed, another one that was sent with it ran: its use was dated to time 0, which made loads seem to
+// take less than no time, so that all later ones were tried at once and the window of fetches stayed at its minimum.
+test('a request that runs after one sent with it found the adapter missing counts from when it was sent', async (t) => {
+  const clock = new VirtualClock();
+  const { loader, entry } = newLoader(clock, [], 12);
+  await clock.runUntil(60_000);
+  const slot = await loadUntilMarked(clock, loader, entry, 'a');
+  const sentMs = clock.now();
+  await clock.runUntil(sentMs + 5);
+  loader.handleMissing(entry, slot, sentMs);
+  await clock.runUntil(sentMs + 30);
+  loader.recordServed(slot, sentMs);
+  t.true(loader.coldLoadMs > 200, `estimate ${loader.coldLoadMs} ms`);
+  const window = loader.fetchWindow;
+  for (const adapter of ['b', 'c', 'd']) {
+    const startedMs = clock.now();
+    const later = await loadUntilMarked(clock, loader, entry, adapter);
+    t.true(clock.now() - startedMs > 200, `tried after ${clock.now() - startedMs} ms`);
+    loader.recordServed(later, clock.now());
+    entry.slots.removeIfSame(later);
+  }
+  t.true(loader.fetchWindow > window, `window ${loader.fetchWindow}, before ${window}`);
+});
+
+// After a miss of its group, an adapter that a request ran on was still held back until the time of the next try.
+test('an adapter counts as loaded once a request ran on it', async (t) => {
+  const clock = new VirtualClock();
+  const { loader, entry } = newLoader(clock);
+  const slot = await loadUntilMarked(clock, loader, entry, 'a');
+  const sentMs = clock.now();
+  await clock.runUntil(sentMs + 5);
+  loader.handleMissing(entry, slot, sentMs);
+  loader.recordServed(slot, sentMs + 1);
+  t.is(slot.state, 'loaded');
+});
+
+// The late report of a miss made an adapter count as lost that had been used since, and held back orders to its engine.
+test('a miss of a request sent before one that ran on the adapter is ignored', async (t) => {
+  const clock = new VirtualClock();
+  const { loader, entry } = newLoader(clock);
+  const slot = await loadUntilMarked(clock, loader, entry, 'a');
+  const sentMs = clock.now();
+  await clock.runUntil(sentMs + 60);
+  loader.recordServed(slot, sentMs + 1);
+  loader.handleMissing(entry, slot, sentMs);
+  t.is(slot.state, 'loaded');
+  await clock.runUntil(sentMs + 100);
+  loader.handleMissing(entry, slot, sentMs + 80);
+  t.is(slot.state, 'unloading');
+});
+
+// The answer to an order came later than a report of its load and a request that ran on it, so that its age was negative.
+test('a request sent before the order of its load was answered says nothing about the time of loads', async (t) => {
+  const clock = new VirtualClock();
+  const { loader, entry } = newLoader(clock, [], 1, 400);
+  await clock.runUntil(1000);
+  void loader.load(entry, { slots: entry.slots, victim: undefined, warm: false }, MODEL, 'a');
+  await clock.runUntil(1010);
+  loader.awaitPending(entry.slots);
+  const slot = entry.slots.get(adapterKey(MODEL, 'a'));
+  if (slot === undefined) return t.fail('no slot was reserved');
+  await runUntilMarked(clock, slot);
+  const sentMs = clock.now();
+  await clock.runUntil(1410);
+  const before = loader.coldLoadMs;
+  loader.recordServed(slot, sentMs);
+  t.is(loader.coldLoadMs, before);
+});
+
 // A report marked all loading adapters as loaded after a fixed time, also those whose load had just been accepted.
 test('a report does not make a load of this node count as done early', async (t) => {
   const clock = new VirtualClock();
@@ -135,7 +205,7 @@
   const clock = new VirtualClock();
   const { loader, entry } = newLoader(clock);
   const slot = await loadUntilMarked(clock, loader, entry, 'a');
-  loader.recordServed(slot);
+  loader.recordServed(slot, clock.now());
   const before = loader.coldLoadMs;
   loader.handleMissing(entry, slot, clock.now());
   t.is(slot.state, 'unloading');
