A copy of an adapter that only spares streams a pause is loaded from host memory, never fetched

Cause: where prompts are long against the objective for pauses, each request made a copy of its adapter as long as slots were spare, and pauses counted for what a load may cost.

Change: pauses count only for loads from host memory. slots tests: 176 passed.

--- a/packages/slots/src/load-starter.ts
+++ b/packages/slots/src/load-starter.ts
@@ -16,6 +16,13 @@
 /** If at least this fraction of all adapter slots is spare, using one takes no slot from other requests. */
 export const SPARE_SHARE = 0.25;
 
+/**
+ * Why an adapter is loaded on one more engine. `start-sooner`: requests for it would wait too long otherwise.
+ * `spare-streams`: a prompt would pause streams of the engines that have it. That never justifies a fetch: the weight store
+ * serves the requests that wait for their adapter.
+ */
+export type LoadPurpose = 'start-sooner' | 'spare-streams';
+
 export interface LoadStarterOptions {
   readonly clock: Clock;
   readonly engines: EngineRegistry;
@@ -42,7 +49,7 @@
    * Orders the load of a request's adapter if possible. Returns what the request waits for now.
    * @param maxCostMs cost of the best engine that has the adapter; a load must cost less than that
    */
-  start(waiting: WaitingRequest, index: PoolIndex, maxCostMs: number): WaitObstacle {
+  start(waiting: WaitingRequest, index: PoolIndex, maxCostMs: number, purpose: LoadPurpose): WaitObstacle {
     const { engines, adapters, memory, adapterPopularity: popularity, costs } = this.#options;
     const { model, adapter } = waiting.request;
     if (adapter === undefined || index.loadTargets.length === 0) return 'no-room';
@@ -50,7 +57,8 @@
       index.loadTargets.filter((entry) => this.#isCandidate(entry, waiting.request) && canLoadMore(entry)),
     );
     if (candidates.length === 0) return 'no-room';
-    const loadRequest = this.#describeLoad(waiting, adapterKey(model, adapter), index, maxCostMs);
+    const described = this.#describeLoad(waiting, adapterKey(model, adapter), index, maxCostMs);
+    const loadRequest = { ...described, mayFetch: described.mayFetch && purpose === 'start-sooner' };
     const placement = placeLoad(
       candidates.map((entry) => entry.slots),
       loadRequest,
--- a/packages/slots/src/request-placement.ts
+++ b/packages/slots/src/request-placement.ts
@@ -2,7 +2,7 @@
 import { delaysStreams, expectedPauseMs } from './engine-cost.js';
 import { isCrowded, startDelayMs, type EngineChoice, type EngineSelector } from './engine-selector.js';
 import type { AdapterSlot } from './engine-slots.js';
-import { SPARE_SHARE, type LoadStarter } from './load-starter.js';
+import { SPARE_SHARE, type LoadPurpose, type LoadStarter } from './load-starter.js';
 import type { DisabledMechanisms } from './mechanisms.js';
 import type { PoolIndex } from './pool-index.js';
 import type { SlotRequest } from './slot-request.js';
@@ -74,7 +74,10 @@
     }
     if (selector.isLoading(request, index)) waiting.obstacle = 'loading';
     else if (isNear && !hasSpare) waiting.obstacle = 'backlog';
-    else waiting.obstacle = loads.start(waiting, index, maxLoadCostMs(choice, backlogMs, hasSpare));
+    else {
+      const purpose = isNear ? 'spare-streams' : 'start-sooner';
+      waiting.obstacle = loads.start(waiting, index, maxLoadCostMs(choice, backlogMs, purpose), purpose);
+    }
     if (choice === undefined) {
       if (this.#waitsForRateLimit(request, index) && waiting.obstacle !== 'loading')
         waiting.obstacle = 'rate-limit';
@@ -129,12 +132,9 @@
   return expectedPauseMs({ ...inputs, backlogMs: 0 }) <= inputs.shortestGapMs;
 }
 
-/**
- * What a load may cost: less than the best engine that has the adapter, or anything if none can take the request.
- * @param hasSpare whether enough slots are spare that the pauses of streams count
- */
-function maxLoadCostMs(choice: EngineChoice | undefined, backlogMs: number, hasSpare: boolean): number {
+/** What a load may cost: less than the best engine that has the adapter, or anything if none can take the request. */
+function maxLoadCostMs(choice: EngineChoice | undefined, backlogMs: number, purpose: LoadPurpose): number {
   if (choice === undefined || backlogMs === Infinity) return Infinity;
   const { first, end, pauses } = choice.terms;
-  return first + end + (hasSpare ? pauses : 0);
+  return first + end + (purpose === 'spare-streams' ? pauses : 0);
 }
