Observing an engine starts when its first report is answered, not when it is asked for

A report may take 500 ms, and shows the engine's state of any time up to its answer. The lease was counted from the time of asking, so an order that the answer already showed was up to 0.45 s younger than the wait assumed: the next holder ordered 2,771 ms after it instead of 3,000 ms at the least. Both places are changed: the first sight of a count while observing, and a foreign order that a holder notices. The report that ends the wait keeps its time of asking.

No existing test had to change.

--- a/packages/slots/src/order-lease.ts
+++ b/packages/slots/src/order-lease.ts
@@ -65,8 +65,9 @@
 
 /**
  * `observing`: another node may be the holder, so reports are read until `count` has not changed for a lease since
- * `sinceMs`. `held`: this node is the holder. `settling`: this node is the holder but does not know the engine's state for
- * certain, for example after an unanswered order, so it reads a report before its next order. `closed`: final.
+ * `sinceMs`, when the first report with it was answered. `held`: this node is the holder. `settling`: this node is the
+ * holder but does not know the engine's state for certain, for example after an unanswered order, so it reads a report
+ * before its next order. `closed`: final.
  */
 type LeaseState =
   | { readonly kind: 'observing'; readonly count: number | undefined; readonly sinceMs: number }
@@ -214,8 +215,7 @@
    * a report, the state is unknown and has to settle.
    */
   async #verifyHeld(held: LeaseState & { kind: 'held' }): Promise<void> {
-    const { clock, fleetClock, control, backend } = this.#options;
-    const askedMs = clock.now();
+    const { fleetClock, control, backend } = this.#options;
     const askedFleetMs = fleetClock.now();
     const report = await control.report(backend);
     if (this.#state !== held) return;
@@ -224,16 +224,17 @@
     } else if (report.orderCount === held.nextCount) {
       this.#exclusiveUntilMs = askedFleetMs + REPORT_VALID_MS;
     } else {
-      this.#handleForeignOrders(report.orderCount, askedMs, String(held.nextCount));
+      this.#handleForeignOrders(report.orderCount, String(held.nextCount));
     }
   }
 
-  #handleForeignOrders(count: number, askedMs: number, expected: string): void {
+  /** Call it as soon as the report has been answered. */
+  #handleForeignOrders(count: number, expected: string): void {
     // Once this node has ordered, further counts come from another active holder. Before that, they may be the last
     // orders of the former holder.
     this.#isContested ||= this.#hasOrdered;
     this.#logLost(`count is ${count}, expected ${expected}`);
-    this.#enter({ kind: 'observing', count, sinceMs: askedMs });
+    this.#enter({ kind: 'observing', count, sinceMs: this.#options.clock.now() });
     this.#options.onForeignOrders();
   }
 
@@ -335,7 +336,8 @@
     }
     const unchanged = report.orderCount === state.count;
     if (!unchanged && state.count !== undefined) this.#options.onForeignOrders();
-    const sinceMs = unchanged ? state.sinceMs : askedMs;
+    // The engine may have taken its state at any time until the answer.
+    const sinceMs = unchanged ? state.sinceMs : clock.now();
     const leftMs = sinceMs + timing.leaseMs + timing.leaseMarginMs - askedMs;
     if (unchanged && leftMs <= 0 && mayOrder() && mayTakeAfterLease()) {
       this.#fencedOrders = 0;
@@ -356,7 +358,6 @@
       await this.#changed.waitUpTo(clock, leftMs);
       return;
     }
-    const askedMs = clock.now();
     const askedFleetMs = fleetClock.now();
     const report = await control.report(backend);
     if (this.#state !== state) return;
@@ -368,7 +369,7 @@
       this.#becomeHolder(report, askedFleetMs, 'settled');
       return;
     }
-    this.#handleForeignOrders(report.orderCount, askedMs, state.possibleCounts?.join(' or '));
+    this.#handleForeignOrders(report.orderCount, state.possibleCounts?.join(' or '));
   }
 
   /** @param how why this node may become holder, for the log */
