A lease that is reset while its report is judged is not taken up again

mayOrder() may find that the process was paused, and then resets all leases. An observation that asked it went on with what it had seen before and wrote it back, so after a pause of seconds the node took an engine without observing it for a lease, beside a holder that may have followed meanwhile. mayOrder() is now asked once for each report, and the observation ends if the state changed.

--- a/packages/slots/src/order-lease.ts
+++ b/packages/slots/src/order-lease.ts
@@ -326,11 +326,14 @@
       await this.#changed.waitUpTo(clock, timing.observePeriodMs);
       return;
     }
-    if (report.orderCount === 0 && mayOrder() && this.#options.mayTakeUnused()) {
+    // May reset this lease, if it finds that the process was paused.
+    const isAllowed = mayOrder();
+    if (this.#state !== state) return;
+    if (report.orderCount === 0 && isAllowed && this.#options.mayTakeUnused()) {
       this.#becomeHolder(report, askedFleetMs, 'unused');
       return;
     }
-    if (mayOrder() && !this.#isContested && this.#options.mayTakeAtOnce()) {
+    if (isAllowed && !this.#isContested && this.#options.mayTakeAtOnce()) {
       this.#becomeHolder(report, askedFleetMs, 'fenced-off');
       return;
     }
@@ -339,7 +342,7 @@
     // The engine may have taken its state at any time until the answer.
     const sinceMs = unchanged ? state.sinceMs : clock.now();
     const leftMs = sinceMs + timing.leaseMs + timing.leaseMarginMs - askedMs;
-    if (unchanged && leftMs <= 0 && mayOrder() && mayTakeAfterLease()) {
+    if (unchanged && leftMs <= 0 && isAllowed && mayTakeAfterLease()) {
       this.#fencedOrders = 0;
       this.#isContested = false;
       this.#becomeHolder(report, askedFleetMs, 'observed');
--- a/packages/slots/test/order-lease-answers.test.ts
+++ b/packages/slots/test/order-lease-answers.test.ts
@@ -98,3 +98,25 @@
   t.true(lease.held);
   t.true(clock.now() - orderedMs >= WHOLE_LEASE_MS, `${clock.now() - orderedMs}`);
 });
+
+// Guards against an observation that outlives the reset of its lease by a pause that mayOrder() finds.
+test('a pause that is found while a report is judged discards what was observed before', async (t) => {
+  const clock = new VirtualClock();
+  const engine = new SimulatedEngine(clock, 'e');
+  const pauseMs = 5000;
+  let hasPaused = false;
+  const lease: OrderLease = newLease(clock, engine, {
+    mayTakeAfterLease: () => clock.now() >= pauseMs,
+    mayOrder: () => {
+      if (hasPaused || clock.now() < pauseMs) return true;
+      hasPaused = true;
+      lease.reset('process was paused');
+      return false;
+    },
+  });
+  await clock.runUntil(pauseMs + WHOLE_LEASE_MS);
+  t.true(hasPaused);
+  t.false(lease.held);
+  await clock.runUntil(pauseMs + 2 * WHOLE_LEASE_MS);
+  t.true(lease.held);
+});
