--- a/packages/slots/src/load-time-bounds.ts
+++ b/packages/slots/src/load-time-bounds.ts
@@ -181,6 +181,7 @@
     const lowerMs = this.lowerBoundMs;
     this.#estimateMs = Math.min(this.#estimateMs, Math.max(sufficientMs, lowerMs + marginOf(lowerMs)));
     this.#trialPeriodMs = MIN_TRIAL_PERIOD_MS;
+    // The next trial follows after few loads, whatever the phase, as a still shorter time may suffice.
     this.#lastTrialUse = this.#uses - TRIAL_USES.usual + TRIAL_USES.raised;
   }
 
