A completed run sent after the interrupted ones releases a request from quarantine

Callers saw a request that many of them send in the same form refused for an hour (`not-run: quarantined`), after three backends had crashed under another request.

Cause: each of the three crashes interrupted runs of the common request, so its homes counted three backends. A completed run only cleared it if it was sent after the node knew of the suspicion; crashes within one second leave no time for that.

Change: reports carry the age of the run. An interruption does not count if a run that was sent later was completed, whichever becomes known first; a request that turns bad is not cleared by runs sent before that. Nodes remember the last completed run of their last 2,048 requests, and report it once the request is suspected or quarantined. A home whose count falls below three ends the quarantine at all nodes; quarantines are numbered, so that a late report of one that has ended is recognised.

Excluded: successes before the crashes, and crashes at one moment, tell nothing of a request that turns bad (docs/design/quarantine.md).

What remains: all backends fail at one moment and no run is left to complete.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -19,6 +19,12 @@
 export { QuotaShares, type QuotaSharesOptions } from './quota/quota-shares.js';
 export { UnitBucket } from './quota/unit-bucket.js';
 export { QuotaBorrower, type SendLoanRequests, type QuotaBorrowerOptions } from './quota/quota-borrower.js';
+export { CompletedRuns } from './quarantine/completed-runs.js';
 export { INTERRUPTION_WINDOW_MS, InterruptionHistory } from './quarantine/interruption-history.js';
 export { type QuarantineGate } from './quarantine/quarantine-gate.js';
-export { QUARANTINE_MS, QuarantineList, type QuarantinedRequest } from './quarantine/quarantine-list.js';
+export {
+  QUARANTINE_MS,
+  QuarantineList,
+  type LiftedQuarantine,
+  type QuarantinedRequest,
+} from './quarantine/quarantine-list.js';
--- a/packages/admission/src/quarantine/quarantine-gate.ts
+++ b/packages/admission/src/quarantine/quarantine-gate.ts
@@ -13,12 +13,13 @@
    * request into quarantine, or after a short time limit, as the caller may be about to send the request
    * again.
    * @param backendId identifies one start of the process of the backend that failed
+   * @param runMs time since the request was sent to that backend, in milliseconds
    */
-  interrupted(fingerprint: string, backendId: string): Promise<void>;
+  interrupted(fingerprint: string, backendId: string, runMs?: number): Promise<void>;
   /**
-   * Reports that a backend completed the request successfully, so the request does not crash backends. A run
-   * that was sent before the request was suspected does not show that: it may crash backends only since then.
-   * @param runMs time since the request was sent to that backend
+   * Reports that a backend completed the request successfully, so that the request did not crash backends
+   * when this run was sent.
+   * @param runMs time since the request was sent to that backend, in milliseconds
    */
   completed(fingerprint: string, runMs?: number): void;
 }
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -1,4 +1,4 @@
-import type { QuarantinedRequest } from '@canvasridge/admission';
+import type { LiftedQuarantine, QuarantinedRequest } from '@canvasridge/admission';
 import { hashSeed, Notifier, type Clock, type Random } from '@canvasridge/clock';
 import {
   DEFAULT_MEMBERSHIP_TIMING,
@@ -17,6 +17,7 @@
   peerRecords,
   type BusyRecord,
   type ClaimRecord,
+  type LiftedQuarantinesRecord,
   type QuarantineRecord,
 } from './peer-records.js';
 
@@ -67,6 +68,7 @@
 const CLAIM_PREFIX = 'lead/';
 const BUSY_KEY = 'busy';
 const QUARANTINE_KEY = 'quarantine';
+const LIFTED_KEY = 'quarantine-lifted';
 /** The node count is the largest seen within this time. */
 const NODE_COUNT_WINDOW_MS = 30_000;
 
@@ -97,6 +99,7 @@
   readonly quarantined: readonly QuarantinedRequest[];
   /** Requests that are quarantined if another backend crashes before one has completed them. */
   readonly suspects: readonly string[];
+  readonly lifted: readonly LiftedQuarantine[];
 }
 
 /** The other nodes, as this one sees them. */
@@ -139,7 +142,7 @@
         onMember: (member) => this.#remember(member),
         onRecord: ({ key }) => {
           this.#recordChange();
-          if (key === QUARANTINE_KEY) options.onQuarantine();
+          if (key === QUARANTINE_KEY || key === LIFTED_KEY) options.onQuarantine();
         },
         onRevision: (member, revision) => options.onPeerVersion(member.peerUrl, revision, member.zone),
       },
@@ -274,12 +277,21 @@
     this.#membership.gossipNow();
   }
 
-  publishQuarantine({ quarantined, suspects }: PublishedQuarantine): void {
+  publishQuarantine({ quarantined, suspects, lifted }: PublishedQuarantine): void {
     const value: QuarantineRecord = {
-      quarantined: quarantined.map(({ fingerprint, ageMs }) => [fingerprint, Math.round(ageMs / SECOND_MS)]),
+      quarantined: quarantined.map(({ fingerprint, ageMs, episode = 1 }) => {
+        const entry: [string, number] = [fingerprint, Math.round(ageMs / SECOND_MS)];
+        return episode === 1 ? entry : [...entry, episode];
+      }),
       suspects: [...suspects],
     };
     this.#membership.publish(QUARANTINE_KEY, value);
+    if (lifted.length > 0) {
+      const record: LiftedQuarantinesRecord = {
+        lifted: lifted.map(({ fingerprint, episode }) => [fingerprint, episode]),
+      };
+      this.#membership.publish(LIFTED_KEY, record);
+    }
     this.#membership.gossipNow();
   }
 
@@ -289,15 +301,18 @@
    */
   *quarantines(): Iterable<PublishedQuarantine> {
     for (const record of this.#membership.records()) {
-      if (record.key !== QUARANTINE_KEY || record.owner === this.selfId) continue;
-      const value = this.#records.read(peerRecords.quarantine, record);
-      if (value === undefined) continue;
-      const { quarantined, suspects } = value;
-      const requests = quarantined.map(([fingerprint, ageSeconds]) => ({
-        fingerprint,
-        ageMs: ageSeconds * SECOND_MS,
-      }));
-      yield { quarantined: requests, suspects };
+      if (record.owner === this.selfId) continue;
+      if (record.key === QUARANTINE_KEY) {
+        const value = this.#records.read(peerRecords.quarantine, record);
+        if (value === undefined) continue;
+        const quarantined = value.quarantined.map(readQuarantined);
+        yield { quarantined, suspects: value.suspects, lifted: [] };
+      } else if (record.key === LIFTED_KEY) {
+        const value = this.#records.read(peerRecords.liftedQuarantines, record);
+        if (value === undefined) continue;
+        const lifted = value.lifted.map(([fingerprint, episode]) => ({ fingerprint, episode }));
+        yield { quarantined: [], suspects: [], lifted };
+      }
     }
   }
 
@@ -419,3 +434,13 @@
     )
     .map((entry) => entry.id);
 }
+
+/** A number in the third place is the episode; what a later build may put there otherwise is ignored. */
+function readQuarantined([
+  fingerprint,
+  ageSeconds,
+  episode,
+]: QuarantineRecord['quarantined'][number]): QuarantinedRequest {
+  const request = { fingerprint, ageMs: ageSeconds * SECOND_MS };
+  return typeof episode === 'number' ? { ...request, episode } : request;
+}
--- a/packages/gateway/src/cluster/fleet-quarantine.ts
+++ b/packages/gateway/src/cluster/fleet-quarantine.ts
@@ -1,42 +1,35 @@
 import {
-  INTERRUPTION_WINDOW_MS,
+  CompletedRuns,
   InterruptionHistory,
   QuarantineList,
+  type LiftedQuarantine,
   type QuarantineGate,
   type QuarantinedRequest,
 } from '@canvasridge/admission';
 import type { Clock } from '@canvasridge/clock';
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { Cluster } from './cluster.js';
+import { InterruptionReporter, REPORT_TIMEOUT_MS } from './interruption-reporter.js';
 import type { PeerCaller } from './peer-caller.js';
+import {
+  COMPLETED_METHOD,
+  ENDED_WELL_METHOD,
+  formatQuarantined,
+  parseQuarantined,
+  type CompletedRun,
+  type EndedWellParams,
+  type InterruptedParams,
+  type InterruptedReply,
+} from './quarantine-protocol.js';
 
-/** Reports to a home node (one of the few that count crashes) the requests during which backends crashed. */
-export const INTERRUPTED_METHOD = 'quarantine.interrupted';
-
-/** Reports to a home node that a backend has completed a request. */
-export const ENDED_WELL_METHOD = 'quarantine.ended-well';
-
-/** Params of {@link ENDED_WELL_METHOD}. */
-export interface EndedWellParams {
-  readonly fingerprint: string;
-}
-
-/** A backend crashed while it ran a request: its connection was lost. */
-export interface Interruption {
-  readonly fingerprint: string;
-  readonly backend: string;
-}
-
-/** Params of {@link INTERRUPTED_METHOD}. */
-export interface InterruptedParams {
-  readonly interruptions: readonly Interruption[];
-}
-
-/**
- * The fingerprints of those requests that are quarantined now; null from a node that does not consider itself
- * a home.
- */
-export type InterruptedReply = readonly string[] | null;
+export {
+  COMPLETED_METHOD,
+  ENDED_WELL_METHOD,
+  INTERRUPTED_METHOD,
+  type EndedWellParams,
+  type InterruptedParams,
+  type InterruptedReply,
+} from './quarantine-protocol.js';
 
 /** The part of the cluster that the quarantine uses. */
 export type QuarantineCluster = Pick<
@@ -44,17 +37,13 @@
   'selfId' | 'candidates' | 'peerAddress' | 'processOf' | 'publishQuarantine' | 'quarantines'
 >;
 
-/** An interruption that this node observed, and the processes of home nodes that have received it. */
-interface LocalInterruption extends Interruption {
-  readonly atMs: number;
-  readonly knownTo: Set<string>;
-}
-
 export interface FleetQuarantineOptions {
   readonly clock: Clock;
   readonly cluster: QuarantineCluster;
   readonly network: PeerCaller;
   readonly telemetry: Telemetry;
+  /** Total time in milliseconds for which this machine was suspended, as far as noticed; none if absent. */
+  readonly suspendedMs?: () => number;
 }
 
 /**
@@ -75,8 +64,6 @@
 const HOME_COUNT = 3;
 /** Name by which nodes are ranked as homes. */
 const HOMES_RANKING = 'quarantine';
-/** All interruptions by the crash of an engine are reported in one message. */
-const BATCH_DELAY_MS = 5;
 /**
  * A request is not retried before a home has answered or this time has passed. Without the wait, the crash
  * of the third backend was followed by that of a fourth: the request was already on its way again when the
@@ -84,47 +71,64 @@
  */
 const HOME_ANSWER_WAIT_MS = 60;
 /**
- * A reachable home answers in a few milliseconds; one that does not is sent the report again a second later.
- */
-const REPORT_TIMEOUT_MS = 500;
-/**
- * Number of interruptions observed by this node that it keeps and reports to each node that becomes a home:
- * what ran on two engines that crashed. They take about 12 KB, once, when a home changes.
+ * A node reports the completed runs of one suspected request at most this often: a request that is sent all the
+ * time completes many times before the homes have answered.
  */
-const MAX_LOCAL_INTERRUPTIONS = 192;
+const COMPLETED_REPORT_INTERVAL_MS = 200;
+/** A home that did not answer, or does not know the method, is told of a completed run again after this time. */
+const UNANSWERED_PAUSE_MS = 5000;
+/** Number of requests whose reported runs are remembered: more than homes quarantine or suspect at a time. */
+const MAX_TOLD = 128;
 /**
  * Homes publish their list again after this time, so that a node that starts receives ages that are no older
  * than this.
  */
 const REPUBLISH_MS = 60_000;
-/** Serialised content of an empty list: no requests quarantined or suspected. */
-const EMPTY_CONTENT = JSON.stringify([[], []]);
+/** Serialised content of empty lists: no requests quarantined, suspected, or released early. */
+const EMPTY_CONTENT = JSON.stringify([[], [], []]);
 
 /**
  * Requests that all nodes keep from backends. A client may retry a request at any node, so the nodes report
  * interruptions to a few home nodes. A home that has counted enough of them publishes the request, and each
  * node that receives this enforces it by itself, whatever happens to the home. A node that becomes a home
  * receives the recent interruptions from all nodes, and publishes what it knows.
+ *
+ * Nodes remember which runs were completed, and report them to the homes once the request is suspected or
+ * quarantined. If the runs that crashed were sent before a completed one, the request is released again.
  */
 export class FleetQuarantine implements QuarantineGate {
   readonly #options: FleetQuarantineOptions;
-  /** Interruptions that this node has counted as a home. */
+  readonly #reporter: InterruptionReporter;
+  readonly #completedRuns = new CompletedRuns();
+  /** What this node has counted as a home. */
   #history: InterruptionHistory;
   readonly #list: QuarantineList;
-  /** Oldest first. */
-  #localInterruptions: LocalInterruption[] = [];
-  /** Resolves when a home has answered the current batch. */
-  #reporting: Promise<void> | undefined;
   #actsAsHome = false;
   /** The time at which this node learned of each suspect, by fingerprint. */
   #suspects: ReadonlyMap<string, number> = new Map();
+  /** Completed runs that homes were told of, by fingerprint: see {@link #toldCompletedMs}. */
+  readonly #toldCompleted = new Map<string, Map<string, number>>();
+  /** The value of `suspendedMs` when it was last read, and the time at which it last rose. */
+  #suspendedMs = 0;
+  #suspensionMs = -Infinity;
   #published = EMPTY_CONTENT;
   #publishedMs = -Infinity;
 
   constructor(options: FleetQuarantineOptions) {
     this.#options = options;
-    this.#history = new InterruptionHistory(options.clock);
-    this.#list = new QuarantineList(options.clock);
+    const { clock, cluster, network } = options;
+    this.#history = new InterruptionHistory(clock);
+    this.#list = new QuarantineList(clock);
+    this.#reporter = new InterruptionReporter({
+      clock,
+      cluster,
+      network,
+      completedRuns: this.#completedRuns,
+      otherHomes: () => this.#otherHomes(),
+      onQuarantined: (quarantined) => {
+        for (const text of quarantined) this.#add({ ...parseQuarantined(text), ageMs: 0 }, 'peer');
+      },
+    });
   }
 
   get isEmpty(): boolean {
@@ -139,63 +143,79 @@
     return this.#list.remainingMs(fingerprint);
   }
 
-  async interrupted(fingerprint: string, backendId: string): Promise<void> {
+  async interrupted(fingerprint: string, backendId: string, runMs = 0): Promise<void> {
     const { clock } = this.#options;
+    const sentMs = clock.now() - runMs;
     this.#setHome(this.#isHome());
-    if (this.#actsAsHome) this.#count(fingerprint, backendId);
-    this.#localInterruptions.push({ fingerprint, backend: backendId, atMs: clock.now(), knownTo: new Set() });
-    this.#localInterruptions = this.#localInterruptions.slice(-MAX_LOCAL_INTERRUPTIONS);
-    this.#reporting ??= this.#reportBatch();
+    if (this.#actsAsHome) this.#count(fingerprint, backendId, sentMs);
+    const reported = this.#reporter.report(fingerprint, backendId, sentMs);
     // A home has already counted its own observation, so it need not wait for the other homes.
     if (this.#actsAsHome) return;
-    await Promise.race([this.#reporting, clock.sleep(HOME_ANSWER_WAIT_MS)]);
+    await Promise.race([reported, clock.sleep(HOME_ANSWER_WAIT_MS)]);
   }
 
   completed(fingerprint: string, runMs = 0): void {
-    const sinceMs = this.#suspects.get(fingerprint);
     const sentMs = this.#options.clock.now() - runMs;
-    if (sinceMs === undefined || sentMs < sinceMs) return;
-    this.#suspects = new Map([...this.#suspects].filter(([suspect]) => suspect !== fingerprint));
-    this.#localInterruptions = this.#localInterruptions.filter(
-      (interruption) => interruption.fingerprint !== fingerprint,
-    );
-    const { cluster, network } = this.#options;
-    const params: EndedWellParams = { fingerprint };
-    this.answerEndedWell(params);
-    for (const id of this.#otherHomes()) {
-      const address = cluster.peerAddress(id);
-      if (address !== undefined) void network.to(address).call(ENDED_WELL_METHOD, params, REPORT_TIMEOUT_MS);
-    }
+    // The time of a suspension is not in `runMs`: the run was sent earlier, perhaps before the interrupted ones.
+    if (sentMs < this.#lastSuspensionMs()) return;
+    this.#completedRuns.record(fingerprint, sentMs);
+    this.#reporter.forget(fingerprint, sentMs);
+    if (this.#suspects.has(fingerprint) || this.#list.episode(fingerprint) !== undefined)
+      this.#reportCompleted(fingerprint);
   }
 
-  answerEndedWell({ fingerprint }: EndedWellParams): true {
-    this.#history.forget(fingerprint);
+  /** Answers a node that knows of a completed run of a request. */
+  answerEndedWell({ fingerprint, sentAgoMs }: EndedWellParams): true {
+    const { clock } = this.#options;
+    if (sentAgoMs !== undefined) {
+      // A message that waited during a suspension of this machine is older than it says.
+      const isDelayed = clock.now() < this.#lastSuspensionMs() + REPORT_TIMEOUT_MS;
+      if (!isDelayed) this.#recordCompleted({ fingerprint, sentAgoMs });
+    }
+    // Without its age, the run may have been sent before the request was quarantined.
+    else if (this.#list.episode(fingerprint) === undefined) this.#history.forget(fingerprint);
     return true;
   }
 
   /** Answers a node that considers this one a home. */
-  answer({ interruptions }: InterruptedParams): InterruptedReply {
+  answer({ interruptions, completed = [] }: InterruptedParams): InterruptedReply {
     this.#setHome(this.#isHome());
     if (!this.#actsAsHome) return null;
-    for (const { fingerprint, backend } of interruptions) this.#count(fingerprint, backend);
-    return interruptions
-      .map(({ fingerprint }) => fingerprint)
-      .filter((fingerprint) => this.#list.remainingMs(fingerprint) !== undefined);
+    const nowMs = this.#options.clock.now();
+    for (const run of completed) this.#recordCompleted(run);
+    for (const { fingerprint, backend, sentAgoMs = 0 } of interruptions)
+      this.#count(fingerprint, backend, nowMs - sentAgoMs);
+    return interruptions.flatMap(({ fingerprint }) => {
+      const episode = this.#list.episode(fingerprint);
+      return episode === undefined ? [] : [formatQuarantined(fingerprint, episode)];
+    });
   }
 
   /** Call it when another node has published its list, and about once a second. */
   update(): void {
     this.#setHome(this.#isHome());
     const suspects = this.#history.suspects(SUSPECT_THRESHOLD);
-    for (const published of this.#options.cluster.quarantines()) {
-      for (const request of published.quarantined) this.#add(request, 'peer');
-      suspects.push(...published.suspects);
+    const published = [...this.#options.cluster.quarantines()];
+    for (const { lifted } of published) for (const request of lifted) this.#lift(request, 'peer');
+    for (const list of published) {
+      for (const request of list.quarantined) this.#add(request, 'peer');
+      suspects.push(...list.suspects);
     }
     const nowMs = this.#options.clock.now();
     this.#suspects = new Map(suspects.map((suspect) => [suspect, this.#suspects.get(suspect) ?? nowMs]));
+    for (const fingerprint of new Set([...suspects, ...this.#list.fingerprints]))
+      this.#reportCompleted(fingerprint);
     if (this.#actsAsHome) this.#publish();
     // Reports that a home does not answer are repeated with the next update.
-    void Promise.allSettled(this.#reportToHomes());
+    void Promise.allSettled(this.#reporter.reportToHomes());
+  }
+
+  /** When this machine's last suspension was noticed; -Infinity if none was. */
+  #lastSuspensionMs(): number {
+    const suspendedMs = this.#options.suspendedMs?.() ?? 0;
+    if (suspendedMs > this.#suspendedMs) this.#suspensionMs = this.#options.clock.now();
+    this.#suspendedMs = suspendedMs;
+    return this.#suspensionMs;
   }
 
   #setHome(isHome: boolean): void {
@@ -204,8 +224,9 @@
     // A node that is no home does not receive which requests completed, so each period as home starts with an
     // empty history.
     this.#history = new InterruptionHistory(this.#options.clock);
-    if (isHome)
-      for (const { fingerprint, backend } of this.#localInterruptions) this.#count(fingerprint, backend);
+    if (!isHome) return;
+    for (const { fingerprint, backend, sentMs } of this.#reporter.interruptions)
+      this.#count(fingerprint, backend, sentMs);
   }
 
   #isHome(): boolean {
@@ -220,44 +241,63 @@
     return this.#options.cluster.candidates(HOMES_RANKING).slice(0, HOME_COUNT);
   }
 
-  async #reportBatch(): Promise<void> {
-    await this.#options.clock.sleep(BATCH_DELAY_MS);
-    this.#reporting = undefined;
-    await Promise.any(this.#reportToHomes()).catch(() => undefined);
+  /** Tells each home process of the last completed run of a request, unless it knows that or a recent one. */
+  #reportCompleted(fingerprint: string): void {
+    const sentMs = this.#completedRuns.lastSentMs(fingerprint);
+    if (sentMs === undefined) return;
+    const run = { fingerprint, sentAgoMs: this.#options.clock.now() - sentMs };
+    if (this.#actsAsHome) this.#recordCompleted(run);
+    for (const id of this.#otherHomes()) void this.#reportCompletedTo(id, run, sentMs);
   }
 
-  /** Each promise resolves when its home has answered, and rejects if it has not. */
-  #reportToHomes(): Promise<void>[] {
-    const nowMs = this.#options.clock.now();
-    this.#localInterruptions = this.#localInterruptions.filter(
-      ({ atMs }) => nowMs - atMs <= INTERRUPTION_WINDOW_MS,
-    );
-    return this.#otherHomes().map((id) => this.#reportTo(id));
-  }
-
-  /** Sends a home the interruptions that its current process has not confirmed. */
-  async #reportTo(id: string): Promise<void> {
+  async #reportCompletedTo(id: string, run: CompletedRun, sentMs: number): Promise<void> {
     const { cluster, network } = this.#options;
+    const { fingerprint } = run;
     const address = cluster.peerAddress(id);
     const home = cluster.processOf(id)?.token;
     if (address === undefined || home === undefined) return;
-    const unconfirmed = this.#localInterruptions.filter(({ knownTo }) => !knownTo.has(home));
-    if (unconfirmed.length === 0) return;
-    const params: InterruptedParams = {
-      interruptions: unconfirmed.map(({ fingerprint, backend }) => ({ fingerprint, backend })),
-    };
-    const reply = (await network.to(address).call(INTERRUPTED_METHOD, params, REPORT_TIMEOUT_MS)) as
-      InterruptedReply | undefined;
-    if (reply === undefined || reply === null) throw new Error(`${id} is not a quarantine home`);
-    for (const { knownTo } of unconfirmed) knownTo.add(home);
-    for (const fingerprint of reply) this.#add({ fingerprint, ageMs: 0 }, 'peer');
+    const toldMs = this.#toldCompletedMs(fingerprint);
+    if (sentMs < (toldMs.get(home) ?? -Infinity) + COMPLETED_REPORT_INTERVAL_MS) return;
+    toldMs.set(home, sentMs);
+    const peer = network.to(address);
+    if ((await peer.call(COMPLETED_METHOD, run, REPORT_TIMEOUT_MS)) !== undefined) return;
+    // A home of a build without that method forgets all interruptions, so it may only learn of late runs.
+    const wasSuspect = sentMs >= (this.#suspects.get(fingerprint) ?? Infinity);
+    const params: EndedWellParams = { fingerprint };
+    if (wasSuspect && (await peer.call(ENDED_WELL_METHOD, params, REPORT_TIMEOUT_MS)) !== undefined) return;
+    await this.#options.clock.sleep(UNANSWERED_PAUSE_MS);
+    toldMs.delete(home);
   }
 
-  #count(fingerprint: string, backend: string): void {
-    if (this.#list.remainingMs(fingerprint) !== undefined) return;
-    if (this.#history.record(fingerprint, backend) < QUARANTINE_THRESHOLD) return;
-    this.#history.forget(fingerprint);
-    this.#add({ fingerprint, ageMs: 0 }, 'counted');
+  /** By home process: when the last completed run of the request that it was told of was sent. */
+  #toldCompletedMs(fingerprint: string): Map<string, number> {
+    const known = this.#toldCompleted.get(fingerprint);
+    if (known !== undefined) return known;
+    const oldest = this.#toldCompleted.keys().next();
+    if (this.#toldCompleted.size >= MAX_TOLD && oldest.done !== true)
+      this.#toldCompleted.delete(oldest.value);
+    const toldMs = new Map<string, number>();
+    this.#toldCompleted.set(fingerprint, toldMs);
+    return toldMs;
+  }
+
+  /** Counts a completed run at a home, and releases the request if too few interruptions are left. */
+  #recordCompleted({ fingerprint, sentAgoMs }: CompletedRun): void {
+    const wasCounted = this.#history.count(fingerprint) >= QUARANTINE_THRESHOLD;
+    this.#history.recordCompleted(fingerprint, this.#options.clock.now() - sentAgoMs);
+    const episode = this.#list.episode(fingerprint);
+    if (episode === undefined || !wasCounted) return;
+    if (this.#history.count(fingerprint) >= QUARANTINE_THRESHOLD) return;
+    this.#lift({ fingerprint, episode }, 'completed', sentAgoMs);
+    this.#publish();
+  }
+
+  #count(fingerprint: string, backend: string, sentMs: number): void {
+    const completedMs = this.#completedRuns.lastSentMs(fingerprint);
+    if (completedMs !== undefined) this.#history.recordCompleted(fingerprint, completedMs);
+    if (this.#history.record(fingerprint, backend, sentMs) < QUARANTINE_THRESHOLD) return;
+    if (this.#list.episode(fingerprint) !== undefined) return;
+    this.#add({ fingerprint, ageMs: 0, episode: this.#list.nextEpisode(fingerprint) }, 'counted');
     this.#publish();
   }
 
@@ -267,23 +307,45 @@
     this.#options.telemetry.event('warn', 'request.quarantined', request.fingerprint, {
       from,
       backends: from === 'counted' ? QUARANTINE_THRESHOLD : undefined,
+      episode: request.episode ?? 1,
       remainingMs: remainingMs === undefined ? undefined : Math.round(remainingMs),
     });
   }
 
+  /** @param sentAgoMs age of the completed run that shows another cause of the interruptions */
+  #lift(request: LiftedQuarantine, from: 'completed' | 'peer', sentAgoMs?: number): void {
+    if (!this.#list.lift(request)) return;
+    if (from === 'peer') {
+      // This node may not have received the completed run by which another home released the request.
+      this.#history.forget(request.fingerprint);
+      this.#reporter.forget(request.fingerprint, this.#options.clock.now());
+    }
+    this.#options.telemetry.event('warn', 'request.released', request.fingerprint, {
+      from,
+      episode: request.episode,
+      sentAgoMs: sentAgoMs === undefined ? undefined : Math.round(sentAgoMs),
+    });
+  }
+
   /** Publishes the lists if they changed, or if they were last published long ago. */
   #publish(): void {
     const { clock, cluster } = this.#options;
     const quarantined = this.#list.entries();
-    const suspects = this.#history.suspects(SUSPECT_THRESHOLD).slice(0, MAX_SUSPECTS);
-    const fingerprints = quarantined.map(({ fingerprint }) => fingerprint);
-    // The comparison keeps the two lists apart: a request that moves from suspected to quarantined is a
-    // change.
-    const content = JSON.stringify([fingerprints, suspects]);
+    const suspects = this.#history
+      .suspects(SUSPECT_THRESHOLD)
+      .filter((fingerprint) => this.#list.episode(fingerprint) === undefined)
+      .slice(0, MAX_SUSPECTS);
+    const lifted = this.#list.lifted();
+    // The comparison keeps the lists apart: a request that moves from suspected to quarantined is a change.
+    const content = JSON.stringify([
+      quarantined.map(({ fingerprint, episode }) => [fingerprint, episode]),
+      suspects,
+      lifted,
+    ]);
     const isDue = content !== EMPTY_CONTENT && clock.now() - this.#publishedMs >= REPUBLISH_MS;
     if (content === this.#published && !isDue) return;
     this.#published = content;
     this.#publishedMs = clock.now();
-    cluster.publishQuarantine({ quarantined, suspects });
+    cluster.publishQuarantine({ quarantined, suspects, lifted });
   }
 }
--- /dev/null
+++ b/packages/gateway/src/cluster/interruption-reporter.ts
@@ -0,0 +1,122 @@
+import { INTERRUPTION_WINDOW_MS, type CompletedRuns } from '@canvasridge/admission';
+import type { Clock } from '@canvasridge/clock';
+import type { Cluster } from './cluster.js';
+import type { PeerCaller } from './peer-caller.js';
+import { INTERRUPTED_METHOD, type InterruptedParams, type InterruptedReply } from './quarantine-protocol.js';
+
+/** An interruption that this node observed, and the processes of home nodes that have received it. */
+interface LocalInterruption {
+  readonly fingerprint: string;
+  readonly backend: string;
+  /** When the interrupted run was sent, and when its interruption was observed, in milliseconds. */
+  readonly sentMs: number;
+  readonly atMs: number;
+  readonly knownTo: Set<string>;
+}
+
+export interface InterruptionReporterOptions {
+  readonly clock: Clock;
+  readonly cluster: Pick<Cluster, 'peerAddress' | 'processOf'>;
+  readonly network: PeerCaller;
+  readonly completedRuns: CompletedRuns;
+  /** Ids of the home nodes except this one. */
+  readonly otherHomes: () => readonly string[];
+  /** Called with what a home answers: those of the reported requests that are quarantined. */
+  readonly onQuarantined: (quarantined: readonly string[]) => void;
+}
+
+/** All interruptions by the crash of an engine are reported in one message. */
+const BATCH_DELAY_MS = 5;
+/**
+ * A reachable home answers in a few milliseconds; one that does not is sent the report again a second later.
+ */
+export const REPORT_TIMEOUT_MS = 500;
+/**
+ * Number of interruptions observed by this node that it keeps and reports to each node that becomes a home:
+ * what ran on two engines that crashed. They take about 12 KB, once, when a home changes.
+ */
+const MAX_LOCAL_INTERRUPTIONS = 192;
+
+/** Reports the interruptions that this node observes to the home nodes, and again to each new one. */
+export class InterruptionReporter {
+  readonly #options: InterruptionReporterOptions;
+  /** Oldest first. */
+  #interruptions: LocalInterruption[] = [];
+  /** Resolves when a home has answered the current batch. */
+  #reporting: Promise<void> | undefined;
+
+  constructor(options: InterruptionReporterOptions) {
+    this.#options = options;
+  }
+
+  /** Interruptions of this node that count, oldest first. */
+  get interruptions(): readonly Pick<LocalInterruption, 'fingerprint' | 'backend' | 'sentMs'>[] {
+    return this.#interruptions;
+  }
+
+  /** Resolves when a home has answered the report, or when none has in time. */
+  report(fingerprint: string, backend: string, sentMs: number): Promise<void> {
+    const atMs = this.#options.clock.now();
+    this.#interruptions.push({ fingerprint, backend, sentMs, atMs, knownTo: new Set() });
+    this.#interruptions = this.#interruptions.slice(-MAX_LOCAL_INTERRUPTIONS);
+    this.#reporting ??= this.#reportBatch();
+    return this.#reporting;
+  }
+
+  /** Forgets the request's interruptions of runs that were sent up to `sentMs`, which have another cause. */
+  forget(fingerprint: string, sentMs: number): void {
+    this.#interruptions = this.#interruptions.filter(
+      (interruption) => interruption.fingerprint !== fingerprint || interruption.sentMs > sentMs,
+    );
+  }
+
+  /**
+   * Reports to each home what its process has not confirmed. Each promise resolves when its home has
+   * answered, and rejects if it has not.
+   */
+  reportToHomes(): Promise<void>[] {
+    const nowMs = this.#options.clock.now();
+    this.#interruptions = this.#interruptions.filter(({ atMs }) => nowMs - atMs <= INTERRUPTION_WINDOW_MS);
+    return this.#options.otherHomes().map((id) => this.#reportTo(id));
+  }
+
+  async #reportBatch(): Promise<void> {
+    await this.#options.clock.sleep(BATCH_DELAY_MS);
+    this.#reporting = undefined;
+    await Promise.any(this.reportToHomes()).catch(() => undefined);
+  }
+
+  async #reportTo(id: string): Promise<void> {
+    const { cluster, network } = this.#options;
+    const address = cluster.peerAddress(id);
+    const home = cluster.processOf(id)?.token;
+    if (address === undefined || home === undefined) return;
+    const unconfirmed = this.#interruptions.filter(({ knownTo }) => !knownTo.has(home));
+    if (unconfirmed.length === 0) return;
+    const reply = (await network
+      .to(address)
+      .call(INTERRUPTED_METHOD, this.#params(unconfirmed), REPORT_TIMEOUT_MS)) as
+      InterruptedReply | undefined;
+    if (reply === undefined || reply === null) throw new Error(`${id} is not a quarantine home`);
+    for (const { knownTo } of unconfirmed) knownTo.add(home);
+    this.#options.onQuarantined(reply);
+  }
+
+  #params(interruptions: readonly LocalInterruption[]): InterruptedParams {
+    const { clock, completedRuns } = this.#options;
+    const nowMs = clock.now();
+    const fingerprints = [...new Set(interruptions.map(({ fingerprint }) => fingerprint))];
+    const completed = fingerprints.flatMap((fingerprint) => {
+      const sentMs = completedRuns.lastSentMs(fingerprint);
+      return sentMs === undefined ? [] : [{ fingerprint, sentAgoMs: nowMs - sentMs }];
+    });
+    return {
+      interruptions: interruptions.map(({ fingerprint, backend, sentMs }) => ({
+        fingerprint,
+        backend,
+        sentAgoMs: nowMs - sentMs,
+      })),
+      ...(completed.length === 0 ? {} : { completed }),
+    };
+  }
+}
--- a/packages/gateway/src/cluster/peer-records.ts
+++ b/packages/gateway/src/cluster/peer-records.ts
@@ -17,16 +17,20 @@
  * one datagram.
  */
 const quarantine = z.object({
-  /** [fingerprint, age in seconds] */
+  /** [fingerprint, age in seconds, episode]; without the episode for the first one. */
   quarantined: z.array(z.tuple([text, z.number()]).rest(z.unknown())),
   suspects: z.array(text),
 });
 
-export const peerRecords = { claim, busy, quarantine } as const;
+/** Early ends of quarantines, by [fingerprint, episode]; a record of its own, to fit into one datagram. */
+const liftedQuarantines = z.object({ lifted: z.array(z.tuple([text, z.number()]).rest(z.unknown())) });
+
+export const peerRecords = { claim, busy, quarantine, liftedQuarantines } as const;
 
 export type ClaimRecord = z.infer<typeof claim>;
 export type BusyRecord = z.infer<typeof busy>;
 export type QuarantineRecord = z.infer<typeof quarantine>;
+export type LiftedQuarantinesRecord = z.infer<typeof liftedQuarantines>;
 
 /** Parses published values, each one once: members read the same records many times a second. */
 export class PeerRecordReader {
--- /dev/null
+++ b/packages/gateway/src/cluster/quarantine-protocol.ts
@@ -0,0 +1,60 @@
+/**
+ * Messages between nodes about requests during which backends crashed. A node of another build may leave out
+ * optional fields or not know a method, and then answers with an error.
+ */
+
+/** Reports to a home node (one of the few that count crashes) the requests during which backends crashed. */
+export const INTERRUPTED_METHOD = 'quarantine.interrupted';
+
+/** Reports to a home node that a backend has completed a request. */
+export const ENDED_WELL_METHOD = 'quarantine.ended-well';
+
+/**
+ * The same, with the age of the run. Homes that know only {@link ENDED_WELL_METHOD} forget all interruptions
+ * of the request, also those of later runs.
+ */
+export const COMPLETED_METHOD = 'quarantine.completed';
+
+/** A run of a request that a backend completed. */
+export interface CompletedRun {
+  readonly fingerprint: string;
+  /** Time since the run was sent, in milliseconds. */
+  readonly sentAgoMs: number;
+}
+
+/** Params of {@link ENDED_WELL_METHOD}, which has no age, and {@link COMPLETED_METHOD}, which has. */
+export type EndedWellParams = Pick<CompletedRun, 'fingerprint'> & Partial<CompletedRun>;
+
+/** A backend crashed while it ran a request: its connection was lost. */
+export interface Interruption {
+  readonly fingerprint: string;
+  readonly backend: string;
+  /** Time since the interrupted run was sent, in milliseconds; taken for 0 if absent. */
+  readonly sentAgoMs?: number;
+}
+
+/** Params of {@link INTERRUPTED_METHOD}. */
+export interface InterruptedParams {
+  readonly interruptions: readonly Interruption[];
+  /** The last completed runs of the same requests that the sender knows of. */
+  readonly completed?: readonly CompletedRun[];
+}
+
+/**
+ * The quarantined ones among the reported requests; null from a node that does not consider itself a home.
+ * See {@link formatQuarantined}.
+ */
+export type InterruptedReply = readonly string[] | null;
+
+const EPISODE_SEPARATOR = ':';
+
+/** The fingerprint alone for the first quarantine of a request, with the number appended for later ones. */
+export function formatQuarantined(fingerprint: string, episode: number): string {
+  return episode === 1 ? fingerprint : `${fingerprint}${EPISODE_SEPARATOR}${episode}`;
+}
+
+/** Reads what {@link formatQuarantined} returned. */
+export function parseQuarantined(text: string): { readonly fingerprint: string; readonly episode: number } {
+  const [fingerprint = '', episode = '1'] = text.split(EPISODE_SEPARATOR);
+  return { fingerprint, episode: Number(episode) };
+}
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -44,6 +44,7 @@
 } from './cluster/fleet-quotas.js';
 import { PublishedState, publishedMethods } from './cluster/published-state.js';
 import {
+  COMPLETED_METHOD,
   ENDED_WELL_METHOD,
   FleetQuarantine,
   INTERRUPTED_METHOD,
@@ -212,7 +213,8 @@
       fleetShare: () => this.#fleetShare.value,
     });
     this.#quarantine = new FleetQuarantine({
-      clock,
+      clock: fleetClock,
+      suspendedMs: () => fleetClock.suspendedMs,
       cluster: this.#cluster,
       network: this.#network,
       telemetry,
@@ -343,6 +345,7 @@
     return {
       ...publishedMethods(() => this.published),
       [INTERRUPTED_METHOD]: (params) => this.#quarantine.answer(params as InterruptedParams),
+      [COMPLETED_METHOD]: (params) => this.#quarantine.answerEndedWell(params as EndedWellParams),
       [ENDED_WELL_METHOD]: (params) => this.#quarantine.answerEndedWell(params as EndedWellParams),
       [BORROW_METHOD]: (params) => this.#quotas.answer(params as BorrowParams),
       [RATE_BORROW_METHOD]: (params) => {
--- a/packages/gateway/src/request/request-quarantine.ts
+++ b/packages/gateway/src/request/request-quarantine.ts
@@ -27,7 +27,6 @@
   readonly #parts: () => FingerprintParts;
   #cachedFingerprint: string | undefined;
 
-  /** @param parts called only when the fingerprint is needed, which is for few requests */
   constructor(context: QuarantineContext, traceId: string, parts: () => FingerprintParts) {
     this.#context = context;
     this.#traceId = traceId;
@@ -50,8 +49,7 @@
   async attemptEnded(backendId: string, attempt: BackendAttempt, outcome: AttemptOutcome): Promise<void> {
     const { quarantine } = this.#context;
     // An error response does not clear a request: a backend may send one before it has run the request.
-    if (outcome.kind === 'complete' && !quarantine.isEmpty)
-      quarantine.completed(this.#fingerprint, attempt.runMs);
+    if (outcome.kind === 'complete') quarantine.completed(this.#fingerprint, attempt.runMs);
     if (outcome.kind === 'broken') await this.#interrupted(backendId, attempt, outcome);
   }
 
@@ -72,7 +70,7 @@
     metrics.interrupted.inc({ begun: String(begunForMs !== undefined) });
     const isInStartPhase = begunForMs === undefined || begunForMs < START_PHASE_MS;
     if (how !== 'connection-lost' || !isInStartPhase) return;
-    await quarantine.interrupted(this.#fingerprint, backendId);
+    await quarantine.interrupted(this.#fingerprint, backendId, runMs);
   }
 
   get #fingerprint(): string {
