Trials release a quarantined request that is served in general

Callers saw a common request refused for an hour by all nodes after all backends broke off what they ran at one moment (a rack, a release, a network element): runs of it ended on three backends, and no run was left whose completion could show another cause.

Cause: quarantine allowed no run at all, so nothing could ever show that the request is sound.

Change: a quarantined request that was served at some time may run again as a trial, one run in the whole fleet, 1 s after the quarantine and 10 s after the first trial. A completed trial releases the request at all nodes; one that crashes its backend is counted as before. A trial needs the votes of a majority of the homes, and each home has two votes, so three homes allow three trials at most, whichever fail; the rule allows three late sends. A home votes only if it counted the quarantine before the first trial was possible: one that restarts, or hears of it later, can't know how many there were. Clients are told to return after the next trial, not after the hour, as long as there is one. Requests that were never served get no trial, as before.

Test stubs got the new methods of QuarantineGate; no check was changed.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -28,3 +28,4 @@
   type LiftedQuarantine,
   type QuarantinedRequest,
 } from './quarantine/quarantine-list.js';
+export { TRIAL_DELAYS_MS, TrialVotes, type TrialVote } from './quarantine/trial-votes.js';
--- a/packages/admission/src/quarantine/interruption-history.ts
+++ b/packages/admission/src/quarantine/interruption-history.ts
@@ -68,11 +68,14 @@
     return [...runs.interruptedSentMs.values()].filter((sentMs) => sentMs > runs.completedSentMs).length;
   }
 
-  /**
-   * Removes a request that did not cause the failures of its backends, or that no longer has to be counted.
-   */
+  /** Whether a completed run of the request is known, however old. */
+  hasCompleted(fingerprint: string): boolean {
+    return (this.#byFingerprint.get(fingerprint)?.completedSentMs ?? -Infinity) > -Infinity;
+  }
+
+  /** Removes the interruptions of a request that did not cause the failures of its backends. */
   forget(fingerprint: string): void {
-    this.#byFingerprint.delete(fingerprint);
+    this.#byFingerprint.get(fingerprint)?.interruptedSentMs.clear();
   }
 
   /** Requests with a {@link count} of at least `backends`, most recently changed first. */
--- a/packages/admission/src/quarantine/quarantine-gate.ts
+++ b/packages/admission/src/quarantine/quarantine-gate.ts
@@ -8,6 +8,15 @@
   readonly isEmpty: boolean;
   /** Remaining time of the request's quarantine in milliseconds; undefined if it is not quarantined. */
   remainingMs(fingerprint: string): number | undefined;
+  /**
+   * Time after which it is worth sending a quarantined request again, in milliseconds: when a trial may have
+   * released it, or when its quarantine ends.
+   */
+  retryAfterMs(fingerprint: string): number;
+  /** Whether {@link requestTrial} may allow a run of a quarantined request now. */
+  isTrialDue(fingerprint: string): boolean;
+  /** Resolves to whether a quarantined request may be sent to one backend, once. */
+  requestTrial(fingerprint: string): Promise<boolean>;
   /**
    * Reports that a backend failed while running the request. Resolves once it is known whether that puts the
    * request into quarantine, or after a short time limit, as the caller may be about to send the request
--- a/packages/gateway/src/cluster/fleet-quarantine.ts
+++ b/packages/gateway/src/cluster/fleet-quarantine.ts
@@ -2,6 +2,7 @@
   CompletedRuns,
   InterruptionHistory,
   QuarantineList,
+  TrialVotes,
   type LiftedQuarantine,
   type QuarantineGate,
   type QuarantinedRequest,
@@ -16,19 +17,25 @@
   ENDED_WELL_METHOD,
   formatQuarantined,
   parseQuarantined,
+  TRIAL_METHOD,
   type CompletedRun,
   type EndedWellParams,
   type InterruptedParams,
   type InterruptedReply,
+  type TrialParams,
+  type TrialReply,
 } from './quarantine-protocol.js';
+import { TrialRequests } from './trial-requests.js';
 
 export {
   COMPLETED_METHOD,
   ENDED_WELL_METHOD,
   INTERRUPTED_METHOD,
+  TRIAL_METHOD,
   type EndedWellParams,
   type InterruptedParams,
   type InterruptedReply,
+  type TrialParams,
 } from './quarantine-protocol.js';
 
 /** The part of the cluster that the quarantine uses. */
@@ -75,6 +82,8 @@
  * time completes many times before the homes have answered.
  */
 const COMPLETED_REPORT_INTERVAL_MS = 200;
+/** Time from the start of a trial until all nodes know that it completed, in most cases. */
+const TRIAL_RESULT_MS = 1000;
 /** A home that did not answer, or does not know the method, is told of a completed run again after this time. */
 const UNANSWERED_PAUSE_MS = 5000;
 /** Number of requests whose reported runs are remembered: more than homes quarantine or suspect at a time. */
@@ -94,7 +103,8 @@
  * receives the recent interruptions from all nodes, and publishes what it knows.
  *
  * Nodes remember which runs were completed, and report them to the homes once the request is suspected or
- * quarantined. If the runs that crashed were sent before a completed one, the request is released again.
+ * quarantined. If the runs that crashed were sent before a completed one, the request is released again. As no
+ * run may be left to complete, the homes allow a few trials: single runs of a quarantined request.
  */
 export class FleetQuarantine implements QuarantineGate {
   readonly #options: FleetQuarantineOptions;
@@ -103,6 +113,8 @@
   /** What this node has counted as a home. */
   #history: InterruptionHistory;
   readonly #list: QuarantineList;
+  readonly #votes: TrialVotes;
+  readonly #trials: TrialRequests;
   #actsAsHome = false;
   /** The time at which this node learned of each suspect, by fingerprint. */
   #suspects: ReadonlyMap<string, number> = new Map();
@@ -119,6 +131,13 @@
     const { clock, cluster, network } = options;
     this.#history = new InterruptionHistory(clock);
     this.#list = new QuarantineList(clock);
+    this.#votes = new TrialVotes(clock);
+    this.#trials = new TrialRequests({
+      clock,
+      telemetry: options.telemetry,
+      homes: () => this.#homes(),
+      askHome: (id, params) => this.#askForTrial(id, params),
+    });
     this.#reporter = new InterruptionReporter({
       clock,
       cluster,
@@ -143,11 +162,24 @@
     return this.#list.remainingMs(fingerprint);
   }
 
+  retryAfterMs(fingerprint: string): number {
+    const remainingMs = this.#list.remainingMs(fingerprint) ?? 0;
+    return Math.min(remainingMs, this.#trials.waitMs(fingerprint) + TRIAL_RESULT_MS);
+  }
+
+  isTrialDue(fingerprint: string): boolean {
+    return this.#trials.waitMs(fingerprint) === 0;
+  }
+
+  requestTrial(fingerprint: string): Promise<boolean> {
+    return this.#trials.request(fingerprint);
+  }
+
   async interrupted(fingerprint: string, backendId: string, runMs = 0): Promise<void> {
     const { clock } = this.#options;
     const sentMs = clock.now() - runMs;
     this.#setHome(this.#isHome());
-    if (this.#actsAsHome) this.#count(fingerprint, backendId, sentMs);
+    if (this.#actsAsHome) this.#count(fingerprint, backendId, sentMs, 0);
     const reported = this.#reporter.report(fingerprint, backendId, sentMs);
     // A home has already counted its own observation, so it need not wait for the other homes.
     if (this.#actsAsHome) return;
@@ -183,14 +215,24 @@
     if (!this.#actsAsHome) return null;
     const nowMs = this.#options.clock.now();
     for (const run of completed) this.#recordCompleted(run);
-    for (const { fingerprint, backend, sentAgoMs = 0 } of interruptions)
-      this.#count(fingerprint, backend, nowMs - sentAgoMs);
+    for (const { fingerprint, backend, sentAgoMs = 0, agoMs = Infinity } of interruptions)
+      this.#count(fingerprint, backend, nowMs - sentAgoMs, agoMs);
     return interruptions.flatMap(({ fingerprint }) => {
       const episode = this.#list.episode(fingerprint);
       return episode === undefined ? [] : [formatQuarantined(fingerprint, episode)];
     });
   }
 
+  /** Answers a node that wants to run a quarantined request on trial. */
+  answerTrial({ fingerprint, episode }: TrialParams): TrialReply {
+    this.#setHome(this.#isHome());
+    if (!this.#actsAsHome) return null;
+    const vote = this.#votes.vote(fingerprint, episode, this.#history.hasCompleted(fingerprint));
+    if (vote?.isGranted === true)
+      this.#options.telemetry.event('info', 'quarantine.trial-vote', fingerprint, { episode });
+    return vote ?? null;
+  }
+
   /** Call it when another node has published its list, and about once a second. */
   update(): void {
     this.#setHome(this.#isHome());
@@ -205,6 +247,7 @@
     this.#suspects = new Map(suspects.map((suspect) => [suspect, this.#suspects.get(suspect) ?? nowMs]));
     for (const fingerprint of new Set([...suspects, ...this.#list.fingerprints]))
       this.#reportCompleted(fingerprint);
+    this.#trials.retain((fingerprint) => this.#list.episode(fingerprint) !== undefined);
     if (this.#actsAsHome) this.#publish();
     // Reports that a home does not answer are repeated with the next update.
     void Promise.allSettled(this.#reporter.reportToHomes());
@@ -224,9 +267,11 @@
     // A node that is no home does not receive which requests completed, so each period as home starts with an
     // empty history.
     this.#history = new InterruptionHistory(this.#options.clock);
+    this.#votes.clear();
     if (!isHome) return;
-    for (const { fingerprint, backend, sentMs } of this.#reporter.interruptions)
-      this.#count(fingerprint, backend, sentMs);
+    const nowMs = this.#options.clock.now();
+    for (const { fingerprint, backend, sentMs, atMs } of this.#reporter.interruptions)
+      this.#count(fingerprint, backend, sentMs, nowMs - atMs);
   }
 
   #isHome(): boolean {
@@ -292,17 +337,21 @@
     this.#publish();
   }
 
-  #count(fingerprint: string, backend: string, sentMs: number): void {
+  /** @param agoMs time since the crash; Infinity if unknown */
+  #count(fingerprint: string, backend: string, sentMs: number, agoMs: number): void {
     const completedMs = this.#completedRuns.lastSentMs(fingerprint);
     if (completedMs !== undefined) this.#history.recordCompleted(fingerprint, completedMs);
     if (this.#history.record(fingerprint, backend, sentMs) < QUARANTINE_THRESHOLD) return;
+    const episode = this.#list.episode(fingerprint) ?? this.#list.nextEpisode(fingerprint);
+    this.#votes.open({ fingerprint, episode, homes: this.#homes().length, ageMs: agoMs });
     if (this.#list.episode(fingerprint) !== undefined) return;
-    this.#add({ fingerprint, ageMs: 0, episode: this.#list.nextEpisode(fingerprint) }, 'counted');
+    this.#add({ fingerprint, ageMs: 0, episode }, 'counted');
     this.#publish();
   }
 
   #add(request: QuarantinedRequest, from: 'counted' | 'peer'): void {
     if (!this.#list.add(request)) return;
+    this.#trials.open(request.fingerprint, request.episode ?? 1, request.ageMs);
     const remainingMs = this.#list.remainingMs(request.fingerprint);
     this.#options.telemetry.event('warn', 'request.quarantined', request.fingerprint, {
       from,
@@ -312,6 +361,15 @@
     });
   }
 
+  async #askForTrial(id: string, params: TrialParams): Promise<TrialReply | undefined> {
+    const { cluster, network } = this.#options;
+    if (id === cluster.selfId) return this.answerTrial(params);
+    const address = cluster.peerAddress(id);
+    if (address === undefined) return undefined;
+    return (await network.to(address).call(TRIAL_METHOD, params, REPORT_TIMEOUT_MS)) as
+      TrialReply | undefined;
+  }
+
   /** @param sentAgoMs age of the completed run that shows another cause of the interruptions */
   #lift(request: LiftedQuarantine, from: 'completed' | 'peer', sentAgoMs?: number): void {
     if (!this.#list.lift(request)) return;
--- a/packages/gateway/src/cluster/interruption-reporter.ts
+++ b/packages/gateway/src/cluster/interruption-reporter.ts
@@ -50,7 +50,7 @@
   }
 
   /** Interruptions of this node that count, oldest first. */
-  get interruptions(): readonly Pick<LocalInterruption, 'fingerprint' | 'backend' | 'sentMs'>[] {
+  get interruptions(): readonly Omit<LocalInterruption, 'knownTo'>[] {
     return this.#interruptions;
   }
 
@@ -111,10 +111,11 @@
       return sentMs === undefined ? [] : [{ fingerprint, sentAgoMs: nowMs - sentMs }];
     });
     return {
-      interruptions: interruptions.map(({ fingerprint, backend, sentMs }) => ({
+      interruptions: interruptions.map(({ fingerprint, backend, sentMs, atMs }) => ({
         fingerprint,
         backend,
         sentAgoMs: nowMs - sentMs,
+        agoMs: nowMs - atMs,
       })),
       ...(completed.length === 0 ? {} : { completed }),
     };
--- a/packages/gateway/src/cluster/quarantine-protocol.ts
+++ b/packages/gateway/src/cluster/quarantine-protocol.ts
@@ -2,6 +2,7 @@
  * Messages between nodes about requests during which backends crashed. A node of another build may leave out
  * optional fields or not know a method, and then answers with an error.
  */
+import type { TrialVote } from '@canvasridge/admission';
 
 /** Reports to a home node (one of the few that count crashes) the requests during which backends crashed. */
 export const INTERRUPTED_METHOD = 'quarantine.interrupted';
@@ -15,6 +16,18 @@
  */
 export const COMPLETED_METHOD = 'quarantine.completed';
 
+/** Asks a home node for its vote for a trial: a single run of a quarantined request. */
+export const TRIAL_METHOD = 'quarantine.trial';
+
+/** Params of {@link TRIAL_METHOD}. */
+export interface TrialParams {
+  readonly fingerprint: string;
+  readonly episode: number;
+}
+
+/** Null from a node that does not consider itself a home, or can't know how many trials there were. */
+export type TrialReply = TrialVote | null;
+
 /** A run of a request that a backend completed. */
 export interface CompletedRun {
   readonly fingerprint: string;
@@ -31,6 +44,8 @@
   readonly backend: string;
   /** Time since the interrupted run was sent, in milliseconds; taken for 0 if absent. */
   readonly sentAgoMs?: number;
+  /** Time since the crash, in milliseconds; unknown if absent. */
+  readonly agoMs?: number;
 }
 
 /** Params of {@link INTERRUPTED_METHOD}. */
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -48,8 +48,10 @@
   ENDED_WELL_METHOD,
   FleetQuarantine,
   INTERRUPTED_METHOD,
+  TRIAL_METHOD,
   type EndedWellParams,
   type InterruptedParams,
+  type TrialParams,
 } from './cluster/fleet-quarantine.js';
 import { FleetShare } from './cluster/fleet-share.js';
 import { LoopLag } from './cluster/loop-lag.js';
@@ -347,6 +349,7 @@
       [INTERRUPTED_METHOD]: (params) => this.#quarantine.answer(params as InterruptedParams),
       [COMPLETED_METHOD]: (params) => this.#quarantine.answerEndedWell(params as EndedWellParams),
       [ENDED_WELL_METHOD]: (params) => this.#quarantine.answerEndedWell(params as EndedWellParams),
+      [TRIAL_METHOD]: (params) => this.#quarantine.answerTrial(params as TrialParams),
       [BORROW_METHOD]: (params) => this.#quotas.answer(params as BorrowParams),
       [RATE_BORROW_METHOD]: (params) => {
         const read = readRateBorrow(params);
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -225,9 +225,9 @@
    * cause.
    */
   #refuseIfQuarantined(): boolean {
-    const { quarantinedMs } = this.#quarantine;
-    if (quarantinedMs === undefined) return false;
-    this.#refuse('quarantined', quarantinedMs);
+    if (!this.#quarantine.isWithheld) return false;
+    const spread = 1 + RETRY_AFTER_QUARANTINE_SPREAD * this.#context.random();
+    this.#refuse('quarantined', this.#quarantine.retryAfterMs * spread);
     return true;
   }
 
@@ -299,7 +299,10 @@
     this.#pickedMs = this.#ageMs();
     this.#sends += 1;
     this.#progress = undefined;
+    // A trial is requested when a backend is at hand, as the homes allow only a few.
+    const isAllowed = !this.#quarantine.isQuarantined || (await this.#quarantine.requestTrial());
     if (this.#ended) return { kind: 'cancelled' };
+    if (!isAllowed) return { kind: 'not-run', reason: 'not-allowed' };
     if (fleet.isLeaving(backend.id)) return { kind: 'not-run', reason: 'leaving' };
     if (availability.isBackingOff(backend.id)) return { kind: 'not-run', reason: 'backing-off' };
     const connection = connections.acquire(backend, service.maxConnections, this.#context.fleetShare());
@@ -356,7 +359,7 @@
     const isAllowed =
       this.#remainingMs(route) > 0 &&
       this.#admission.isStillIdentified(route) &&
-      this.#quarantine.quarantinedMs === undefined;
+      !this.#quarantine.isQuarantined;
     this.#sentMs = this.#ageMs();
     this.#listAgeMs = this.#context.listAgeMs();
     if (!isAllowed) return 'not-allowed';
@@ -549,3 +552,5 @@
 
 const EMPTY_BODY: Buffer = Buffer.alloc(0);
 const RETRY_AFTER_REFUSAL_MS = 300;
+/** Fraction of the time by which callers of a quarantined request return later, so that they don't all return at once. */
+const RETRY_AFTER_QUARANTINE_SPREAD = 0.5;
--- a/packages/gateway/src/request/request-quarantine.ts
+++ b/packages/gateway/src/request/request-quarantine.ts
@@ -25,6 +25,8 @@
   readonly #context: QuarantineContext;
   readonly #traceId: string;
   readonly #parts: () => FingerprintParts;
+  /** Whether the next attempt may be sent although the request is quarantined. */
+  #isTrialAllowed = false;
   #cachedFingerprint: string | undefined;
 
   constructor(context: QuarantineContext, traceId: string, parts: () => FingerprintParts) {
@@ -33,13 +35,27 @@
     this.#parts = parts;
   }
 
-  /**
-   * Remaining time of the request's quarantine, in milliseconds: too many backends crashed while they ran it.
-   * Undefined if it is not quarantined.
-   */
-  get quarantinedMs(): number | undefined {
+  /** Whether the request is quarantined, so that it must not be sent without a trial. */
+  get isQuarantined(): boolean {
     const { quarantine } = this.#context;
-    return quarantine.isEmpty ? undefined : quarantine.remainingMs(this.#fingerprint);
+    if (this.#isTrialAllowed || quarantine.isEmpty) return false;
+    return quarantine.remainingMs(this.#fingerprint) !== undefined;
+  }
+
+  /** Whether the request is quarantined and can't be sent as a trial now. */
+  get isWithheld(): boolean {
+    return this.isQuarantined && !this.#context.quarantine.isTrialDue(this.#fingerprint);
+  }
+
+  /** Time after which the client of a quarantined request should send it again, in milliseconds. */
+  get retryAfterMs(): number {
+    return this.#context.quarantine.retryAfterMs(this.#fingerprint);
+  }
+
+  /** Resolves to whether a quarantined request may be sent once, as a trial. */
+  async requestTrial(): Promise<boolean> {
+    this.#isTrialAllowed = await this.#context.quarantine.requestTrial(this.#fingerprint);
+    return this.#isTrialAllowed;
   }
 
   /**
@@ -48,6 +64,7 @@
    */
   async attemptEnded(backendId: string, attempt: BackendAttempt, outcome: AttemptOutcome): Promise<void> {
     const { quarantine } = this.#context;
+    this.#isTrialAllowed = false;
     // An error response does not clear a request: a backend may send one before it has run the request.
     if (outcome.kind === 'complete') quarantine.completed(this.#fingerprint, attempt.runMs);
     if (outcome.kind === 'broken') await this.#interrupted(backendId, attempt, outcome);
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -280,6 +280,9 @@
       quarantine: {
         isEmpty: true,
         remainingMs: () => undefined,
+        retryAfterMs: () => 0,
+        isTrialDue: () => false,
+        requestTrial: () => Promise.resolve(false),
         interrupted: () => Promise.resolve(),
         completed: () => undefined,
       },
--- a/packages/gateway/test/quarantine-fleet.ts
+++ b/packages/gateway/test/quarantine-fleet.ts
@@ -4,8 +4,10 @@
   ENDED_WELL_METHOD,
   FleetQuarantine,
   INTERRUPTED_METHOD,
+  TRIAL_METHOD,
   type EndedWellParams,
   type InterruptedParams,
+  type TrialParams,
 } from '../src/cluster/fleet-quarantine.js';
 import { VirtualClusters, type VirtualNode } from './virtual-clusters.js';
 
@@ -160,6 +162,8 @@
     case COMPLETED_METHOD:
     case ENDED_WELL_METHOD:
       return quarantine.answerEndedWell(params as EndedWellParams);
+    case TRIAL_METHOD:
+      return quarantine.answerTrial(params as TrialParams);
     default:
       return undefined;
   }
--- a/packages/gateway/test/request-quarantine.test.ts
+++ b/packages/gateway/test/request-quarantine.test.ts
@@ -22,6 +22,9 @@
   const quarantine = {
     isEmpty: false,
     remainingMs: () => undefined,
+    retryAfterMs: () => 0,
+    isTrialDue: () => false,
+    requestTrial: () => Promise.resolve(false),
     interrupted: () => Promise.resolve(),
     completed: (_: string, runMs?: number) => {
       clearingRunMs = runMs ?? 0;
