--- a/packages/gateway/test/quarantine-fleet.ts
+++ b/packages/gateway/test/quarantine-fleet.ts
@@ -73,6 +73,20 @@
     return clock.runUntil(clock.now() + durationMs);
   }
 
+  isRunning(id: string): boolean {
+    return this.#nodes.get(id)?.isRunning === true;
+  }
+
+  /** Drops all messages between a node and the others; returns a function that ends this. */
+  cutOff(id: string): () => void {
+    const { cuts } = this.clusters;
+    const links = this.ids.flatMap((other) => (other === id ? [] : [`${id}>${other}`, `${other}>${id}`]));
+    for (const link of links) cuts.add(link);
+    return () => {
+      for (const link of links) cuts.delete(link);
+    };
+  }
+
   stop(id: string): void {
     const node = this.#nodes.get(id);
     if (node !== undefined) node.isRunning = false;
--- a/packages/gateway/test/quarantine-trials.test.ts
+++ b/packages/gateway/test/quarantine-trials.test.ts
@@ -126,11 +126,9 @@
 });
 
 async function cutOff(fleet: QuarantineFleet, id: string, durationMs: number): Promise<void> {
-  const { cuts, clock } = fleet.clusters;
-  const links = fleet.ids.flatMap((other) => (other === id ? [] : [`${id}>${other}`, `${other}>${id}`]));
-  for (const link of links) cuts.add(link);
-  await clock.sleep(durationMs);
-  for (const link of links) cuts.delete(link);
+  const heal = fleet.cutOff(id);
+  await fleet.clusters.clock.sleep(durationMs);
+  heal();
 }
 
 test('the client of a quarantined request is told to return after the next trial, or after the quarantine', async (t) => {
