Engines that do not answer after a failure get no requests

Callers' requests were sent on to engines that had crashed, until their entries left the published list: each costs a retry of the service's budget, and at silent engines one to two seconds.

Cause: a failure made an engine dearer by 500 ms for 1.5 s, but an engine that crashed is idle and thus cheap, and the only holder of an adapter is granted at any cost.

Change: after a failure the leader asks the engine for a report, and withholds it while that stays unanswered although another engine answers.

--- a/packages/slots/src/engine-entry.ts
+++ b/packages/slots/src/engine-entry.ts
@@ -1,12 +1,14 @@
+import type { AnswerCheck } from './answer-check.js';
 import type { EngineRate } from './engine-rate.js';
 import type { EngineSlots } from './engine-slots.js';
 import type { OrderLease } from './order-lease.js';
 
-/** An engine of a pool: its believed state, the right to give it orders, and its rate limit. */
+/** An engine of a pool: its believed state, the right to give it orders, its rate limit, and whether it answers. */
 export interface EngineEntry {
   readonly slots: EngineSlots;
   readonly lease: OrderLease;
   readonly rate: EngineRate;
+  readonly answerCheck: Pick<AnswerCheck, 'isAnswering' | 'lastAnsweredMs' | 'requestFailed' | 'answered'>;
   /** When it left the published list; undefined while it is listed. An unlisted engine gets no requests. */
   unlistedSinceMs: number | undefined;
 }
--- a/packages/slots/src/engine-registry.ts
+++ b/packages/slots/src/engine-registry.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@canvasridge/clock';
 import type { BackendDescription, EngineProfile } from '@canvasridge/serving';
+import { AnswerCheck } from './answer-check.js';
 import type { EngineReport } from './engine-control.js';
 import type { EngineEntry } from './engine-entry.js';
 import { EngineRate } from './engine-rate.js';
@@ -21,6 +22,8 @@
   readonly learnsSpeed: boolean;
   /** Called after an engine's state was updated from a report. */
   readonly onAdopted: (slots: EngineSlots) => void;
+  /** Called when an engine was found to answer no more, or again. */
+  readonly onAnswering: () => void;
 }
 
 /** The engines of a pool, kept in line with the published list. */
@@ -49,9 +52,11 @@
     return this.#engines.get(id);
   }
 
-  /** Whether the engine is ready and not excluded for this request. */
+  /** Whether the engine is ready, not known to answer no more, and not excluded for this request. */
   mayServe(entry: EngineEntry, request: SlotRequest): boolean {
-    return isReady(entry) && !request.excluded.includes(entry.slots.backend.id);
+    return (
+      isReady(entry) && entry.answerCheck.isAnswering && !request.excluded.includes(entry.slots.backend.id)
+    );
   }
 
   /** Whether any ready engine holds the model, regardless of which engines a request excludes. */
@@ -141,7 +146,33 @@
       onReport,
     });
     const rate = new EngineRate(clock);
-    this.#engines.set(backend.id, { slots, lease, rate, unlistedSinceMs: undefined });
+    const answerCheck = this.#newAnswerCheck(slots, isListed);
+    this.#engines.set(backend.id, { slots, lease, rate, answerCheck, unlistedSinceMs: undefined });
+  }
+
+  #newAnswerCheck(slots: EngineSlots, isListed: () => boolean): AnswerCheck {
+    const { clock, lease, after, onAnswering } = this.#options;
+    return new AnswerCheck({
+      clock,
+      after,
+      isListed,
+      ask: () => this.#askForAnswer(slots.backend),
+      onChange: (isAnswering) => {
+        const event = isAnswering ? 'engine.answers' : 'engine.unanswering';
+        lease.telemetry.event('info', event, slots.backend.id, { running: slots.running });
+        onAnswering();
+      },
+    });
+  }
+
+  /** Resolves to whether the engine answers; undefined if the one that answered last does not either. */
+  async #askForAnswer(backend: BackendDescription): Promise<boolean | undefined> {
+    const { control } = this.#options.lease;
+    if ((await control.report(backend)) !== undefined) return true;
+    const others = this.listed().filter(({ slots }) => slots.backend.id !== backend.id);
+    const [other] = others.sort((a, b) => b.answerCheck.lastAnsweredMs - a.answerCheck.lastAnsweredMs);
+    if (other === undefined || (await control.report(other.slots.backend)) === undefined) return undefined;
+    return false;
   }
 }
 
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -121,7 +121,14 @@
       this.schedule();
     };
     const learnsSpeed = !options.disabled.has('learnt-speed');
-    this.#engines = new EngineRegistry({ clock, lease: options, after, onAdopted, learnsSpeed });
+    this.#engines = new EngineRegistry({
+      clock,
+      lease: options,
+      after,
+      onAdopted,
+      learnsSpeed,
+      onAnswering: onChange,
+    });
     const { poolSpeed } = this.#engines;
     this.#waiting = new WaitingList(
       ({ promptTokens }) => promptTokens * poolSpeed.msPerToken,
@@ -277,6 +284,7 @@
     const use = this.#uses.get(requestId);
     const entry = use === undefined ? undefined : this.#engines.get(use.engineId);
     if (use === undefined || entry === undefined) return;
+    entry.answerCheck.answered();
     this.#paces.recordProcessed(entry.slots, requestId, this.#options.clock.now());
     if (use.slot !== undefined) this.#adapters.recordServed(use.slot, use.beganMs);
     this.schedule();
@@ -308,6 +316,7 @@
     if (outcome === 'not-present') this.#handleMissing(entry, slot, beganMs);
     else if (outcome === 'failed' || outcome === 'refused') {
       entry.slots.avoidUntilMs = nowMs + AVOID_AFTER_FAILURE_MS;
+      entry.answerCheck.requestFailed();
     } else if (outcome === 'served' && slot !== undefined) this.#adapters.recordServed(slot, beganMs);
   }
 
--- a/packages/slots/test/adapter-loader.test.ts
+++ b/packages/slots/test/adapter-loader.test.ts
@@ -11,7 +11,7 @@
 import type { Mechanism } from '../src/mechanisms.js';
 import type { OrderLease } from '../src/order-lease.js';
 import { DEFAULT_SLOT_TIMING } from '../src/timing.js';
-import { LEASE_MS, MODEL, PROFILE, SimulatedEngine } from './simulated-engines.js';
+import { ALWAYS_ANSWERING, LEASE_MS, MODEL, PROFILE, SimulatedEngine } from './simulated-engines.js';
 
 /** A loader whose orders are all accepted after the given time, and one engine. */
 function newLoader(
@@ -48,7 +48,13 @@
   const rate = new EngineRate(clock);
   return {
     loader,
-    entry: { slots, lease: lease as unknown as OrderLease, rate, unlistedSinceMs: undefined },
+    entry: {
+      slots,
+      lease: lease as unknown as OrderLease,
+      rate,
+      answerCheck: ALWAYS_ANSWERING,
+      unlistedSinceMs: undefined,
+    },
   };
 }
 
--- a/packages/slots/test/simulated-engines.ts
+++ b/packages/slots/test/simulated-engines.ts
@@ -21,6 +21,14 @@
   storeLoadsPerSecond: 2,
 };
 
+/** The answer check of an engine that is never withheld. */
+export const ALWAYS_ANSWERING = {
+  isAnswering: true,
+  lastAnsweredMs: 0,
+  requestFailed: (): void => undefined,
+  answered: (): void => undefined,
+};
+
 interface TimedOrder {
   readonly atMs: number;
   readonly order: EngineOrder;
--- a/packages/slots/test/simulated-loads.ts
+++ b/packages/slots/test/simulated-loads.ts
@@ -10,7 +10,7 @@
 import type { Mechanism } from '../src/mechanisms.js';
 import type { OrderLease } from '../src/order-lease.js';
 import { countFetches } from '../src/pool-index.js';
-import { MODEL, PROFILE, SimulatedEngine } from './simulated-engines.js';
+import { ALWAYS_ANSWERING, MODEL, PROFILE, SimulatedEngine } from './simulated-engines.js';
 
 export interface LoadScenario {
   readonly seed: number;
@@ -166,7 +166,13 @@
       settle: () => undefined,
     };
     const rate = new EngineRate(this.#clock);
-    return { slots, lease: lease as unknown as OrderLease, rate, unlistedSinceMs: undefined };
+    return {
+      slots,
+      lease: lease as unknown as OrderLease,
+      rate,
+      answerCheck: ALWAYS_ANSWERING,
+      unlistedSinceMs: undefined,
+    };
   }
 
   #scheduleNext(): void {
