A run that repeats a broken one is charged to the tenant's quota

Cause, by reading and by test: a request was charged once, but its repeated run reaches a runner as well and spends the same there. If backends break off many runs while a tenant is at its limit, all of them are repeated beyond it.

Change: each run that follows one that may have run is charged again, once a backend is at hand; if nothing is left of the quota, the request ends as its last run did. What was charged for a run that did not happen covers the next one, or is given back. `tenants`: three new tests, which failed before; the others are unchanged.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -190,6 +190,7 @@
     // have reported the request in the meantime.
     if (this.#refuseIfQuarantined() || !(await this.#chargeOrRefuse())) return;
     this.#context.budget(service.name).countRequest();
+    let lastRun: AttemptOutcome | undefined;
     while (!this.#ended) {
       if (this.#refuseIfQuarantined() || this.#timeOutIfOverdue(route)) return;
       if (!this.#identifyOrRefuse(route)) return;
@@ -202,11 +203,16 @@
         this.#refuse(picked.reason, picked.retryAfterMs);
         return;
       }
+      if (lastRun !== undefined && !(await this.#chargeRetryOrEnd(lastRun))) {
+        picked.finish('cancelled');
+        return;
+      }
       await this.#context.refreshIfOld();
       const outcome = await this.#send(route, service, picked);
       picked.finish(useOutcomeOf(outcome), this.#progress);
       if (this.#ended || this.#endIfFinal(outcome, route)) return;
       if (!this.#retryOrEnd(route, service, outcome)) return;
+      if (outcome.kind !== 'not-run') lastRun = outcome;
     }
   }
 
@@ -265,8 +271,16 @@
     return !this.#ended;
   }
 
+  /** Charges another run, after `lastRun`, to the tenant's quota. If it is used up, ends the request; returns false if it has ended. */
+  async #chargeRetryOrEnd(lastRun: AttemptOutcome): Promise<boolean> {
+    const decision = await this.#admission.charge();
+    if (this.#ended) this.#refundUnlessRun();
+    else if (decision.kind === 'refused') this.#endWithoutRetry(lastRun);
+    return !this.#ended;
+  }
+
   #refundUnlessRun(): void {
-    if (!this.#mayHaveRun && this.#attempt?.sent !== true) this.#admission.refund();
+    if (this.#attempt?.sent !== true) this.#admission.refund();
   }
 
   #pick(route: HttpRoute, service: BackendService): Promise<PickResult> {
@@ -346,6 +360,7 @@
     if (outcome.kind !== 'not-run') {
       this.#mayHaveRun ||= attempt.sent;
       this.#runs += 1;
+      if (attempt.sent) this.#admission.recordRun();
     }
     await this.#quarantine.attemptEnded(backend.id, attempt, outcome);
     return outcome;
--- a/packages/gateway/src/request/request-admission.ts
+++ b/packages/gateway/src/request/request-admission.ts
@@ -23,6 +23,7 @@
   readonly #context: AdmissionContext;
   readonly #facts: RequestFacts;
   #identity: CallerIdentity | undefined;
+  /** What was charged for the next run, or for the current one; undefined if that was nothing. */
   #charge: { readonly tenant: string; readonly units: number } | undefined;
 
   constructor(context: AdmissionContext, facts: RequestFacts) {
@@ -63,9 +64,12 @@
     return found.kind === 'identified' && tenantNameOf(found.identity) === this.tenant;
   }
 
-  /** Charges the request to its tenant's quota, if it has one. */
+  /**
+   * Charges a run of the request to its tenant's quota, if it has one. What was charged for a run that did not happen
+   * covers the next one; each further run is charged again, as backends spend the same on it.
+   */
   async charge(): Promise<QuotaDecision> {
-    if (this.identity.kind !== 'tenant') return ADMITTED;
+    if (this.identity.kind !== 'tenant' || this.#charge !== undefined) return ADMITTED;
     const { name, quota } = this.identity.tenant;
     if (quota === undefined) return ADMITTED;
     const units = quota.unit === 'tokens' ? (this.#facts.tokens ?? quota.plainTokens) : 1;
@@ -74,7 +78,12 @@
     return decision;
   }
 
-  /** Gives the charged units back, as the request did not run. */
+  /** Call it when a backend may have run the request: the charge is spent. */
+  recordRun(): void {
+    this.#charge = undefined;
+  }
+
+  /** Gives units back that were charged for a run that did not happen. */
   refund(): void {
     if (this.#charge === undefined) return;
     this.#context.quotas.giveBack(this.#charge.tenant, this.#charge.units);
--- a/packages/gateway/test/tenants.test.ts
+++ b/packages/gateway/test/tenants.test.ts
@@ -171,6 +171,62 @@
   });
 });
 
+const BREAKS_OFF: RawResponder = (socket) => socket.destroy();
+const REPEATABLE: RouteOverrides = { kind: 'idempotent', attempts: 2 };
+
+// Guards against exceeding a quota when backends break off many runs at once, and all of them are sent again.
+test('a run that repeats a broken one is charged again', async (t) => {
+  let runs = 0;
+  const breaksFirst: RawResponder = (socket, id, head) => {
+    runs += 1;
+    if (runs === 1) BREAKS_OFF(socket, id, head);
+    else ANSWER(socket, id, head);
+  };
+  await withQuota([breaksFirst, breaksFirst], async (harness, asked) => {
+    harness.fleet.applyConfiguration(
+      configuration(REPEATABLE, [tenant('one', ['key-1'], { quota: QUOTA })], 3),
+    );
+    t.is((await call(harness, 'key-1')).status, 200);
+    t.is(runs, 2);
+    t.deepEqual(asked, [200, 200]);
+    t.deepEqual(harness.refundedUnits, []);
+  });
+});
+
+test('a run that repeats a broken one is not sent beyond the quota', async (t) => {
+  await withQuota([BREAKS_OFF, BREAKS_OFF], async (harness) => {
+    harness.fleet.applyConfiguration(
+      configuration(REPEATABLE, [tenant('one', ['key-1'], { quota: QUOTA })], 3),
+    );
+    let charges = 0;
+    harness.admit = () => {
+      charges += 1;
+      return Promise.resolve(charges === 1 ? { kind: 'admitted' } : { kind: 'refused', retryAfterMs: 700 });
+    };
+    t.is((await call(harness, 'key-1')).status, 502, 'it has run once');
+    t.is(harness.sends, 1);
+    t.deepEqual(harness.refundedUnits, []);
+  });
+});
+
+test('units of a repeated run that no backend ran are given back', async (t) => {
+  const refuses: RawResponder = (socket) =>
+    socket.write('HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n');
+  let sends = 0;
+  const breaksThenRefuses: RawResponder = (socket, id, head) => {
+    sends += 1;
+    (sends === 1 ? BREAKS_OFF : refuses)(socket, id, head);
+  };
+  await withQuota([breaksThenRefuses, breaksThenRefuses], async (harness, asked) => {
+    harness.fleet.applyConfiguration(
+      configuration(REPEATABLE, [tenant('one', ['key-1'], { quota: QUOTA })], 3),
+    );
+    t.is((await call(harness, 'key-1')).status, 502);
+    t.deepEqual(asked, [200, 200]);
+    t.deepEqual(harness.refundedUnits, [200]);
+  });
+});
+
 test('the burst is widened by half of the overage that operators tolerate in a window', (t) => {
   const rule = { ratePerSecond: 100, burst: 200 };
   t.deepEqual(widenRule(rule, undefined), rule);
