A node without a leader asks for claims that it may have missed before it claims

Change: halfway through its wait, at the latest after 2.5 s, such a node compares its state with three members. Where the leader is really gone the answer changes nothing, and the first candidate's 150 ms are as before. `leadership`: new test; the stubs of two tests got the new method of LeadershipPeers.

--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -69,6 +69,8 @@
 const BUSY_KEY = 'busy';
 const QUARANTINE_KEY = 'quarantine';
 const LIFTED_KEY = 'quarantine-lifted';
+/** Members asked for records that this node may have missed: any of them may have missed the same. */
+const MEMBERS_ASKED = 3;
 /** The node count is the largest seen within this time. */
 const NODE_COUNT_WINDOW_MS = 30_000;
 
@@ -339,6 +341,12 @@
     this.#membership.gossipNow();
   }
 
+  askForMissedRecords(): void {
+    const others = this.#members().visible;
+    const asked = new Set(Array.from({ length: MEMBERS_ASKED }, () => this.#options.random.pick(others)));
+    this.#membership.startComparisonWith([...asked].filter((id) => id !== undefined));
+  }
+
   seesMost(): boolean {
     return !this.#leaving && this.#visibility.seesMost();
   }
--- a/packages/slots/src/pool-leadership.ts
+++ b/packages/slots/src/pool-leadership.ts
@@ -17,6 +17,8 @@
   claims(pool: string): readonly PoolClaim[];
   /** Publishes this node's claim, or withdraws it if the epoch is undefined. */
   publishClaim(pool: string, epoch: number | undefined): void;
+  /** Asks a few members for claims and other records that this node may have missed. */
+  askForMissedRecords(): void;
   /** Whether this node sees a majority of the members it saw recently. */
   seesMost(): boolean;
 }
@@ -24,6 +26,8 @@
 /** How long the first candidate waits without seeing a claim before it claims, and how much longer each further one waits. */
 const CLAIM_DELAY_MS = 150;
 const CLAIM_DELAY_PER_RANK_MS = 600;
+/** How long a node without a leader waits at most before it asks for claims that it may have missed. */
+const ASK_AFTER_MS = 2500;
 const SECOND_MS = 1000;
 
 /**
@@ -39,6 +43,7 @@
   #ownEpoch: number | undefined;
   #highestEpoch = 0;
   #unclaimedSinceMs: number | undefined;
+  #askedMs = -Infinity;
   #leader: string | undefined;
 
   constructor(pool: string, peers: LeadershipPeers, clock: Clock, telemetry: Telemetry) {
@@ -97,7 +102,9 @@
       return;
     }
     this.#unclaimedSinceMs ??= nowMs;
-    if (nowMs - this.#unclaimedSinceMs < CLAIM_DELAY_MS + rank * CLAIM_DELAY_PER_RANK_MS) return;
+    const waitMs = CLAIM_DELAY_MS + rank * CLAIM_DELAY_PER_RANK_MS;
+    this.#askForMissedClaims(this.#unclaimedSinceMs, waitMs, nowMs);
+    if (nowMs - this.#unclaimedSinceMs < waitMs) return;
     // Wall clocks differ between machines and can jump, so an epoch is always higher than any seen. The wall time
     // matters after all nodes were lost and no epoch is remembered: without it the next leader's fences could be lower.
     this.#highestEpoch = Math.max(this.#highestEpoch + 1, Math.floor(this.#clock.wallTime() / SECOND_MS));
@@ -105,6 +112,15 @@
     this.#peers.publishClaim(this.#pool, this.#ownEpoch);
   }
 
+  /** A node that missed the leader's claim would otherwise replace it, and its own clients have no leader meanwhile. */
+  #askForMissedClaims(unclaimedSinceMs: number, waitMs: number, nowMs: number): void {
+    const askAfterMs = Math.min(waitMs / 2, ASK_AFTER_MS);
+    const lastMs = Math.max(this.#askedMs, unclaimedSinceMs);
+    if (nowMs - lastMs < askAfterMs) return;
+    this.#askedMs = nowMs;
+    this.#peers.askForMissedRecords();
+  }
+
   #withdraw(): void {
     this.#ownEpoch = undefined;
     this.#peers.publishClaim(this.#pool, undefined);
--- a/packages/slots/test/leadership.test.ts
+++ b/packages/slots/test/leadership.test.ts
@@ -96,6 +96,7 @@
         if (epoch === undefined) claims.delete(selfId);
         else claims.set(selfId, { memberId: selfId, epoch });
       },
+      askForMissedRecords: () => undefined,
       seesMost: () => true,
     };
     leaderships.set(selfId, new PoolLeadership('llm', peers, clock, telemetry));
@@ -158,6 +159,7 @@
           if (epoch === undefined) claims.delete(selfId);
           else claims.set(selfId, { memberId: selfId, epoch });
         },
+        askForMissedRecords: () => undefined,
         seesMost: () => true,
       },
       clock,
@@ -171,3 +173,30 @@
   t.deepEqual(new Set(leaderships.map(({ leader }) => leader)).size, 1);
   t.not(leaderships[0]?.leader, undefined);
 });
+
+// Guards against replacing a leader, and losing a lease of loads, because one node missed its claim.
+test('a node that missed the claim of the leader asks for it in time and does not claim', async (t) => {
+  for (const rank of [1, 2, 20]) {
+    const clock = new VirtualClock();
+    const claims: PoolClaim[] = [];
+    const published: unknown[] = [];
+    const peers = {
+      selfId: 'z',
+      candidates: () => [...Array.from({ length: rank }, (_, index) => `a${index}`), 'z'],
+      claims: () => claims,
+      publishClaim: (_pool: string, epoch: number | undefined) => published.push(epoch),
+      askForMissedRecords: () => {
+        if (claims.length === 0) claims.push({ memberId: 'a0', epoch: 1 });
+      },
+      seesMost: () => true,
+    };
+    const telemetry = new Telemetry({ processName: 'z', clock });
+    const leadership = new PoolLeadership('llm', peers, clock, telemetry);
+    for (let atMs = 0; atMs <= 3000; atMs += 100) {
+      await clock.runUntil(atMs);
+      leadership.update();
+    }
+    t.is(leadership.leader, 'a0', `rank ${rank}`);
+    t.deepEqual(published, [], `rank ${rank}`);
+  }
+});
--- a/packages/slots/test/order-fence.test.ts
+++ b/packages/slots/test/order-fence.test.ts
@@ -19,6 +19,7 @@
     candidates: () => [selfId],
     claims: () => [],
     publishClaim: () => undefined,
+    askForMissedRecords: () => undefined,
     seesMost: () => true,
   };
   const telemetry = new Telemetry({ processName: selfId, clock });
