Homes go on with the trials of a request that others released and quarantined again

Cause: one home released the request by a completed run and counted three further crashes in the same millisecond, which makes a second quarantine. The other homes had counted the first one only; they took the number of the second from gossip, but votes were kept for the first, so they abstained. Evidence: the lines of node-5 (episodes 1 and 2 at 17:52:49.881) and node-4 (1 only).

Change: a home carries its votes over to the later number. What it voted before still counts, so no more trials are possible. `quarantine-trials`: "homes that heard of a second quarantine only from another home vote for its trials" failed before.

--- a/packages/admission/src/quarantine/trial-votes.ts
+++ b/packages/admission/src/quarantine/trial-votes.ts
@@ -20,7 +20,7 @@
 }
 
 interface Election {
-  readonly episode: number;
+  episode: number;
   readonly homes: number;
   readonly openedMs: number;
   votes: number;
@@ -73,6 +73,15 @@
     if (this.#elections.size > MAX_ELECTIONS && oldest.done !== true) this.#elections.delete(oldest.value);
   }
 
+  /**
+   * Goes on with an earlier quarantine of the request under the number of a later one: the other homes released it
+   * and quarantined it again, so this home knows of all trials before, too.
+   */
+  follow(fingerprint: string, episode: number): void {
+    const election = this.#elections.get(fingerprint);
+    if (election !== undefined && election.episode < episode) election.episode = episode;
+  }
+
   clear(): void {
     this.#elections.clear();
   }
@@ -85,13 +94,14 @@
     const election = this.#elections.get(fingerprint);
     if (election?.episode !== episode) return undefined;
     if (!hasCompleted) return this.#refuseUnserved(election);
-    const waitMs = this.#waitMs(election);
-    const isGranted = waitMs !== undefined && waitMs <= TOLERANCE_MS;
+    const untilNextMs = this.#untilNextMs(election);
+    const isGranted = untilNextMs !== undefined && untilNextMs <= TOLERANCE_MS;
     if (isGranted) {
       election.votes += 1;
       election.lastMs = this.#clock.now();
     }
-    return { isGranted, homes: election.homes, waitMs: isGranted ? this.#waitMs(election) : waitMs };
+    const waitMs = this.#untilNextMs(election);
+    return { isGranted, homes: election.homes, waitMs };
   }
 
   /** Refuses a request that was never served, and thus hardly is running on several backends by chance. */
@@ -100,7 +110,8 @@
     return { isGranted: false, homes, waitMs: isReportExpected ? REPORT_PAUSE_MS : undefined };
   }
 
-  #waitMs({ votes, lastMs }: Election): number | undefined {
+  /** Time until this home may vote again; undefined if it has no vote left. */
+  #untilNextMs({ votes, lastMs }: Election): number | undefined {
     const delayMs = this.#delaysMs[votes];
     return delayMs === undefined ? undefined : lastMs + delayMs - this.#clock.now();
   }
--- a/packages/gateway/src/cluster/fleet-quarantine.ts
+++ b/packages/gateway/src/cluster/fleet-quarantine.ts
@@ -351,7 +351,9 @@
 
   #add(request: QuarantinedRequest, from: 'counted' | 'peer'): void {
     if (!this.#list.add(request)) return;
-    this.#trials.open(request.fingerprint, request.episode ?? 1, request.ageMs);
+    const { fingerprint, ageMs, episode = 1 } = request;
+    this.#trials.open(fingerprint, episode, ageMs);
+    this.#votes.follow(fingerprint, episode);
     const remainingMs = this.#list.remainingMs(request.fingerprint);
     this.#options.telemetry.event('warn', 'request.quarantined', request.fingerprint, {
       from,
--- a/packages/gateway/test/quarantine-trials.test.ts
+++ b/packages/gateway/test/quarantine-trials.test.ts
@@ -137,3 +137,32 @@
   const { fleet: after } = await play({ seed: 1, completes: false, durationMs: 30_000 });
   t.true(after.node(after.homes()[0] ?? '').retryAfterMs('f') > HOUR_MS / 2, 'after the last trial');
 });
+
+/*
+ * Seen in a soak: a home released a request and quarantined it again within a millisecond, and the other homes had
+ * counted only the first of the two. None of them voted for a trial of the second.
+ */
+test('homes that heard of a second quarantine only from another home vote for its trials', async (t) => {
+  const fleet = new QuarantineFleet(NODES, 4);
+  await fleet.run(SETTLED_MS);
+  for (const id of fleet.ids) fleet.node(id).completed('f');
+  await fleet.run(KNOWN_WITHIN_MS);
+  for (const [index, id] of CALLERS.entries()) void fleet.node(id).interrupted('f', `b${index}`, 100);
+  await fleet.run(50);
+  // One home alone hears of a completed run, and of crashes after it.
+  const home = fleet.node(fleet.homes()[1] ?? '');
+  home.answerEndedWell({ fingerprint: 'f', sentAgoMs: 100 });
+  for (const backend of ['c0', 'c1', 'c2']) {
+    home.answer({ interruptions: [{ fingerprint: 'f', backend, sentAgoMs: 0, agoMs: 0 }] });
+  }
+  let granted = 0;
+  for (let atMs = 0; atMs < 5000; atMs += SEND_INTERVAL_MS) {
+    for (const id of fleet.ids) {
+      const node = fleet.node(id);
+      if (node.isTrialDue('f'))
+        void node.requestTrial('f').then((isGranted) => (granted += isGranted ? 1 : 0));
+    }
+    await fleet.run(SEND_INTERVAL_MS);
+  }
+  t.is(granted, 1);
+});
