Clients are not told to return in an hour while the last trial is running

Cause: a home that has given its last vote answered that there is no other trial, though the last one was still on its way. It now names up to 5 s after its last vote, in which a trial completes or fails. `quarantine-trials`: "the client of a request whose last trial is running is told to return soon" failed before.

--- a/packages/admission/src/quarantine/trial-votes.ts
+++ b/packages/admission/src/quarantine/trial-votes.ts
@@ -36,6 +36,8 @@
 export const TRIAL_DELAYS_MS: readonly number[] = [1000, 10_000];
 /** Homes learn of a quarantine, and are asked for a trial, at slightly different times. */
 const TOLERANCE_MS = 100;
+/** Time within which a trial completes or fails, and its clients are told to return. */
+const RESULT_WITHIN_MS = 5000;
 /** Time within which the nodes report the completed runs of a request after its quarantine. */
 const REPORTED_WITHIN_MS = 5000;
 const REPORT_PAUSE_MS = 1000;
@@ -100,7 +102,7 @@
       election.votes += 1;
       election.lastMs = this.#clock.now();
     }
-    const waitMs = this.#untilNextMs(election);
+    const waitMs = this.#untilNextMs(election) ?? this.#untilResultMs(election);
     return { isGranted, homes: election.homes, waitMs };
   }
 
@@ -115,4 +117,10 @@
     const delayMs = this.#delaysMs[votes];
     return delayMs === undefined ? undefined : lastMs + delayMs - this.#clock.now();
   }
+
+  /** Time until the result of the last trial is known; undefined after that. */
+  #untilResultMs({ lastMs }: Election): number | undefined {
+    const untilMs = lastMs + RESULT_WITHIN_MS - this.#clock.now();
+    return untilMs > 0 ? untilMs : undefined;
+  }
 }
--- a/packages/gateway/test/quarantine-trials.test.ts
+++ b/packages/gateway/test/quarantine-trials.test.ts
@@ -138,6 +138,13 @@
   t.true(after.node(after.homes()[0] ?? '').retryAfterMs('f') > HOUR_MS / 2, 'after the last trial');
 });
 
+// Guards against telling clients to return in an hour while the last trial is on its way.
+test('the client of a request whose last trial is running is told to return soon', async (t) => {
+  const { fleet, trials } = await play({ seed: 2, completes: false, durationMs: 12_500 });
+  t.is(trials.length, USUAL_TRIALS);
+  for (const id of fleet.ids) t.true(fleet.node(id).retryAfterMs('f') < 12_000, id);
+});
+
 /*
  * Seen in a soak: a home released a request and quarantined it again within a millisecond, and the other homes had
  * counted only the first of the two. None of them voted for a trial of the second.
