--- a/packages/gateway/src/cluster/fleet-quarantine.ts
+++ b/packages/gateway/src/cluster/fleet-quarantine.ts
@@ -10,11 +10,10 @@
 import type { Clock } from '@canvasridge/clock';
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { Cluster } from './cluster.js';
+import { CompletedRunReporter } from './completed-run-reporter.js';
 import { InterruptionReporter, REPORT_TIMEOUT_MS } from './interruption-reporter.js';
 import type { PeerCaller } from './peer-caller.js';
 import {
-  COMPLETED_METHOD,
-  ENDED_WELL_METHOD,
   formatQuarantined,
   parseQuarantined,
   TRIAL_METHOD,
@@ -61,7 +60,7 @@
 const QUARANTINE_THRESHOLD = 3;
 /**
  * Number of crashed backends from which a request is a suspect: a node that sees it complete reports that,
- * and its interruptions are forgotten. Without that, a request that is sent again and again, such as a status
+ * and interruptions of runs sent before do not count. Without that, a request that is sent again and again, such as a status
  * query, would sooner or later have been running on three backends when they crashed for other reasons.
  */
 const SUSPECT_THRESHOLD = 2;
@@ -77,17 +76,8 @@
  * homes had counted. A home answers within about 10 ms.
  */
 const HOME_ANSWER_WAIT_MS = 60;
-/**
- * A node reports the completed runs of one suspected request at most this often: a request that is sent all the
- * time completes many times before the homes have answered.
- */
-const COMPLETED_REPORT_INTERVAL_MS = 200;
 /** Time from the start of a trial until all nodes know that it completed, in most cases. */
 const TRIAL_RESULT_MS = 1000;
-/** A home that did not answer, or does not know the method, is told of a completed run again after this time. */
-const UNANSWERED_PAUSE_MS = 5000;
-/** Number of requests whose reported runs are remembered: more than homes quarantine or suspect at a time. */
-const MAX_TOLD = 128;
 /**
  * Homes publish their list again after this time, so that a node that starts receives ages that are no older
  * than this.
@@ -109,6 +99,7 @@
 export class FleetQuarantine implements QuarantineGate {
   readonly #options: FleetQuarantineOptions;
   readonly #reporter: InterruptionReporter;
+  readonly #completedReporter: CompletedRunReporter;
   readonly #completedRuns = new CompletedRuns();
   /** What this node has counted as a home. */
   #history: InterruptionHistory;
@@ -118,8 +109,6 @@
   #actsAsHome = false;
   /** The time at which this node learned of each suspect, by fingerprint. */
   #suspects: ReadonlyMap<string, number> = new Map();
-  /** Completed runs that homes were told of, by fingerprint: see {@link #toldCompletedMs}. */
-  readonly #toldCompleted = new Map<string, Map<string, number>>();
   /** The value of `suspendedMs` when it was last read, and the time at which it last rose. */
   #suspendedMs = 0;
   #suspensionMs = -Infinity;
@@ -138,12 +127,14 @@
       homes: () => this.#homes(),
       askHome: (id, params) => this.#askForTrial(id, params),
     });
+    const shared = { clock, cluster, network, otherHomes: () => this.#otherHomes() };
+    this.#completedReporter = new CompletedRunReporter({
+      ...shared,
+      suspectSinceMs: (fingerprint) => this.#suspects.get(fingerprint),
+    });
     this.#reporter = new InterruptionReporter({
-      clock,
-      cluster,
-      network,
+      ...shared,
       completedRuns: this.#completedRuns,
-      otherHomes: () => this.#otherHomes(),
       onQuarantined: (quarantined) => {
         for (const text of quarantined) this.#add({ ...parseQuarantined(text), ageMs: 0 }, 'peer');
       },
@@ -286,44 +277,13 @@
     return this.#options.cluster.candidates(HOMES_RANKING).slice(0, HOME_COUNT);
   }
 
-  /** Tells each home process of the last completed run of a request, unless it knows that or a recent one. */
+  /** Tells the homes, and this node if it is one, of the last completed run of a request. */
   #reportCompleted(fingerprint: string): void {
     const sentMs = this.#completedRuns.lastSentMs(fingerprint);
     if (sentMs === undefined) return;
-    const run = { fingerprint, sentAgoMs: this.#options.clock.now() - sentMs };
-    if (this.#actsAsHome) this.#recordCompleted(run);
-    for (const id of this.#otherHomes()) void this.#reportCompletedTo(id, run, sentMs);
-  }
-
-  async #reportCompletedTo(id: string, run: CompletedRun, sentMs: number): Promise<void> {
-    const { cluster, network } = this.#options;
-    const { fingerprint } = run;
-    const address = cluster.peerAddress(id);
-    const home = cluster.processOf(id)?.token;
-    if (address === undefined || home === undefined) return;
-    const toldMs = this.#toldCompletedMs(fingerprint);
-    if (sentMs < (toldMs.get(home) ?? -Infinity) + COMPLETED_REPORT_INTERVAL_MS) return;
-    toldMs.set(home, sentMs);
-    const peer = network.to(address);
-    if ((await peer.call(COMPLETED_METHOD, run, REPORT_TIMEOUT_MS)) !== undefined) return;
-    // A home of a build without that method forgets all interruptions, so it may only learn of late runs.
-    const wasSuspect = sentMs >= (this.#suspects.get(fingerprint) ?? Infinity);
-    const params: EndedWellParams = { fingerprint };
-    if (wasSuspect && (await peer.call(ENDED_WELL_METHOD, params, REPORT_TIMEOUT_MS)) !== undefined) return;
-    await this.#options.clock.sleep(UNANSWERED_PAUSE_MS);
-    toldMs.delete(home);
-  }
-
-  /** By home process: when the last completed run of the request that it was told of was sent. */
-  #toldCompletedMs(fingerprint: string): Map<string, number> {
-    const known = this.#toldCompleted.get(fingerprint);
-    if (known !== undefined) return known;
-    const oldest = this.#toldCompleted.keys().next();
-    if (this.#toldCompleted.size >= MAX_TOLD && oldest.done !== true)
-      this.#toldCompleted.delete(oldest.value);
-    const toldMs = new Map<string, number>();
-    this.#toldCompleted.set(fingerprint, toldMs);
-    return toldMs;
+    if (this.#actsAsHome)
+      this.#recordCompleted({ fingerprint, sentAgoMs: this.#options.clock.now() - sentMs });
+    this.#completedReporter.report(fingerprint, sentMs);
   }
 
   /** Counts a completed run at a home, and releases the request if too few interruptions are left. */
