Clients of a node that asks for a trial are not told to return in an hour

Change: while it asks, the next question is due after the 1.5 s that the homes may take. `quarantine-trials`: "a client is told to return soon while its node asks for a trial" failed before.

--- a/packages/gateway/src/cluster/trial-requests.ts
+++ b/packages/gateway/src/cluster/trial-requests.ts
@@ -15,7 +15,7 @@
 /** What this node knows about the next trial of a quarantined request. */
 interface NextTrial {
   readonly episode: number;
-  /** When this node may ask for it; Infinity if there is no other trial, or while it is asking. */
+  /** When this node may ask for it; Infinity if there is no other trial. */
   askMs: number;
 }
 
@@ -26,6 +26,8 @@
   readonly waitMs: number | undefined;
 }
 
+/** Longest time that the homes take to answer. */
+const ASKING_MS = 1500;
 /** Pause before asking again after too few homes answered, in milliseconds. */
 const UNANSWERED_PAUSE_MS = 5000;
 /** The same after too many homes answered that they can't vote: only other homes would help. */
@@ -65,7 +67,7 @@
   async request(fingerprint: string): Promise<boolean> {
     const next = this.#nextTrials.get(fingerprint);
     if (next === undefined || this.waitMs(fingerprint) > 0) return false;
-    next.askMs = Infinity;
+    next.askMs = this.#options.clock.now() + ASKING_MS;
     const { outcome, votes, waitMs } = await this.#collectVotes({ fingerprint, episode: next.episode });
     next.askMs = this.#options.clock.now() + (waitMs ?? Infinity);
     this.#options.telemetry.event('info', 'quarantine.trial', fingerprint, {
--- a/packages/gateway/test/quarantine-trials.test.ts
+++ b/packages/gateway/test/quarantine-trials.test.ts
@@ -173,3 +173,16 @@
   }
   t.is(granted, 1);
 });
+
+// Guards against telling the clients of a node to return in an hour while it asks the homes for a trial.
+test('a client is told to return soon while its node asks for a trial', async (t) => {
+  const { fleet } = await play({ seed: 6, completes: false, durationMs: 900 });
+  await fleet.run(500);
+  const node = fleet.node('n11');
+  t.true(node.isTrialDue('f'));
+  const answer = node.requestTrial('f');
+  t.false(node.isTrialDue('f'), 'one question at a time');
+  t.true(node.retryAfterMs('f') < 12_000);
+  await fleet.run(100);
+  t.true(await answer);
+});
