Clients of a quarantined request return within seconds while trials go on

A node that was refused a trial named the time of the next one (up to 11 s, 16 s with the spread) to its clients, though the trial that another node had just begun usually releases the request within a second. It now names three seconds at most as long as a trial is to come; where none is, the time that is left, as before. The tightened assertion in `quarantine-trials` failed before.

--- a/packages/gateway/src/cluster/fleet-quarantine.ts
+++ b/packages/gateway/src/cluster/fleet-quarantine.ts
@@ -2,6 +2,7 @@
   CompletedRuns,
   InterruptionHistory,
   QuarantineList,
+  TRIAL_DELAYS_MS,
   TrialVotes,
   type LiftedQuarantine,
   type QuarantineGate,
@@ -76,6 +77,8 @@
  * homes had counted. A home answers within about 10 ms.
  */
 const HOME_ANSWER_WAIT_MS = 60;
+/** While trials go on, any of them may release the request, also before this node may ask for the next one. */
+const MAX_RETRY_DURING_TRIALS_MS = 3000;
 /** Time from the start of a trial until all nodes know that it completed, in most cases. */
 const TRIAL_RESULT_MS = 1000;
 /**
@@ -155,7 +158,10 @@
 
   retryAfterMs(fingerprint: string): number {
     const remainingMs = this.#list.remainingMs(fingerprint) ?? 0;
-    return Math.min(remainingMs, this.#trials.waitMs(fingerprint) + TRIAL_RESULT_MS);
+    const waitMs = this.#trials.waitMs(fingerprint);
+    const knownMs = waitMs + TRIAL_RESULT_MS;
+    const areTrialsGoingOn = waitMs <= Math.max(...TRIAL_DELAYS_MS);
+    return Math.min(remainingMs, areTrialsGoingOn ? Math.min(knownMs, MAX_RETRY_DURING_TRIALS_MS) : knownMs);
   }
 
   isTrialDue(fingerprint: string): boolean {
--- a/packages/gateway/test/quarantine-trials.test.ts
+++ b/packages/gateway/test/quarantine-trials.test.ts
@@ -133,7 +133,7 @@
 
 test('the client of a quarantined request is told to return after the next trial, or after the quarantine', async (t) => {
   const { fleet } = await play({ seed: 1, completes: false, durationMs: 2000 });
-  t.true(fleet.node('n11').retryAfterMs('f') < 12_000, 'before the second trial');
+  t.true(fleet.node('n11').retryAfterMs('f') <= 3000, 'before the second trial, as the first may release it');
   const { fleet: after } = await play({ seed: 1, completes: false, durationMs: 30_000 });
   t.true(after.node(after.homes()[0] ?? '').retryAfterMs('f') > HOUR_MS / 2, 'after the last trial');
 });
