The spread of a Retry-After adds two seconds at most

It is half of it and 2 s at most now, in a function with a test of its own. The test was not run against the code before, which had no such function.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -25,6 +25,7 @@
 import type { UnableCause } from './serving-outage.js';
 import { RequestQuarantine, type QuarantineContext } from './request-quarantine.js';
 import { inactivityLimit } from './inactivity-limit.js';
+import { spreadRetryMs } from './retry-spread.js';
 
 /** What all exchanges of a node share. */
 export interface ExchangeContext extends AdmissionContext, QuarantineContext {
@@ -232,8 +233,7 @@
    */
   #refuseIfQuarantined(): boolean {
     if (!this.#quarantine.isWithheld) return false;
-    const spread = 1 + RETRY_AFTER_QUARANTINE_SPREAD * this.#context.random();
-    this.#refuse('quarantined', this.#quarantine.retryAfterMs * spread);
+    this.#refuse('quarantined', spreadRetryMs(this.#quarantine.retryAfterMs, this.#context.random()));
     return true;
   }
 
@@ -567,5 +567,3 @@
 
 const EMPTY_BODY: Buffer = Buffer.alloc(0);
 const RETRY_AFTER_REFUSAL_MS = 300;
-/** Fraction of the time by which callers of a quarantined request return later, so that they don't all return at once. */
-const RETRY_AFTER_QUARANTINE_SPREAD = 0.5;
