Cleared interruptions of a request are not kept

A request that is served all the time and loses a run with each crash would keep an entry for each backend that ever crashed, as long as the next crash comes within ten minutes. Found by reading; entries that a completed run has cleared never count again, so nothing else changes.

--- a/packages/admission/src/quarantine/interruption-history.ts
+++ b/packages/admission/src/quarantine/interruption-history.ts
@@ -59,6 +59,8 @@
   recordCompleted(fingerprint: string, sentMs: number): void {
     const runs = this.#touch(fingerprint);
     runs.completedSentMs = Math.max(runs.completedSentMs, sentMs);
+    for (const [backendId, interruptedSentMs] of runs.interruptedSentMs)
+      if (interruptedSentMs <= runs.completedSentMs) runs.interruptedSentMs.delete(backendId);
   }
 
   /** Number of backends that failed during runs which were sent after the last completed one was. */
--- a/packages/admission/src/quarantine/trial-votes.ts
+++ b/packages/admission/src/quarantine/trial-votes.ts
@@ -49,8 +49,8 @@
  * crashes its backend.
  *
  * Each trial needs the votes of a majority of the homes, and each home votes once for each of
- * `TRIAL_DELAYS_MS`. Only requests that were served at some time get trials. Three homes thus allow three trials at most, whichever of them fail or are cut off, and two
- * while all of them answer. Votes are kept in memory only, so a process votes only on requests whose
+ * `TRIAL_DELAYS_MS`. Three homes thus allow three trials at most, whichever of them fail or are cut off, and two
+ * while all of them answer. Only requests that were served at some time get trials. Votes are kept in memory only, so a process votes only on requests whose
  * quarantine it counted before the first trial was possible: it can't know of the trials before.
  */
 export class TrialVotes {
