Test: full lists of the quarantine reach all nodes

The lists grew by numbers of quarantines and a record of ended ones; an update above a datagram's size is never sent.

--- a/packages/gateway/test/quarantine-release.test.ts
+++ b/packages/gateway/test/quarantine-release.test.ts
@@ -122,3 +122,26 @@
     t.is(fleet.quarantinedAt('f').length, 12, isHomeSuspended ? 'homes' : 'node');
   }
 });
+
+// Guards against lists that outgrow a datagram: an update that does not fit is never sent.
+test('full lists of quarantined, suspected and released requests reach all nodes', async (t) => {
+  const fleet = await startFleet(6);
+  const fingerprints = Array.from(
+    { length: 32 },
+    (_, index) => `${String(index).padStart(2, '0')}-fingerprint-`,
+  );
+  const crash = (fingerprint: string, backends: number, round: string): void => {
+    for (const [index, id] of CALLERS.slice(0, backends).entries())
+      void fleet.node(id).interrupted(fingerprint, `${round}${index}`);
+  };
+  for (const fingerprint of fingerprints) crash(fingerprint, 3, 'first');
+  await fleet.run(KNOWN_WITHIN_MS);
+  for (const fingerprint of fingerprints) fleet.node('n10').completed(fingerprint);
+  await fleet.run(2 * KNOWN_WITHIN_MS);
+  for (const fingerprint of fingerprints) t.deepEqual(fleet.quarantinedAt(fingerprint), [], 'released');
+  for (const fingerprint of fingerprints) crash(fingerprint, 3, 'second');
+  for (let index = 0; index < 12; index += 1)
+    crash(`${String(index).padStart(2, '0')}-suspicious--`, 2, 'third');
+  await fleet.run(2 * KNOWN_WITHIN_MS);
+  for (const fingerprint of fingerprints) t.is(fleet.quarantinedAt(fingerprint).length, 12, fingerprint);
+});
