Homes allow no trials for a quarantine that they learned of before they counted it

They knew the quarantine from gossip, and then counted three more crashes, by nodes that were cut off and did not know of it, as crashes of a new one less than a second ago. So three homes allowed four trials.

Change: a request that is on the home's list for longer than the first trial takes is not counted anew for votes. `quarantine-trials`: "homes that restarted after the trials allow no others when the request crashes more backends" failed before (2 granted).

--- a/packages/admission/src/quarantine/quarantine-list.ts
+++ b/packages/admission/src/quarantine/quarantine-list.ts
@@ -117,6 +117,12 @@
     return remainingMs > 0 ? remainingMs : undefined;
   }
 
+  /** Time since the request was quarantined, in milliseconds; undefined if it is not quarantined. */
+  ageMs(fingerprint: string): number | undefined {
+    const remainingMs = this.remainingMs(fingerprint);
+    return remainingMs === undefined ? undefined : QUARANTINE_MS - remainingMs;
+  }
+
   entries(): QuarantinedRequest[] {
     this.#removeExpired();
     const nowMs = this.#clock.now();
--- a/packages/gateway/src/cluster/fleet-quarantine.ts
+++ b/packages/gateway/src/cluster/fleet-quarantine.ts
@@ -309,7 +309,9 @@
     if (completedMs !== undefined) this.#history.recordCompleted(fingerprint, completedMs);
     if (this.#history.record(fingerprint, backend, sentMs) < QUARANTINE_THRESHOLD) return;
     const episode = this.#list.episode(fingerprint) ?? this.#list.nextEpisode(fingerprint);
-    this.#votes.open({ fingerprint, episode, homes: this.#homes().length, ageMs: agoMs });
+    // A request that was listed before may have had its trials: crashes that follow are not those of a new quarantine.
+    const ageMs = Math.max(agoMs, this.#list.ageMs(fingerprint) ?? 0);
+    this.#votes.open({ fingerprint, episode, homes: this.#homes().length, ageMs });
     if (this.#list.episode(fingerprint) !== undefined) return;
     this.#add({ fingerprint, ageMs: 0, episode }, 'counted');
     this.#publish();
--- a/packages/gateway/test/quarantine-trials.test.ts
+++ b/packages/gateway/test/quarantine-trials.test.ts
@@ -186,3 +186,27 @@
   await fleet.run(100);
   t.true(await answer);
 });
+
+/*
+ * Seen in a run of `quarantine-under-faults` (seed 279): all homes had restarted since the two trials, and counted three
+ * more crashes, by nodes that did not know of the quarantine yet, as those of a new one.
+ */
+test('homes that restarted after the trials allow no others when the request crashes more backends', async (t) => {
+  const { fleet, trials } = await play({ seed: 3, completes: false, durationMs: 15_000 });
+  t.is(trials.length, USUAL_TRIALS);
+  for (const id of fleet.homes()) {
+    fleet.restart(id);
+    await fleet.run(5000);
+  }
+  for (const [index, id] of CALLERS.entries()) void fleet.node(id).interrupted('f', `late ${index}`);
+  let granted = 0;
+  for (let atMs = 0; atMs < 70_000; atMs += SEND_INTERVAL_MS) {
+    for (const id of fleet.ids) {
+      const node = fleet.node(id);
+      if (node.isTrialDue('f'))
+        void node.requestTrial('f').then((isGranted) => (granted += isGranted ? 1 : 0));
+    }
+    await fleet.run(SEND_INTERVAL_MS);
+  }
+  t.is(granted, 0);
+});
