A leader that is cut off from its engines hands its pool over

It now withdraws its claim while another node reaches the engines, and nodes that can't reach them are no candidates unless none can. A leader whose open connections go on keeps the pool. The successor waits for the order lease as after any other change, so that no engine has two holders.

--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -8,6 +8,7 @@
   PoolLeadership,
   SlotPool,
   type EngineControl,
+  type LeadershipPeers,
   type OrderHolder,
   type SlotTiming,
   type DisabledMechanisms,
@@ -15,6 +16,8 @@
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { BackendAvailability } from '../backends/backend-availability.js';
 import type { BackendRateLimits } from '../backends/backend-rate-limits.js';
+import type { BackendPaths } from '../paths/backend-paths.js';
+import type { FleetPaths } from '../paths/fleet-paths.js';
 import type { Cluster } from './cluster.js';
 import { FormerLeader, type LeaderLiveness } from './former-leader.js';
 import { HANDOVER_MS, OrderPermission, type EngineFences } from './order-permission.js';
@@ -171,11 +174,26 @@
         continue;
       }
       const entry = this.#entry(service.name);
+      this.#handOverIfCutOff(service.name, entry);
       if (entry.leadership.update()) this.#onLeaderChanged(service.name, entry);
       this.#updateRole(entry, service.name);
     }
   }
 
+  /**
+   * Gives up a pool of engines that this node can't reach, so that it can give no orders, while another node
+   * reaches them. Other leaders grant backends without any path of their own.
+   */
+  #handOverIfCutOff(service: string, entry: PoolEntry): void {
+    const { paths, fleetPaths, cluster, telemetry } = this.#options;
+    if (entry.engines === undefined || !entry.leading || paths.state(service) !== 'lost') return;
+    if (!fleetPaths.isReachedByAnyBut(cluster.selfId, service)) return;
+    telemetry.event('info', 'pool.handed-over', service, { term: entry.leadership.term });
+    entry.leadership.resign();
+    this.#endRole(entry);
+    this.#onLeaderChanged(service, entry);
+  }
+
   /** Gives up the pool of a service whose backends each node chooses itself again. */
   #endGranting(service: string): void {
     const entry = this.#pools.get(service);
@@ -224,12 +242,31 @@
     this.requester.leaderConnection(pool)?.notify(USES_METHOD, params);
   }
 
+  /** The members as candidates: nodes that can't reach the engines of a pool do not lead it. */
+  #leadershipPeers(): LeadershipPeers {
+    const { cluster } = this.#options;
+    return {
+      selfId: cluster.selfId,
+      candidates: (pool) => this.#candidates(pool),
+      claims: (pool) => cluster.claims(pool),
+      publishClaim: (pool, epoch) => cluster.publishClaim(pool, epoch),
+      askForMissedRecords: () => cluster.askForMissedRecords(),
+      seesMost: () => cluster.seesMost(),
+    };
+  }
+
+  #candidates(pool: string): readonly string[] {
+    const { cluster, fleetPaths } = this.#options;
+    const candidates = cluster.candidates(pool);
+    return this.#hasEngines(pool) ? fleetPaths.reaching(pool, candidates) : candidates;
+  }
+
   #entry(pool: string): PoolEntry {
     let entry = this.#pools.get(pool);
     if (entry === undefined) {
-      const { cluster, clock, telemetry } = this.#options;
+      const { clock, telemetry } = this.#options;
       entry = {
-        leadership: new PoolLeadership(pool, cluster, clock, telemetry),
+        leadership: new PoolLeadership(pool, this.#leadershipPeers(), clock, telemetry),
         formerLeader: new FormerLeader(this.#leaderLiveness()),
         reportedMembers: new Set(),
         pool: undefined,
@@ -278,7 +315,7 @@
     const { cluster, clock } = this.#options;
     if (this.#resigned) return false;
     const leader = this.#pools.get(name)?.leadership.leader;
-    const followers = cluster.candidates(name).filter((id) => id !== leader);
+    const followers = this.#candidates(name).filter((id) => id !== leader);
     const ageMs = clock.now() - this.#startedMs;
     const isStartingUp = ageMs < STARTUP_MS;
     if (isStartingUp && cluster.sinceFirstPeerMs < RANKING_SETTLE_MS && ageMs < NO_PEERS_AFTER_MS)
@@ -377,6 +414,10 @@
   readonly cluster: Cluster;
   readonly network: SlotNetwork;
   readonly control: EngineControl;
+  /** This node's own paths to backends. */
+  readonly paths: Pick<BackendPaths, 'state'>;
+  /** What is known of the paths of all nodes. */
+  readonly fleetPaths: Pick<FleetPaths, 'reaching' | 'isReachedByAnyBut'>;
   readonly availability: Pick<BackendAvailability, 'isBackingOff'>;
   readonly rateLimits: Pick<BackendRateLimits, 'perSecond' | 'all'>;
   readonly timing: SlotTiming;
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -227,6 +227,8 @@
       cluster: this.#cluster,
       network: this.#network,
       control,
+      paths: this.#paths,
+      fleetPaths: this.#fleetPaths,
       availability,
       rateLimits,
       timing: settings.slotTiming,
--- a/packages/gateway/test/virtual-holders.ts
+++ b/packages/gateway/test/virtual-holders.ts
@@ -171,6 +171,8 @@
       cluster,
       network: { to: () => NO_CONNECTION, drop: () => undefined, receivedWithin: () => false },
       control,
+      paths: { state: () => 'working' },
+      fleetPaths: { reaching: (_, ids) => ids, isReachedByAnyBut: () => false },
       availability: { isBackingOff: () => false },
       rateLimits: noRateLimits(clock),
       timing: { ...DEFAULT_SLOT_TIMING, leaseMs: LEASE_MS },
