Backends that fail when they turn many requests away are granted no more than they take

The platform's runners may announce in all answers how many requests a second they can turn away for want of room; one that has to turn away more falls over.

The limit is decoded once, published by each node that hears it, and forgotten when answers name none or after 10 s without any. While a service has one, its plain backends are granted by one node, none beyond its slots; a backend that turned away 0.4 of the limit within a second gets no more until that is past (engines as well); without a leader a node runs no more than its part of the slots, and refuses the rest early with a Retry-After.

--- a/packages/gateway/src/backends/backend-notices.ts
+++ b/packages/gateway/src/backends/backend-notices.ts
@@ -3,12 +3,14 @@
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { BackendBackoffs } from './backend-backoffs.js';
 import type { BackendRateLimits } from './backend-rate-limits.js';
+import type { RejectionLimits } from './rejection-limits.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
 
 export interface BackendNoticesOptions {
   readonly fleet: FleetState;
   readonly backoffs: BackendBackoffs;
   readonly rateLimits: BackendRateLimits;
+  readonly rejectionLimits: Pick<RejectionLimits, 'recordNotice'>;
   /**
    * Called with the rate limit that a backend announces, in requests per second, or with undefined if it no
    * longer announces one.
@@ -29,7 +31,7 @@
 
 /**
  * Processes what backends announce about themselves in the headers of their responses: that they leave, a
- * backoff, a rate limit.
+ * backoff, a rate limit, a limit on the requests that they can turn away.
  */
 export class BackendNotices {
   readonly #options: BackendNoticesOptions;
@@ -47,6 +49,8 @@
    */
   handleNotice(backendId: string, notice: BackendNotice, isChargedToRateLimit: boolean): void {
     this.#handleRateLimit(backendId, notice.rateLimit, isChargedToRateLimit);
+    const service = this.#options.fleet.backend(backendId)?.service;
+    if (service !== undefined) this.#options.rejectionLimits.recordNotice(service, notice.rejectionLimit);
     const hasRateLimit = typeof notice.rateLimit === 'number';
     if (!notice.isLeaving && notice.backoffMs === undefined && !hasRateLimit) return;
     const { metrics, backoffs } = this.#options;
--- a/packages/gateway/src/backends/granted-backend-picker.ts
+++ b/packages/gateway/src/backends/granted-backend-picker.ts
@@ -16,6 +16,10 @@
     cancelled: AbortSignal,
     answerWithinMs: number,
   ): Promise<SlotDecision | undefined>;
+  /** Requests that this node may run on the backends of a service without a grant; undefined for any number. */
+  maxWithoutGrant(service: string): number | undefined;
+  /** Requests that this node runs on the backends of a service. */
+  runningOn(service: string): number;
   /** Reports that a request was sent to a backend without a grant from the leader. */
   startedWithoutGrant(pool: string, request: PoolRequest, backendId: string): void;
   release(pool: string, requestId: string, outcome: UseOutcome): void;
@@ -23,6 +27,8 @@
 
 /** Share of the objective within which a leader has to answer: the time that a message there and back may take. */
 const ANSWER_WITHIN_SHARE = 0.15;
+/** Retry-After of a request that may not be sent without a grant: a leader that was lost is replaced by then. */
+const NO_GRANT_RETRY_MS = 800;
 
 /**
  * Picker for interchangeable backends with few slots: the leader of the pool names a backend with a free slot.
@@ -121,9 +127,11 @@
     request: PoolRequest,
     cancelled: AbortSignal,
   ): Promise<PickResult> {
+    const pool = context.service.name;
+    if (this.#slots.runningOn(pool) >= (this.#slots.maxWithoutGrant(pool) ?? Infinity))
+      return { kind: 'none', reason: 'no-grant', retryAfterMs: NO_GRANT_RETRY_MS };
     const picked = await this.#withoutLeader.pick(context, cancelled);
     if (picked.kind === 'none') return picked;
-    const pool = context.service.name;
     this.#slots.startedWithoutGrant(pool, request, picked.backend.id);
     const finish = (outcome: UseOutcome): void => {
       picked.finish(outcome);
--- a/packages/gateway/src/cluster/peer-records.ts
+++ b/packages/gateway/src/cluster/peer-records.ts
@@ -28,7 +28,20 @@
 /** Services whose backends a node can't reach. */
 const paths = z.object({ token: text, lost: z.array(text) });
 
-export const peerRecords = { claim, busy, quarantine, liftedQuarantines, paths } as const;
+/** By service: requests that one of its backends can turn away in a second before it fails. */
+const rejectionLimits = z.object({
+  token: text,
+  limits: z.array(z.tuple([text, z.number()]).rest(z.unknown())),
+});
+
+export const peerRecords = {
+  claim,
+  busy,
+  quarantine,
+  liftedQuarantines,
+  paths,
+  rejectionLimits,
+} as const;
 
 export type ClaimRecord = z.infer<typeof claim>;
 export type BusyRecord = z.infer<typeof busy>;
--- a/packages/gateway/src/cluster/slot-requester.ts
+++ b/packages/gateway/src/cluster/slot-requester.ts
@@ -11,6 +11,7 @@
   UseOutcome,
 } from '@canvasridge/slots';
 import { rateLimitRule, type BackendRateLimits } from '../backends/backend-rate-limits.js';
+import type { RejectionLimits } from '../backends/rejection-limits.js';
 import type { PlainSlotSource } from '../backends/granted-backend-picker.js';
 import type { SlotSource } from '../backends/slot-picker.js';
 import type { Cluster } from './cluster.js';
@@ -51,6 +52,7 @@
   readonly cluster: Cluster;
   readonly network: LeaderNetwork;
   readonly rateLimits: Pick<BackendRateLimits, 'perSecond' | 'all'>;
+  readonly rejectionLimits: Pick<RejectionLimits, 'perSecond'>;
   /** Mechanisms of the scheduling policy that are disabled. */
   readonly switchedOff: DisabledMechanisms;
   /** By the pool's name. */
@@ -85,9 +87,24 @@
     const { fleet, cluster, switchedOff } = this.#options;
     const described = fleet.routes?.service(service);
     if (described === undefined || switchedOff.has('granted-backends')) return false;
+    if (described.engine === undefined && this.#options.rejectionLimits.perSecond(service) !== undefined)
+      return true;
     return isScarce(described, fleet.backendsOf(service), cluster.nodeCount);
   }
 
+  /** Backends that fail when they turn many away get no more from all nodes together than they have slots. */
+  maxWithoutGrant(service: string): number | undefined {
+    const { fleet, cluster, rejectionLimits } = this.#options;
+    if (rejectionLimits.perSecond(service) === undefined) return undefined;
+    let slots = 0;
+    for (const backend of fleet.backendsOf(service)) if (backend.state === 'ready') slots += backend.slots;
+    return Math.max(1, Math.floor(slots / cluster.nodeCount));
+  }
+
+  runningOn(service: string): number {
+    return this.#uses.of(service).length;
+  }
+
   /** What this node runs on the backends of a pool. */
   usesOf(pool: string): RunningUse[] {
     return this.#uses.of(pool);
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -16,6 +16,7 @@
 import type { Telemetry } from '@canvasridge/telemetry';
 import type { BackendAvailability } from '../backends/backend-availability.js';
 import type { BackendRateLimits } from '../backends/backend-rate-limits.js';
+import type { RejectionLimits } from '../backends/rejection-limits.js';
 import type { BackendPaths } from '../paths/backend-paths.js';
 import type { FleetPaths } from '../paths/fleet-paths.js';
 import type { Cluster } from './cluster.js';
@@ -338,6 +339,7 @@
       disabled: switchedOff,
       isLeaving: (id) => fleet.isLeaving(id),
       tenantWeight: (tenant) => this.#tenantWeight(tenant),
+      rejectionLimit: () => this.#options.rejectionLimits.perSecond(name),
     });
     pool.setBackends(fleet.backendsOf(name));
     return pool;
@@ -370,6 +372,7 @@
       disabled: this.#options.switchedOff,
       adapterVersion: (model, adapter) => fleet.adapterVersion(model, adapter),
       tenantWeight: (tenant) => this.#tenantWeight(tenant),
+      rejectionLimit: () => this.#options.rejectionLimits.perSecond(name),
     });
     this.#setEngines(name, pool);
     return pool;
@@ -420,6 +423,7 @@
   readonly fleetPaths: Pick<FleetPaths, 'reaching' | 'isReachedByAnyBut'>;
   readonly availability: Pick<BackendAvailability, 'isBackingOff'>;
   readonly rateLimits: Pick<BackendRateLimits, 'perSecond' | 'all'>;
+  readonly rejectionLimits: Pick<RejectionLimits, 'perSecond'>;
   readonly timing: SlotTiming;
   readonly holder: OrderHolder;
   readonly engineFences: EngineFences;
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -10,6 +10,7 @@
 import { BackendConnections } from './backends/backend-connections.js';
 import { BackendRateLimits } from './backends/backend-rate-limits.js';
 import { BackendNotices } from './backends/backend-notices.js';
+import { RejectionLimits } from './backends/rejection-limits.js';
 import { GrantedBackendPicker } from './backends/granted-backend-picker.js';
 import { LeastLoadedPicker } from './backends/least-loaded-picker.js';
 import { RetryBudget } from './backends/retry-budget.js';
@@ -113,6 +114,7 @@
   readonly #quotas: FleetQuotas;
   readonly #backendRates: FleetQuotas;
   readonly #quarantine: FleetQuarantine;
+  readonly #rejectionLimits: RejectionLimits;
   readonly #paths: BackendPaths;
   readonly #fleetPaths: FleetPaths;
   readonly #relays: Relays;
@@ -209,10 +211,13 @@
       clock,
       hasOtherServingNodes: () => this.#cluster.serving().length > 1,
     });
+    const rejectionLimits = new RejectionLimits({ clock, cluster: this.#cluster, telemetry });
+    this.#rejectionLimits = rejectionLimits;
     const notices = new BackendNotices({
       fleet,
       backoffs,
       rateLimits,
+      rejectionLimits,
       onRateLimit: (id, perSecond) => this.#slots.requester.onRateLimitAnnounced(id, perSecond),
       clock,
       telemetry,
@@ -231,6 +236,7 @@
       fleetPaths: this.#fleetPaths,
       availability,
       rateLimits,
+      rejectionLimits,
       timing: settings.slotTiming,
       engineFences: settings.engineFences,
       switchedOff: settings.switchedOff,
@@ -503,6 +509,7 @@
     while (!this.#stopping) {
       this.metrics.droppedLogLines.set(this.#options.droppedLogLines());
       this.published.report();
+      this.#rejectionLimits.update();
       this.metrics.members.set(this.#cluster.serving().length);
       this.metrics.loopLag.set(this.#loopLag.meanMs / 1000);
       for (const row of this.#slots.describe()) {
--- a/packages/gateway/test/granted-backend-picker.test.ts
+++ b/packages/gateway/test/granted-backend-picker.test.ts
@@ -18,6 +18,8 @@
   granted = true;
   answer: 'grants' | 'refuses' | 'silent' = 'grants';
   whileWaiting: () => void = () => undefined;
+  ownLimit: number | undefined;
+  running = 0;
 
   isGranted(): boolean {
     return this.granted;
@@ -34,6 +36,14 @@
     return Promise.resolve({ kind: 'granted', requestId, backendId, address: `${backendId}:1` });
   }
 
+  maxWithoutGrant(): number | undefined {
+    return this.ownLimit;
+  }
+
+  runningOn(): number {
+    return this.running;
+  }
+
   startedWithoutGrant(_pool: string, request: PoolRequest, backendId: string): void {
     this.reported.push(`${request.id} on ${backendId}`);
   }
@@ -89,6 +99,17 @@
   t.deepEqual(leader.reported, ['r1 on b', 'r1 failed']);
 });
 
+// Without a leader, all nodes together sent such backends more than they have slots, which then turned the rest away.
+test('Without an answer this node sends no more than its part to backends that fail when they turn many away', async (t) => {
+  const { picker, leader } = newSetup();
+  leader.answer = 'silent';
+  leader.ownLimit = 2;
+  leader.running = 1;
+  t.like(await picker.pick(newContext('r1'), NOT_CANCELLED), { kind: 'picked' });
+  leader.running = 2;
+  t.like(await picker.pick(newContext('r2'), NOT_CANCELLED), { kind: 'none', reason: 'no-grant' });
+});
+
 test('The refusal of a leader and its estimate reach the client', async (t) => {
   const { picker, leader } = newSetup();
   leader.answer = 'refuses';
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -266,6 +266,7 @@
         fleet,
         backoffs,
         rateLimits,
+        rejectionLimits: { recordNotice: () => undefined },
         onRateLimit: () => undefined,
         clock,
         telemetry,
--- a/packages/gateway/test/scarce-backends-simulation.ts
+++ b/packages/gateway/test/scarce-backends-simulation.ts
@@ -125,6 +125,7 @@
       } as unknown as Cluster,
       network: { to: () => this.link(), drop: () => undefined },
       rateLimits,
+      rejectionLimits: { perSecond: () => undefined },
       switchedOff: new Set(way === 'own' ? (['granted-backends'] as const) : []),
       pools: new Map([[SERVICE, entry]]),
       entry: () => entry,
--- a/packages/gateway/test/virtual-holders.ts
+++ b/packages/gateway/test/virtual-holders.ts
@@ -175,6 +175,7 @@
       fleetPaths: { reaching: (_, ids) => ids, isReachedByAnyBut: () => false },
       availability: { isBackingOff: () => false },
       rateLimits: noRateLimits(clock),
+      rejectionLimits: { perSecond: () => undefined },
       timing: { ...DEFAULT_SLOT_TIMING, leaseMs: LEASE_MS },
       holder: { name: id, number: index + 1 },
       engineFences: { checked: false, settledAfterMs: LEASE_MS },
--- a/packages/serving/src/backend.ts
+++ b/packages/serving/src/backend.ts
@@ -35,6 +35,11 @@
    * answer of the backend itself reports no limit; undefined if the answer says nothing about it.
    */
   readonly rateLimit: number | 'none' | undefined;
+  /**
+   * Requests that it can turn away in a second for want of room before it fails; `none` if an answer of the
+   * backend itself names no such limit; undefined if the answer says nothing about it.
+   */
+  readonly rejectionLimit?: number | 'none' | undefined;
 }
 
 /** Key that is unique among the adapters of all models. */
--- a/packages/slots/src/backend-pool.ts
+++ b/packages/slots/src/backend-pool.ts
@@ -20,6 +20,8 @@
   readonly isLeaving: (backendId: string) => boolean;
   /** A tenant's weight in the fair sharing of backends, above 0. */
   readonly tenantWeight: (tenant: string) => number;
+  /** Requests that a backend may turn away in a second before it fails; undefined for any number. */
+  readonly rejectionLimit?: () => number | undefined;
 }
 
 /** Figures of a pool of plain backends for logs and metrics. */
@@ -83,11 +85,15 @@
     for (const description of listed) {
       const known = this.#backends.get(description.id);
       if (known !== undefined) known.description = description;
-      else this.#backends.set(description.id, new GrantedBackend(description, nowMs, this.#serviceTime));
+      else this.#backends.set(description.id, this.#newBackend(description, nowMs));
     }
     this.#grantWaiting();
   }
 
+  #newBackend(description: BackendDescription, nowMs: number): GrantedBackend {
+    return new GrantedBackend(description, nowMs, this.#serviceTime, this.#options.rejectionLimit);
+  }
+
   startLeading(): void {
     this.#grantWaiting();
   }
--- a/packages/slots/src/engine-registry.ts
+++ b/packages/slots/src/engine-registry.ts
@@ -6,6 +6,7 @@
 import { EngineRate } from './engine-rate.js';
 import { EngineSlots } from './engine-slots.js';
 import { OrderLease, type OrderLeaseOptions } from './order-lease.js';
+import { RejectionGuard } from './rejection-guard.js';
 import { newPoolSpeed, type PrefillSpeed } from './prefill-speed.js';
 import type { SlotRequest } from './slot-request.js';
 
@@ -20,6 +21,8 @@
   readonly after: (delayMs: number, action: () => void) => void;
   /** Whether prefill speeds are learnt from observations. */
   readonly learnsSpeed: boolean;
+  /** Requests that an engine may turn away in a second before it fails; undefined for any number. */
+  readonly rejectionLimit?: (() => number | undefined) | undefined;
   /** Called after an engine's state was updated from a report. */
   readonly onAdopted: (slots: EngineSlots) => void;
   /** Called when an engine was found to answer no more, or again. */
@@ -52,8 +55,13 @@
     return this.#engines.get(id);
   }
 
-  /** Whether the engine is ready, not known to answer no more, and not excluded for this request. */
+  /**
+   * Whether the engine is ready, not known to answer no more, may turn away another request, and is not excluded
+   * for this request.
+   */
   mayServe(entry: EngineEntry, request: SlotRequest): boolean {
+    const { clock, rejectionLimit } = this.#options;
+    if (entry.rejections.isExhausted(rejectionLimit?.(), clock.now())) return false;
     return (
       isReady(entry) && entry.answerCheck.isAnswering && !request.excluded.includes(entry.slots.backend.id)
     );
@@ -147,7 +155,15 @@
     });
     const rate = new EngineRate(clock);
     const answerCheck = this.#newAnswerCheck(slots, isListed);
-    this.#engines.set(backend.id, { slots, lease, rate, answerCheck, unlistedSinceMs: undefined });
+    const rejections = new RejectionGuard();
+    this.#engines.set(backend.id, {
+      slots,
+      lease,
+      rate,
+      rejections,
+      answerCheck,
+      unlistedSinceMs: undefined,
+    });
   }
 
   #newAnswerCheck(slots: EngineSlots, isListed: () => boolean): AnswerCheck {
--- a/packages/slots/src/granted-backend.ts
+++ b/packages/slots/src/granted-backend.ts
@@ -1,5 +1,6 @@
 import type { BackendDescription } from '@canvasridge/serving';
 import { RecentFailures } from './recent-failures.js';
+import { RejectionGuard } from './rejection-guard.js';
 import { ServiceTime } from './service-time.js';
 
 /**
@@ -15,24 +16,36 @@
   description: BackendDescription;
   readonly serviceTime: ServiceTime;
   readonly failures = new RecentFailures();
+  readonly #rejections = new RejectionGuard();
+  readonly #rejectionLimit: () => number | undefined;
   /** Number of its granted requests that have not ended. */
   running = 0;
   /** Until when it counts as full, since it turned away a granted request. */
   fullUntilMs = -Infinity;
   #noQueueUntilMs = -Infinity;
 
-  constructor(description: BackendDescription, nowMs: number, pool: ServiceTime) {
+  /** @param rejectionLimit requests that it may turn away in a second; undefined for any number */
+  constructor(
+    description: BackendDescription,
+    nowMs: number,
+    pool: ServiceTime,
+    rejectionLimit: () => number | undefined = () => undefined,
+  ) {
+    this.#rejectionLimit = rejectionLimit;
     this.description = description;
     this.serviceTime = new ServiceTime(nowMs, pool);
   }
 
   hasFreeSlot(nowMs: number): boolean {
+    if (this.#rejections.isExhausted(this.#rejectionLimit(), nowMs)) return false;
     return this.running < this.description.slots && nowMs >= this.fullUntilMs;
   }
 
   /** Whether it may be sent a request that it starts at once or, unless it is slow, has to queue. */
   mayQueue(nowMs: number): boolean {
     if (this.hasFreeSlot(nowMs)) return true;
+    // Its queue may be shorter than usual, and what it turns away counts against it.
+    if (this.#rejectionLimit() !== undefined) return false;
     if (nowMs < Math.max(this.fullUntilMs, this.#noQueueUntilMs)) return false;
     if (this.serviceTime.isSlow(nowMs)) return false;
     return this.running < this.description.slots + BEYOND_SLOTS;
@@ -40,6 +53,7 @@
 
   /** Records that it turned away a granted request; called before the request is taken off its count. */
   recordTurnedAway(nowMs: number): void {
+    this.#rejections.record(nowMs);
     if (this.running > this.description.slots) this.#noQueueUntilMs = nowMs + NO_QUEUE_MS;
   }
 }
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -30,6 +30,7 @@
   type StreamProgress,
   type UseOutcome,
 } from './slot-request.js';
+export { RejectionGuard } from './rejection-guard.js';
 export { DEFAULT_SLOT_TIMING, type SlotTiming } from './timing.js';
 export { PoolLeadership, type LeadershipPeers, type PoolClaim } from './pool-leadership.js';
 export { PeerVisibility } from './peer-visibility.js';
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -49,6 +49,8 @@
   readonly isBackingOff: (backendId: string) => boolean;
   /** A tenant's weight in the fair sharing of engines, above 0. */
   readonly tenantWeight: (tenant: string) => number;
+  /** Requests that an engine may turn away in a second before it fails; undefined for any number. */
+  readonly rejectionLimit?: () => number | undefined;
 }
 
 /** Within this time all nodes report their running requests to a new leader. No adapter is evicted before. */
@@ -127,6 +129,7 @@
       after,
       onAdopted,
       learnsSpeed,
+      rejectionLimit: options.rejectionLimit,
       onAnswering: onChange,
     });
     const { poolSpeed } = this.#engines;
@@ -315,6 +318,7 @@
     else entry.slots.backlog.drop(requestId);
     if (outcome === 'not-present') this.#handleMissing(entry, slot, beganMs);
     else if (outcome === 'failed' || outcome === 'refused') {
+      if (outcome === 'refused') entry.rejections.record(nowMs);
       entry.slots.avoidUntilMs = nowMs + AVOID_AFTER_FAILURE_MS;
       entry.answerCheck.requestFailed();
     } else if (outcome === 'served' && slot !== undefined) this.#adapters.recordServed(slot, beganMs);
--- a/packages/slots/test/adapter-loader.test.ts
+++ b/packages/slots/test/adapter-loader.test.ts
@@ -1,4 +1,5 @@
 import { VirtualClock } from '@canvasridge/clock';
+import { RejectionGuard } from '../src/rejection-guard.js';
 import { adapterKey } from '@canvasridge/serving';
 import { Telemetry } from '@canvasridge/telemetry';
 import test from 'ava';
@@ -53,6 +54,7 @@
       lease: lease as unknown as OrderLease,
       rate,
       answerCheck: ALWAYS_ANSWERING,
+      rejections: new RejectionGuard(),
       unlistedSinceMs: undefined,
     },
   };
--- a/packages/slots/test/new-backend-pool.ts
+++ b/packages/slots/test/new-backend-pool.ts
@@ -34,7 +34,8 @@
   readonly decisions = new Map<string, SlotDecision>();
   readonly leaving = new Set<string>();
 
-  constructor(backends: readonly BackendDescription[]) {
+  /** @param rejectionLimit requests that a backend may turn away in a second; undefined for any number */
+  constructor(backends: readonly BackendDescription[], rejectionLimit?: number) {
     this.pool = new BackendPool({
       service: SERVICE,
       clock: this.clock,
@@ -42,6 +43,7 @@
       disabled: new Set(),
       isLeaving: (id) => this.leaving.has(id),
       tenantWeight: () => 1,
+      rejectionLimit: () => rejectionLimit,
     });
     this.pool.setBackends(backends);
     this.pool.startLeading();
--- a/packages/slots/test/simulated-loads.ts
+++ b/packages/slots/test/simulated-loads.ts
@@ -1,4 +1,5 @@
 import { Random, type VirtualClock } from '@canvasridge/clock';
+import { RejectionGuard } from '../src/rejection-guard.js';
 import { adapterKey } from '@canvasridge/serving';
 import { Telemetry } from '@canvasridge/telemetry';
 import { AdapterLoader } from '../src/adapter-loader.js';
@@ -171,6 +172,7 @@
       lease: lease as unknown as OrderLease,
       rate,
       answerCheck: ALWAYS_ANSWERING,
+      rejections: new RejectionGuard(),
       unlistedSinceMs: undefined,
     };
   }
