--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -17,7 +17,7 @@
   readonly fleet: FleetState;
   readonly hops: Pick<BackendHops, 'openDirect'>;
   readonly availability: Pick<BackendAvailability, 'isBackingOff'>;
-  readonly notices: BackendNotices;
+  readonly notices: Pick<BackendNotices, 'handleNotice'>;
   readonly dialect: RequestDialect;
   readonly bodyMemory: BodyMemoryBudget;
   /** Whether the backend list is too old for a request to be written now. */
--- a/packages/gateway/test/directory.test.ts
+++ b/packages/gateway/test/directory.test.ts
@@ -57,6 +57,19 @@
   t.deepEqual(listed([...far, ...WEAK]).sort(), ['w1', 'w2', 'w3', 'w4', 'w5']);
 });
 
+// Callers went on to be sent to nodes that could reach no backend.
+test('nodes that miss a service which others reach are left out, unless that leaves none', (t) => {
+  const far = ['f1', 'f2'].map((id) => member(id, 1, 'b'));
+  const cluster = { serving: () => [...WEAK, ...far], busy: () => new Set<string>() };
+  const listedWithout = (impaired: readonly string[]): string[] =>
+    new Directory(cluster, () => new Set(), { isImpaired: (id) => impaired.includes(id) })
+      .addresses('a', 'r', 64)
+      .map((address) => address.replace(':1', ''));
+  t.deepEqual(listedWithout(['w1', 'w2']).sort(), ['w3', 'w4', 'w5']);
+  t.deepEqual(listedWithout(['w1', 'w2', 'w3', 'w4', 'w5']).sort(), ['f1', 'f2'], 'other zones come next');
+  t.is(listedWithout([...WEAK, ...far].map(({ id }) => id)).length, WEAK.length);
+});
+
 test('fleet-wide limits are divided so that the nodes listed for callers get most of them', (t) => {
   const members = [...STRONG, ...WEAK, member('f1', 1.35, 'b')];
   const cluster = { serving: () => members, busy: () => new Set<string>() };
--- /dev/null
+++ b/packages/gateway/test/relay-server.test.ts
@@ -0,0 +1,147 @@
+/** What a node answers to another node that sends requests to a backend through it. */
+import { once } from 'node:events';
+import { request, type IncomingMessage } from 'node:http';
+import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { SystemClock } from '@canvasridge/clock';
+import { FleetState } from '@canvasridge/serving';
+import { Telemetry } from '@canvasridge/telemetry';
+import test, { type ExecutionContext } from 'ava';
+import { BackendConnections } from '../src/backends/backend-connections.js';
+import { GatewayMetrics } from '../src/gateway-metrics.js';
+import { RELAY_HEADER } from '../src/relay/relay-protocol.js';
+import { RelayServer } from '../src/relay/relay-server.js';
+import { BackendHops } from '../src/request/backend-hops.js';
+import { BodyMemoryBudget } from '../src/request/body-memory-budget.js';
+import { SERVICE, configuration, dialect } from './harness.js';
+import { RawBackend, chunk, streamHead, success, type RawResponder } from './raw-backend.js';
+
+interface RunningRelay {
+  readonly backend: RawBackend;
+  readonly fleet: FleetState;
+  readonly port: number;
+  isListTooOld: boolean;
+}
+
+async function startRelay(t: ExecutionContext, respond: RawResponder): Promise<RunningRelay> {
+  const clock = new SystemClock();
+  const fleet = new FleetState();
+  fleet.applyConfiguration(configuration({}));
+  const backend = await RawBackend.start(respond);
+  fleet.applyBackend(1, backend.description('i1', SERVICE));
+  const connections = new BackendConnections();
+  const paths = {
+    state: () => 'working' as const,
+    beginWait: () => undefined,
+    endWait: () => undefined,
+    received: () => undefined,
+  };
+  const relays = { open: () => Promise.resolve(undefined) };
+  const server = new RelayServer({
+    fleet,
+    hops: new BackendHops({ clock, connections, paths, relays, fleetShare: () => 1 }),
+    availability: { isBackingOff: () => false },
+    notices: { handleNotice: () => undefined },
+    dialect,
+    bodyMemory: new BodyMemoryBudget(1_000_000),
+    isListTooOld: () => running.isListTooOld,
+    isStopping: () => false,
+    telemetry: new Telemetry({ processName: 'test', clock }),
+    metrics: new GatewayMetrics(),
+  });
+  const listener = createServer((socket: Socket) => server.accept(socket));
+  await new Promise<void>((resolve) => listener.listen(0, '127.0.0.1', resolve));
+  t.teardown(() => {
+    listener.close();
+    connections.close();
+    backend.stop();
+  });
+  const running = { backend, fleet, port: (listener.address() as AddressInfo).port, isListTooOld: false };
+  return running;
+}
+
+interface RelayedResponse {
+  readonly status: number;
+  readonly failure: unknown;
+  readonly body: string;
+  readonly whole: boolean;
+}
+
+function send(port: number, backendId = 'i1', signal?: AbortSignal): Promise<RelayedResponse> {
+  return new Promise((resolve) => {
+    const headers = { host: 'a.example', 'attempt-id': 'r1', [RELAY_HEADER.backend]: backendId };
+    const options = { host: '127.0.0.1', port, method: 'POST', path: '/x/y?z=1', headers, agent: false };
+    const outgoing = request({ ...options, ...(signal === undefined ? {} : { signal }) });
+    outgoing.on('response', (incoming: IncomingMessage) => {
+      let body = '';
+      incoming.setEncoding('utf8');
+      incoming.on('data', (part: string) => (body += part));
+      incoming.on('error', () => undefined);
+      incoming.on('close', () => {
+        const { statusCode: status = 0, headers: seen, complete: whole } = incoming;
+        resolve({ status, failure: seen[RELAY_HEADER.failure], body, whole });
+      });
+    });
+    outgoing.on('error', () => resolve({ status: 0, failure: undefined, body: '', whole: false }));
+    outgoing.end('question');
+  });
+}
+
+test('a request reaches the backend unchanged but for the header between nodes, and its response comes back', async (t) => {
+  const { port, backend } = await startRelay(t, (socket, id) => socket.write(success(id, 'answer')));
+  t.deepEqual(await send(port), { status: 200, failure: undefined, body: 'answer', whole: true });
+  const [head = ''] = backend.requestHeads;
+  t.true(head.startsWith('POST /x/y?z=1 HTTP/1.1'));
+  t.regex(head, /host: a\.example/i);
+  t.notRegex(head, /relay/i);
+});
+
+// Such a response must not look complete at the other node, nor may a backend claim that it was not sent.
+test('a response that breaks off is broken off, and a failure named by the backend is not passed on', async (t) => {
+  const { port } = await startRelay(t, (socket, id) => {
+    socket.write(streamHead(id).replace('\r\n\r\n', `\r\n${RELAY_HEADER.failure}: no-room\r\n\r\n`));
+    socket.write(chunk('data: 1\n\n'), () => setTimeout(() => socket.resetAndDestroy(), 20));
+  });
+  const response = await send(port);
+  t.is(response.failure, undefined);
+  t.false(response.whole);
+});
+
+test('a request that was sent and got no response is not called unsent', async (t) => {
+  const { port } = await startRelay(t, (socket) => socket.resetAndDestroy());
+  t.is((await send(port)).failure, 'broken');
+});
+
+test('a request that must not or can not be sent is refused with the reason', async (t) => {
+  const relay = await startRelay(t, (socket, id) => socket.write(success(id, 'answer')));
+  t.is((await send(relay.port, 'i9')).failure, 'no-room');
+  relay.isListTooOld = true;
+  t.is((await send(relay.port)).failure, 'old-list');
+  relay.isListTooOld = false;
+  relay.fleet.recordAnnouncedShutdown('i1', 'answer');
+  t.is((await send(relay.port)).failure, 'leaving');
+  t.is(relay.backend.requestHeads.length, 0);
+});
+
+test('a backend that can not be reached is named as such', async (t) => {
+  const { port, fleet } = await startRelay(t, () => undefined);
+  fleet.applyBackend(2, { ...(fleet.backend('i1') ?? never()), id: 'i2', address: '127.0.0.1:1' });
+  t.is((await send(port, 'i2')).failure, 'unreachable');
+});
+
+test('when the other node closes its connection, the one to the backend is closed', async (t) => {
+  const arrived = new Promise<Socket>((resolve) => {
+    void startRelay(t, (socket) => resolve(socket)).then(async ({ port }) => {
+      const cancel = new AbortController();
+      const response = send(port, 'i1', cancel.signal);
+      await arrived;
+      cancel.abort();
+      await response;
+    });
+  });
+  await once(await arrived, 'close');
+  t.pass();
+});
+
+function never(): never {
+  throw new Error('not listed');
+}
