--- a/packages/gateway/src/paths/backend-paths.ts
+++ b/packages/gateway/src/paths/backend-paths.ts
@@ -23,6 +23,8 @@
 const PROBE_TIMEOUT_MS = 400;
 /** A path is lost if none of this many backends answers a probe. */
 const BACKENDS_PROBED = 3;
+/** A failure this soon after a check that found the path working is not its fault. */
+const CHECK_VALID_MS = 300;
 /** Pause between two checks of a lost path. */
 const RECHECK_MS = 400;
 /** Backends that have to answer for a lost path to count as working again. */
@@ -83,7 +85,8 @@
   async isOwnFailure(backendId: string): Promise<boolean> {
     const service = this.#options.fleet.backend(backendId)?.service;
     if (service === undefined) return false;
-    if (this.state(service) === 'working') await this.#check(service, 'failure', backendId);
+    const isKnown = this.#path(service).confirmedWithin(CHECK_VALID_MS, this.#options.clock.now());
+    if (this.state(service) === 'working' && !isKnown) await this.#check(service, 'failure', backendId);
     return this.state(service) !== 'working';
   }
 
--- a/packages/gateway/src/paths/http-probe.ts
+++ b/packages/gateway/src/paths/http-probe.ts
@@ -29,7 +29,8 @@
           outgoing.destroy();
           resolve(isAnswered);
         };
-        const timer = setTimeout(() => finish(false), timeoutMs);
+        // A process that was suspended or busy first reads what has arrived meanwhile.
+        const timer = setTimeout(() => setImmediate(() => finish(false)), timeoutMs);
         outgoing.once('response', () => finish(true));
         outgoing.on('error', () => finish(false));
         outgoing.end();
--- a/packages/gateway/src/paths/service-path.ts
+++ b/packages/gateway/src/paths/service-path.ts
@@ -13,6 +13,7 @@
   #impairedSinceMs = 0;
   /** Checks since anything was received that found the path working. */
   #vainChecks = 0;
+  #confirmedMs = -Infinity;
 
   get state(): PathState {
     return this.#state;
@@ -60,6 +61,12 @@
   confirm(nowMs: number): void {
     this.#vainChecks += 1;
     this.#receivedMs = nowMs;
+    this.#confirmedMs = nowMs;
+  }
+
+  /** Whether a check found the path working within this time. */
+  confirmedWithin(spanMs: number, nowMs: number): boolean {
+    return nowMs - this.#confirmedMs <= spanMs;
   }
 
   impair(state: 'limited' | 'lost', nowMs: number): void {
