The ways of a node to backends have a class of their own; what is known of paths ages while a machine is suspended

BackendAccess takes the wiring of paths and relays out of GatewayNode. Paths, confirmed relays and losses used the clock that stands still while a machine is suspended, so that a peer's answer from before counted as new after it.

--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -62,16 +62,10 @@
 import type { PeerMethods } from './peers/peer-connection.js';
 import { BodyMemoryBudget } from './request/body-memory-budget.js';
 import { Exchange, type ExchangeContext } from './request/exchange.js';
-import { BackendHops } from './request/backend-hops.js';
 import { ServingOutage } from './request/serving-outage.js';
-import { BackendPaths } from './paths/backend-paths.js';
-import { FleetPaths } from './paths/fleet-paths.js';
-import { PathRecordingControl } from './paths/path-recording-control.js';
-import type { PathState } from './paths/service-path.js';
-import { httpProbe } from './paths/http-probe.js';
-import { REACHES_METHOD, reachesParams, type ReachesReply } from './relay/relay-protocol.js';
+import { BackendAccess } from './paths/backend-access.js';
+import { REACHES_METHOD } from './relay/relay-protocol.js';
 import { RelayServer } from './relay/relay-server.js';
-import { Relays } from './relay/relays.js';
 import type { SlotDecision } from '@canvasridge/slots';
 
 /**
@@ -115,9 +109,7 @@
   readonly #backendRates: FleetQuotas;
   readonly #quarantine: FleetQuarantine;
   readonly #rejectionLimits: RejectionLimits;
-  readonly #paths: BackendPaths;
-  readonly #fleetPaths: FleetPaths;
-  readonly #relays: Relays;
+  readonly #access: BackendAccess;
   readonly #relayServer: RelayServer;
   readonly #retryBudgets = new Map<string, RetryBudget>();
   readonly #context: ExchangeContext;
@@ -160,37 +152,24 @@
       onQuarantine: () => this.#quarantine.update(),
     });
     const { fleet } = this;
-    this.#paths = new BackendPaths({
+    this.#access = new BackendAccess({
       clock,
+      fleetClock,
       random,
       fleet,
-      probe: httpProbe(options.dialect.probePath),
-      telemetry,
-      onChange: (service, state) => this.#onPathChanged(service, state),
-    });
-    this.#fleetPaths = new FleetPaths({
-      clock,
-      cluster: this.#cluster,
-      ownImpaired: () => this.#paths.impaired(),
-      onPeerLost: (service) => this.#paths.hint(service),
-    });
-    this.directory = new Directory(this.#cluster, () => this.#slots.leaders(), this.#fleetPaths);
-    this.#fleetShare = new FleetShare(clock, this.directory, settings.nodeId);
-    this.#relays = new Relays({
-      clock,
-      random,
       cluster: this.#cluster,
-      paths: this.#fleetPaths,
       network: this.#network,
-    });
-    const hops = new BackendHops({
-      clock,
       connections: this.#connections,
-      paths: this.#paths,
-      relays: this.#relays,
+      control: options.control,
+      probePath: options.dialect.probePath,
       fleetShare: () => this.#fleetShare.value,
+      isStopping: () => this.#stopping,
+      telemetry,
+      metrics: this.metrics,
     });
-    const control = new PathRecordingControl(options.control, this.#paths);
+    const { paths, fleetPaths, hops, control } = this.#access;
+    this.directory = new Directory(this.#cluster, () => this.#slots.leaders(), fleetPaths);
+    this.#fleetShare = new FleetShare(clock, this.directory, settings.nodeId);
     this.published = new PublishedState({
       ...settings,
       clock: fleetClock,
@@ -232,8 +211,8 @@
       cluster: this.#cluster,
       network: this.#network,
       control,
-      paths: this.#paths,
-      fleetPaths: this.#fleetPaths,
+      paths,
+      fleetPaths,
       availability,
       rateLimits,
       rejectionLimits,
@@ -285,7 +264,7 @@
       fleet,
       connections: this.#connections,
       hops,
-      paths: this.#paths,
+      paths,
       notices,
       availability,
       plainPicker: new GrantedBackendPicker(
@@ -338,7 +317,7 @@
     node.#cluster.start();
     node.published.start();
     node.#slots.start();
-    node.#fleetPaths.start();
+    node.#access.start();
     node.#loopLag.start();
     void node.#runEverySecond();
     return ok(node);
@@ -382,9 +361,7 @@
 
   /** Stops at once, as in a crash. */
   close(): void {
-    this.#paths.stop();
-    this.#fleetPaths.stop();
-    this.#relays.close();
+    this.#access.stop();
     this.published.stop();
     this.#slots.stop();
     this.#loopLag.stop();
@@ -422,25 +399,11 @@
       [USES_METHOD]: (params, peer) => this.#slots.answers.onUses(params as UsesParams, peer),
       [RELEASE_METHOD]: (params, peer) => this.#slots.answers.onRelease(params as ReleaseParams, peer),
       [RATE_LIMIT_METHOD]: (params) => this.#slots.answers.onRateLimit(params),
-      [REACHES_METHOD]: (params) => this.#answerReaches(params),
+      [REACHES_METHOD]: (params) => this.#access.answerReaches(params),
       [DECIDED_METHOD]: (params) => this.#slots.requester.onDecided(params as SlotDecision),
     };
   }
 
-  /** Answers another node that looks for one to relay its requests. */
-  async #answerReaches(params: unknown): Promise<ReachesReply | null> {
-    const { data } = reachesParams.safeParse(params);
-    if (data === undefined) return null;
-    return { reaches: !this.#stopping && (await this.#paths.reaches(data.service)) };
-  }
-
-  /** Connections that were open when a path was lost may have ended without a word. */
-  #onPathChanged(service: string, state: PathState): void {
-    this.metrics.pathsImpaired.set({ service }, state === 'working' ? 0 : 1);
-    if (state === 'lost') for (const { id } of this.fleet.backendsOf(service)) this.#connections.dropIdle(id);
-    this.#fleetPaths.ownPathChanged(state);
-  }
-
   #quotaRule(tenant: string): QuotaRule | undefined {
     const quota = this.fleet.routes?.tenants?.named(tenant)?.quota;
     return quota === undefined ? undefined : widenRule(quota, this.#options.settings.quotaTolerance);
--- /dev/null
+++ b/packages/gateway/src/paths/backend-access.ts
@@ -0,0 +1,91 @@
+import type { Clock, ContinuousClock, Random } from '@canvasridge/clock';
+import type { FleetState } from '@canvasridge/serving';
+import type { EngineControl } from '@canvasridge/slots';
+import type { Telemetry } from '@canvasridge/telemetry';
+import type { BackendConnections } from '../backends/backend-connections.js';
+import type { Cluster } from '../cluster/cluster.js';
+import type { GatewayMetrics } from '../gateway-metrics.js';
+import type { PeerNetwork } from '../peers/peer-network.js';
+import { reachesParams, type ReachesReply } from '../relay/relay-protocol.js';
+import { Relays } from '../relay/relays.js';
+import { BackendHops } from '../request/backend-hops.js';
+import { BackendPaths } from './backend-paths.js';
+import { FleetPaths } from './fleet-paths.js';
+import { httpProbe } from './http-probe.js';
+import { PathRecordingControl } from './path-recording-control.js';
+import type { PathState } from './service-path.js';
+
+export interface BackendAccessOptions {
+  readonly clock: Clock;
+  /** Also advances while the machine is suspended, so that what was known of paths is then out of date. */
+  readonly fleetClock: ContinuousClock;
+  readonly random: Random;
+  readonly fleet: FleetState;
+  readonly cluster: Cluster;
+  readonly network: PeerNetwork;
+  readonly connections: BackendConnections;
+  readonly control: EngineControl;
+  readonly probePath: string;
+  /** This node's share of limits that apply to the whole fleet, from 0 to 1. */
+  readonly fleetShare: () => number;
+  readonly isStopping: () => boolean;
+  readonly telemetry: Telemetry;
+  readonly metrics: GatewayMetrics;
+}
+
+/** The ways of a node to backends: what it knows of its own paths and of those of others, and the relays. */
+export class BackendAccess {
+  readonly paths: BackendPaths;
+  readonly fleetPaths: FleetPaths;
+  readonly hops: BackendHops;
+  readonly control: EngineControl;
+  readonly #options: BackendAccessOptions;
+  readonly #relays: Relays;
+
+  constructor(options: BackendAccessOptions) {
+    this.#options = options;
+    const { fleetClock, random, fleet, cluster, network, telemetry } = options;
+    this.paths = new BackendPaths({
+      clock: fleetClock,
+      random,
+      fleet,
+      probe: httpProbe(options.probePath),
+      telemetry,
+      onChange: (service, state) => this.#onPathChanged(service, state),
+    });
+    this.fleetPaths = new FleetPaths({
+      clock: fleetClock,
+      cluster,
+      ownImpaired: () => this.paths.impaired(),
+      onPeerLost: (service) => this.paths.hint(service),
+    });
+    this.#relays = new Relays({ clock: fleetClock, random, cluster, network, paths: this.fleetPaths });
+    this.hops = new BackendHops({ ...options, paths: this.paths, relays: this.#relays });
+    this.control = new PathRecordingControl(options.control, this.paths);
+  }
+
+  start(): void {
+    this.fleetPaths.start();
+  }
+
+  stop(): void {
+    this.paths.stop();
+    this.fleetPaths.stop();
+    this.#relays.close();
+  }
+
+  /** Answers another node that looks for one to relay its requests. */
+  async answerReaches(params: unknown): Promise<ReachesReply | null> {
+    const { data } = reachesParams.safeParse(params);
+    if (data === undefined) return null;
+    return { reaches: !this.#options.isStopping() && (await this.paths.reaches(data.service)) };
+  }
+
+  /** Connections that were open when a path was lost may have ended without a word. */
+  #onPathChanged(service: string, state: PathState): void {
+    const { metrics, fleet, connections } = this.#options;
+    metrics.pathsImpaired.set({ service }, state === 'working' ? 0 : 1);
+    if (state === 'lost') for (const { id } of fleet.backendsOf(service)) connections.dropIdle(id);
+    this.fleetPaths.ownPathChanged(state);
+  }
+}
