A path to a service without ready backends is checked at intervals

Found by reading: with no ready backend a check of a silent path ended at once and was repeated at once, so that a process whose requests waited while the list was empty did nothing else. Such a service now counts as reached.

The test ran into its limit of 25 s before (the process was busy and gave no result) and passes now.

--- a/packages/gateway/src/paths/backend-paths.ts
+++ b/packages/gateway/src/paths/backend-paths.ts
@@ -136,13 +136,14 @@
     return check;
   }
 
+  /** A service without a ready backend counts as reached: nothing shows that it is not. */
   async #verify(service: string, cause: CheckCause, failedId: string | undefined): Promise<void> {
     const { clock } = this.#options;
     const path = this.#path(service);
     const silentMs = path.silentMs(clock.now());
     const backends = this.#backendsToProbe(service, failedId);
-    if (backends.length === 0) return;
-    const isAnswered = await firstTrue(backends.map((backend) => this.#answers(backend)));
+    const isAnswered =
+      backends.length === 0 || (await firstTrue(backends.map((backend) => this.#answers(backend))));
     if (this.#stopped || path.state === 'lost') return;
     if (isAnswered) path.confirm(clock.now());
     else {
--- a/packages/gateway/test/backend-paths.test.ts
+++ b/packages/gateway/test/backend-paths.test.ts
@@ -127,3 +127,13 @@
   t.true(probes() > 0);
   paths.stop();
 });
+
+// The check of a path ended at once and was repeated at once, so that the process did nothing else.
+test('a path to a service without ready backends is checked at intervals', async (t) => {
+  const { clock, paths, changes, probes } = newSetup(0);
+  paths.beginWait(SERVICE);
+  await clock.runUntil(10_000);
+  t.is(probes(), 0);
+  t.deepEqual(changes, []);
+  paths.stop();
+});
