A request for which no node has a path is refused after one direct try

With the path lost and no node to relay, a request was tried up to five times at backends that the node can't reach, each until its connection timed out after 0.6 s, where at the first failure it is known that nothing can serve it now.

--- a/packages/gateway/src/request/attempt-outcomes.ts
+++ b/packages/gateway/src/request/attempt-outcomes.ts
@@ -1,12 +1,13 @@
 import type { UseOutcome } from '@canvasridge/slots';
 import type { AttemptOutcome, NotWrittenReason, NotRunReason } from './backend-attempt.js';
 
-const NOT_WRITTEN_REASONS: ReadonlySet<NotRunReason> = new Set<NotWrittenReason | 'no-relay'>([
+const NOT_WRITTEN_REASONS: ReadonlySet<NotRunReason> = new Set<NotWrittenReason | 'no-relay' | 'no-path'>([
   'leaving',
   'backing-off',
   'old-list',
   'not-allowed',
   'no-relay',
+  'no-path',
 ]);
 /** Reasons that say nothing against the backend itself, so that the same backend may be chosen again. */
 const BACKEND_REUSABLE_REASONS: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
@@ -15,6 +16,7 @@
   'old-list',
   'not-allowed',
   'no-relay',
+  'no-path',
 ]);
 
 /** Whether any part of the request may have been written to the backend. */
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -52,10 +52,11 @@
  * `unreachable`: the backend accepted no connection in time; `refused`: its response says that it did not run
  * the request; `not-present`: the same, because it does not have the model or adapter; `no-connection`: this
  * node already uses all connections to the backend that it may open; `no-relay`: the node that was to relay
- * the request could not, or could not be reached.
+ * the request could not, or could not be reached; `no-path`: this node can't reach the backend, and no other node
+ * relays the request.
  */
 export type NotRunReason =
-  NotWrittenReason | 'unreachable' | 'refused' | 'not-present' | 'no-connection' | 'no-relay';
+  NotWrittenReason | 'unreachable' | 'refused' | 'not-present' | 'no-connection' | 'no-relay' | 'no-path';
 
 export interface AttemptOptions {
   readonly hop: BackendHop;
--- a/packages/gateway/src/request/backend-hops.ts
+++ b/packages/gateway/src/request/backend-hops.ts
@@ -24,19 +24,24 @@
 
   /**
    * @param excludedRelays nodes that could not relay this request
-   * @returns undefined if this node already uses all connections that it may open
+   * @param hasFailedDirectly whether the request was tried without a relay since the path was impaired
+   * @returns the reason if there is no way: the node uses all connections that it may open, or it has lost its
+   *   path and no other node relays the request
    */
   async open(
     backend: BackendDescription,
     service: BackendService,
     excludedRelays: ReadonlySet<string>,
-  ): Promise<BackendHop | undefined> {
+    hasFailedDirectly: boolean,
+  ): Promise<BackendHop | 'no-connection' | 'no-path'> {
     const { clock, connections, paths, relays } = this.#options;
     const state = paths.state(service.name);
     if (state === 'working' || (state === 'limited' && connections.hasIdle(backend.id)))
-      return this.openDirect(backend, service);
+      return this.openDirect(backend, service) ?? 'no-connection';
     const onReceived = (): void => connections.recordReceived(backend.id, clock.now());
-    return (await relays.open(backend, excludedRelays, onReceived)) ?? this.openDirect(backend, service);
+    const relayed = await relays.open(backend, excludedRelays, onReceived);
+    if (relayed !== undefined) return relayed;
+    return hasFailedDirectly ? 'no-path' : (this.openDirect(backend, service) ?? 'no-connection');
   }
 
   /** A connection of this node's own; undefined if it already uses all that it may open. */
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -112,6 +112,8 @@
   #relay: string | undefined;
   /** Whether the last attempt failed because this node has lost its path to all backends of the service. */
   #isOwnFailure = false;
+  /** Whether that was so for any attempt. */
+  #hasOwnFailure = false;
   #lastEventId = -1;
   #backendId = '';
   #pickMethod = '';
@@ -335,8 +337,8 @@
     if (!isAllowed) return { kind: 'not-run', reason: 'not-allowed' };
     if (fleet.isLeaving(backend.id)) return { kind: 'not-run', reason: 'leaving' };
     if (availability.isBackingOff(backend.id)) return { kind: 'not-run', reason: 'backing-off' };
-    const hop = await hops.open(backend, service, this.#excludedRelays);
-    if (hop === undefined) return { kind: 'not-run', reason: 'no-connection' };
+    const hop = await hops.open(backend, service, this.#excludedRelays, this.#hasOwnFailure);
+    if (typeof hop === 'string') return { kind: 'not-run', reason: hop };
     this.#relay = hop.relay;
     if (this.#ended) {
       hop.release({ kind: 'not-run', reason: 'not-allowed' });
@@ -383,6 +385,7 @@
     }
     if (hop.relay === undefined && isPathFailure(outcome))
       this.#isOwnFailure = await this.#context.paths.isOwnFailure(backend.id);
+    this.#hasOwnFailure ||= this.#isOwnFailure;
     if (!this.#isOwnFailure) await this.#quarantine.attemptEnded(backend.id, attempt, outcome);
     return outcome;
   }
@@ -442,7 +445,12 @@
       return false;
     }
     const costsRetry = wasWritten(outcome);
-    if (this.#sends >= MAX_SENDS || (costsRetry && !this.#context.budget(service.name).tryTake())) {
+    const hasNoWay = outcome.kind === 'not-run' && outcome.reason === 'no-path';
+    if (
+      hasNoWay ||
+      this.#sends >= MAX_SENDS ||
+      (costsRetry && !this.#context.budget(service.name).tryTake())
+    ) {
       this.#endWithoutRetry(outcome);
       return false;
     }
