Requests granted at one moment stay within what a backend can turn away

The guard counted what had been turned away; requests that were granted before the first refusal came back were not counted, and an engine with room for one or two turned all of them away. For engines a guard that is used up lets requests wait, as a rate limit does, instead of refusing them as if there were no engine.

--- a/packages/slots/src/backend-pool.ts
+++ b/packages/slots/src/backend-pool.ts
@@ -225,6 +225,7 @@
     const { request, arrivedMs } = waiting;
     this.#waiting.granted(request.id, nowMs);
     this.#logDecision('slot.granted', waiting, { backend: backend.description.id, running: backend.running });
+    backend.recordGrant(nowMs);
     this.#begin(request.id, backend, request.timeoutMs - (nowMs - arrivedMs));
     waiting.decide(grantOf(request.id, backend));
   }
--- a/packages/slots/src/engine-entry.ts
+++ b/packages/slots/src/engine-entry.ts
@@ -9,7 +9,7 @@
   readonly slots: EngineSlots;
   readonly lease: OrderLease;
   readonly rate: EngineRate;
-  readonly rejections: Pick<RejectionGuard, 'record' | 'isExhausted'>;
+  readonly rejections: Pick<RejectionGuard, 'recordGrant' | 'recordRejection' | 'isExhausted'>;
   readonly answerCheck: Pick<AnswerCheck, 'isAnswering' | 'lastAnsweredMs' | 'requestFailed' | 'answered'>;
   /** When it left the published list; undefined while it is listed. An unlisted engine gets no requests. */
   unlistedSinceMs: number | undefined;
--- a/packages/slots/src/engine-registry.ts
+++ b/packages/slots/src/engine-registry.ts
@@ -55,13 +55,14 @@
     return this.#engines.get(id);
   }
 
-  /**
-   * Whether the engine is ready, not known to answer no more, may turn away another request, and is not excluded
-   * for this request.
-   */
-  mayServe(entry: EngineEntry, request: SlotRequest): boolean {
+  /** Whether one more request may be granted now within what the engine announced that it takes or can turn away. */
+  hasRoom({ rate, rejections }: EngineEntry): boolean {
     const { clock, rejectionLimit } = this.#options;
-    if (entry.rejections.isExhausted(rejectionLimit?.(), clock.now())) return false;
+    return rate.hasRoom && !rejections.isExhausted(rejectionLimit?.(), clock.now());
+  }
+
+  /** Whether the engine is ready, not known to answer no more, and not excluded for this request. */
+  mayServe(entry: EngineEntry, request: SlotRequest): boolean {
     return (
       isReady(entry) && entry.answerCheck.isAnswering && !request.excluded.includes(entry.slots.backend.id)
     );
--- a/packages/slots/src/engine-selector.ts
+++ b/packages/slots/src/engine-selector.ts
@@ -45,7 +45,7 @@
     const choices: EngineChoice[] = [];
     for (const entry of this.#candidates(request, index)) {
       if (!this.#engines.mayServe(entry, request) || !this.#hasTarget(entry, request, nowMs)) continue;
-      if (!entry.rate.hasRoom) continue;
+      if (!this.#engines.hasRoom(entry)) continue;
       choices.push(this.#choice(entry, request, index, nowMs));
     }
     const { disabled } = this.#costs;
@@ -70,10 +70,10 @@
       );
   }
 
-  /** Whether an engine that could run the request has reached its rate limit. */
+  /** Whether an engine that could run the request has reached its rate limit, or may be made to turn away no more. */
   isRateLimited(request: SlotRequest, index: PoolIndex): boolean {
     for (const entry of this.#candidates(request, index)) {
-      if (!entry.rate.hasRoom && this.#engines.mayServe(entry, request)) return true;
+      if (!this.#engines.hasRoom(entry) && this.#engines.mayServe(entry, request)) return true;
     }
     return false;
   }
--- a/packages/slots/src/granted-backend.ts
+++ b/packages/slots/src/granted-backend.ts
@@ -51,9 +51,13 @@
     return this.running < this.description.slots + BEYOND_SLOTS;
   }
 
+  recordGrant(nowMs: number): void {
+    this.#rejections.recordGrant(nowMs);
+  }
+
   /** Records that it turned away a granted request; called before the request is taken off its count. */
   recordTurnedAway(nowMs: number): void {
-    this.#rejections.record(nowMs);
+    this.#rejections.recordRejection(nowMs);
     if (this.running > this.description.slots) this.#noQueueUntilMs = nowMs + NO_QUEUE_MS;
   }
 }
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -318,7 +318,7 @@
     else entry.slots.backlog.drop(requestId);
     if (outcome === 'not-present') this.#handleMissing(entry, slot, beganMs);
     else if (outcome === 'failed' || outcome === 'refused') {
-      if (outcome === 'refused') entry.rejections.record(nowMs);
+      if (outcome === 'refused') entry.rejections.recordRejection(nowMs);
       entry.slots.avoidUntilMs = nowMs + AVOID_AFTER_FAILURE_MS;
       entry.answerCheck.requestFailed();
     } else if (outcome === 'served' && slot !== undefined) this.#adapters.recordServed(slot, beganMs);
@@ -389,6 +389,7 @@
     this.#uses.begin(request.id, engine, slot, request);
     this.#releaseAfterTimeout(request.id, request.timeoutMs - request.ageMs);
     engine.rate.take();
+    engine.rejections.recordGrant(nowMs);
     waiting.decide({ kind: 'granted', requestId: request.id, backendId: id, address, ...engine.rate.stated });
   }
 
