--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -3,7 +3,7 @@
 import type { QuotaRule } from '@canvasridge/admission';
 import { ContinuousClock, Random, hashSeed } from '@canvasridge/clock';
 import { UdpTransport } from '@canvasridge/membership';
-import type { Departure, FleetState, NewEra } from '@canvasridge/serving';
+import type { Departure, FleetState, HttpRoute, NewEra } from '@canvasridge/serving';
 import { err, ok, type Result } from 'neverthrow';
 import { BackendAvailability } from './backends/backend-availability.js';
 import { BackendBackoffs } from './backends/backend-backoffs.js';
@@ -56,6 +56,7 @@
 } from './cluster/fleet-quarantine.js';
 import { FleetShare } from './cluster/fleet-share.js';
 import { LoopLag } from './cluster/loop-lag.js';
+import { routeChanges } from './cluster/route-changes.js';
 import type { GatewayOptions } from './gateway-settings.js';
 import { GatewayMetrics } from './gateway-metrics.js';
 import { PeerNetwork } from './peers/peer-network.js';
@@ -104,6 +105,8 @@
   readonly #connections = new BackendConnections();
   readonly #clients: ClientServer;
   readonly #loopLag: LoopLag;
+  /** Routes of the configuration that was applied last. */
+  #loggedRoutes: readonly HttpRoute[] = [];
   readonly #fleetShare: FleetShare;
   readonly #quotas: FleetQuotas;
   readonly #backendRates: FleetQuotas;
@@ -465,7 +468,9 @@
     this.#options.telemetry.event('info', 'configuration.applied', 'configuration', {
       version: configuration.version,
       routes: configuration.routes.length,
+      ...routeChanges(this.#loggedRoutes, configuration.routes),
     });
+    this.#loggedRoutes = configuration.routes;
   }
 
   async #runEverySecond(): Promise<void> {
--- a/packages/slots/src/backend-pool.ts
+++ b/packages/slots/src/backend-pool.ts
@@ -278,7 +278,7 @@
       }
       this.#waiting.remove(request.id);
       if (usable.length === 0) this.#refuse(waiting, 'no-backend', RETRY_WITHOUT_BACKEND_MS);
-      else this.#refuse(waiting, 'no-slot-in-time', turnMs);
+      else this.#refuse(waiting, 'no-slot-in-time', turnMs, ahead);
     }
   }
 
@@ -294,28 +294,37 @@
     serviceMs: number,
     nowMs: number,
   ): boolean {
-    const leftMs = Math.min(request.startWithinMs, request.timeoutMs) - (nowMs - arrivedMs);
+    const leftMs = leftOf(request, nowMs - arrivedMs);
     if (this.#options.disabled.has('early-refusal')) return leftMs <= 0;
     return turnMs + serviceMs > leftMs;
   }
 
-  #refuse(waiting: WaitingRequest<PoolRequest>, reason: RefusalReason, turnMs: number): void {
+  /** @param ahead requests that come before it */
+  #refuse(waiting: WaitingRequest<PoolRequest>, reason: RefusalReason, turnMs: number, ahead?: number): void {
     const retryAfterMs =
       reason === 'stopping' ? 0 : Math.min(Math.max(turnMs, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS);
-    this.#logDecision('slot.refused', waiting, { reason, retryAfterMs: Math.round(retryAfterMs) });
+    const { request, arrivedMs } = waiting;
+    this.#logDecision('slot.refused', waiting, {
+      reason,
+      retryAfterMs: Math.round(retryAfterMs),
+      turnMs: Math.round(turnMs),
+      leftMs: Math.round(leftOf(request, this.#options.clock.now() - arrivedMs)),
+      ahead,
+    });
     waiting.decide({ kind: 'refused', requestId: waiting.request.id, reason, retryAfterMs });
   }
 
   #logDecision(
     event: string,
     { request, arrivedMs, obstacle }: WaitingRequest<PoolRequest>,
-    fields: Record<string, string | number>,
+    fields: Record<string, string | number | undefined>,
   ): void {
     const { clock, telemetry, service } = this.#options;
     const nowMs = clock.now();
     const waitedMs = Math.round(nowMs - arrivedMs - request.ageMs);
     const ageMs = Math.round(nowMs - arrivedMs);
-    const described = { pool: service, ageMs, waitedMs, obstacle, ...fields };
+    const { priority } = request;
+    const described = { pool: service, priority, ageMs, waitedMs, obstacle, ...fields };
     telemetry.event('info', event, request.traceId, described);
   }
 
@@ -344,6 +353,11 @@
   return nowMs - arrivedMs + backend.serviceTime.meanMs(nowMs) <= request.objectiveMs;
 }
 
+/** Time in which a request of this age has to be answered, in ms. */
+function leftOf({ startWithinMs, timeoutMs }: PoolRequest, ageMs: number): number {
+  return Math.min(startWithinMs, timeoutMs) - ageMs;
+}
+
 function grantOf(requestId: string, { description }: GrantedBackend): SlotDecision {
   return { kind: 'granted', requestId, backendId: description.id, address: description.address };
 }
