--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -8,6 +8,8 @@
   readonly priority: number;
   /** The tenant it runs for; undefined if it belongs to no tenant. */
   readonly tenant: string | undefined;
+  /** Name of its route; absent from earlier builds. */
+  readonly route?: string;
   /** Target for the time from the arrival of the client's request to its first event, or to its response if it is not streamed. */
   readonly objectiveMs: number;
   /** Zone of the node that sends the request to its backend; absent from earlier builds. */
--- a/packages/slots/test/new-backend-pool.ts
+++ b/packages/slots/test/new-backend-pool.ts
@@ -1,7 +1,7 @@
 import { VirtualClock } from '@canvasridge/clock';
 import type { BackendDescription } from '@canvasridge/serving';
 import { Telemetry } from '@canvasridge/telemetry';
-import { BackendPool, type PoolRequest, type SlotDecision } from '../src/index.js';
+import { BackendPool, type DisabledMechanisms, type PoolRequest, type SlotDecision } from '../src/index.js';
 
 export const SERVICE = 'ledger';
 
@@ -35,12 +35,16 @@
   readonly leaving = new Set<string>();
 
   /** @param rejectionLimit requests that a backend may turn away in a second; undefined for any number */
-  constructor(backends: readonly BackendDescription[], rejectionLimit?: number) {
+  constructor(
+    backends: readonly BackendDescription[],
+    rejectionLimit?: number,
+    disabled: DisabledMechanisms = new Set(),
+  ) {
     this.pool = new BackendPool({
       service: SERVICE,
       clock: this.clock,
       telemetry: new Telemetry({ processName: 'test', clock: this.clock }),
-      disabled: new Set(),
+      disabled,
       isLeaving: (id) => this.leaving.has(id),
       tenantWeight: () => 1,
       rejectionLimit: () => rejectionLimit,
