No kind of request is starved while a pool is overloaded

Refused with no-slot-in-time at an age of a few ms, or of a few hundred. Cause: a pool grants in order of urgency and has no share for anybody. Change: a kind of request (route and priority) that is granted less than half as often as all requests of the pool comes first until it has that share. Counts halve in 5 s. The mechanism least-share switches it off. Both pools use it, as they share the waiting list.

--- a/packages/gateway/src/backends/granted-backend-picker.ts
+++ b/packages/gateway/src/backends/granted-backend-picker.ts
@@ -89,6 +89,7 @@
       ageMs,
       timeoutMs,
       startWithinMs,
+      route: route.name,
       objectiveMs: route.objectiveMs,
       zone: this.#zone,
       // The leader can't know that this node must avoid these.
--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -75,6 +75,7 @@
       adapter: generation.adapter,
       priority: context.priority,
       tenant: context.tenant,
+      route: context.route.name,
       objectiveMs: context.route.objectiveMs,
       gapObjectiveMs: context.route.gapObjectiveMs,
       zone: this.#zone,
--- a/packages/slots/src/backend-pool.ts
+++ b/packages/slots/src/backend-pool.ts
@@ -118,7 +118,7 @@
       this.#refuse(waiting, 'stopping', 0);
       return;
     }
-    this.#waiting.add(waiting);
+    this.#waiting.add(waiting, nowMs);
     this.#grantWaiting();
     if (this.#waiting.get(request.id) === undefined) return;
     this.#refuseUnservable();
@@ -194,13 +194,15 @@
   }
 
   /**
-   * Grants slots until no waiting request can use one: in order to those that meet their objective with it, and what is
-   * left to the others, of which those that are late in any case come first.
+   * Grants slots until no waiting request can use one: first to those of kinds that lack their least share, then in order
+   * to those that meet their objective with it, and what is left to the others, of which those that are late in any case
+   * come first.
    */
   #grantWaiting(): void {
     if (this.#isClosed || this.#waiting.size === 0) return;
     const nowMs = this.#options.clock.now();
     if (!this.#hasRoom(nowMs)) return;
+    for (const waiting of this.#waiting.underserved(nowMs)) this.#grantIf(waiting, () => true, nowMs);
     const inOrder = this.#waiting.inOrder(nowMs);
     const others = inOrder.filter((waiting) => !this.#grantIf(waiting, meetsObjective, nowMs));
     const isLate = (waiting: WaitingRequest<PoolRequest>): boolean => this.#waiting.isLate(waiting, nowMs);
--- a/packages/slots/src/mechanisms.ts
+++ b/packages/slots/src/mechanisms.ts
@@ -23,6 +23,8 @@
   'returned-first',
   /** Tenants share engines by weighted fair queueing while several of them wait. */
   'fair-tenants',
+  /** Kinds of request that are served far less often than the rest come first until they have their least share. */
+  'least-share',
   /** Requests that can no longer meet their objective wait behind the others. */
   'late-last',
   /** Backends with few slots are granted to requests by one node for all. Disabled: each node counts its own requests. */
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -263,7 +263,7 @@
     }
     if (request.adapter !== undefined)
       this.#popularity.recordRequest(adapterKey(request.model, request.adapter));
-    this.#waiting.add(waiting);
+    this.#waiting.add(waiting, nowMs);
     this.#placement.place(waiting, this.#index(), nowMs);
     if (this.#waiting.get(request.id) === undefined) return;
     this.#refusals.scheduleCheck();
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -1,4 +1,5 @@
 import type { DisabledMechanisms } from './mechanisms.js';
+import { kindOf, ServedShares } from './served-shares.js';
 import type { PoolRequest, SlotDecision, SlotRequest } from './slot-request.js';
 
 /** Fraction of the objective reserved for the way back of the first event and for unforeseen delays. */
@@ -22,6 +23,8 @@
 /** A waiting request with its sort keys. */
 interface QueueEntry<R extends PoolRequest> {
   readonly waiting: WaitingRequest<R>;
+  /** 0 if its kind has less than its least share and this is one of the requests that make up for it, else 1. */
+  turn: number;
   /** 1 if the request can no longer meet its objective, else 0. */
   readonly late: number;
   startDeadlineMs: number;
@@ -29,6 +32,7 @@
 
 function compareEntries(a: QueueEntry<PoolRequest>, b: QueueEntry<PoolRequest>): number {
   return (
+    a.turn - b.turn ||
     a.late - b.late ||
     a.startDeadlineMs - b.startDeadlineMs ||
     a.waiting.request.priority - b.waiting.request.priority
@@ -73,13 +77,15 @@
  * The requests that wait for a slot, in order of urgency. Requests that can still meet their objective come before those
  * that cannot, each group in order of start deadline. Priority moves the deadline only a little: with strict priority,
  * long streams of one request kind took all slots while short requests of another kind waited until they were late.
- * Tenants are scheduled fairly, so that one of them cannot crowd out the others.
+ * Tenants are scheduled fairly, so that one of them cannot crowd out the others. A kind of request that is served far less
+ * often than the rest comes first until it has its least share, so that order by urgency starves none of them.
  */
 export class WaitingList<R extends PoolRequest = SlotRequest> {
   readonly #byId = new Map<string, WaitingRequest<R>>();
   readonly #expectedServiceMs: (request: R) => number;
   readonly #disabled: DisabledMechanisms;
   readonly #sharing: TenantSharing;
+  readonly #shares = new ServedShares();
   /** The virtual clock of each tenant: the time up to which its recent grants count against it. */
   readonly #virtualTimeMs = new Map<string, number>();
   /** By tenant: how far one grant advances its virtual clock. Empty while fewer than two tenants wait. */
@@ -100,8 +106,9 @@
     return this.#byId.size;
   }
 
-  add(waiting: WaitingRequest<R>): void {
+  add(waiting: WaitingRequest<R>, nowMs: number): void {
     this.#byId.set(waiting.request.id, waiting);
+    this.#shares.recordAsked(waiting.request, nowMs);
   }
 
   remove(id: string): WaitingRequest<R> | undefined {
@@ -114,22 +121,53 @@
     return this.#byId.get(id);
   }
 
-  /** Returns the requests, most urgent first. */
+  /** Returns the requests, first those of kinds that lack their least share, then by urgency. */
   inOrder(nowMs: number): WaitingRequest<R>[] {
+    return this.#sorted(nowMs).map(({ waiting }) => waiting);
+  }
+
+  /** Returns the requests that come first since their kinds lack their least share, most urgent first. */
+  underserved(nowMs: number): WaitingRequest<R>[] {
+    return this.#sorted(nowMs)
+      .filter(({ turn }) => turn === 0)
+      .map(({ waiting }) => waiting);
+  }
+
+  #sorted(nowMs: number): QueueEntry<R>[] {
     const entries = [...this.#byId.values()].map((waiting) => ({
       waiting,
+      turn: 1,
       late: this.isLate(waiting, nowMs) ? 1 : 0,
       startDeadlineMs: this.#startDeadlineMs(waiting),
     }));
     entries.sort(compareEntries);
     if (!this.#disabled.has('fair-tenants') && this.#delayByTenant(entries, nowMs))
       entries.sort(compareEntries);
-    return entries.map(({ waiting }) => waiting);
+    if (!this.#disabled.has('least-share') && this.#advanceUnderserved(entries, nowMs))
+      entries.sort(compareEntries);
+    return entries;
+  }
+
+  /** Marks, of each kind that lacks its least share, as many requests as make up for it; returns whether there are any. */
+  #advanceUnderserved(entries: readonly QueueEntry<R>[], nowMs: number): boolean {
+    const missing = new Map<string, number>();
+    let isAny = false;
+    for (const entry of entries) {
+      const { request } = entry.waiting;
+      const kind = kindOf(request);
+      const left = missing.get(kind) ?? this.#shares.missing(request, nowMs);
+      missing.set(kind, left - 1);
+      if (left <= 0) continue;
+      entry.turn = 0;
+      isAny = true;
+    }
+    return isAny;
   }
 
   /** Removes a request that got an engine and advances the virtual clock of its tenant. */
   granted(id: string, nowMs: number): void {
     const waiting = this.remove(id);
+    if (waiting !== undefined) this.#shares.recordGranted(waiting.request, nowMs);
     const tenant = waiting?.request.tenant;
     const costMs = tenant === undefined ? undefined : this.#virtualCostMs.get(tenant);
     if (tenant === undefined || costMs === undefined) return;
--- /dev/null
+++ b/packages/slots/test/served-shares.test.ts
@@ -0,0 +1,43 @@
+import test from 'ava';
+import { ServedShares } from '../src/served-shares.js';
+import { plainRequest } from './new-backend-pool.js';
+
+const first = plainRequest({ route: 'first' });
+const added = plainRequest({ route: 'added' });
+
+function overloaded(): ServedShares {
+  const shares = new ServedShares();
+  for (let count = 0; count < 100; count += 1) {
+    shares.recordAsked(first, 0);
+    if (count % 2 === 0) shares.recordGranted(first, 0);
+  }
+  return shares;
+}
+
+test('a kind that is served far less often than the rest lacks as many grants as make up half of their share', (t) => {
+  const shares = overloaded();
+  for (let count = 0; count < 20; count += 1) shares.recordAsked(added, 0);
+  const missing = shares.missing(added, 0);
+  t.true(missing > 4 && missing < 5, `${missing}`);
+  t.is(shares.missing(first, 0), 0);
+});
+
+test('a kind has its own share by route and by priority', (t) => {
+  const shares = overloaded();
+  const lessUrgent = plainRequest({ route: 'first', priority: 5 });
+  shares.recordAsked(lessUrgent, 0);
+  t.true(shares.missing(lessUrgent, 0) > 0);
+  t.is(shares.missing(first, 0), 0);
+});
+
+test('what was refused long ago counts no more', (t) => {
+  const shares = overloaded();
+  for (let count = 0; count < 20; count += 1) shares.recordAsked(added, 0);
+  t.true(shares.missing(added, 60_000) < 0.01);
+});
+
+test('a pool that has granted nothing favours nobody', (t) => {
+  const shares = new ServedShares();
+  shares.recordAsked(added, 0);
+  t.is(shares.missing(added, 0), 0);
+});
--- a/packages/slots/test/short-timeout-route.test.ts
+++ b/packages/slots/test/short-timeout-route.test.ts
@@ -30,3 +30,17 @@
     );
   }
 });
+
+test('the least share of some routes costs the urgent requests of an overloaded pool little', async (t) => {
+  const kinds = {
+    urgent: {
+      perSecond: 50,
+      request: { route: 'urgent', priority: 0, timeoutMs: 4000, startWithinMs: 4000 },
+    },
+    other: { perSecond: 50, request: { route: 'other', priority: 2, timeoutMs: 1500, startWithinMs: 1500 } },
+  };
+  const overload = { kinds, backends: 2, serviceMs: 90, durationMs: DURATION_MS, seed: 1 };
+  const { urgent } = await playOverload(overload);
+  const without = await playOverload({ ...overload, disabled: new Set(['least-share'] as const) });
+  t.true(urgent.inTime > without.urgent.inTime * 0.9, `${urgent.inTime}, without ${without.urgent.inTime}`);
+});
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -249,13 +249,16 @@
 test('a request of lower priority is not overtaken by more urgent ones that arrive much later', (t) => {
   const list = new WaitingList(() => 0);
   const add = (id: string, arrivedMs: number, priority: number): void =>
-    list.add({
-      request: request('x', { id, priority }),
+    list.add(
+      {
+        request: request('x', { id, priority }),
+        arrivedMs,
+        returned: false,
+        decide: () => undefined,
+        obstacle: 'none',
+      },
       arrivedMs,
-      returned: false,
-      decide: () => undefined,
-      obstacle: 'none',
-    });
+    );
   add('later-urgent', 400, 0);
   add('earlier', 100, 2);
   add('together-urgent', 100, 0);
--- a/packages/slots/test/tenant-fairness.test.ts
+++ b/packages/slots/test/tenant-fairness.test.ts
@@ -66,7 +66,7 @@
       served.asked[tenant] = (served.asked[tenant] ?? 0) + arriving;
       for (let index = 0; index < arriving; index += 1) {
         nextId += 1;
-        list.add(waitingRequest(nextId, tenant, nowMs));
+        list.add(waitingRequest(nextId, tenant, nowMs), nowMs);
       }
     }
     capacity += (SERVED_PER_SECOND * STEP_MS) / 1000;
