Homes hand on the crashes that were reported to them to each new home

What callers saw: a request that had crashed two backends was counted from zero after a rolling restart, and crashed three more. Cause: a new home learns of a crash from the nodes that saw it only; a home that was told of it keeps that to itself. Once those nodes and all homes have restarted in turn, nobody knows of it any more. A second test keeps crashes that a completed run has explained from being handed on. Change: a home remembers what was reported to it and reports it to each process that becomes a home later, at most 192 crashes, once.

--- a/packages/gateway/src/cluster/fleet-quarantine.ts
+++ b/packages/gateway/src/cluster/fleet-quarantine.ts
@@ -214,6 +214,14 @@
     for (const run of completed) this.#recordCompleted(run);
     for (const { fingerprint, backend, sentAgoMs = 0, agoMs = Infinity } of interruptions)
       this.#count(fingerprint, backend, nowMs - sentAgoMs, agoMs);
+    this.#reporter.learn(
+      interruptions.map(({ fingerprint, backend, sentAgoMs = 0, agoMs = 0 }) => ({
+        fingerprint,
+        backend,
+        sentMs: nowMs - sentAgoMs,
+        atMs: nowMs - agoMs,
+      })),
+    );
     return interruptions.flatMap(({ fingerprint }) => {
       const episode = this.#list.episode(fingerprint);
       return episode === undefined ? [] : [formatQuarantined(fingerprint, episode)];
@@ -295,7 +303,9 @@
   /** Counts a completed run at a home, and releases the request if too few interruptions are left. */
   #recordCompleted({ fingerprint, sentAgoMs }: CompletedRun): void {
     const wasCounted = this.#history.count(fingerprint) >= QUARANTINE_THRESHOLD;
-    this.#history.recordCompleted(fingerprint, this.#options.clock.now() - sentAgoMs);
+    const sentMs = this.#options.clock.now() - sentAgoMs;
+    this.#history.recordCompleted(fingerprint, sentMs);
+    this.#reporter.forget(fingerprint, sentMs);
     const episode = this.#list.episode(fingerprint);
     if (episode === undefined || !wasCounted) return;
     if (this.#history.count(fingerprint) >= QUARANTINE_THRESHOLD) return;
--- a/packages/gateway/src/cluster/interruption-reporter.ts
+++ b/packages/gateway/src/cluster/interruption-reporter.ts
@@ -37,11 +37,16 @@
  */
 const MAX_LOCAL_INTERRUPTIONS = 192;
 
-/** Reports the interruptions that this node observes to the home nodes, and again to each new one. */
+/**
+ * Reports the interruptions that this node observes to the home nodes, and again to each new one. A home also reports to
+ * each new home what others reported to it, as the nodes that observed it may have ended.
+ */
 export class InterruptionReporter {
   readonly #options: InterruptionReporterOptions;
   /** Oldest first. */
   #interruptions: LocalInterruption[] = [];
+  /** Interruptions that other nodes reported to this one as a home, oldest first. */
+  #learnt: LocalInterruption[] = [];
   /** Resolves when a home has answered the current batch. */
   #reporting: Promise<void> | undefined;
 
@@ -63,11 +68,25 @@
     return this.#reporting;
   }
 
+  /** Remembers what other nodes reported to this home; the homes of now were told of it, too. */
+  learn(interruptions: readonly Omit<LocalInterruption, 'knownTo'>[]): void {
+    const { cluster, otherHomes } = this.#options;
+    const homes = otherHomes().flatMap((id) => cluster.processOf(id)?.token ?? []);
+    for (const { fingerprint, backend, sentMs, atMs } of interruptions) {
+      const isKnown = this.#learnt.some(
+        (known) => known.fingerprint === fingerprint && known.backend === backend,
+      );
+      if (!isKnown) this.#learnt.push({ fingerprint, backend, sentMs, atMs, knownTo: new Set(homes) });
+    }
+    this.#learnt = this.#learnt.slice(-MAX_LOCAL_INTERRUPTIONS);
+  }
+
   /** Forgets the request's interruptions of runs that were sent up to `sentMs`, which have another cause. */
   forget(fingerprint: string, sentMs: number): void {
-    this.#interruptions = this.#interruptions.filter(
-      (interruption) => interruption.fingerprint !== fingerprint || interruption.sentMs > sentMs,
-    );
+    const isKept = (interruption: LocalInterruption): boolean =>
+      interruption.fingerprint !== fingerprint || interruption.sentMs > sentMs;
+    this.#interruptions = this.#interruptions.filter(isKept);
+    this.#learnt = this.#learnt.filter(isKept);
   }
 
   /**
@@ -76,7 +95,9 @@
    */
   reportToHomes(): Promise<void>[] {
     const nowMs = this.#options.clock.now();
-    this.#interruptions = this.#interruptions.filter(({ atMs }) => nowMs - atMs <= INTERRUPTION_WINDOW_MS);
+    const isRecent = ({ atMs }: LocalInterruption): boolean => nowMs - atMs <= INTERRUPTION_WINDOW_MS;
+    this.#interruptions = this.#interruptions.filter(isRecent);
+    this.#learnt = this.#learnt.filter(isRecent);
     return this.#options.otherHomes().map((id) => this.#reportTo(id));
   }
 
@@ -91,7 +112,7 @@
     const address = cluster.peerAddress(id);
     const home = cluster.processOf(id)?.token;
     if (address === undefined || home === undefined) return;
-    const unconfirmed = this.#interruptions.filter(({ knownTo }) => !knownTo.has(home));
+    const unconfirmed = [...this.#learnt, ...this.#interruptions].filter(({ knownTo }) => !knownTo.has(home));
     if (unconfirmed.length === 0) return;
     const reply = (await network
       .to(address)
