A trial of a quarantined request is one send, also if its node lost the path to the backend

Found by reading, not seen: an attempt whose node had lost its path was not told to the quarantine at all, so the permission for a trial went on and the next send of the same request needed no votes, while the first may have crashed its backend. The quarantine is told now, and forgets the permission. The test of RequestQuarantine can't fail before in the same form, as the exchange did not make the call.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -386,7 +386,7 @@
     if (hop.relay === undefined && isPathFailure(outcome))
       this.#isOwnFailure = await this.#context.paths.isOwnFailure(backend.id);
     this.#hasOwnFailure ||= this.#isOwnFailure;
-    if (!this.#isOwnFailure) await this.#quarantine.attemptEnded(backend.id, attempt, outcome);
+    await this.#quarantine.attemptEnded(backend.id, attempt, outcome, this.#isOwnFailure);
     return outcome;
   }
 
--- a/packages/gateway/src/request/request-quarantine.ts
+++ b/packages/gateway/src/request/request-quarantine.ts
@@ -11,6 +11,9 @@
  */
 const START_PHASE_MS = 1000;
 
+/** What the quarantine needs to know of an attempt that has ended. */
+export type EndedAttempt = Pick<BackendAttempt, 'sent' | 'runMs' | 'begunForMs'>;
+
 export interface QuarantineContext {
   readonly quarantine: QuarantineGate;
   readonly telemetry: Telemetry;
@@ -61,10 +64,17 @@
   /**
    * Records how an attempt ended. Resolves when the request may be sent again, provided that it is not
    * quarantined by then.
+   * @param isPathLost whether the attempt failed as this node has lost its path to all backends of the service
    */
-  async attemptEnded(backendId: string, attempt: BackendAttempt, outcome: AttemptOutcome): Promise<void> {
+  async attemptEnded(
+    backendId: string,
+    attempt: EndedAttempt,
+    outcome: AttemptOutcome,
+    isPathLost = false,
+  ): Promise<void> {
     const { quarantine } = this.#context;
     this.#isTrialAllowed = false;
+    if (isPathLost) return;
     // An error response does not clear a request: a backend may send one before it has run the request.
     if (outcome.kind === 'complete') quarantine.completed(this.#fingerprint, attempt.runMs);
     if (outcome.kind === 'broken') await this.#interrupted(backendId, attempt, outcome);
@@ -72,7 +82,7 @@
 
   async #interrupted(
     backendId: string,
-    { runMs, begunForMs }: BackendAttempt,
+    { runMs, begunForMs }: EndedAttempt,
     { how, detail }: AttemptOutcome & { readonly kind: 'broken' },
   ): Promise<void> {
     const { telemetry, metrics, quarantine } = this.#context;
--- a/packages/gateway/test/request-quarantine.test.ts
+++ b/packages/gateway/test/request-quarantine.test.ts
@@ -11,7 +11,7 @@
 import test from 'ava';
 import { GatewayMetrics } from '../src/gateway-metrics.js';
 import type { AttemptOutcome, BackendAttempt } from '../src/request/backend-attempt.js';
-import { RequestQuarantine } from '../src/request/request-quarantine.js';
+import { RequestQuarantine, type EndedAttempt } from '../src/request/request-quarantine.js';
 
 const ATTEMPT = { runMs: 80, begunForMs: undefined } as unknown as BackendAttempt;
 
@@ -52,3 +52,46 @@
 test('a completed request is reported with the time since it was sent', async (t) => {
   t.is(await runMsOfClearing({ kind: 'complete', status: 200 }), ATTEMPT.runMs);
 });
+
+interface Reported {
+  readonly kind: 'interrupted' | 'none';
+  /** Whether a trial that was allowed before the attempt may be sent again. */
+  readonly mayRepeatTrial: boolean;
+}
+
+/** What is reported of a trial that ended like this. */
+async function reportOf(
+  outcome: AttemptOutcome,
+  isPathLost = false,
+  attempt: EndedAttempt = { sent: true, runMs: 80, begunForMs: undefined },
+): Promise<Reported> {
+  let kind: Reported['kind'] = 'none';
+  const quarantine = {
+    isEmpty: false,
+    remainingMs: () => 1000,
+    retryAfterMs: () => 0,
+    isTrialDue: () => true,
+    requestTrial: () => Promise.resolve(true),
+    interrupted: () => {
+      kind = 'interrupted';
+      return Promise.resolve();
+    },
+    completed: () => undefined,
+  };
+  const telemetry = new Telemetry({ processName: 'test', clock: new SystemClock() });
+  const parts = { host: 'h', target: '/x/', tenant: undefined, body: Buffer.alloc(0) };
+  const context = { quarantine, telemetry, metrics: new GatewayMetrics() };
+  const request = new RequestQuarantine(context, 'a1', () => parts);
+  await request.requestTrial();
+  await request.attemptEnded('i1', attempt, outcome, isPathLost);
+  return { kind, mayRepeatTrial: !request.isQuarantined };
+}
+
+const LOST: AttemptOutcome = { kind: 'broken', how: 'connection-lost', detail: 'other side closed' };
+const SILENT: AttemptOutcome = { kind: 'broken', how: 'silent', detail: 'silent' };
+
+// Guards against a second send on one permission for a trial when the first one's path was lost.
+test('a trial is one send, also if its node lost the path to the backend', async (t) => {
+  t.false((await reportOf(LOST, true)).mayRepeatTrial);
+  t.false((await reportOf(SILENT)).mayRepeatTrial);
+});
