A backend that crashes unseen counts against the requests that ran on it

What callers saw: a request that had crashed three backends was sent on (rule BUDGET) while nodes were cut off from backends, or clients left. Cause: a run counts only if its node sees the connection break. A node that lost its path, received nothing more, or whose client left learns nothing of the crash, and nobody else knows what it had sent there. When the backend is not listed any more and did not say that it leaves, they count as interrupted, with the time of the run, so a later completed run clears them as usual. One line each, request.unseen-crash. The test of RequestQuarantine failed to compile before, as there was no such report. The play now tells nodes which engines are unlisted.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -28,4 +28,5 @@
   type LiftedQuarantine,
   type QuarantinedRequest,
 } from './quarantine/quarantine-list.js';
+export { UnresolvedRuns, type UnresolvedRun } from './quarantine/unresolved-runs.js';
 export { TRIAL_DELAYS_MS, TrialVotes, type TrialVote } from './quarantine/trial-votes.js';
--- a/packages/admission/src/quarantine/quarantine-gate.ts
+++ b/packages/admission/src/quarantine/quarantine-gate.ts
@@ -25,6 +25,12 @@
    * @param runMs time since the request was sent to that backend, in milliseconds
    */
   interrupted(fingerprint: string, backendId: string, runMs?: number): Promise<void>;
+  /**
+   * Reports that a run of the request ended without showing whether its backend failed: nothing more was received, this
+   * node lost its path to the backend, or the client left.
+   * @param runMs time since the request was sent to that backend, in milliseconds
+   */
+  unresolved(fingerprint: string, backendId: string, runMs: number): void;
   /**
    * Reports that a backend completed the request successfully, so that the request did not crash backends
    * when this run was sent.
--- a/packages/gateway/src/cluster/fleet-quarantine.ts
+++ b/packages/gateway/src/cluster/fleet-quarantine.ts
@@ -4,6 +4,7 @@
   QuarantineList,
   TRIAL_DELAYS_MS,
   TrialVotes,
+  UnresolvedRuns,
   type LiftedQuarantine,
   type QuarantineGate,
   type QuarantinedRequest,
@@ -104,6 +105,7 @@
   readonly #reporter: InterruptionReporter;
   readonly #completedReporter: CompletedRunReporter;
   readonly #completedRuns = new CompletedRuns();
+  readonly #unresolvedRuns: UnresolvedRuns;
   /** What this node has counted as a home. */
   #history: InterruptionHistory;
   readonly #list: QuarantineList;
@@ -122,6 +124,7 @@
     this.#options = options;
     const { clock, cluster, network } = options;
     this.#history = new InterruptionHistory(clock);
+    this.#unresolvedRuns = new UnresolvedRuns(clock);
     this.#list = new QuarantineList(clock);
     this.#votes = new TrialVotes(clock);
     this.#trials = new TrialRequests({
@@ -183,6 +186,24 @@
     await Promise.race([reported, clock.sleep(HOME_ANSWER_WAIT_MS)]);
   }
 
+  unresolved(fingerprint: string, backendId: string, runMs: number): void {
+    this.#unresolvedRuns.record({ fingerprint, backendId, sentMs: this.#options.clock.now() - runMs });
+  }
+
+  /**
+   * Call it when a backend is leaving, or is not listed any more. One that did not announce that it leaves has crashed,
+   * which interrupted the runs whose end this node did not see.
+   */
+  handleDeparture(backendId: string, state: 'draining' | 'gone'): void {
+    const runs = this.#unresolvedRuns.take(backendId);
+    if (state === 'draining') return;
+    const nowMs = this.#options.clock.now();
+    for (const { fingerprint, sentMs } of runs) {
+      this.#options.telemetry.event('info', 'request.unseen-crash', fingerprint, { backend: backendId });
+      void this.interrupted(fingerprint, backendId, nowMs - sentMs);
+    }
+  }
+
   completed(fingerprint: string, runMs = 0): void {
     const sentMs = this.#options.clock.now() - runMs;
     // The time of a suspension is not in `runMs`: the run was sent earlier, perhaps before the interrupted ones.
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -428,6 +428,7 @@
    */
   #onDeparture({ id, state, revision, via }: Departure): void {
     this.metrics.departures.inc({ state });
+    this.#quarantine.handleDeparture(id, state);
     this.#options.telemetry.event('info', 'backend.leaving', id, {
       state,
       era: this.fleet.era,
--- a/packages/gateway/src/request/request-quarantine.ts
+++ b/packages/gateway/src/request/request-quarantine.ts
@@ -74,10 +74,11 @@
   ): Promise<void> {
     const { quarantine } = this.#context;
     this.#isTrialAllowed = false;
-    if (isPathLost) return;
     // An error response does not clear a request: a backend may send one before it has run the request.
     if (outcome.kind === 'complete') quarantine.completed(this.#fingerprint, attempt.runMs);
-    if (outcome.kind === 'broken') await this.#interrupted(backendId, attempt, outcome);
+    else if (isUnresolved(attempt, outcome, isPathLost))
+      quarantine.unresolved(this.#fingerprint, backendId, attempt.runMs);
+    else if (outcome.kind === 'broken') await this.#interrupted(backendId, attempt, outcome);
   }
 
   async #interrupted(
@@ -95,8 +96,7 @@
       begunForMs: begunForMs === undefined ? undefined : Math.round(begunForMs),
     });
     metrics.interrupted.inc({ begun: String(begunForMs !== undefined) });
-    const isInStartPhase = begunForMs === undefined || begunForMs < START_PHASE_MS;
-    if (how !== 'connection-lost' || !isInStartPhase) return;
+    if (how !== 'connection-lost' || !isInStartPhase(begunForMs)) return;
     await quarantine.interrupted(this.#fingerprint, backendId, runMs);
   }
 
@@ -105,3 +105,18 @@
     return this.#cachedFingerprint;
   }
 }
+
+function isInStartPhase(begunForMs: number | undefined): boolean {
+  return begunForMs === undefined || begunForMs < START_PHASE_MS;
+}
+
+/** Whether the backend may have crashed under a run without this node having seen that. */
+function isUnresolved(
+  { sent, begunForMs }: EndedAttempt,
+  outcome: AttemptOutcome,
+  isPathLost: boolean,
+): boolean {
+  if (!sent || !isInStartPhase(begunForMs)) return false;
+  if (outcome.kind === 'cancelled') return true;
+  return outcome.kind === 'broken' && (isPathLost || outcome.how === 'silent');
+}
--- a/packages/gateway/test/crashing-request-play.ts
+++ b/packages/gateway/test/crashing-request-play.ts
@@ -14,6 +14,8 @@
 const CRASH_WITHIN_MS = 400;
 /** A run that nothing is received of is given up after this time. */
 const SILENCE_MS = 900;
+/** All nodes find after this time that an engine that crashed is not listed any more. */
+const UNLISTED_AFTER_MS = 3600;
 /** A node that was disturbed within this time need not know of the quarantine. */
 const CONTACT_MS = 3000;
 
@@ -94,6 +96,7 @@
       const end = await this.#run(id, engine);
       if (end === 'lost' || this.#lives.get(id) !== life) return;
       if (end === 'crash') await node.interrupted('f', backend, clock.now() - sentMs);
+      if (end === 'silent' || end === 'client-left') node.unresolved('f', backend, clock.now() - sentMs);
       if (end === 'client-left') return;
     }
   }
@@ -128,6 +131,7 @@
   }
 
   #crash(engine: Engine): void {
+    const crashed = `${engine.id}.${engine.starts}`;
     engine.isUp = false;
     engine.starts += 1;
     this.crashes += 1;
@@ -135,6 +139,9 @@
     if (this.crashes === 3) this.#thirdCrashMs = clock.now();
     for (const onCrash of engine.runs) onCrash('crash');
     engine.runs.clear();
+    clock.setTimer(UNLISTED_AFTER_MS, () => {
+      for (const id of this.fleet.ids) this.fleet.node(id).handleDeparture(crashed, 'gone');
+    });
     clock.setTimer(ENGINE_RESTART_MS, () => {
       engine.isUp = true;
     });
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -302,6 +302,7 @@
         isTrialDue: () => false,
         requestTrial: () => Promise.resolve(false),
         interrupted: () => Promise.resolve(),
+        unresolved: () => undefined,
         completed: () => undefined,
       },
       quotas: {
--- a/packages/gateway/test/request-quarantine.test.ts
+++ b/packages/gateway/test/request-quarantine.test.ts
@@ -26,6 +26,7 @@
     isTrialDue: () => false,
     requestTrial: () => Promise.resolve(false),
     interrupted: () => Promise.resolve(),
+    unresolved: () => undefined,
     completed: (_: string, runMs?: number) => {
       clearingRunMs = runMs ?? 0;
     },
@@ -54,7 +55,7 @@
 });
 
 interface Reported {
-  readonly kind: 'interrupted' | 'none';
+  readonly kind: 'interrupted' | 'unresolved' | 'none';
   /** Whether a trial that was allowed before the attempt may be sent again. */
   readonly mayRepeatTrial: boolean;
 }
@@ -76,6 +77,9 @@
       kind = 'interrupted';
       return Promise.resolve();
     },
+    unresolved: () => {
+      kind = 'unresolved';
+    },
     completed: () => undefined,
   };
   const telemetry = new Telemetry({ processName: 'test', clock: new SystemClock() });
@@ -90,6 +94,18 @@
 const LOST: AttemptOutcome = { kind: 'broken', how: 'connection-lost', detail: 'other side closed' };
 const SILENT: AttemptOutcome = { kind: 'broken', how: 'silent', detail: 'silent' };
 
+// Guards against counting no crash for a run whose node was cut off from its backend, or whose client left.
+test('a run that ended unseen is reported as unresolved', async (t) => {
+  t.is((await reportOf(SILENT)).kind, 'unresolved');
+  t.is((await reportOf({ kind: 'cancelled' })).kind, 'unresolved');
+  t.is((await reportOf(LOST, true)).kind, 'unresolved');
+  t.is((await reportOf(LOST)).kind, 'interrupted');
+  const unsent = { sent: false, runMs: 0, begunForMs: undefined };
+  t.is((await reportOf({ kind: 'cancelled' }, false, unsent)).kind, 'none');
+  const begun = { sent: true, runMs: 5000, begunForMs: 4000 };
+  t.is((await reportOf({ kind: 'cancelled' }, false, begun)).kind, 'none');
+});
+
 // Guards against a second send on one permission for a trial when the first one's path was lost.
 test('a trial is one send, also if its node lost the path to the backend', async (t) => {
   t.false((await reportOf(LOST, true)).mayRepeatTrial);
