Crashes that a home hands on allow no trials

The homes before them may have allowed trials already, so a crash that is handed on comes without its age, from which a home allows none.

--- a/packages/gateway/src/cluster/interruption-reporter.ts
+++ b/packages/gateway/src/cluster/interruption-reporter.ts
@@ -8,9 +8,11 @@
 interface LocalInterruption {
   readonly fingerprint: string;
   readonly backend: string;
-  /** When the interrupted run was sent, and when its interruption was observed, in milliseconds. */
+  /** When the interrupted run was sent, and when this node learnt of its interruption, in milliseconds. */
   readonly sentMs: number;
   readonly atMs: number;
+  /** Whether this node observed the interruption itself. */
+  readonly isOwn: boolean;
   readonly knownTo: Set<string>;
 }
 
@@ -55,28 +57,29 @@
   }
 
   /** Interruptions of this node that count, oldest first. */
-  get interruptions(): readonly Omit<LocalInterruption, 'knownTo'>[] {
+  get interruptions(): readonly Omit<LocalInterruption, 'isOwn' | 'knownTo'>[] {
     return this.#interruptions;
   }
 
   /** Resolves when a home has answered the report, or when none has in time. */
   report(fingerprint: string, backend: string, sentMs: number): Promise<void> {
     const atMs = this.#options.clock.now();
-    this.#interruptions.push({ fingerprint, backend, sentMs, atMs, knownTo: new Set() });
+    this.#interruptions.push({ fingerprint, backend, sentMs, atMs, isOwn: true, knownTo: new Set() });
     this.#interruptions = this.#interruptions.slice(-MAX_LOCAL_INTERRUPTIONS);
     this.#reporting ??= this.#reportBatch();
     return this.#reporting;
   }
 
   /** Remembers what other nodes reported to this home; the homes of now were told of it, too. */
-  learn(interruptions: readonly Omit<LocalInterruption, 'knownTo'>[]): void {
+  learn(interruptions: readonly Omit<LocalInterruption, 'isOwn' | 'knownTo'>[]): void {
     const { cluster, otherHomes } = this.#options;
     const homes = otherHomes().flatMap((id) => cluster.processOf(id)?.token ?? []);
     for (const { fingerprint, backend, sentMs, atMs } of interruptions) {
       const isKnown = this.#learnt.some(
         (known) => known.fingerprint === fingerprint && known.backend === backend,
       );
-      if (!isKnown) this.#learnt.push({ fingerprint, backend, sentMs, atMs, knownTo: new Set(homes) });
+      if (isKnown) continue;
+      this.#learnt.push({ fingerprint, backend, sentMs, atMs, isOwn: false, knownTo: new Set(homes) });
     }
     this.#learnt = this.#learnt.slice(-MAX_LOCAL_INTERRUPTIONS);
   }
@@ -132,11 +135,12 @@
       return sentMs === undefined ? [] : [{ fingerprint, sentAgoMs: nowMs - sentMs }];
     });
     return {
-      interruptions: interruptions.map(({ fingerprint, backend, sentMs, atMs }) => ({
+      interruptions: interruptions.map(({ fingerprint, backend, sentMs, atMs, isOwn }) => ({
         fingerprint,
         backend,
         sentAgoMs: nowMs - sentMs,
-        agoMs: nowMs - atMs,
+        // Without this age a new home allows no trial: the homes before it may have allowed some.
+        ...(isOwn ? { agoMs: nowMs - atMs } : {}),
       })),
       ...(completed.length === 0 ? {} : { completed }),
     };
