unseen-crashes: a send to an engine that is down reaches no engine

The rule counts how often a request reaches backends. In the users' records a send counts that a backend took and then did not run ("gone"), never a refused connection.

--- a/packages/gateway/test/crashing-request-play.ts
+++ b/packages/gateway/test/crashing-request-play.ts
@@ -53,7 +53,7 @@
   #thirdCrashMs = Infinity;
   #endMs = 0;
   crashes = 0;
-  /** Sends later than CONTACT_MS after the third crash, by nodes that were not disturbed within that time. */
+  /** Sends that reach an engine later than CONTACT_MS after the third crash, by nodes that were not disturbed within that time. */
   lateSends = 0;
 
   constructor(nodes: number, seed: number, faults: readonly PlayFault[]) {
@@ -92,7 +92,8 @@
       if (engine === undefined) return;
       const backend = `${engine.id}.${engine.starts}`;
       const sentMs = clock.now();
-      this.#recordSend(id);
+      // A connection to an engine that is down is refused, so the request does not reach it.
+      if (engine.isUp) this.#recordSend(id);
       const end = await this.#run(id, engine);
       if (end === 'lost' || this.#lives.get(id) !== life) return;
       if (end === 'crash') await node.interrupted('f', backend, clock.now() - sentMs);
