The end of a relaying node is no crash of the backend behind it

What callers saw: nothing yet. By the test, a request whose relaying node ended in mid-request was repeated through the same node, and three such ends would quarantine a sound request for an hour, as each counted as a crash of its backend. The leader took it for a failure of the engine. Cause: the outcome of a broken connection did not tell a relaying node from a backend. Change: relay-lost is an outcome of its own. It counts as unresolved in the quarantine, does not blame the engine, and the next send avoids that node. A crash that the relaying node saw still counts at once.

--- a/packages/gateway/src/relay/relay-hop.ts
+++ b/packages/gateway/src/relay/relay-hop.ts
@@ -19,6 +19,7 @@
   readonly relay: string;
   readonly headers: readonly string[];
   readonly unreachable = 'no-relay';
+  readonly lost = 'relay-lost';
   readonly #onReceived: () => void;
   readonly #onEnded: (outcome: AttemptOutcome) => void;
 
@@ -43,7 +44,11 @@
       case 'no-room':
         return { kind: 'not-run', reason: 'no-relay' };
       case 'broken':
-        return { kind: 'broken', detail: 'connection of the relaying node ended', how: 'connection-lost' };
+        return {
+          kind: 'broken',
+          detail: 'connection of the relaying node to the backend ended',
+          how: 'connection-lost',
+        };
       case undefined:
         // A later build may name other reasons, which may mean anything.
         return { kind: 'broken', detail: 'unknown failure of the relaying node', how: 'bad-answer' };
--- a/packages/gateway/src/request/attempt-outcomes.ts
+++ b/packages/gateway/src/request/attempt-outcomes.ts
@@ -35,8 +35,9 @@
   return outcome.kind === 'not-run' && outcome.reason === 'unreachable';
 }
 
-/** Whether a relayed attempt was not sent to the backend for a reason that another node may not have. */
+/** Whether a relayed attempt failed for a reason that another relaying node may not have. */
 export function isRelayFailure(outcome: AttemptOutcome): boolean {
+  if (outcome.kind === 'broken') return outcome.how === 'relay-lost';
   return (
     outcome.kind === 'not-run' &&
     (outcome.reason === 'no-relay' ||
@@ -53,8 +54,9 @@
     case 'cancelled':
       return 'cancelled';
     case 'failure':
-    case 'broken':
       return 'failed';
+    case 'broken':
+      return outcome.how === 'relay-lost' ? 'cancelled' : 'failed';
     case 'not-run':
       if (outcome.reason === 'not-present') return 'not-present';
       return BACKEND_REUSABLE_REASONS.has(outcome.reason) ? 'cancelled' : 'refused';
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -30,9 +30,9 @@
 /**
  * `connection-lost`: the connection ended before the response did, for instance because the backend crashed;
  * `bad-answer`: the data received is not a valid response to the request; `silent`: nothing was received for
- * too long.
+ * too long; `relay-lost`: the connection to the relaying node ended, which tells nothing of the backend.
  */
-export type BrokenCause = 'connection-lost' | 'bad-answer' | 'silent';
+export type BrokenCause = 'connection-lost' | 'bad-answer' | 'silent' | 'relay-lost';
 
 /**
  * Why a request was not written to the backend; checked when the connection is ready, right before the
@@ -277,7 +277,7 @@
       this.#finish({
         kind: 'broken',
         detail: 'connection ended within the response',
-        how: 'connection-lost',
+        how: this.#options.hop.lost,
       });
     } else if (this.#isNotRun) this.#finish({ kind: 'not-run', reason: this.#notRunReason() });
     else if (!this.#isSuccess) this.#finish(this.#failureOutcome());
@@ -290,7 +290,7 @@
     if (this.#cancelled) this.#finish({ kind: 'cancelled' });
     else if (!this.sent) this.#finish({ kind: 'not-run', reason: this.#options.hop.unreachable });
     else if (this.#isNotRun) this.#finish({ kind: 'not-run', reason: this.#notRunReason() });
-    else this.#finish({ kind: 'broken', detail: error.message, how: 'connection-lost' });
+    else this.#finish({ kind: 'broken', detail: error.message, how: this.#options.hop.lost });
   }
 
   get #isStream(): boolean {
--- a/packages/gateway/src/request/request-quarantine.ts
+++ b/packages/gateway/src/request/request-quarantine.ts
@@ -118,5 +118,7 @@
 ): boolean {
   if (!sent || !isInStartPhase(begunForMs)) return false;
   if (outcome.kind === 'cancelled') return true;
-  return outcome.kind === 'broken' && (isPathLost || outcome.how === 'silent');
+  return (
+    outcome.kind === 'broken' && (isPathLost || outcome.how === 'silent' || outcome.how === 'relay-lost')
+  );
 }
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -18,6 +18,8 @@
 import { LeastLoadedPicker } from '../src/backends/least-loaded-picker.js';
 import { RetryBudget } from '../src/backends/retry-budget.js';
 import { GatewayMetrics } from '../src/gateway-metrics.js';
+import type { PathState } from '../src/paths/service-path.js';
+import type { Relays } from '../src/relay/relays.js';
 import { BackendHops } from '../src/request/backend-hops.js';
 import { BodyMemoryBudget } from '../src/request/body-memory-budget.js';
 import type { RequestDialect } from '../src/request/dialect.js';
@@ -153,9 +155,14 @@
     Promise.resolve({ kind: 'admitted' });
   /** Units given back for requests that did not run. */
   readonly refundedUnits: number[] = [];
-  /** Paths to backends, which are never lost. */
+  /** Opens the way through another node; there is none. */
+  openRelay: Relays['open'] = () => Promise.resolve(undefined);
+  /** The state of the paths to all backends. */
+  pathState: PathState = 'working';
+  /** Reports to the quarantine, in order. */
+  readonly quarantineReports: string[] = [];
   readonly paths = {
-    state: () => 'working' as const,
+    state: (): PathState => this.pathState,
     beginWait: () => undefined,
     endWait: () => undefined,
     received: () => undefined,
@@ -280,7 +287,7 @@
         clock,
         connections: this.#connections,
         paths: this.paths,
-        relays: { open: () => Promise.resolve(undefined) },
+        relays: { open: (...parameters) => this.openRelay(...parameters) },
         fleetShare: () => 1,
       }),
       paths: this.paths,
@@ -301,8 +308,13 @@
         retryAfterMs: () => 0,
         isTrialDue: () => false,
         requestTrial: () => Promise.resolve(false),
-        interrupted: () => Promise.resolve(),
-        unresolved: () => undefined,
+        interrupted: (_, backendId) => {
+          this.quarantineReports.push(`interrupted ${backendId}`);
+          return Promise.resolve();
+        },
+        unresolved: (_, backendId) => {
+          this.quarantineReports.push(`unresolved ${backendId}`);
+        },
         completed: () => undefined,
       },
       quotas: {
