Tests of runs that ended unseen; plainer names of the new fields

No change of behaviour: KnownInterruption is a type of its own, BackendHop.lostCause, precedence in the waiting list.

--- a/packages/gateway/src/cluster/interruption-reporter.ts
+++ b/packages/gateway/src/cluster/interruption-reporter.ts
@@ -4,15 +4,19 @@
 import type { PeerCaller } from './peer-caller.js';
 import { INTERRUPTED_METHOD, type InterruptedParams, type InterruptedReply } from './quarantine-protocol.js';
 
-/** An interruption that this node observed, and the processes of home nodes that have received it. */
-interface LocalInterruption {
+/** An interruption that this node observed or, as a home, was told of. */
+export interface KnownInterruption {
   readonly fingerprint: string;
   readonly backend: string;
   /** When the interrupted run was sent, and when this node learnt of its interruption, in milliseconds. */
   readonly sentMs: number;
   readonly atMs: number;
+}
+
+interface ReportedInterruption extends KnownInterruption {
   /** Whether this node observed the interruption itself. */
   readonly isOwn: boolean;
+  /** The processes of home nodes that have received it. */
   readonly knownTo: Set<string>;
 }
 
@@ -46,9 +50,9 @@
 export class InterruptionReporter {
   readonly #options: InterruptionReporterOptions;
   /** Oldest first. */
-  #interruptions: LocalInterruption[] = [];
+  #interruptions: ReportedInterruption[] = [];
   /** Interruptions that other nodes reported to this one as a home, oldest first. */
-  #learnt: LocalInterruption[] = [];
+  #learnt: ReportedInterruption[] = [];
   /** Resolves when a home has answered the current batch. */
   #reporting: Promise<void> | undefined;
 
@@ -57,7 +61,7 @@
   }
 
   /** Interruptions of this node that count, oldest first. */
-  get interruptions(): readonly Omit<LocalInterruption, 'isOwn' | 'knownTo'>[] {
+  get interruptions(): readonly KnownInterruption[] {
     return this.#interruptions;
   }
 
@@ -70,8 +74,8 @@
     return this.#reporting;
   }
 
-  /** Remembers what other nodes reported to this home; the homes of now were told of it, too. */
-  learn(interruptions: readonly Omit<LocalInterruption, 'isOwn' | 'knownTo'>[]): void {
+  /** Remembers what other nodes reported to this home; they reported it to the present homes, too. */
+  learn(interruptions: readonly KnownInterruption[]): void {
     const { cluster, otherHomes } = this.#options;
     const homes = otherHomes().flatMap((id) => cluster.processOf(id)?.token ?? []);
     for (const { fingerprint, backend, sentMs, atMs } of interruptions) {
@@ -86,7 +90,7 @@
 
   /** Forgets the request's interruptions of runs that were sent up to `sentMs`, which have another cause. */
   forget(fingerprint: string, sentMs: number): void {
-    const isKept = (interruption: LocalInterruption): boolean =>
+    const isKept = (interruption: ReportedInterruption): boolean =>
       interruption.fingerprint !== fingerprint || interruption.sentMs > sentMs;
     this.#interruptions = this.#interruptions.filter(isKept);
     this.#learnt = this.#learnt.filter(isKept);
@@ -98,7 +102,7 @@
    */
   reportToHomes(): Promise<void>[] {
     const nowMs = this.#options.clock.now();
-    const isRecent = ({ atMs }: LocalInterruption): boolean => nowMs - atMs <= INTERRUPTION_WINDOW_MS;
+    const isRecent = ({ atMs }: ReportedInterruption): boolean => nowMs - atMs <= INTERRUPTION_WINDOW_MS;
     this.#interruptions = this.#interruptions.filter(isRecent);
     this.#learnt = this.#learnt.filter(isRecent);
     return this.#options.otherHomes().map((id) => this.#reportTo(id));
@@ -126,7 +130,7 @@
     this.#options.onQuarantined(reply);
   }
 
-  #params(interruptions: readonly LocalInterruption[]): InterruptedParams {
+  #params(interruptions: readonly ReportedInterruption[]): InterruptedParams {
     const { clock, completedRuns } = this.#options;
     const nowMs = clock.now();
     const fingerprints = [...new Set(interruptions.map(({ fingerprint }) => fingerprint))];
--- a/packages/gateway/src/relay/relay-hop.ts
+++ b/packages/gateway/src/relay/relay-hop.ts
@@ -19,7 +19,7 @@
   readonly relay: string;
   readonly headers: readonly string[];
   readonly unreachable = 'no-relay';
-  readonly lost = 'relay-lost';
+  readonly lostCause = 'relay-lost';
   readonly #onReceived: () => void;
   readonly #onEnded: (outcome: AttemptOutcome) => void;
 
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -277,7 +277,7 @@
       this.#finish({
         kind: 'broken',
         detail: 'connection ended within the response',
-        how: this.#options.hop.lost,
+        how: this.#options.hop.lostCause,
       });
     } else if (this.#isNotRun) this.#finish({ kind: 'not-run', reason: this.#notRunReason() });
     else if (!this.#isSuccess) this.#finish(this.#failureOutcome());
@@ -290,7 +290,7 @@
     if (this.#cancelled) this.#finish({ kind: 'cancelled' });
     else if (!this.sent) this.#finish({ kind: 'not-run', reason: this.#options.hop.unreachable });
     else if (this.#isNotRun) this.#finish({ kind: 'not-run', reason: this.#notRunReason() });
-    else this.#finish({ kind: 'broken', detail: error.message, how: this.#options.hop.lost });
+    else this.#finish({ kind: 'broken', detail: error.message, how: this.#options.hop.lostCause });
   }
 
   get #isStream(): boolean {
--- a/packages/gateway/src/request/backend-hop.ts
+++ b/packages/gateway/src/request/backend-hop.ts
@@ -12,7 +12,7 @@
   /** The reason for which an attempt was not sent if the connection can't be opened. */
   readonly unreachable: NotRunReason;
   /** Why an attempt is broken whose connection ended after the request was sent. */
-  readonly lost: 'connection-lost' | 'relay-lost';
+  readonly lostCause: 'connection-lost' | 'relay-lost';
   /** The outcome that a response stands for if it comes from a relaying node itself; undefined otherwise. */
   failureOf(headers: ResponseHeaders): AttemptOutcome | undefined;
   /** Records that data of the backend arrived. */
--- a/packages/gateway/src/request/backend-hops.ts
+++ b/packages/gateway/src/request/backend-hops.ts
@@ -55,7 +55,7 @@
       relay: undefined,
       headers: [],
       unreachable: 'unreachable',
-      lost: 'connection-lost',
+      lostCause: 'connection-lost',
       failureOf: () => undefined,
       received: () => {
         connections.recordReceived(backend.id, clock.now());
--- a/packages/gateway/test/replaced-homes.test.ts
+++ b/packages/gateway/test/replaced-homes.test.ts
@@ -46,3 +46,20 @@
   await fleet.run(3000);
   t.deepEqual(fleet.quarantinedAt('f'), []);
 });
+
+/** Three runs on different backends end unseen; returns the nodes that keep the request once the backends have left. */
+async function quarantinedAfterUnseenRuns(states: readonly ('draining' | 'gone')[]): Promise<number> {
+  const fleet = new QuarantineFleet(NODES, 5);
+  await fleet.run(SETTLED_MS);
+  const backends = ['b0', 'b1', 'b2'];
+  for (const backend of backends) fleet.node('n8').unresolved('f', backend, 50);
+  for (const backend of backends)
+    for (const state of states) fleet.node('n8').handleDeparture(backend, state);
+  await fleet.run(3000);
+  return fleet.quarantinedAt('f').length;
+}
+
+test('runs that ended unseen count when their backend has gone without a word, and not when it announced that', async (t) => {
+  t.is(await quarantinedAfterUnseenRuns(['gone']), NODES);
+  t.is(await quarantinedAfterUnseenRuns(['draining', 'gone']), 0);
+});
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -24,7 +24,7 @@
 interface QueueEntry<R extends PoolRequest> {
   readonly waiting: WaitingRequest<R>;
   /** 0 if its kind has less than its least share and this is one of the requests that make up for it, else 1. */
-  turn: number;
+  precedence: number;
   /** 1 if the request can no longer meet its objective, else 0. */
   readonly late: number;
   startDeadlineMs: number;
@@ -32,7 +32,7 @@
 
 function compareEntries(a: QueueEntry<PoolRequest>, b: QueueEntry<PoolRequest>): number {
   return (
-    a.turn - b.turn ||
+    a.precedence - b.precedence ||
     a.late - b.late ||
     a.startDeadlineMs - b.startDeadlineMs ||
     a.waiting.request.priority - b.waiting.request.priority
@@ -129,14 +129,14 @@
   /** Returns the requests that come first since their kinds lack their least share, most urgent first. */
   underserved(nowMs: number): WaitingRequest<R>[] {
     return this.#sorted(nowMs)
-      .filter(({ turn }) => turn === 0)
+      .filter(({ precedence }) => precedence === 0)
       .map(({ waiting }) => waiting);
   }
 
   #sorted(nowMs: number): QueueEntry<R>[] {
     const entries = [...this.#byId.values()].map((waiting) => ({
       waiting,
-      turn: 1,
+      precedence: 1,
       late: this.isLate(waiting, nowMs) ? 1 : 0,
       startDeadlineMs: this.#startDeadlineMs(waiting),
     }));
@@ -158,7 +158,7 @@
       const left = missing.get(kind) ?? this.#shares.missing(request, nowMs);
       missing.set(kind, left - 1);
       if (left <= 0) continue;
-      entry.turn = 0;
+      entry.precedence = 0;
       isAny = true;
     }
     return isAny;
