--- a/packages/gateway/test/crashing-request-play.ts
+++ b/packages/gateway/test/crashing-request-play.ts
@@ -27,7 +27,7 @@
   readonly id: string;
   starts: number;
   isUp: boolean;
-  readonly runs: Set<(cause: 'crash') => void>;
+  readonly runs: Set<() => void>;
 }
 
 /** How a run of the request ended, as its node sees it. `lost`: its process has ended meanwhile. */
@@ -138,7 +138,7 @@
     this.crashes += 1;
     const { clock } = this.fleet.clusters;
     if (this.crashes === 3) this.#thirdCrashMs = clock.now();
-    for (const onCrash of engine.runs) onCrash('crash');
+    for (const onCrash of engine.runs) onCrash();
     engine.runs.clear();
     clock.setTimer(UNLISTED_AFTER_MS, () => {
       for (const id of this.fleet.ids) this.fleet.node(id).handleDeparture(crashed, 'gone');
