--- a/packages/slots/src/served-shares.ts
+++ b/packages/slots/src/served-shares.ts
@@ -1,6 +1,6 @@
 import type { PoolRequest } from './slot-request.js';
 
-/** Half-life of the counts, in ms: several times as long as a request waits, and shorter than most overloads. */
+/** Half-life of the counts, in ms: an overload that is over counts no more after a few of them. */
 const HALF_LIFE_MS = 5000;
 /** A kind is served at least this often, relative to all requests of the pool. */
 const LEAST_RELATIVE_SHARE = 0.5;
