Lines of pools name route and priority, and pool.state the shares of each priority

On-call could not see that the most urgent requests of an overloaded pool were served least: slot.refused named no route, and no line had a share. Each decision now has route and priority, and pool.state one short field a second: of the recent requests of each priority, the share that was granted.

--- a/packages/slots/src/backend-pool.ts
+++ b/packages/slots/src/backend-pool.ts
@@ -172,6 +172,7 @@
     return {
       waiting: this.#waiting.size,
       running: this.#uses.size,
+      shares: this.#waiting.describeShares(nowMs),
       backends: ready.length,
       slots: ready.reduce((sum, { description }) => sum + description.slots, 0),
       markedFull: ready.filter(({ fullUntilMs }) => fullUntilMs > nowMs).length,
@@ -325,8 +326,8 @@
     const nowMs = clock.now();
     const waitedMs = Math.round(nowMs - arrivedMs - request.ageMs);
     const ageMs = Math.round(nowMs - arrivedMs);
-    const { priority } = request;
-    const described = { pool: service, priority, ageMs, waitedMs, obstacle, ...fields };
+    const { route, priority } = request;
+    const described = { pool: service, route, priority, ageMs, waitedMs, obstacle, ...fields };
     telemetry.event('info', event, request.traceId, described);
   }
 
--- a/packages/slots/src/granting-pool.ts
+++ b/packages/slots/src/granting-pool.ts
@@ -6,6 +6,8 @@
   readonly waiting: number;
   /** Running requests. */
   readonly running: number;
+  /** Share of the recent requests of each priority that were granted a slot, as `PRIORITY:SHARE` with spaces between. */
+  readonly shares: string;
 }
 
 /**
--- a/packages/slots/src/served-shares.ts
+++ b/packages/slots/src/served-shares.ts
@@ -6,6 +6,9 @@
 const LEAST_RELATIVE_SHARE = 0.5;
 /** Kinds that are counted, at most; the one that was counted longest ago is forgotten. */
 const MAX_KINDS = 4096;
+/** A priority with fewer requests than this is left out of log lines. */
+const MIN_DESCRIBED = 1;
+const MAX_DESCRIBED_PRIORITIES = 10;
 
 interface Counts {
   asked: number;
@@ -41,6 +44,25 @@
     return Math.max(0, LEAST_RELATIVE_SHARE * (all.granted / all.asked) * asked - granted);
   }
 
+  /** Share of the recent requests of each priority that were granted a slot, most urgent first; for log lines. */
+  describe(nowMs: number): string {
+    const byPriority = new Map<number, Counts>();
+    for (const [kind, { asked, granted, updatedMs }] of this.#kinds) {
+      const priority = Number.parseInt(kind, 10);
+      const sum = byPriority.get(priority) ?? { asked: 0, granted: 0, updatedMs: nowMs };
+      const counts = decay({ asked, granted, updatedMs }, nowMs);
+      sum.asked += counts.asked;
+      sum.granted += counts.granted;
+      byPriority.set(priority, sum);
+    }
+    return [...byPriority]
+      .filter(([, { asked }]) => asked >= MIN_DESCRIBED)
+      .sort(([a], [b]) => a - b)
+      .slice(0, MAX_DESCRIBED_PRIORITIES)
+      .map(([priority, { asked, granted }]) => `${priority}:${(granted / asked).toFixed(2)}`)
+      .join(' ');
+  }
+
   /** The counts of the request's kind, which becomes the one that was counted last. */
   #count(request: PoolRequest, nowMs: number): Counts {
     const kind = kindOf(request);
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -357,10 +357,12 @@
 
   /** Returns the pool's figures for logs and metrics. */
   describe(): PoolFigures {
+    const nowMs = this.#options.clock.now();
     return {
-      ...describeEngines(this.#engines.listed(), this.#options.clock.now()),
+      ...describeEngines(this.#engines.listed(), nowMs),
       waiting: this.#waiting.size,
       running: this.#uses.size,
+      shares: this.#waiting.describeShares(nowMs),
       coldLoadMs: Math.round(this.#adapters.coldLoadMs),
       warmLoadMs: Math.round(this.#adapters.warmLoadMs),
       hostAdapters: this.#hostMemory.adaptersPerEngine,
@@ -422,8 +424,8 @@
   #logDecision(event: string, waiting: WaitingRequest, fields: Record<string, string | number>): void {
     const { request, arrivedMs, obstacle, returned } = waiting;
     const ageMs = Math.round(this.#options.clock.now() - arrivedMs);
-    const { traceId, adapter, promptTokens } = request;
-    const described = { adapter, promptTokens, ageMs, obstacle, returned, ...fields };
+    const { traceId, route, priority, adapter, promptTokens } = request;
+    const described = { route, priority, adapter, promptTokens, ageMs, obstacle, returned, ...fields };
     this.#options.telemetry.event('info', event, traceId, described);
   }
 
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -121,6 +121,11 @@
     return this.#byId.get(id);
   }
 
+  /** See {@link ServedShares.describe}. */
+  describeShares(nowMs: number): string {
+    return this.#shares.describe(nowMs);
+  }
+
   /** Returns the requests, first those of kinds that lack their least share, then by urgency. */
   inOrder(nowMs: number): WaitingRequest<R>[] {
     return this.#sorted(nowMs).map(({ waiting }) => waiting);
--- a/packages/slots/test/served-shares.test.ts
+++ b/packages/slots/test/served-shares.test.ts
@@ -41,3 +41,11 @@
   shares.recordAsked(added, 0);
   t.is(shares.missing(added, 0), 0);
 });
+
+test('describes the share of each priority that was granted, and leaves out priorities without recent requests', (t) => {
+  const shares = overloaded();
+  const lessUrgent = plainRequest({ route: 'first', priority: 5 });
+  for (let count = 0; count < 20; count += 1) shares.recordAsked(lessUrgent, 0);
+  t.is(shares.describe(0), '0:0.50 5:0.00');
+  t.is(shares.describe(60_000), '');
+});
