The software version of runners and the attempt that a request resumes are read and logged

request.finished names the version of its backend and the attempt whose stream the client resumed, so that lines tell a continuation within a response from one over a client's tries. Decoded once, in the platform's documents and dialect; nothing decides by them yet.

--- a/packages/gateway/src/request/dialect.ts
+++ b/packages/gateway/src/request/dialect.ts
@@ -23,6 +23,8 @@
   readonly deadlineMs: number | undefined;
   /** When the client resumes a stream: id of the last event that it received. */
   readonly lastEventId: number | undefined;
+  /** When the client resumes a stream: id of its attempt that received the first event. */
+  readonly resumedAttemptId: string | undefined;
   readonly generation: GenerationFacts | undefined;
   /** The API key that identifies the client's tenant. */
   readonly key: string | undefined;
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -551,6 +551,8 @@
       tenant: this.#admission.tenant,
       adapter: this.#facts.generation?.adapter,
       backend: this.#backendId === '' ? undefined : this.#backendId,
+      version: fleet.backend(this.#backendId)?.softwareVersion,
+      resumes: this.#facts.resumedAttemptId,
       relay: this.#relay,
       how: this.#pickMethod === '' ? undefined : this.#pickMethod,
       sends: this.#sends,
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -33,6 +33,7 @@
     attemptId: headers['attempt-id'] as string | undefined,
     deadlineMs: headers['deadline'] === undefined ? undefined : Number(headers['deadline']),
     lastEventId: undefined,
+    resumedAttemptId: undefined,
     generation: undefined,
     key: headers['key'] as string | undefined,
     tokens: headers['tokens'] === undefined ? undefined : Number(headers['tokens']),
--- a/packages/serving/src/backend.ts
+++ b/packages/serving/src/backend.ts
@@ -22,6 +22,16 @@
   /** Maximum number of concurrent requests. */
   readonly slots: number;
   readonly models: readonly HeldModel[];
+  /**
+   * Version of its software, as opposed to its models; absent if it tells none, and in lists from nodes of earlier builds.
+   * The events of one stream may come from backends of one version only.
+   */
+  readonly softwareVersion?: string | undefined;
+}
+
+/** The software version of a backend, as streams are bound to it; empty if it tells none. */
+export function softwareVersionOf({ softwareVersion }: BackendDescription): string {
+  return softwareVersion ?? '';
 }
 
 /** What a backend reports about itself in the headers of any of its answers. */
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -13,6 +13,7 @@
 export { RouteTable, pickService } from './route-table.js';
 export {
   adapterKey,
+  softwareVersionOf,
   type BackendDescription,
   type BackendNotice,
   type HeldAdapter,
