A stream continues within one response at backends of its software version only

Clients got events of two software versions in one response: a node that continued a stream which its backend had broken off chose among all backends.

The version of the backend that sent the first event binds the stream. All pickers and both kinds of pools choose among the backends of that version; a grant for another one, as from a leader of an earlier build, is given back, and that leader is told all backends of other versions at once. Right before a send the binding is checked again.

--- a/packages/gateway/src/backends/granted-backend-picker.ts
+++ b/packages/gateway/src/backends/granted-backend-picker.ts
@@ -94,6 +94,7 @@
       zone: this.#zone,
       // The leader can't know that this node must avoid these.
       excluded: [...context.excluded, ...this.#availability.backendsToAvoid(service.name)],
+      softwareVersion: context.softwareVersion,
     };
   }
 
@@ -106,11 +107,12 @@
     const pool = aged().service.name;
     const backend = this.#grants.backend(pool, grant);
     const isChargedToRateLimit = this.#availability.isRateLimited(backend.id);
-    const releaseOutcome = await this.#grants.outcomeIfUnusable(grant);
+    const releaseOutcome = await this.#grants.outcomeIfUnusable(grant, request);
     if (releaseOutcome !== undefined) {
       this.#slots.release(pool, request.id, releaseOutcome);
       const context = aged();
-      return this.pick({ ...context, excluded: [...context.excluded, backend.id] }, cancelled);
+      const excluded = this.#grants.excludedAfter(backend, context);
+      return this.pick({ ...context, excluded }, cancelled);
     }
     return {
       kind: 'picked',
--- a/packages/gateway/src/backends/least-loaded-picker.ts
+++ b/packages/gateway/src/backends/least-loaded-picker.ts
@@ -1,6 +1,6 @@
 import type { Clock, Random } from '@canvasridge/clock';
 import type { BackendDescription, FleetState } from '@canvasridge/serving';
-import { RecentFailures, type UseOutcome } from '@canvasridge/slots';
+import { mayRunOn, RecentFailures, type UseOutcome } from '@canvasridge/slots';
 import type { BackendAvailability } from './backend-availability.js';
 import type { BackendPicker, PickContext, PickResult } from './picker.js';
 
@@ -59,7 +59,7 @@
     let best: BackendDescription | undefined;
     let bestScore = Infinity;
     for (const backend of this.#fleet.backendsOf(context.service.name)) {
-      if (backend.state !== 'ready' || context.excluded.includes(backend.id)) continue;
+      if (backend.state !== 'ready' || !mayRunOn(context, backend)) continue;
       if (this.#availability.isUnavailable(backend.id)) continue;
       const score = this.#score(this.#loadOf(backend.id), nowMs);
       if (score >= bestScore) continue;
--- a/packages/gateway/src/backends/picker.ts
+++ b/packages/gateway/src/backends/picker.ts
@@ -23,6 +23,8 @@
   readonly startWithinMs: number;
   /** Backends that must not be chosen: those already tried and those whose granted slot was unusable. */
   readonly excluded: readonly string[];
+  /** Software version of the backends that may run the request; undefined if any may. */
+  readonly softwareVersion?: string | undefined;
 }
 
 export type PickResult =
--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -1,6 +1,12 @@
 import type { Clock } from '@canvasridge/clock';
 import { adapterKey, type BackendDescription, type FleetState } from '@canvasridge/serving';
-import type { SlotDecision, SlotRequest, StreamProgress, UseOutcome } from '@canvasridge/slots';
+import {
+  mayRunOn,
+  type SlotDecision,
+  type SlotRequest,
+  type StreamProgress,
+  type UseOutcome,
+} from '@canvasridge/slots';
 import type { BackendAvailability } from './backend-availability.js';
 import { GrantChecker } from './grant-checker.js';
 import type { BackendPicker, PickContext, PickResult } from './picker.js';
@@ -85,6 +91,7 @@
       // The leader can't know that this node must avoid these: slots granted there would have to be given
       // back.
       excluded: [...context.excluded, ...this.#availability.backendsToAvoid(pool)],
+      softwareVersion: context.softwareVersion,
       promptTokens: generation.promptTokens,
       promptKey: generation.promptKey,
     };
@@ -97,10 +104,10 @@
     if (decision.ratePerSecond === null) this.#availability.forgetRateLimit(backend.id);
     const isChargedToRateLimit =
       typeof decision.ratePerSecond === 'number' || this.#availability.isRateLimited(backend.id);
-    const releaseOutcome = await this.#grants.outcomeIfUnusable(decision);
+    const releaseOutcome = await this.#grants.outcomeIfUnusable(decision, request);
     if (releaseOutcome !== undefined) {
       this.#slots.release(pool, request.id, releaseOutcome);
-      const excluded = [...context.excluded, backend.id];
+      const excluded = this.#grants.excludedAfter(backend, context);
       const ageMs = context.ageMs + this.#clock.now() - askedMs;
       return this.pick({ ...context, excluded, ageMs }, cancelled);
     }
@@ -154,7 +161,7 @@
     let best: BackendDescription | undefined;
     let bestRunning = Infinity;
     for (const backend of this.#fleet.backendsOf(context.service.name)) {
-      if (backend.state !== 'ready' || request.excluded.includes(backend.id)) continue;
+      if (backend.state !== 'ready' || !mayRunOn(request, backend)) continue;
       if (this.#availability.isUnavailable(backend.id)) continue;
       const isRecentServer =
         recentServer?.backendId === backend.id && this.#clock.now() - recentServer.atMs < RECENTLY_SERVED_MS;
--- a/packages/gateway/src/request/attempt-outcomes.ts
+++ b/packages/gateway/src/request/attempt-outcomes.ts
@@ -6,6 +6,7 @@
   'backing-off',
   'old-list',
   'not-allowed',
+  'other-version',
   'no-relay',
   'no-path',
 ]);
@@ -59,6 +60,7 @@
       return outcome.how === 'relay-lost' ? 'cancelled' : 'failed';
     case 'not-run':
       if (outcome.reason === 'not-present') return 'not-present';
+      if (outcome.reason === 'other-version') return 'cancelled';
       return BACKEND_REUSABLE_REASONS.has(outcome.reason) ? 'cancelled' : 'refused';
   }
 }
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -46,7 +46,9 @@
   /** The backend list is too old to tell whether the backend is leaving. */
   | 'old-list'
   /** The request has timed out, lost its authorization, or is quarantined. */
-  | 'not-allowed';
+  | 'not-allowed'
+  /** Another software version than that of the backend began the stream. */
+  | 'other-version';
 
 /**
  * `unreachable`: the backend accepted no connection in time; `refused`: its response says that it did not run
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -33,6 +33,7 @@
 import { RequestAdmission, type AdmissionContext } from './request-admission.js';
 import type { UnableCause } from './serving-outage.js';
 import { RequestQuarantine, type QuarantineContext } from './request-quarantine.js';
+import { StreamBinding } from './stream-binding.js';
 import { inactivityLimit } from './inactivity-limit.js';
 import { spreadRetryMs } from './retry-spread.js';
 
@@ -89,6 +90,7 @@
   readonly #facts: RequestFacts;
   readonly #admission: RequestAdmission;
   readonly #quarantine: RequestQuarantine;
+  readonly #binding = new StreamBinding();
   readonly #arrivedMs: number;
   /**
    * Time until the node's stop deadline when the request arrived, in milliseconds; Infinity unless the node
@@ -314,6 +316,7 @@
       timeoutMs: this.#timeoutMs(route),
       startWithinMs: this.#startWithinMs(route),
       excluded: this.#excluded,
+      softwareVersion: this.#binding.version,
     };
     return picker.pick(context, this.#cancel.signal);
   }
@@ -336,6 +339,7 @@
     if (this.#ended) return { kind: 'cancelled' };
     if (!isAllowed) return { kind: 'not-run', reason: 'not-allowed' };
     if (fleet.isLeaving(backend.id)) return { kind: 'not-run', reason: 'leaving' };
+    if (!this.#binding.allows(backend)) return { kind: 'not-run', reason: 'other-version' };
     if (availability.isBackingOff(backend.id)) return { kind: 'not-run', reason: 'backing-off' };
     const hop = await hops.open(backend, service, this.#excludedRelays, this.#hasOwnFailure);
     if (typeof hop === 'string') return { kind: 'not-run', reason: hop };
@@ -367,7 +371,10 @@
         reasonNotToWrite: () => this.#reasonNotToWrite(route, backend.id),
         onNotice: (notice) =>
           this.#context.notices.handleNotice(backend.id, notice, picked.isChargedToRateLimit),
-        onStarted: picked.started,
+        onStarted: () => {
+          picked.started();
+          this.#binding.began(route, backend);
+        },
       },
       this.#sink,
     );
--- a/packages/gateway/test/slot-picker.test.ts
+++ b/packages/gateway/test/slot-picker.test.ts
@@ -281,3 +281,17 @@
   t.deepEqual(await pickLimited(1.4), { picked: 'leaving', isLimited: true });
   t.deepEqual(await pickLimited(null), { picked: 'leaving', isLimited: false });
 });
+
+test('an engine of another software version is given back, and its leader is told all engines of other versions', async (t) => {
+  const fleet = new FleetState();
+  const versions = { leaving: 'v1', other: 'v1', stays: 'v2' };
+  for (const [id, softwareVersion] of Object.entries(versions))
+    fleet.applyBackend(1, { ...engine(id), softwareVersion });
+  const leader = new OutdatedLeader(['leaving', 'other', 'stays'], undefined);
+  const clock = new VirtualClock();
+  const availability = availabilityOf(fleet, clock, new BackendBackoffs(clock));
+  const picker = new SlotPicker(fleet, availability, leader, clock, 'a');
+  const result = await picker.pick({ ...CONTEXT, softwareVersion: 'v2' }, new AbortController().signal);
+  t.like(result, { kind: 'picked', backend: { id: 'stays' } });
+  t.deepEqual(leader.released, [{ requestId: 'r1', outcome: 'cancelled' }]);
+});
--- a/packages/slots/src/backend-pool.ts
+++ b/packages/slots/src/backend-pool.ts
@@ -7,7 +7,15 @@
 import type { GrantFigures, GrantingPool } from './granting-pool.js';
 import type { DisabledMechanisms } from './mechanisms.js';
 import { ServiceTime } from './service-time.js';
-import type { PoolRequest, RefusalReason, RunningUse, SlotDecision, UseOutcome } from './slot-request.js';
+import {
+  grantDecision,
+  mayRunOn,
+  type PoolRequest,
+  type RefusalReason,
+  type RunningUse,
+  type SlotDecision,
+  type UseOutcome,
+} from './slot-request.js';
 import { WaitingList, type WaitingRequest, type WaitObstacle } from './waiting-list.js';
 
 export interface BackendPoolOptions {
@@ -108,7 +116,7 @@
     const nowMs = this.#options.clock.now();
     const granted = this.#uses.get(request.id);
     if (granted !== undefined) {
-      decide(grantOf(request.id, granted.backend));
+      decide(grantDecision(request.id, granted.backend.description));
       return;
     }
     if (this.#waiting.get(request.id) !== undefined) return;
@@ -190,8 +198,8 @@
   }
 
   /** The backends that a request may be sent to, whether they have a free slot or not. */
-  #usable({ excluded }: PoolRequest): GrantedBackend[] {
-    return this.#ready().filter(({ description }) => !excluded.includes(description.id));
+  #usable(request: PoolRequest): GrantedBackend[] {
+    return this.#ready().filter(({ description }) => mayRunOn(request, description));
   }
 
   /**
@@ -230,7 +238,7 @@
     this.#logDecision('slot.granted', waiting, { backend: backend.description.id, running: backend.running });
     backend.recordGrant(nowMs);
     this.#begin(request.id, backend, request.timeoutMs - (nowMs - arrivedMs));
-    waiting.decide(grantOf(request.id, backend));
+    waiting.decide(grantDecision(request.id, backend.description));
   }
 
   /** @param leftMs time until the request's timeout, some time after which it counts as ended in any case */
@@ -360,7 +368,3 @@
 function leftOf({ startWithinMs, timeoutMs }: PoolRequest, ageMs: number): number {
   return Math.min(startWithinMs, timeoutMs) - ageMs;
 }
-
-function grantOf(requestId: string, { description }: GrantedBackend): SlotDecision {
-  return { kind: 'granted', requestId, backendId: description.id, address: description.address };
-}
--- a/packages/slots/src/engine-registry.ts
+++ b/packages/slots/src/engine-registry.ts
@@ -8,7 +8,7 @@
 import { OrderLease, type OrderLeaseOptions } from './order-lease.js';
 import { RejectionGuard } from './rejection-guard.js';
 import { newPoolSpeed, type PrefillSpeed } from './prefill-speed.js';
-import type { SlotRequest } from './slot-request.js';
+import { mayRunOn, type SlotRequest } from './slot-request.js';
 
 /** How long an engine is kept after it left the published list. */
 const UNLISTED_RETENTION_MS = 8000;
@@ -61,11 +61,9 @@
     return rate.hasRoom && !rejections.isExhausted(rejectionLimit?.(), clock.now());
   }
 
-  /** Whether the engine is ready, not known to answer no more, and not excluded for this request. */
+  /** Whether the engine is ready, not known to answer no more, and one that may run this request. */
   mayServe(entry: EngineEntry, request: SlotRequest): boolean {
-    return (
-      isReady(entry) && entry.answerCheck.isAnswering && !request.excluded.includes(entry.slots.backend.id)
-    );
+    return isReady(entry) && entry.answerCheck.isAnswering && mayRunOn(request, entry.slots.backend);
   }
 
   /** Whether any ready engine holds the model, regardless of which engines a request excludes. */
--- a/packages/slots/src/engine-selector.ts
+++ b/packages/slots/src/engine-selector.ts
@@ -6,7 +6,7 @@
 import type { AdapterSlot } from './engine-slots.js';
 import { chooseFirstLowest, chooseLowest } from './lowest-cost.js';
 import type { PoolIndex } from './pool-index.js';
-import type { SlotRequest } from './slot-request.js';
+import { mayRunOn, type SlotRequest } from './slot-request.js';
 
 /**
  * Fraction of an engine's batch above which a load of the adapter on another engine is tried first, because the engine's
@@ -59,15 +59,13 @@
     return { entry, inputs, terms, costMs: totalMs(terms), lastChosenMs };
   }
 
-  /** Whether the request's adapter is being loaded on an engine that the request does not exclude. */
+  /** Whether the request's adapter is being loaded on an engine that may run the request. */
   isLoading(request: SlotRequest, index: PoolIndex): boolean {
     if (request.adapter === undefined) return false;
     const key = adapterKey(request.model, request.adapter);
     return index
       .loading(key)
-      .some(
-        ({ slots }) => !request.excluded.includes(slots.backend.id) && slots.get(key)?.state === 'loading',
-      );
+      .some(({ slots }) => mayRunOn(request, slots.backend) && slots.get(key)?.state === 'loading');
   }
 
   /** Whether an engine that could run the request has reached its rate limit, or may be made to turn away no more. */
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -22,6 +22,7 @@
 export type { GrantFigures, GrantingPool } from './granting-pool.js';
 export {
   isEngineRequest,
+  mayRunOn,
   type PoolRequest,
   type RefusalReason,
   type RunningUse,
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -24,6 +24,7 @@
 import { RefusedRequests } from './refused-requests.js';
 import { RequestPlacement } from './request-placement.js';
 import {
+  grantDecision,
   isEngineRequest,
   type PoolRequest,
   type RefusalReason,
@@ -378,7 +379,7 @@
     const { request } = waiting;
     const { entry: engine, terms, costMs } = choice;
     this.#waiting.granted(request.id, nowMs);
-    const { id, address } = engine.slots.backend;
+    const { id } = engine.slots.backend;
     const aheadMs = engine.slots.backlog.remainingMs(nowMs);
     this.#logDecision('slot.granted', waiting, {
       engine: id,
@@ -392,7 +393,7 @@
     this.#releaseAfterTimeout(request.id, request.timeoutMs - request.ageMs);
     engine.rate.take();
     engine.rejections.recordGrant(nowMs);
-    waiting.decide({ kind: 'granted', requestId: request.id, backendId: id, address, ...engine.rate.stated });
+    waiting.decide({ ...grantDecision(request.id, engine.slots.backend), ...engine.rate.stated });
   }
 
   /** Releases a granted request some time after its timeout, so that a node that disappeared does not keep its slots. */
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -1,3 +1,5 @@
+import { softwareVersionOf, type BackendDescription } from '@canvasridge/serving';
+
 /** What the leader of any pool needs to know of a request for a slot. Times are in milliseconds. */
 export interface PoolRequest {
   /** Unique per attempt of a request. */
@@ -22,6 +24,17 @@
   readonly startWithinMs: number;
   /** Ids of backends that must not get the request, such as those it was sent to before. */
   readonly excluded: readonly string[];
+  /** Software version of the backends that may continue its stream; absent if any may run it. */
+  readonly softwareVersion?: string | undefined;
+}
+
+/** Whether a request may be sent to a backend, as far as what it has been sent to before decides that. */
+export function mayRunOn(
+  { excluded, softwareVersion }: Pick<PoolRequest, 'excluded' | 'softwareVersion'>,
+  backend: BackendDescription,
+): boolean {
+  if (excluded.includes(backend.id)) return false;
+  return softwareVersion === undefined || softwareVersion === softwareVersionOf(backend);
 }
 
 /** A request for an engine of a pool. Times are in milliseconds. */
@@ -60,6 +73,8 @@
       readonly entryRevision?: number;
       /** Era of the publishing store to which that revision belongs; absent from builds that do not read eras. */
       readonly entryEra?: number;
+      /** Software version of the backend as known to the granting node; absent if it tells none. */
+      readonly softwareVersion?: string;
     }
   | {
       readonly kind: 'refused';
@@ -69,6 +84,15 @@
       readonly retryAfterMs: number;
     };
 
+/** The decision that grants a request a slot of this backend. */
+export function grantDecision(
+  requestId: string,
+  { id, address, softwareVersion }: BackendDescription,
+): SlotDecision & { readonly kind: 'granted' } {
+  const version = softwareVersion === undefined ? {} : { softwareVersion };
+  return { kind: 'granted', requestId, backendId: id, address, ...version };
+}
+
 /**
  * A request that runs on a backend, as reported to a new leader by the node that sent it there. Requests to plain backends
  * have an empty model and no prompt.
