--- a/packages/slots/src/backend-pool.ts
+++ b/packages/slots/src/backend-pool.ts
@@ -287,7 +287,7 @@
         ahead += 1;
         continue;
       }
-      this.#waiting.remove(request.id);
+      this.#waiting.refused(request.id, nowMs);
       if (usable.length === 0) this.#refuse(waiting, 'no-backend', RETRY_WITHOUT_BACKEND_MS);
       else this.#refuse(waiting, 'no-slot-in-time', turnMs, ahead);
     }
--- a/packages/slots/src/served-shares.ts
+++ b/packages/slots/src/served-shares.ts
@@ -4,11 +4,11 @@
 const HALF_LIFE_MS = 5000;
 /** A kind is served at least this often, relative to all requests of the pool. */
 const LEAST_RELATIVE_SHARE = 0.5;
-/** Each level of priority leaves at most this fraction of the unserved requests of the next less urgent one. */
-const UNSERVED_PER_LEVEL = 0.75;
+/** Each level of priority is refused at most this fraction as often as the next less urgent one. */
+const REFUSED_PER_LEVEL = 0.75;
 /** Kinds that are counted, at most; the one that was counted longest ago is forgotten. */
 const MAX_KINDS = 4096;
-/** Fewer recent requests than this have no share. */
+/** Fewer recent decisions than this have no share. */
 const MIN_COUNTED = 1;
 const MAX_DESCRIBED_PRIORITIES = 10;
 
@@ -16,19 +16,20 @@
 export interface MissingGrants {
   /** For its least share of what all kinds get. */
   readonly least: number;
-  /** To be served more often than less urgent kinds, as far as its priority is above theirs. */
+  /** To be refused less often than less urgent kinds, as far as its priority is above theirs. */
   readonly rank: number;
 }
 
 interface Counts {
   asked: number;
   granted: number;
+  refused: number;
   updatedMs: number;
 }
 
 /**
- * Counts how many requests of each kind asked for a slot of a pool and how many were granted one. A kind is a route and a
- * priority: requests that differ in neither are ordered by urgency alone. Recent requests count more than old ones.
+ * Counts how many requests of each kind asked for a slot of a pool, and how many were granted or refused one. A kind is a
+ * route and a priority: requests that differ in neither are ordered by urgency alone. Recent requests count more than old ones.
  */
 export class ServedShares {
   readonly #kinds = new Map<string, Counts>();
@@ -44,22 +45,27 @@
     for (const counts of this.#countsOf(request, nowMs)) counts.granted += 1;
   }
 
+  recordRefused(request: PoolRequest, nowMs: number): void {
+    for (const counts of this.#countsOf(request, nowMs)) counts.refused += 1;
+  }
+
   /** How many more requests of this one's kind have to be granted for the kind to have its shares. */
   missing(request: PoolRequest, nowMs: number): MissingGrants {
     const counts = this.#kinds.get(kindOf(request));
     if (counts === undefined) return { least: 0, rank: 0 };
-    const { asked, granted } = decay(counts, nowMs);
-    const leastShare = LEAST_RELATIVE_SHARE * shareOf(decay(this.#all, nowMs));
+    const { asked, granted, refused } = decay(counts, nowMs);
+    const all = decay(this.#all, nowMs);
+    const leastShare = all.asked === 0 ? 0 : (LEAST_RELATIVE_SHARE * all.granted) / all.asked;
     return {
       least: Math.max(0, leastShare * asked - granted),
-      rank: Math.max(0, this.#rankShare(request, nowMs) * asked - granted),
+      rank: Math.max(0, this.#rankShare(request, nowMs) * (granted + refused) - granted),
     };
   }
 
-  /** Share of the recent requests of each priority that were granted a slot, most urgent first; for log lines. */
+  /** Share of the recent decisions on each priority that granted a slot, most urgent first; for log lines. */
   describe(nowMs: number): string {
     return [...this.#priorities]
-      .filter(([, counts]) => decay(counts, nowMs).asked >= MIN_COUNTED)
+      .filter(([, counts]) => decidedOf(decay(counts, nowMs)) >= MIN_COUNTED)
       .sort(([a], [b]) => a - b)
       .slice(0, MAX_DESCRIBED_PRIORITIES)
       .map(([priority, counts]) => `${priority}:${shareOf(counts).toFixed(2)}`)
@@ -70,9 +76,9 @@
   #rankShare({ priority }: PoolRequest, nowMs: number): number {
     let highest = 0;
     for (const [other, counts] of this.#priorities) {
-      if (other <= priority || decay(counts, nowMs).asked < MIN_COUNTED) continue;
-      const unserved = (1 - shareOf(counts)) * UNSERVED_PER_LEVEL ** (other - priority);
-      highest = Math.max(highest, 1 - unserved);
+      if (other <= priority || decidedOf(decay(counts, nowMs)) < MIN_COUNTED) continue;
+      const refusedShare = (1 - shareOf(counts)) * REFUSED_PER_LEVEL ** (other - priority);
+      highest = Math.max(highest, 1 - refusedShare);
     }
     return highest;
   }
@@ -103,18 +109,23 @@
 }
 
 function newCounts(nowMs: number): Counts {
-  return { asked: 0, granted: 0, updatedMs: nowMs };
+  return { asked: 0, granted: 0, refused: 0, updatedMs: nowMs };
+}
+
+function decidedOf({ granted, refused }: Counts): number {
+  return granted + refused;
 }
 
-/** A share of less than one recent request says nothing and counts as 0. */
-function shareOf({ asked, granted }: Counts): number {
-  return asked < MIN_COUNTED ? 0 : granted / asked;
+/** Requests that wait are in no share, as they may still be granted a slot. */
+function shareOf({ granted, refused }: Counts): number {
+  return granted / (granted + refused);
 }
 
 function decay(counts: Counts, nowMs: number): Counts {
   const kept = 0.5 ** (Math.max(0, nowMs - counts.updatedMs) / HALF_LIFE_MS);
   counts.asked *= kept;
   counts.granted *= kept;
+  counts.refused *= kept;
   counts.updatedMs = nowMs;
   return counts;
 }
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -127,6 +127,12 @@
     return waiting;
   }
 
+  /** Removes a request that is refused. */
+  refused(id: string, nowMs: number): void {
+    const waiting = this.remove(id);
+    if (waiting !== undefined) this.#shares.recordRefused(waiting.request, nowMs);
+  }
+
   get(id: string): WaitingRequest<R> | undefined {
     return this.#byId.get(id);
   }
--- a/packages/slots/test/served-shares.test.ts
+++ b/packages/slots/test/served-shares.test.ts
@@ -10,6 +10,7 @@
   for (let count = 0; count < 100; count += 1) {
     shares.recordAsked(first, 0);
     if (count % 2 === 0) shares.recordGranted(first, 0);
+    else shares.recordRefused(first, 0);
   }
   return shares;
 }
@@ -45,18 +46,31 @@
 test('describes the share of each priority that was granted, and leaves out priorities without recent requests', (t) => {
   const shares = overloaded();
   const lessUrgent = plainRequest({ route: 'first', priority: 5 });
-  for (let count = 0; count < 20; count += 1) shares.recordAsked(lessUrgent, 0);
+  for (let count = 0; count < 20; count += 1) shares.recordRefused(lessUrgent, 0);
   t.is(shares.describe(0), '0:0.50 5:0.00');
   t.is(shares.describe(60_000), '');
 });
 
-test('a kind lacks the grants to be served more often than a less urgent one, by each level of priority', (t) => {
+test('a kind lacks the grants to be refused less often than a less urgent one, by each level of priority', (t) => {
   const shares = overloaded();
   const urgent = (priority: number) => plainRequest({ route: 'urgent', priority });
   for (const priority of [-1, -2])
-    for (let count = 0; count < 16; count += 1) shares.recordAsked(urgent(priority), 0);
-  // Half of the requests of priority 0 are served, so three eighths at most of those of the next priority are not.
+    for (let count = 0; count < 16; count += 1) shares.recordRefused(urgent(priority), 0);
+  // Half of the requests of priority 0 are refused, so three eighths at most of those of the next priority are.
   t.is(shares.missing(urgent(-1), 0).rank, 10);
   t.is(shares.missing(urgent(-2), 0).rank, 11.5);
   t.is(shares.missing(first, 0).rank, 0);
 });
+
+test('requests that wait are in no share of a priority', (t) => {
+  const shares = new ServedShares();
+  const urgent = plainRequest({ route: 'urgent', priority: 0 });
+  const lessUrgent = plainRequest({ priority: 2 });
+  for (let count = 0; count < 20; count += 1) {
+    shares.recordAsked(urgent, 0);
+    shares.recordAsked(lessUrgent, 0);
+    shares.recordGranted(lessUrgent, 0);
+  }
+  t.is(shares.missing(urgent, 0).rank, 0);
+  t.is(shares.describe(0), '2:1.00');
+});
