A stream that its client resumes goes on at the software version that began it

Clients that resumed a stream at another node got the rest of it from backends of another version: no node knew where the stream had begun, and nothing read Resumes.

Each node remembers the version of the streams that it serves. While a service has several versions, or the node can't tell, it also tells three homes, chosen by the attempt's id in an order that restarts don't change; a node that stops hands over what it knows. A node that gets a resumed stream asks eight nodes at most. Without a record, the version is known if every node that answers has listed only one for as long as a stream lives. Else the stream is refused at once as not run, without Retry-After: going on at a guess would mix versions.

--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -34,6 +34,12 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  readonly resumedStreams = new Counter({
+    name: 'canvasridge_streams_resumed_total',
+    help: 'Streams that clients resumed, by how the version that began them was known (unknown: refused)',
+    labelNames: ['from'],
+    registers: [this.registry],
+  });
   readonly relayed = new Counter({
     name: 'canvasridge_relayed_total',
     help: 'Requests of other nodes that this node sent to backends for them, by outcome',
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -67,6 +67,9 @@
 import { BackendAccess } from './paths/backend-access.js';
 import { REACHES_METHOD } from './relay/relay-protocol.js';
 import { RelayServer } from './relay/relay-server.js';
+import { ServiceVersions } from './streams/service-versions.js';
+import { BEGAN_METHOD, FIND_METHOD } from './streams/stream-version-protocol.js';
+import { StreamVersions } from './streams/stream-versions.js';
 import type { SlotDecision } from '@canvasridge/slots';
 
 /**
@@ -112,6 +115,7 @@
   readonly #backendRates: FleetQuotas;
   readonly #quarantine: FleetQuarantine;
   readonly #rejectionLimits: RejectionLimits;
+  readonly #streamVersions: StreamVersions;
   readonly #access: BackendAccess;
   readonly #relayServer: RelayServer;
   readonly #retryBudgets = new Map<string, RetryBudget>();
@@ -254,6 +258,16 @@
       network: this.#network,
       telemetry,
     });
+    this.#streamVersions = new StreamVersions({
+      clock: fleetClock,
+      cluster: this.#cluster,
+      network: this.#network,
+      versions: new ServiceVersions({
+        clock: fleetClock,
+        fleet,
+        listAgeMs: () => this.published.listAgeMs,
+      }),
+    });
     const outage = new ServingOutage({
       clock: fleetClock,
       published: this.published,
@@ -292,6 +306,7 @@
       configurationLease: () => this.published.configurationLease,
       quotas: this.#quotas,
       quarantine: this.#quarantine,
+      streamVersions: this.#streamVersions,
       bodyMemory: new BodyMemoryBudget(settings.memoryBytes * BODY_MEMORY_SHARE),
       telemetry,
       metrics: this.metrics,
@@ -343,6 +358,7 @@
     telemetry.event('info', 'process.stopping', settings.nodeId, { running: this.#exchanges.size });
     this.#slots.resign();
     this.#cluster.drain();
+    this.#streamVersions.handOver();
     await clock.sleep(settings.stopGraceMs * ACCEPTING_SHARE);
     this.#clients.stopAccepting();
     while (this.#openResponses > 0 && clock.now() < this.#stopDeadlineMs) await clock.sleep(STOP_POLL_MS);
@@ -391,6 +407,8 @@
       [COMPLETED_METHOD]: (params) => this.#quarantine.answerEndedWell(params as EndedWellParams),
       [ENDED_WELL_METHOD]: (params) => this.#quarantine.answerEndedWell(params as EndedWellParams),
       [TRIAL_METHOD]: (params) => this.#quarantine.answerTrial(params as TrialParams),
+      [BEGAN_METHOD]: (params) => this.#streamVersions.answerBegan(params),
+      [FIND_METHOD]: (params) => this.#streamVersions.answerFind(params),
       [BORROW_METHOD]: (params) => this.#quotas.answer(params as BorrowParams),
       [RATE_BORROW_METHOD]: (params) => {
         const read = readRateBorrow(params);
@@ -489,6 +507,7 @@
       if (this.fleet.routes?.tenants !== undefined) this.#quotas.update();
       this.#backendRates.update();
       this.#quarantine.update();
+      this.#streamVersions.update();
       this.metrics.quarantined.set(this.#quarantine.size);
       await this.#options.clock.sleep(SECOND_MS);
     }
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -33,12 +33,12 @@
 import { RequestAdmission, type AdmissionContext } from './request-admission.js';
 import type { UnableCause } from './serving-outage.js';
 import { RequestQuarantine, type QuarantineContext } from './request-quarantine.js';
-import { StreamBinding } from './stream-binding.js';
+import { StreamBinding, type StreamBindingContext } from './stream-binding.js';
 import { inactivityLimit } from './inactivity-limit.js';
 import { spreadRetryMs } from './retry-spread.js';
 
 /** What all exchanges of a node share. */
-export interface ExchangeContext extends AdmissionContext, QuarantineContext {
+export interface ExchangeContext extends AdmissionContext, QuarantineContext, StreamBindingContext {
   readonly clock: Clock;
   readonly dialect: RequestDialect;
   readonly connections: Pick<BackendConnections, 'lastReceivedMs'>;
@@ -90,7 +90,7 @@
   readonly #facts: RequestFacts;
   readonly #admission: RequestAdmission;
   readonly #quarantine: RequestQuarantine;
-  readonly #binding = new StreamBinding();
+  readonly #binding: StreamBinding;
   readonly #arrivedMs: number;
   /**
    * Time until the node's stop deadline when the request arrived, in milliseconds; Infinity unless the node
@@ -144,6 +144,7 @@
       tenant: this.#admission.tenant,
       body: this.#body,
     }));
+    this.#binding = new StreamBinding(context, this.#facts);
     this.#lastEventId = this.#facts.lastEventId ?? -1;
     this.#sink = new ResponseSink(response, context.isStopping);
     response.on('close', () => {
@@ -208,7 +209,8 @@
   async #serve(route: HttpRoute, service: BackendService): Promise<void> {
     // Quarantine is checked before the quota is charged, and again before each send, as other nodes may
     // have reported the request in the meantime.
-    if (this.#refuseIfQuarantined() || !(await this.#chargeOrRefuse())) return;
+    if (this.#refuseIfQuarantined() || !(await this.#bindOrRefuse(route, service))) return;
+    if (!(await this.#chargeOrRefuse())) return;
     this.#context.budget(service.name).countRequest();
     let lastRun: AttemptOutcome | undefined;
     while (!this.#ended) {
@@ -272,6 +274,16 @@
     return false;
   }
 
+  /**
+   * Refuses a stream that the client resumes if no node knows which version began it. Returns false if the request has
+   * ended. Without Retry-After, as no later answer would differ: the client can only begin anew.
+   */
+  async #bindOrRefuse(route: HttpRoute, service: BackendService): Promise<boolean> {
+    const isBound = await this.#binding.resume(route, service);
+    if (!isBound && !this.#ended) this.#refuse('unknown-stream-version', undefined);
+    return !this.#ended;
+  }
+
   #outageRetryMs(cause: UnableCause): number {
     const callerLeftMs = (this.#facts.deadlineMs ?? Infinity) - this.#ageMs();
     return this.#context.outageRetryMs(cause, callerLeftMs);
@@ -373,7 +385,7 @@
           this.#context.notices.handleNotice(backend.id, notice, picked.isChargedToRateLimit),
         onStarted: () => {
           picked.started();
-          this.#binding.began(route, backend);
+          this.#binding.began(route, service, backend);
         },
       },
       this.#sink,
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -303,6 +303,7 @@
       refreshIfOld: () => this.beforeSend(),
       configurationLease: () => ({ ageMs: this.configurationAgeMs, leaseMs: LEASE_MS }),
       bodyMemory: this.bodyMemory,
+      streamVersions: { began: () => undefined, find: () => Promise.resolve(undefined) },
       quarantine: {
         isEmpty: true,
         remainingMs: () => undefined,
--- /dev/null
+++ b/packages/gateway/test/stream-versions.test.ts
@@ -0,0 +1,223 @@
+import { VirtualClock } from '@canvasridge/clock';
+import { FleetState } from '@canvasridge/serving';
+import test from 'ava';
+import { ServiceVersions } from '../src/streams/service-versions.js';
+import { BEGAN_METHOD } from '../src/streams/stream-version-protocol.js';
+import { StreamVersions } from '../src/streams/stream-versions.js';
+
+const SERVICE = 'llm';
+const LIFE_MS = 20_000;
+const ONE_WAY_MS = 2;
+const STREAM = { service: SERVICE, attemptId: 'first', lifeMs: LIFE_MS };
+
+interface VirtualNode {
+  readonly id: string;
+  token: string;
+  streams: StreamVersions;
+  fleet: FleetState;
+  listAgeMs: number;
+  isRunning: boolean;
+  /** Whether its build knows software versions. */
+  isCurrentBuild: boolean;
+}
+
+/** Nodes that remember streams, on one network in virtual time. */
+class VirtualFleet {
+  readonly clock = new VirtualClock();
+  readonly nodes = new Map<string, VirtualNode>();
+  /** Calls between nodes, by method. */
+  readonly calls = new Map<string, number>();
+  #members: { readonly id: string }[] = [];
+  #revision = 0;
+  readonly #versions = new Map<string, string>();
+
+  constructor(count: number) {
+    for (let index = 0; index < count; index += 1) this.#start(`n${index}`);
+  }
+
+  node(id: string): VirtualNode {
+    const node = this.nodes.get(id);
+    if (node === undefined) throw new Error(`no node ${id}`);
+    return node;
+  }
+
+  /** Lists a backend of this version; all nodes that run learn of it. */
+  list(backendId: string, softwareVersion: string): void {
+    this.#versions.set(backendId, softwareVersion);
+    this.#revision += 1;
+    for (const { fleet } of this.nodes.values()) this.#apply(fleet);
+  }
+
+  unlist(backendId: string): void {
+    this.#versions.delete(backendId);
+    this.#revision += 1;
+    for (const { fleet } of this.nodes.values()) fleet.removeBackend(this.#revision, backendId);
+  }
+
+  /** Restarts nodes at one moment: they have lost their memory. */
+  restart(...ids: string[]): void {
+    for (const id of ids) this.#start(id);
+  }
+
+  async run(durationMs: number): Promise<void> {
+    const untilMs = this.clock.now() + durationMs;
+    while (this.clock.now() < untilMs) {
+      for (const { streams } of this.nodes.values()) streams.update();
+      await this.clock.runUntil(Math.min(this.clock.now() + 1000, untilMs));
+    }
+  }
+
+  /** What a node finds of the stream, while time goes on. */
+  async find(id: string, query = STREAM): ReturnType<StreamVersions['find']> {
+    const found = this.node(id).streams.find(query);
+    await this.clock.runUntil(this.clock.now() + 400);
+    return found;
+  }
+
+  #start(id: string): void {
+    const fleet = new FleetState();
+    const node: VirtualNode = {
+      id,
+      token: `${id}-${this.clock.now()}`,
+      fleet,
+      listAgeMs: 0,
+      isRunning: true,
+      isCurrentBuild: true,
+      streams: new StreamVersions({
+        clock: this.clock,
+        cluster: {
+          selfId: id,
+          serving: () => this.#members as never,
+          peerAddress: (peer) => peer,
+          processOf: (peer) => ({ token: this.node(peer).token, state: 'alive' }),
+        },
+        network: { to: (peer) => ({ call: (method, params) => this.#call(peer, method, params) }) },
+        versions: new ServiceVersions({ clock: this.clock, fleet, listAgeMs: () => node.listAgeMs }),
+      }),
+    };
+    this.nodes.set(id, node);
+    this.#members = [...this.nodes.keys()].map((member) => ({ id: member }));
+    this.#apply(fleet);
+  }
+
+  #apply(fleet: FleetState): void {
+    const entries = [...this.#versions].map(([id, softwareVersion]) => ({
+      revision: this.#revision,
+      value: {
+        ...{ id, service: SERVICE, address: `${id}:1`, zone: 'a', state: 'ready' as const, slots: 1 },
+        ...{ models: [], softwareVersion },
+      },
+    }));
+    fleet.replaceBackends(this.#revision, entries);
+  }
+
+  async #call(peer: string, method: string, params: unknown): Promise<unknown> {
+    this.calls.set(method, (this.calls.get(method) ?? 0) + 1);
+    await this.clock.sleep(ONE_WAY_MS);
+    const { streams, isRunning, isCurrentBuild } = this.node(peer);
+    if (!isRunning || !isCurrentBuild) return undefined;
+    const answer = method === BEGAN_METHOD ? streams.answerBegan(params) : streams.answerFind(params);
+    await this.clock.sleep(ONE_WAY_MS);
+    return JSON.parse(JSON.stringify(answer));
+  }
+}
+
+/** A fleet that has followed its list for longer than any stream lives. */
+async function settledFleet(nodes: number, versions: readonly string[]): Promise<VirtualFleet> {
+  const fleet = new VirtualFleet(nodes);
+  for (const [index, version] of versions.entries()) fleet.list(`b${index}`, version);
+  await fleet.run(LIFE_MS + 1000);
+  return fleet;
+}
+
+test('while a service has two versions, any node knows which one began a stream, also when two have failed', async (t) => {
+  const fleet = await settledFleet(9, ['v1', 'v2']);
+  fleet.node('n0').streams.began({ ...STREAM, version: 'v1' });
+  t.deepEqual(await fleet.find('n0'), { version: 'v1', from: 'memory' });
+  fleet.restart('n0', 'n1');
+  for (const id of fleet.nodes.keys()) t.is((await fleet.find(id))?.version, 'v1', id);
+});
+
+test('a stream whose version no node remembers is not guessed, though one version is listed by now', async (t) => {
+  const fleet = await settledFleet(5, ['v1', 'v2']);
+  fleet.node('n0').streams.began({ ...STREAM, version: 'v1' });
+  await fleet.run(1000);
+  fleet.restart(...fleet.nodes.keys());
+  fleet.unlist('b0');
+  await fleet.run(1000);
+  t.is(await fleet.find('n1'), undefined);
+  await fleet.run(LIFE_MS);
+  t.deepEqual(await fleet.find('n1'), { version: 'v2', from: 'only' });
+});
+
+test('a service with one version needs no memory, and no messages until a stream is resumed', async (t) => {
+  const fleet = await settledFleet(5, ['v1', 'v1']);
+  fleet.node('n0').streams.began({ ...STREAM, version: 'v1' });
+  await fleet.run(3000);
+  t.is(fleet.calls.size, 0);
+  t.deepEqual(await fleet.find('n1'), { version: 'v1', from: 'peer' });
+  fleet.restart('n0');
+  t.deepEqual(await fleet.find('n1'), { version: 'v1', from: 'only' });
+  fleet.restart('n2');
+  t.deepEqual(await fleet.find('n2'), { version: 'v1', from: 'only' });
+});
+
+test('homes are told of streams that began before a second version was listed', async (t) => {
+  const fleet = await settledFleet(5, ['v1']);
+  fleet.node('n0').streams.began({ ...STREAM, version: 'v1' });
+  await fleet.run(1000);
+  fleet.list('b1', 'v2');
+  await fleet.run(2000);
+  fleet.restart('n0');
+  for (const id of fleet.nodes.keys()) t.is((await fleet.find(id))?.version, 'v1', id);
+});
+
+test('a node that has listed several versions outweighs those that have listed one', async (t) => {
+  const fleet = await settledFleet(5, ['v1']);
+  fleet.node('n3').fleet.applyBackend(1000, {
+    ...{ id: 'b9', service: SERVICE, address: 'b9:1', zone: 'a', state: 'ready', slots: 1, models: [] },
+    softwareVersion: 'v2',
+  });
+  t.is(await fleet.find('n1'), undefined);
+});
+
+test('a list that is too old says nothing of the versions of a service', async (t) => {
+  const fleet = await settledFleet(1, ['v1']);
+  t.deepEqual(await fleet.find('n0'), { version: 'v1', from: 'only' });
+  fleet.node('n0').listAgeMs = 5000;
+  t.is(await fleet.find('n0'), undefined);
+});
+
+test('a node that stops hands over the streams that it knows of', async (t) => {
+  const fleet = await settledFleet(9, ['v1', 'v2']);
+  fleet.node('n0').streams.began({ ...STREAM, version: 'v2' });
+  await fleet.run(1000);
+  const knowing = [...fleet.nodes.values()].filter(({ streams }) => streams.size > 0).map(({ id }) => id);
+  t.is(knowing.length, 4);
+  const [last, ...others] = knowing;
+  fleet.restart(...others);
+  fleet.node(last ?? '').streams.handOver();
+  await fleet.run(1000);
+  fleet.restart(last ?? '');
+  t.is((await fleet.find('n8'))?.version, 'v2');
+});
+
+test('nodes of a build that knows no versions are passed over', async (t) => {
+  const fleet = await settledFleet(5, ['v1', 'v2']);
+  for (const id of ['n1', 'n2', 'n3']) fleet.node(id).isCurrentBuild = false;
+  fleet.node('n0').streams.began({ ...STREAM, version: 'v1' });
+  await fleet.run(1000);
+  t.is((await fleet.find('n4'))?.version, 'v1');
+});
+
+test('a stream is forgotten when it can be resumed no more, and names of any length are borne', async (t) => {
+  const fleet = await settledFleet(3, ['v1', 'v2']);
+  const { streams } = fleet.node('n0');
+  streams.began({ ...STREAM, version: 'v1' });
+  streams.began({ ...STREAM, attemptId: 'x'.repeat(1000), version: 'v1' });
+  await fleet.run(1000);
+  t.is((await fleet.find('n1'))?.version, 'v1');
+  await fleet.run(LIFE_MS);
+  t.is(streams.size, 0);
+  t.is(await fleet.find('n1'), undefined);
+});
