--- a/packages/gateway/src/request/stream-binding.ts
+++ b/packages/gateway/src/request/stream-binding.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '@canvasridge/clock';
 import {
   softwareVersionOf,
   type BackendDescription,
@@ -12,6 +13,7 @@
 
 /** What the bindings of all streams of a node share. */
 export interface StreamBindingContext {
+  readonly clock: Clock;
   readonly streamVersions: Pick<StreamVersions, 'began' | 'find'>;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
@@ -51,7 +53,8 @@
   async resume(route: HttpRoute, service: BackendService): Promise<boolean> {
     const { lastEventId, resumedAttemptId, attemptId } = this.#facts;
     if (!isResumable(route) || lastEventId === undefined) return true;
-    const { streamVersions, telemetry, metrics } = this.#context;
+    const { clock, streamVersions, telemetry, metrics } = this.#context;
+    const askedMs = clock.now();
     const found = await streamVersions.find({
       service: service.name,
       attemptId: resumedAttemptId,
@@ -65,6 +68,7 @@
       lastEventId,
       from,
       version: found?.version,
+      tookMs: Math.round(clock.now() - askedMs),
     });
     return found !== undefined;
   }
--- a/packages/gateway/src/streams/service-versions.ts
+++ b/packages/gateway/src/streams/service-versions.ts
@@ -9,7 +9,7 @@
   readonly listAgeMs: () => number;
 }
 
-/** With an older list, this node may have missed a version that others used. */
+/** With an older list, or after a longer pause between two looks at it, this node may have missed a version. */
 const MAX_LIST_AGE_MS = 2000;
 /** The list is read at most this often, as requests ask more often than it changes. */
 const MIN_UPDATE_GAP_MS = 100;
@@ -31,8 +31,10 @@
   update(): void {
     const { clock, fleet, listAgeMs } = this.#options;
     const nowMs = clock.now();
-    if (nowMs - this.#updatedMs < MIN_UPDATE_GAP_MS) return;
+    const gapMs = nowMs - this.#updatedMs;
+    if (gapMs < MIN_UPDATE_GAP_MS) return;
     this.#updatedMs = nowMs;
+    if (gapMs > MAX_LIST_AGE_MS) this.#followedSinceMs = undefined;
     if (!fleet.isListKnown || listAgeMs() > MAX_LIST_AGE_MS) this.#followedSinceMs = undefined;
     else this.#followedSinceMs ??= nowMs;
     for (const { value } of fleet.allBackends()) {
@@ -45,6 +47,11 @@
         if (nowMs - listedMs > MAX_LIFE_MS) versions.delete(version);
   }
 
+  /** Whether any backend of the service tells its version. */
+  tellsVersions(service: string): boolean {
+    return this.#listedWithin(service, MAX_LIFE_MS).some((version) => version !== '');
+  }
+
   /** Whether backends of several versions were listed within this time. */
   isMixed(service: string, withinMs: number): boolean {
     return this.#listedWithin(service, withinMs).length > 1;
--- a/packages/gateway/src/streams/stream-versions.ts
+++ b/packages/gateway/src/streams/stream-versions.ts
@@ -48,6 +48,8 @@
 const GROUP_COUNT = 32;
 /** Streams that begin within this time are told in one message. */
 const BATCH_DELAY_MS = 20;
+/** Streams in one message: some 20 KB. */
+const MAX_BATCH = 1000;
 /** A reachable node answers in a few milliseconds. */
 const ANSWER_TIMEOUT_MS = 150;
 const TELL_TIMEOUT_MS = 500;
@@ -92,6 +94,9 @@
   /** Finds the version that began a stream; undefined if no node knows it. */
   async find(query: FindParams): Promise<FoundVersion | undefined> {
     const { service, attemptId } = query;
+    const { versions } = this.#options;
+    versions.update();
+    if (!versions.tellsVersions(service)) return { version: '', from: 'only' };
     const known = attemptId === undefined ? undefined : this.#streams.find(service, attemptId);
     if (known !== undefined) return { version: known.version, from: 'memory' };
     const replies = await this.#ask(query);
@@ -180,16 +185,21 @@
       for (const id of this.#ranked(stream.attemptId).slice(0, HOME_COUNT)) {
         const token = this.#options.cluster.processOf(id)?.token;
         if (token === undefined || stream.toldTo.has(token)) continue;
-        untold.set(id, [...(untold.get(id) ?? []), stream]);
+        const missing = untold.get(id) ?? [];
+        untold.set(id, missing);
+        missing.push(stream);
       }
     }
-    for (const [id, missing] of untold) void this.#tellHome(id, missing);
+    for (const [id, missing] of untold)
+      for (let from = 0; from < missing.length; from += MAX_BATCH)
+        void this.#tellHome(id, missing.slice(from, from + MAX_BATCH));
   }
 
-  /** A service with one version needs no memory: see {@link ServiceVersions.onlyVersion}. */
+  /** Homes need no memory of a service with one version: see {@link ServiceVersions.onlyVersion}. */
   #mustTell({ service, lifeMs, isOwn }: KnownStream): boolean {
-    if (this.#isHandingOver) return true;
-    return isOwn && this.#options.versions.onlyVersion(service, lifeMs) === undefined;
+    const { versions } = this.#options;
+    if (!versions.tellsVersions(service)) return false;
+    return this.#isHandingOver || (isOwn && versions.onlyVersion(service, lifeMs) === undefined);
   }
 
   async #tellHome(id: string, streams: readonly KnownStream[]): Promise<void> {
--- a/packages/gateway/test/stream-binding.test.ts
+++ b/packages/gateway/test/stream-binding.test.ts
@@ -43,12 +43,14 @@
   found?: FoundVersion,
 ): { binding: StreamBinding; begun: BegunStream[] } {
   const begun: BegunStream[] = [];
+  const clock = new VirtualClock();
   const context = {
+    clock,
     streamVersions: {
       began: (stream: BegunStream) => void begun.push(stream),
       find: () => Promise.resolve(found),
     },
-    telemetry: new Telemetry({ processName: 'test', clock: new VirtualClock() }),
+    telemetry: new Telemetry({ processName: 'test', clock }),
     metrics: new GatewayMetrics(),
   };
   return { binding: new StreamBinding(context, { ...FACTS, ...facts }), begun };
--- a/packages/gateway/test/stream-versions.test.ts
+++ b/packages/gateway/test/stream-versions.test.ts
@@ -221,3 +221,17 @@
   t.is(streams.size, 0);
   t.is(await fleet.find('n1'), undefined);
 });
+
+test('streams of backends that tell no version are continued by any, without a message', async (t) => {
+  const fleet = await settledFleet(5, ['', '']);
+  fleet.node('n0').streams.began({ ...STREAM, version: '' });
+  fleet.restart(...fleet.nodes.keys());
+  t.deepEqual(await fleet.find('n1'), { version: '', from: 'only' });
+  t.is(fleet.calls.size, 0);
+});
+
+test('a node that was suspended does not know what was listed meanwhile', async (t) => {
+  const fleet = await settledFleet(1, ['v1']);
+  await fleet.clock.runUntil(fleet.clock.now() + 5000);
+  t.is(await fleet.find('n0'), undefined);
+});
