--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -69,6 +69,8 @@
   readonly outageRetryMs: (cause: UnableCause, callerLeftMs: number) => number;
   /** Event loop lag: how late the process runs its timers, in milliseconds. */
   readonly lagMs: () => number;
+  /** How long input that is handled now may have lain unread because the process was held up, in milliseconds. */
+  readonly unreadMs: () => number;
   readonly bodyMemory: BodyMemoryBudget;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
@@ -91,7 +93,10 @@
   readonly #admission: RequestAdmission;
   readonly #quarantine: RequestQuarantine;
   readonly #binding: StreamBinding;
+  /** When the request was read. */
   readonly #arrivedMs: number;
+  /** How long it may have lain unread before, in milliseconds. */
+  readonly #unreadMs: number;
   /**
    * Time until the node's stop deadline when the request arrived, in milliseconds; Infinity unless the node
    * is stopping.
@@ -135,6 +140,7 @@
     this.#context = context;
     this.#request = request;
     this.#arrivedMs = context.clock.now();
+    this.#unreadMs = context.unreadMs();
     this.#stopsInMs = context.stopsInMs();
     this.#facts = context.dialect.readRequest(request.headers);
     this.#admission = new RequestAdmission(context, this.#facts);
@@ -579,6 +585,7 @@
       sentMs: this.#sentMs === undefined ? undefined : Math.round(this.#sentMs),
       listAgeMs: this.#listAgeMs === undefined ? undefined : Math.round(this.#listAgeMs),
       lagMs: Math.round(this.#context.lagMs()),
+      unreadMs: Math.round(this.#unreadMs),
       ageMs: Math.round(ageMs),
       firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs - this.#arrivedMs),
       configuration: fleet.configurationVersion,
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -149,6 +149,8 @@
   hasOtherServingNodes = false;
   /** Age of the configuration that the gateway reports. */
   configurationAgeMs = 0;
+  /** How long a request may have lain unread when it is read. */
+  unreadMs = 0;
   /** Memory for two bodies of the largest size at a time, and a little more. */
   readonly bodyMemory = new BodyMemoryBudget(200_000);
   /** Decides on charges to tenants' quotas. */
@@ -299,6 +301,7 @@
       listAgeMs: () => 0,
       outageRetryMs: (cause, callerLeftMs) => this.outageRetryMs(cause, callerLeftMs),
       lagMs: () => 0,
+      unreadMs: () => this.unreadMs,
       isListTooOld: () => this.isListTooOld(),
       refreshIfOld: () => this.beforeSend(),
       configurationLease: () => ({ ageMs: this.configurationAgeMs, leaseMs: LEASE_MS }),
