A request that is given up is taken back by a reset of its connection

Callers and operators saw: backends ran requests more than a second after their clients had left, after the node had answered 504, or after another backend had served them; backends that had said that they leave got such requests after the drain bound.

Cause: an attempt that was cancelled or given up as silent ended its connection by an ordinary close. What the operating system held of the request was sent on when the link worked again, and run.

Change: RevocableClient is the one HTTP client for requests to backends and relaying nodes. reset() discards what has not arrived. It is used wherever an attempt is cancelled, is silent, or gets an answer that is not valid, by a relaying node whose asker has left, and for the requests that still run when the process closes its connections. Idle connections are closed as before; an attempt that was never handed to its connection leaves it for the next one.

Two tests of relays waited for a close and now ask for a reset, which is stricter.

--- a/packages/gateway/src/backends/backend-connection.ts
+++ b/packages/gateway/src/backends/backend-connection.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
-import { Client, buildConnector, type Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
+import { RevocableClient } from './revocable-client.js';
 
 /** Time limits of a connection, in milliseconds. */
 export interface ConnectionTiming {
@@ -18,7 +19,7 @@
  * nor chunks and the connection was not reset.
  */
 export class BackendConnection {
-  readonly #client: Client;
+  readonly #client: RevocableClient;
   #wasReset = false;
   #hasEnded = false;
   #bodyEndsAtClose = false;
@@ -30,37 +31,36 @@
     timing: ConnectionTiming,
     onDisconnect: (connection: BackendConnection) => void,
   ) {
-    const connector = buildConnector({
-      timeout: timing.connectTimeoutMs,
-      keepAlive: true,
-      keepAliveInitialDelay: 1000,
+    this.#client = new RevocableClient({
+      address,
+      connectTimeoutMs: timing.connectTimeoutMs,
+      client: {
+        keepAliveTimeout: timing.defaultKeepAliveMs,
+        keepAliveTimeoutThreshold: timing.keepAliveMarginMs,
+        keepAliveMaxTimeout: timing.maxKeepAliveMs,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      },
       // Keeps the socket writable after the other side has ended it, which probeReset needs.
       allowHalfOpen: true,
-    });
-    this.#client = new Client(`http://${address}`, {
-      pipelining: 1,
-      keepAliveTimeout: timing.defaultKeepAliveMs,
-      keepAliveTimeoutThreshold: timing.keepAliveMarginMs,
-      keepAliveMaxTimeout: timing.maxKeepAliveMs,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      connect: (options, callback) => {
-        connector(options, (...result) => {
-          // On failure the socket is undefined at run time, although its type says null.
-          const [failure, socket] = result;
-          if (failure === null && socket !== null) this.#trackSocket(socket);
-          callback(...result);
-        });
+      onConnected: (socket) => this.#trackSocket(socket),
+      onDisconnected: () => {
+        this.#connected = false;
+        onDisconnect(this);
       },
     });
-    this.#client.on('disconnect', () => {
-      this.#connected = false;
-      onDisconnect(this);
-    });
   }
 
-  get dispatcher(): Dispatcher {
-    return this.#client;
+  /**
+   * Sends a request.
+   * @param mayWrite asked before; if it says no, the request is dropped and the handler is never called
+   */
+  send(
+    request: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+    mayWrite: () => boolean,
+  ): void {
+    this.#client.send(request, handler, mayWrite);
   }
 
   /** Whether the socket ended with an error. */
@@ -90,8 +90,14 @@
     return this.#connected;
   }
 
-  destroy(): void {
-    void this.#client.destroy().catch(() => undefined);
+  /** Closes a connection that is idle. */
+  close(): void {
+    this.#client.close();
+  }
+
+  /** Ends the connection and takes back its request, if the backend has not received it yet. */
+  reset(): void {
+    this.#client.reset();
   }
 
   /**
--- a/packages/gateway/src/backends/backend-connections.ts
+++ b/packages/gateway/src/backends/backend-connections.ts
@@ -55,7 +55,8 @@
     const pool = this.#pools.get(backendId);
     if (pool?.connections.has(connection) !== true || !pool.listed || !reusable || !connection.connected) {
       if (pool !== undefined) discard(pool, connection);
-      connection.destroy();
+      if (reusable) connection.close();
+      else connection.reset();
       return;
     }
     pool.idle.push(connection);
@@ -78,7 +79,7 @@
     for (const [id, pool] of this.#pools) {
       if (isListed(id)) continue;
       pool.listed = false;
-      for (const connection of pool.idle.splice(0)) connection.destroy();
+      for (const connection of pool.idle.splice(0)) connection.close();
       this.#pools.delete(id);
     }
   }
@@ -92,13 +93,17 @@
     const pool = this.#pools.get(backendId);
     for (const connection of pool?.idle.splice(0) ?? []) {
       pool?.connections.delete(connection);
-      connection.destroy();
+      connection.close();
     }
   }
 
+  /** Closes the idle connections and takes back the requests on the others. */
   close(): void {
-    for (const { connections } of this.#pools.values())
-      for (const connection of connections) connection.destroy();
+    for (const { idle, connections } of this.#pools.values())
+      for (const connection of connections) {
+        if (idle.includes(connection)) connection.close();
+        else connection.reset();
+      }
     this.#pools.clear();
   }
 
--- a/packages/gateway/src/relay/relayed-attempt.ts
+++ b/packages/gateway/src/relay/relayed-attempt.ts
@@ -36,7 +36,6 @@
 export class RelayedAttempt implements Dispatcher.DispatchHandler {
   readonly #options: RelayedAttemptOptions;
   #resolve: (outcome: RelayOutcome | RelayFailure) => void = () => undefined;
-  #controller: Dispatcher.DispatchController | undefined;
   #isSent = false;
   #isSettled = false;
   #isFramed = false;
@@ -53,22 +52,22 @@
     const { hop, method, path, headers, body } = this.#options;
     return new Promise((resolve) => {
       this.#resolve = resolve;
-      hop.connection.dispatcher.dispatch(
-        { method, path, headers, body: body.length === 0 ? null : body },
-        this,
-      );
+      const request = { method, path, headers, body: body.length === 0 ? null : body };
+      hop.connection.send(request, this, () => this.#mayWrite());
     });
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
-    this.#controller = controller;
-    const reason = this.#isSettled ? 'no-room' : this.#options.reasonNotToWrite();
-    if (reason === undefined) {
-      this.#isSent = true;
-      return;
-    }
-    this.#finish(reason, { kind: 'not-run', reason: 'not-allowed' });
-    controller.abort(new Error(reason));
+    if (this.#mayWrite()) this.#isSent = true;
+    else controller.abort(new Error('not written'));
+  }
+
+  /** Whether the other node still waits and nothing forbids the request; ends the attempt otherwise. */
+  #mayWrite(): boolean {
+    if (this.#isSettled) return false;
+    const reason = this.#options.reasonNotToWrite();
+    if (reason !== undefined) this.#finish(reason, { kind: 'not-run', reason: 'not-allowed' });
+    return !this.#isSettled;
   }
 
   onResponseStart(
@@ -127,9 +126,9 @@
     this.#finish({ kind: 'complete' }, { kind: 'complete', status: response.statusCode });
   }
 
+  /** Resets the connection to the backend, so that a request that it has not received never arrives. */
   #cancel(): void {
     this.#finish({ kind: 'cancelled' }, { kind: 'cancelled' });
-    this.#controller?.abort(new Error('cancelled'));
   }
 
   #finish(result: RelayOutcome | RelayFailure, outcome: AttemptOutcome): void {
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -122,9 +122,9 @@
   readonly #sink: ResponseSink;
   readonly #tracker: EventStreamTracker;
   #resolve: (outcome: AttemptOutcome) => void = () => undefined;
-  #controller: Dispatcher.DispatchController | undefined;
   #settled = false;
   #cancelled = false;
+  #isHandedOver = false;
   #sentMs: number | undefined;
   #startedMs: number | undefined;
   /** Events in the first data of a stream. */
@@ -153,6 +153,11 @@
     return this.#sentMs !== undefined;
   }
 
+  /** Whether the connection was given the request; it can be used for another one if not. */
+  get isHandedOver(): boolean {
+    return this.#isHandedOver;
+  }
+
   /** Milliseconds since the first body data of a successful response arrived; undefined if none has. */
   get begunForMs(): number | undefined {
     return this.#startedMs === undefined ? undefined : this.#options.clock.now() - this.#startedMs;
@@ -179,38 +184,48 @@
     return new Promise((resolve) => {
       this.#resolve = resolve;
       this.#restartInactivityTimer();
-      hop.connection.dispatcher.dispatch(
-        { method, path, headers: [...headers, ...hop.headers], body: body.length === 0 ? null : body },
-        this,
-      );
+      const request = {
+        method,
+        path,
+        headers: [...headers, ...hop.headers],
+        body: body.length === 0 ? null : body,
+      };
+      hop.connection.send(request, this, () => {
+        this.#isHandedOver = this.#mayWrite();
+        return this.#isHandedOver;
+      });
     });
   }
 
-  /** Cancels the attempt. Closing the connection makes the backend stop its work. */
+  /**
+   * Cancels the attempt. Resetting the connection makes the backend stop its work, and a request that it has not received
+   * never arrives.
+   */
   cancel(): void {
     this.#cancelled = true;
-    this.#controller?.abort(new Error('cancelled'));
     this.#finish({ kind: 'cancelled' });
+    if (this.sent) this.#options.hop.connection.reset();
+  }
+
+  /** Whether the attempt still stands and nothing forbids it; ends the attempt if something does. */
+  #mayWrite(): boolean {
+    if (this.#settled) return false;
+    const reason = this.#options.reasonNotToWrite();
+    if (reason !== undefined) this.#finish({ kind: 'not-run', reason });
+    return !this.#settled;
   }
 
   /** Called by undici when a connection is ready, right before the request is written. */
   onRequestStart(controller: Dispatcher.DispatchController): void {
-    this.#controller = controller;
-    if (this.#cancelled || this.#settled) {
-      controller.abort(new Error('cancelled'));
-      return;
-    }
-    const reason = this.#options.reasonNotToWrite();
-    if (reason !== undefined) {
-      this.#finish({ kind: 'not-run', reason });
-      controller.abort(new Error(reason));
+    if (!this.#mayWrite()) {
+      controller.abort(new Error('not written'));
       return;
     }
     this.#sentMs = this.#options.clock.now();
   }
 
   onResponseStart(
-    controller: Dispatcher.DispatchController,
+    _controller: Dispatcher.DispatchController,
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
@@ -228,11 +243,11 @@
     this.#isNotRun = facts.isNotRun;
     this.#isSuccess = status < STATUS_SUCCESS_END;
     if (facts.attemptId !== undefined && facts.attemptId !== attemptId) {
-      this.#reject(controller, 'response to another request');
+      this.#reject('response to another request');
     } else if (this.#isSuccess && (!facts.isStamped || facts.attemptId === undefined)) {
-      this.#reject(controller, 'success without the response stamp of a backend');
+      this.#reject('success without the response stamp of a backend');
     } else if (this.#isSuccess && headers['content-encoding'] !== undefined) {
-      this.#reject(controller, 'encoded response body');
+      this.#reject('encoded response body');
     } else if (!this.#isStream) this.#inactivityTimer?.cancel();
     if (!this.#isFramed()) this.#options.hop.connection.expectBodyUntilClose();
   }
@@ -354,9 +369,9 @@
     });
   }
 
-  #reject(controller: Dispatcher.DispatchController, detail: string): void {
+  #reject(detail: string): void {
     this.#finish({ kind: 'broken', detail, how: 'bad-answer' });
-    controller.abort(new Error(detail));
+    this.#options.hop.connection.reset();
   }
 
   #restartInactivityTimer(): void {
@@ -379,7 +394,7 @@
       ? { kind: 'broken', detail: 'silent', how: 'silent' }
       : { kind: 'not-run', reason: this.#options.hop.unreachable };
     this.#finish(outcome);
-    this.#controller?.abort(new Error('silent'));
+    this.#options.hop.connection.reset();
   }
 
   #finish(outcome: AttemptOutcome): void {
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -363,7 +363,7 @@
     if (typeof hop === 'string') return { kind: 'not-run', reason: hop };
     this.#relay = hop.relay;
     if (this.#ended) {
-      hop.release({ kind: 'not-run', reason: 'not-allowed' });
+      hop.release(NOT_SENT);
       return { kind: 'cancelled' };
     }
     const lastEventId = this.#lastEventId >= 0 ? this.#lastEventId : undefined;
@@ -399,7 +399,7 @@
     this.#attempt = attempt;
     const outcome = await attempt.run();
     this.#attempt = undefined;
-    hop.release(outcome);
+    hop.release(attempt.isHandedOver ? outcome : NOT_SENT);
     if (hop.relay !== undefined && isRelayFailure(outcome)) this.#excludedRelays.add(hop.relay);
     this.#lastEventId = attempt.lastEventId;
     this.#progress = attempt.progress;
@@ -624,5 +624,6 @@
   }
 }
 
+const NOT_SENT: AttemptOutcome = { kind: 'not-run', reason: 'not-allowed' };
 const EMPTY_BODY: Buffer = Buffer.alloc(0);
 const RETRY_AFTER_REFUSAL_MS = 300;
--- a/packages/gateway/test/raw-backend.ts
+++ b/packages/gateway/test/raw-backend.ts
@@ -69,6 +69,11 @@
   }
 }
 
+/** Resolves when a connection is closed: whether the other side has reset it. */
+export function endsByReset(socket: Socket): Promise<boolean> {
+  return new Promise((resolve) => socket.once('close', resolve));
+}
+
 /** A complete successful response. */
 export function success(attemptId: string, body: string, extraHeaders = ''): string {
   return (
--- a/packages/gateway/test/relay-break.test.ts
+++ b/packages/gateway/test/relay-break.test.ts
@@ -1,12 +1,11 @@
 /** What a node that sends a request through another one makes of a break of the link between the two in mid-request. */
-import { once } from 'node:events';
 import type { Socket } from 'node:net';
 import test, { type ExecutionContext } from 'ava';
 import { BackendConnections } from '../src/backends/backend-connections.js';
 import { RelayHop } from '../src/relay/relay-hop.js';
 import { RELAY_HEADER } from '../src/relay/relay-protocol.js';
 import { Harness, type RouteOverrides } from './harness.js';
-import { RawBackend, chunk, streamHead, success, type RawResponder } from './raw-backend.js';
+import { RawBackend, chunk, endsByReset, streamHead, success, type RawResponder } from './raw-backend.js';
 
 interface RelayedGateway {
   readonly harness: Harness;
@@ -101,7 +100,7 @@
   t.is((await harness.call('a1')).status, 504);
 });
 
-test('when the client leaves, the connection to the relaying node is closed', async (t) => {
+test('when the client leaves, the connection to the relaying node is reset', async (t) => {
   const arrived: { resolve: (socket: Socket) => void } = { resolve: () => undefined };
   const socket = new Promise<Socket>((resolve) => (arrived.resolve = resolve));
   const { harness } = await startBehind(t, { kind: 'at-most-once' }, [(peer) => arrived.resolve(peer)]);
@@ -109,7 +108,6 @@
     'a1',
     socket.then(() => undefined),
   );
-  await once(await socket, 'close');
+  t.true(await endsByReset(await socket));
   await left;
-  t.pass();
 });
--- a/packages/gateway/test/relay-server.test.ts
+++ b/packages/gateway/test/relay-server.test.ts
@@ -1,5 +1,4 @@
 /** What a node answers to another node that sends requests to a backend through it. */
-import { once } from 'node:events';
 import { request, type IncomingMessage } from 'node:http';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { SystemClock } from '@canvasridge/clock';
@@ -13,7 +12,7 @@
 import { BackendHops } from '../src/request/backend-hops.js';
 import { BodyMemoryBudget } from '../src/request/body-memory-budget.js';
 import { SERVICE, configuration, dialect } from './harness.js';
-import { RawBackend, chunk, streamHead, success, type RawResponder } from './raw-backend.js';
+import { RawBackend, chunk, endsByReset, streamHead, success, type RawResponder } from './raw-backend.js';
 
 interface RunningRelay {
   readonly backend: RawBackend;
@@ -128,7 +127,7 @@
   t.is((await send(port, 'i2')).failure, 'unreachable');
 });
 
-test('when the other node closes its connection, the one to the backend is closed', async (t) => {
+test('when the other node closes its connection, the one to the backend is reset', async (t) => {
   const arrived = new Promise<Socket>((resolve) => {
     void startRelay(t, (socket) => resolve(socket)).then(async ({ port }) => {
       const cancel = new AbortController();
@@ -138,8 +137,7 @@
       await response;
     });
   });
-  await once(await arrived, 'close');
-  t.pass();
+  t.true(await endsByReset(await arrived));
 });
 
 function never(): never {
