A request is written only after the input that has arrived is handled

Callers saw: backends ran requests more than a second after their clients had left, on nodes with little processor time.

Cause: after the process was held up, a request was written to a kept connection in the turn of the event loop in which it was read (undici waits for one more), before the close of its client's connection, which lay in the same queue, was read. A look at what was read said that the client was there. The same in a node that relays.

Change: RevocableClient hands a request over, and a new connection to its first request, after two turns of the event loop, by which time all sockets were read twice; then client, deadline, key, list, quarantine and notices are looked at and the request is written in the same turn. The client's end counts as soon as it is read, not when its response is closed some turns later.

Two ways: waiting always, or only after a stall of the loop. The latter misses connections that waited to be accepted (one is accepted a turn), which no timer shows.

--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -7,5 +7,6 @@
 export { Random, hashSeed } from './random.js';
 export { jittered, Backoff, type BackoffOptions } from './backoff.js';
 export { Notifier } from './notifier.js';
+export { pendingInputHandled } from './pending-input.js';
 export { EventLoopTimes } from './event-loop-times.js';
 export { SuspendableClock } from './suspendable-clock.js';
--- a/packages/gateway/src/backends/backend-connection.ts
+++ b/packages/gateway/src/backends/backend-connection.ts
@@ -52,8 +52,8 @@
   }
 
   /**
-   * Sends a request.
-   * @param mayWrite asked before; if it says no, the request is dropped and the handler is never called
+   * Sends a request when the input that has arrived by now is handled.
+   * @param mayWrite asked then; if it says no, the request is dropped and the handler is never called
    */
   send(
     request: Dispatcher.DispatchOptions,
--- a/packages/gateway/src/backends/revocable-client.ts
+++ b/packages/gateway/src/backends/revocable-client.ts
@@ -1,4 +1,5 @@
 import type { Socket } from 'node:net';
+import { pendingInputHandled } from '@canvasridge/clock';
 import { Client, buildConnector, type Dispatcher } from 'undici';
 
 export interface RevocableClientOptions {
@@ -22,9 +23,13 @@
 }
 
 /**
- * An HTTP/1.1 client with one connection, for one request at a time, that can take a request back: `reset` discards what
- * the operating system still holds of it. After an ordinary close it would send that on, also long after, when the link
- * works again, and the request would be run for nobody.
+ * An HTTP/1.1 client with one connection, for one request at a time, that neither sends what was decided on outdated
+ * input nor leaves behind what was given up:
+ *
+ * - A request is written when all input has been handled that had arrived by the time at which it was handed over, or at
+ *   which its connection was established. `mayWrite` is asked then, in the same turn of the event loop.
+ * - `reset` discards what the operating system still holds of a request. After an ordinary close it would send that on,
+ *   also long after, when the link works again, and the request would be run for nobody.
  */
 export class RevocableClient {
   readonly #client: Client;
@@ -50,8 +55,10 @@
             return;
           }
           this.#socket = socket;
+          // The HTTP client listens for errors only from its callback on.
+          socket.on('error', () => undefined);
           onConnected(socket);
-          callback(...result);
+          void pendingInputHandled().then(() => callback(...result));
         });
       },
     });
@@ -70,7 +77,9 @@
     handler: Dispatcher.DispatchHandler,
     mayWrite: () => boolean,
   ): void {
-    if (mayWrite()) this.#client.dispatch(request, handler);
+    void pendingInputHandled().then(() => {
+      if (mayWrite()) this.#client.dispatch(request, handler);
+    });
   }
 
   get isClosed(): boolean {
--- a/packages/gateway/src/relay/relayed-attempt.ts
+++ b/packages/gateway/src/relay/relayed-attempt.ts
@@ -3,6 +3,7 @@
 import type { AttemptOutcome } from '../request/backend-attempt.js';
 import type { BackendHop } from '../request/backend-hop.js';
 import type { ResponseHeaders } from '../request/dialect.js';
+import { hasClientLeft } from '../request/client-presence.js';
 import { connectionHeaderNames, isEndToEndHeader } from '../request/hop-headers.js';
 import { RELAY_HEADER, type RelayFailure } from './relay-protocol.js';
 
@@ -65,6 +66,10 @@
   /** Whether the other node still waits and nothing forbids the request; ends the attempt otherwise. */
   #mayWrite(): boolean {
     if (this.#isSettled) return false;
+    if (hasClientLeft(this.#options.response.req)) {
+      this.#cancel();
+      return false;
+    }
     const reason = this.#options.reasonNotToWrite();
     if (reason !== undefined) this.#finish(reason, { kind: 'not-run', reason: 'not-allowed' });
     return !this.#isSettled;
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -27,6 +27,7 @@
 } from './backend-attempt.js';
 import type { BackendHops } from './backend-hops.js';
 import { readBody } from './body.js';
+import { hasClientLeft } from './client-presence.js';
 import type { BodyMemoryBudget } from './body-memory-budget.js';
 import type { RequestDialect, RequestFacts } from './dialect.js';
 import { retryAfterOf, statusOf, type GatewayResponse } from './gateway-response.js';
@@ -420,6 +421,10 @@
    * waited for the CPU.
    */
   #reasonNotToWrite(route: HttpRoute, backendId: string): NotWrittenReason | undefined {
+    if (hasClientLeft(this.#request)) {
+      this.#onClientLeft();
+      return 'not-allowed';
+    }
     const isAllowed =
       this.#remainingMs(route) > 0 &&
       this.#admission.isStillIdentified(route) &&
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -199,6 +199,11 @@
     return harness;
   }
 
+  /** Port to which clients connect. */
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
   get backends(): readonly RawBackend[] {
     return this.#backends;
   }
--- a/packages/gateway/test/relay-server.test.ts
+++ b/packages/gateway/test/relay-server.test.ts
@@ -1,62 +1,10 @@
 /** What a node answers to another node that sends requests to a backend through it. */
 import { request, type IncomingMessage } from 'node:http';
-import { createServer, type AddressInfo, type Socket } from 'node:net';
-import { SystemClock } from '@canvasridge/clock';
-import { FleetState } from '@canvasridge/serving';
-import { Telemetry } from '@canvasridge/telemetry';
-import test, { type ExecutionContext } from 'ava';
-import { BackendConnections } from '../src/backends/backend-connections.js';
-import { GatewayMetrics } from '../src/gateway-metrics.js';
+import type { Socket } from 'node:net';
+import test from 'ava';
 import { RELAY_HEADER } from '../src/relay/relay-protocol.js';
-import { RelayServer } from '../src/relay/relay-server.js';
-import { BackendHops } from '../src/request/backend-hops.js';
-import { BodyMemoryBudget } from '../src/request/body-memory-budget.js';
-import { SERVICE, configuration, dialect } from './harness.js';
-import { RawBackend, chunk, endsByReset, streamHead, success, type RawResponder } from './raw-backend.js';
-
-interface RunningRelay {
-  readonly backend: RawBackend;
-  readonly fleet: FleetState;
-  readonly port: number;
-  isListTooOld: boolean;
-}
-
-async function startRelay(t: ExecutionContext, respond: RawResponder): Promise<RunningRelay> {
-  const clock = new SystemClock();
-  const fleet = new FleetState();
-  fleet.applyConfiguration(configuration({}));
-  const backend = await RawBackend.start(respond);
-  fleet.applyBackend(1, backend.description('i1', SERVICE));
-  const connections = new BackendConnections();
-  const paths = {
-    state: () => 'working' as const,
-    beginWait: () => undefined,
-    endWait: () => undefined,
-    received: () => undefined,
-  };
-  const relays = { open: () => Promise.resolve(undefined) };
-  const server = new RelayServer({
-    fleet,
-    hops: new BackendHops({ clock, connections, paths, relays, fleetShare: () => 1 }),
-    availability: { isBackingOff: () => false },
-    notices: { handleNotice: () => undefined },
-    dialect,
-    bodyMemory: new BodyMemoryBudget(1_000_000),
-    isListTooOld: () => running.isListTooOld,
-    isStopping: () => false,
-    telemetry: new Telemetry({ processName: 'test', clock }),
-    metrics: new GatewayMetrics(),
-  });
-  const listener = createServer((socket: Socket) => server.accept(socket));
-  await new Promise<void>((resolve) => listener.listen(0, '127.0.0.1', resolve));
-  t.teardown(() => {
-    listener.close();
-    connections.close();
-    backend.stop();
-  });
-  const running = { backend, fleet, port: (listener.address() as AddressInfo).port, isListTooOld: false };
-  return running;
-}
+import { chunk, endsByReset, streamHead, success } from './raw-backend.js';
+import { startRelay } from './running-relay.js';
 
 interface RelayedResponse {
   readonly status: number;
