A backend is told the time that a request has left when it is written, less the time it lay unread

Operators saw backends work on requests whose clients had given up: the deadline that a backend is told counted from the reading of a request, and was computed before its connection was open.

RevocableClient.send takes a function that makes the request when its connection is open and the input is handled. The deadline is what is left then, less the time for which the request may have lain unread (unreadMs). That time is a bound, not a measurement: the request may have come just before. Two ways: to count all of it (a request that outlasts its deadline by that is refused), or to leave at least the 500 ms for which a backend may work after its client has given up. The latter is kept: the client of such a request still holds its connection (it was looked at), so refusing it would lose answers that are wanted.

--- a/packages/gateway/src/backends/backend-connection.ts
+++ b/packages/gateway/src/backends/backend-connection.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
-import { RevocableClient } from './revocable-client.js';
+import { RevocableClient, type RequestHandler } from './revocable-client.js';
 
 /** Time limits of a connection, in milliseconds. */
 export interface ConnectionTiming {
@@ -51,16 +51,9 @@
     });
   }
 
-  /**
-   * Sends a request when the input that has arrived by now is handled.
-   * @param mayWrite asked then; if it says no, the request is dropped and the handler is never called
-   */
-  send(
-    request: Dispatcher.DispatchOptions,
-    handler: Dispatcher.DispatchHandler,
-    mayWrite: () => boolean,
-  ): void {
-    this.#client.send(request, handler, mayWrite);
+  /** Sends a request; see {@link RevocableClient.send}. */
+  send(prepare: () => Dispatcher.DispatchOptions | undefined, handler: RequestHandler): void {
+    this.#client.send(prepare, handler);
   }
 
   /** Whether the socket ended with an error. */
--- a/packages/gateway/src/backends/revocable-client.ts
+++ b/packages/gateway/src/backends/revocable-client.ts
@@ -5,8 +5,9 @@
 export interface RevocableClientOptions {
   /** `IP:port` */
   readonly address: string;
-  /** In milliseconds, like all times here. */
+  /** In milliseconds. */
   readonly connectTimeoutMs: number;
+  /** Time limits of the HTTP client, in milliseconds. */
   readonly client: Pick<
     Client.Options,
     | 'keepAliveTimeout'
@@ -15,71 +16,78 @@
     | 'headersTimeout'
     | 'bodyTimeout'
   >;
-  /** Keeps the socket writable after the other side has ended it. */
+  /** Whether the socket stays writable after the other side has ended it. */
   readonly allowHalfOpen: boolean;
   /** Called with each new connection, before the HTTP client listens to it. */
   readonly onConnected: (socket: Socket) => void;
   readonly onDisconnected: () => void;
 }
 
+/** Handles the response to one request. */
+export interface RequestHandler extends Dispatcher.DispatchHandler {
+  /** The connection could not be opened: nothing was sent. */
+  onNotConnected(cause: Error): void;
+}
+
 /**
  * An HTTP/1.1 client with one connection, for one request at a time, that neither sends what was decided on outdated
  * input nor leaves behind what was given up:
  *
- * - A request is written when all input has been handled that had arrived by the time at which it was handed over, or at
- *   which its connection was established. `mayWrite` is asked then, in the same turn of the event loop.
+ * - A request is made when its connection is open and all input has been handled that had arrived by then, and written
+ *   at once. So what it depends on, and the time that it says is left, is as new as it can be.
  * - `reset` discards what the operating system still holds of a request. After an ordinary close it would send that on,
  *   also long after, when the link works again, and the request would be run for nobody.
  */
 export class RevocableClient {
+  readonly #options: RevocableClientOptions;
+  readonly #connector: buildConnector.connector;
   readonly #client: Client;
+  /** The connection, from its opening to its end. */
   #socket: Socket | undefined;
+  /** Whether the HTTP client has taken the connection over. */
+  #isTakenOver = false;
 
   constructor(options: RevocableClientOptions) {
-    const { address, connectTimeoutMs, allowHalfOpen, onConnected, onDisconnected } = options;
-    const connector = buildConnector({
-      timeout: connectTimeoutMs,
+    this.#options = options;
+    this.#connector = buildConnector({
+      timeout: options.connectTimeoutMs,
       keepAlive: true,
       keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
-      allowHalfOpen,
+      allowHalfOpen: options.allowHalfOpen,
     });
-    this.#client = new Client(`http://${address}`, {
+    this.#client = new Client(`http://${options.address}`, {
       ...options.client,
       pipelining: 1,
-      connect: (target, callback) => {
-        connector(target, (...result) => {
-          // On failure the socket is undefined at run time, although its type says null.
-          const [failure, socket] = result;
-          if (failure !== null || socket === null) {
-            callback(...result);
-            return;
-          }
-          this.#socket = socket;
-          // The HTTP client listens for errors only from its callback on.
-          socket.on('error', () => undefined);
-          onConnected(socket);
-          void pendingInputHandled().then(() => callback(...result));
-        });
+      connect: (_, callback) => {
+        this.#open().then(
+          (socket) => {
+            this.#isTakenOver = true;
+            callback(null, socket);
+          },
+          (cause: Error) => callback(cause, null),
+        );
       },
     });
-    this.#client.on('disconnect', () => {
-      this.#socket = undefined;
-      onDisconnected();
-    });
+    this.#client.on('disconnect', () => this.#handleEnd());
   }
 
   /**
-   * Sends a request. Its handler's `onRequestStart` is called right before the write.
-   * @param mayWrite asked before the request is handed to the connection; if it says no, the handler is never called
+   * Sends a request.
+   * @param prepare makes the request right before it is written; undefined if it must not be sent any more, in which
+   *   case the handler is not called
+   * @param handler its `onRequestStart` is called as the request is written, on a connection that was used before one
+   *   turn of the event loop after `prepare`
    */
-  send(
-    request: Dispatcher.DispatchOptions,
-    handler: Dispatcher.DispatchHandler,
-    mayWrite: () => boolean,
-  ): void {
-    void pendingInputHandled().then(() => {
-      if (mayWrite()) this.#client.dispatch(request, handler);
-    });
+  send(prepare: () => Dispatcher.DispatchOptions | undefined, handler: RequestHandler): void {
+    const isOpen = this.#open().then(pendingInputHandled);
+    void isOpen.then(
+      () => {
+        const request = prepare();
+        if (request !== undefined) this.#client.dispatch(request, handler);
+        else if (!this.#isTakenOver) this.#socket?.destroy();
+      },
+      (cause: Error) => handler.onNotConnected(cause),
+    );
   }
 
   get isClosed(): boolean {
@@ -94,8 +102,41 @@
 
   /** Closes the connection, which must be idle or have ended: what was written is still delivered. */
   close(): void {
+    if (!this.#isTakenOver) this.#socket?.destroy();
     this.#client.destroy().catch(() => undefined);
   }
+
+  /** Resolves with the open connection; opens one if there is none. */
+  #open(): Promise<Socket> {
+    const socket = this.#socket;
+    if (socket !== undefined && !socket.destroyed) return Promise.resolve(socket);
+    const [hostname = '', port = ''] = this.#options.address.split(':');
+    return new Promise((resolve, reject) => {
+      this.#connector({ hostname, port, protocol: 'http:' }, (failure, opened) => {
+        // On failure the socket is undefined at run time, although its type says null.
+        if (failure !== null || opened === null) reject(failure ?? new Error('no connection'));
+        else if (this.#client.destroyed) {
+          opened.destroy();
+          reject(new Error('closed while it connected'));
+        } else resolve(this.#track(opened));
+      });
+    });
+  }
+
+  #track(socket: Socket): Socket {
+    this.#socket = socket;
+    this.#isTakenOver = false;
+    socket.once('close', () => {
+      if (this.#socket === socket && !this.#isTakenOver) this.#handleEnd();
+    });
+    this.#options.onConnected(socket);
+    return socket;
+  }
+
+  #handleEnd(): void {
+    this.#socket = undefined;
+    this.#options.onDisconnected();
+  }
 }
 
 const KEEP_ALIVE_PROBE_MS = 1000;
--- a/packages/gateway/src/relay/relayed-attempt.ts
+++ b/packages/gateway/src/relay/relayed-attempt.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Dispatcher } from 'undici';
 import type { AttemptOutcome } from '../request/backend-attempt.js';
+import type { RequestHandler } from '../backends/revocable-client.js';
 import type { BackendHop } from '../request/backend-hop.js';
 import type { ResponseHeaders } from '../request/dialect.js';
 import { hasClientLeft } from '../request/client-presence.js';
@@ -34,7 +35,7 @@
  * Sends one request of another node to a backend and passes the response back unchanged. A response that ends
  * early ends early there too: the connection is closed within it.
  */
-export class RelayedAttempt implements Dispatcher.DispatchHandler {
+export class RelayedAttempt implements RequestHandler {
   readonly #options: RelayedAttemptOptions;
   #resolve: (outcome: RelayOutcome | RelayFailure) => void = () => undefined;
   #isSent = false;
@@ -50,14 +51,17 @@
 
   /** Resolves when the attempt has ended; with a failure if no response has been started. */
   run(): Promise<RelayOutcome | RelayFailure> {
-    const { hop, method, path, headers, body } = this.#options;
     return new Promise((resolve) => {
       this.#resolve = resolve;
-      const request = { method, path, headers, body: body.length === 0 ? null : body };
-      hop.connection.send(request, this, () => this.#mayWrite());
+      this.#options.hop.connection.send(() => this.#prepare(), this);
     });
   }
 
+  #prepare(): Dispatcher.DispatchOptions | undefined {
+    const { method, path, headers, body } = this.#options;
+    return this.#mayWrite() ? { method, path, headers, body: body.length === 0 ? null : body } : undefined;
+  }
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     if (this.#mayWrite()) this.#isSent = true;
     else controller.abort(new Error('not written'));
@@ -112,6 +116,10 @@
     else void connection.wasResetAtEnd().then((wasReset) => this.#endResponse(wasReset));
   }
 
+  onNotConnected(): void {
+    this.#finish('unreachable', { kind: 'not-run', reason: 'unreachable' });
+  }
+
   onResponseError(): void {
     if (!this.#isSent) this.#finish('unreachable', { kind: 'not-run', reason: 'unreachable' });
     else if (!this.#options.response.headersSent) this.#finish('broken', BROKEN);
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -3,6 +3,7 @@
 import type { BackendNotice } from '@canvasridge/serving';
 import type { StreamProgress } from '@canvasridge/slots';
 import type { Dispatcher } from 'undici';
+import type { RequestHandler } from '../backends/revocable-client.js';
 import type { BackendHop } from './backend-hop.js';
 import type { ResponseSink } from './response-sink.js';
 import type { ResponseHeaders, RequestDialect } from './dialect.js';
@@ -66,12 +67,13 @@
   readonly clock: Clock;
   readonly method: string;
   readonly path: string;
-  readonly headers: string[];
+  /** Makes the headers, right before the request is written. */
+  readonly headers: () => string[];
   readonly body: Buffer;
   readonly attemptId: string;
   /**
-   * Called when the connection is ready, right before the request is written. Returns why it must not be
-   * written, or undefined if it may be.
+   * Called when the connection is ready, before the request is made and again right before it is written.
+   * Returns why it must not be written, or undefined if it may be.
    */
   readonly reasonNotToWrite: () => NotWrittenReason | undefined;
   /**
@@ -117,7 +119,7 @@
  * the response breaks. Of an event stream, only whole events are forwarded. A response that does not
  * name this request's attempt id belongs to another request: it is dropped and its connection closed.
  */
-export class BackendAttempt implements Dispatcher.DispatchHandler {
+export class BackendAttempt implements RequestHandler {
   readonly #options: AttemptOptions;
   readonly #sink: ResponseSink;
   readonly #tracker: EventStreamTracker;
@@ -180,23 +182,20 @@
   }
 
   run(): Promise<AttemptOutcome> {
-    const { hop, method, path, headers, body } = this.#options;
     return new Promise((resolve) => {
       this.#resolve = resolve;
       this.#restartInactivityTimer();
-      const request = {
-        method,
-        path,
-        headers: [...headers, ...hop.headers],
-        body: body.length === 0 ? null : body,
-      };
-      hop.connection.send(request, this, () => {
-        this.#isHandedOver = this.#mayWrite();
-        return this.#isHandedOver;
-      });
+      this.#options.hop.connection.send(() => this.#prepare(), this);
     });
   }
 
+  #prepare(): Dispatcher.DispatchOptions | undefined {
+    this.#isHandedOver = this.#mayWrite();
+    if (!this.#isHandedOver) return undefined;
+    const { hop, method, path, headers, body } = this.#options;
+    return { method, path, headers: [...headers(), ...hop.headers], body: body.length === 0 ? null : body };
+  }
+
   /**
    * Cancels the attempt. Resetting the connection makes the backend stop its work, and a request that it has not received
    * never arrives.
@@ -303,6 +302,10 @@
     } else this.#forwardComplete();
   }
 
+  onNotConnected(): void {
+    this.#finish({ kind: 'not-run', reason: this.#options.hop.unreachable });
+  }
+
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
     if (this.#cancelled) this.#finish({ kind: 'cancelled' });
     else if (!this.sent) this.#finish({ kind: 'not-run', reason: this.#options.hop.unreachable });
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -85,6 +85,9 @@
  */
 const RESPONSE_MARGIN_MS = 10;
 
+/** How long a backend may work on a request after its client has given up. */
+const MAX_UNWANTED_WORK_MS = 500;
+
 /** Handles one client request from its headers to the end of its response. */
 export class Exchange {
   readonly #context: ExchangeContext;
@@ -375,13 +378,14 @@
         clock,
         method: this.#request.method ?? 'GET',
         path: this.#request.url ?? '/',
-        headers: dialect.forwardHeaders(this.#request.rawHeaders, {
-          deadlineMs: Math.max(1, Math.floor(this.#remainingMs(route) - RESPONSE_MARGIN_MS)),
-          backendId: backend.id,
-          lastEventId,
-          priority: service.engine === undefined ? undefined : this.#admission.priority(route),
-          identity: this.#admission.identity,
-        }),
+        headers: () =>
+          dialect.forwardHeaders(this.#request.rawHeaders, {
+            deadlineMs: this.#backendDeadlineMs(route),
+            backendId: backend.id,
+            lastEventId,
+            priority: service.engine === undefined ? undefined : this.#admission.priority(route),
+            identity: this.#admission.identity,
+          }),
         body: this.#body,
         attemptId: this.#facts.attemptId ?? '',
         stream: route.kind === 'stream',
@@ -624,6 +628,17 @@
     return this.#timeoutMs(route) - this.#ageMs();
   }
 
+  /**
+   * Time that the backend may work on the request, in milliseconds. A request that may have lain unread has less than
+   * what is left by its age, but it may also have come just before it was read: so it gets at least the time for which
+   * a backend may work for a client that has left.
+   */
+  #backendDeadlineMs(route: HttpRoute): number {
+    const leftMs = this.#remainingMs(route) - RESPONSE_MARGIN_MS;
+    const surelyLeftMs = Math.max(leftMs - this.#unreadMs, Math.min(leftMs, MAX_UNWANTED_WORK_MS));
+    return Math.max(1, Math.floor(surelyLeftMs));
+  }
+
   #ageMs(): number {
     return this.#context.clock.now() - this.#arrivedMs;
   }
--- a/packages/gateway/test/running-node.ts
+++ b/packages/gateway/test/running-node.ts
@@ -5,7 +5,8 @@
 import { EventLogger, Telemetry } from '@canvasridge/telemetry';
 import type { ExecutionContext } from 'ava';
 import { GatewayNode, NO_KEY_LEASE, type KeyLease } from '../src/index.js';
-import { SERVICE, configuration, dialect, type RouteOverrides } from './harness.js';
+import type { RequestDialect } from '../src/request/dialect.js';
+import { SERVICE, configuration, dialect as testDialect, type RouteOverrides } from './harness.js';
 import { RawBackend, type RawResponder } from './raw-backend.js';
 
 const LOOPBACK = '127.0.0.1';
@@ -17,6 +18,7 @@
   /** If the configuration has tenants: the tenants, and how long a node may rely on that configuration. */
   readonly tenants?: { readonly all: readonly Tenant[]; readonly lease: KeyLease };
   readonly clock?: Clock;
+  readonly dialect?: RequestDialect;
   /** Grace period for a planned stop, in milliseconds. */
   readonly graceMs: number;
 }
@@ -42,7 +44,7 @@
 /** Starts a node with one route to a scripted backend. The caller has to stop the node. */
 export async function startNode(
   t: ExecutionContext,
-  { route = {}, graceMs, tenants, clock }: RunningNodeOptions,
+  { route = {}, graceMs, tenants, clock, dialect }: RunningNodeOptions,
   answer: RawResponder,
 ): Promise<RunningNode> {
   const attempts: string[] = [];
@@ -55,7 +57,7 @@
   fleet.applyConfiguration(configuration({ timeoutMs: 60_000, ...route }, tenants?.all));
   fleet.applyBackend(1, backend.description('i1', SERVICE));
   const nodeSettings = { nodeId: 'n1', peerPort: await freePort(), seeds: [], graceMs };
-  const started = await startGateway(fleet, nodeSettings, clock, tenants?.lease);
+  const started = await startGateway(fleet, nodeSettings, clock, tenants?.lease, dialect);
   return { ...started, attempts };
 }
 
@@ -114,6 +116,7 @@
   nodeSettings: NodeSettings,
   clock: Clock = new SystemClock(),
   keyLease: KeyLease = NO_KEY_LEASE,
+  dialect: RequestDialect = testDialect,
 ): Promise<Omit<RunningNode, 'attempts'>> {
   const lines: string[] = [];
   const port = await freePort();
