A leader is not asked for a slot for a client that has left

A request whose client left while its node waited for the end of a backoff was still queued at the leader: the signal that ends it had fired before anybody listened. Nothing withdrew it, so it stood before requests of clients that still waited, was granted a slot, and counted as served.

--- a/packages/gateway/src/cluster/remote-slots.ts
+++ b/packages/gateway/src/cluster/remote-slots.ts
@@ -73,6 +73,7 @@
     request: PoolRequest,
     cancelled: AbortSignal,
   ): Promise<SlotDecision | undefined> {
+    if (cancelled.aborted) return cancelledDecision(request.id);
     if (this.#clock.now() < this.#avoidLeaderUntilMs) return undefined;
     const peer = this.#network.to(address);
     const decided = this.#awaitDecision(address, peer, pool, request, cancelled);
@@ -99,6 +100,7 @@
     cancelled: AbortSignal,
     answerWithinMs: number,
   ): Promise<SlotDecision | undefined> {
+    if (cancelled.aborted) return cancelledDecision(request.id);
     if (this.#clock.now() < (this.#silentUntilMs.get(address) ?? -Infinity)) return undefined;
     const peer = this.#network.to(address);
     const decided = this.#awaitDecision(address, peer, pool, request, cancelled);
--- a/packages/gateway/src/cluster/slot-requester.ts
+++ b/packages/gateway/src/cluster/slot-requester.ts
@@ -284,6 +284,7 @@
   }
 
   #acquireHere(pool: GrantingPool, request: PoolRequest, cancelled: AbortSignal): Promise<SlotDecision> {
+    if (cancelled.aborted) return Promise.resolve(cancelledDecision(request.id));
     return new Promise((resolve) => {
       const onCancel = (): void => {
         pool.cancel(request.id);
