A late timer runs after the input that has arrived is read

After the process was held up, the event loop runs timers before it reads sockets. A timer often ends a wait for what lies there: an attempt was given up as silent although its response had arrived (the request ran twice, at the price of the retry budget), and a report of a crash did not wait for the answer of a home, so a request that crashes backends was sent to one more.

--- /dev/null
+++ b/packages/clock/test/system-clock.test.ts
@@ -0,0 +1,63 @@
+/** Timers of the system's clock when the event loop was held up. */
+import { createServer, connect, type AddressInfo, type Socket } from 'node:net';
+import test, { type ExecutionContext } from 'ava';
+import { SystemClock } from '../src/index.js';
+
+const TIMER_MS = 20;
+const HELD_UP_MS = 200;
+
+async function connectedPair(t: ExecutionContext): Promise<readonly [Socket, Socket]> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const accepted = new Promise<Socket>((resolve) => server.once('connection', resolve));
+  const near = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  const far = await accepted;
+  t.teardown(() => {
+    near.destroy();
+    far.destroy();
+    server.close();
+  });
+  return [near, far];
+}
+
+function holdUp(): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, HELD_UP_MS);
+}
+
+// Guards against taking a response that arrived while the process was held up for one that did not come in time.
+test('a timer that is late runs after the input that has arrived is read', async (t) => {
+  const clock = new SystemClock();
+  const [near, far] = await connectedPair(t);
+  const seen: string[] = [];
+  near.on('data', () => seen.push('input'));
+  await new Promise<void>((resolve) => {
+    // The loop runs timers before it reads sockets when this callback returns.
+    setImmediate(() => {
+      clock.setTimer(TIMER_MS, () => {
+        seen.push('timer');
+        resolve();
+      });
+      far.write('answer');
+      holdUp();
+    });
+  });
+  t.deepEqual(seen, ['input', 'timer']);
+});
+
+test('a late timer that is cancelled by the input never runs', async (t) => {
+  const clock = new SystemClock();
+  const [near, far] = await connectedPair(t);
+  let hasRun = false;
+  await new Promise<void>((resolve) => {
+    setImmediate(() => {
+      const timer = clock.setTimer(TIMER_MS, () => (hasRun = true));
+      near.on('data', () => {
+        timer.cancel();
+        clock.setTimer(TIMER_MS, resolve);
+      });
+      far.write('answer');
+      holdUp();
+    });
+  });
+  t.false(hasRun);
+});
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -67,6 +67,8 @@
 /** How long a configuration may be relied upon for access rights that can be revoked. */
 export const LEASE_MS = 3000;
 export const HOST = 'a.example';
+/** How long a request is quarantined. */
+const QUARANTINE_MS = 60_000;
 
 export interface RouteOverrides {
   readonly kind?: RouteKind;
@@ -162,6 +164,8 @@
   openRelay: Relays['open'] = () => Promise.resolve(undefined);
   /** The state of the paths to all backends. */
   pathState: PathState = 'working';
+  /** Whether the quarantine keeps all requests from backends. */
+  isQuarantined: () => boolean = () => false;
   /** Reports to the quarantine, in order. */
   readonly quarantineReports: string[] = [];
   readonly paths = {
@@ -313,8 +317,8 @@
       bodyMemory: this.bodyMemory,
       streamVersions: { began: () => undefined, find: () => Promise.resolve(undefined) },
       quarantine: {
-        isEmpty: true,
-        remainingMs: () => undefined,
+        isEmpty: false,
+        remainingMs: () => (this.isQuarantined() ? QUARANTINE_MS : undefined),
         retryAfterMs: () => 0,
         isTrialDue: () => false,
         requestTrial: () => Promise.resolve(false),
