--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -39,6 +39,11 @@
 } from './cluster/fleet-quotas.js';
 export { Directory } from './cluster/directory.js';
 export type { RetryBudgetOptions } from './backends/retry-budget.js';
+export {
+  RevocableClient,
+  type RequestHandler,
+  type RevocableClientOptions,
+} from './backends/revocable-client.js';
 export { RetryBudget } from './backends/retry-budget.js';
 export { GatewayMetrics } from './gateway-metrics.js';
 export {
--- a/packages/gateway/src/paths/path-recording-control.ts
+++ b/packages/gateway/src/paths/path-recording-control.ts
@@ -28,9 +28,13 @@
     return report;
   }
 
-  async order(backend: BackendDescription, order: EngineOrder): Promise<OrderReply> {
-    const reply = await this.#control.order(backend, order);
-    this.#record(backend, reply.kind !== 'unknown');
+  async order(
+    backend: BackendDescription,
+    order: EngineOrder,
+    isAllowed: () => boolean,
+  ): Promise<OrderReply> {
+    const reply = await this.#control.order(backend, order, isAllowed);
+    if (reply.kind !== 'not-sent') this.#record(backend, reply.kind !== 'unknown');
     return reply;
   }
 
--- a/packages/gateway/test/virtual-holders.ts
+++ b/packages/gateway/test/virtual-holders.ts
@@ -78,12 +78,16 @@
     return report;
   }
 
-  async order(backend: BackendDescription, order: EngineOrder): Promise<OrderReply> {
+  async order(
+    backend: BackendDescription,
+    order: EngineOrder,
+    isAllowed: () => boolean,
+  ): Promise<OrderReply> {
     if (this.isCut) {
       await this.#clock.sleep(ORDER_TIMEOUT_MS);
       return { kind: 'unknown', detail: 'no answer' };
     }
-    const reply = await this.#inner.order(backend, order);
+    const reply = await this.#inner.order(backend, order, isAllowed);
     await this.#clock.sleep(0);
     return reply;
   }
--- a/packages/slots/src/engine-control.ts
+++ b/packages/slots/src/engine-control.ts
@@ -41,7 +41,8 @@
  * Answer to an order. `accepted`: being carried out. `done`: carried out at once, or there was nothing to do.
  * `conflict`: not accepted because the count differs or another order is in progress. `fenced`: not accepted because
  * another holder has used a higher fence. `other-instance`: not accepted because the engine was restarted, or another one
- * runs at its address. `rejected`: refused as invalid. `unknown`: may or may not have been carried out.
+ * runs at its address. `rejected`: refused as invalid. `unknown`: may or may not have been carried out. `not-sent`: not
+ * allowed any more when it was to be written.
  */
 export type OrderReply =
   | { readonly kind: 'accepted' }
@@ -50,7 +51,8 @@
   | { readonly kind: 'fenced' }
   | { readonly kind: 'other-instance' }
   | { readonly kind: 'rejected'; readonly detail: string }
-  | { readonly kind: 'unknown'; readonly detail: string };
+  | { readonly kind: 'unknown'; readonly detail: string }
+  | { readonly kind: 'not-sent' };
 
 /** Longest time an order can be in flight, in milliseconds. An order not answered by then never arrives. */
 export const ORDER_TIMEOUT_MS = 600;
@@ -63,5 +65,6 @@
   onNotice(listener: NoticeListener): void;
   /** Resolves to undefined if the engine gave no usable answer. */
   report(backend: BackendDescription): Promise<EngineReport | undefined>;
-  order(backend: BackendDescription, order: EngineOrder): Promise<OrderReply>;
+  /** @param isAllowed asked again right before the order is written */
+  order(backend: BackendDescription, order: EngineOrder, isAllowed: () => boolean): Promise<OrderReply>;
 }
--- a/packages/slots/src/order-lease.ts
+++ b/packages/slots/src/order-lease.ts
@@ -197,7 +197,8 @@
     const fence = this.#fence.raiseTo(expectedCount);
     const startedMs = clock.now();
     const startedFleetMs = fleetClock.now();
-    const reply = await control.order(backend, { ...subject, expectedCount, holder: holder.name, fence });
+    const order = { ...subject, expectedCount, holder: holder.name, fence };
+    const reply = await control.order(backend, order, () => mayOrder() && this.#expects(expectedCount));
     telemetry.event('info', 'order.answered', backend.id, {
       action: subject.action,
       adapter: subject.adapter,
@@ -207,7 +208,12 @@
       tookMs: Math.round(clock.now() - startedMs),
     });
     this.#applyReply(subject, reply, expectedCount, startedFleetMs);
-    return reply;
+    return reply.kind === 'not-sent' ? { kind: 'not-held' } : reply;
+  }
+
+  /** Whether this node still holds the engine, and no order was counted since. */
+  #expects(count: number): boolean {
+    return this.#state.kind === 'held' && this.#state.nextCount === count;
   }
 
   /**
@@ -250,7 +256,7 @@
 
   #applyReply(subject: OrderSubject, reply: OrderReply, expectedCount: number, startedFleetMs: number): void {
     // If the lease was reset or closed while the reply was in flight, that takes precedence.
-    if (this.#state.kind !== 'held' || this.#state.nextCount !== expectedCount) return;
+    if (!this.#expects(expectedCount)) return;
     const sinceMs = this.#options.clock.now();
     switch (reply.kind) {
       case 'accepted':
@@ -268,6 +274,7 @@
         this.#enter({ kind: 'settling', possibleCounts: [expectedCount, expectedCount + 1], sinceMs });
         return;
       case 'rejected':
+      case 'not-sent':
         return;
       case 'fenced':
         this.#handleHigherFence(sinceMs);
