A request whose client left while it waited counts as one that got no slot

The share of a priority was that of decisions, granted of granted and refused; a request whose client left in the queue was neither. A kind whose clients mostly leave looked as if it were always served, and came after less urgent ones.

A node that gives up asking, as a leader was silent, says so (isWithdrawn, absent from earlier builds), and such a request counts in no share, as before. Pools of engines have the same list. 241 tests of slots, pools, messages and lists pass, rank-in-overload and short-timeout-route among them.

--- a/packages/gateway/src/cluster/remote-slots.ts
+++ b/packages/gateway/src/cluster/remote-slots.ts
@@ -122,7 +122,12 @@
       const decision = await decided;
       // Without this, a leader that gets the request late, or again after it was decided, would grant it to nobody.
       if (decision?.kind !== 'granted' && mayHold(reply))
-        peer.notify(CANCEL_METHOD, { pool, requestId: request.id, outcome: 'cancelled' });
+        peer.notify(CANCEL_METHOD, {
+          pool,
+          requestId: request.id,
+          outcome: 'cancelled',
+          isWithdrawn: !cancelled.aborted,
+        });
       return decision;
     }
   }
--- a/packages/gateway/src/cluster/slot-answers.ts
+++ b/packages/gateway/src/cluster/slot-answers.ts
@@ -68,7 +68,7 @@
   onCancel(params: ReleaseParams, peer: PeerConnection): void {
     const pool = this.#pools.get(params.pool)?.pool;
     this.#peerUses.forget(peer, params.requestId);
-    pool?.cancel(params.requestId);
+    pool?.cancel(params.requestId, params.isWithdrawn === true);
     pool?.release(params.requestId, 'cancelled');
   }
 
@@ -120,7 +120,7 @@
    */
   onPeerClosed(peer: PeerConnection): void {
     for (const { pool, requestId } of this.#peerUses.takeAll(peer)) {
-      this.#pools.get(pool)?.pool?.cancel(requestId);
+      this.#pools.get(pool)?.pool?.cancel(requestId, true);
       this.#pools.get(pool)?.pool?.release(requestId, 'cancelled');
     }
   }
--- a/packages/gateway/src/cluster/slot-protocol.ts
+++ b/packages/gateway/src/cluster/slot-protocol.ts
@@ -49,6 +49,8 @@
    * yet.
    */
   readonly leaving?: string;
+  /** Of {@link CANCEL_METHOD}: the sender gave up asking, and not its client. Absent from earlier builds. */
+  readonly isWithdrawn?: boolean;
   /** How fast the events of its stream came; absent from earlier builds and if it is not known. */
   readonly progress?: StreamProgress | undefined;
 }
--- a/packages/slots/src/backend-pool.ts
+++ b/packages/slots/src/backend-pool.ts
@@ -133,8 +133,9 @@
     this.#scheduleCheck();
   }
 
-  cancel(requestId: string): void {
-    this.#waiting.remove(requestId);
+  cancel(requestId: string, isWithdrawn = false): void {
+    if (isWithdrawn) this.#waiting.remove(requestId);
+    else this.#waiting.unserved(requestId, this.#options.clock.now());
   }
 
   started(): void {
@@ -287,7 +288,7 @@
         ahead += 1;
         continue;
       }
-      this.#waiting.refused(request.id, nowMs);
+      this.#waiting.unserved(request.id, nowMs);
       if (usable.length === 0) this.#refuse(waiting, 'no-backend', RETRY_WITHOUT_BACKEND_MS);
       else this.#refuse(waiting, 'no-slot-in-time', turnMs, ahead);
     }
--- a/packages/slots/src/granting-pool.ts
+++ b/packages/slots/src/granting-pool.ts
@@ -19,8 +19,11 @@
   startLeading(): void;
   /** Requests a slot. `decide` is called exactly once, possibly before this method returns. */
   acquire(request: PoolRequest, decide: (decision: SlotDecision) => void): void;
-  /** Removes a waiting request. */
-  cancel(requestId: string): void;
+  /**
+   * Removes a waiting request.
+   * @param isWithdrawn whether its node gave up asking, and not its client
+   */
+  cancel(requestId: string, isWithdrawn?: boolean): void;
   /** Called when the response of a granted request has started. */
   started(requestId: string): void;
   /**
--- a/packages/slots/src/refusal-policy.ts
+++ b/packages/slots/src/refusal-policy.ts
@@ -85,7 +85,7 @@
     const leftMs = request.startWithinMs - ageMs;
     const turnMs = (aheadCount + 1) * gapMs;
     if (!engines.servesRequest(request) && ageMs >= NO_ENGINE_GRACE_MS) {
-      list.refused(request.id, nowMs);
+      list.unserved(request.id, nowMs);
       // The model may be served only by engines that this request's node must not use. A retry through another node can
       // reach them.
       const isServed = engines.serves(request.model);
@@ -96,7 +96,7 @@
     const rateTurnMs = ((aheadCount + 1) / (engines.ratePerSecond(request) ?? Infinity)) * 1000;
     const waitMs = Math.max(this.#expectedWaitMs(waiting, turnMs, nowMs), rateTurnMs);
     if (waitMs <= leftMs) return false;
-    list.refused(request.id, nowMs);
+    list.unserved(request.id, nowMs);
     refuse(waiting, 'no-slot-in-time', Math.min(waitMs, MAX_RETRY_AFTER_MS));
     return true;
   }
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -278,9 +278,9 @@
     this.schedule();
   }
 
-  /** Removes a waiting request whose client left or that is served in another way. */
-  cancel(requestId: string): void {
-    this.#waiting.remove(requestId);
+  cancel(requestId: string, isWithdrawn = false): void {
+    if (isWithdrawn) this.#waiting.remove(requestId);
+    else this.#waiting.unserved(requestId, this.#options.clock.now());
   }
 
   /** Called when the first event of a granted request arrives from its engine. */
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -127,8 +127,8 @@
     return waiting;
   }
 
-  /** Removes a request that is refused. */
-  refused(id: string, nowMs: number): void {
+  /** Removes a request that is refused, or whose client left while it waited. */
+  unserved(id: string, nowMs: number): void {
     const waiting = this.remove(id);
     if (waiting !== undefined) this.#shares.recordRefused(waiting.request, nowMs);
   }
