A refresh of the list asks anew what was asked before a stall

A follower that was held up finds the answers to the questions of its last round in its sockets, as old as the time for which it was held up. A sender that wanted a newer list joined these questions in place of asking again, and took the readers as asked a moment ago, so it sent to backends that had left longer ago than the drain bound.

--- a/packages/gateway/src/cluster/state-follower.ts
+++ b/packages/gateway/src/cluster/state-follower.ts
@@ -83,6 +83,12 @@
   readonly onConfigurationOffered: (version: number, address: string, isSameZone: boolean) => void;
 }
 
+/** A question to a reader that is not answered yet. */
+interface PendingAnswer {
+  readonly askedMs: number;
+  readonly answered: Promise<void>;
+}
+
 /**
  * Decides which nodes read the published state from the store, and keeps the other nodes up to date by asking
  * those. The limit on calls to the store applies to all nodes together, so in a large fleet a few nodes read
@@ -100,7 +106,7 @@
   /** Rises with each poll, so that the readers are asked in turn. */
   #rotation = 0;
   /** Requests that are not answered yet, by the reader's id. */
-  readonly #pendingAnswers = new Map<string, Promise<void>>();
+  readonly #pendingAnswers = new Map<string, PendingAnswer>();
   #cachedReaders: { readonly ranked: readonly string[]; readonly readers: readonly string[] } | undefined;
   #refreshing: Promise<void> | undefined;
   #refreshedMs = -Infinity;
@@ -223,7 +229,8 @@
   async #refresh(): Promise<void> {
     const { clock, budget, selfId } = this.#options;
     const readers = this.#readers().filter((id) => id !== selfId);
-    const answered = Promise.all(readers.map((id) => this.#ask(id)));
+    // An answer to an older question may be as old as the time for which this process was held up.
+    const answered = Promise.all(readers.map((id) => this.#ask(id, budget.hedgeMs)));
     await Promise.race([answered, clock.sleep(MAX_SENDER_WAIT_HEDGES * budget.hedgeMs)]);
     this.#refreshedMs = clock.now();
     this.#refreshing = undefined;
@@ -303,13 +310,16 @@
     }
   }
 
-  /** Asks a reader, unless its answer to the previous request is still pending. */
-  #ask(id: string): Promise<void> {
-    const open = this.#pendingAnswers.get(id);
-    if (open !== undefined) return open;
-    const asked = this.#askOnce(id).finally(() => this.#pendingAnswers.delete(id));
-    this.#pendingAnswers.set(id, asked);
-    return asked;
+  /** Asks a reader, unless its answer to a previous question is still pending that is not older than this. */
+  #ask(id: string, maxPendingMs = Infinity): Promise<void> {
+    const nowMs = this.#options.clock.now();
+    const pending = this.#pendingAnswers.get(id);
+    if (pending !== undefined && nowMs - pending.askedMs <= maxPendingMs) return pending.answered;
+    const answered = this.#askOnce(id).finally(() => {
+      if (this.#pendingAnswers.get(id)?.answered === answered) this.#pendingAnswers.delete(id);
+    });
+    this.#pendingAnswers.set(id, { askedMs: nowMs, answered });
+    return answered;
   }
 
   async #askOnce(id: string): Promise<void> {
