The bound on unread time is that of the last stalls, not of all that follow one another

Found in review; no callers saw it.

It runs on the steady clock now, counts from 400 ms of lateness on (backends may work 500 ms longer anyway), and each stall ends half a second of undisturbed time later. Left: a machine that was suspended does not see its own suspension here.

--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -8,6 +8,6 @@
 export { jittered, Backoff, type BackoffOptions } from './backoff.js';
 export { Notifier } from './notifier.js';
 export { pendingInputHandled } from './pending-input.js';
-export { ReadDelay } from './read-delay.js';
+export { ReadDelay, type ReadDelayTiming } from './read-delay.js';
 export { EventLoopTimes } from './event-loop-times.js';
 export { SuspendableClock } from './suspendable-clock.js';
--- a/packages/clock/src/read-delay.ts
+++ b/packages/clock/src/read-delay.ts
@@ -1,32 +1,38 @@
 import type { Clock, Timer } from './clock.js';
 
-/** Time in which the process was held up, by the clock. */
+/** A time in which the process was held up, by the clock. */
 interface Stall {
   readonly startedMs: number;
-  readonly endedMs: number;
+  /** Until when input may be read that has lain unread since the stall. */
+  countsUntilMs: number;
+}
+
+/** Time limits of a {@link ReadDelay}, in milliseconds. */
+export interface ReadDelayTiming {
+  /** Interval of the timer that shows stalls. */
+  readonly periodMs: number;
+  /** A timer that is this late shows a stall. */
+  readonly minStallMs: number;
+  /** How long a stall counts after it has ended, not counting later stalls. */
+  readonly settleMs: number;
 }
 
 /**
- * Bounds how long the input that the process handles now may have lain unread, as the process was held up. A timer that
- * runs late shows a stall. The connections that waited meanwhile are accepted one in a turn of the event loop, so a stall
- * counts for some time after it has ended. Connections that wait without a stall are not seen.
+ * Bounds how long the input that the process handles now may have lain unread, as the process was held up. The
+ * connections that waited meanwhile are accepted one in a turn of the event loop, so a stall counts for some time after
+ * it has ended. Connections that wait without a stall are not seen.
  */
 export class ReadDelay {
   readonly #clock: Clock;
-  readonly #periodMs: number;
-  readonly #settleMs: number;
+  readonly #timing: ReadDelayTiming;
   #lastRunMs: number;
-  #stall: Stall | undefined;
+  /** Stalls that count, in order. */
+  #stalls: Stall[] = [];
   #timer: Timer | undefined;
 
-  /**
-   * @param periodMs interval of the timer; shorter stalls are not seen
-   * @param settleMs how long a stall counts after it has ended
-   */
-  constructor(clock: Clock, periodMs: number, settleMs: number) {
+  constructor(clock: Clock, timing: ReadDelayTiming) {
     this.#clock = clock;
-    this.#periodMs = periodMs;
-    this.#settleMs = settleMs;
+    this.#timing = timing;
     this.#lastRunMs = clock.now();
     this.#schedule();
   }
@@ -34,9 +40,8 @@
   /** The longest time for which input that is handled now may have lain unread, in milliseconds; 0 without a stall. */
   get maxMs(): number {
     this.#look();
-    const nowMs = this.#clock.now();
-    const stall = this.#stall;
-    return stall === undefined || this.#isOver(stall, nowMs) ? 0 : nowMs - stall.startedMs;
+    const [oldest] = this.#stalls;
+    return oldest === undefined ? 0 : this.#clock.now() - oldest.startedMs;
   }
 
   stop(): void {
@@ -44,23 +49,22 @@
   }
 
   #schedule(): void {
-    this.#timer = this.#clock.setTimer(this.#periodMs, () => {
+    this.#timer = this.#clock.setTimer(this.#timing.periodMs, () => {
       this.#look();
-      this.#lastRunMs = this.#clock.now();
       this.#schedule();
     });
   }
 
-  /** Records a stall if the timer is late. A stall that follows another one closely continues it. */
   #look(): void {
+    const { periodMs, minStallMs, settleMs } = this.#timing;
+    const startedMs = this.#lastRunMs;
     const nowMs = this.#clock.now();
-    if (nowMs - this.#lastRunMs <= 2 * this.#periodMs) return;
-    const before = this.#stall;
-    const isContinued = before !== undefined && !this.#isOver(before, this.#lastRunMs);
-    this.#stall = { startedMs: isContinued ? before.startedMs : this.#lastRunMs, endedMs: nowMs };
-  }
-
-  #isOver({ endedMs }: Stall, atMs: number): boolean {
-    return atMs - endedMs > this.#settleMs;
+    this.#lastRunMs = nowMs;
+    this.#stalls = this.#stalls.filter(({ countsUntilMs }) => countsUntilMs >= startedMs);
+    if (nowMs - startedMs > periodMs + minStallMs) {
+      for (const stall of this.#stalls) stall.countsUntilMs += nowMs - startedMs;
+      this.#stalls.push({ startedMs, countsUntilMs: nowMs + settleMs });
+    }
+    this.#stalls = this.#stalls.filter(({ countsUntilMs }) => countsUntilMs >= nowMs);
   }
 }
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { QuotaRule } from '@canvasridge/admission';
-import { ContinuousClock, Random, ReadDelay, hashSeed } from '@canvasridge/clock';
+import { ContinuousClock, Random, ReadDelay, hashSeed, type ReadDelayTiming } from '@canvasridge/clock';
 import { UdpTransport } from '@canvasridge/membership';
 import type { Departure, FleetState, HttpRoute, NewEra } from '@canvasridge/serving';
 import { err, ok, type Result } from 'neverthrow';
@@ -84,10 +84,11 @@
 /** Share of the process's memory for request bodies: 37 MB of 250, beside a heap of at most 128 MB. */
 const BODY_MEMORY_SHARE = 0.15;
 const SECOND_MS = 1000;
-/** Interval of the timer that shows stalls of this process. */
-const STALL_CHECK_MS = 100;
-/** After a stall, connections that waited meanwhile may be accepted for this long. */
-const STALL_SETTLE_MS = 500;
+/**
+ * How long requests may have lain unread: shorter stalls do not matter, as backends may work that much longer; after a
+ * stall, connections that waited are accepted for some time.
+ */
+const READ_DELAY_TIMING: ReadDelayTiming = { periodMs: 100, minStallMs: 400, settleMs: 500 };
 
 /** A gateway node, which accepts requests from clients and forwards them to backends unchanged. */
 export class GatewayNode {
@@ -319,7 +320,7 @@
     };
     this.#relayServer = new RelayServer({ ...this.#context, hops });
     this.#clients = new ClientServer((request, response) => this.#serve(request, response));
-    this.#readDelay = new ReadDelay(fleetClock, STALL_CHECK_MS, STALL_SETTLE_MS);
+    this.#readDelay = new ReadDelay(clock, READ_DELAY_TIMING);
     this.#loopLag = new LoopLag(clock, (busy) => this.#onBusyChanged(busy));
     fleet.onChange((change) => this.#onFleetChanged(change));
     fleet.onDeparture((departure) => this.#onDeparture(departure));
