A relaying node that could not be reached is told to those who choose it

Found in review, a fault of: what the connection was told of an attempt that had not been handed over was always 'not sent', so a relaying node without a connection stayed chosen for up to two seconds, each request at the price of a connect timeout. Only an attempt that was cancelled before it was handed over leaves its connection untouched now.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -402,9 +402,13 @@
       this.#sink,
     );
     this.#attempt = attempt;
-    const outcome = await attempt.run();
+    const outcome = await attempt.run().catch((cause: unknown) => {
+      hop.release(NOT_SENT);
+      throw cause;
+    });
     this.#attempt = undefined;
-    hop.release(attempt.isHandedOver ? outcome : NOT_SENT);
+    const isUntouched = outcome.kind === 'cancelled' && !attempt.isHandedOver;
+    hop.release(isUntouched ? NOT_SENT : outcome);
     if (hop.relay !== undefined && isRelayFailure(outcome)) this.#excludedRelays.add(hop.relay);
     this.#lastEventId = attempt.lastEventId;
     this.#progress = attempt.progress;
