A request is never written to a connection that has ended, nor made for another one

Found in review, faults of: a connection whose other side ended it in the two turns before its first request was handed on, and the request hung until its timeout; on a kept connection that ended between the making of a request and its write, the HTTP client opened another one by itself, outside the limit and with the deadline of before.

The HTTP client takes over only the connection that was prepared. If a kept one ends before the write, the request is made anew for a new one; a new one that ends at once is a failed connect, so nothing was sent. Sends that overlap on one connection do not end each other's; a closed connection is not pooled; a request that can't be made fails its attempt. A kept connection waits one turn besides the HTTP client's own, two in all as before's three.

--- a/packages/gateway/src/backends/backend-connection.ts
+++ b/packages/gateway/src/backends/backend-connection.ts
@@ -85,11 +85,13 @@
 
   /** Closes a connection that is idle. */
   close(): void {
+    this.#connected = false;
     this.#client.close();
   }
 
   /** Ends the connection and takes back its request, if the backend has not received it yet. */
   reset(): void {
+    this.#connected = false;
     this.#client.reset();
   }
 
--- a/packages/gateway/src/backends/revocable-client.ts
+++ b/packages/gateway/src/backends/revocable-client.ts
@@ -29,6 +29,13 @@
   onNotConnected(cause: Error): void;
 }
 
+/** Why a request was not sent: its connection ended after the request had been made and before it was written. */
+class EndedBeforeWrite extends Error {
+  constructor() {
+    super('the connection ended before the request was written');
+  }
+}
+
 /**
  * An HTTP/1.1 client with one connection, for one request at a time, that neither sends what was decided on outdated
  * input nor leaves behind what was given up:
@@ -46,6 +53,8 @@
   #socket: Socket | undefined;
   /** Whether the HTTP client has taken the connection over. */
   #isTakenOver = false;
+  /** Requests that wait for the connection. */
+  #waiting = 0;
 
   constructor(options: RevocableClientOptions) {
     this.#options = options;
@@ -58,15 +67,7 @@
     this.#client = new Client(`http://${options.address}`, {
       ...options.client,
       pipelining: 1,
-      connect: (_, callback) => {
-        this.#open().then(
-          (socket) => {
-            this.#isTakenOver = true;
-            callback(null, socket);
-          },
-          (cause: Error) => callback(cause, null),
-        );
-      },
+      connect: (_, callback) => this.#takeOver(callback),
     });
     this.#client.on('disconnect', () => this.#handleEnd());
   }
@@ -79,15 +80,15 @@
    *   turn of the event loop after `prepare`
    */
   send(prepare: () => Dispatcher.DispatchOptions | undefined, handler: RequestHandler): void {
-    const isOpen = this.#open().then(pendingInputHandled);
-    void isOpen.then(
-      () => {
+    this.#waiting += 1;
+    void this.#ready()
+      .finally(() => (this.#waiting -= 1))
+      .then(() => {
         const request = prepare();
-        if (request !== undefined) this.#client.dispatch(request, handler);
-        else if (!this.#isTakenOver) this.#socket?.destroy();
-      },
-      (cause: Error) => handler.onNotConnected(cause),
-    );
+        if (request !== undefined) this.#client.dispatch(request, this.#sentOnce(prepare, handler));
+        else if (!this.#isTakenOver && this.#waiting === 0) this.#socket?.destroy();
+      })
+      .catch((cause: unknown) => handler.onNotConnected(toError(cause)));
   }
 
   get isClosed(): boolean {
@@ -106,10 +107,57 @@
     this.#client.destroy().catch(() => undefined);
   }
 
+  /**
+   * Resolves when there is a connection and the input has been handled that had arrived by then. A connection that was
+   * used before and has ended is replaced; a new one that ended at once is a failure.
+   */
+  async #ready(): Promise<void> {
+    for (;;) {
+      const isNew = !this.#isTakenOver;
+      const socket = await this.#open();
+      // The HTTP client lets another turn pass before it writes to a connection that was used before.
+      await (isNew ? pendingInputHandled() : nextTurn());
+      if (socket === this.#socket && isOpen(socket) && !this.#client.destroyed) return;
+      if (isNew) throw new EndedBeforeWrite();
+    }
+  }
+
+  /**
+   * The handler as the HTTP client calls it. If the connection ends before the request is written, the request is made
+   * anew, as the time that it says is left passes while another connection is opened.
+   */
+  #sentOnce(
+    prepare: () => Dispatcher.DispatchOptions | undefined,
+    handler: RequestHandler,
+  ): Dispatcher.DispatchHandler {
+    return {
+      onRequestStart: (...parameters) => handler.onRequestStart?.(...parameters),
+      onResponseStart: (...parameters) => handler.onResponseStart?.(...parameters),
+      onResponseData: (...parameters) => handler.onResponseData?.(...parameters),
+      onResponseEnd: (...parameters) => handler.onResponseEnd?.(...parameters),
+      onResponseError: (controller, error) => {
+        if (error instanceof EndedBeforeWrite && !this.#client.destroyed) this.send(prepare, handler);
+        else handler.onResponseError?.(controller, error);
+      },
+    };
+  }
+
+  /** Gives the HTTP client the open connection. It never opens one by itself. */
+  #takeOver(callback: buildConnector.Callback): void {
+    const socket = this.#socket;
+    const isUsable = socket !== undefined && !this.#isTakenOver && isOpen(socket);
+    if (isUsable) this.#isTakenOver = true;
+    // The HTTP client expects no answer within its call.
+    queueMicrotask(() => {
+      if (isUsable) callback(null, socket);
+      else callback(new EndedBeforeWrite(), null);
+    });
+  }
+
   /** Resolves with the open connection; opens one if there is none. */
   #open(): Promise<Socket> {
     const socket = this.#socket;
-    if (socket !== undefined && !socket.destroyed) return Promise.resolve(socket);
+    if (socket !== undefined && isOpen(socket)) return Promise.resolve(socket);
     const [hostname = '', port = ''] = this.#options.address.split(':');
     return new Promise((resolve, reject) => {
       this.#connector({ hostname, port, protocol: 'http:' }, (failure, opened) => {
@@ -135,8 +183,22 @@
 
   #handleEnd(): void {
     this.#socket = undefined;
+    this.#isTakenOver = false;
     this.#options.onDisconnected();
   }
 }
 
+/** Whether neither side has ended the connection, as far as that was read. */
+function isOpen(socket: Socket): boolean {
+  return !socket.destroyed && !socket.readableEnded;
+}
+
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+function toError(cause: unknown): Error {
+  return cause instanceof Error ? cause : new Error(String(cause));
+}
+
 const KEEP_ALIVE_PROBE_MS = 1000;
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -181,19 +181,30 @@
     return this.#tracker.lastEventId;
   }
 
+  /** Rejects if the request can't be made, which is a defect; nothing was sent then. */
   run(): Promise<AttemptOutcome> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       this.#resolve = resolve;
       this.#restartInactivityTimer();
-      this.#options.hop.connection.send(() => this.#prepare(), this);
+      const prepare = (): Dispatcher.DispatchOptions | undefined => {
+        try {
+          return this.#prepare();
+        } catch (cause) {
+          this.#inactivityTimer?.cancel();
+          reject(cause instanceof Error ? cause : new Error(String(cause)));
+          return undefined;
+        }
+      };
+      this.#options.hop.connection.send(prepare, this);
     });
   }
 
   #prepare(): Dispatcher.DispatchOptions | undefined {
-    this.#isHandedOver = this.#mayWrite();
-    if (!this.#isHandedOver) return undefined;
     const { hop, method, path, headers, body } = this.#options;
-    return { method, path, headers: [...headers(), ...hop.headers], body: body.length === 0 ? null : body };
+    if (!this.#mayWrite()) return undefined;
+    const allHeaders = [...headers(), ...hop.headers];
+    this.#isHandedOver = true;
+    return { method, path, headers: allHeaders, body: body.length === 0 ? null : body };
   }
 
   /**
