Test of a silent relaying node: its deadline passes by a clock of the test

It failed once on a busy machine (503 in place of 504: the request's 300 ms were over before it was written, so it was true that nothing ran). The deadline passes now when the request has reached the relaying node.

--- a/packages/gateway/test/relay-break.test.ts
+++ b/packages/gateway/test/relay-break.test.ts
@@ -1,5 +1,6 @@
 /** What a node that sends a request through another one makes of a break of the link between the two in mid-request. */
 import type { Socket } from 'node:net';
+import { VirtualClock, type Clock } from '@canvasridge/clock';
 import test, { type ExecutionContext } from 'ava';
 import { BackendConnections } from '../src/backends/backend-connections.js';
 import { RelayHop } from '../src/relay/relay-hop.js';
@@ -15,6 +16,8 @@
   readonly chosen: string[];
 }
 
+const TIMEOUT_MS = 300;
+
 const answers: RawResponder = (socket, id) => socket.write(success(id, 'answer'));
 const breaks: RawResponder = (socket) => socket.resetAndDestroy();
 
@@ -23,8 +26,9 @@
   t: ExecutionContext,
   route: RouteOverrides,
   responders: readonly RawResponder[],
+  clock?: Clock,
 ): Promise<RelayedGateway> {
-  const harness = await Harness.start(route, [answers, answers]);
+  const harness = await Harness.start(route, [answers, answers], clock);
   const connections = new BackendConnections();
   const peers = await Promise.all(responders.map((respond) => RawBackend.start(respond)));
   const chosen: string[] = [];
@@ -96,8 +100,15 @@
 });
 
 test('a request through a link that stays silent ends at its deadline', async (t) => {
-  const { harness } = await startBehind(t, { kind: 'at-most-once', timeoutMs: 300 }, [() => undefined]);
-  t.is((await harness.call('a1')).status, 504);
+  const clock = new VirtualClock();
+  let arrive = (): void => undefined;
+  const arrived = new Promise<void>((resolve) => (arrive = resolve));
+  const route = { kind: 'at-most-once', timeoutMs: TIMEOUT_MS } as const;
+  const { harness } = await startBehind(t, route, [() => arrive()], clock);
+  const response = harness.call('a1');
+  await arrived;
+  await clock.runUntil(TIMEOUT_MS);
+  t.is((await response).status, 504);
 });
 
 test('when the client leaves, the connection to the relaying node is reset', async (t) => {
