--- a/packages/gateway/src/paths/http-probe.ts
+++ b/packages/gateway/src/paths/http-probe.ts
@@ -1,4 +1,8 @@
 import { request } from 'node:http';
+import { SystemClock } from '@canvasridge/clock';
+
+/** Its late timers run after the input that has arrived meanwhile is read. */
+const CLOCK = new SystemClock();
 
 /** Tests whether a backend can be reached. */
 export interface PathProbe {
@@ -25,12 +29,11 @@
           agent: false,
         });
         const finish = (isAnswered: boolean): void => {
-          clearTimeout(timer);
+          timer.cancel();
           outgoing.destroy();
           resolve(isAnswered);
         };
-        // A process that was suspended or busy first reads what has arrived meanwhile.
-        const timer = setTimeout(() => setImmediate(() => finish(false)), timeoutMs);
+        const timer = CLOCK.setTimer(timeoutMs, () => finish(false));
         outgoing.once('response', () => finish(true));
         outgoing.on('error', () => finish(false));
         outgoing.end();
--- a/packages/gateway/src/peers/peer-network.ts
+++ b/packages/gateway/src/peers/peer-network.ts
@@ -1,9 +1,12 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
+import { SystemClock } from '@canvasridge/clock';
 import { err, ok, type Result } from 'neverthrow';
 import { PeerConnection, type PeerMethods } from './peer-connection.js';
 import { PeerTraffic } from './peer-traffic.js';
 
 const CONNECT_TIMEOUT_MS = 400;
+/** Its late timers run after it is known whether the connection was accepted meanwhile. */
+const CLOCK = new SystemClock();
 
 export interface PeerListenError {
   readonly kind: 'cannot-listen';
@@ -68,9 +71,9 @@
       keepAlive: true,
       keepAliveInitialDelay: 1000,
     });
-    const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
-    socket.once('connect', () => clearTimeout(timer));
-    socket.once('close', () => clearTimeout(timer));
+    const timer = CLOCK.setTimer(CONNECT_TIMEOUT_MS, () => socket.destroy());
+    socket.once('connect', () => timer.cancel());
+    socket.once('close', () => timer.cancel());
     socket.once('error', (cause: NodeJS.ErrnoException) => {
       if (cause.code === 'ECONNREFUSED') this.#onRefused(address);
     });
