--- a/packages/gateway/src/cluster/loop-lag.ts
+++ b/packages/gateway/src/cluster/loop-lag.ts
@@ -6,7 +6,7 @@
 /** A sample counts up to this value, as a pause of the whole process is no sign of load. */
 const MAX_SAMPLE_MS = 80;
 /**
- * Mean timer delay above which this process counts as busy: a request passes the event loop about four times
+ * Mean timer delay above which this process counts as busy: a request passes the event loop about five times
  * between its header and its first byte, and so loses a tenth of a second.
  */
 const BUSY_LAG_MS = 25;
