--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -25,6 +25,7 @@
   type NotWrittenReason,
   type InactivityLimit,
 } from './backend-attempt.js';
+import { backendDeadlineMs } from './backend-deadline.js';
 import type { BackendHops } from './backend-hops.js';
 import { readBody } from './body.js';
 import { hasClientLeft } from './client-presence.js';
@@ -79,15 +80,6 @@
 
 /** Maximum number of attempts to send one request, including those that were refused. */
 const MAX_SENDS = 5;
-/**
- * Subtracted from the deadline that is passed to the backend, to leave time for sending the response to the
- * client.
- */
-const RESPONSE_MARGIN_MS = 10;
-
-/** How long a backend may work on a request after its client has given up. */
-const MAX_UNWANTED_WORK_MS = 500;
-
 /** Handles one client request from its headers to the end of its response. */
 export class Exchange {
   readonly #context: ExchangeContext;
@@ -380,7 +372,7 @@
         path: this.#request.url ?? '/',
         headers: () =>
           dialect.forwardHeaders(this.#request.rawHeaders, {
-            deadlineMs: this.#backendDeadlineMs(route),
+            deadlineMs: backendDeadlineMs(this.#remainingMs(route), this.#unreadMs),
             backendId: backend.id,
             lastEventId,
             priority: service.engine === undefined ? undefined : this.#admission.priority(route),
@@ -632,17 +624,6 @@
     return this.#timeoutMs(route) - this.#ageMs();
   }
 
-  /**
-   * Time that the backend may work on the request, in milliseconds. A request that may have lain unread has less than
-   * what is left by its age, but it may also have come just before it was read: so it gets at least the time for which
-   * a backend may work for a client that has left.
-   */
-  #backendDeadlineMs(route: HttpRoute): number {
-    const leftMs = this.#remainingMs(route) - RESPONSE_MARGIN_MS;
-    const surelyLeftMs = Math.max(leftMs - this.#unreadMs, Math.min(leftMs, MAX_UNWANTED_WORK_MS));
-    return Math.max(1, Math.floor(surelyLeftMs));
-  }
-
   #ageMs(): number {
     return this.#context.clock.now() - this.#arrivedMs;
   }
