--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -76,6 +76,8 @@
    * Returns why it must not be written, or undefined if it may be.
    */
   readonly reasonNotToWrite: () => NotWrittenReason | undefined;
+  /** Called when the request is written. */
+  readonly onWritten: () => void;
   /**
    * Called with what the backend announces about itself, as soon as the headers of its response have
    * arrived.
@@ -232,6 +234,7 @@
       return;
     }
     this.#sentMs = this.#options.clock.now();
+    this.#options.onWritten();
   }
 
   onResponseStart(
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -124,9 +124,9 @@
   #progress: StreamProgress | undefined;
   /** Age of the request when the last backend was picked, in milliseconds. */
   #pickedMs: number | undefined;
-  /** Age of the backend list when the last attempt was about to be written, in milliseconds. */
+  /** Age of the backend list when the last attempt was written, in milliseconds. */
   #listAgeMs: number | undefined;
-  /** Age of the request when its last attempt was about to be written, in milliseconds. */
+  /** Age of the request when its last attempt was written, in milliseconds. */
   #sentMs: number | undefined;
 
   /** Retry-After of the response, in milliseconds, if it has one. */
@@ -384,6 +384,10 @@
         lastEventId: this.#lastEventId,
         inactivityLimit: this.#inactivityLimit(route, backend.id),
         reasonNotToWrite: () => this.#reasonNotToWrite(route, backend.id),
+        onWritten: () => {
+          this.#sentMs = this.#ageMs();
+          this.#listAgeMs = this.#context.listAgeMs();
+        },
         onNotice: (notice) =>
           this.#context.notices.handleNotice(backend.id, notice, picked.isChargedToRateLimit),
         onStarted: () => {
@@ -429,8 +433,6 @@
       this.#remainingMs(route) > 0 &&
       this.#admission.isStillIdentified(route) &&
       !this.#quarantine.isQuarantined;
-    this.#sentMs = this.#ageMs();
-    this.#listAgeMs = this.#context.listAgeMs();
     if (!isAllowed) return 'not-allowed';
     if (this.#context.fleet.isLeaving(backendId)) return 'leaving';
     if (this.#context.availability.isBackingOff(backendId)) return 'backing-off';
