The end of a connection is never taken for that of its successor

By reading: the HTTP client's word that a connection has ended forgot whichever one was open then. A test that opens a connection as the one before it ends passes with and without the change, so this was not shown to happen; it holds now whatever the order. 101 tests of requests, relays, orders and cut-off nodes pass.

--- a/packages/gateway/src/backends/revocable-client.ts
+++ b/packages/gateway/src/backends/revocable-client.ts
@@ -51,8 +51,8 @@
   readonly #client: Client;
   /** The connection, from its opening to its end. */
   #socket: Socket | undefined;
-  /** Whether the HTTP client has taken the connection over. */
-  #isTakenOver = false;
+  /** The connection that the HTTP client has taken over, until it tells that it has ended. */
+  #takenOver: Socket | undefined;
   /** Requests that wait for the connection. */
   #waiting = 0;
 
@@ -69,7 +69,12 @@
       pipelining: 1,
       connect: (_, callback) => this.#takeOver(callback),
     });
-    this.#client.on('disconnect', () => this.#handleEnd());
+    this.#client.on('disconnect', () => {
+      const ended = this.#takenOver;
+      this.#takenOver = undefined;
+      // Its successor may be open already.
+      if (this.#socket === ended) this.#handleEnd();
+    });
   }
 
   /**
@@ -85,7 +90,7 @@
       .finally(() => (this.#waiting -= 1))
       .then(() => {
         const request = prepare();
-        if (request !== undefined) this.#client.dispatch(request, this.#sentOnce(prepare, handler));
+        if (request !== undefined) this.#client.dispatch(request, this.#resending(prepare, handler));
         else if (!this.#isTakenOver && this.#waiting === 0) this.#socket?.destroy();
       })
       .catch((cause: unknown) => handler.onNotConnected(toError(cause)));
@@ -107,6 +112,10 @@
     this.#client.destroy().catch(() => undefined);
   }
 
+  get #isTakenOver(): boolean {
+    return this.#socket !== undefined && this.#socket === this.#takenOver;
+  }
+
   /**
    * Resolves when there is a connection and the input has been handled that had arrived by then. A connection that was
    * used before and has ended is replaced; a new one that ended at once is a failure.
@@ -126,7 +135,7 @@
    * The handler as the HTTP client calls it. If the connection ends before the request is written, the request is made
    * anew, as the time that it says is left passes while another connection is opened.
    */
-  #sentOnce(
+  #resending(
     prepare: () => Dispatcher.DispatchOptions | undefined,
     handler: RequestHandler,
   ): Dispatcher.DispatchHandler {
@@ -146,7 +155,7 @@
   #takeOver(callback: buildConnector.Callback): void {
     const socket = this.#socket;
     const isUsable = socket !== undefined && !this.#isTakenOver && isOpen(socket);
-    if (isUsable) this.#isTakenOver = true;
+    if (isUsable) this.#takenOver = socket;
     // The HTTP client expects no answer within its call.
     queueMicrotask(() => {
       if (isUsable) callback(null, socket);
@@ -173,7 +182,6 @@
 
   #track(socket: Socket): Socket {
     this.#socket = socket;
-    this.#isTakenOver = false;
     socket.once('close', () => {
       if (this.#socket === socket && !this.#isTakenOver) this.#handleEnd();
     });
@@ -183,7 +191,6 @@
 
   #handleEnd(): void {
     this.#socket = undefined;
-    this.#isTakenOver = false;
     this.#options.onDisconnected();
   }
 }
