Sight: what a silent attempt's backend and the others of its service sent meanwhile

The lines of a stream that ended midway did not tell how long its backend had sent nothing, nor whether others did. attempt.silent names both when an attempt reaches its limit of silence; request.finished has silentMs, the silence of the last attempt at its end. No logic is changed.

--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -93,6 +93,8 @@
    * When an attempt that receives nothing is given up; undefined for no limit besides the request's timeout.
    */
   readonly inactivityLimit: InactivityLimit | undefined;
+  /** Called when the attempt has received nothing for its limit. */
+  readonly onInactive: () => void;
 }
 
 /**
@@ -135,6 +137,8 @@
   #firstEvents = 0;
   /** When the last events of a stream arrived. */
   #lastEventsMs = 0;
+  /** When anything was last received; before that, when the attempt began. */
+  #activeMs: number;
   /** Whether the client read so slowly that the backend had to wait. */
   #wasPaused = false;
   #status = 0;
@@ -150,6 +154,7 @@
     this.#options = options;
     this.#sink = sink;
     this.#tracker = new EventStreamTracker(options.lastEventId);
+    this.#activeMs = options.clock.now();
   }
 
   /** Whether the request may have reached the backend. */
@@ -172,6 +177,11 @@
     return this.#sentMs === undefined ? 0 : this.#options.clock.now() - this.#sentMs;
   }
 
+  /** Milliseconds since the attempt received anything; before that, since it began. */
+  get silentMs(): number {
+    return this.#options.clock.now() - this.#activeMs;
+  }
+
   /** How fast the backend sent the events after the first data; undefined if there were none or the client delayed them. */
   get progress(): StreamProgress | undefined {
     if (this.#startedMs === undefined || !this.#isStream || this.#wasPaused) return undefined;
@@ -248,6 +258,7 @@
       this.#finish(relayFailure);
       return;
     }
+    this.#activeMs = this.#options.clock.now();
     hop.received();
     const facts = dialect.readResponse(status, headers);
     this.#options.onNotice(facts.notice);
@@ -267,6 +278,7 @@
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#settled) return;
+    this.#activeMs = this.#options.clock.now();
     this.#options.hop.received();
     const bytes = this.#isStream ? this.#tracker.push(chunk) : chunk;
     if (bytes.length === 0) return;
@@ -407,6 +419,7 @@
   }
 
   #timeOutInactive(): void {
+    this.#options.onInactive();
     const outcome: AttemptOutcome = this.sent
       ? { kind: 'broken', detail: 'silent', how: 'silent' }
       : { kind: 'not-run', reason: this.#options.hop.unreachable };
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -128,6 +128,8 @@
   #listAgeMs: number | undefined;
   /** Age of the request when its last attempt was written, in milliseconds. */
   #sentMs: number | undefined;
+  /** How long the last attempt had received nothing when it ended, in milliseconds. */
+  #silentMs: number | undefined;
 
   /** Retry-After of the response, in milliseconds, if it has one. */
   #retryAfterMs: number | undefined;
@@ -383,6 +385,7 @@
         stream: route.kind === 'stream',
         lastEventId: this.#lastEventId,
         inactivityLimit: this.#inactivityLimit(route, backend.id),
+        onInactive: () => this.#recordInactivity(backend.id, service.name),
         reasonNotToWrite: () => this.#reasonNotToWrite(route, backend.id),
         onWritten: () => {
           this.#sentMs = this.#ageMs();
@@ -408,6 +411,7 @@
     if (hop.relay !== undefined && isRelayFailure(outcome)) this.#excludedRelays.add(hop.relay);
     this.#lastEventId = attempt.lastEventId;
     this.#progress = attempt.progress;
+    this.#silentMs = attempt.silentMs;
     if (outcome.kind !== 'not-run') {
       this.#mayHaveRun ||= attempt.sent;
       this.#runs += 1;
@@ -572,13 +576,14 @@
     const { telemetry, metrics, fleet } = this.#context;
     const ageMs = this.#ageMs();
     const firstByteMs = this.#sink.firstByteMs;
+    const silentMs = this.#attempt?.silentMs ?? this.#silentMs;
     metrics.requests.inc({ route_kind: this.#route?.kind ?? 'none', status: String(status) });
     metrics.countTenant(this.#admission.tenant, status);
     if (firstByteMs !== undefined) metrics.firstByte.observe((firstByteMs - this.#arrivedMs) / 1000);
     telemetry.event('info', 'request.finished', this.#facts.attemptId ?? 'none', {
       outcome,
       status,
-      retryAfterMs: this.#retryAfterMs === undefined ? undefined : Math.round(this.#retryAfterMs),
+      retryAfterMs: round(this.#retryAfterMs),
       route: this.#route?.name,
       tenant: this.#admission.tenant,
       adapter: this.#facts.generation?.adapter,
@@ -588,9 +593,10 @@
       relay: this.#relay,
       how: this.#pickMethod === '' ? undefined : this.#pickMethod,
       sends: this.#sends,
-      pickedMs: this.#pickedMs === undefined ? undefined : Math.round(this.#pickedMs),
-      sentMs: this.#sentMs === undefined ? undefined : Math.round(this.#sentMs),
-      listAgeMs: this.#listAgeMs === undefined ? undefined : Math.round(this.#listAgeMs),
+      pickedMs: round(this.#pickedMs),
+      sentMs: round(this.#sentMs),
+      listAgeMs: round(this.#listAgeMs),
+      silentMs: round(silentMs),
       lagMs: Math.round(this.#context.lagMs()),
       unreadMs: Math.round(this.#unreadMs),
       ageMs: Math.round(ageMs),
@@ -603,6 +609,24 @@
     return route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
   }
 
+  /** Logs what the backend and the others of its service sent this node while an attempt received nothing. */
+  #recordInactivity(backendId: string, service: string): void {
+    const { clock, connections, fleet, telemetry } = this.#context;
+    const others = [...fleet.backendsOf(service)].filter(({ id }) => id !== backendId);
+    const agoMs = (receivedMs: number): number | undefined =>
+      receivedMs === 0 ? undefined : Math.round(clock.now() - receivedMs);
+    telemetry.event('info', 'attempt.silent', this.#facts.attemptId ?? 'none', {
+      backend: backendId,
+      relay: this.#relay,
+      silentMs: Math.round(this.#attempt?.silentMs ?? 0),
+      begunForMs: round(this.#attempt?.begunForMs),
+      backendHeardMs: agoMs(connections.lastReceivedMs(backendId)),
+      othersHeardMs: agoMs(Math.max(0, ...others.map(({ id }) => connections.lastReceivedMs(id)))),
+      others: others.length,
+      ageMs: Math.round(this.#ageMs()),
+    });
+  }
+
   /** The last allowed attempt has no inactivity limit: only the timeout of the request ends it. */
   #inactivityLimit(route: HttpRoute, backendId: string): InactivityLimit | undefined {
     if (!this.#isRepeatable(route) || this.#runs + 1 >= route.attempts) return undefined;
@@ -631,6 +655,10 @@
   }
 }
 
+function round(milliseconds: number | undefined): number | undefined {
+  return milliseconds === undefined ? undefined : Math.round(milliseconds);
+}
+
 const NOT_SENT: AttemptOutcome = { kind: 'not-run', reason: 'not-allowed' };
 const EMPTY_BODY: Buffer = Buffer.alloc(0);
 const RETRY_AFTER_REFUSAL_MS = 300;
