A backend's error response is kept until its retry is under way, and forwarded if there is none

Callers of idempotent routes got a 502 (outcome unknown) or 504 of the gateway although a backend had answered with its own 500: the exchange let that answer go, then looked for another backend, and when none was free, refused or broke off, or the quarantine or the timeout forbade the retry, it answered in its own name. Now the response is kept while the retry is prepared and forwarded wherever the exchange would end without a better answer.

Excluded: a retry that succeeds is forwarded as before, as are responses of routes that may not be retried (exchange tests).

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -102,6 +102,8 @@
   #route: HttpRoute | undefined;
   #body: Buffer = EMPTY_BODY;
   #attempt: BackendAttempt | undefined;
+  /** A backend's error response, kept while a retry is prepared: it is forwarded if there is none. */
+  #keptFailure: (AttemptOutcome & { readonly kind: 'failure' }) | undefined;
   #ended = false;
   #mayHaveRun = false;
   /** Attempts so far, including those whose request was not sent or not run. */
@@ -452,7 +454,10 @@
       case 'cancelled':
         return true;
       case 'failure':
-        if (this.#isRepeatable(route) && this.#runs < route.attempts && !this.#sink.started) return false;
+        if (this.#isRepeatable(route) && this.#runs < route.attempts && !this.#sink.started) {
+          this.#keptFailure = outcome;
+          return false;
+        }
         this.#forwardFailure(outcome);
         return true;
       case 'not-run':
@@ -462,6 +467,7 @@
   }
 
   #forwardFailure(outcome: AttemptOutcome & { kind: 'failure' }): void {
+    if (this.#ended) return;
     if (this.#sink.started) {
       this.#abortResponse('backend failed after part of the stream was sent');
       return;
@@ -507,7 +513,7 @@
 
   #endWithoutRetry(outcome: AttemptOutcome): void {
     if (this.#sink.started) this.#abortResponse(describeOutcome(outcome));
-    else if (outcome.kind === 'failure') this.#forwardFailure(outcome);
+    else if (this.#keptFailure !== undefined) this.#forwardFailure(this.#keptFailure);
     else if (this.#mayHaveRun) this.#respond({ kind: 'outcome-unknown', detail: describeOutcome(outcome) });
     else this.#refuse(describeOutcome(outcome), RETRY_AFTER_REFUSAL_MS);
   }
@@ -517,11 +523,12 @@
   }
 
   /**
-   * Ends the request. The response says that it has not run, if that is certain, and that the outcome is
-   * unknown otherwise.
+   * Ends the request. The response is that of a backend, if one answered; otherwise it says that the request has not
+   * run, if that is certain, or that the outcome is unknown.
    */
   #refuseWith(response: GatewayResponse, reason: string): void {
     if (this.#sink.started) this.#abortResponse(reason);
+    else if (this.#keptFailure !== undefined) this.#forwardFailure(this.#keptFailure);
     else if (this.#mayHaveRun) this.#respond({ kind: 'outcome-unknown', detail: reason });
     else this.#respond(response);
   }
@@ -539,6 +546,7 @@
     if (this.#ended) return;
     const mayHaveRun = this.#mayHaveRun || this.#attempt?.sent === true;
     if (this.#sink.started) this.#abortResponse('timed out');
+    else if (this.#keptFailure !== undefined) this.#forwardFailure(this.#keptFailure);
     else this.#respond({ kind: 'timed-out', mayHaveRun });
     this.#cancelAttempt();
   }
