A silent attempt is given up only for a backend that holds a slot for it and answers

Cause: an attempt whose backend sent nothing for two objectives was reset, and only then another backend was looked for. When no slot was free, the tenant's quota or the retry budget was used up, the request had been quarantined, or no way was left, the exchange ended with what the search said. When all backends were silent together, every attempt was given up at once.

Change: the limit starts a search (ReplacementSearch) while the attempt goes on. A backend takes over only when it has granted a slot, has answered just now (BackendResponsiveness: data within 250 ms, or a probe), its new connection is open, and quota, budget, list and quarantine allow the retry; these are looked at in the turn in which the attempt is given up. If anything arrives meanwhile, the search ends. Two attempts never run at once, as a request must not go on at a second backend while the first works on it. attempt.silent now names what stood in the way, or the replacement.

--- a/packages/gateway/src/backends/backend-connection.ts
+++ b/packages/gateway/src/backends/backend-connection.ts
@@ -51,6 +51,16 @@
     });
   }
 
+  /** Opens the connection before its request is made; resolves to whether it is open. */
+  async open(): Promise<boolean> {
+    try {
+      await this.#client.connect();
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
   /** Sends a request; see {@link RevocableClient.send}. */
   send(prepare: () => Dispatcher.DispatchOptions | undefined, handler: RequestHandler): void {
     this.#client.send(prepare, handler);
--- a/packages/gateway/src/backends/backend-connections.ts
+++ b/packages/gateway/src/backends/backend-connections.ts
@@ -31,17 +31,23 @@
    * Returns a connection for one request, to be given back with `release`. Undefined if this node already
    * uses its share of the connection limit.
    * @param fleetShare this node's share of the connection limit, from 0 to 1
+   * @param isNew whether the connection has to be a new one, which takes the place of an idle one at the limit
    */
   acquire(
     backend: Pick<BackendDescription, 'id' | 'address'>,
     maxConnections: number,
     fleetShare: number,
+    isNew = false,
   ): BackendConnection | undefined {
     const pool = this.#pool(backend.id);
-    const idle = pool.idle.pop();
-    if (idle !== undefined) return idle;
     const maxForNode = Math.floor(maxConnections * CONNECTION_SHARE * fleetShare);
-    if (pool.connections.size >= Math.max(MIN_CONNECTIONS, maxForNode)) return undefined;
+    const isFull = pool.connections.size >= Math.max(MIN_CONNECTIONS, maxForNode);
+    const idle = !isNew || isFull ? pool.idle.pop() : undefined;
+    if (idle !== undefined && !isNew) return idle;
+    if (idle !== undefined) {
+      discard(pool, idle);
+      idle.close();
+    } else if (isFull) return undefined;
     const connection = new BackendConnection(backend.address, TIMING, (ended) => discard(pool, ended));
     pool.connections.add(connection);
     return connection;
--- a/packages/gateway/src/backends/picker.ts
+++ b/packages/gateway/src/backends/picker.ts
@@ -27,21 +27,24 @@
   readonly softwareVersion?: string | undefined;
 }
 
+/** A backend that was chosen for an attempt, with a slot if its service has any. */
+export interface PickedBackend {
+  readonly kind: 'picked';
+  readonly backend: BackendDescription;
+  /** How the backend was chosen, for logs. */
+  readonly how: string;
+  /**
+   * Whether the request was charged to the rate limit that the backend announced for all nodes together.
+   */
+  readonly isChargedToRateLimit: boolean;
+  /** Call once, when the backend has started its response. */
+  readonly started: () => void;
+  /** Call once, when the attempt has ended; with how fast its events came if it was a stream. */
+  readonly finish: (outcome: UseOutcome, progress?: StreamProgress) => void;
+}
+
 export type PickResult =
-  | {
-      readonly kind: 'picked';
-      readonly backend: BackendDescription;
-      /** How the backend was chosen, for logs. */
-      readonly how: string;
-      /**
-       * Whether the request was charged to the rate limit that the backend announced for all nodes together.
-       */
-      readonly isChargedToRateLimit: boolean;
-      /** Call once, when the backend has started its response. */
-      readonly started: () => void;
-      /** Call once, when the attempt has ended; with how fast its events came if it was a stream. */
-      readonly finish: (outcome: UseOutcome, progress?: StreamProgress) => void;
-    }
+  | PickedBackend
   | { readonly kind: 'none'; readonly reason: string; readonly retryAfterMs: number | undefined };
 
 /** Chooses a backend for each attempt of a request. The implementations differ by kind of service. */
--- a/packages/gateway/src/backends/revocable-client.ts
+++ b/packages/gateway/src/backends/revocable-client.ts
@@ -96,6 +96,11 @@
       .catch((cause: unknown) => handler.onNotConnected(toError(cause)));
   }
 
+  /** Opens the connection unless it is open; rejects if it can't be opened. */
+  async connect(): Promise<void> {
+    await this.#open();
+  }
+
   get isClosed(): boolean {
     return this.#client.destroyed;
   }
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -180,7 +180,7 @@
       telemetry,
       metrics: this.metrics,
     });
-    const { paths, fleetPaths, hops, control } = this.#access;
+    const { paths, fleetPaths, responsiveness, hops, control } = this.#access;
     this.directory = new Directory(this.#cluster, () => this.#slots.leaders(), fleetPaths);
     this.#fleetShare = new FleetShare(clock, this.directory, settings.nodeId);
     this.published = new PublishedState({
@@ -288,6 +288,7 @@
       connections: this.#connections,
       hops,
       paths,
+      responsiveness,
       notices,
       availability,
       plainPicker: new GrantedBackendPicker(
--- a/packages/gateway/src/paths/backend-access.ts
+++ b/packages/gateway/src/paths/backend-access.ts
@@ -10,6 +10,7 @@
 import { Relays } from '../relay/relays.js';
 import { BackendHops } from '../request/backend-hops.js';
 import { BackendPaths } from './backend-paths.js';
+import { BackendResponsiveness } from './backend-responsiveness.js';
 import { FleetPaths } from './fleet-paths.js';
 import { httpProbe } from './http-probe.js';
 import { PathRecordingControl } from './path-recording-control.js';
@@ -37,6 +38,7 @@
 export class BackendAccess {
   readonly paths: BackendPaths;
   readonly fleetPaths: FleetPaths;
+  readonly responsiveness: BackendResponsiveness;
   readonly hops: BackendHops;
   readonly control: EngineControl;
   readonly #options: BackendAccessOptions;
@@ -45,14 +47,16 @@
   constructor(options: BackendAccessOptions) {
     this.#options = options;
     const { fleetClock, random, fleet, cluster, network, telemetry } = options;
+    const probe = httpProbe(options.probePath);
     this.paths = new BackendPaths({
       clock: fleetClock,
       random,
       fleet,
-      probe: httpProbe(options.probePath),
+      probe,
       telemetry,
       onChange: (service, state) => this.#onPathChanged(service, state),
     });
+    this.responsiveness = new BackendResponsiveness({ ...options, probe });
     this.fleetPaths = new FleetPaths({
       clock: fleetClock,
       cluster,
--- a/packages/gateway/src/paths/backend-paths.ts
+++ b/packages/gateway/src/paths/backend-paths.ts
@@ -1,6 +1,7 @@
 import type { Clock, Random } from '@canvasridge/clock';
 import type { BackendDescription, FleetState } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
+import { anyTrue } from './any-true.js';
 import { ServicePath, type PathState } from './service-path.js';
 import type { PathProbe } from './http-probe.js';
 
@@ -143,7 +144,7 @@
     const silentMs = path.silentMs(clock.now());
     const backends = this.#backendsToProbe(service, failedId);
     const isAnswered =
-      backends.length === 0 || (await firstTrue(backends.map((backend) => this.#answers(backend))));
+      backends.length === 0 || (await anyTrue(backends.map((backend) => this.#answers(backend))));
     if (this.#stopped || path.state === 'lost') return;
     if (isAnswered) path.confirm(clock.now());
     else {
@@ -197,11 +198,3 @@
     }
   }
 }
-
-/** Resolves to true as soon as one of them does, and to false if none does. */
-async function firstTrue(results: readonly Promise<boolean>[]): Promise<boolean> {
-  const anyTrue = new Promise<true>((resolve) => {
-    for (const result of results) void result.then((value) => (value ? resolve(true) : undefined));
-  });
-  return Promise.race([anyTrue, Promise.all(results).then((values) => values.includes(true))]);
-}
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -89,17 +89,17 @@
   readonly stream: boolean;
   /** Id of the last event that the client received; -1 for none. */
   readonly lastEventId: number;
-  /**
-   * When an attempt that receives nothing is given up; undefined for no limit besides the request's timeout.
-   */
+  /** When `onInactive` is called; undefined for never. */
   readonly inactivityLimit: InactivityLimit | undefined;
-  /** Called when the attempt has received nothing for its limit. */
+  /** Called when the attempt has received nothing for its limit. It goes on until `giveUp` is called. */
   readonly onInactive: () => void;
+  /** Called when the attempt has received something after that. */
+  readonly onActive: () => void;
 }
 
 /**
- * How long an attempt may receive nothing, in milliseconds: `idleBackendMs` if this node receives nothing
- * from the backend for other requests either, `busyBackendMs` in any case.
+ * How long an attempt may receive nothing before another backend is looked for, in milliseconds: `idleBackendMs` if
+ * this node receives nothing from the backend for other requests either, `busyBackendMs` in any case.
  */
 export interface InactivityLimit {
   readonly idleBackendMs: number;
@@ -139,6 +139,8 @@
   #lastEventsMs = 0;
   /** When anything was last received; before that, when the attempt began. */
   #activeMs: number;
+  /** Whether the attempt has reached its inactivity limit since. */
+  #isInactive = false;
   /** Whether the client read so slowly that the backend had to wait. */
   #wasPaused = false;
   #status = 0;
@@ -162,6 +164,11 @@
     return this.#sentMs !== undefined;
   }
 
+  /** Whether the attempt has ended. */
+  get isSettled(): boolean {
+    return this.#settled;
+  }
+
   /** Whether the connection was given the request; it can be used for another one if not. */
   get isHandedOver(): boolean {
     return this.#isHandedOver;
@@ -229,6 +236,18 @@
     if (this.sent) this.#options.hop.connection.reset();
   }
 
+  /**
+   * Ends an attempt that receives nothing, as another backend takes the request over. Resetting the connection makes
+   * the backend stop its work.
+   */
+  giveUp(): void {
+    const outcome: AttemptOutcome = this.sent
+      ? { kind: 'broken', detail: 'silent', how: 'silent' }
+      : { kind: 'not-run', reason: this.#options.hop.unreachable };
+    this.#finish(outcome);
+    this.#options.hop.connection.reset();
+  }
+
   /** Whether the attempt still stands and nothing forbids it; ends the attempt if something does. */
   #mayWrite(): boolean {
     if (this.#settled) return false;
@@ -258,8 +277,7 @@
       this.#finish(relayFailure);
       return;
     }
-    this.#activeMs = this.#options.clock.now();
-    hop.received();
+    this.#recordReceived();
     const facts = dialect.readResponse(status, headers);
     this.#options.onNotice(facts.notice);
     this.#status = status;
@@ -278,8 +296,7 @@
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#settled) return;
-    this.#activeMs = this.#options.clock.now();
-    this.#options.hop.received();
+    this.#recordReceived();
     const bytes = this.#isStream ? this.#tracker.push(chunk) : chunk;
     if (bytes.length === 0) return;
     if (this.#isSuccess && this.#startedMs === undefined) this.#markStarted();
@@ -297,6 +314,14 @@
       this.#startForwarding(controller);
   }
 
+  #recordReceived(): void {
+    this.#activeMs = this.#options.clock.now();
+    this.#options.hop.received();
+    if (!this.#isInactive) return;
+    this.#isInactive = false;
+    this.#options.onActive();
+  }
+
   #markStarted(): void {
     this.#startedMs = this.#options.clock.now();
     this.#firstEvents = this.#tracker.eventCount;
@@ -409,22 +434,18 @@
     this.#inactivityTimer?.cancel();
     const sinceMs = clock.now();
     this.#inactivityTimer = clock.setTimer(inactivityLimit.idleBackendMs, () => {
-      if (inactivityLimit.backendLastReceivedMs() <= sinceMs) this.#timeOutInactive();
+      if (inactivityLimit.backendLastReceivedMs() <= sinceMs) this.#markInactive();
       else
         this.#inactivityTimer = clock.setTimer(
           inactivityLimit.busyBackendMs - inactivityLimit.idleBackendMs,
-          () => this.#timeOutInactive(),
+          () => this.#markInactive(),
         );
     });
   }
 
-  #timeOutInactive(): void {
+  #markInactive(): void {
+    this.#isInactive = true;
     this.#options.onInactive();
-    const outcome: AttemptOutcome = this.sent
-      ? { kind: 'broken', detail: 'silent', how: 'silent' }
-      : { kind: 'not-run', reason: this.#options.hop.unreachable };
-    this.#finish(outcome);
-    this.#options.hop.connection.reset();
   }
 
   #finish(outcome: AttemptOutcome): void {
--- a/packages/gateway/src/request/backend-hops.ts
+++ b/packages/gateway/src/request/backend-hops.ts
@@ -44,10 +44,33 @@
     return hasFailedDirectly ? 'no-path' : (this.openDirect(backend, service) ?? 'no-connection');
   }
 
-  /** A connection of this node's own; undefined if it already uses all that it may open. */
-  openDirect(backend: BackendDescription, service: BackendService): BackendHop | undefined {
+  /**
+   * Opens the way of a request that waits for a silent backend to another one: over a new connection, as idle ones may
+   * be silent, too. The connection is open when it resolves.
+   *
+   * @param excludedRelays nodes that could not relay this request
+   */
+  async openForTakeover(
+    backend: BackendDescription,
+    service: BackendService,
+    excludedRelays: ReadonlySet<string>,
+  ): Promise<BackendHop | 'no-connection' | 'no-path' | 'unreachable'> {
+    const hop =
+      this.#options.paths.state(service.name) === 'working'
+        ? (this.openDirect(backend, service, true) ?? 'no-connection')
+        : await this.open(backend, service, excludedRelays, true);
+    if (typeof hop === 'string' || (await hop.connection.open())) return hop;
+    hop.release({ kind: 'not-run', reason: hop.unreachable });
+    return 'unreachable';
+  }
+
+  /**
+   * A connection of this node's own; undefined if it already uses all that it may open.
+   * @param isNew whether it has to be a new connection
+   */
+  openDirect(backend: BackendDescription, service: BackendService, isNew = false): BackendHop | undefined {
     const { clock, connections, paths, fleetShare } = this.#options;
-    const connection = connections.acquire(backend, service.maxConnections, fleetShare());
+    const connection = connections.acquire(backend, service.maxConnections, fleetShare(), isNew);
     if (connection === undefined) return undefined;
     paths.beginWait(service.name);
     return {
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -1,13 +1,19 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Clock } from '@canvasridge/clock';
-import { pickService, type BackendService, type HttpRoute } from '@canvasridge/serving';
+import {
+  pickService,
+  type BackendDescription,
+  type BackendService,
+  type HttpRoute,
+} from '@canvasridge/serving';
 import type { StreamProgress } from '@canvasridge/slots';
 import type { Telemetry } from '@canvasridge/telemetry';
 import { RETRY_ELSEWHERE_MS, type BackendAvailability } from '../backends/backend-availability.js';
 import type { BackendConnections } from '../backends/backend-connections.js';
 import type { BackendPaths } from '../paths/backend-paths.js';
+import type { BackendResponsiveness } from '../paths/backend-responsiveness.js';
 import type { BackendNotices } from '../backends/backend-notices.js';
-import type { BackendPicker, PickResult } from '../backends/picker.js';
+import type { BackendPicker, PickResult, PickedBackend } from '../backends/picker.js';
 import type { RetryBudget } from '../backends/retry-budget.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
 import { ResponseSink } from './response-sink.js';
@@ -22,10 +28,12 @@
 import {
   BackendAttempt,
   type AttemptOutcome,
+  type NotRunReason,
   type NotWrittenReason,
   type InactivityLimit,
 } from './backend-attempt.js';
 import { backendDeadlineMs } from './backend-deadline.js';
+import type { BackendHop } from './backend-hop.js';
 import type { BackendHops } from './backend-hops.js';
 import { readBody } from './body.js';
 import { hasClientLeft } from './client-presence.js';
@@ -37,6 +45,7 @@
 import { RequestQuarantine, type QuarantineContext } from './request-quarantine.js';
 import { StreamBinding, type StreamBindingContext } from './stream-binding.js';
 import { inactivityLimit } from './inactivity-limit.js';
+import { ReplacementSearch, type Replacement, type SearchedRequest } from './replacement-search.js';
 import { spreadRetryMs } from './retry-spread.js';
 
 /** What all exchanges of a node share. */
@@ -44,8 +53,9 @@
   readonly clock: Clock;
   readonly dialect: RequestDialect;
   readonly connections: Pick<BackendConnections, 'lastReceivedMs'>;
-  readonly hops: Pick<BackendHops, 'open'>;
-  readonly paths: Pick<BackendPaths, 'isOwnFailure'>;
+  readonly hops: Pick<BackendHops, 'open' | 'openForTakeover'>;
+  readonly paths: Pick<BackendPaths, 'state' | 'isOwnFailure'>;
+  readonly responsiveness: Pick<BackendResponsiveness, 'answers' | 'anyAnswersBut'>;
   readonly notices: BackendNotices;
   readonly availability: BackendAvailability;
   /** For services of interchangeable backends. */
@@ -124,6 +134,8 @@
   #pickMethod = '';
   /** How fast the events of the last attempt came. */
   #progress: StreamProgress | undefined;
+  /** What takes over from the last attempt, which was given up for it. */
+  #replacement: Replacement | undefined;
   /** Age of the request when the last backend was picked, in milliseconds. */
   #pickedMs: number | undefined;
   /** Age of the backend list when the last attempt was written, in milliseconds. */
@@ -219,31 +231,50 @@
     if (!(await this.#chargeOrRefuse())) return;
     this.#context.budget(service.name).countRequest();
     let lastRun: AttemptOutcome | undefined;
+    let replacement: Replacement | undefined;
     while (!this.#ended) {
-      if (this.#refuseIfQuarantined() || this.#timeOutIfOverdue(route)) return;
-      if (!this.#identifyOrRefuse(route)) return;
-      const picked = await this.#pick(route, service);
-      if (this.#ended) {
-        if (picked.kind === 'picked') picked.finish('cancelled');
-        return;
-      }
-      if (picked.kind === 'none') {
-        this.#refuse(picked.reason, picked.retryAfterMs);
-        return;
-      }
-      if (lastRun !== undefined && !(await this.#chargeRetryOrEnd(lastRun))) {
-        picked.finish('cancelled');
-        return;
-      }
-      await this.#context.refreshIfOld();
-      const outcome = await this.#send(route, service, picked);
+      const picked = replacement?.picked ?? (await this.#pickOrEnd(route, service, lastRun));
+      if (picked === undefined) return;
+      const outcome = await this.#send(route, service, picked, replacement?.hop);
       picked.finish(this.#isOwnFailure ? 'cancelled' : useOutcomeOf(outcome), this.#progress);
+      replacement = this.#takeReplacement();
       if (this.#ended || this.#endIfFinal(outcome, route)) return;
-      if (!this.#retryOrEnd(route, service, outcome)) return;
+      if (replacement === undefined && !this.#mayRetryOrEnd(route, service, outcome)) return;
+      this.#recordRetry(service, outcome);
       if (outcome.kind !== 'not-run') lastRun = outcome;
     }
   }
 
+  /** Picks a backend for the next attempt; undefined if the request has ended. */
+  async #pickOrEnd(
+    route: HttpRoute,
+    service: BackendService,
+    lastRun: AttemptOutcome | undefined,
+  ): Promise<PickedBackend | undefined> {
+    if (this.#refuseIfQuarantined() || this.#timeOutIfOverdue(route)) return undefined;
+    if (!this.#identifyOrRefuse(route)) return undefined;
+    const picked = await this.#pick(route, service, this.#cancel.signal);
+    if (picked.kind === 'none') {
+      if (!this.#ended) this.#refuse(picked.reason, picked.retryAfterMs);
+      return undefined;
+    }
+    if (this.#ended || (lastRun !== undefined && !(await this.#chargeRetryOrEnd(lastRun)))) {
+      picked.finish('cancelled');
+      return undefined;
+    }
+    await this.#context.refreshIfOld();
+    return picked;
+  }
+
+  /** The replacement for which the last attempt was given up, if there is one. */
+  #takeReplacement(): Replacement | undefined {
+    const replacement = this.#replacement;
+    this.#replacement = undefined;
+    if (replacement === undefined || !this.#ended) return replacement;
+    release(replacement);
+    return undefined;
+  }
+
   /**
    * Ends a request that is past its timeout although its timer has not fired yet, as happens when the
    * process was blocked or suspended.
@@ -320,7 +351,12 @@
     if (this.#attempt?.sent !== true) this.#admission.refund();
   }
 
-  #pick(route: HttpRoute, service: BackendService): Promise<PickResult> {
+  #pick(
+    route: HttpRoute,
+    service: BackendService,
+    cancelled: AbortSignal,
+    excluded: readonly string[] = this.#excluded,
+  ): Promise<PickResult> {
     const picker = service.engine === undefined ? this.#context.plainPicker : this.#context.enginePicker;
     const context = {
       id: this.#context.nextId(),
@@ -333,33 +369,27 @@
       ageMs: this.#ageMs(),
       timeoutMs: this.#timeoutMs(route),
       startWithinMs: this.#startWithinMs(route),
-      excluded: this.#excluded,
+      excluded,
       softwareVersion: this.#binding.version,
     };
-    return picker.pick(context, this.#cancel.signal);
+    return picker.pick(context, cancelled);
   }
 
   async #send(
     route: HttpRoute,
     service: BackendService,
-    picked: PickResult & { kind: 'picked' },
+    picked: PickedBackend,
+    openHop: BackendHop | undefined,
   ): Promise<AttemptOutcome> {
     const { backend } = picked;
-    const { dialect, hops, clock, fleet, availability } = this.#context;
+    const { dialect, clock } = this.#context;
     this.#backendId = backend.id;
     this.#pickMethod = picked.how;
     this.#pickedMs = this.#ageMs();
     this.#sends += 1;
     this.#progress = undefined;
     this.#isOwnFailure = false;
-    // A trial is requested when a backend is at hand, as the homes allow only a few.
-    const isAllowed = !this.#quarantine.isQuarantined || (await this.#quarantine.requestTrial());
-    if (this.#ended) return { kind: 'cancelled' };
-    if (!isAllowed) return { kind: 'not-run', reason: 'not-allowed' };
-    if (fleet.isLeaving(backend.id)) return { kind: 'not-run', reason: 'leaving' };
-    if (!this.#binding.allows(backend)) return { kind: 'not-run', reason: 'other-version' };
-    if (availability.isBackingOff(backend.id)) return { kind: 'not-run', reason: 'backing-off' };
-    const hop = await hops.open(backend, service, this.#excludedRelays, this.#hasOwnFailure);
+    const hop = openHop ?? (await this.#openHop(service, backend));
     if (typeof hop === 'string') return { kind: 'not-run', reason: hop };
     this.#relay = hop.relay;
     if (this.#ended) {
@@ -367,6 +397,7 @@
       return { kind: 'cancelled' };
     }
     const lastEventId = this.#lastEventId >= 0 ? this.#lastEventId : undefined;
+    const search = this.#replacementSearch(route, service, backend, hop);
     const attempt = new BackendAttempt(
       {
         hop,
@@ -387,7 +418,8 @@
         stream: route.kind === 'stream',
         lastEventId: this.#lastEventId,
         inactivityLimit: this.#inactivityLimit(route, backend.id),
-        onInactive: () => this.#recordInactivity(backend.id, service.name),
+        onInactive: () => search.start(),
+        onActive: () => search.cancel(),
         reasonNotToWrite: () => this.#reasonNotToWrite(route, backend.id),
         onWritten: () => {
           this.#sentMs = this.#ageMs();
@@ -408,6 +440,7 @@
       throw cause;
     });
     this.#attempt = undefined;
+    search.cancel();
     const isUntouched = outcome.kind === 'cancelled' && !attempt.isHandedOver;
     hop.release(isUntouched ? NOT_SENT : outcome);
     if (hop.relay !== undefined && isRelayFailure(outcome)) this.#excludedRelays.add(hop.relay);
@@ -419,13 +452,80 @@
       this.#runs += 1;
       if (attempt.sent) this.#admission.recordRun();
     }
-    if (hop.relay === undefined && isPathFailure(outcome))
+    // A backend that takes over has just answered, so this node has a path.
+    if (hop.relay === undefined && isPathFailure(outcome) && this.#replacement === undefined)
       this.#isOwnFailure = await this.#context.paths.isOwnFailure(backend.id);
     this.#hasOwnFailure ||= this.#isOwnFailure;
     await this.#quarantine.attemptEnded(backend.id, attempt, outcome, this.#isOwnFailure);
     return outcome;
   }
 
+  /** Opens the way to a picked backend; returns the reason if the request can't be sent there. */
+  async #openHop(service: BackendService, backend: BackendDescription): Promise<BackendHop | NotRunReason> {
+    const { hops, fleet, availability } = this.#context;
+    // A trial is requested when a backend is at hand, as the homes allow only a few.
+    const isAllowed = !this.#quarantine.isQuarantined || (await this.#quarantine.requestTrial());
+    if (!isAllowed || this.#ended) return 'not-allowed';
+    if (fleet.isLeaving(backend.id)) return 'leaving';
+    if (!this.#binding.allows(backend)) return 'other-version';
+    if (availability.isBackingOff(backend.id)) return 'backing-off';
+    return hops.open(backend, service, this.#excludedRelays, this.#hasOwnFailure);
+  }
+
+  /** A search for another backend, to be started when the one of the attempt is silent. */
+  #replacementSearch(
+    route: HttpRoute,
+    service: BackendService,
+    backend: BackendDescription,
+    hop: BackendHop,
+  ): ReplacementSearch {
+    const relay = hop.relay === undefined ? [] : [hop.relay];
+    return new ReplacementSearch({
+      ...this.#context,
+      backend,
+      service,
+      excludedRelays: new Set([...this.#excludedRelays, ...relay]),
+      request: this.#searchedRequest(route, service),
+      onObstacle: (obstacle) => this.#recordSilence(backend.id, service.name, { obstacle }),
+      onFound: (replacement) => {
+        const attempt = this.#attempt;
+        if (attempt === undefined || attempt.isSettled) {
+          release(replacement);
+          return;
+        }
+        this.#recordSilence(backend.id, service.name, { replacement: replacement.picked.backend.id });
+        this.#replacement = replacement;
+        attempt.giveUp();
+      },
+      onDefect: (cause) => this.#recordDefect(String(cause)),
+    });
+  }
+
+  #searchedRequest(route: HttpRoute, service: BackendService): SearchedRequest {
+    return {
+      obstacle: () => this.#obstacleToRetry(route),
+      pick: (silent, cancelled) => this.#pick(route, service, cancelled, [...this.#excluded, ...silent]),
+      refreshList: () => this.#context.refreshIfOld(),
+      charge: async () => {
+        if (this.#attempt?.sent === true) this.#admission.recordRun();
+        return (await this.#admission.charge()).kind === 'admitted';
+      },
+      refund: () => this.#admission.refund(),
+      reasonNotToWrite: (backend) =>
+        this.#binding.allows(backend) ? this.#reasonNotToWrite(route, backend.id) : 'other-version',
+      takeRetry: () => this.#context.budget(service.name).tryTake(),
+    };
+  }
+
+  /** Why the request may not be sent again while its attempt runs; undefined if it may. */
+  #obstacleToRetry(route: HttpRoute): string | undefined {
+    if (this.#attempt === undefined || this.#attempt.isSettled) return 'ended';
+    if (this.#sends >= MAX_SENDS) return 'too-many-sends';
+    if (this.#quarantine.isQuarantined) return 'quarantined';
+    if (this.#remainingMs(route) <= 0) return 'overdue';
+    return this.#admission.isStillIdentified(route) ? undefined : 'no-access';
+  }
+
   /**
    * Checks everything that may have changed while the request waited for its connection or the process
    * waited for the CPU.
@@ -477,10 +577,8 @@
     this.#finish('backend-failure', outcome.status);
   }
 
-  /**
-   * Prepares another send if it is allowed and useful; otherwise sends the final response and returns false.
-   */
-  #retryOrEnd(route: HttpRoute, service: BackendService, outcome: AttemptOutcome): boolean {
+  /** Whether another send is allowed and useful; otherwise sends the final response. */
+  #mayRetryOrEnd(route: HttpRoute, service: BackendService, outcome: AttemptOutcome): boolean {
     const isRepeat = outcome.kind !== 'not-run';
     if (isRepeat && (!this.#isRepeatable(route) || this.#runs >= route.attempts)) {
       this.#endWithoutRetry(outcome);
@@ -496,6 +594,10 @@
       this.#endWithoutRetry(outcome);
       return false;
     }
+    return true;
+  }
+
+  #recordRetry(service: BackendService, outcome: AttemptOutcome): void {
     // A backend that asked for a backoff is not excluded: it is avoided until that ends, and may be tried
     // again afterwards.
     const isBackingOff = this.#context.availability.isBackingOff(this.#backendId);
@@ -508,7 +610,6 @@
       backend: this.#backendId,
       ageMs: Math.round(this.#ageMs()),
     });
-    return true;
   }
 
   #endWithoutRetry(outcome: AttemptOutcome): void {
@@ -533,9 +634,13 @@
     else this.#respond(response);
   }
 
+  #recordDefect(detail: string): void {
+    this.#context.telemetry.event('error', 'request.defect', this.#facts.attemptId ?? 'none', { detail });
+  }
+
   /** Ends the request after an internal error, with a response if none has started. */
   #failOnDefect(detail: string): void {
-    this.#context.telemetry.event('error', 'request.defect', this.#facts.attemptId ?? 'none', { detail });
+    this.#recordDefect(detail);
     if (this.#ended) return;
     this.#mayHaveRun ||= this.#attempt?.sent === true;
     this.#refuse('defect', undefined);
@@ -617,8 +722,15 @@
     return route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
   }
 
-  /** Logs what the backend and the others of its service sent this node while an attempt received nothing. */
-  #recordInactivity(backendId: string, service: string): void {
+  /**
+   * Logs what becomes of an attempt that receives nothing, and what its backend and the others of the service sent this
+   * node meanwhile.
+   */
+  #recordSilence(
+    backendId: string,
+    service: string,
+    result: { readonly obstacle: string } | { readonly replacement: string },
+  ): void {
     const { clock, connections, fleet, telemetry } = this.#context;
     const others = [...fleet.backendsOf(service)].filter(({ id }) => id !== backendId);
     const agoMs = (receivedMs: number): number | undefined =>
@@ -626,16 +738,17 @@
     telemetry.event('info', 'attempt.silent', this.#facts.attemptId ?? 'none', {
       backend: backendId,
       relay: this.#relay,
-      silentMs: Math.round(this.#attempt?.silentMs ?? 0),
+      silentMs: round(this.#attempt?.silentMs),
       begunForMs: round(this.#attempt?.begunForMs),
       backendHeardMs: agoMs(connections.lastReceivedMs(backendId)),
       othersHeardMs: agoMs(Math.max(0, ...others.map(({ id }) => connections.lastReceivedMs(id)))),
       others: others.length,
+      ...result,
       ageMs: Math.round(this.#ageMs()),
     });
   }
 
-  /** The last allowed attempt has no inactivity limit: only the timeout of the request ends it. */
+  /** The last allowed attempt has no inactivity limit, as no other one may take over. */
   #inactivityLimit(route: HttpRoute, backendId: string): InactivityLimit | undefined {
     if (!this.#isRepeatable(route) || this.#runs + 1 >= route.attempts) return undefined;
     return inactivityLimit(route, () => this.#context.connections.lastReceivedMs(backendId));
@@ -650,7 +763,7 @@
    * abandon a stream that shows no event for some time, whatever their deadline.
    */
   #startWithinMs(route: HttpRoute): number {
-    const sinceMs = this.#sink.started ? this.#ageMs() : 0;
+    const sinceMs = this.#sink.started ? this.#ageMs() - (this.#attempt?.silentMs ?? 0) : 0;
     return Math.min(this.#timeoutMs(route), sinceMs + (route.patienceMs ?? Infinity));
   }
 
@@ -663,6 +776,11 @@
   }
 }
 
+function release({ picked, hop }: Replacement): void {
+  hop.release({ kind: 'cancelled' });
+  picked.finish('cancelled');
+}
+
 function round(milliseconds: number | undefined): number | undefined {
   return milliseconds === undefined ? undefined : Math.round(milliseconds);
 }
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -18,6 +18,8 @@
 import { LeastLoadedPicker } from '../src/backends/least-loaded-picker.js';
 import { RetryBudget } from '../src/backends/retry-budget.js';
 import { GatewayMetrics } from '../src/gateway-metrics.js';
+import { BackendResponsiveness } from '../src/paths/backend-responsiveness.js';
+import { httpProbe } from '../src/paths/http-probe.js';
 import type { PathState } from '../src/paths/service-path.js';
 import type { Relays } from '../src/relay/relays.js';
 import { BackendHops } from '../src/request/backend-hops.js';
@@ -303,6 +305,13 @@
         fleetShare: () => 1,
       }),
       paths: this.paths,
+      responsiveness: new BackendResponsiveness({
+        clock,
+        random,
+        fleet,
+        connections: this.#connections,
+        probe: httpProbe(dialect.probePath),
+      }),
       isStopping: () => false,
       stopsInMs: () => Infinity,
       nextId: () => String((nextId += 1)),
