--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -58,6 +58,12 @@
     labelNames: ['begun'],
     registers: [this.registry],
   });
+  readonly silentAttempts = new Counter({
+    name: 'canvasridge_attempts_silent_total',
+    help: 'Attempts whose backend sent nothing for their limit, by result (waiting: once for each obstacle to a takeover; replaced: another backend took over)',
+    labelNames: ['result'],
+    registers: [this.registry],
+  });
   readonly quarantined = new Gauge({
     name: 'canvasridge_requests_quarantined',
     help: 'Requests that are sent to no backend, as several ended under them',
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -731,7 +731,8 @@
     service: string,
     result: { readonly obstacle: string } | { readonly replacement: string },
   ): void {
-    const { clock, connections, fleet, telemetry } = this.#context;
+    const { clock, connections, fleet, telemetry, metrics } = this.#context;
+    metrics.silentAttempts.inc({ result: 'obstacle' in result ? 'waiting' : 'replaced' });
     const others = [...fleet.backendsOf(service)].filter(({ id }) => id !== backendId);
     const agoMs = (receivedMs: number): number | undefined =>
       receivedMs === 0 ? undefined : Math.round(clock.now() - receivedMs);
