A search for another backend counts in no share, and its refusal marks no prompt

The leader took each ask for a request of its own. One that was cancelled or refused counted as a request that got no slot, so later requests of its kind came before others that had arrived earlier; a search in the queue took the grant that its kind lacked; its refusal marked the prompt, so that the next request with it counted as a late retry, was put behind all that are in time and lost the grace for a list that lacks engines for a moment.

Cause: nothing in PoolRequest tells a search from a request that has no slot.

Change: PoolRequest.isTakeover, which both pickers pass on from PickContext. WaitingList counts such a request neither as asked nor as granted or refused, and does not charge its tenant again; SlotPool neither looks up nor marks its prompt, nor counts it for its adapter's popularity. The request was counted when it was granted the slot that it holds.

Exchange has to set isTakeover for its searches; until then nothing changes. A leader of a build before ignores it.

--- a/packages/gateway/src/backends/granted-backend-picker.ts
+++ b/packages/gateway/src/backends/granted-backend-picker.ts
@@ -81,6 +81,7 @@
 
   #request(context: PickContext): PoolRequest {
     const { id, traceId, priority, tenant, ageMs, timeoutMs, startWithinMs, route, service } = context;
+    const { isTakeover } = context;
     return {
       id,
       traceId,
@@ -95,6 +96,7 @@
       // The leader can't know that this node must avoid these.
       excluded: [...context.excluded, ...this.#availability.backendsToAvoid(service.name)],
       softwareVersion: context.softwareVersion,
+      ...(isTakeover === true ? { isTakeover } : {}),
     };
   }
 
--- a/packages/gateway/src/backends/picker.ts
+++ b/packages/gateway/src/backends/picker.ts
@@ -25,6 +25,8 @@
   readonly excluded: readonly string[];
   /** Software version of the backends that may run the request; undefined if any may. */
   readonly softwareVersion?: string | undefined;
+  /** Whether the request still runs at a backend that is silent, and may go on there before another one takes over. */
+  readonly isTakeover?: boolean;
 }
 
 /** A backend that was chosen for an attempt, with a slot if its service has any. */
--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -92,6 +92,7 @@
       // back.
       excluded: [...context.excluded, ...this.#availability.backendsToAvoid(pool)],
       softwareVersion: context.softwareVersion,
+      ...(context.isTakeover === true ? { isTakeover: true } : {}),
       promptTokens: generation.promptTokens,
       promptKey: generation.promptKey,
     };
--- a/packages/gateway/test/granted-backend-picker.test.ts
+++ b/packages/gateway/test/granted-backend-picker.test.ts
@@ -99,6 +99,17 @@
   t.deepEqual(leader.reported, ['r1 on b', 'r1 failed']);
 });
 
+// Without it the leader counted a search that was given up as a request that got no slot.
+test('The leader is told that a request looks for another backend while its own is silent', async (t) => {
+  const { picker, leader } = newSetup();
+  await picker.pick({ ...newContext('r1'), isTakeover: true }, NOT_CANCELLED);
+  await picker.pick(newContext('r2'), NOT_CANCELLED);
+  t.deepEqual(
+    leader.asked.map(({ isTakeover }) => isTakeover),
+    [true, undefined],
+  );
+});
+
 // Without a leader, all nodes together sent such backends more than they have slots, which then turned the rest away.
 test('Without an answer this node sends no more than its part to backends that fail when they turn many away', async (t) => {
   const { picker, leader } = newSetup();
--- a/packages/gateway/test/slot-picker.test.ts
+++ b/packages/gateway/test/slot-picker.test.ts
@@ -19,6 +19,7 @@
  */
 class OutdatedLeader implements SlotSource {
   readonly released: { requestId: string; outcome: UseOutcome }[] = [];
+  readonly asked: SlotRequest[] = [];
   /** Called while a request waits for its slot. */
   whileWaiting: () => Promise<void> = () => Promise.resolve();
 
@@ -31,6 +32,7 @@
   ) {}
 
   async acquire(_pool: string, request: SlotRequest): Promise<SlotDecision> {
+    this.asked.push(request);
     await this.whileWaiting();
     const backendId = this.engines.find((id) => !request.excluded.includes(id)) ?? 'none';
     const { entryRevision, entryEra } = this;
@@ -178,6 +180,22 @@
   t.is((await pickWithFleet(inEra, 20)).picked, 'stays', 'a leader that sends no era');
 });
 
+// Without it the leader counted a search that was given up as a request that got no slot.
+test('the leader is told that a request looks for another engine while its own is silent', async (t) => {
+  const fleet = new FleetState();
+  listBoth(fleet);
+  const leader = new OutdatedLeader(['stays'], undefined);
+  const clock = new VirtualClock();
+  const availability = availabilityOf(fleet, clock, new BackendBackoffs(clock));
+  const picker = new SlotPicker(fleet, availability, leader, clock, 'a');
+  await picker.pick({ ...CONTEXT, isTakeover: true }, new AbortController().signal);
+  await picker.pick(CONTEXT, new AbortController().signal);
+  t.deepEqual(
+    leader.asked.map(({ isTakeover }) => isTakeover),
+    [true, undefined],
+  );
+});
+
 test('an engine that is not listed on this node yet is used as the leader grants it', async (t) => {
   const { picked } = await pickWithFleet((fleet) => fleet.applyBackend(2, engine('stays')));
   t.is(picked, 'leaving');
--- a/packages/slots/src/backend-pool.ts
+++ b/packages/slots/src/backend-pool.ts
@@ -335,8 +335,8 @@
     const nowMs = clock.now();
     const waitedMs = Math.round(nowMs - arrivedMs - request.ageMs);
     const ageMs = Math.round(nowMs - arrivedMs);
-    const { route, priority } = request;
-    const described = { pool: service, route, priority, ageMs, waitedMs, obstacle, ...fields };
+    const { route, priority, isTakeover } = request;
+    const described = { pool: service, route, priority, isTakeover, ageMs, waitedMs, obstacle, ...fields };
     telemetry.event('info', event, request.traceId, described);
   }
 
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -252,7 +252,8 @@
       return;
     }
     const nowMs = this.#options.clock.now();
-    const refusal = this.#refused.take(request.promptKey);
+    const isTakeover = request.isTakeover === true;
+    const refusal = isTakeover ? undefined : this.#refused.take(request.promptKey);
     // A request that was refused late can no longer meet its objective, so the retry's age is raised to be beyond it.
     const penaltyMs = refusal === 'late' ? request.objectiveMs : 0;
     const arrivedMs = nowMs - request.ageMs - penaltyMs;
@@ -262,7 +263,7 @@
       this.#refuse(waiting, 'stopping', 0);
       return;
     }
-    if (request.adapter !== undefined)
+    if (request.adapter !== undefined && !isTakeover)
       this.#popularity.recordRequest(adapterKey(request.model, request.adapter));
     this.#waiting.add(waiting, nowMs);
     this.#placement.place(waiting, this.#index(), nowMs);
@@ -414,10 +415,12 @@
   // --- decisions ---------------------------------------------------------------------------------
 
   #refuse(waiting: WaitingRequest, reason: RefusalReason, retryAfterMs: number): void {
-    const { promptKey, objectiveMs } = waiting.request;
+    const { promptKey, objectiveMs, isTakeover } = waiting.request;
     const ageMs = this.#options.clock.now() - waiting.arrivedMs;
     this.#logDecision('slot.refused', waiting, { reason, retryAfterMs: Math.round(retryAfterMs) });
-    this.#refused.record(promptKey, ageMs <= objectiveMs * EARLY_REFUSAL_SHARE ? 'early' : 'late');
+    // Its client is not told, and does not come back.
+    if (isTakeover !== true)
+      this.#refused.record(promptKey, ageMs <= objectiveMs * EARLY_REFUSAL_SHARE ? 'early' : 'late');
     waiting.decide({ kind: 'refused', requestId: waiting.request.id, reason, retryAfterMs });
   }
 
@@ -425,8 +428,9 @@
   #logDecision(event: string, waiting: WaitingRequest, fields: Record<string, string | number>): void {
     const { request, arrivedMs, obstacle, returned } = waiting;
     const ageMs = Math.round(this.#options.clock.now() - arrivedMs);
-    const { traceId, route, priority, adapter, promptTokens } = request;
-    const described = { route, priority, adapter, promptTokens, ageMs, obstacle, returned, ...fields };
+    const { traceId, route, priority, adapter, promptTokens, isTakeover } = request;
+    const placed = { route, priority, adapter, promptTokens, isTakeover };
+    const described = { ...placed, ageMs, obstacle, returned, ...fields };
     this.#options.telemetry.event('info', event, traceId, described);
   }
 
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -26,6 +26,11 @@
   readonly excluded: readonly string[];
   /** Software version of the backends that may continue its stream; absent if any may run it. */
   readonly softwareVersion?: string | undefined;
+  /**
+   * Whether it still runs at a backend that is silent, which may go on before another one takes over. Absent from earlier
+   * builds.
+   */
+  readonly isTakeover?: boolean;
 }
 
 /** Whether a request may be sent to a backend, as far as what it has been sent to before decides that. */
--- a/packages/slots/src/waiting-list.ts
+++ b/packages/slots/src/waiting-list.ts
@@ -39,6 +39,11 @@
   startDeadlineMs: number;
 }
 
+/** Whether it counts in the shares of its kind and tenant: one that holds a slot already was counted when it was granted that. */
+function isCounted({ request }: WaitingRequest<PoolRequest>): boolean {
+  return request.isTakeover !== true;
+}
+
 function compareEntries(a: QueueEntry<PoolRequest>, b: QueueEntry<PoolRequest>): number {
   return (
     a.precedence - b.precedence ||
@@ -118,7 +123,7 @@
 
   add(waiting: WaitingRequest<R>, nowMs: number): void {
     this.#byId.set(waiting.request.id, waiting);
-    this.#shares.recordAsked(waiting.request, nowMs);
+    if (isCounted(waiting)) this.#shares.recordAsked(waiting.request, nowMs);
   }
 
   remove(id: string): WaitingRequest<R> | undefined {
@@ -130,7 +135,7 @@
   /** Removes a request that is refused, or whose client left while it waited. */
   unserved(id: string, nowMs: number): void {
     const waiting = this.remove(id);
-    if (waiting !== undefined) this.#shares.recordRefused(waiting.request, nowMs);
+    if (waiting !== undefined && isCounted(waiting)) this.#shares.recordRefused(waiting.request, nowMs);
   }
 
   get(id: string): WaitingRequest<R> | undefined {
@@ -174,6 +179,7 @@
     const missing = new Map<string, MissingGrants>();
     let isAny = false;
     for (const entry of entries) {
+      if (!isCounted(entry.waiting)) continue;
       const { request } = entry.waiting;
       const kind = kindOf(request);
       const { least, rank } = missing.get(kind) ?? this.#shares.missing(request, nowMs);
@@ -188,8 +194,9 @@
   /** Removes a request that got an engine and advances the virtual clock of its tenant. */
   granted(id: string, nowMs: number): void {
     const waiting = this.remove(id);
-    if (waiting !== undefined) this.#shares.recordGranted(waiting.request, nowMs);
-    const tenant = waiting?.request.tenant;
+    if (waiting === undefined || !isCounted(waiting)) return;
+    this.#shares.recordGranted(waiting.request, nowMs);
+    const { tenant } = waiting.request;
     const costMs = tenant === undefined ? undefined : this.#virtualCostMs.get(tenant);
     if (tenant === undefined || costMs === undefined) return;
     this.#virtualTimeMs.set(tenant, Math.max(this.#virtualTimeMs.get(tenant) ?? 0, nowMs) + costMs);
