A silence of all backends is not published as the loss of a node's own path

Cause: a node whose probes stay unanswered published that at once, and every node that had not published yet counted as one that reaches the service. So the first to find a silence of all looked cut off, and so did the last to withdraw it. A node that was asked whether it reaches a service also said yes for a second after the last data.

Change: OwnLoss. A node publishes an impaired path, and hands a pool over, only once a peer says that it reaches the service now (data within 250 ms, less than the time for which this node's probes went unanswered, or a probe) while this node's own probes, sent with the question, stay unanswered.

BackendAccess gets its probe from outside, so that tests can run it in virtual time.

--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -182,13 +182,13 @@
   }
 
   /**
-   * Gives up a pool of engines that this node can't reach, so that it can give no orders, while another node
-   * reaches them. Other leaders grant backends without any path of their own.
+   * Gives up a pool of engines that this node can't reach, so that it can give no orders, once another node said
+   * that it reaches them. Other leaders grant backends without any path of their own.
    */
   #handOverIfCutOff(service: string, entry: PoolEntry): void {
     const { paths, fleetPaths, cluster, telemetry } = this.#options;
     if (entry.engines === undefined || !entry.leading || paths.state(service) !== 'lost') return;
-    if (!fleetPaths.isReachedByAnyBut(cluster.selfId, service)) return;
+    if (!fleetPaths.isCutOff(service) || !fleetPaths.isReachedByAnyBut(cluster.selfId, service)) return;
     telemetry.event('info', 'pool.handed-over', service, { term: entry.leadership.term });
     entry.leadership.resign();
     this.#endRole(entry);
@@ -420,7 +420,7 @@
   /** This node's own paths to backends. */
   readonly paths: Pick<BackendPaths, 'state'>;
   /** What is known of the paths of all nodes. */
-  readonly fleetPaths: Pick<FleetPaths, 'reaching' | 'isReachedByAnyBut'>;
+  readonly fleetPaths: Pick<FleetPaths, 'reaching' | 'isReachedByAnyBut' | 'isCutOff'>;
   readonly availability: Pick<BackendAvailability, 'isBackingOff'>;
   readonly rateLimits: Pick<BackendRateLimits, 'perSecond' | 'all'>;
   readonly rejectionLimits: Pick<RejectionLimits, 'perSecond'>;
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -65,6 +65,7 @@
 import { Exchange, type ExchangeContext } from './request/exchange.js';
 import { ServingOutage } from './request/serving-outage.js';
 import { BackendAccess } from './paths/backend-access.js';
+import { httpProbe } from './paths/http-probe.js';
 import { REACHES_METHOD } from './relay/relay-protocol.js';
 import { RelayServer } from './relay/relay-server.js';
 import { ServiceVersions } from './streams/service-versions.js';
@@ -174,7 +175,7 @@
       network: this.#network,
       connections: this.#connections,
       control: options.control,
-      probePath: options.dialect.probePath,
+      probe: httpProbe(options.dialect.probePath),
       fleetShare: () => this.#fleetShare.value,
       isStopping: () => this.#stopping,
       telemetry,
--- a/packages/gateway/src/paths/backend-access.ts
+++ b/packages/gateway/src/paths/backend-access.ts
@@ -5,14 +5,15 @@
 import type { BackendConnections } from '../backends/backend-connections.js';
 import type { Cluster } from '../cluster/cluster.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
-import type { PeerNetwork } from '../peers/peer-network.js';
+import type { PeerCaller } from '../cluster/peer-caller.js';
 import { reachesParams, type ReachesReply } from '../relay/relay-protocol.js';
 import { Relays } from '../relay/relays.js';
 import { BackendHops } from '../request/backend-hops.js';
 import { BackendPaths } from './backend-paths.js';
 import { BackendResponsiveness } from './backend-responsiveness.js';
 import { FleetPaths } from './fleet-paths.js';
-import { httpProbe } from './http-probe.js';
+import type { PathProbe } from './http-probe.js';
+import { OwnLoss } from './own-loss.js';
 import { PathRecordingControl } from './path-recording-control.js';
 import type { PathState } from './service-path.js';
 
@@ -23,10 +24,10 @@
   readonly random: Random;
   readonly fleet: FleetState;
   readonly cluster: Cluster;
-  readonly network: PeerNetwork;
+  readonly network: PeerCaller;
   readonly connections: BackendConnections;
   readonly control: EngineControl;
-  readonly probePath: string;
+  readonly probe: PathProbe;
   /** This node's share of limits that apply to the whole fleet, from 0 to 1. */
   readonly fleetShare: () => number;
   readonly isStopping: () => boolean;
@@ -43,11 +44,11 @@
   readonly control: EngineControl;
   readonly #options: BackendAccessOptions;
   readonly #relays: Relays;
+  readonly #ownLoss: OwnLoss;
 
   constructor(options: BackendAccessOptions) {
     this.#options = options;
-    const { fleetClock, random, fleet, cluster, network, telemetry } = options;
-    const probe = httpProbe(options.probePath);
+    const { fleetClock, random, fleet, cluster, network, probe, telemetry } = options;
     this.paths = new BackendPaths({
       clock: fleetClock,
       random,
@@ -56,14 +57,17 @@
       telemetry,
       onChange: (service, state) => this.#onPathChanged(service, state),
     });
-    this.responsiveness = new BackendResponsiveness({ ...options, probe });
+    this.responsiveness = new BackendResponsiveness(options);
     this.fleetPaths = new FleetPaths({
       clock: fleetClock,
       cluster,
       ownImpaired: () => this.paths.impaired(),
+      isOwnLoss: (service) => this.#ownLoss.isSeen(service),
       onPeerLost: (service) => this.paths.hint(service),
+      telemetry,
     });
     this.#relays = new Relays({ clock: fleetClock, random, cluster, network, paths: this.fleetPaths });
+    this.#ownLoss = new OwnLoss({ clock: fleetClock, paths: this.paths, relays: this.#relays });
     this.hops = new BackendHops({ ...options, paths: this.paths, relays: this.#relays });
     this.control = new PathRecordingControl(options.control, this.paths);
   }
@@ -90,6 +94,6 @@
     const { metrics, fleet, connections } = this.#options;
     metrics.pathsImpaired.set({ service }, state === 'working' ? 0 : 1);
     if (state === 'lost') for (const { id } of fleet.backendsOf(service)) connections.dropIdle(id);
-    this.fleetPaths.ownPathChanged(state);
+    this.fleetPaths.ownPathChanged(service, state);
   }
 }
--- a/packages/gateway/src/paths/backend-paths.ts
+++ b/packages/gateway/src/paths/backend-paths.ts
@@ -32,8 +32,13 @@
 const BACKENDS_TO_REGAIN = 2;
 /** A path over which something arrived within this time still carries the connections that are open. */
 const RECEIVING_MS = 250;
-/** A path over which something was received within this time is not checked on a hint or when a peer asks. */
+/** A path over which something was received within this time is not checked on a hint. */
 const FRESH_MS = 1000;
+/**
+ * A path over which something was received within this time is not checked when a peer asks: less than the probe
+ * timeout, so that what the peer's probes missed was sent before.
+ */
+const FRESH_FOR_PEER_MS = 250;
 
 /**
  * Knows which services this node can reach: all backends of a service at once fail to answer a node that has
@@ -99,11 +104,18 @@
   /** Resolves to whether this node can open connections to a service, after a check unless that is known. */
   async reaches(service: string, cause: CheckCause = 'asked'): Promise<boolean> {
     if (this.state(service) !== 'working') return false;
-    const isFresh = this.#path(service).receivedWithin(FRESH_MS, this.#options.clock.now());
+    const freshMs = cause === 'asked' ? FRESH_FOR_PEER_MS : FRESH_MS;
+    const isFresh = this.#path(service).receivedWithin(freshMs, this.#options.clock.now());
     if (!isFresh) await this.#check(service, cause);
     return this.state(service) === 'working';
   }
 
+  /** Resolves to whether a backend of an impaired service answers a probe. */
+  isAnswered(service: string): Promise<boolean> {
+    const backends = this.#backendsToProbe(service).slice(0, BACKENDS_TO_REGAIN);
+    return anyTrue(backends.map((backend) => this.#answers(backend)));
+  }
+
   #path(service: string): ServicePath {
     let path = this.#services.get(service);
     if (path === undefined) {
--- a/packages/gateway/src/paths/fleet-paths.ts
+++ b/packages/gateway/src/paths/fleet-paths.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@canvasridge/clock';
+import type { Telemetry } from '@canvasridge/telemetry';
 import type { Cluster } from '../cluster/cluster.js';
 import type { PathState } from './service-path.js';
 import { peerRecords } from '../cluster/peer-records.js';
@@ -11,8 +12,11 @@
   >;
   /** Services to which this node can open no connection. */
   readonly ownImpaired: () => readonly string[];
+  /** Resolves to whether another node is seen to reach an impaired service while this one does not. */
+  readonly isOwnLoss: (service: string) => Promise<boolean>;
   /** Called with a service that another node says it can't reach. */
   readonly onPeerLost: (service: string) => void;
+  readonly telemetry: Telemetry;
 }
 
 const PATHS_KEY = 'paths';
@@ -21,14 +25,20 @@
 /** Changes of members are frequent in a large fleet and read at most this often. */
 const MIN_UPDATE_MS = 200;
 const IDLE_MS = 5000;
+/** Pause before an impaired service is looked at again; doubles up to the maximum. */
+const ASK_AGAIN_MS = 400;
+const MAX_ASK_AGAIN_MS = 1600;
 
 /**
- * Which nodes reach which services: each node publishes those that it can't reach. What all nodes miss is a
- * service that is down, and distinguishes no node from another.
+ * Which nodes reach which services: each node publishes those that it can't reach while another node can. What no
+ * other node reaches either is a service that is silent or down, and distinguishes no node from another.
  */
 export class FleetPaths {
   readonly #options: FleetPathsOptions;
   #published: readonly string[] = [];
+  /** Impaired services that are this node's own loss. */
+  readonly #confirmed = new Set<string>();
+  readonly #asking = new Set<string>();
   #stopped = false;
   #lostByMember: ReadonlyMap<string, ReadonlySet<string>> = new Map();
   #readAtChange = -1;
@@ -40,9 +50,18 @@
   }
 
   /** Call it when the state of a path of this node has changed. */
-  ownPathChanged(state: PathState): void {
-    if (state !== 'working') this.#publish();
-    else this.#options.clock.setTimer(REGAINED_AFTER_MS, () => this.#publish());
+  ownPathChanged(service: string, state: PathState): void {
+    if (state !== 'working') {
+      void this.#confirm(service);
+      return;
+    }
+    this.#confirmed.delete(service);
+    this.#options.clock.setTimer(REGAINED_AFTER_MS, () => this.#publish());
+  }
+
+  /** Whether this node has published that it can't reach a service that another node reaches. */
+  isCutOff(service: string): boolean {
+    return this.#published.includes(service);
   }
 
   start(): void {
@@ -98,9 +117,30 @@
     return reaching.length === 0 ? memberIds : reaching;
   }
 
+  /** Publishes an impaired service once that is seen to be this node's own loss. */
+  async #confirm(service: string): Promise<void> {
+    const { clock, isOwnLoss, telemetry } = this.#options;
+    if (this.#asking.has(service) || this.#confirmed.has(service)) return;
+    this.#asking.add(service);
+    for (let rounds = 1; !this.#stopped && this.#isImpairedHere(service); rounds += 1) {
+      if ((await isOwnLoss(service)) && this.#isImpairedHere(service)) {
+        this.#confirmed.add(service);
+        telemetry.event('warn', 'paths.cut-off', service, { rounds });
+        this.#publish();
+        break;
+      }
+      await clock.sleep(Math.min(ASK_AGAIN_MS * 2 ** (rounds - 1), MAX_ASK_AGAIN_MS));
+    }
+    this.#asking.delete(service);
+  }
+
+  #isImpairedHere(service: string): boolean {
+    return this.#options.ownImpaired().includes(service);
+  }
+
   #publish(): void {
-    const { cluster, ownImpaired } = this.#options;
-    const lost = [...ownImpaired()].sort();
+    const { cluster } = this.#options;
+    const lost = [...this.#confirmed].filter((service) => this.#isImpairedHere(service)).sort();
     if (lost.join() === this.#published.join()) return;
     this.#published = lost;
     cluster.publishRecord(PATHS_KEY, lost.length === 0 ? null : { token: cluster.processToken, lost });
--- a/packages/gateway/src/relay/relay-peers.ts
+++ b/packages/gateway/src/relay/relay-peers.ts
@@ -1,6 +1,7 @@
 import type { Clock, Random } from '@canvasridge/clock';
 import type { Cluster } from '../cluster/cluster.js';
 import type { PeerCaller } from '../cluster/peer-caller.js';
+import { anyTrue } from '../paths/any-true.js';
 import type { FleetPaths } from '../paths/fleet-paths.js';
 import { REACHES_METHOD, reachesReply, type ReachesParams } from './relay-protocol.js';
 
@@ -27,7 +28,7 @@
   readonly #options: RelayPeersOptions;
   /** By service and member: when it confirmed that it reaches the service. */
   readonly #confirmed = new Map<string, Map<string, number>>();
-  readonly #asking = new Map<string, Promise<void>>();
+  readonly #asking = new Map<string, Promise<boolean>>();
 
   constructor(options: RelayPeersOptions) {
     this.#options = options;
@@ -40,13 +41,25 @@
   async pick(service: string, excluded: ReadonlySet<string>): Promise<string | undefined> {
     const known = this.#least(service, excluded);
     if (known !== undefined) {
-      if (this.#isDue(service)) void this.#ask(service);
+      if (this.#isDue(service)) void this.ask(service);
       return known;
     }
-    await this.#ask(service);
+    await this.ask(service);
     return this.#least(service, excluded);
   }
 
+  /**
+   * Asks some peers whether they reach a service. Resolves to true when one has confirmed it, or to false when all
+   * have answered; concurrent calls share the answers.
+   */
+  ask(service: string): Promise<boolean> {
+    const running = this.#asking.get(service);
+    if (running !== undefined) return running;
+    const asking = this.#askSome(service).finally(() => this.#asking.delete(service));
+    this.#asking.set(service, asking);
+    return asking;
+  }
+
   /** Call it when a peer could not relay a request. */
   failed(service: string, peerId: string): void {
     this.#confirmed.get(service)?.delete(peerId);
@@ -79,26 +92,14 @@
     return this.#options.clock.now() - newestMs > CONFIRMED_MS * REFRESH_SHARE;
   }
 
-  /** Resolves when a peer has confirmed, or all have answered; concurrent calls share the answers. */
-  #ask(service: string): Promise<void> {
-    const running = this.#asking.get(service);
-    if (running !== undefined) return running;
-    const asking = this.#askSome(service).finally(() => this.#asking.delete(service));
-    this.#asking.set(service, asking);
-    return asking;
-  }
-
-  async #askSome(service: string): Promise<void> {
+  async #askSome(service: string): Promise<boolean> {
     const { random, cluster, paths } = this.#options;
     const others = cluster.serving().filter(({ id }) => id !== cluster.selfId && !paths.hasLost(id, service));
     const busy = cluster.busy();
     const shuffled = random.shuffle(others.map(({ id }) => id));
     const asked = [...shuffled.filter((id) => !busy.has(id)), ...shuffled.filter((id) => busy.has(id))];
     const answers = asked.slice(0, PEERS_ASKED).map((id) => this.#askOne(service, id));
-    const firstConfirmed = new Promise<void>((resolve) => {
-      for (const answer of answers) void answer.then((reaches) => (reaches ? resolve() : undefined));
-    });
-    await Promise.race([firstConfirmed, Promise.all(answers)]);
+    return anyTrue(answers);
   }
 
   async #askOne(service: string, id: string): Promise<boolean> {
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -51,6 +51,11 @@
     return new RelayHop({ connection, peerId, backendId, onReceived, onEnded });
   }
 
+  /** Asks some members; resolves to whether any of them reaches a service now. */
+  isReachedByPeer(service: string): Promise<boolean> {
+    return this.#peers.ask(service);
+  }
+
   close(): void {
     this.#connections.close();
   }
--- a/packages/gateway/test/backend-paths.test.ts
+++ b/packages/gateway/test/backend-paths.test.ts
@@ -128,6 +128,19 @@
   paths.stop();
 });
 
+// Peers said that they reach a service whose backends had all been silent for almost a second.
+test('a peer that asks is told of a path over which nothing has arrived just now only after a check', async (t) => {
+  const { clock, paths, answering } = newSetup();
+  paths.received(SERVICE);
+  t.true(await paths.reaches(SERVICE));
+  answering.clear();
+  await clock.runUntil(300);
+  const isReached = paths.reaches(SERVICE);
+  await clock.runUntil(1000);
+  t.false(await isReached);
+  paths.stop();
+});
+
 // The check of a path ended at once and was repeated at once, so that the process did nothing else.
 test('a path to a service without ready backends is checked at intervals', async (t) => {
   const { clock, paths, changes, probes } = newSetup(0);
--- a/packages/gateway/test/fleet-paths.test.ts
+++ b/packages/gateway/test/fleet-paths.test.ts
@@ -32,7 +32,9 @@
       clock: nodes.clock,
       cluster,
       ownImpaired: () => impaired.get(id) ?? [],
+      isOwnLoss: () => Promise.resolve(true),
       onPeerLost: (service) => hints.get(id)?.push(service),
+      telemetry: new Telemetry({ processName: id, clock: nodes.clock }),
     });
     fleetPaths.start();
     paths.set(id, fleetPaths);
@@ -43,7 +45,7 @@
 
 function lose({ paths, impaired }: Setup, id: string): void {
   impaired.set(id, [SERVICE]);
-  paths.get(id)?.ownPathChanged('lost');
+  paths.get(id)?.ownPathChanged(SERVICE, 'lost');
 }
 
 test('all nodes learn of a lost path at once, and of its return only when it has stood for a while', async (t) => {
@@ -55,7 +57,7 @@
   t.deepEqual(impairedAccordingTo(), [true, true, true]);
   t.deepEqual([...hints.values()], [[], [SERVICE], [SERVICE]]);
   impaired.set('n1', []);
-  paths.get('n1')?.ownPathChanged('working');
+  paths.get('n1')?.ownPathChanged(SERVICE, 'working');
   await nodes.clock.runUntil(5500);
   t.deepEqual(impairedAccordingTo(), [true, true, true]);
   await nodes.clock.runUntil(7500);
--- a/packages/gateway/test/virtual-holders.ts
+++ b/packages/gateway/test/virtual-holders.ts
@@ -176,7 +176,7 @@
       network: { to: () => NO_CONNECTION, drop: () => undefined, receivedWithin: () => false },
       control,
       paths: { state: () => 'working' },
-      fleetPaths: { reaching: (_, ids) => ids, isReachedByAnyBut: () => false },
+      fleetPaths: { reaching: (_, ids) => ids, isReachedByAnyBut: () => false, isCutOff: () => false },
       availability: { isBackingOff: () => false },
       rateLimits: noRateLimits(clock),
       rejectionLimits: { perSecond: () => undefined },
