--- a/packages/gateway/test/raw-backend.ts
+++ b/packages/gateway/test/raw-backend.ts
@@ -16,6 +16,8 @@
   /** Header sections of the requests that arrived. */
   readonly requestHeads: string[] = [];
   connections = 0;
+  /** Probes that arrived; each has its own connection. */
+  probes = 0;
   /** Whether probes are answered. */
   answersProbes = true;
   #port = 0;
@@ -34,6 +36,7 @@
         if (received.length < end + 4 + length) return;
         received = '';
         if (head.startsWith(`GET ${PROBE_PATH} `)) {
+          this.probes += 1;
           if (this.answersProbes) socket.end('HTTP/1.1 204 No Content\r\n\r\n');
           return;
         }
--- a/packages/gateway/test/takeover.test.ts
+++ b/packages/gateway/test/takeover.test.ts
@@ -3,6 +3,7 @@
  * happen, when a backend takes over from a silent one: see silent-backends for the takeover itself.
  */
 import test from 'ava';
+import { BackendConnection } from '../src/backends/backend-connection.js';
 import { BackendConnections } from '../src/backends/backend-connections.js';
 import { RelayHop } from '../src/relay/relay-hop.js';
 import { Harness, SERVICE, configuration, tenant, type RouteOverrides } from './harness.js';
@@ -226,3 +227,105 @@
   t.is(body, WHOLE);
   t.true(whole);
 });
+
+// The attempt was given up in the turn in which its data lay unread, as after a time in which the event loop was held up.
+test('a stream goes on at its backend if the rest has arrived when another could take over', async (t) => {
+  let sendRest = (): void => undefined;
+  const harness = await Harness.start(
+    STREAM,
+    inOrder(
+      2,
+      (socket, id) => {
+        socket.write(streamHead(id) + chunk(event(1)));
+        sendRest = () => socket.write(`${chunk(event(2))}0\r\n\r\n`);
+      },
+      continues,
+    ),
+  );
+  t.teardown(() => harness.stop());
+  // Before the first attempt, and as the last wait of the search.
+  harness.beforeSend = () => {
+    sendRest();
+    return Promise.resolve();
+  };
+  const { body, whole } = await harness.call('a1');
+  t.is(body, WHOLE);
+  t.true(whole);
+  t.is(harness.sends, 1);
+});
+
+// The quota was asked last, so that each try took a slot and opened a connection for a request that may not be sent.
+test('a silent stream whose tenant has no quota left opens no connection but those of probes', async (t) => {
+  const harness = await Harness.start(
+    undefined,
+    inOrder(2, (socket, id) => {
+      socket.write(streamHead(id) + chunk(event(1)));
+      setTimeout(() => socket.write(`${chunk(event(2))}0\r\n\r\n`), SILENCE_MS);
+    }),
+  );
+  t.teardown(() => harness.stop());
+  const quota = { unit: 'requests', ratePerSecond: 1, burst: 1, plainTokens: 1 } as const;
+  harness.fleet.applyConfiguration(configuration(STREAM, [tenant('t', ['k'], { quota })]));
+  let charges = 0;
+  harness.admit = () => {
+    charges += 1;
+    return Promise.resolve(charges === 1 ? { kind: 'admitted' } : { kind: 'refused', retryAfterMs: 1000 });
+  };
+  const { body } = await harness.call('a1', '/x/', 'question', { key: 'k' });
+  t.is(body, WHOLE);
+  const unused = harness.backends.map(
+    ({ connections, probes, requestHeads }) => connections - probes - requestHeads.length,
+  );
+  t.deepEqual(unused, [0, 0]);
+});
+
+// What was charged for an attempt that still connects covered the takeover, and was given back when that was not allowed.
+test('a run is charged if its connection opens after another backend was looked for', async (t) => {
+  const peer = await RawBackend.start(continues);
+  let open = (): void => undefined;
+  class SlowConnection extends BackendConnection {
+    override send(...parameters: Parameters<BackendConnection['send']>): void {
+      open = () => super.send(...parameters);
+    }
+  }
+  const timing = {
+    connectTimeoutMs: 600,
+    defaultKeepAliveMs: 4000,
+    keepAliveMarginMs: 600,
+    maxKeepAliveMs: 60_000,
+  };
+  const harness = await Harness.start(undefined, inOrder(2, continues));
+  t.teardown(() => {
+    harness.stop();
+    peer.stop();
+  });
+  const quota = { unit: 'requests', ratePerSecond: 1, burst: 2, plainTokens: 1 } as const;
+  harness.fleet.applyConfiguration(configuration(STREAM, [tenant('t', ['k'], { quota })]));
+  let charges = 0;
+  harness.admit = () => {
+    charges += 1;
+    return Promise.resolve({ kind: 'admitted' });
+  };
+  harness.pathState = 'lost';
+  let opened = 0;
+  // The takeover is not allowed once, and the slow connection opens after that.
+  let isListOld = true;
+  harness.isListTooOld = () => {
+    const wasOld = isListOld;
+    isListOld = false;
+    if (wasOld) setImmediate(open);
+    return wasOld;
+  };
+  harness.openRelay = (backend, _, onReceived) => {
+    opened += 1;
+    const Connection = opened === 1 ? SlowConnection : BackendConnection;
+    const connection = new Connection(`127.0.0.1:${peer.port}`, timing, () => undefined);
+    const peerId = `peer-${opened}`;
+    const onEnded = (): void => connection.close();
+    return Promise.resolve(new RelayHop({ connection, peerId, backendId: backend.id, onReceived, onEnded }));
+  };
+  const { body } = await harness.call('a1', '/x/', 'question', { key: 'k' });
+  t.is(body, WHOLE);
+  t.is(peer.requestHeads.length, 1);
+  t.is(charges - harness.refundedUnits.length, 1);
+});
