--- a/packages/gateway/test/running-node.ts
+++ b/packages/gateway/test/running-node.ts
@@ -1,4 +1,4 @@
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
 import { SystemClock, type Clock } from '@canvasridge/clock';
 import { FleetState, type Tenant } from '@canvasridge/serving';
 import { DEFAULT_SLOT_TIMING } from '@canvasridge/slots';
@@ -33,12 +33,27 @@
   readonly lines: readonly string[];
 }
 
+/** Ports below those that the operating system gives to outgoing connections, which would take one that is free now. */
+const FIRST_PORT = 10_000;
+const PORTS = 20_000;
+let nextPort = FIRST_PORT + Math.floor(Math.random() * PORTS);
+
 async function freePort(): Promise<number> {
+  for (;;) {
+    const port = nextPort;
+    nextPort = port + 1 < FIRST_PORT + PORTS ? port + 1 : FIRST_PORT;
+    if (await isFree(port)) return port;
+  }
+}
+
+async function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  const isListening = await new Promise<boolean>((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, LOOPBACK, () => resolve(true));
+  });
+  if (isListening) await new Promise((resolve) => server.close(resolve));
+  return isListening;
 }
 
 /** Starts a node with one route to a scripted backend. The caller has to stop the node. */
@@ -67,6 +82,8 @@
   readonly backends: readonly RawBackend[];
   /** Starts one more node, which knows only the addresses of the others. */
   readonly add: () => Promise<Omit<RunningNode, 'attempts'>>;
+  /** Stops all nodes as planned, before the test ends. */
+  readonly stop: () => Promise<void>;
 }
 
 /** Starts the given numbers of nodes and backends; all are stopped when the test ends. */
@@ -75,12 +92,22 @@
   counts: { readonly nodes: number; readonly backends: number },
   route: RouteOverrides,
   answer: RawResponder,
+  graceMs = FLEET_GRACE_MS,
 ): Promise<RunningFleet> {
   const backends: RawBackend[] = [];
   for (let index = 0; index < counts.backends; index += 1) backends.push(await RawBackend.start(answer));
   t.teardown(() => backends.forEach((backend) => backend.stop()));
   const nodes: Omit<RunningNode, 'attempts'>[] = [];
   const seeds: string[] = [];
+  const stopped = new Map<GatewayNode, Promise<void>>();
+  const stopOnce = (node: GatewayNode): Promise<void> => {
+    const stopping = stopped.get(node) ?? node.stop();
+    stopped.set(node, stopping);
+    return stopping;
+  };
+  const stop = async (): Promise<void> => {
+    await Promise.all(nodes.map(({ node }) => stopOnce(node)));
+  };
   const add = async (): Promise<Omit<RunningNode, 'attempts'>> => {
     const fleet = new FleetState();
     fleet.applyConfiguration(configuration({ timeoutMs: 60_000, ...route }));
@@ -93,15 +120,15 @@
       nodeId,
       peerPort,
       seeds: [...seeds],
-      graceMs: FLEET_GRACE_MS,
+      graceMs,
     });
-    t.teardown(() => started.node.stop());
+    t.teardown(() => stopOnce(started.node));
     seeds.push(`${LOOPBACK}:${peerPort}`);
     nodes.push(started);
     return started;
   };
   while (nodes.length < counts.nodes) await add();
-  return { nodes, backends, add };
+  return { nodes, backends, add, stop };
 }
 
 interface NodeSettings {
