A stream goes on at a third backend when the second one answers with an error

Callers saw a resumable stream cut although attempts were left: an error response was final once a part of the stream had been forwarded, as it can't be forwarded itself then. It is now retried like a stream that breaks off, within the route's attempts and the retry budget.

Evidence: takeover, 'a stream goes on at a third backend when the one that takes it over fails it' failed before (cut, 'backend failed after part of the stream was sent') and passes now.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -554,12 +554,12 @@
       case 'cancelled':
         return true;
       case 'failure':
-        if (this.#isRepeatable(route) && this.#runs < route.attempts && !this.#sink.started) {
-          this.#keptFailure = outcome;
-          return false;
+        if (!this.#isRepeatable(route) || this.#runs >= route.attempts) {
+          this.#forwardFailure(outcome);
+          return true;
         }
-        this.#forwardFailure(outcome);
-        return true;
+        this.#keptFailure = outcome;
+        return false;
       case 'not-run':
       case 'broken':
         return false;
