A backend that was only silent serves a retry if there is no other one

Callers saw a stream cut after a takeover that its backend refused: the silent backend, sound by then, was left out for the rest of the request, so that none remained. It is now avoided, and picked only when no other one is there.

Evidence: takeover, 'a stream goes on when the backend that takes it over refuses it' failed before (cut, 'no-backend') and passes now.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -121,6 +121,8 @@
   /** Attempts so far in which a backend ran the request, or may have run it. */
   #runs = 0;
   #excluded: string[] = [];
+  /** Backends whose attempts were given up because they sent nothing. */
+  readonly #silent: string[] = [];
   /** Nodes that could not relay this request. */
   readonly #excludedRelays = new Set<string>();
   /** Node through which the last attempt was sent; undefined if it was sent directly. */
@@ -253,7 +255,7 @@
   ): Promise<PickedBackend | undefined> {
     if (this.#refuseIfQuarantined() || this.#timeOutIfOverdue(route)) return undefined;
     if (!this.#identifyOrRefuse(route)) return undefined;
-    const picked = await this.#pick(route, service, this.#cancel.signal);
+    const picked = await this.#pickForRetry(route, service);
     if (picked.kind === 'none') {
       if (!this.#ended) this.#refuse(picked.reason, picked.retryAfterMs);
       return undefined;
@@ -351,11 +353,20 @@
     if (this.#attempt?.sent !== true) this.#admission.refund();
   }
 
+  /** Picks a backend for the next attempt; one that was only silent serves if there is no other. */
+  async #pickForRetry(route: HttpRoute, service: BackendService): Promise<PickResult> {
+    const { signal } = this.#cancel;
+    const picked = await this.#pick(route, service, signal, this.#silent);
+    if (picked.kind === 'picked' || this.#silent.length === 0 || this.#ended) return picked;
+    return this.#pick(route, service, signal, []);
+  }
+
+  /** @param avoided backends that are excluded besides those that failed */
   #pick(
     route: HttpRoute,
     service: BackendService,
     cancelled: AbortSignal,
-    excluded: readonly string[] = this.#excluded,
+    avoided: readonly string[],
   ): Promise<PickResult> {
     const picker = service.engine === undefined ? this.#context.plainPicker : this.#context.enginePicker;
     const context = {
@@ -369,7 +380,7 @@
       ageMs: this.#ageMs(),
       timeoutMs: this.#timeoutMs(route),
       startWithinMs: this.#startWithinMs(route),
-      excluded,
+      excluded: [...this.#excluded, ...avoided],
       softwareVersion: this.#binding.version,
     };
     return picker.pick(context, cancelled);
@@ -504,7 +515,7 @@
   #searchedRequest(route: HttpRoute, service: BackendService): SearchedRequest {
     return {
       obstacle: () => this.#obstacleToRetry(route),
-      pick: (silent, cancelled) => this.#pick(route, service, cancelled, [...this.#excluded, ...silent]),
+      pick: (silent, cancelled) => this.#pick(route, service, cancelled, [...this.#silent, ...silent]),
       refreshList: () => this.#context.refreshIfOld(),
       charge: async () => {
         if (this.#attempt?.sent === true) this.#admission.recordRun();
@@ -601,7 +612,8 @@
     // A backend that asked for a backoff is not excluded: it is avoided until that ends, and may be tried
     // again afterwards.
     const isBackingOff = this.#context.availability.isBackingOff(this.#backendId);
-    if (!mayReuseBackend(outcome) && !isBackingOff && !this.#isOwnFailure)
+    if (outcome.kind === 'broken' && outcome.how === 'silent') this.#silent.push(this.#backendId);
+    else if (!mayReuseBackend(outcome) && !isBackingOff && !this.#isOwnFailure)
       this.#excluded = [...this.#excluded, this.#backendId];
     this.#context.metrics.retries.inc({ service: service.name });
     this.#context.telemetry.event('info', 'request.retried', this.#facts.attemptId ?? '', {
