The limit of silence begins anew when a silent attempt receives something that is no whole event

Callers waited for the whole timeout (504): a backend that was silent beyond the limit, sent its headers or a part of an event, and then nothing for good, ended the search for another one, and nothing started it again.

Evidence: takeover, 'falls silent for good after its headers' and '... after a part of an event' failed before and pass now. Before the attempt was given up at the first limit.

--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -320,6 +320,7 @@
     if (!this.#isInactive) return;
     this.#isInactive = false;
     this.#options.onActive();
+    this.#restartInactivityTimer();
   }
 
   #markStarted(): void {
