A search for a replacement gives back exactly what it took, and asks for evidence with a lost path, too

- The charge for a takeover shared a field with that of the silent attempt, so it was forgotten, paid twice or given back for a run that happened.
A search now holds its own charge (TakeoverCharge).
- With an impaired path nobody asked whether another backend answers, and a sound attempt was given up for a relay whose backend was silent, too.
A relay takes over only once a peer is known to reach the service (isCutOff).
- A backend that once did not answer stayed excluded for the whole search; it is now left out for one try.
- The attempt was given up while its data lay unread.
Input that has arrived is handled before the last checks.
- Each try opened a connection before it asked the quota, and took a slot when the retry budget was used up.
Both are looked at first.
- The leader is told that the request runs already (isTakeover), so that it counts in no share twice.

--- a/packages/gateway/src/backends/retry-budget.ts
+++ b/packages/gateway/src/backends/retry-budget.ts
@@ -41,14 +41,19 @@
     this.#requests.add(this.#clock.now());
   }
 
-  /** Counts one more retry and returns true if the budget allows it; otherwise returns false. */
-  tryTake(): boolean {
+  /** Whether the budget allows no retry now. */
+  get isUsedUp(): boolean {
     const nowMs = this.#clock.now();
     const { ratio, slack } = this.#options;
     const earned = RATIO_SHARE * ratio * this.#requests.total(nowMs);
     const allowed = earned + SLACK_SHARE * slack * this.#fleetShare();
-    if (this.#retries.total(nowMs) + 1 > allowed) return false;
-    this.#retries.add(nowMs);
+    return this.#retries.total(nowMs) + 1 > allowed;
+  }
+
+  /** Counts one more retry and returns true if the budget allows it; otherwise returns false. */
+  tryTake(): boolean {
+    if (this.isUsedUp) return false;
+    this.#retries.add(this.#clock.now());
     return true;
   }
 }
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -289,6 +289,7 @@
       connections: this.#connections,
       hops,
       paths,
+      fleetPaths,
       responsiveness,
       notices,
       availability,
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -12,6 +12,7 @@
 import type { BackendConnections } from '../backends/backend-connections.js';
 import type { BackendPaths } from '../paths/backend-paths.js';
 import type { BackendResponsiveness } from '../paths/backend-responsiveness.js';
+import type { FleetPaths } from '../paths/fleet-paths.js';
 import type { BackendNotices } from '../backends/backend-notices.js';
 import type { BackendPicker, PickResult, PickedBackend } from '../backends/picker.js';
 import type { RetryBudget } from '../backends/retry-budget.js';
@@ -45,7 +46,12 @@
 import { RequestQuarantine, type QuarantineContext } from './request-quarantine.js';
 import { StreamBinding, type StreamBindingContext } from './stream-binding.js';
 import { inactivityLimit } from './inactivity-limit.js';
-import { ReplacementSearch, type Replacement, type SearchedRequest } from './replacement-search.js';
+import {
+  ReplacementSearch,
+  releaseReplacement,
+  type Replacement,
+  type SearchedRequest,
+} from './replacement-search.js';
 import { spreadRetryMs } from './retry-spread.js';
 
 /** What all exchanges of a node share. */
@@ -55,6 +61,7 @@
   readonly connections: Pick<BackendConnections, 'lastReceivedMs'>;
   readonly hops: Pick<BackendHops, 'open' | 'openForTakeover'>;
   readonly paths: Pick<BackendPaths, 'state' | 'isOwnFailure'>;
+  readonly fleetPaths: Pick<FleetPaths, 'isCutOff'>;
   readonly responsiveness: Pick<BackendResponsiveness, 'answers' | 'anyAnswersBut'>;
   readonly notices: BackendNotices;
   readonly availability: BackendAvailability;
@@ -272,9 +279,12 @@
   #takeReplacement(): Replacement | undefined {
     const replacement = this.#replacement;
     this.#replacement = undefined;
-    if (replacement === undefined || !this.#ended) return replacement;
-    release(replacement);
-    return undefined;
+    if (replacement !== undefined && this.#ended) {
+      releaseReplacement(replacement);
+      return undefined;
+    }
+    replacement?.charge.use();
+    return replacement;
   }
 
   /**
@@ -361,12 +371,16 @@
     return this.#pick(route, service, signal, []);
   }
 
-  /** @param avoided backends that are excluded besides those that failed */
+  /**
+   * @param avoided backends that are excluded besides those that failed
+   * @param isTakeover whether the last attempt goes on meanwhile
+   */
   #pick(
     route: HttpRoute,
     service: BackendService,
     cancelled: AbortSignal,
     avoided: readonly string[],
+    isTakeover = false,
   ): Promise<PickResult> {
     const picker = service.engine === undefined ? this.#context.plainPicker : this.#context.enginePicker;
     const context = {
@@ -382,6 +396,7 @@
       startWithinMs: this.#startWithinMs(route),
       excluded: [...this.#excluded, ...avoided],
       softwareVersion: this.#binding.version,
+      isTakeover,
     };
     return picker.pick(context, cancelled);
   }
@@ -446,12 +461,14 @@
       this.#sink,
     );
     this.#attempt = attempt;
-    const outcome = await attempt.run().catch((cause: unknown) => {
-      hop.release(NOT_SENT);
-      throw cause;
-    });
+    const outcome = await attempt
+      .run()
+      .catch((cause: unknown) => {
+        hop.release(NOT_SENT);
+        throw cause;
+      })
+      .finally(() => search.cancel());
     this.#attempt = undefined;
-    search.cancel();
     const isUntouched = outcome.kind === 'cancelled' && !attempt.isHandedOver;
     hop.release(isUntouched ? NOT_SENT : outcome);
     if (hop.relay !== undefined && isRelayFailure(outcome)) this.#excludedRelays.add(hop.relay);
@@ -501,7 +518,7 @@
       onFound: (replacement) => {
         const attempt = this.#attempt;
         if (attempt === undefined || attempt.isSettled) {
-          release(replacement);
+          releaseReplacement(replacement);
           return;
         }
         this.#recordSilence(backend.id, service.name, { replacement: replacement.picked.backend.id });
@@ -514,14 +531,10 @@
 
   #searchedRequest(route: HttpRoute, service: BackendService): SearchedRequest {
     return {
-      obstacle: () => this.#obstacleToRetry(route),
-      pick: (silent, cancelled) => this.#pick(route, service, cancelled, [...this.#silent, ...silent]),
+      obstacle: () => this.#obstacleToRetry(route, service),
+      pick: (silent, cancelled) => this.#pick(route, service, cancelled, [...this.#silent, ...silent], true),
       refreshList: () => this.#context.refreshIfOld(),
-      charge: async () => {
-        if (this.#attempt?.sent === true) this.#admission.recordRun();
-        return (await this.#admission.charge()).kind === 'admitted';
-      },
-      refund: () => this.#admission.refund(),
+      charge: () => this.#admission.chargeTakeover(),
       reasonNotToWrite: (backend) =>
         this.#binding.allows(backend) ? this.#reasonNotToWrite(route, backend.id) : 'other-version',
       takeRetry: () => this.#context.budget(service.name).tryTake(),
@@ -529,11 +542,12 @@
   }
 
   /** Why the request may not be sent again while its attempt runs; undefined if it may. */
-  #obstacleToRetry(route: HttpRoute): string | undefined {
+  #obstacleToRetry(route: HttpRoute, service: BackendService): string | undefined {
     if (this.#attempt === undefined || this.#attempt.isSettled) return 'ended';
     if (this.#sends >= MAX_SENDS) return 'too-many-sends';
     if (this.#quarantine.isQuarantined) return 'quarantined';
     if (this.#remainingMs(route) <= 0) return 'overdue';
+    if (this.#context.budget(service.name).isUsedUp) return 'no-retry-budget';
     return this.#admission.isStillIdentified(route) ? undefined : 'no-access';
   }
 
@@ -789,11 +803,6 @@
   }
 }
 
-function release({ picked, hop }: Replacement): void {
-  hop.release({ kind: 'cancelled' });
-  picked.finish('cancelled');
-}
-
 function round(milliseconds: number | undefined): number | undefined {
   return milliseconds === undefined ? undefined : Math.round(milliseconds);
 }
--- a/packages/gateway/src/request/replacement-search.ts
+++ b/packages/gateway/src/request/replacement-search.ts
@@ -1,15 +1,25 @@
-import type { Clock } from '@canvasridge/clock';
+import { pendingInputHandled, type Clock } from '@canvasridge/clock';
 import type { BackendDescription, BackendService } from '@canvasridge/serving';
 import type { PickResult, PickedBackend } from '../backends/picker.js';
 import type { BackendPaths } from '../paths/backend-paths.js';
 import type { BackendResponsiveness } from '../paths/backend-responsiveness.js';
+import type { FleetPaths } from '../paths/fleet-paths.js';
 import type { BackendHop } from './backend-hop.js';
 import type { BackendHops } from './backend-hops.js';
+import type { TakeoverCharge } from './request-admission.js';
 
 /** What takes over from an attempt whose backend is silent: a backend that holds a slot for it, and an open way there. */
 export interface Replacement {
   readonly picked: PickedBackend;
   readonly hop: BackendHop;
+  readonly charge: TakeoverCharge;
+}
+
+/** Gives back all that a replacement holds. */
+export function releaseReplacement({ picked, hop, charge }: Replacement): void {
+  hop.release({ kind: 'cancelled' });
+  charge.refund();
+  picked.finish('cancelled');
 }
 
 /** What a search needs to know and do for its request. */
@@ -18,11 +28,10 @@
   obstacle(): string | undefined;
   /** Picks a backend other than `silent`. */
   pick(silent: readonly string[], cancelled: AbortSignal): Promise<PickResult>;
+  /** Charges another run to the tenant's quota; resolves to undefined if that is used up. */
+  charge(): Promise<TakeoverCharge | undefined>;
   /** Makes sure that the backend list is fresh. */
   refreshList(): Promise<void>;
-  /** Charges another run to the tenant's quota; resolves to whether that was possible. */
-  charge(): Promise<boolean>;
-  refund(): void;
   /** Why the request must not be written to this backend; undefined if it may be. */
   reasonNotToWrite(backend: BackendDescription): string | undefined;
   /** Takes one retry from the budget; false if none is left. */
@@ -32,6 +41,7 @@
 export interface ReplacementSearchOptions {
   readonly clock: Clock;
   readonly paths: Pick<BackendPaths, 'state'>;
+  readonly fleetPaths: Pick<FleetPaths, 'isCutOff'>;
   readonly responsiveness: Pick<BackendResponsiveness, 'answers' | 'anyAnswersBut'>;
   readonly hops: Pick<BackendHops, 'openForTakeover'>;
   /** The silent backend. */
@@ -49,6 +59,8 @@
 
 /** Pause between two tries. */
 const INTERVAL_MS = 500;
+/** Backends that are picked in one try and turn out to be silent, too. */
+const MAX_PICKS = 3;
 
 /**
  * Looks for a backend that can take over an attempt whose own backend is silent. The attempt goes on meanwhile: its
@@ -57,14 +69,11 @@
  */
 export class ReplacementSearch {
   readonly #options: ReplacementSearchOptions;
-  /** Backends that were picked and did not answer. */
-  readonly #silent: string[];
   readonly #obstacles = new Set<string>();
   #cancel: AbortController | undefined;
 
   constructor(options: ReplacementSearchOptions) {
     this.#options = options;
-    this.#silent = [options.backend.id];
   }
 
   /** Starts to search, unless it does already. */
@@ -72,7 +81,7 @@
     if (this.#cancel !== undefined) return;
     const cancel = new AbortController();
     this.#cancel = cancel;
-    this.#run(cancel.signal).catch((cause: unknown) => this.#options.onDefect(cause));
+    void this.#run(cancel.signal);
   }
 
   /** Ends the search: the attempt has ended or has received something. */
@@ -101,56 +110,82 @@
     this.#options.onObstacle(obstacle);
   }
 
-  /** Resolves to the reason if there is no replacement. */
+  /** One try. Gives back all that it took if it finds no replacement, and resolves to the reason then. */
   async #find(cancelled: AbortSignal): Promise<Replacement | string> {
-    const { paths, responsiveness, backend, service, request } = this.#options;
-    const obstacle = request.obstacle();
-    if (obstacle !== undefined) return obstacle;
-    const isReached = paths.state(service.name) === 'working';
-    if (isReached && !(await responsiveness.anyAnswersBut(service.name, backend.id))) return 'all-silent';
-    if (cancelled.aborted) return 'cancelled';
-    const picked = await request.pick(this.#silent, cancelled);
-    if (picked.kind === 'none') return picked.reason;
-    const found = cancelled.aborted ? 'cancelled' : await this.#prepare(picked, isReached, cancelled);
-    if (typeof found === 'string') picked.finish('cancelled');
+    const giveBack: (() => void)[] = [];
+    let found: Replacement | string;
+    try {
+      found = await this.#acquire(giveBack, cancelled);
+    } catch (cause) {
+      this.#options.onDefect(cause);
+      found = 'defect';
+    }
+    if (typeof found === 'string') for (const undo of giveBack.reverse()) undo();
     return found;
   }
 
-  async #prepare(
-    picked: PickedBackend,
-    isReached: boolean,
-    cancelled: AbortSignal,
-  ): Promise<Replacement | string> {
-    const { responsiveness, hops, service, excludedRelays } = this.#options;
-    if (isReached && !(await responsiveness.answers(picked.backend))) {
-      this.#silent.push(picked.backend.id);
-      return 'replacement-silent';
-    }
+  /** @param giveBack gets what undoes each step */
+  async #acquire(giveBack: (() => void)[], cancelled: AbortSignal): Promise<Replacement | string> {
+    const { hops, service, excludedRelays, request } = this.#options;
+    const obstacle = request.obstacle() ?? (await this.#commonObstacle());
+    if (obstacle !== undefined) return obstacle;
+    const picked = await this.#pickAnswering(cancelled);
+    if (typeof picked === 'string') return picked;
+    giveBack.push(() => picked.finish('cancelled'));
+    if (cancelled.aborted) return 'cancelled';
+    const charge = await request.charge();
+    if (charge === undefined) return 'over-quota';
+    giveBack.push(() => charge.refund());
+    if (cancelled.aborted) return 'cancelled';
     const hop = await hops.openForTakeover(picked.backend, service, excludedRelays);
     if (typeof hop === 'string') return hop;
-    const reason = await this.#reasonNotToTakeOver(picked.backend, cancelled);
-    if (reason === undefined) return { picked, hop };
-    hop.release({ kind: 'cancelled' });
-    return reason;
+    giveBack.push(() => hop.release({ kind: 'cancelled' }));
+    return (await this.#reasonNotToTakeOver(picked.backend, cancelled)) ?? { picked, hop, charge };
+  }
+
+  /**
+   * Why nothing can take over: no other backend of the service answers. A node that alone has lost its path to the
+   * service can't ask them and looks for a relaying node.
+   */
+  async #commonObstacle(): Promise<string | undefined> {
+    const { fleetPaths, responsiveness, backend, service } = this.#options;
+    const isAnyAnswering = this.#isReached
+      ? await responsiveness.anyAnswersBut(service.name, backend.id)
+      : fleetPaths.isCutOff(service.name);
+    return isAnyAnswering ? undefined : 'all-silent';
   }
 
-  /** All checks that need no answer from elsewhere come last, so that nothing can change before the takeover. */
+  async #pickAnswering(cancelled: AbortSignal): Promise<PickedBackend | string> {
+    const { responsiveness, backend, request } = this.#options;
+    const silent = [backend.id];
+    while (silent.length <= MAX_PICKS && !cancelled.aborted) {
+      const picked = await request.pick(silent, cancelled);
+      if (picked.kind === 'none') return picked.reason;
+      if (!this.#isReached || (await responsiveness.answers(picked.backend))) return picked;
+      picked.finish('cancelled');
+      silent.push(picked.backend.id);
+    }
+    return 'replacement-silent';
+  }
+
+  /** What needs no answer from elsewhere is looked at last, so that nothing can change before the takeover. */
   async #reasonNotToTakeOver(
     backend: BackendDescription,
     cancelled: AbortSignal,
   ): Promise<string | undefined> {
     const { request } = this.#options;
     await request.refreshList();
-    const isCharged = await request.charge();
-    if (!isCharged) return 'over-quota';
-    const reason = cancelled.aborted
-      ? 'cancelled'
-      : (request.obstacle() ?? request.reasonNotToWrite(backend) ?? takeRetry(request));
-    if (reason !== undefined) request.refund();
-    return reason;
+    // Data of the silent backend may have arrived.
+    await pendingInputHandled();
+    if (cancelled.aborted) return 'cancelled';
+    return (
+      request.obstacle() ??
+      request.reasonNotToWrite(backend) ??
+      (request.takeRetry() ? undefined : 'no-retry-budget')
+    );
   }
-}
 
-function takeRetry(request: SearchedRequest): string | undefined {
-  return request.takeRetry() ? undefined : 'no-retry-budget';
+  get #isReached(): boolean {
+    return this.#options.paths.state(this.#options.service.name) === 'working';
+  }
 }
--- a/packages/gateway/src/request/request-admission.ts
+++ b/packages/gateway/src/request/request-admission.ts
@@ -18,13 +18,26 @@
   readonly quotas: QuotaGate;
 }
 
+/** What was charged for a run that is to take over from an attempt which may still turn out not to have run. */
+export interface TakeoverCharge {
+  /** Makes it the charge of the next run, unless what was charged for the attempt before covers that. */
+  use(): void;
+  /** Gives it back. */
+  refund(): void;
+}
+
+interface Charge {
+  readonly tenant: string;
+  readonly units: number;
+}
+
 /** Identifies the caller of a request and charges its tenant's quota. */
 export class RequestAdmission {
   readonly #context: AdmissionContext;
   readonly #facts: RequestFacts;
   #identity: CallerIdentity | undefined;
   /** What was charged for the next run, or for the current one; undefined if that was nothing. */
-  #charge: { readonly tenant: string; readonly units: number } | undefined;
+  #charge: Charge | undefined;
 
   constructor(context: AdmissionContext, facts: RequestFacts) {
     this.#context = context;
@@ -69,13 +82,42 @@
    * covers the next one; each further run is charged again, as backends spend the same on it.
    */
   async charge(): Promise<QuotaDecision> {
-    if (this.identity.kind !== 'tenant' || this.#charge !== undefined) return ADMITTED;
+    if (this.#charge !== undefined) return ADMITTED;
+    const due = this.#due();
+    const decision = await this.#admit(due);
+    if (decision.kind === 'admitted') this.#charge = due;
+    return decision;
+  }
+
+  /** Charges another run while an attempt goes on; resolves to undefined if the quota is used up. */
+  async chargeTakeover(): Promise<TakeoverCharge | undefined> {
+    const due = this.#due();
+    const decision = await this.#admit(due);
+    if (decision.kind === 'refused') return undefined;
+    return {
+      use: () => {
+        if (this.#charge === undefined) this.#charge = due;
+        else this.#giveBack(due);
+      },
+      refund: () => this.#giveBack(due),
+    };
+  }
+
+  /** What a run costs; undefined if nothing is charged for it. */
+  #due(): Charge | undefined {
+    if (this.identity.kind !== 'tenant') return undefined;
     const { name, quota } = this.identity.tenant;
-    if (quota === undefined) return ADMITTED;
+    if (quota === undefined) return undefined;
     const units = quota.unit === 'tokens' ? (this.#facts.tokens ?? quota.plainTokens) : 1;
-    const decision = await this.#context.quotas.admit(name, units);
-    if (decision.kind === 'admitted') this.#charge = { tenant: name, units };
-    return decision;
+    return { tenant: name, units };
+  }
+
+  #admit(due: Charge | undefined): Promise<QuotaDecision> {
+    return due === undefined ? Promise.resolve(ADMITTED) : this.#context.quotas.admit(due.tenant, due.units);
+  }
+
+  #giveBack(charge: Charge | undefined): void {
+    if (charge !== undefined) this.#context.quotas.giveBack(charge.tenant, charge.units);
   }
 
   /** Call it when a backend may have run the request: the charge is spent. */
@@ -85,8 +127,7 @@
 
   /** Gives units back that were charged for a run that did not happen. */
   refund(): void {
-    if (this.#charge === undefined) return;
-    this.#context.quotas.giveBack(this.#charge.tenant, this.#charge.units);
+    this.#giveBack(this.#charge);
     this.#charge = undefined;
   }
 
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -166,6 +166,8 @@
   openRelay: Relays['open'] = () => Promise.resolve(undefined);
   /** The state of the paths to all backends. */
   pathState: PathState = 'working';
+  /** Whether other nodes reach the backends while the path of this one is impaired. */
+  isCutOff = true;
   /** Whether the quarantine keeps all requests from backends. */
   isQuarantined: () => boolean = () => false;
   /** Reports to the quarantine, in order. */
@@ -305,6 +307,7 @@
         fleetShare: () => 1,
       }),
       paths: this.paths,
+      fleetPaths: { isCutOff: () => this.isCutOff },
       responsiveness: new BackendResponsiveness({
         clock,
         random,
--- a/packages/gateway/test/takeover.test.ts
+++ b/packages/gateway/test/takeover.test.ts
@@ -186,6 +186,7 @@
     peer.stop();
   });
   setProbes(harness, false);
+  harness.isCutOff = false;
   harness.openRelay = (backend, excluded, onReceived) => {
     const connection = excluded.has('peer')
       ? undefined
