A request is taken over through another node only if the new backend answers that node now

What callers of a node that has lost its path saw while all backends were silent: a request that waited for its sound backend was taken from it, which ends its run there, and was sent through another node to a backend that was silent as well. It ran twice, and used up an attempt, quota and retry budget for nothing.

Cause: while the path is lost, the search for a replacement does not look whether backends answer, as only other nodes could see it. On a limited path it could also use an idle connection, which may be silent.

Relays asks the one node that it has chosen, so a try costs one message. Earlier builds ignore the backend and answer for the service, as before.

--- a/packages/gateway/src/paths/backend-access.ts
+++ b/packages/gateway/src/paths/backend-access.ts
@@ -86,7 +86,12 @@
   async answerReaches(params: unknown): Promise<ReachesReply | null> {
     const { data } = reachesParams.safeParse(params);
     if (data === undefined) return null;
-    return { reaches: !this.#options.isStopping() && (await this.paths.reaches(data.service)) };
+    const { fleet, isStopping } = this.#options;
+    const backend = data.backend === undefined ? undefined : fleet.backend(data.backend);
+    if (isStopping() || (data.backend !== undefined && backend === undefined)) return { reaches: false };
+    const answer =
+      backend === undefined ? this.paths.reaches(data.service) : this.responsiveness.answers(backend);
+    return { reaches: await answer };
   }
 
   /** Connections that were open when a path was lost may have ended without a word. */
--- a/packages/gateway/src/relay/relay-peers.ts
+++ b/packages/gateway/src/relay/relay-peers.ts
@@ -1,9 +1,10 @@
 import type { Clock, Random } from '@canvasridge/clock';
+import type { BackendDescription } from '@canvasridge/serving';
 import type { Cluster } from '../cluster/cluster.js';
 import type { PeerCaller } from '../cluster/peer-caller.js';
 import { anyTrue } from '../paths/any-true.js';
 import type { FleetPaths } from '../paths/fleet-paths.js';
-import { REACHES_METHOD, reachesReply, type ReachesParams } from './relay-protocol.js';
+import { REACHES_METHOD, reachesReply, type ReachesParams, type ReachesReply } from './relay-protocol.js';
 
 export interface RelayPeersOptions {
   readonly clock: Clock;
@@ -60,6 +61,13 @@
     return asking;
   }
 
+  /** Resolves to whether a backend answers a peer now. A peer that does not say is not chosen again until it confirms. */
+  async isAnswering({ service, id: backend }: BackendDescription, peerId: string): Promise<boolean> {
+    const reply = await this.#question(peerId, { service, backend });
+    if (reply === undefined) this.failed(service, peerId);
+    return reply?.reaches === true;
+  }
+
   /** Call it when a peer could not relay a request. */
   failed(service: string, peerId: string): void {
     this.#confirmed.get(service)?.delete(peerId);
@@ -103,16 +111,20 @@
   }
 
   async #askOne(service: string, id: string): Promise<boolean> {
-    const { clock, cluster, network } = this.#options;
-    const address = cluster.peerAddress(id);
-    if (address === undefined) return false;
-    const params: ReachesParams = { service };
-    const reply = await network.to(address).call(REACHES_METHOD, params, ANSWER_TIMEOUT_MS);
-    // A node of a build that relays nothing answers with an error.
-    if (reachesReply.safeParse(reply).data?.reaches !== true) return false;
+    const { clock } = this.#options;
+    if ((await this.#question(id, { service }))?.reaches !== true) return false;
     const confirmed = this.#confirmed.get(service) ?? new Map<string, number>();
     this.#confirmed.set(service, confirmed);
     confirmed.set(id, clock.now());
     return true;
   }
+
+  /** Undefined if the peer gave no usable answer in time; a node of a build that relays nothing answers with an error. */
+  async #question(id: string, params: ReachesParams): Promise<ReachesReply | undefined> {
+    const { cluster, network } = this.#options;
+    const address = cluster.peerAddress(id);
+    if (address === undefined) return undefined;
+    const reply = await network.to(address).call(REACHES_METHOD, params, ANSWER_TIMEOUT_MS);
+    return reachesReply.safeParse(reply).data;
+  }
 }
--- a/packages/gateway/src/relay/relay-protocol.ts
+++ b/packages/gateway/src/relay/relay-protocol.ts
@@ -30,7 +30,8 @@
 
 /** JSON-RPC method by which a node asks another whether it could relay requests to a service. */
 export const REACHES_METHOD = 'paths.reaches';
-export const reachesParams = z.object({ service: z.string() });
+/** With the id of a backend, it is asked for that one; earlier builds answer for the service. */
+export const reachesParams = z.object({ service: z.string(), backend: z.string().optional() });
 export type ReachesParams = z.infer<typeof reachesParams>;
 
 /** Answer to {@link REACHES_METHOD}. */
--- a/packages/gateway/src/relay/relays.ts
+++ b/packages/gateway/src/relay/relays.ts
@@ -29,15 +29,19 @@
   /**
    * @param excluded members that could not relay this request
    * @param onReceived called whenever data of the backend arrives
+   * @param mustAnswer whether the backend has to answer the relaying member now
    * @returns undefined if no other member relays it
    */
   async open(
     backend: BackendDescription,
     excluded: ReadonlySet<string>,
     onReceived: () => void,
+    mustAnswer = false,
   ): Promise<BackendHop | undefined> {
     const { service, id: backendId } = backend;
     const peerId = await this.#peers.pick(service, excluded);
+    if (mustAnswer && peerId !== undefined && !(await this.#peers.isAnswering(backend, peerId)))
+      return undefined;
     const address = peerId === undefined ? undefined : this.#options.cluster.peerAddress(peerId);
     if (peerId === undefined || address === undefined) return undefined;
     const connection = this.#connections.acquire({ id: peerId, address }, MAX_CONNECTIONS, 1);
--- a/packages/gateway/src/request/backend-hops.ts
+++ b/packages/gateway/src/request/backend-hops.ts
@@ -34,19 +34,18 @@
     excludedRelays: ReadonlySet<string>,
     hasFailedDirectly: boolean,
   ): Promise<BackendHop | 'no-connection' | 'no-path'> {
-    const { clock, connections, paths, relays } = this.#options;
+    const { connections, paths } = this.#options;
     const state = paths.state(service.name);
     if (state === 'working' || (state === 'limited' && connections.hasIdle(backend.id)))
       return this.openDirect(backend, service) ?? 'no-connection';
-    const onReceived = (): void => connections.recordReceived(backend.id, clock.now());
-    const relayed = await relays.open(backend, excludedRelays, onReceived);
+    const relayed = await this.#openRelayed(backend, excludedRelays, false);
     if (relayed !== undefined) return relayed;
     return hasFailedDirectly ? 'no-path' : (this.openDirect(backend, service) ?? 'no-connection');
   }
 
   /**
    * Opens the way of a request that waits for a silent backend to another one: over a new connection, as idle ones may
-   * be silent, too. The connection is open when it resolves.
+   * be silent, too, or through a node that the backend answers now. The connection is open when it resolves.
    *
    * @param excludedRelays nodes that could not relay this request
    */
@@ -58,12 +57,22 @@
     const hop =
       this.#options.paths.state(service.name) === 'working'
         ? (this.openDirect(backend, service, true) ?? 'no-connection')
-        : await this.open(backend, service, excludedRelays, true);
+        : ((await this.#openRelayed(backend, excludedRelays, true)) ?? 'no-path');
     if (typeof hop === 'string' || (await hop.connection.open())) return hop;
     hop.release({ kind: 'not-run', reason: hop.unreachable });
     return 'unreachable';
   }
 
+  #openRelayed(
+    backend: BackendDescription,
+    excluded: ReadonlySet<string>,
+    mustAnswer: boolean,
+  ): Promise<BackendHop | undefined> {
+    const { clock, connections, relays } = this.#options;
+    const onReceived = (): void => connections.recordReceived(backend.id, clock.now());
+    return relays.open(backend, excluded, onReceived, mustAnswer);
+  }
+
   /**
    * A connection of this node's own; undefined if it already uses all that it may open.
    * @param isNew whether it has to be a new connection
