A request whose pool changes its leader waits for the next one, also in a stream's second attempt

Callers saw: 503 (no-pool-leader) for requests that waited at a leader whose node was stopped as planned, and streams closed midway when their second attempt fell into that time, although the next leader was elected 0.2 to 0.6 s later.

Cause: three ways by which a slot request let go of the former leader before the next one was there. - A stopping leader refuses what waits ("stopping"). The node asks again after 100 ms; while the news of the resignation is under way it asked the same leader, and its "not-leader" counted as the final answer: no leader. - A node that asks for the first time in that span got the same. - The wait for an election was bounded by 0.7 of the latency objective. A stream that goes on is older than that, so its second attempt did not wait at all. After three refusals the request ended without a try at an engine that needs no leader.

Change: "not-leader" means that the pool changes hands. Such a request asks again as soon as another leader is known, and every 100 ms, for at most the duration of an election (0.8 s). When the time is over it may go to an engine without a leader. Plain services are unchanged: they need no leader.

Evidence: leader-handover: three of its five tests failed before (decided with "no leader" at once, or 100 ms after the resignation) and pass now; the two others hold the bounds and passed before.

Cost: a request for an adapter that an engine is known to hold went there at once on "not-leader"; now it first waits for the leader, as it already did while none was known.

--- a/packages/gateway/src/backends/picker.ts
+++ b/packages/gateway/src/backends/picker.ts
@@ -21,6 +21,8 @@
   readonly timeoutMs: number;
   /** Milliseconds after arrival at which the client gives up unless it has received more data by then. */
   readonly startWithinMs: number;
+  /** Whether the client has received a part of the answer. */
+  readonly isContinued?: boolean | undefined;
   /** Backends that must not be chosen: those already tried and those whose granted slot was unusable. */
   readonly excluded: readonly string[];
   /** Software version of the backends that may run the request; undefined if any may. */
--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -88,6 +88,7 @@
       ageMs: context.ageMs + this.#clock.now() - askedMs,
       timeoutMs: context.timeoutMs,
       startWithinMs: context.startWithinMs,
+      ...(context.isContinued === true ? { isContinued: true } : {}),
       // The leader can't know that this node must avoid these: slots granted there would have to be given
       // back.
       excluded: [...context.excluded, ...this.#availability.backendsToAvoid(pool)],
--- a/packages/gateway/src/cluster/remote-slots.ts
+++ b/packages/gateway/src/cluster/remote-slots.ts
@@ -66,7 +66,7 @@
     this.#network = network;
   }
 
-  /** Undefined when the leader can't be asked, or does not lead. */
+  /** Undefined when the leader can't be asked. One that does not lead any more refuses the request as `stopping`. */
   async acquire(
     address: string,
     pool: string,
@@ -83,7 +83,8 @@
       AcquireReply | undefined;
     watch.cancel();
     if (reply?.kind === 'queued') return decided;
-    this.#queued.get(request.id)?.finish(reply?.kind === 'decided' ? reply.decision : undefined);
+    const decision = reply?.kind === 'not-leader' ? cancelledDecision(request.id) : reply?.decision;
+    this.#queued.get(request.id)?.finish(decision);
     return decided;
   }
 
--- a/packages/gateway/src/cluster/slot-protocol.ts
+++ b/packages/gateway/src/cluster/slot-protocol.ts
@@ -77,7 +77,7 @@
 });
 export type RateLimitParams = z.infer<typeof rateLimitParams>;
 
-/** The decision for a request that was cancelled; no caller reads it. */
+/** The decision for a request that was cancelled, or whose leader does not lead any more. */
 export function cancelledDecision(requestId: string): SlotDecision {
   return { kind: 'refused', requestId, reason: 'stopping', retryAfterMs: 0 };
 }
--- a/packages/gateway/src/cluster/slot-requester.ts
+++ b/packages/gateway/src/cluster/slot-requester.ts
@@ -34,7 +34,6 @@
  * Starts of responses within this time are reported in one message: each message costs both nodes CPU time.
  */
 const STARTED_BATCH_MS = 12;
-const MAX_LEADERS_ASKED = 3;
 /**
  * Time within which a pool without a leader nearly always gets the next one: the first candidate claims it
  * after 150 ms, and gossip brings that to all nodes within two periods; after a loss of all nodes, the
@@ -43,8 +42,10 @@
 const ELECTION_MS = 800;
 /** A request older than this fraction of its objective can no longer start in time. */
 const LATEST_START_SHARE = 0.7;
-/** Pause before the next leader is asked, while a pool changes hands. */
+/** Pause before a leader is asked again, while a pool changes hands. */
 const NEXT_LEADER_DELAY_MS = 100;
+/** The least time for which a request that a leader has let go waits for the next one, also if it will be late. */
+const MIN_HANDOVER_MS = 200;
 
 export interface SlotRequesterOptions {
   readonly clock: Clock;
@@ -129,7 +130,10 @@
     this.#rateLimitReporter.retain(isListed);
   }
 
-  /** Requests a slot from the leader, and from the next leader if that one is giving up the pool. */
+  /**
+   * Requests a slot from the leader, and from the next leader if that one is giving up the pool or has given it up: the
+   * election of the next one, and the news of it, take some time.
+   */
   async acquire(
     poolName: string,
     request: SlotRequest,
@@ -137,7 +141,8 @@
   ): Promise<SlotDecision | undefined> {
     const { clock } = this.#options;
     const askedMs = clock.now();
-    for (let asked = 1; ; asked += 1) {
+    let untilMs: number | undefined;
+    for (;;) {
       const aged = { ...request, ageMs: request.ageMs + clock.now() - askedMs };
       const decision = await this.#acquireOnce(poolName, aged, cancelled);
       if (decision?.kind === 'granted') {
@@ -145,8 +150,10 @@
         this.#rateLimitReporter.onGranted(decision);
       }
       const isStopping = decision?.kind === 'refused' && decision.reason === 'stopping';
-      if (!isStopping || cancelled.aborted || asked === MAX_LEADERS_ASKED) return decision;
-      await clock.sleep(NEXT_LEADER_DELAY_MS);
+      if (!isStopping || cancelled.aborted) return decision;
+      untilMs ??= clock.now() + Math.max(electionWaitMs(aged), MIN_HANDOVER_MS);
+      if (clock.now() >= untilMs) return undefined;
+      await this.#leaderChanged.waitUpTo(clock, NEXT_LEADER_DELAY_MS);
     }
   }
 
@@ -199,8 +206,7 @@
    */
   async #awaitLeader(entry: PoolEntry, request: SlotRequest): Promise<string | undefined> {
     const { clock } = this.#options;
-    const leftMs = request.objectiveMs * LATEST_START_SHARE - request.ageMs;
-    const untilMs = clock.now() + Math.min(leftMs, ELECTION_MS);
+    const untilMs = clock.now() + electionWaitMs(request);
     while (entry.leadership.leader === undefined && clock.now() < untilMs) {
       await this.#leaderChanged.waitUpTo(clock, untilMs - clock.now());
     }
@@ -303,3 +309,12 @@
     this.#remoteSlots.onDecided(decision);
   }
 }
+
+/**
+ * How long a request can wait for a leader, in milliseconds: not longer than it may still start in time or, if its
+ * client has received a part of the answer, than that client waits for the rest.
+ */
+function electionWaitMs({ isContinued, startWithinMs, objectiveMs, ageMs }: SlotRequest): number {
+  const latestStartMs = isContinued === true ? startWithinMs : objectiveMs * LATEST_START_SHARE;
+  return Math.min(latestStartMs - ageMs, ELECTION_MS);
+}
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -22,6 +22,8 @@
   readonly timeoutMs: number;
   /** Age after which the client gives up if it has received nothing. */
   readonly startWithinMs: number;
+  /** Whether its client has received a part of the answer; absent from earlier builds. */
+  readonly isContinued?: boolean | undefined;
   /** Ids of backends that must not get the request, such as those it was sent to before. */
   readonly excluded: readonly string[];
   /** Software version of the backends that may continue its stream; absent if any may run it. */
