The exchange tells pickers whether its client has received a part of the answer

One line in exchange.ts: isContinued, by which the slot request of a stream's second attempt waits for the next leader of its pool as long as its client waits.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -394,6 +394,7 @@
       ageMs: this.#ageMs(),
       timeoutMs: this.#timeoutMs(route),
       startWithinMs: this.#startWithinMs(route),
+      isContinued: this.#sink.started,
       excluded: [...this.#excluded, ...avoided],
       softwareVersion: this.#binding.version,
       isTakeover,
