A second attempt waits for the confirmation of the configuration for up to a second

Callers saw: streams closed midway, and repeatable requests answered with 502, when their first backend broke off while the node did not know for a moment whether its configuration was still the newest, as while the store or the node's reader of it is slow. Only with tenants, as only keys can be revoked.

Cause: before each attempt the caller is identified anew. A configuration whose lease has expired ended the request at once, although one that has begun here can be taken over by no other node and has time left.

Change: a request that may have run already waits until the configuration is confirmed: at most 1 s, and not longer than its client does. After that it ends as before. The caller is then identified by the newer configuration, so a revoked key still starts no run. New requests are refused at once as before, as another node can serve them; so are requests for which a backend's error response is kept, which is forwarded.

Evidence: stale-configuration-in-retry: the stream and the repeatable request failed before (closed after the first event; 502) and pass now. The two others hold that a key revoked meanwhile, and a configuration that is not confirmed, start no run; they passed before and pass now.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -260,6 +260,11 @@
     service: BackendService,
     lastRun: AttemptOutcome | undefined,
   ): Promise<PickedBackend | undefined> {
+    if (this.#mayHaveRun && this.#keptFailure === undefined) {
+      const leftMs = this.#startWithinMs(route) - this.#ageMs();
+      await this.#admission.waitWhileStale(route, leftMs, this.#cancel.signal);
+      if (this.#ended) return undefined;
+    }
     if (this.#refuseIfQuarantined() || this.#timeOutIfOverdue(route)) return undefined;
     if (!this.#identifyOrRefuse(route)) return undefined;
     const picked = await this.#pickForRetry(route, service);
--- a/packages/gateway/src/request/request-admission.ts
+++ b/packages/gateway/src/request/request-admission.ts
@@ -1,4 +1,5 @@
 import type { QuotaDecision, QuotaGate } from '@canvasridge/admission';
+import type { Clock } from '@canvasridge/clock';
 import type { FleetState, HttpRoute } from '@canvasridge/serving';
 import {
   identifyCaller,
@@ -11,6 +12,7 @@
 
 /** What is needed to authenticate a request and to charge its tenant's quota. */
 export interface AdmissionContext {
+  readonly clock: Clock;
   readonly fleet: FleetState;
   /** How long the configuration in force may be relied upon for access rights that can be revoked. */
   readonly configurationLease: () => ConfigurationLease;
@@ -18,6 +20,11 @@
   readonly quotas: QuotaGate;
 }
 
+/** Longest wait for the confirmation of a configuration; after it, the client may try another node. */
+const MAX_STALE_WAIT_MS = 1000;
+/** How often it is checked meanwhile whether the configuration was confirmed. */
+const STALE_CHECK_MS = 50;
+
 /** What was charged for a run that is to take over from an attempt which may still turn out not to have run. */
 export interface TakeoverCharge {
   /** Makes it the charge of the next run, unless what was charged for the attempt before covers that. */
@@ -68,6 +75,21 @@
     return undefined;
   }
 
+  /**
+   * Waits for a short time until the configuration in force is known to be recent enough to identify the caller. For
+   * requests that a backend may have run already: no other node could take them over.
+   */
+  async waitWhileStale(route: HttpRoute, limitMs: number, cancelled: AbortSignal): Promise<void> {
+    const { clock } = this.#context;
+    const untilMs = clock.now() + Math.min(limitMs, MAX_STALE_WAIT_MS);
+    const isStale = (): boolean => {
+      const found = this.#lookUp(route);
+      return found.kind === 'refused' && found.problem === 'stale';
+    };
+    while (isStale() && clock.now() < untilMs && !cancelled.aborted)
+      await clock.sleep(STALE_CHECK_MS, cancelled);
+  }
+
   /**
    * Whether the caller is still the same and still has access. Checked right before the request is written,
    * as it waited for an engine and a connection since it was identified.
