A leader that goes on after a silence learns what was sent to engines meanwhile

When the same leader went on, it counted neither the request nor the use of its adapter, so it could evict the adapter and grant the place while the request ran.

Cause: a node reports what it runs when the leader changes, and a silence is no change.

Change: a request that is sent to an engine without a grant is told to the leader that is known, over the connection over which its end is reported, so both arrive in order. Uses that the leader knows are ignored, so the whole list is sent: a leader takes a report as complete.

Evidence: 'a leader that goes on learns what was sent to engines in its silence' failed before (0 running, expected 1) and passes now; 45 tests of pickers, remote slots and granted backends pass.

--- a/packages/gateway/src/cluster/slot-requester.ts
+++ b/packages/gateway/src/cluster/slot-requester.ts
@@ -1,14 +1,15 @@
 import { Notifier, type Clock } from '@canvasridge/clock';
 import type { FleetState } from '@canvasridge/serving';
-import type {
-  DisabledMechanisms,
-  GrantingPool,
-  PoolRequest,
-  RunningUse,
-  SlotDecision,
-  SlotRequest,
-  StreamProgress,
-  UseOutcome,
+import {
+  isEngineRequest,
+  type DisabledMechanisms,
+  type GrantingPool,
+  type PoolRequest,
+  type RunningUse,
+  type SlotDecision,
+  type SlotRequest,
+  type StreamProgress,
+  type UseOutcome,
 } from '@canvasridge/slots';
 import { rateLimitRule, type BackendRateLimits } from '../backends/backend-rate-limits.js';
 import type { RejectionLimits } from '../backends/rejection-limits.js';
@@ -24,10 +25,12 @@
   RATE_LIMIT_METHOD,
   RELEASE_METHOD,
   STARTED_METHOD,
+  USES_METHOD,
   cancelledDecision,
   type RateLimitParams,
   type ReleaseParams,
   type StartedParams,
+  type UsesParams,
 } from './slot-protocol.js';
 
 /**
@@ -238,6 +241,15 @@
 
   startedWithoutGrant(poolName: string, request: PoolRequest, backendId: string): void {
     this.#uses.begin(poolName, request, backendId);
+    if (isEngineRequest(request)) this.#tellUses(poolName);
+  }
+
+  /** Tells a leader that is known but silent what runs, so that it evicts no adapter in use when it goes on. */
+  #tellUses(poolName: string): void {
+    const { pools, cluster, switchedOff } = this.#options;
+    if (switchedOff.has('told-uses') || pools.get(poolName)?.leading === true) return;
+    const params: UsesParams = { pool: poolName, member: cluster.selfId, uses: this.usesOf(poolName) };
+    this.leaderConnection(poolName)?.notify(USES_METHOD, params);
   }
 
   started(poolName: string, requestId: string): void {
--- a/packages/gateway/test/silent-engine-leader.test.ts
+++ b/packages/gateway/test/silent-engine-leader.test.ts
@@ -49,7 +49,11 @@
     this.#requester = new SlotRequester({
       clock,
       fleet,
-      cluster: { peerAddress: () => 'leader:1', checkPeer: () => undefined } as unknown as Cluster,
+      cluster: {
+        selfId: 'asking',
+        peerAddress: () => 'leader:1',
+        checkPeer: () => undefined,
+      } as unknown as Cluster,
       network: { to: () => this.#openLink(), drop: () => this.#drop() },
       rateLimits,
       rejectionLimits: { perSecond: () => undefined },
@@ -159,3 +163,23 @@
   t.is(node.kindOf('r1'), 'no-pool-leader');
   t.is(node.dropped, 1, 'a connection over which nothing comes any more is replaced');
 });
+
+// Its adapter could be evicted, and its place in the batch be granted, while it ran.
+test('a leader that goes on learns what was sent to engines in its silence', async (t) => {
+  const node = new AskingNode();
+  node.pick('r1');
+  await node.pass(SETTLE_MS);
+  node.finish('r1');
+  await node.pass(SETTLE_MS);
+  node.leader.isFrozen = true;
+  node.pick('r2');
+  await node.pass(SILENT_MS);
+  t.like(node.picked.get('r2'), { kind: 'picked', how: 'seen' });
+  t.is(node.leader.pool.describe().running, 0);
+  node.leader.resume();
+  await node.pass(SETTLE_MS);
+  t.is(node.leader.pool.describe().running, 1);
+  node.finish('r2');
+  await node.pass(SETTLE_MS);
+  t.is(node.leader.pool.describe().running, 0);
+});
