Requests during a silence of all backends share the questions to other nodes

Cost while all backends are silent, in virtual time: one node of 12 sent 2,418 questions to others for 400 requests in 2 s, six for each request. In a fleet of hundreds of nodes under load that is a burst of messages between all of them.

Cause: each request of a node whose path is lost asks six nodes for a relay. Requests share a round of questions only while it runs, and nodes that know of their own loss answer at once, so that the next request asked again.

Change: after a round in which no node reached the service, the next begins 100 ms later at the earliest, and requests that come meanwhile wait for it. A round that finds a node, and the first round after a loss, begin at once as before.

--- a/packages/gateway/src/relay/relay-peers.ts
+++ b/packages/gateway/src/relay/relay-peers.ts
@@ -23,6 +23,8 @@
 const REFRESH_SHARE = 0.4;
 /** Peers asked at a time: enough that some reach the service when a zone is cut off. */
 const PEERS_ASKED = 6;
+/** Pause after a round in which no peer reached the service; requests that come meanwhile share the next round. */
+const VAIN_ROUND_PAUSE_MS = 100;
 
 /** Chooses the nodes that relay requests: those that said recently that they reach the service. */
 export class RelayPeers {
@@ -30,6 +32,8 @@
   /** By service and member: when it confirmed that it reaches the service. */
   readonly #confirmed = new Map<string, Map<string, number>>();
   readonly #asking = new Map<string, Promise<boolean>>();
+  /** By service: when the next round may begin. */
+  readonly #nextRoundMs = new Map<string, number>();
 
   constructor(options: RelayPeersOptions) {
     this.#options = options;
@@ -101,13 +105,19 @@
   }
 
   async #askSome(service: string): Promise<boolean> {
-    const { random, cluster, paths } = this.#options;
+    const { clock, random, cluster, paths } = this.#options;
     const others = cluster.serving().filter(({ id }) => id !== cluster.selfId && !paths.hasLost(id, service));
+    if (others.length === 0) return false;
+    const pauseMs = (this.#nextRoundMs.get(service) ?? -Infinity) - clock.now();
+    if (pauseMs > 0) await clock.sleep(pauseMs);
     const busy = cluster.busy();
     const shuffled = random.shuffle(others.map(({ id }) => id));
     const asked = [...shuffled.filter((id) => !busy.has(id)), ...shuffled.filter((id) => busy.has(id))];
     const answers = asked.slice(0, PEERS_ASKED).map((id) => this.#askOne(service, id));
-    return anyTrue(answers);
+    const isReached = await anyTrue(answers);
+    if (isReached) this.#nextRoundMs.delete(service);
+    else this.#nextRoundMs.set(service, clock.now() + VAIN_ROUND_PAUSE_MS);
+    return isReached;
   }
 
   async #askOne(service: string, id: string): Promise<boolean> {
--- a/packages/gateway/test/common-silence.test.ts
+++ b/packages/gateway/test/common-silence.test.ts
@@ -3,7 +3,7 @@
  * the pool handed it over to a node that reached the engines no better, and nodes were left out of the directory.
  */
 import test from 'ava';
-import { PathFleet, type PathNode } from './virtual-paths.js';
+import { PathFleet, SERVICE_LIMITS, type PathNode } from './virtual-paths.js';
 
 const SEEDS = [1, 2, 3];
 const SILENCES_MS = [500, 1000, 1500, 2000];
@@ -16,6 +16,12 @@
   { nodes: 12, busy: 12 },
 ];
 const ENGINES = 6;
+/** Time after which all nodes have found a silence. */
+const FOUND_MS = 3000;
+const REQUESTS_FOR_MS = 2000;
+const REQUEST_GAP_MS = 5;
+/** Six for each of ten rounds a second while there are requests, and as many for all else. */
+const MAX_QUESTIONS = 6 * 10 * 2 * 2;
 
 async function startFleet(options: { nodes: number; busy: number; seed: number }): Promise<PathFleet> {
   const fleet = new PathFleet({ ...options, engines: ENGINES });
@@ -80,6 +86,27 @@
   });
 }
 
+// Each request asked six nodes, which knew of no path and answered at once, so that the next request asked again.
+test('requests during a silence of all engines ask other nodes a bounded number of times', async (t) => {
+  const fleet = await startFleet({ nodes: 12, busy: 12, seed: 1 });
+  const [node] = fleet.nodes;
+  const backend = fleet.engine;
+  if (node === undefined) throw new Error('no node');
+  fleet.silenceEngines(LONG_SILENCE_MS);
+  await fleet.run(FOUND_MS);
+  const before = node.asked();
+  const ways: Promise<unknown>[] = [];
+  for (let ms = 0; ms < REQUESTS_FOR_MS; ms += REQUEST_GAP_MS) {
+    ways.push(node.access.hops.open(backend, SERVICE_LIMITS, new Set(), true));
+    await fleet.run(REQUEST_GAP_MS);
+  }
+  await fleet.run(SETTLED_MS);
+  t.deepEqual(new Set(await Promise.all(ways)), new Set(['no-path']));
+  const asked = node.asked() - before;
+  t.true(asked <= MAX_QUESTIONS, `${asked} questions for ${ways.length} requests`);
+  fleet.stop();
+});
+
 test('a long silence of all engines costs each node a bounded number of probes and questions', async (t) => {
   t.timeout(120_000);
   const nodes = 40;
--- a/packages/gateway/test/virtual-paths.ts
+++ b/packages/gateway/test/virtual-paths.ts
@@ -1,5 +1,10 @@
 import { ContinuousClock, Random, type Clock } from '@canvasridge/clock';
-import { FleetState, type BackendDescription, type ServingConfiguration } from '@canvasridge/serving';
+import {
+  FleetState,
+  type BackendDescription,
+  type BackendService,
+  type ServingConfiguration,
+} from '@canvasridge/serving';
 import {
   DEFAULT_SLOT_TIMING,
   type EngineControl,
@@ -20,6 +25,7 @@
 import { VirtualClusters } from './virtual-clusters.js';
 
 export const SERVICE = 'llm';
+export const SERVICE_LIMITS: BackendService = { name: SERVICE, maxConnections: 10, engine: PROFILE };
 const ONE_WAY_MS = 1;
 const ANSWER_MS = 5;
 const REPORT_TIMEOUT_MS = 500;
@@ -35,6 +41,8 @@
   readonly slots: SlotService;
   readonly directory: Directory;
   readonly lines: readonly string[];
+  /** Questions that it sent to other nodes so far. */
+  readonly asked: () => number;
 }
 
 export interface PathFleetOptions {
@@ -82,6 +90,13 @@
     return this.#clusters.clock;
   }
 
+  /** One of the engines, as nodes list it. */
+  get engine(): BackendDescription {
+    const [first] = this.#engines;
+    if (first === undefined) throw new Error('no engine');
+    return { ...first.description, service: SERVICE };
+  }
+
   /** The node that all consider the leader of the pool; undefined while they differ. */
   leader(): PathNode | undefined {
     const leaders = new Set(this.nodes.flatMap(({ slots }) => [...slots.leaders()]));
@@ -141,9 +156,10 @@
       cluster,
       telemetry,
     };
+    let asked = 0;
     const access = new BackendAccess({
       ...shared,
-      network: this.#network(),
+      network: this.#network(() => (asked += 1)),
       connections: new BackendConnections(),
       control: this.#control(id),
       probe: {
@@ -173,15 +189,16 @@
     });
     slots.start();
     const directory = new Directory(cluster, () => slots.leaders(), access.fleetPaths);
-    return { id, access, slots, directory, lines };
+    return { id, access, slots, directory, lines, asked: () => asked };
   }
 
   /** Calls between nodes: only the question whether a node reaches a service. */
-  #network(): PeerCaller {
+  #network(onAsk: () => void): PeerCaller {
     return {
       to: (address) => ({
         call: async (_, params, timeoutMs) => {
           this.sent.questions += 1;
+          onAsk();
           const node = this.nodes.find(({ id }) => id === address);
           await this.clock.sleep(ONE_WAY_MS);
           const answer = await Promise.race([
@@ -233,7 +250,7 @@
 const CONFIGURATION: ServingConfiguration = {
   version: 1,
   routes: [],
-  services: [{ name: SERVICE, maxConnections: 10, engine: PROFILE }],
+  services: [SERVICE_LIMITS],
   limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
   tenants: undefined,
 };
