--- a/packages/gateway/test/changes-under-running-requests.test.ts
+++ b/packages/gateway/test/changes-under-running-requests.test.ts
@@ -180,6 +180,29 @@
   });
 }
 
+for (const [name, change] of Object.entries({ ...CHANGES, ...DEPARTURES })) {
+  test(`a stream whose connection stays silent for good goes on at another backend after ${name}`, async (t) => {
+    const { fleet, response } = await begin(t, STREAM, 2);
+    change(fleet);
+    const { body, whole } = await response;
+    t.is(body, WHOLE);
+    t.true(whole);
+    t.is(sends(fleet), 2);
+  });
+}
+
+for (const [name, change] of Object.entries(REVOCATIONS)) {
+  test(`a stream whose backend is silent goes on there, and is not run by another one that answers, after ${name}`, async (t) => {
+    const { fleet, response, socket } = await begin(t, STREAM, 2);
+    change(fleet);
+    setTimeout(() => socket.write(chunk(event(2)) + END), SILENCE_MS);
+    const { body, whole } = await response;
+    t.is(body, WHOLE);
+    t.true(whole);
+    t.is(sends(fleet), 1);
+  });
+}
+
 function timeLeftMs(head: string): number {
   return Number(/left: (\d+)/.exec(head)?.[1] ?? 0);
 }
