A leader is told again what a node runs when their connection was replaced

What it leads to: when a leader sends nothing for 0.4 s after it was asked, as while it applies a large configuration on a busy machine, the nodes that asked drop their connections to it. It releases all that it had granted over them, although the requests run on. It then grants more slots than its engines have, which turn requests away, and adapters in use count as idle. The same after any other end of such a connection.

Cause: a node reported its running requests only to a new leader. The silence of a leader was taken for its end, and what it held in hand was let go without being handed over.

Change: the requester remembers over which connection a pool's leader was told; before it uses another one, it reports what it runs.

--- a/packages/gateway/src/cluster/slot-requester.ts
+++ b/packages/gateway/src/cluster/slot-requester.ts
@@ -72,6 +72,8 @@
   readonly #uses: OwnUses;
   readonly #rateLimitReporter: RateLimitReporter;
   readonly #leaderChanged = new Notifier();
+  /** By pool: the connection over which its leader was last told, or would have been told, what this node runs. */
+  readonly #toldOver = new Map<string, LeaderConnection>();
   /** By pool: requests whose responses have started, which has not been reported to the leader yet. */
   readonly #unreportedStarts = new Map<string, string[]>();
 
@@ -185,6 +187,7 @@
     if (entry.pool !== undefined && entry.leading) return this.#acquireHere(entry.pool, request, cancelled);
     const address = cluster.peerAddress(leader);
     if (address === undefined) return undefined;
+    this.leaderConnection(poolName);
     return this.#remoteSlots.acquireUnlessSilent(address, poolName, request, cancelled, answerWithinMs);
   }
 
@@ -199,9 +202,9 @@
     if (leader === undefined) return undefined;
     if (entry.pool !== undefined && entry.leading) return this.#acquireHere(entry.pool, request, cancelled);
     const address = this.#options.cluster.peerAddress(leader);
-    return address === undefined
-      ? undefined
-      : this.#remoteSlots.acquire(address, poolName, request, cancelled);
+    if (address === undefined) return undefined;
+    this.leaderConnection(poolName);
+    return this.#remoteSlots.acquire(address, poolName, request, cancelled);
   }
 
   /**
@@ -275,8 +278,29 @@
     this.leaderConnection(poolName)?.notify(STARTED_METHOD, params);
   }
 
-  /** The connection to a pool's leader, if the leader is known and is another node. */
-  leaderConnection(poolName: string): LeaderConnection | undefined {
+  /** Tells a pool's leader, if that is known and is another node, what this node runs on the backends. */
+  reportUses(pool: string): void {
+    const connection = this.#openConnection(pool);
+    if (connection === undefined || this.#options.switchedOff.has('told-uses')) return;
+    this.#toldOver.set(pool, connection);
+    const params: UsesParams = { pool, member: this.#options.cluster.selfId, uses: this.usesOf(pool) };
+    connection.notify(USES_METHOD, params);
+  }
+
+  /**
+   * The connection to a pool's leader, if the leader is known and is another node. A leader releases what it granted over
+   * a connection that has ended, so it is told over the next one what still runs.
+   */
+  leaderConnection(pool: string): LeaderConnection | undefined {
+    const connection = this.#openConnection(pool);
+    if (connection !== undefined && connection !== this.#toldOver.get(pool)) {
+      this.#toldOver.set(pool, connection);
+      if (this.usesOf(pool).length > 0) this.reportUses(pool);
+    }
+    return connection;
+  }
+
+  #openConnection(poolName: string): LeaderConnection | undefined {
     const leader = this.#options.pools.get(poolName)?.leadership.leader;
     const address = leader === undefined ? undefined : this.#options.cluster.peerAddress(leader);
     return address === undefined ? undefined : this.#options.network.to(address);
