A request that waits at a relaying node is taken over through the only one that relays, and blames no backend for a lost path

A node with one relaying node never replaced a silent request (504 at the timeout): the search left out the node of the attempt itself, although that is asked now whether the new backend answers. And a takeover through a relay counted the silent backend as failed, though this node's own loss of its path explained the silence.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -429,7 +429,7 @@
       return { kind: 'cancelled' };
     }
     const lastEventId = this.#lastEventId >= 0 ? this.#lastEventId : undefined;
-    const search = this.#replacementSearch(route, service, backend, hop);
+    const search = this.#replacementSearch(route, service, backend);
     const attempt = new BackendAttempt(
       {
         hop,
@@ -486,8 +486,9 @@
       this.#runs += 1;
       if (attempt.sent) this.#admission.recordRun();
     }
-    // A backend that takes over has just answered, so this node has a path.
-    if (hop.relay === undefined && isPathFailure(outcome) && this.#replacement === undefined)
+    // A backend that takes over directly has just answered, so this node has a path.
+    const isReached = this.#replacement !== undefined && this.#replacement.hop.relay === undefined;
+    if (hop.relay === undefined && isPathFailure(outcome) && !isReached)
       this.#isOwnFailure = await this.#context.paths.isOwnFailure(backend.id);
     this.#hasOwnFailure ||= this.#isOwnFailure;
     await this.#quarantine.attemptEnded(backend.id, attempt, outcome, this.#isOwnFailure);
@@ -511,14 +512,12 @@
     route: HttpRoute,
     service: BackendService,
     backend: BackendDescription,
-    hop: BackendHop,
   ): ReplacementSearch {
-    const relay = hop.relay === undefined ? [] : [hop.relay];
     return new ReplacementSearch({
       ...this.#context,
       backend,
       service,
-      excludedRelays: new Set([...this.#excludedRelays, ...relay]),
+      excludedRelays: this.#excludedRelays,
       request: this.#searchedRequest(route, service),
       onObstacle: (obstacle) => this.#recordSilence(backend.id, service.name, { obstacle }),
       onFound: (replacement) => {
--- a/packages/gateway/src/request/replacement-search.ts
+++ b/packages/gateway/src/request/replacement-search.ts
@@ -47,7 +47,7 @@
   /** The silent backend. */
   readonly backend: BackendDescription;
   readonly service: BackendService;
-  /** Nodes that can't relay the request, among them the one that relays the silent attempt. */
+  /** Nodes that could not relay the request. The one that relays the silent attempt is asked whether the new backend answers. */
   readonly excludedRelays: ReadonlySet<string>;
   readonly request: SearchedRequest;
   /** Called once for each reason for which a try found no replacement. */
