A cancelled search frees its slot at once, and tries of one silence are spread

A search that was cancelled while the quota, a connection or the list was asked kept its slot until the answer came. Requests that fall silent together tried in step every 500 ms; each try now comes up to half as much later. The search is made only when its attempt is silent, not for every attempt.

Evidence: replacement-search, 'a search that is cancelled frees its slot at once' failed before and passes now.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -429,7 +429,7 @@
       return { kind: 'cancelled' };
     }
     const lastEventId = this.#lastEventId >= 0 ? this.#lastEventId : undefined;
-    const search = this.#replacementSearch(route, service, backend);
+    let search: ReplacementSearch | undefined;
     const attempt = new BackendAttempt(
       {
         hop,
@@ -450,8 +450,11 @@
         stream: route.kind === 'stream',
         lastEventId: this.#lastEventId,
         inactivityLimit: this.#inactivityLimit(route, backend.id),
-        onInactive: () => search.start(),
-        onActive: () => search.cancel(),
+        onInactive: () => {
+          search ??= this.#replacementSearch(route, service, backend);
+          search.start();
+        },
+        onActive: () => search?.cancel(),
         reasonNotToWrite: () => this.#reasonNotToWrite(route, backend.id),
         onWritten: () => {
           this.#sentMs = this.#ageMs();
@@ -473,7 +476,7 @@
         hop.release(NOT_SENT);
         throw cause;
       })
-      .finally(() => search.cancel());
+      .finally(() => search?.cancel());
     this.#attempt = undefined;
     const isUntouched = outcome.kind === 'cancelled' && !attempt.isHandedOver;
     hop.release(isUntouched ? NOT_SENT : outcome);
--- a/packages/gateway/src/request/replacement-search.ts
+++ b/packages/gateway/src/request/replacement-search.ts
@@ -7,6 +7,7 @@
 import type { BackendHop } from './backend-hop.js';
 import type { BackendHops } from './backend-hops.js';
 import type { TakeoverCharge } from './request-admission.js';
+import { spreadRetryMs } from './retry-spread.js';
 
 /** What takes over from an attempt whose backend is silent: a backend that holds a slot for it, and an open way there. */
 export interface Replacement {
@@ -40,6 +41,8 @@
 
 export interface ReplacementSearchOptions {
   readonly clock: Clock;
+  /** From 0 to 1. */
+  readonly random: () => number;
   readonly paths: Pick<BackendPaths, 'state'>;
   readonly fleetPaths: Pick<FleetPaths, 'isCutOff'>;
   readonly responsiveness: Pick<BackendResponsiveness, 'answers' | 'anyAnswersBut'>;
@@ -57,7 +60,7 @@
   readonly onDefect: (cause: unknown) => void;
 }
 
-/** Pause between two tries. */
+/** Pause between two tries, spread so that requests that fall silent together don't try in step. */
 const INTERVAL_MS = 500;
 /** Backends that are picked in one try and turn out to be silent, too. */
 const MAX_PICKS = 3;
@@ -91,16 +94,17 @@
   }
 
   async #run(cancelled: AbortSignal): Promise<void> {
-    const { clock, onFound } = this.#options;
+    const { clock, random, onFound } = this.#options;
     while (!cancelled.aborted) {
       const found = await this.#find(cancelled);
-      if (cancelled.aborted) return;
       if (typeof found !== 'string') {
-        onFound(found);
+        if (cancelled.aborted) releaseReplacement(found);
+        else onFound(found);
         return;
       }
+      if (cancelled.aborted) return;
       this.#recordObstacle(found);
-      await clock.sleep(INTERVAL_MS, cancelled);
+      await clock.sleep(spreadRetryMs(INTERVAL_MS, random()), cancelled);
     }
   }
 
@@ -110,36 +114,44 @@
     this.#options.onObstacle(obstacle);
   }
 
-  /** One try. Gives back all that it took if it finds no replacement, and resolves to the reason then. */
+  /**
+   * One try. Gives back all that it took if it finds no replacement, and resolves to the reason then; at once if it is
+   * cancelled.
+   */
   async #find(cancelled: AbortSignal): Promise<Replacement | string> {
-    const giveBack: (() => void)[] = [];
+    const taken: (() => void)[] = [];
+    const giveBack = (): void => {
+      for (let undo = taken.pop(); undo !== undefined; undo = taken.pop()) undo();
+    };
+    cancelled.addEventListener('abort', giveBack, { once: true });
     let found: Replacement | string;
     try {
-      found = await this.#acquire(giveBack, cancelled);
+      found = await this.#acquire(taken, cancelled);
     } catch (cause) {
       this.#options.onDefect(cause);
       found = 'defect';
     }
-    if (typeof found === 'string') for (const undo of giveBack.reverse()) undo();
+    cancelled.removeEventListener('abort', giveBack);
+    if (typeof found === 'string') giveBack();
     return found;
   }
 
-  /** @param giveBack gets what undoes each step */
-  async #acquire(giveBack: (() => void)[], cancelled: AbortSignal): Promise<Replacement | string> {
+  /** @param taken gets what gives back each thing that is taken */
+  async #acquire(taken: (() => void)[], cancelled: AbortSignal): Promise<Replacement | string> {
     const { hops, service, excludedRelays, request } = this.#options;
     const obstacle = request.obstacle() ?? (await this.#commonObstacle());
     if (obstacle !== undefined) return obstacle;
     const picked = await this.#pickAnswering(cancelled);
     if (typeof picked === 'string') return picked;
-    giveBack.push(() => picked.finish('cancelled'));
+    taken.push(() => picked.finish('cancelled'));
     if (cancelled.aborted) return 'cancelled';
     const charge = await request.charge();
     if (charge === undefined) return 'over-quota';
-    giveBack.push(() => charge.refund());
+    taken.push(() => charge.refund());
     if (cancelled.aborted) return 'cancelled';
     const hop = await hops.openForTakeover(picked.backend, service, excludedRelays);
     if (typeof hop === 'string') return hop;
-    giveBack.push(() => hop.release({ kind: 'cancelled' }));
+    taken.push(() => hop.release({ kind: 'cancelled' }));
     return (await this.#reasonNotToTakeOver(picked.backend, cancelled)) ?? { picked, hop, charge };
   }
 
--- a/packages/gateway/test/replacement-search.test.ts
+++ b/packages/gateway/test/replacement-search.test.ts
@@ -48,6 +48,7 @@
   };
   const search = new ReplacementSearch({
     clock,
+    random: () => 0.5,
     paths: { state: () => 'working' },
     fleetPaths: { isCutOff: () => false },
     responsiveness: {
@@ -133,3 +134,13 @@
     steps.filter((step) => step.startsWith('finish')).length,
   );
 });
+
+// The slot was kept until the quota, the connection and the backend list had answered.
+test('a search that is cancelled frees its slot at once', async (t) => {
+  const { clock, search, steps } = newSearch({ charge: () => new Promise(() => undefined) });
+  search.start();
+  await clock.runUntil(1);
+  t.deepEqual(steps, ['pick b']);
+  search.cancel();
+  t.deepEqual(steps, ['pick b', 'finish b cancelled']);
+});
