Test of an unread list waits until its reader has been asked

unread-leaving, 'a newer list of a reader, before the request', failed once in a run of all tests at load 39: the request ran although the leaving had been announced. Traced: the test gave the node's question 50 ms to reach the reader; with none, the three tests of a reader's list fail in the same way in every run, as no list arrives at all. The reader now tells when it has been asked. The checks are unchanged.

--- a/packages/gateway/test/unread-input-messages.ts
+++ b/packages/gateway/test/unread-input-messages.ts
@@ -13,6 +13,8 @@
 
 export type OutsideStep =
   | { readonly kind: 'open'; readonly nodePort: number }
+  /** Answered when the reader of the store has a question that it has not answered. */
+  | { readonly kind: 'await-question' }
   | { readonly kind: 'arrive'; readonly arrivals: readonly Arrival[] }
   | { readonly kind: 'report' };
 
--- a/packages/gateway/test/unread-input-worker.ts
+++ b/packages/gateway/test/unread-input-worker.ts
@@ -71,6 +71,8 @@
   readonly #network: PeerNetwork;
   #answerHeld: (headers: string) => Promise<void> = () => Promise.resolve();
   #answerFollower: () => Promise<void> = () => Promise.resolve();
+  #recordQuestion: () => void = () => undefined;
+  readonly asked = new Promise<void>((resolve) => (this.#recordQuestion = resolve));
   #backend: RawBackend | undefined;
   #nodePort = 0;
   #kept: ClientConnection | undefined;
@@ -94,6 +96,7 @@
       {
         [FOLLOW_METHOD]: (known) =>
           new Promise((resolve) => {
+            this.#recordQuestion();
             this.#answerFollower = async () => {
               resolve(this.#reader.answer(known as FollowRequest, NOTHING_WAITS));
               // The response is written in the promise reactions that follow.
@@ -174,6 +177,10 @@
         await parts.open(step.nodePort);
         parentPort?.postMessage('opened');
         return;
+      case 'await-question':
+        await parts.asked;
+        parentPort?.postMessage('asked');
+        return;
       case 'arrive':
         for (const arrival of step.arrivals) await parts.arrive(arrival);
         Atomics.store(released, 0, RELEASED);
--- a/packages/gateway/test/unread-input.ts
+++ b/packages/gateway/test/unread-input.ts
@@ -45,6 +45,12 @@
     await once(this.#worker, 'message');
   }
 
+  /** Resolves when a question of the node has reached the reader of the store. */
+  async readerAsked(): Promise<void> {
+    this.#worker.postMessage({ kind: 'await-question' } satisfies OutsideStep);
+    await once(this.#worker, 'message');
+  }
+
   /** Blocks the event loop of this thread until all of this has arrived, in this order, and is unread. */
   arriveUnread(arrivals: readonly Arrival[]): void {
     Atomics.store(this.#released, 0, 0);
--- a/packages/gateway/test/unread-leaving.test.ts
+++ b/packages/gateway/test/unread-leaving.test.ts
@@ -59,10 +59,9 @@
 }
 
 /** Lets a follower ask its reader, whose answer the reader holds back until it is told to send it. */
-async function askReader({ follower }: HeldUpNode): Promise<void> {
+async function askReader({ follower, outside }: HeldUpNode): Promise<void> {
   void follower.refreshIfOld();
-  // The question leaves this thread in these turns.
-  for (let turn = 0; turn < 50; turn += 1) await new Promise((resolve) => setTimeout(resolve, 1));
+  await outside.readerAsked();
 }
 
 interface UnreadCase {
