Test of requests that lie unread: the start of the clients' thread is no standstill

stall-before-reading, 'a request that is read at once', failed once in a run of all tests at load 41 (500 of 4000 ms). Traced: the node's thread stood still while the clients' thread started, which the node rightly counts. With a start that takes 4 s more it fails in the same way in every run. The thread stands still only once the other one runs. The checks are unchanged.

--- a/packages/gateway/test/queued-connections.test.ts
+++ b/packages/gateway/test/queued-connections.test.ts
@@ -19,14 +19,14 @@
 test('requests whose connections waited behind the work for others are passed on with the time that their clients have left', async (t) => {
   const requests = await UnreadRequests.start(t);
   requests.onWrite = () => requests.clock.advance(WORK_MS);
-  requests.send(t, CONNECTIONS);
+  await requests.send(t, CONNECTIONS);
   await requests.whenEnded();
   t.is(requests.toldTooMuch.length, 0, describe(requests.toldTooMuch));
 });
 
 test('requests whose connections waited while the event loop had other work are passed on with the time that their clients have left', async (t) => {
   const requests = await UnreadRequests.start(t);
-  requests.send(t, CONNECTIONS);
+  await requests.send(t, CONNECTIONS);
   let isOver = false;
   const work = (): void => {
     requests.clock.advance(WORK_MS);
--- a/packages/gateway/test/stall-before-reading.test.ts
+++ b/packages/gateway/test/stall-before-reading.test.ts
@@ -10,7 +10,7 @@
 
 test('a request that is read at once is passed on with the time that its client has', async (t) => {
   const requests = await UnreadRequests.start(t);
-  requests.send(t, 1);
+  await requests.send(t, 1);
   await requests.whenEnded();
   const toldMs = requests.toldMs('r0');
   t.true(toldMs > DEADLINE_MS / 2, `${toldMs} of ${DEADLINE_MS} ms`);
@@ -18,7 +18,7 @@
 
 test('a request that lay unread while the process stood still is passed on with the time that its client has left', async (t) => {
   const requests = await UnreadRequests.start(t);
-  requests.send(t, 1);
+  await requests.send(t, 1);
   requests.clock.advance(STALL_MS);
   await requests.whenEnded();
   t.deepEqual(requests.toldTooMuch, []);
@@ -26,7 +26,7 @@
 
 test('a request whose time may have been over before it was read is passed on with the time that a backend may work unwanted', async (t) => {
   const requests = await UnreadRequests.start(t);
-  requests.send(t, 1);
+  await requests.send(t, 1);
   requests.clock.advance(DEADLINE_MS + STALL_MS);
   await requests.whenEnded();
   t.deepEqual(requests.toldTooMuch, []);
--- a/packages/gateway/test/unread-requests.ts
+++ b/packages/gateway/test/unread-requests.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { Worker } from 'node:worker_threads';
 import { SystemClock, type Timer } from '@canvasridge/clock';
 import type { ExecutionContext } from 'ava';
@@ -81,17 +82,21 @@
    * Sends requests, each on a new connection, while this thread stands still: when the function returns, all of them lie
    * in the kernel's queues and none has been read.
    */
-  send(t: ExecutionContext, count: number): void {
-    const sent = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+  async send(t: ExecutionContext, count: number): Promise<void> {
+    const state = new Int32Array(new SharedArrayBuffer(2 * Int32Array.BYTES_PER_ELEMENT));
     const requests = Array.from(
       { length: count },
       (_, index) =>
         `GET /x/ HTTP/1.1\r\nhost: ${HOST}\r\nattempt-id: r${index}\r\ndeadline: ${DEADLINE_MS}\r\n\r\n`,
     );
-    const workerData = { port: this.#running?.port, requests, sent };
+    const workerData = { port: this.#running?.port, requests, state };
     const worker = new Worker(CLIENTS, { eval: true, workerData });
     t.teardown(() => worker.terminate());
-    for (let done = 0; done < count; done = Atomics.load(sent, 0)) Atomics.wait(sent, 0, done);
+    // A thread takes long to start on a busy machine, and this one must not stand still for so long.
+    await once(worker, 'message');
+    Atomics.store(state, MAY_SEND, 1);
+    Atomics.notify(state, MAY_SEND);
+    for (let done = 0; done < count; done = Atomics.load(state, SENT)) Atomics.wait(state, SENT, done);
     this.#sentMs = this.clock.now();
     this.#count = count;
   }
@@ -126,17 +131,23 @@
   }
 }
 
+/** Index of the number of requests that the kernel has in what the threads share, and of whether they may be sent. */
+const SENT = 0;
+const MAY_SEND = 1;
+
 /** Code of the worker thread in which the clients live. It tells how many requests the kernel has, and keeps the connections open. */
 const CLIENTS = `
   const { connect } = require('node:net');
-  const { workerData: { port, requests, sent } } = require('node:worker_threads');
+  const { parentPort, workerData: { port, requests, state } } = require('node:worker_threads');
+  parentPort.postMessage('ready');
+  Atomics.wait(state, ${MAY_SEND}, 0);
   for (const request of requests) {
     const socket = connect(port, '127.0.0.1');
     socket.on('error', () => undefined);
     socket.resume();
     socket.write(request, () => {
-      Atomics.add(sent, 0, 1);
-      Atomics.notify(sent, 0);
+      Atomics.add(state, ${SENT}, 1);
+      Atomics.notify(state, ${SENT});
     });
   }
 `;
