--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -353,11 +353,20 @@
     }
   }
 
-  async stop() {
+  /** Ends all processes that were started. */
+  kill() {
     for (const child of this.#children) child.kill('SIGKILL');
+  }
+
+  async stop() {
+    this.kill();
     await Promise.all([...this.#children].map((child) => child.ended));
     this.storeLink?.stop();
     this.store.stop();
+    this.removeFolder();
+  }
+
+  removeFolder() {
     if (process.env.KEEP === undefined) rmSync(this.folder, { recursive: true, force: true });
   }
 }
@@ -463,12 +472,18 @@
  */
 export async function runCase(folder, play) {
   const record = new Record(folder);
-  const timer = startTimer(() => {
-    record.line('the case took too long');
-    process.exit(EXIT.notRun);
-  }, 115_000);
   let harness;
   let code = EXIT.notRun;
+  const timer = startTimer(() => abandon('the case took too long'), 115_000);
+  // A fault of the case itself is no broken rule.
+  const abandon = (cause) => {
+    record.line(`could not run: ${cause instanceof Error ? cause.stack : String(cause)}`);
+    harness?.kill();
+    harness?.removeFolder();
+    process.exit(EXIT.notRun);
+  };
+  for (const event of ['uncaughtException', 'unhandledRejection', 'SIGTERM', 'SIGINT'])
+    process.on(event, abandon);
   try {
     harness = new Harness(record);
     const broken = await play(harness, record);
