The version of an adapter is checked right before a request is written

Cause: paths that start work without the leader did not check what it checks. A server remembered for 4 s was used whatever version it held; a grant was sent whatever was published while it waited; and the leader's own grace of 1.5 s for an old version in use counted from the first request that met it, not from the publication.

Change: VersionGrace counts from the publication, as shares of the bound in the settings (adapterVersionMs); versions found in a whole state, published at an unknown time, get no grace. Grants tell the version that the engine holds; remembered servers keep theirs. WriteCheck, taken out of Exchange, looks right before each write, whoever chose: first attempt, second attempt, takeover, relay. Where the granting leader is of an earlier build and tells none, the engine checks itself (Expect-Version). Engines listed with the published version come first.

Excluded: the remembered time itself (4 s) is not the cause, since the stream that is remembered may end long after the publication. Expect-Version alone was weighed: it does not find an engine that has the version, and refuses where the engine is ahead of the node that asks.

--- a/packages/gateway/src/backends/picker.ts
+++ b/packages/gateway/src/backends/picker.ts
@@ -35,6 +35,11 @@
 export interface PickedBackend {
   readonly kind: 'picked';
   readonly backend: BackendDescription;
+  /**
+   * Version of the request's adapter that the backend holds as far as its chooser knows; undefined if it does not know,
+   * or if the request names no adapter.
+   */
+  readonly adapterVersion?: number | undefined;
   /** How the backend was chosen, for logs. */
   readonly how: string;
   /**
--- a/packages/gateway/src/backends/slot-picker.ts
+++ b/packages/gateway/src/backends/slot-picker.ts
@@ -7,6 +7,7 @@
   type StreamProgress,
   type UseOutcome,
 } from '@canvasridge/slots';
+import type { AdapterVersionCheck } from './adapter-version-check.js';
 import type { BackendAvailability } from './backend-availability.js';
 import { GrantChecker } from './grant-checker.js';
 import type { BackendPicker, PickContext, PickResult } from './picker.js';
@@ -33,9 +34,21 @@
 
 interface RecentServer {
   readonly backendId: string;
+  /** Version of the adapter that it served; undefined if that is not known. */
+  readonly adapterVersion: number | undefined;
   readonly atMs: number;
 }
 
+/** A backend that may run a request without a grant. */
+interface UngrantedChoice {
+  readonly backend: BackendDescription;
+  readonly adapterVersion: number | undefined;
+  /** Whether it holds the published version of the adapter; an outdated one may still serve for a short time. */
+  readonly isCurrent: boolean;
+  /** Requests that this node runs there without grants. */
+  readonly running: number;
+}
+
 /**
  * Picker for model engines: the leader of the pool names an engine that has the adapter loaded. While no
  * leader can be reached, a request may go to an engine that recently served the adapter or is listed with
@@ -44,6 +57,7 @@
 export class SlotPicker implements BackendPicker {
   readonly #fleet: FleetState;
   readonly #availability: BackendAvailability;
+  readonly #versions: AdapterVersionCheck;
   readonly #slots: SlotSource;
   readonly #grants: GrantChecker;
   readonly #clock: Clock;
@@ -55,12 +69,14 @@
   constructor(
     fleet: FleetState,
     availability: BackendAvailability,
+    versions: AdapterVersionCheck,
     slots: SlotSource,
     clock: Clock,
     zone: string,
   ) {
     this.#fleet = fleet;
     this.#availability = availability;
+    this.#versions = versions;
     this.#slots = slots;
     this.#grants = new GrantChecker(fleet, availability);
     this.#clock = clock;
@@ -116,12 +132,13 @@
     return {
       kind: 'picked',
       backend,
+      adapterVersion: decision.adapterVersion,
       how: 'granted',
       isChargedToRateLimit,
       started: () => this.#slots.started(pool, request.id),
       finish: (outcome, progress) => {
         this.#slots.release(pool, request.id, outcome, progress);
-        if (outcome === 'served') this.#rememberServer(request, backend.id);
+        if (outcome === 'served') this.#rememberServer(request, backend.id, decision.adapterVersion);
       },
     };
   }
@@ -131,10 +148,11 @@
     request: SlotRequest,
     cancelled: AbortSignal,
   ): Promise<PickResult> {
-    const backend = this.#bestWithoutLeader(context, request);
-    if (backend === undefined) {
+    const best = this.#bestWithoutLeader(context, request);
+    if (best === undefined) {
       return { kind: 'none', reason: 'no-pool-leader', retryAfterMs: NO_LEADER_RETRY_MS };
     }
+    const { backend, adapterVersion } = best;
     const isChargedToRateLimit = this.#availability.isRateLimited(backend.id);
     if (isChargedToRateLimit && !(await this.#availability.takeRateLimitUnit(backend.id))) {
       return this.#withoutLeader(context, request, cancelled);
@@ -145,12 +163,13 @@
     const finish = (outcome: UseOutcome): void => {
       this.#running.set(backend.id, (this.#running.get(backend.id) ?? 1) - 1);
       this.#slots.release(pool, request.id, outcome);
-      if (outcome === 'served') this.#rememberServer(request, backend.id);
+      if (outcome === 'served') this.#rememberServer(request, backend.id, adapterVersion);
       else if (outcome === 'not-present') this.#recentServers.delete(modelKey(request));
     };
     return {
       kind: 'picked',
       backend,
+      adapterVersion,
       how: 'seen',
       isChargedToRateLimit,
       started: () => this.#slots.started(pool, request.id),
@@ -158,33 +177,46 @@
     };
   }
 
-  #bestWithoutLeader(context: PickContext, request: SlotRequest): BackendDescription | undefined {
-    const recentServer = this.#recentServers.get(modelKey(request));
-    let best: BackendDescription | undefined;
-    let bestRunning = Infinity;
+  /** Prefers engines with the published version of the adapter, then those that this node uses least. */
+  #bestWithoutLeader(context: PickContext, request: SlotRequest): UngrantedChoice | undefined {
+    let best: UngrantedChoice | undefined;
     for (const backend of this.#fleet.backendsOf(context.service.name)) {
       if (backend.state !== 'ready' || !mayRunOn(request, backend)) continue;
       if (this.#availability.isUnavailable(backend.id)) continue;
-      const isRecentServer =
-        recentServer?.backendId === backend.id && this.#clock.now() - recentServer.atMs < RECENTLY_SERVED_MS;
-      if (!isRecentServer && !this.#isListedWithModel(backend, request)) continue;
-      const running = this.#running.get(backend.id) ?? 0;
-      if (running >= bestRunning) continue;
-      best = backend;
-      bestRunning = running;
+      const choice = this.#choiceWithoutLeader(backend, request);
+      if (choice !== undefined && (best === undefined || isBetter(choice, best))) best = choice;
     }
     return best;
   }
 
-  #isListedWithModel(backend: BackendDescription, request: SlotRequest): boolean {
-    const model = backend.models.find((held) => held.name === request.model);
-    if (model === undefined || request.adapter === undefined) return model !== undefined;
-    const held = model.adapters.find((adapter) => adapter.name === request.adapter);
-    return held !== undefined && held.version >= this.#fleet.adapterVersion(request.model, request.adapter);
+  /** Undefined if the engine is not known to hold what the request needs. */
+  #choiceWithoutLeader(backend: BackendDescription, request: SlotRequest): UngrantedChoice | undefined {
+    const { model, adapter } = request;
+    const running = this.#running.get(backend.id) ?? 0;
+    const recent = this.#recentServerOf(request, backend.id);
+    const held = backend.models.find(({ name }) => name === model);
+    if (adapter === undefined) {
+      const isUsable = recent !== undefined || held !== undefined;
+      return isUsable ? { backend, adapterVersion: undefined, isCurrent: true, running } : undefined;
+    }
+    const adapterVersion = this.#versions.heldVersion({ model, adapter }, backend, recent?.adapterVersion);
+    const isCurrent = (adapterVersion ?? 0) >= this.#fleet.adapterVersion(model, adapter);
+    const isListed = held?.adapters.some(({ name }) => name === adapter) === true && isCurrent;
+    if (recent === undefined && !isListed) return undefined;
+    // Without a version that is known to be recent enough, no engine is asked to check its own: most likely, nobody has
+    // replaced the adapter there since it served.
+    const verdict = this.#versions.verdict(request, { backend, adapterVersion });
+    return verdict.kind === 'current' ? { backend, adapterVersion, isCurrent, running } : undefined;
   }
 
-  #rememberServer(request: SlotRequest, backendId: string): void {
-    this.#recentServers.set(modelKey(request), { backendId, atMs: this.#clock.now() });
+  #recentServerOf(request: SlotRequest, backendId: string): RecentServer | undefined {
+    const recent = this.#recentServers.get(modelKey(request));
+    const isRecent = recent?.backendId === backendId && this.#clock.now() - recent.atMs < RECENTLY_SERVED_MS;
+    return isRecent ? recent : undefined;
+  }
+
+  #rememberServer(request: SlotRequest, backendId: string, adapterVersion: number | undefined): void {
+    this.#recentServers.set(modelKey(request), { backendId, adapterVersion, atMs: this.#clock.now() });
     if (this.#recentServers.size > MAX_RECENT_SERVERS) this.#forgetOldestServer();
   }
 
@@ -196,6 +228,11 @@
 
 const MAX_RECENT_SERVERS = 2048;
 
+function isBetter(choice: UngrantedChoice, best: UngrantedChoice): boolean {
+  if (choice.isCurrent !== best.isCurrent) return choice.isCurrent;
+  return choice.running < best.running;
+}
+
 function modelKey(request: SlotRequest): string {
   return request.adapter === undefined ? request.model : adapterKey(request.model, request.adapter);
 }
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -1,5 +1,5 @@
 import type { Clock, ContinuousClock, Random } from '@canvasridge/clock';
-import type { BackendDescription, FleetState } from '@canvasridge/serving';
+import type { BackendDescription, FleetState, VersionGrace } from '@canvasridge/serving';
 import {
   AdapterMemory,
   BackendPool,
@@ -371,6 +371,7 @@
       isBackingOff: (id) => this.#options.availability.isBackingOff(id),
       disabled: this.#options.switchedOff,
       adapterVersion: (model, adapter) => fleet.adapterVersion(model, adapter),
+      requiredVersion: (model, adapter) => this.#options.versionGrace.requiredToGrant(model, adapter),
       tenantWeight: (tenant) => this.#tenantWeight(tenant),
       rejectionLimit: () => this.#options.rejectionLimits.perSecond(name),
     });
@@ -414,6 +415,7 @@
   readonly fleetClock: ContinuousClock;
   readonly random: Random;
   readonly fleet: FleetState;
+  readonly versionGrace: Pick<VersionGrace, 'requiredToGrant'>;
   readonly cluster: Cluster;
   readonly network: SlotNetwork;
   readonly control: EngineControl;
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -3,8 +3,15 @@
 import type { QuotaRule } from '@canvasridge/admission';
 import { ContinuousClock, Random, ReadDelay, hashSeed, type ReadDelayTiming } from '@canvasridge/clock';
 import { UdpTransport } from '@canvasridge/membership';
-import type { Departure, FleetState, HttpRoute, NewEra } from '@canvasridge/serving';
+import {
+  VersionGrace,
+  type Departure,
+  type FleetState,
+  type HttpRoute,
+  type NewEra,
+} from '@canvasridge/serving';
 import { err, ok, type Result } from 'neverthrow';
+import { AdapterVersionCheck } from './backends/adapter-version-check.js';
 import { BackendAvailability } from './backends/backend-availability.js';
 import { BackendBackoffs } from './backends/backend-backoffs.js';
 import { BackendConnections } from './backends/backend-connections.js';
@@ -184,6 +191,8 @@
       metrics: this.metrics,
     });
     const { paths, fleetPaths, responsiveness, hops, control } = this.#access;
+    const versionGrace = new VersionGrace({ clock: fleetClock, fleet, boundMs: settings.adapterVersionMs });
+    const adapterVersions = new AdapterVersionCheck(fleet, versionGrace);
     this.directory = new Directory(this.#cluster, () => this.#slots.leaders(), fleetPaths);
     this.#fleetShare = new FleetShare(clock, this.directory, settings.nodeId);
     this.published = new PublishedState({
@@ -224,6 +233,7 @@
       fleetClock,
       random,
       fleet,
+      versionGrace,
       cluster: this.#cluster,
       network: this.#network,
       control,
@@ -304,7 +314,15 @@
         clock,
         settings.zone,
       ),
-      enginePicker: new SlotPicker(fleet, availability, this.#slots.requester, clock, settings.zone),
+      adapterVersions,
+      enginePicker: new SlotPicker(
+        fleet,
+        availability,
+        adapterVersions,
+        this.#slots.requester,
+        clock,
+        settings.zone,
+      ),
       budget: (service) => this.#retryBudget(service),
       isStopping: () => this.#stopping,
       stopsInMs: () => this.#stopDeadlineMs - clock.now(),
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -30,6 +30,11 @@
   readonly switchedOff: DisabledMechanisms;
   /** Time within which each node has to know that a backend leaves, in milliseconds. */
   readonly drainMs: number;
+  /**
+   * Time after the publication of an adapter's version from which on no request may begin on an older one, in
+   * milliseconds; undefined if the operators set none.
+   */
+  readonly adapterVersionMs?: number | undefined;
   /**
    * How long a configuration may be relied upon for access rights that can be revoked, and how often it is
    * confirmed during that time.
--- a/packages/gateway/src/request/attempt-outcomes.ts
+++ b/packages/gateway/src/request/attempt-outcomes.ts
@@ -7,6 +7,7 @@
   'old-list',
   'not-allowed',
   'other-version',
+  'old-adapter',
   'no-relay',
   'no-path',
 ]);
@@ -60,7 +61,7 @@
       return outcome.how === 'relay-lost' ? 'cancelled' : 'failed';
     case 'not-run':
       if (outcome.reason === 'not-present') return 'not-present';
-      if (outcome.reason === 'other-version') return 'cancelled';
+      if (outcome.reason === 'other-version' || outcome.reason === 'old-adapter') return 'cancelled';
       return BACKEND_REUSABLE_REASONS.has(outcome.reason) ? 'cancelled' : 'refused';
   }
 }
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -49,7 +49,9 @@
   /** The request has timed out, lost its authorization, or is quarantined. */
   | 'not-allowed'
   /** Another software version than that of the backend began the stream. */
-  | 'other-version';
+  | 'other-version'
+  /** The backend holds a version of the request's adapter that must no longer serve. */
+  | 'old-adapter';
 
 /**
  * `unreachable`: the backend accepted no connection in time; `refused`: its response says that it did not run
--- a/packages/gateway/src/request/dialect.ts
+++ b/packages/gateway/src/request/dialect.ts
@@ -45,6 +45,8 @@
   /** Milliseconds left until the request's deadline. */
   readonly deadlineMs: number;
   readonly backendId: string;
+  /** Version of the request's adapter that the backend must hold to run the request; undefined for any. */
+  readonly adapterVersion?: number | undefined;
   readonly lastEventId: number | undefined;
   /** 0 is the most urgent. */
   readonly priority: number | undefined;
--- a/packages/gateway/src/request/exchange-context.ts
+++ b/packages/gateway/src/request/exchange-context.ts
@@ -15,9 +15,11 @@
 import type { UnableCause } from './serving-outage.js';
 import type { QuarantineContext } from './request-quarantine.js';
 import type { StreamBindingContext } from './stream-binding.js';
+import type { WriteCheckContext } from './write-check.js';
 
 /** What all exchanges of a node share. */
-export interface ExchangeContext extends AdmissionContext, QuarantineContext, StreamBindingContext {
+export interface ExchangeContext
+  extends AdmissionContext, QuarantineContext, StreamBindingContext, WriteCheckContext {
   readonly clock: Clock;
   readonly dialect: RequestDialect;
   readonly hops: Pick<BackendHops, 'open' | 'openForTakeover'>;
@@ -41,8 +43,6 @@
   readonly random: () => number;
   /** Age of the backend list in milliseconds. */
   readonly listAgeMs: () => number;
-  /** Whether the backend list is too old for a request to be written now. */
-  readonly isListTooOld: () => boolean;
   /** Refreshes the backend list if it is so old that a backend may have left unnoticed for too long. */
   readonly refreshIfOld: () => Promise<void>;
   /** Retry-After of requests that this node can not serve for want of the published state, in milliseconds. */
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -21,7 +21,6 @@
   BackendAttempt,
   type AttemptOutcome,
   type NotRunReason,
-  type NotWrittenReason,
   type InactivityLimit,
 } from './backend-attempt.js';
 import { backendDeadlineMs } from './backend-deadline.js';
@@ -44,6 +43,7 @@
 import { spreadRetryMs } from './retry-spread.js';
 import type { ExchangeContext } from './exchange-context.js';
 import { recordSilence, type SilenceResult } from './silence-record.js';
+import { WriteCheck } from './write-check.js';
 
 /** Maximum number of attempts to send one request, including those that were refused. */
 const MAX_SENDS = 5;
@@ -56,6 +56,7 @@
   readonly #admission: RequestAdmission;
   readonly #quarantine: RequestQuarantine;
   readonly #binding: StreamBinding;
+  readonly #writeCheck: WriteCheck;
   /** When the request was read. */
   readonly #arrivedMs: number;
   /** How long it may have lain unread before, in milliseconds. */
@@ -123,6 +124,9 @@
       body: this.#body,
     }));
     this.#binding = new StreamBinding(context, this.#facts);
+    this.#writeCheck = new WriteCheck(context, this.#facts, {
+      isAllowed: (route) => this.#isAllowed(route),
+    });
     this.#lastEventId = this.#facts.lastEventId ?? -1;
     this.#sink = new ResponseSink(response, context.isStopping);
     response.on('close', () => {
@@ -393,6 +397,7 @@
           dialect.forwardHeaders(this.#request.rawHeaders, {
             deadlineMs: backendDeadlineMs(this.#remainingMs(route), this.#unreadMs),
             backendId: backend.id,
+            adapterVersion: this.#writeCheck.expectedVersion(picked),
             lastEventId,
             priority: service.engine === undefined ? undefined : this.#admission.priority(route),
             identity: this.#admission.identity,
@@ -407,7 +412,7 @@
           search.start();
         },
         onActive: () => search?.cancel(),
-        reasonNotToWrite: () => this.#reasonNotToWrite(route, backend.id),
+        reasonNotToWrite: () => this.#writeCheck.reasonNotToWrite(route, picked),
         onWritten: () => {
           this.#sentMs = this.#ageMs();
           this.#listAgeMs = this.#context.listAgeMs();
@@ -499,8 +504,10 @@
       pick: (silent, cancelled) => this.#pick(route, service, cancelled, [...this.#silent, ...silent], true),
       refreshList: () => this.#context.refreshIfOld(),
       charge: () => this.#admission.chargeTakeover(),
-      reasonNotToWrite: (backend) =>
-        this.#binding.allows(backend) ? this.#reasonNotToWrite(route, backend.id) : 'other-version',
+      reasonNotToWrite: (picked) =>
+        this.#binding.allows(picked.backend)
+          ? this.#writeCheck.reasonNotToWrite(route, picked)
+          : 'other-version',
       takeRetry: () => this.#context.budget(service.name).tryTake(),
     };
   }
@@ -515,23 +522,17 @@
     return this.#admission.isStillIdentified(route) ? undefined : 'no-access';
   }
 
-  /**
-   * Checks everything that may have changed while the request waited for its connection or the process
-   * waited for the CPU.
-   */
-  #reasonNotToWrite(route: HttpRoute, backendId: string): NotWrittenReason | undefined {
+  /** Whether the request may still be sent to any backend; ends it if its client has left. */
+  #isAllowed(route: HttpRoute): boolean {
     if (hasClientLeft(this.#request)) {
       this.#onClientLeft();
-      return 'not-allowed';
+      return false;
     }
-    const isAllowed =
+    return (
       this.#remainingMs(route) > 0 &&
       this.#admission.isStillIdentified(route) &&
-      !this.#quarantine.isQuarantined;
-    if (!isAllowed) return 'not-allowed';
-    if (this.#context.fleet.isLeaving(backendId)) return 'leaving';
-    if (this.#context.availability.isBackingOff(backendId)) return 'backing-off';
-    return this.#context.isListTooOld() ? 'old-list' : undefined;
+      !this.#quarantine.isQuarantined
+    );
   }
 
   /** Ends the exchange if no retry can follow the outcome; returns whether it has ended. */
--- a/packages/gateway/src/request/replacement-search.ts
+++ b/packages/gateway/src/request/replacement-search.ts
@@ -33,8 +33,8 @@
   charge(): Promise<TakeoverCharge | undefined>;
   /** Makes sure that the backend list is fresh. */
   refreshList(): Promise<void>;
-  /** Why the request must not be written to this backend; undefined if it may be. */
-  reasonNotToWrite(backend: BackendDescription): string | undefined;
+  /** Why the request must not be written to the picked backend; undefined if it may be. */
+  reasonNotToWrite(picked: PickedBackend): string | undefined;
   /** Takes one retry from the budget; false if none is left. */
   takeRetry(): boolean;
 }
@@ -152,7 +152,7 @@
     const hop = await hops.openForTakeover(picked.backend, service, excludedRelays);
     if (typeof hop === 'string') return hop;
     taken.push(() => hop.release({ kind: 'cancelled' }));
-    return (await this.#reasonNotToTakeOver(picked.backend, cancelled)) ?? { picked, hop, charge };
+    return (await this.#reasonNotToTakeOver(picked, cancelled)) ?? { picked, hop, charge };
   }
 
   /**
@@ -181,10 +181,7 @@
   }
 
   /** What needs no answer from elsewhere is looked at last, so that nothing can change before the takeover. */
-  async #reasonNotToTakeOver(
-    backend: BackendDescription,
-    cancelled: AbortSignal,
-  ): Promise<string | undefined> {
+  async #reasonNotToTakeOver(picked: PickedBackend, cancelled: AbortSignal): Promise<string | undefined> {
     const { request } = this.#options;
     await request.refreshList();
     // Data of the silent backend may have arrived.
@@ -192,7 +189,7 @@
     if (cancelled.aborted) return 'cancelled';
     return (
       request.obstacle() ??
-      request.reasonNotToWrite(backend) ??
+      request.reasonNotToWrite(picked) ??
       (request.takeRetry() ? undefined : 'no-retry-budget')
     );
   }
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -4,12 +4,14 @@
 import { Random, SystemClock, type Clock } from '@canvasridge/clock';
 import {
   FleetState,
+  VersionGrace,
   type HttpRoute,
   type RouteKind,
   type ServingConfiguration,
   type Tenant,
 } from '@canvasridge/serving';
 import { EventLogger, Telemetry } from '@canvasridge/telemetry';
+import { AdapterVersionCheck } from '../src/backends/adapter-version-check.js';
 import { BackendAvailability } from '../src/backends/backend-availability.js';
 import { BackendBackoffs } from '../src/backends/backend-backoffs.js';
 import { BackendConnections } from '../src/backends/backend-connections.js';
@@ -325,6 +327,7 @@
       outageRetryMs: (cause, callerLeftMs) => this.outageRetryMs(cause, callerLeftMs),
       lagMs: () => 0,
       unreadMs: () => this.unreadMs,
+      adapterVersions: new AdapterVersionCheck(fleet, new VersionGrace({ clock, fleet, boundMs: undefined })),
       isListTooOld: () => this.isListTooOld(),
       refreshIfOld: () => this.beforeSend(),
       configurationLease: () => ({ ageMs: this.configurationAgeMs, leaseMs: LEASE_MS }),
--- a/packages/gateway/test/slot-picker.test.ts
+++ b/packages/gateway/test/slot-picker.test.ts
@@ -1,7 +1,8 @@
 import { VirtualClock } from '@canvasridge/clock';
-import { FleetState, type BackendDescription } from '@canvasridge/serving';
+import { FleetState, VersionGrace, type BackendDescription } from '@canvasridge/serving';
 import type { SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
 import test from 'ava';
+import { AdapterVersionCheck } from '../src/backends/adapter-version-check.js';
 import { BackendAvailability } from '../src/backends/backend-availability.js';
 import { BackendRateLimits } from '../src/backends/backend-rate-limits.js';
 import { BackendBackoffs } from '../src/backends/backend-backoffs.js';
@@ -9,6 +10,9 @@
 import { SlotPicker, type SlotSource } from '../src/backends/slot-picker.js';
 import { noRateLimits } from './no-rate-limits.js';
 
+/** Time after a publication from which on no request may begin on an older version. */
+const VERSION_BOUND_MS = 5000;
+
 function engine(id: string, state: 'ready' | 'draining' = 'ready'): BackendDescription {
   return { id, service: 'llm', address: `${id}:1`, zone: 'a', state, slots: 8, models: [] };
 }
@@ -97,6 +101,16 @@
   fleet.applyBackend(2, engine('stays'));
 }
 
+function newPicker(
+  fleet: FleetState,
+  availability: BackendAvailability,
+  leader: SlotSource,
+  clock: VirtualClock,
+): SlotPicker {
+  const grace = new VersionGrace({ clock, fleet, boundMs: VERSION_BOUND_MS });
+  return new SlotPicker(fleet, availability, new AdapterVersionCheck(fleet, grace), leader, clock, 'a');
+}
+
 function availabilityOf(
   fleet: FleetState,
   clock: VirtualClock,
@@ -117,7 +131,7 @@
   const clock = new VirtualClock();
   const backoffs = new BackendBackoffs(clock);
   const availability = availabilityOf(fleet, clock, backoffs);
-  const picker = new SlotPicker(fleet, availability, leader, clock, 'a');
+  const picker = newPicker(fleet, availability, leader, clock);
   const result = await picker.pick(CONTEXT, new AbortController().signal);
   return { picked: result.kind === 'picked' ? result.backend.id : result.reason, leader };
 }
@@ -187,7 +201,7 @@
   const leader = new OutdatedLeader(['stays'], undefined);
   const clock = new VirtualClock();
   const availability = availabilityOf(fleet, clock, new BackendBackoffs(clock));
-  const picker = new SlotPicker(fleet, availability, leader, clock, 'a');
+  const picker = newPicker(fleet, availability, leader, clock);
   await picker.pick({ ...CONTEXT, isTakeover: true }, new AbortController().signal);
   await picker.pick(CONTEXT, new AbortController().signal);
   t.deepEqual(
@@ -216,7 +230,7 @@
   const clock = new VirtualClock();
   const backoffs = new BackendBackoffs(clock);
   const availability = availabilityOf(fleet, clock, backoffs);
-  return { picker: new SlotPicker(fleet, availability, leader, clock, 'a'), leader, clock, backoffs };
+  return { picker: newPicker(fleet, availability, leader, clock), leader, clock, backoffs };
 }
 
 const NOT_CANCELLED = new AbortController().signal;
@@ -286,7 +300,7 @@
   const backoffs = new BackendBackoffs(clock);
   const availability = availabilityOf(fleet, clock, backoffs, rateLimits);
   const leader = new OutdatedLeader(['leaving', 'stays'], undefined, ratePerSecond);
-  const result = await new SlotPicker(fleet, availability, leader, clock, 'a').pick(CONTEXT, NOT_CANCELLED);
+  const result = await newPicker(fleet, availability, leader, clock).pick(CONTEXT, NOT_CANCELLED);
   const picked = result.kind === 'picked' ? result.backend.id : result.reason;
   return { picked, isLimited: rateLimits.perSecond('leaving') !== undefined };
 }
@@ -308,8 +322,81 @@
   const leader = new OutdatedLeader(['leaving', 'other', 'stays'], undefined);
   const clock = new VirtualClock();
   const availability = availabilityOf(fleet, clock, new BackendBackoffs(clock));
-  const picker = new SlotPicker(fleet, availability, leader, clock, 'a');
+  const picker = newPicker(fleet, availability, leader, clock);
   const result = await picker.pick({ ...CONTEXT, softwareVersion: 'v2' }, new AbortController().signal);
   t.like(result, { kind: 'picked', backend: { id: 'stays' } });
   t.deepEqual(leader.released, [{ requestId: 'r1', outcome: 'cancelled' }]);
 });
+
+/** A leader that can be lost (then it makes no decisions), and that grants engines with a version of their adapter, if it tells any. */
+class LostLeader extends OutdatedLeader {
+  isLost = false;
+  adapterVersion: number | undefined;
+
+  override async acquire(pool: string, request: SlotRequest): Promise<SlotDecision> {
+    if (this.isLost) return undefined as unknown as SlotDecision;
+    const decision = await super.acquire(pool, request);
+    const { adapterVersion } = this;
+    return adapterVersion === undefined || decision.kind !== 'granted'
+      ? decision
+      : { ...decision, adapterVersion };
+  }
+}
+
+interface VersionSetup {
+  readonly picker: SlotPicker;
+  readonly leader: LostLeader;
+  readonly clock: VirtualClock;
+  readonly fleet: FleetState;
+}
+
+/** Sets up a picker that was granted the first of two engines with version 1 of an adapter, before version 2 was published. */
+async function servedBefore(adapterVersion: number | undefined): Promise<VersionSetup> {
+  const fleet = new FleetState();
+  const leader = new LostLeader(['leaving', 'stays'], undefined);
+  leader.adapterVersion = adapterVersion;
+  const clock = new VirtualClock();
+  fleet.applyBackend(1, engine('leaving'));
+  fleet.applyBackend(1, engine('stays'));
+  const availability = availabilityOf(fleet, clock, new BackendBackoffs(clock));
+  const picker = newPicker(fleet, availability, leader, clock);
+  const picked = await picker.pick(CONTEXT, NOT_CANCELLED);
+  fleet.applyAdapterVersion({ model: 'm', adapter: 'x', version: 2 }, 'change');
+  await clock.runUntil(VERSION_BOUND_MS);
+  if (picked.kind === 'picked') picked.finish('served');
+  leader.isLost = true;
+  return { picker, leader, clock, fleet };
+}
+
+function listWithAdapter(fleet: FleetState, id: string, version: number): void {
+  const models = [{ name: 'm', adapters: [{ name: 'x', version }] }];
+  fleet.applyBackend(5, { ...engine(id), models });
+}
+
+for (const adapterVersion of [1, undefined]) {
+  const told = adapterVersion === undefined ? 'a version unknown to its leader' : 'an old version';
+  // Guards against requests on an old version of their adapter while no leader answers.
+  test(`without a leader, an engine that served ${told} of the adapter just now is not used`, async (t) => {
+    const { picker } = await servedBefore(adapterVersion);
+    t.like(await picker.pick(CONTEXT, NOT_CANCELLED), { kind: 'none', reason: 'no-pool-leader' });
+  });
+}
+
+test('without a leader, an engine listed with the published version is used instead of the one that served', async (t) => {
+  const { picker, fleet } = await servedBefore(1);
+  listWithAdapter(fleet, 'stays', 2);
+  t.like(await picker.pick(CONTEXT, NOT_CANCELLED), { backend: { id: 'stays' }, adapterVersion: 2 });
+});
+
+test('without a leader, an engine that served the published version just now is used', async (t) => {
+  const { picker } = await servedBefore(2);
+  t.like(await picker.pick(CONTEXT, NOT_CANCELLED), { backend: { id: 'leaving' }, adapterVersion: 2 });
+});
+
+test('without a leader, an engine with the published version comes first while the old one may still serve', async (t) => {
+  const { picker, fleet } = await servedBefore(2);
+  fleet.applyAdapterVersion({ model: 'm', adapter: 'x', version: 3 }, 'change');
+  t.like(await picker.pick(CONTEXT, NOT_CANCELLED), { backend: { id: 'leaving' }, adapterVersion: 2 });
+  listWithAdapter(fleet, 'stays', 3);
+  t.like(await picker.pick(CONTEXT, NOT_CANCELLED), { backend: { id: 'stays' }, adapterVersion: 3 });
+});
--- a/packages/gateway/test/virtual-holders.ts
+++ b/packages/gateway/test/virtual-holders.ts
@@ -168,6 +168,7 @@
     for (const { description } of this.engines) fleet.applyBackend(1, { ...description, service: SERVICE });
     const control = new CutControl(new SimulatedControl(this.engines), clock);
     const slots = new SlotService({
+      versionGrace: { requiredToGrant: () => 0 },
       clock,
       fleetClock: new ContinuousClock(clock),
       random: this.#random,
--- a/packages/gateway/test/virtual-paths.ts
+++ b/packages/gateway/test/virtual-paths.ts
@@ -174,6 +174,7 @@
     });
     access.start();
     const slots = new SlotService({
+      versionGrace: { requiredToGrant: () => 0 },
       ...shared,
       paths: access.paths,
       fleetPaths: access.fleetPaths,
--- a/packages/serving/src/fleet-state.ts
+++ b/packages/serving/src/fleet-state.ts
@@ -1,5 +1,6 @@
+import { AdapterVersions, type VersionSource } from './adapter-versions.js';
 import { AnnouncedDepartures } from './announced-departures.js';
-import { adapterKey, type BackendDescription } from './backend.js';
+import type { BackendDescription } from './backend.js';
 import type { ServingConfiguration } from './configuration.js';
 import { DepartedBackends } from './departed-backends.js';
 import type {
@@ -58,17 +59,16 @@
  * read in this one.
  */
 export class FleetState {
+  readonly adapterVersions = new AdapterVersions();
   readonly #listeners: ChangeListener[] = [];
   readonly #departureListeners: DepartureListener[] = [];
   readonly #eraListeners: EraListener[] = [];
   readonly #backends = new Map<string, Revised<BackendDescription>>();
   readonly #backendsByService = new Map<string, BackendDescription[]>();
-  readonly #adapterVersions = new Map<string, AdapterVersion>();
   #routes: RouteTable | undefined;
   readonly #departed = new DepartedBackends();
   readonly #announced = new AnnouncedDepartures();
   readonly #routingDigest = new SetDigest();
-  readonly #operatorDigest = new SetDigest();
   readonly #era = new PublishingEra();
   #isListKnown = false;
   #backendsRevision = 0;
@@ -187,7 +187,7 @@
    * has a version.
    */
   get operatorDigest(): number {
-    return this.#operatorDigest.value;
+    return this.adapterVersions.digest;
   }
 
   /** Revision of the newest known entry written by operators. */
@@ -261,7 +261,7 @@
 
   /** The published version of an adapter, 0 if none is known. */
   adapterVersion(model: string, adapter: string): number {
-    return this.#adapterVersions.get(adapterKey(model, adapter))?.version ?? 0;
+    return this.adapterVersions.get(model, adapter);
   }
 
   /** Applies a configuration if it is newer than the one in force. Returns whether it was applied. */
@@ -273,13 +273,10 @@
   }
 
   /** Applies a published version if it is newer than the known one. Returns whether it was applied. */
-  applyAdapterVersion(published: AdapterVersion): boolean {
-    if (published.version <= this.adapterVersion(published.model, published.adapter)) return false;
-    const key = adapterKey(published.model, published.adapter);
-    this.#adapterVersions.set(key, published);
-    this.#operatorDigest.put(key, String(published.version));
-    this.#notify('adapter-version');
-    return true;
+  applyAdapterVersion(published: AdapterVersion, source: VersionSource = 'state'): boolean {
+    const isNewer = this.adapterVersions.apply(published, source);
+    if (isNewer) this.#notify('adapter-version');
+    return isNewer;
   }
 
   /** Applies an entry of the list if it is newer than what is known of the backend. */
@@ -337,12 +334,14 @@
     return {
       era: this.era,
       revision: this.#operatorRevision,
-      adapterVersions: [...this.#adapterVersions.values()],
+      adapterVersions: this.adapterVersions.all(),
     };
   }
 
   applyOperatorState(state: OperatorState): void {
-    for (const published of state.adapterVersions) this.applyAdapterVersion(published);
+    // A node that follows others is told soon of each change, once it has the whole state.
+    const source = this.#operatorRevision > 0 ? 'change' : 'state';
+    for (const published of state.adapterVersions) this.applyAdapterVersion(published, source);
     if (this.admitEra(state.era)) this.advanceOperatorRevision(state.revision);
   }
 
@@ -351,7 +350,7 @@
       era: this.era,
       operatorRevision: this.#operatorRevision,
       configuration: this.#routes?.configuration,
-      adapterVersions: [...this.#adapterVersions.values()],
+      adapterVersions: this.adapterVersions.all(),
       backendsRevision: this.#backendsRevision,
       backends: [...this.#backends.values()],
     };
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -27,6 +27,8 @@
   type FleetChange,
   type NewEra,
 } from './fleet-state.js';
+export { AdapterVersions, type VersionSource } from './adapter-versions.js';
+export { VersionGrace, type VersionGraceOptions } from './version-grace.js';
 export { NO_ERA } from './publishing-era.js';
 export type {
   AdapterVersion,
--- a/packages/slots/src/engine-selector.ts
+++ b/packages/slots/src/engine-selector.ts
@@ -13,11 +13,14 @@
  * memory fills up.
  */
 const CROWDED_BATCH_SHARE = 0.45;
-/** How long an adapter may still get new requests after a newer version was published. */
-const OUTDATED_GRACE_MS = 1500;
 
-/** Returns the published version of an adapter, 0 if none was published. */
-export type PublishedVersion = (model: string, adapter: string) => number;
+/** Which versions of an adapter engines hold or must hold; 0 where none was published. */
+export interface VersionRules {
+  /** The published version. */
+  readonly published: (model: string, adapter: string) => number;
+  /** The oldest version that may still be granted: for a time after a publication, that is an outdated one. */
+  readonly required: (model: string, adapter: string) => number;
+}
 
 /** An engine chosen for a request, and its cost. */
 export interface EngineChoice {
@@ -32,19 +35,19 @@
 export class EngineSelector {
   readonly #engines: EngineRegistry;
   readonly #costs: EngineCosts;
-  readonly #publishedVersion: PublishedVersion;
+  readonly #versions: VersionRules;
 
-  constructor(engines: EngineRegistry, costs: EngineCosts, publishedVersion: PublishedVersion) {
+  constructor(engines: EngineRegistry, costs: EngineCosts, versions: VersionRules) {
     this.#engines = engines;
     this.#costs = costs;
-    this.#publishedVersion = publishedVersion;
+    this.#versions = versions;
   }
 
   /** Returns the engine with the lowest cost that has the request's model or adapter and room within its rate limit. */
   best(request: SlotRequest, index: PoolIndex, nowMs: number): EngineChoice | undefined {
     const choices: EngineChoice[] = [];
     for (const entry of this.#candidates(request, index)) {
-      if (!this.#engines.mayServe(entry, request) || !this.#hasTarget(entry, request, nowMs)) continue;
+      if (!this.#engines.mayServe(entry, request) || !this.#hasTarget(entry, request)) continue;
       if (!this.#engines.hasRoom(entry)) continue;
       choices.push(this.#choice(entry, request, index, nowMs));
     }
@@ -87,26 +90,25 @@
     return index.holders(adapterKey(request.model, request.adapter));
   }
 
-  #hasTarget(entry: EngineEntry, request: SlotRequest, nowMs: number): boolean {
+  #hasTarget(entry: EngineEntry, request: SlotRequest): boolean {
     const { slots } = entry;
     if (request.adapter === undefined) return slots.models.has(request.model);
     const slot = slots.get(adapterKey(request.model, request.adapter));
-    return slot !== undefined && this.#isUsable(slot, nowMs);
+    return slot !== undefined && this.#isUsable(slot);
   }
 
   /**
    * Whether an adapter may get new requests. One of an outdated version still may for a short time while it is in use,
    * until the newer version is loaded.
    */
-  #isUsable(slot: AdapterSlot, nowMs: number): boolean {
+  #isUsable(slot: AdapterSlot): boolean {
     if (slot.state !== 'loaded') return false;
     if (this.#isCurrent(slot)) return true;
-    if (slot.outdatedSinceMs === 0) slot.outdatedSinceMs = nowMs;
-    return slot.users > 0 && nowMs - slot.outdatedSinceMs < OUTDATED_GRACE_MS;
+    return slot.users > 0 && slot.version >= this.#versions.required(slot.model, slot.adapter);
   }
 
   #isCurrent(slot: AdapterSlot): boolean {
-    return slot.version >= this.#publishedVersion(slot.model, slot.adapter);
+    return slot.version >= this.#versions.published(slot.model, slot.adapter);
   }
 }
 
--- a/packages/slots/src/engine-slots.ts
+++ b/packages/slots/src/engine-slots.ts
@@ -27,8 +27,6 @@
   confirmed: boolean;
   /** Whether the engine was believed to have it in its host memory when the load was ordered. */
   warm: boolean;
-  /** When the published version moved beyond this one; 0 while it has not. */
-  outdatedSinceMs: number;
 }
 
 /** A load ordered longer ago than this has certainly ended, even if nothing confirmed it. */
@@ -109,7 +107,6 @@
       orderedMs: nowMs,
       confirmed: false,
       warm,
-      outdatedSinceMs: 0,
     };
     this.slots.set(key, slot);
     return slot;
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -46,6 +46,8 @@
   readonly disabled: DisabledMechanisms;
   /** The published version of an adapter, 0 if none was published. */
   readonly adapterVersion: (model: string, adapter: string) => number;
+  /** The oldest version of an adapter that may be granted, 0 for any. */
+  readonly requiredVersion: (model: string, adapter: string) => number;
   /** Whether an engine told this node to back off for a while. It may still accept other nodes. */
   readonly isBackingOff: (backendId: string) => boolean;
   /** A tenant's weight in the fair sharing of engines, above 0. */
@@ -145,7 +147,8 @@
     const kinds = new StreamKinds();
     this.#paces = new PaceLearner(kinds);
     const costs = new EngineCosts({ poolSpeed, kinds, disabled: options.disabled });
-    this.#selector = new EngineSelector(this.#engines, costs, adapterVersion);
+    const versions = { published: adapterVersion, required: options.requiredVersion };
+    this.#selector = new EngineSelector(this.#engines, costs, versions);
     const loads = new LoadStarter({
       clock,
       engines: this.#engines,
@@ -394,7 +397,12 @@
     this.#releaseAfterTimeout(request.id, request.timeoutMs - request.ageMs);
     engine.rate.take();
     engine.rejections.recordGrant(nowMs);
-    waiting.decide({ ...grantDecision(request.id, engine.slots.backend), ...engine.rate.stated });
+    const adapterVersion = slot === undefined ? {} : { adapterVersion: slot.version };
+    waiting.decide({
+      ...grantDecision(request.id, engine.slots.backend),
+      ...engine.rate.stated,
+      ...adapterVersion,
+    });
   }
 
   /** Releases a granted request some time after its timeout, so that a node that disappeared does not keep its slots. */
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -82,6 +82,8 @@
       readonly entryEra?: number;
       /** Software version of the backend as known to the granting node; absent if it tells none. */
       readonly softwareVersion?: string;
+      /** Version of the request's adapter that the engine holds as known to the granting node; absent from earlier builds. */
+      readonly adapterVersion?: number;
     }
   | {
       readonly kind: 'refused';
--- a/packages/slots/test/new-pool.ts
+++ b/packages/slots/test/new-pool.ts
@@ -11,6 +11,7 @@
   versions: ReadonlyMap<string, number> = new Map(),
   isBackingOff: (engine: string) => boolean = () => false,
   disabled: DisabledMechanisms = new Set(),
+  requiredVersion: (adapter: string) => number = () => 0,
 ): SlotPool {
   const pool = new SlotPool({
     service: 'llm',
@@ -32,6 +33,7 @@
     tenantWeight: () => 1,
     isBackingOff,
     adapterVersion: (_model, adapter) => versions.get(adapter) ?? 0,
+    requiredVersion: (_model, adapter) => requiredVersion(adapter),
   });
   pool.setEngines(
     engines.map((engine) => engine.description),
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -98,6 +98,30 @@
   );
 });
 
+// Guards against a time for old versions that begins with the first request that meets one.
+test('an outdated adapter in use is granted only as long as its version may serve', async (t) => {
+  const clock = new VirtualClock();
+  const engines = ['e1', 'e2'].map((id) => new SimulatedEngine(clock, id));
+  const versions = new Map<string, number>();
+  let required = 0;
+  const pool = newPool(clock, engines, 1, versions, undefined, undefined, () => required);
+  await clock.runUntil(HELD_MS);
+  const engineOf = async (): Promise<string> => {
+    let engine = 'none';
+    pool.acquire(request('x'), (decision) => {
+      engine = decision.kind === 'granted' ? decision.backendId : decision.reason;
+    });
+    await clock.runUntil(clock.now() + 500);
+    return engine;
+  };
+  const first = await engineOf();
+  versions.set('x', 2);
+  await clock.runUntil(clock.now() + 2000);
+  t.is(await engineOf(), first, 'no engine has the newer version yet');
+  required = 2;
+  t.not(await engineOf(), first);
+});
+
 test('an adapter that a granted request did not find is granted again a little later', async (t) => {
   const clock = new VirtualClock();
   const engine = new SimulatedEngine(clock, 'e1');
