A newer adapter version is loaded on another engine while the old one is in use

What callers saw: requests that waited for half of their start time, and in a pool without other traffic until they were refused.

Cause: the engine that still runs requests on the old version counted as one that has the adapter in its host memory. A fetch elsewhere was held back for it, but it loads no other version before those requests end.

Test: slot-pool, "a newer version is loaded on another engine at once while the old one is in use", failed before (second request not granted within 500 ms).

--- a/packages/slots/src/load-starter.ts
+++ b/packages/slots/src/load-starter.ts
@@ -95,7 +95,10 @@
     };
   }
 
-  /** Whether an engine that this node may give orders to likely has the adapter in its host memory. */
+  /**
+   * Whether an engine that this node may give orders to likely has the adapter in its host memory. One that still holds an
+   * outdated version in use is none: it loads no other version before those requests end.
+   */
   #hasWarmEngine(request: SlotRequest, key: string): boolean {
     const { engines, memory, disabled } = this.#options;
     if (disabled.has('adapter-memory')) return false;
@@ -103,7 +106,10 @@
       .listed()
       .some(
         (entry) =>
-          memory.has(entry.slots.backend.id, key) && entry.lease.held && this.#isCandidate(entry, request),
+          memory.has(entry.slots.backend.id, key) &&
+          entry.lease.held &&
+          this.#isCandidate(entry, request) &&
+          (entry.slots.get(key)?.users ?? 0) === 0,
       );
   }
 
--- a/packages/slots/test/slot-pool.test.ts
+++ b/packages/slots/test/slot-pool.test.ts
@@ -122,6 +122,34 @@
   t.not(await engineOf(), first);
 });
 
+// Without it the request waited for the engine that could not load the newer version.
+test('a newer version is loaded on another engine at once while the old one is in use', async (t) => {
+  const clock = new VirtualClock();
+  const engines = ['e1', 'e2'].map((id) => new SimulatedEngine(clock, id));
+  const versions = new Map<string, number>();
+  const pool = newPool(
+    clock,
+    engines,
+    1,
+    versions,
+    undefined,
+    undefined,
+    (adapter) => versions.get(adapter) ?? 0,
+  );
+  await clock.runUntil(HELD_MS);
+  const granted: string[] = [];
+  const ask = (): void =>
+    pool.acquire(request('x'), (decision) => {
+      if (decision.kind === 'granted') granted.push(decision.backendId);
+    });
+  ask();
+  await clock.runUntil(clock.now() + 500);
+  versions.set('x', 2);
+  ask();
+  await clock.runUntil(clock.now() + 500);
+  t.deepEqual([...granted].sort(), ['e1', 'e2']);
+});
+
 test('an adapter that a granted request did not find is granted again a little later', async (t) => {
   const clock = new VirtualClock();
   const engine = new SimulatedEngine(clock, 'e1');
