The watch of the operators' entries follows the bounds of a configuration

Cause: the watch could last 5 s and be overdue by 1 s, two constants that serve a promise of contactMs and configApplyMs (3 s and 2 s) which the settings did not hold. Each new version ends the watches of all nodes at once, so they are in step and no peer knows better.

Change: configurationBounds in the settings; watch, overdue time and the time-out of a read are shares of the larger bound (0.65, 0.15, 0.6), with a floor below which usual answers would count as late. Bounds that the floor can't keep are logged as an error at the start.

Weighed: (a) this; (b) the watch of the runners' entries, which is shorter, goes overdue, and the operators' watch is begun anew. (b) costs no call but misses a silence of the operators' connection alone, so (a).

Test operator-pace: the constants of before notice a silence after 6,000 ms where 3,000 are allowed.

--- a/packages/gateway/src/cluster/published-state.ts
+++ b/packages/gateway/src/cluster/published-state.ts
@@ -17,6 +17,13 @@
 } from './configuration-parts.js';
 import { departureBudget, type DepartureBudget } from './departure-budget.js';
 import { expectedAgeMs, type KeyLease } from './key-lease.js';
+import {
+  operatorPace,
+  silenceBoundMs,
+  silenceNoticedMs,
+  type ConfigurationBounds,
+  type OperatorPace,
+} from './operator-pace.js';
 import {
   SNAPSHOT_METHOD,
   StateExchange,
@@ -32,6 +39,8 @@
   /** Time within which each node must know that a backend is leaving. */
   readonly drainMs: number;
   readonly keyLease: KeyLease;
+  /** Undefined if the operators set none. */
+  readonly configurationBounds?: ConfigurationBounds | undefined;
   readonly clock: Clock;
   readonly random: Random;
   readonly telemetry: Telemetry;
@@ -64,9 +73,6 @@
 
 /** Name by which nodes are ranked as readers of the published state. */
 const READERS_RANKING = 'published-state';
-/** Longest watch of the operators' entries where no revocation bound is set for keys. */
-const MAX_OPERATOR_WATCH_MS = 5000;
-const MAX_OPERATOR_OVERDUE_MS = 1000;
 /** Longest pause of a reader after a failed read of the store. */
 const READER_RETRY_MS = 700;
 /**
@@ -82,6 +88,7 @@
 export class PublishedState {
   readonly #options: PublishedStateOptions;
   readonly #budget: DepartureBudget;
+  readonly #operatorPace: OperatorPace;
   readonly #freshness: ConfigurationFreshness;
   readonly #parts: ConfigurationParts;
   readonly #fetcher: ConfigurationFetcher;
@@ -94,7 +101,9 @@
     this.#options = options;
     const { clock, random, telemetry, fleet, cluster, network, nodeId, needsWholeState } = options;
     this.#budget = departureBudget(options.drainMs);
+    this.#operatorPace = operatorPace(options.configurationBounds, options.keyLease);
     this.#checkKeyLease();
+    this.#checkConfigurationBounds();
     const freshness = new ConfigurationFreshness(clock, fleet);
     this.#freshness = freshness;
     this.#parts = new ConfigurationParts(fleet);
@@ -192,15 +201,9 @@
       : { watchMs: directReaderWatchMs, pauseMs: directReaderPauseMs, retryMostMs };
   }
 
-  /**
-   * Longest wait for changes of the operators' entries, and how long a watch may be overdue, in milliseconds.
-   */
-  get operatorPace(): { readonly watchMs: number; readonly overdueMs: number } {
-    const { watchMs, overdueMs } = this.#options.keyLease;
-    return {
-      watchMs: Math.min(watchMs, MAX_OPERATOR_WATCH_MS),
-      overdueMs: Math.min(overdueMs, MAX_OPERATOR_OVERDUE_MS),
-    };
+  /** How the operators' entries are read. */
+  get operatorPace(): OperatorPace {
+    return this.#operatorPace;
   }
 
   /** Records that the list of backends was complete in the store at this time of this node's clock. */
@@ -281,6 +284,16 @@
     telemetry.event('error', 'configuration.lease-too-short', nodeId, { leaseMs, usualMs });
   }
 
+  /** Logs an error if a silent connection to the store would be noticed too late for the operators' bounds. */
+  #checkConfigurationBounds(): void {
+    const { configurationBounds, nodeId, telemetry } = this.#options;
+    if (configurationBounds === undefined) return;
+    const boundMs = silenceBoundMs(configurationBounds);
+    const noticedMs = silenceNoticedMs(this.#operatorPace);
+    if (noticedMs < boundMs) return;
+    telemetry.event('error', 'configuration.bound-too-short', nodeId, { boundMs, noticedMs });
+  }
+
   #waiting(peer: PeerConnection): WaitingBytes {
     return { forPeer: peer.waitingBytes, forAll: this.#options.network.traffic.waitingBytes };
   }
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -5,6 +5,7 @@
 import type { RetryBudgetOptions } from './backends/retry-budget.js';
 import type { QuotaTolerance } from './cluster/fleet-quotas.js';
 import type { KeyLease } from './cluster/key-lease.js';
+import type { ConfigurationBounds } from './cluster/operator-pace.js';
 import type { EngineFences } from './cluster/order-permission.js';
 import type { RequestDialect } from './request/dialect.js';
 
@@ -40,6 +41,8 @@
    * confirmed during that time.
    */
   readonly keyLease: KeyLease;
+  /** How soon a configuration has to be in force; undefined if the operators set no bound. */
+  readonly configurationBounds?: ConfigurationBounds | undefined;
   /** Undefined if the operator sets none. */
   readonly quotaTolerance: QuotaTolerance | undefined;
   /** Time from the stop signal until the process has to be gone, in milliseconds. */
