--- a/packages/serving/src/backend-list-updater.ts
+++ b/packages/serving/src/backend-list-updater.ts
@@ -17,6 +17,14 @@
 /** An entry restored from a backup expires after this many heartbeats if its backend does not run. */
 const RESTORED_ENTRY_HEARTBEATS = 3;
 
+/**
+ * Shortest outage of the store in which entries of running backends can expire, in milliseconds.
+ * @param heartbeatMs interval between two heartbeats of a backend
+ */
+export function shortestExpiryMs(heartbeatMs: number): number {
+  return HEARTBEATS_TO_EXPIRY * heartbeatMs;
+}
+
 /** A removal that is applied after `leftMs` milliseconds, unless the entry is written again by then. */
 export interface DeferredRemoval {
   readonly id: string;
@@ -66,8 +74,7 @@
   beginUpdate(): void {
     const { clock, heartbeatMs, listAgeMs } = this.#options;
     const unavailableMs = listAgeMs();
-    const mayHaveExpired =
-      Number.isFinite(unavailableMs) && unavailableMs >= HEARTBEATS_TO_EXPIRY * heartbeatMs;
+    const mayHaveExpired = Number.isFinite(unavailableMs) && unavailableMs >= shortestExpiryMs(heartbeatMs);
     if (mayHaveExpired || clock.now() < this.#restoredUntilMs) this.#storeBackMs = clock.now();
     this.#restoredUntilMs = -Infinity;
   }
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -19,7 +19,12 @@
   type HeldAdapter,
   type HeldModel,
 } from './backend.js';
-export { BackendListUpdater, STORE_RETURN_WINDOW_MS, type DeferredRemoval } from './backend-list-updater.js';
+export {
+  BackendListUpdater,
+  STORE_RETURN_WINDOW_MS,
+  shortestExpiryMs,
+  type DeferredRemoval,
+} from './backend-list-updater.js';
 export {
   FleetState,
   type Departure,
