A list that is not known yet is not taken for one whose backends tell no version

What callers saw: take-ups answered 200 whose events came from two software versions.

Cause: a stream counted as begun by the only version "" if no listed backend told one. A node that had just started, or had looked at its list less than 100 ms before it was read, listed none at all; backends of a version that tells none then joined streams of the others. After a loss of all nodes the same held for lists from which the backends that do tell a version had just left.

Change: "" counts like any other version: only where a node has followed the list for the life of a stream and listed nothing else. Homes are told of such streams too while that is not so.

Tests: stream-versions, three of them, fail on ({ from: 'only', version: '' } where undefined is expected). The test that asserted that streams without versions go on right after a loss of all nodes asserted the guess: it now holds without the loss, and the case after it is a test of its own, as a wrong join is worse than a refusal.

--- a/packages/gateway/src/streams/service-versions.ts
+++ b/packages/gateway/src/streams/service-versions.ts
@@ -47,11 +47,6 @@
         if (nowMs - listedMs > MAX_LIFE_MS) versions.delete(version);
   }
 
-  /** Whether any backend of the service tells its version. */
-  tellsVersions(service: string): boolean {
-    return this.#listedWithin(service, MAX_LIFE_MS).some((version) => version !== '');
-  }
-
   /** Whether backends of several versions were listed within this time. */
   isMixed(service: string, withinMs: number): boolean {
     return this.#listedWithin(service, withinMs).length > 1;
--- a/packages/gateway/src/streams/stream-versions.ts
+++ b/packages/gateway/src/streams/stream-versions.ts
@@ -40,6 +40,8 @@
   readonly versions: ServiceVersions;
 }
 
+/** Stands for backends that tell no version. */
+const NO_VERSION = '';
 /** Nodes that are told of a stream: two may fail while it runs, beside the one that serves it. */
 const HOME_COUNT = 3;
 /** Nodes that are asked: more than are told, as nodes that have joined since may rank before those. */
@@ -96,7 +98,8 @@
     const { service, attemptId } = query;
     const { versions } = this.#options;
     versions.update();
-    if (!versions.tellsVersions(service)) return { version: '', from: 'only' };
+    if (versions.onlyVersion(service, query.lifeMs) === NO_VERSION)
+      return { version: NO_VERSION, from: 'only' };
     const known = attemptId === undefined ? undefined : this.#streams.find(service, attemptId);
     if (known !== undefined) return { version: known.version, from: 'memory' };
     const replies = await this.#ask(query);
@@ -197,9 +200,9 @@
 
   /** Homes need no memory of a service with one version: see {@link ServiceVersions.onlyVersion}. */
   #mustTell({ service, lifeMs, isOwn }: KnownStream): boolean {
-    const { versions } = this.#options;
-    if (!versions.tellsVersions(service)) return false;
-    return this.#isHandingOver || (isOwn && versions.onlyVersion(service, lifeMs) === undefined);
+    const only = this.#options.versions.onlyVersion(service, lifeMs);
+    if (only === NO_VERSION) return false;
+    return this.#isHandingOver || (isOwn && only === undefined);
   }
 
   async #tellHome(id: string, streams: readonly KnownStream[]): Promise<void> {
--- a/packages/gateway/test/stream-versions.test.ts
+++ b/packages/gateway/test/stream-versions.test.ts
@@ -59,6 +59,15 @@
     for (const id of ids) this.#start(id);
   }
 
+  /** The same, and their lists are not read yet. */
+  restartWithoutList(...ids: string[]): void {
+    for (const id of ids) this.#start(id, false);
+  }
+
+  readList(id: string): void {
+    this.#apply(this.node(id).fleet);
+  }
+
   async run(durationMs: number): Promise<void> {
     const untilMs = this.clock.now() + durationMs;
     while (this.clock.now() < untilMs) {
@@ -74,7 +83,7 @@
     return found;
   }
 
-  #start(id: string): void {
+  #start(id: string, hasReadList = true): void {
     const fleet = new FleetState();
     const node: VirtualNode = {
       id,
@@ -97,7 +106,7 @@
     };
     this.nodes.set(id, node);
     this.#members = [...this.nodes.keys()].map((member) => ({ id: member }));
-    this.#apply(fleet);
+    if (hasReadList) this.#apply(fleet);
   }
 
   #apply(fleet: FleetState): void {
@@ -225,11 +234,40 @@
 test('streams of backends that tell no version are continued by any, without a message', async (t) => {
   const fleet = await settledFleet(5, ['', '']);
   fleet.node('n0').streams.began({ ...STREAM, version: '' });
-  fleet.restart(...fleet.nodes.keys());
+  await fleet.run(1000);
   t.deepEqual(await fleet.find('n1'), { version: '', from: 'only' });
   t.is(fleet.calls.size, 0);
 });
 
+// Guards against streams of a version that has just left, joined at backends that tell none.
+test('after a loss of all nodes, a list of backends that tell no version is no proof that none of them did', async (t) => {
+  const fleet = await settledFleet(5, ['v1', '']);
+  fleet.node('n0').streams.began({ ...STREAM, version: 'v1' });
+  await fleet.run(1000);
+  fleet.unlist('b0');
+  fleet.restart(...fleet.nodes.keys());
+  await fleet.run(1000);
+  t.is(await fleet.find('n1'), undefined);
+  await fleet.run(LIFE_MS);
+  t.deepEqual(await fleet.find('n1'), { version: '', from: 'only' });
+});
+
+for (const versions of [
+  ['v1', ''],
+  ['v1', 'v2'],
+])
+  // Guards against a list that is not known yet, taken for one whose backends tell no version.
+  test(`a node that has just started joins no stream before it knows its list, of versions ${versions.join('/')}`, async (t) => {
+    const fleet = await settledFleet(5, versions);
+    fleet.node('n0').streams.began({ ...STREAM, version: 'v1' });
+    await fleet.run(1000);
+    fleet.restartWithoutList(...fleet.nodes.keys());
+    t.is(await fleet.find('n1'), undefined, 'the list is not known');
+    fleet.node('n1').streams.update();
+    fleet.readList('n1');
+    t.is(await fleet.find('n1'), undefined, 'the list was read a moment ago');
+  });
+
 test('a node that was suspended does not know what was listed meanwhile', async (t) => {
   const fleet = await settledFleet(1, ['v1']);
   await fleet.clock.runUntil(fleet.clock.now() + 5000);
