Engines' reports tell the version of streams after a loss of all nodes

Cause: nodes are the only memory of streams, and it is lost with them. But where the nodes' machines lose power, connections end without a word and engines run on; their reports, which a node reads at its start for its order leases, name the attempts that they run.

Change: nodes keep the attempts of the reports that they read (4,096), and tell them to nodes that ask for a stream (`reported`). A proof needs that runs of one attempt that may overlap are at one version: an attempt that was given up for its silence, or whose relay was lost, goes on at the same version only.

Weighed: what engines keep of prompts (a part that a session shares, or a run that broke off before its first event, proves nothing); the history of the store (removals name no version, and it may be cut short); a version chosen from the attempt's id (which versions there were must be known all the same).

--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -77,6 +77,8 @@
 import { httpProbe } from './paths/http-probe.js';
 import { REACHES_METHOD } from './relay/relay-protocol.js';
 import { RelayServer } from './relay/relay-server.js';
+import { ReportedRuns } from './streams/reported-runs.js';
+import { RunRecordingControl } from './streams/run-recording-control.js';
 import { ServiceVersions } from './streams/service-versions.js';
 import { BEGAN_METHOD, FIND_METHOD } from './streams/stream-version-protocol.js';
 import { StreamVersions } from './streams/stream-versions.js';
@@ -175,6 +177,7 @@
       onQuarantine: () => this.#quarantine.update(),
     });
     const { fleet } = this;
+    const reportedRuns = new ReportedRuns(fleetClock);
     this.#access = new BackendAccess({
       clock,
       fleetClock,
@@ -183,7 +186,7 @@
       cluster: this.#cluster,
       network: this.#network,
       connections: this.#connections,
-      control: options.control,
+      control: new RunRecordingControl(options.control, reportedRuns),
       probe: httpProbe(options.dialect.probePath),
       fleetShare: () => this.#fleetShare.value,
       isStopping: () => this.#stopping,
@@ -287,6 +290,7 @@
         fleet,
         listAgeMs: () => this.published.listAgeMs,
       }),
+      reportedRuns,
     });
     const outage = new ServingOutage({
       clock: fleetClock,
--- a/packages/gateway/src/request/attempt-outcomes.ts
+++ b/packages/gateway/src/request/attempt-outcomes.ts
@@ -31,6 +31,11 @@
   return outcome.kind === 'not-run' && BACKEND_REUSABLE_REASONS.has(outcome.reason);
 }
 
+/** Whether the backend may still run the request, as it need not notice that its connection was given up. */
+export function mayRunOn(outcome: AttemptOutcome): boolean {
+  return outcome.kind === 'broken' && (outcome.how === 'silent' || outcome.how === 'relay-lost');
+}
+
 /** Whether the attempt failed in a way that a lost path to the backend would explain. */
 export function isPathFailure(outcome: AttemptOutcome): boolean {
   if (outcome.kind === 'broken') return outcome.how !== 'bad-answer';
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -14,6 +14,7 @@
   isPathFailure,
   isRelayFailure,
   mayReuseBackend,
+  mayRunOn,
   useOutcomeOf,
   wasWritten,
 } from './attempt-outcomes.js';
@@ -408,6 +409,7 @@
         lastEventId: this.#lastEventId,
         inactivityLimit: this.#inactivityLimit(route, backend.id),
         onInactive: () => {
+          if (attempt.sent) this.#binding.mayRunOnAt(route, backend);
           search ??= this.#replacementSearch(route, service, backend);
           search.start();
         },
@@ -442,6 +444,7 @@
     const isUntouched = outcome.kind === 'cancelled' && !attempt.isHandedOver;
     hop.release(isUntouched ? NOT_SENT : outcome);
     if (hop.relay !== undefined && isRelayFailure(outcome)) this.#excludedRelays.add(hop.relay);
+    if (attempt.sent && mayRunOn(outcome)) this.#binding.mayRunOnAt(route, backend);
     this.#lastEventId = attempt.lastEventId;
     this.#progress = attempt.progress;
     this.#silentMs = attempt.silentMs;
--- a/packages/gateway/src/request/stream-binding.ts
+++ b/packages/gateway/src/request/stream-binding.ts
@@ -73,6 +73,14 @@
     return found !== undefined;
   }
 
+  /**
+   * To be called when another backend is looked for while a run may go on at this one, whatever the node does. All runs
+   * of one attempt that may overlap are then of one version, so that engines' reports of it tell the stream's version.
+   */
+  mayRunOnAt(route: HttpRoute, backend: BackendDescription): void {
+    if (isResumable(route)) this.#version ??= softwareVersionOf(backend);
+  }
+
   /** To be called when a backend has sent the first event of its response, before that reaches the client. */
   began(route: HttpRoute, service: BackendService, backend: BackendDescription): void {
     if (!isResumable(route)) return;
--- a/packages/gateway/src/streams/stream-version-protocol.ts
+++ b/packages/gateway/src/streams/stream-version-protocol.ts
@@ -44,11 +44,13 @@
 export type FindParams = z.infer<typeof findParams>;
 
 /**
- * Answer to {@link FIND_METHOD}. `version`: the one that began the stream. `only`: the only version of the service
+ * Answer to {@link FIND_METHOD}. `version`: the one that began the stream. `reported`: the one of the engines that reported
+ * to run the attempt; absent from earlier builds. `only`: the only version of the service
  * within `lifeMs`. `isMixed`: there were several. None of them if the node knows nothing.
  */
 export const findReply = z.object({
   version: name.optional(),
+  reported: name.optional(),
   only: name.optional(),
   isMixed: z.boolean().optional(),
 });
--- a/packages/gateway/src/streams/stream-versions.ts
+++ b/packages/gateway/src/streams/stream-versions.ts
@@ -2,6 +2,7 @@
 import type { Cluster } from '../cluster/cluster.js';
 import type { PeerCaller } from '../cluster/peer-caller.js';
 import { KnownStreams, type KnownStream } from './known-streams.js';
+import type { ReportedRuns } from './reported-runs.js';
 import type { ServiceVersions } from './service-versions.js';
 import {
   BEGAN_METHOD,
@@ -26,10 +27,13 @@
   readonly lifeMs: number;
 }
 
-/** The version that began a stream, and how it is known: by this node, by another one, or as the only one of the service. */
+/**
+ * The version that began a stream, and how it is known: by this node, by another one, by an engine that reported to a
+ * node that it runs it, or as the only one of the service.
+ */
 export interface FoundVersion {
   readonly version: string;
-  readonly from: 'memory' | 'peer' | 'only';
+  readonly from: 'memory' | 'peer' | 'report' | 'only';
 }
 
 export interface StreamVersionsOptions {
@@ -38,6 +42,7 @@
   readonly cluster: Pick<Cluster, 'selfId' | 'serving' | 'peerAddress' | 'processOf'>;
   readonly network: PeerCaller;
   readonly versions: ServiceVersions;
+  readonly reportedRuns: Pick<ReportedRuns, 'find'>;
 }
 
 /** Stands for backends that tell no version. */
@@ -105,7 +110,11 @@
     const replies = await this.#ask(query);
     const told = replies.find(({ version }) => version !== undefined)?.version;
     if (told !== undefined) return { version: told, from: 'peer' };
-    const only = onlyVersion([this.#answer(query), ...replies]);
+    const answers = [this.#answer(query), ...replies];
+    const reported = new Set(answers.flatMap((answer) => answer.reported ?? []));
+    if (reported.size > 1) return undefined;
+    for (const version of reported) return { version, from: 'report' };
+    const only = onlyVersion(answers);
     return only === undefined ? undefined : { version: only, from: 'only' };
   }
 
@@ -146,10 +155,18 @@
     this.#tell(this.#streams.all());
   }
 
-  #answer({ service, attemptId, lifeMs }: FindParams): FindReply {
+  #reported({ service, attemptId, lifeMs }: FindParams): string | undefined {
+    if (attemptId === undefined) return undefined;
+    return this.#options.reportedRuns.find(service, attemptId, lifeMs);
+  }
+
+  #answer(query: FindParams): FindReply {
+    const { service, attemptId, lifeMs } = query;
     const { versions } = this.#options;
-    const version = attemptId === undefined ? undefined : this.#streams.find(service, attemptId)?.version;
-    if (version !== undefined) return { version };
+    const known = attemptId === undefined ? undefined : this.#streams.find(service, attemptId);
+    if (known !== undefined) return { version: known.version };
+    const reported = this.#reported(query);
+    if (reported !== undefined) return { reported };
     versions.update();
     const only = versions.onlyVersion(service, lifeMs);
     return only === undefined ? { isMixed: versions.isMixed(service, lifeMs) } : { only };
--- a/packages/gateway/test/stream-versions.test.ts
+++ b/packages/gateway/test/stream-versions.test.ts
@@ -1,6 +1,7 @@
 import { VirtualClock } from '@canvasridge/clock';
 import { FleetState } from '@canvasridge/serving';
 import test from 'ava';
+import { ReportedRuns } from '../src/streams/reported-runs.js';
 import { ServiceVersions } from '../src/streams/service-versions.js';
 import { BEGAN_METHOD } from '../src/streams/stream-version-protocol.js';
 import { StreamVersions } from '../src/streams/stream-versions.js';
@@ -15,6 +16,7 @@
   token: string;
   streams: StreamVersions;
   fleet: FleetState;
+  reportedRuns: ReportedRuns;
   listAgeMs: number;
   isRunning: boolean;
   /** Whether its build knows software versions. */
@@ -48,6 +50,13 @@
     for (const { fleet } of this.nodes.values()) this.#apply(fleet);
   }
 
+  /** A node reads the report of a backend, which runs these attempts. */
+  report(nodeId: string, backendId: string, ...attemptIds: string[]): void {
+    const { fleet, reportedRuns } = this.node(nodeId);
+    const backend = fleet.backend(backendId);
+    if (backend !== undefined) reportedRuns.record(backend, attemptIds);
+  }
+
   unlist(backendId: string): void {
     this.#versions.delete(backendId);
     this.#revision += 1;
@@ -85,8 +94,10 @@
 
   #start(id: string, hasReadList = true): void {
     const fleet = new FleetState();
+    const reportedRuns = new ReportedRuns(this.clock);
     const node: VirtualNode = {
       id,
+      reportedRuns,
       token: `${id}-${this.clock.now()}`,
       fleet,
       listAgeMs: 0,
@@ -102,6 +113,7 @@
         },
         network: { to: (peer) => ({ call: (method, params) => this.#call(peer, method, params) }) },
         versions: new ServiceVersions({ clock: this.clock, fleet, listAgeMs: () => node.listAgeMs }),
+        reportedRuns,
       }),
     };
     this.nodes.set(id, node);
@@ -273,3 +285,59 @@
   await fleet.clock.runUntil(fleet.clock.now() + 5000);
   t.is(await fleet.find('n0'), undefined);
 });
+
+// Guards against refusing every stream after a loss of all nodes, though engines still tell that they run it.
+test('after a loss of all nodes, a stream that an engine reports to run goes on at its version, at any node', async (t) => {
+  const fleet = await settledFleet(5, ['v1', 'v2']);
+  fleet.node('n0').streams.began({ ...STREAM, version: 'v2' });
+  await fleet.run(1000);
+  fleet.restart(...fleet.nodes.keys());
+  fleet.report('n2', 'b1', 'first', 'other');
+  t.deepEqual(await fleet.find('n2'), { version: 'v2', from: 'report' });
+  t.deepEqual(await fleet.find('n1'), { version: 'v2', from: 'report' });
+  t.is(await fleet.find('n1', { ...STREAM, attemptId: 'unreported' }), undefined);
+  await fleet.run(LIFE_MS + 100);
+  fleet.list('b2', 'v3');
+  t.is(await fleet.find('n1'), undefined, 'the report is too old');
+});
+
+test('an attempt that engines of two versions report to run proves nothing', async (t) => {
+  const fleet = await settledFleet(3, ['v1', 'v2']);
+  fleet.restart(...fleet.nodes.keys());
+  fleet.report('n0', 'b0', 'first');
+  fleet.report('n0', 'b1', 'first');
+  fleet.report('n0', 'b0', 'first');
+  t.is(await fleet.find('n0'), undefined);
+  t.is(await fleet.find('n1'), undefined);
+});
+
+test('reports of two versions at two nodes prove nothing', async (t) => {
+  const fleet = await settledFleet(3, ['v1', 'v2']);
+  fleet.restart(...fleet.nodes.keys());
+  fleet.report('n0', 'b0', 'first');
+  fleet.report('n1', 'b1', 'first');
+  for (const id of fleet.nodes.keys()) t.is(await fleet.find(id), undefined, id);
+});
+
+test('an attempt that only one engine reports is known however often it is read, within bounded memory', (t) => {
+  const clock = new VirtualClock();
+  const runs = new ReportedRuns(clock);
+  const backend = {
+    ...{
+      id: 'b',
+      service: SERVICE,
+      address: 'b:1',
+      zone: 'a',
+      state: 'ready' as const,
+      slots: 1,
+      models: [],
+    },
+    softwareVersion: 'v1',
+  };
+  const ids = Array.from({ length: 5000 }, (_, index) => `a${index}`);
+  runs.record(backend, ids);
+  runs.record(backend, ['a4999']);
+  t.is(runs.find(SERVICE, 'a4999', LIFE_MS), 'v1');
+  t.is(runs.find('other', 'a4999', LIFE_MS), undefined);
+  t.is(runs.find(SERVICE, 'a0', LIFE_MS), undefined, 'forgotten');
+});
--- a/packages/slots/src/engine-control.ts
+++ b/packages/slots/src/engine-control.ts
@@ -17,6 +17,8 @@
   /** Loaded models with their loaded adapters. */
   readonly models: readonly HeldModel[];
   readonly pending: readonly PendingAdapter[];
+  /** Ids of the attempts that it runs, as their clients gave them; absent if it does not tell. */
+  readonly runs?: readonly string[] | undefined;
 }
 
 /** The model or adapter to load or unload. */
