--- a/packages/gateway/src/request/attempt-outcomes.ts
+++ b/packages/gateway/src/request/attempt-outcomes.ts
@@ -32,7 +32,7 @@
 }
 
 /** Whether the backend may still run the request, as it need not notice that its connection was given up. */
-export function mayRunOn(outcome: AttemptOutcome): boolean {
+export function mayStillRun(outcome: AttemptOutcome): boolean {
   return outcome.kind === 'broken' && (outcome.how === 'silent' || outcome.how === 'relay-lost');
 }
 
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -14,7 +14,7 @@
   isPathFailure,
   isRelayFailure,
   mayReuseBackend,
-  mayRunOn,
+  mayStillRun,
   useOutcomeOf,
   wasWritten,
 } from './attempt-outcomes.js';
@@ -409,7 +409,7 @@
         lastEventId: this.#lastEventId,
         inactivityLimit: this.#inactivityLimit(route, backend.id),
         onInactive: () => {
-          if (attempt.sent) this.#binding.mayRunOnAt(route, backend);
+          if (attempt.sent) this.#binding.bindToRunAt(route, backend);
           search ??= this.#replacementSearch(route, service, backend);
           search.start();
         },
@@ -444,7 +444,7 @@
     const isUntouched = outcome.kind === 'cancelled' && !attempt.isHandedOver;
     hop.release(isUntouched ? NOT_SENT : outcome);
     if (hop.relay !== undefined && isRelayFailure(outcome)) this.#excludedRelays.add(hop.relay);
-    if (attempt.sent && mayRunOn(outcome)) this.#binding.mayRunOnAt(route, backend);
+    if (attempt.sent && mayStillRun(outcome)) this.#binding.bindToRunAt(route, backend);
     this.#lastEventId = attempt.lastEventId;
     this.#progress = attempt.progress;
     this.#silentMs = attempt.silentMs;
--- a/packages/gateway/src/request/stream-binding.ts
+++ b/packages/gateway/src/request/stream-binding.ts
@@ -74,10 +74,10 @@
   }
 
   /**
-   * To be called when another backend is looked for while a run may go on at this one, whatever the node does. All runs
-   * of one attempt that may overlap are then of one version, so that engines' reports of it tell the stream's version.
+   * Binds the stream to the version of a backend that may still run it while another one is looked for. All runs of an
+   * attempt that may overlap are then of one version, so that engines' reports of them tell the stream's version.
    */
-  mayRunOnAt(route: HttpRoute, backend: BackendDescription): void {
+  bindToRunAt(route: HttpRoute, backend: BackendDescription): void {
     if (isResumable(route)) this.#version ??= softwareVersionOf(backend);
   }
 
