--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -23,6 +23,7 @@
 } from './cluster/configuration-parts.js';
 export { ConfigurationFreshness } from './cluster/configuration-freshness.js';
 export { NO_KEY_LEASE, keyLease, type KeyLease } from './cluster/key-lease.js';
+export type { StoreReadPace } from './cluster/published-state.js';
 export { departureBudget, type DepartureBudget } from './cluster/departure-budget.js';
 export { RemoteSlots, type LeaderConnection, type LeaderNetwork } from './cluster/remote-slots.js';
 export {
