--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -6,6 +6,7 @@
   type HttpRoute,
 } from '@canvasridge/serving';
 import type { StreamProgress } from '@canvasridge/slots';
+import { errorFields } from '@canvasridge/telemetry';
 import { RETRY_ELSEWHERE_MS } from '../backends/backend-availability.js';
 import type { PickResult, PickedBackend } from '../backends/picker.js';
 import { ResponseSink } from './response-sink.js';
@@ -140,7 +141,7 @@
     try {
       await this.#run();
     } catch (cause) {
-      this.#failOnDefect(String(cause));
+      this.#failOnDefect(cause);
     }
   }
 
@@ -497,7 +498,7 @@
         this.#replacement = replacement;
         attempt.giveUp();
       },
-      onDefect: (cause) => this.#recordDefect(String(cause)),
+      onDefect: (cause) => this.#recordDefect(cause),
     });
   }
 
@@ -628,13 +629,22 @@
     else this.#respond(response);
   }
 
-  #recordDefect(detail: string): void {
-    this.#context.telemetry.event('error', 'request.defect', this.#facts.attemptId ?? 'none', { detail });
+  #recordDefect(cause: unknown): void {
+    const backend = this.#context.fleet.backend(this.#backendId);
+    this.#context.telemetry.event('error', 'request.defect', this.#facts.attemptId ?? 'none', {
+      ...errorFields(cause),
+      route: this.#route?.name,
+      backend: this.#backendId === '' ? undefined : this.#backendId,
+      address: backend?.address,
+      relay: this.#relay,
+      sent: this.#attempt?.sent ?? false,
+      ageMs: Math.round(this.#ageMs()),
+    });
   }
 
   /** Ends the request after an internal error, with a response if none has started. */
-  #failOnDefect(detail: string): void {
-    this.#recordDefect(detail);
+  #failOnDefect(cause: unknown): void {
+    this.#recordDefect(cause);
     if (this.#ended) return;
     this.#mayHaveRun ||= this.#attempt?.sent === true;
     this.#refuse('defect', undefined);
--- a/packages/telemetry/src/line-sink.ts
+++ b/packages/telemetry/src/line-sink.ts
@@ -1,4 +1,4 @@
-import { write } from 'node:fs';
+import { write, writeSync } from 'node:fs';
 import type { LineCategory } from './event-logger.js';
 
 /**
@@ -73,6 +73,24 @@
     this.#writeAll(bytes);
   }
 
+  /**
+   * Writes the waiting lines before it returns, for a process that is about to exit. What a full pipe does not take
+   * is lost.
+   */
+  flushSync(): void {
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+    if (this.#pending.length === 0) return;
+    const bytes = Buffer.from(`${this.#pending.join('\n')}\n`);
+    this.#pending = [];
+    this.#pendingBytes = 0;
+    try {
+      for (let written = 0; written < bytes.length;) written += writeSync(this.#descriptor, bytes, written);
+    } catch {
+      this.#dropped += 1;
+    }
+  }
+
   #writeAll(bytes: Buffer): void {
     this.#writing = true;
     write(this.#descriptor, bytes, 0, bytes.length, null, (error, written) => {
