--- a/packages/telemetry/test/error-fields.test.ts
+++ b/packages/telemetry/test/error-fields.test.ts
@@ -4,12 +4,18 @@
 test('an error is named by class, message, code and its innermost frames without folders', (t) => {
   const cause = Object.assign(new RangeError('no such port'), {
     code: 'ERR_SOCKET_BAD_PORT',
-    stack: 'RangeError: no such port\n    at open (file:///a/b/client.js:1:2)\n    at /a/b/main.js:3:4',
+    stack: [
+      'RangeError: no such port',
+      '    at connect (node:net:5:6)',
+      '    at node:net:7:8',
+      '    at open (file:///a/b/client.js:1:2)',
+      '    at /a/b/main.js:3:4',
+    ].join('\n'),
   });
   t.deepEqual(errorFields(cause), {
     error: 'RangeError: no such port',
     code: 'ERR_SOCKET_BAD_PORT',
-    at: 'open (client.js:1:2) < main.js:3:4',
+    at: 'connect (node:net:5:6) < open (client.js:1:2) < main.js:3:4',
   });
 });
 
