Addresses that no connection can be opened to are refused where they are decoded

What callers saw: 503 for each request that was given a listed backend at 127.0.0.1:70000, :99999 or 300.0.0.1:80, and the end of all streams of a node that probed such a backend while another one was silent.

Cause: the list took any digits for an address (IP_AND_PORT), the seeds and the settings of the platform another such pattern, while URLs, sockets and datagrams refuse ports above 65,535 and octets above 255, each in its own way: the connection threw in the request, the probe and the datagram rejected in tasks that nobody awaits, which ends the process.

Change: SocketAddress, a text that URLs, sockets and datagrams accept, made by one parser in a package of its own. Descriptions of backends, grants, connections, probes, orders, the store and seeds hold this type; nothing splits addresses by itself any more.

--- a/packages/gateway/src/backends/backend-connection.ts
+++ b/packages/gateway/src/backends/backend-connection.ts
@@ -1,3 +1,4 @@
+import type { SocketAddress } from '@canvasridge/addresses';
 import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
 import { RevocableClient, type RequestHandler } from './revocable-client.js';
@@ -27,7 +28,7 @@
   #connected = false;
 
   constructor(
-    address: string,
+    address: SocketAddress,
     timing: ConnectionTiming,
     onDisconnect: (connection: BackendConnection) => void,
   ) {
--- a/packages/gateway/src/backends/revocable-client.ts
+++ b/packages/gateway/src/backends/revocable-client.ts
@@ -1,10 +1,10 @@
+import { splitSocketAddress, type SocketAddress } from '@canvasridge/addresses';
 import type { Socket } from 'node:net';
 import { pendingInputHandled } from '@canvasridge/clock';
 import { Client, buildConnector, type Dispatcher } from 'undici';
 
 export interface RevocableClientOptions {
-  /** `IP:port` */
-  readonly address: string;
+  readonly address: SocketAddress;
   /** In milliseconds. */
   readonly connectTimeoutMs: number;
   /** Time limits of the HTTP client, in milliseconds. */
@@ -172,9 +172,9 @@
   #open(): Promise<Socket> {
     const socket = this.#socket;
     if (socket !== undefined && isOpen(socket)) return Promise.resolve(socket);
-    const [hostname = '', port = ''] = this.#options.address.split(':');
+    const { host: hostname, port } = splitSocketAddress(this.#options.address);
     return new Promise((resolve, reject) => {
-      this.#connector({ hostname, port, protocol: 'http:' }, (failure, opened) => {
+      this.#connector({ hostname, port: String(port), protocol: 'http:' }, (failure, opened) => {
         // On failure the socket is undefined at run time, although its type says null.
         if (failure !== null || opened === null) reject(failure ?? new Error('no connection'));
         else if (this.#client.destroyed) {
--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -1,3 +1,4 @@
+import { parseSocketAddress, type SocketAddress } from '@canvasridge/addresses';
 import type { LiftedQuarantine, QuarantinedRequest } from '@canvasridge/admission';
 import { hashSeed, Notifier, type Clock, type Random } from '@canvasridge/clock';
 import {
@@ -228,8 +229,9 @@
     return this.#members().serving;
   }
 
-  peerAddress(id: string): string | undefined {
-    return this.#membership.get(id)?.peerUrl;
+  /** Undefined also for a member that announces no valid address. */
+  peerAddress(id: string): SocketAddress | undefined {
+    return parseSocketAddress(this.#membership.get(id)?.peerUrl ?? '');
   }
 
   zoneOf(id: string): string | undefined {
--- a/packages/gateway/src/paths/http-probe.ts
+++ b/packages/gateway/src/paths/http-probe.ts
@@ -1,3 +1,4 @@
+import { splitSocketAddress, type SocketAddress } from '@canvasridge/addresses';
 import { request } from 'node:http';
 import { SystemClock } from '@canvasridge/clock';
 
@@ -6,11 +7,8 @@
 
 /** Tests whether a backend can be reached. */
 export interface PathProbe {
-  /**
-   * Resolves to whether the backend answered; never rejects.
-   * @param address in the form `IP:port`
-   */
-  answers(address: string, timeoutMs: number): Promise<boolean>;
+  /** Resolves to whether the backend answered; never rejects. */
+  answers(address: SocketAddress, timeoutMs: number): Promise<boolean>;
 }
 
 /**
@@ -20,14 +18,8 @@
 export function httpProbe(path: string): PathProbe {
   return {
     answers(address, timeoutMs) {
-      const separator = address.lastIndexOf(':');
       return new Promise((resolve) => {
-        const outgoing = request({
-          host: address.slice(0, separator),
-          port: Number(address.slice(separator + 1)),
-          path,
-          agent: false,
-        });
+        const outgoing = request({ ...splitSocketAddress(address), path, agent: false });
         const finish = (isAnswered: boolean): void => {
           timer.cancel();
           outgoing.destroy();
--- a/packages/gateway/test/backend-hops.test.ts
+++ b/packages/gateway/test/backend-hops.test.ts
@@ -1,4 +1,5 @@
 /** Which way a node takes to a backend. */
+import { socketAddress } from '@canvasridge/addresses';
 import { VirtualClock } from '@canvasridge/clock';
 import type { BackendDescription, BackendService } from '@canvasridge/serving';
 import test from 'ava';
@@ -11,7 +12,7 @@
 const BACKEND: BackendDescription = {
   id: 'i1',
   service: SERVICE.name,
-  address: '127.0.0.1:1',
+  address: socketAddress('127.0.0.1:1'),
   zone: 'a',
   state: 'ready',
   slots: 4,
@@ -34,7 +35,7 @@
   };
   const relays = {
     open: () => {
-      const connection = connections.acquire({ id: 'peer', address: '127.0.0.1:2' }, 10, 1);
+      const connection = connections.acquire({ id: 'peer', address: socketAddress('127.0.0.1:2') }, 10, 1);
       if (peerId === undefined || connection === undefined) return Promise.resolve(undefined);
       const callbacks = { onReceived: () => undefined, onEnded: () => undefined };
       return Promise.resolve(new RelayHop({ connection, peerId, backendId: BACKEND.id, ...callbacks }));
--- a/packages/gateway/test/backend-paths.test.ts
+++ b/packages/gateway/test/backend-paths.test.ts
@@ -1,4 +1,5 @@
 /** When a node considers its path to the backends of a service lost, limited or working. */
+import { socketAddress } from '@canvasridge/addresses';
 import { Random, VirtualClock } from '@canvasridge/clock';
 import { FleetState } from '@canvasridge/serving';
 import { Telemetry } from '@canvasridge/telemetry';
@@ -27,7 +28,7 @@
     fleet.applyBackend(index, {
       id,
       service: SERVICE,
-      address,
+      address: socketAddress(address),
       zone: 'a',
       state: 'ready',
       slots: 4,
--- a/packages/gateway/test/backoff-strategies.test.ts
+++ b/packages/gateway/test/backoff-strategies.test.ts
@@ -9,6 +9,7 @@
  * requests for six seconds, and callers with a deadline of one second and one retry, which respect a
  * Retry-After up to a third of their remaining time.
  */
+import { socketAddress } from '@canvasridge/addresses';
 import { Random, VirtualClock } from '@canvasridge/clock';
 import { FleetState, type BackendDescription } from '@canvasridge/serving';
 import test from 'ava';
@@ -214,7 +215,15 @@
 }
 
 function describe(id: string): BackendDescription {
-  return { id, service: SERVICE, address: `${id}:1`, zone: 'a', state: 'ready', slots: 6, models: [] };
+  return {
+    id,
+    service: SERVICE,
+    address: socketAddress('10.0.0.1:1'),
+    zone: 'a',
+    state: 'ready',
+    slots: 6,
+    models: [],
+  };
 }
 
 const NOT_CANCELLED = new AbortController().signal;
--- a/packages/gateway/test/dead-relay.test.ts
+++ b/packages/gateway/test/dead-relay.test.ts
@@ -2,6 +2,7 @@
  * Guards against a relaying node that is still chosen although it can't be reached: each request that is sent through it
  * waits for the connection to time out. The release of the connection told 'not allowed' in place of 'no relay'.
  */
+import { socketAddress } from '@canvasridge/addresses';
 import test from 'ava';
 import type { AttemptOutcome } from '../src/request/backend-attempt.js';
 import { BackendConnections } from '../src/backends/backend-connections.js';
@@ -22,7 +23,7 @@
   harness.pathState = 'lost';
   harness.openRelay = (backend, excluded, onReceived) => {
     // Nothing listens on this port.
-    const connection = connections.acquire({ id: 'peer', address: '127.0.0.1:1' }, 10, 1);
+    const connection = connections.acquire({ id: 'peer', address: socketAddress('127.0.0.1:1') }, 10, 1);
     if (connection === undefined || excluded.has('peer')) return Promise.resolve(undefined);
     const onEnded = (outcome: AttemptOutcome): void => {
       outcomes.push(outcome);
--- a/packages/gateway/test/ended-before-written.test.ts
+++ b/packages/gateway/test/ended-before-written.test.ts
@@ -4,6 +4,7 @@
  * A new connection belongs to nobody for two turns of the event loop. The end of the other side came in that time, was
  * read and was told to no one; the request was written to the half-open connection, on which nothing is read any more.
  */
+import { socketAddress } from '@canvasridge/addresses';
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import test, { type ExecutionContext } from 'ava';
 import { BackendConnection } from '../src/backends/backend-connection.js';
@@ -29,7 +30,7 @@
 
 /** How a request ends that is sent on a new connection. */
 function send(t: ExecutionContext, address: string): Promise<string> {
-  const connection = new BackendConnection(address, TIMING, () => undefined);
+  const connection = new BackendConnection(socketAddress(address), TIMING, () => undefined);
   t.teardown(() => connection.reset());
   return new Promise((resolve) => {
     const timer = setTimeout(() => resolve('hangs'), HANGS_MS);
--- a/packages/gateway/test/fleet-quarantine.test.ts
+++ b/packages/gateway/test/fleet-quarantine.test.ts
@@ -13,6 +13,7 @@
   type InterruptedParams,
 } from '../src/cluster/fleet-quarantine.js';
 import { VirtualClusters, type VirtualNode } from './virtual-clusters.js';
+import { idAt } from './peer-addresses.js';
 
 const ONE_WAY_MS = 2;
 const SETTLED_MS = 15_000;
@@ -44,8 +45,9 @@
         clock,
         cluster,
         network: {
-          to: (peer) => ({
+          to: (address) => ({
             call: async (method, params, timeoutMs) => {
+              const peer = idAt(address);
               this.calls += 1;
               const target = this.#down.has(peer) ? undefined : this.nodes.get(peer);
               await clock.sleep(target === undefined ? timeoutMs : 2 * ONE_WAY_MS);
--- a/packages/gateway/test/fleet-quotas.test.ts
+++ b/packages/gateway/test/fleet-quotas.test.ts
@@ -1,3 +1,4 @@
+import type { SocketAddress } from '@canvasridge/addresses';
 import { VirtualClock } from '@canvasridge/clock';
 import { Telemetry } from '@canvasridge/telemetry';
 import test from 'ava';
@@ -50,7 +51,7 @@
     const cluster: QuotaCluster = {
       selfId: id,
       candidates: () => this.ranking,
-      peerAddress: (peer) => peer,
+      peerAddress: (peer) => peer as SocketAddress,
       lostMembers: () => [],
     };
     return new FleetQuotas({
--- a/packages/gateway/test/followed-fleet.ts
+++ b/packages/gateway/test/followed-fleet.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import { VirtualClock } from '@canvasridge/clock';
 import { BackendListUpdater, FleetState, type BackendDescription } from '@canvasridge/serving';
 import { StateFollower } from '../src/index.js';
@@ -15,7 +16,7 @@
 export const READ_PERIOD_MS = 500;
 
 export function backend(id: string, state: 'ready' | 'draining' = 'ready'): BackendDescription {
-  return { id, service: 'llm', address: `${id}:1`, zone: 'z', state, slots: 4, models: [] };
+  return { id, service: 'llm', address: socketAddress('10.0.0.1:1'), zone: 'z', state, slots: 4, models: [] };
 }
 
 interface StoreEvent {
--- a/packages/gateway/test/granted-backend-picker.test.ts
+++ b/packages/gateway/test/granted-backend-picker.test.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import { Random, VirtualClock } from '@canvasridge/clock';
 import { FleetState, type BackendDescription } from '@canvasridge/serving';
 import type { PoolRequest, SlotDecision, UseOutcome } from '@canvasridge/slots';
@@ -33,7 +34,7 @@
     if (this.answer === 'refuses')
       return Promise.resolve({ kind: 'refused', requestId, reason: 'no-slot-in-time', retryAfterMs: 70 });
     const backendId = ['a', 'b'].find((id) => !excluded.includes(id)) ?? 'none';
-    return Promise.resolve({ kind: 'granted', requestId, backendId, address: `${backendId}:1` });
+    return Promise.resolve({ kind: 'granted', requestId, backendId, address: socketAddress('10.0.0.1:1') });
   }
 
   maxWithoutGrant(): number | undefined {
@@ -54,7 +55,15 @@
 }
 
 function backend(id: string): BackendDescription {
-  return { id, service: SERVICE, address: `${id}:1`, zone: 'z', state: 'ready', slots: 2, models: [] };
+  return {
+    id,
+    service: SERVICE,
+    address: socketAddress('10.0.0.1:1'),
+    zone: 'z',
+    state: 'ready',
+    slots: 2,
+    models: [],
+  };
 }
 
 interface Setup {
--- a/packages/gateway/test/leaving-in-release.test.ts
+++ b/packages/gateway/test/leaving-in-release.test.ts
@@ -1,4 +1,5 @@
 /** What a node reports to the leader of a pool about an engine that announced to it that it is leaving. */
+import { socketAddress } from '@canvasridge/addresses';
 import { FleetState } from '@canvasridge/serving';
 import test from 'ava';
 import { SlotAnswers } from '../src/cluster/slot-answers.js';
@@ -14,7 +15,7 @@
   fleet.applyBackend(1, {
     id: 'e1',
     service: 'llm',
-    address: 'e1:1',
+    address: socketAddress('10.0.0.1:1'),
     zone: 'a',
     state: 'ready',
     slots: 8,
--- a/packages/gateway/test/left-before-asking.test.ts
+++ b/packages/gateway/test/left-before-asking.test.ts
@@ -3,6 +3,7 @@
  * the leader's queue before those of clients that still wait, is granted a slot, and counts as served. A client may leave
  * while its node waits for backends that asked for a backoff.
  */
+import { socketAddress } from '@canvasridge/addresses';
 import { Random, VirtualClock } from '@canvasridge/clock';
 import { FleetState } from '@canvasridge/serving';
 import test from 'ava';
@@ -26,7 +27,7 @@
   const fleet = new FleetState();
   const backend = {
     service: SERVICE,
-    address: 'a:1',
+    address: socketAddress('10.0.0.1:1'),
     zone: 'z',
     state: 'ready',
     slots: 1,
--- a/packages/gateway/test/limited-fleet.ts
+++ b/packages/gateway/test/limited-fleet.ts
@@ -1,4 +1,5 @@
 /** Nodes that send to one backend that announces a rate limit, in virtual time. */
+import type { SocketAddress } from '@canvasridge/addresses';
 import { QuotaShares } from '@canvasridge/admission';
 import { Random, VirtualClock, hashSeed } from '@canvasridge/clock';
 import { Telemetry } from '@canvasridge/telemetry';
@@ -79,7 +80,7 @@
     const cluster: QuotaCluster = {
       selfId: id,
       candidates: () => this.nodes.get(id)?.ranking ?? ranking,
-      peerAddress: (peer) => peer,
+      peerAddress: (peer) => peer as SocketAddress,
       lostMembers: () => [],
     };
     const limits: BackendRateLimits = new BackendRateLimits({
--- a/packages/gateway/test/linked-fleet.ts
+++ b/packages/gateway/test/linked-fleet.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import type { VirtualClock } from '@canvasridge/clock';
 import { FleetState, type BackendDescription, type ServingConfiguration } from '@canvasridge/serving';
 import { Telemetry } from '@canvasridge/telemetry';
@@ -136,7 +137,7 @@
   const value: BackendDescription = {
     id: `engine-${number}`,
     service: 'llm',
-    address: `10.0.0.${number}:8080`,
+    address: socketAddress(`10.0.0.${number}:8080`),
     zone: String(number % ZONES),
     state: 'ready',
     slots: 96,
--- a/packages/gateway/test/peer-messages.ts
+++ b/packages/gateway/test/peer-messages.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import { Random, VirtualClock } from '@canvasridge/clock';
 import { FleetState, type BackendDescription } from '@canvasridge/serving';
 import type { SlotDecision } from '@canvasridge/slots';
@@ -12,7 +13,15 @@
 const NOTHING_KNOWN = { backendsRevision: 0, routingDigest: 0, operatorRevision: 0, operatorDigest: 0 };
 
 function backend(id: string, state: 'ready' | 'draining'): BackendDescription {
-  return { id, service: 'llm', address: '127.0.0.1:1', zone: 'z', state, slots: 4, models: MODELS };
+  return {
+    id,
+    service: 'llm',
+    address: socketAddress('127.0.0.1:1'),
+    zone: 'z',
+    state,
+    slots: 4,
+    models: MODELS,
+  };
 }
 
 /** A node's state that contains an entry of each kind. */
@@ -93,7 +102,7 @@
     kind: 'granted',
     requestId: 'r1',
     backendId: 'e1',
-    address: '127.0.0.1:1',
+    address: socketAddress('127.0.0.1:1'),
     ratePerSecond: 1.5,
   };
   const pool = { acquire: (_request: unknown, decide: (decision: SlotDecision) => void) => decide(decision) };
--- a/packages/gateway/test/quarantine-fleet.ts
+++ b/packages/gateway/test/quarantine-fleet.ts
@@ -12,6 +12,7 @@
 } from '../src/cluster/fleet-quarantine.js';
 import { PART_CRASHES_METHOD, PART_RUNS_METHOD } from '../src/cluster/part-crash-protocol.js';
 import { VirtualClusters, type VirtualNode } from './virtual-clusters.js';
+import { idAt } from './peer-addresses.js';
 
 const ONE_WAY_MS = 2;
 const UPDATE_INTERVAL_MS = 1000;
@@ -134,8 +135,8 @@
       random: Random.derive(this.#seed, id),
       cluster,
       network: {
-        to: (peer) => ({
-          call: (method, params, timeoutMs) => this.#call(id, peer, method, params, timeoutMs),
+        to: (address) => ({
+          call: (method, params, timeoutMs) => this.#call(id, idAt(address), method, params, timeoutMs),
         }),
       },
       telemetry: new Telemetry({ processName: id, clock }),
--- a/packages/gateway/test/rate-limit-reporter.test.ts
+++ b/packages/gateway/test/rate-limit-reporter.test.ts
@@ -1,7 +1,13 @@
+import { socketAddress } from '@canvasridge/addresses';
 import test from 'ava';
 import { RateLimitReporter } from '../src/cluster/rate-limit-reporter.js';
 
-const GRANT = { kind: 'granted', requestId: 'r', backendId: 'i1', address: 'i1:1' } as const;
+const GRANT = {
+  kind: 'granted',
+  requestId: 'r',
+  backendId: 'i1',
+  address: socketAddress('10.0.0.1:1'),
+} as const;
 
 interface Started {
   readonly reporter: RateLimitReporter;
--- a/packages/gateway/test/raw-backend.ts
+++ b/packages/gateway/test/raw-backend.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import type { BackendDescription } from '@canvasridge/serving';
 
@@ -61,7 +62,7 @@
     return {
       id,
       service,
-      address: `127.0.0.1:${this.#port}`,
+      address: socketAddress(`127.0.0.1:${this.#port}`),
       zone: 'a',
       state: 'ready',
       slots: 4,
--- a/packages/gateway/test/relay-break.test.ts
+++ b/packages/gateway/test/relay-break.test.ts
@@ -1,4 +1,5 @@
 /** What a node that sends a request through another one makes of a break of the link between the two in mid-request. */
+import { socketAddress } from '@canvasridge/addresses';
 import type { Socket } from 'node:net';
 import { VirtualClock, type Clock } from '@canvasridge/clock';
 import test, { type ExecutionContext } from 'ava';
@@ -37,7 +38,8 @@
     const index = peers.findIndex((_, at) => !excluded.has(`peer-${at}`));
     const peer = peers[index];
     const peerId = `peer-${index}`;
-    const connection = peer && connections.acquire({ id: peerId, address: `127.0.0.1:${peer.port}` }, 10, 1);
+    const connection =
+      peer && connections.acquire({ id: peerId, address: socketAddress(`127.0.0.1:${peer.port}`) }, 10, 1);
     if (connection === undefined) return Promise.resolve(undefined);
     chosen.push(peerId);
     const options = { connection, peerId, backendId: backend.id, onReceived, onEnded: () => undefined };
--- a/packages/gateway/test/relay-server.test.ts
+++ b/packages/gateway/test/relay-server.test.ts
@@ -1,4 +1,5 @@
 /** What a node answers to another node that sends requests to a backend through it. */
+import { socketAddress } from '@canvasridge/addresses';
 import { request, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import test from 'ava';
@@ -71,7 +72,11 @@
 
 test('a backend that can not be reached is named as such', async (t) => {
   const { port, fleet } = await startRelay(t, () => undefined);
-  fleet.applyBackend(2, { ...(fleet.backend('i1') ?? never()), id: 'i2', address: '127.0.0.1:1' });
+  fleet.applyBackend(2, {
+    ...(fleet.backend('i1') ?? never()),
+    id: 'i2',
+    address: socketAddress('127.0.0.1:1'),
+  });
   t.is((await send(port, 'i2')).failure, 'unreachable');
 });
 
--- a/packages/gateway/test/remote-slots.test.ts
+++ b/packages/gateway/test/remote-slots.test.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import { VirtualClock } from '@canvasridge/clock';
 import type { SlotDecision, SlotRequest } from '@canvasridge/slots';
 import test from 'ava';
@@ -85,7 +86,12 @@
 
 test('a decision of the leader ends the wait once', async (t) => {
   const { leader, slots, decisions, settle } = await ask();
-  slots.onDecided({ kind: 'granted', requestId: 'r1', backendId: 'e1', address: '10.0.1.1:1' });
+  slots.onDecided({
+    kind: 'granted',
+    requestId: 'r1',
+    backendId: 'e1',
+    address: socketAddress('10.0.1.1:1'),
+  });
   leader.close();
   await settle();
   t.is(decisions.length, 1);
--- a/packages/gateway/test/replacement-search.test.ts
+++ b/packages/gateway/test/replacement-search.test.ts
@@ -1,4 +1,5 @@
 /** What a search for a replacement takes, and in which order, so that it takes nothing for a request that may not be sent. */
+import { socketAddress } from '@canvasridge/addresses';
 import { VirtualClock } from '@canvasridge/clock';
 import type { BackendDescription, BackendService } from '@canvasridge/serving';
 import type { UseOutcome } from '@canvasridge/slots';
@@ -12,7 +13,15 @@
 
 function backend(id: string): BackendDescription {
   const address = '127.0.0.1:1';
-  return { id, service: SERVICE.name, address, zone: 'a', state: 'ready', slots: 4, models: [] };
+  return {
+    id,
+    service: SERVICE.name,
+    address: socketAddress(address),
+    zone: 'a',
+    state: 'ready',
+    slots: 4,
+    models: [],
+  };
 }
 
 interface SearchSetup {
--- a/packages/gateway/test/restored-fleet.ts
+++ b/packages/gateway/test/restored-fleet.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import type { Random, VirtualClock } from '@canvasridge/clock';
 import { BackendListUpdater, FleetState, type BackendDescription, type Revised } from '@canvasridge/serving';
 import { StateFollower } from '../src/index.js';
@@ -16,7 +17,7 @@
 const SMALL_FLEET = 16;
 
 export function backend(id: string, state: 'ready' | 'draining', slots = 4): BackendDescription {
-  return { id, service: 'llm', address: `${id}:1`, zone: 'z', state, slots, models: [] };
+  return { id, service: 'llm', address: socketAddress('10.0.0.1:1'), zone: 'z', state, slots, models: [] };
 }
 
 interface Write {
--- a/packages/gateway/test/revocable-client.test.ts
+++ b/packages/gateway/test/revocable-client.test.ts
@@ -1,4 +1,5 @@
 /** Connections of a RevocableClient that end while requests are sent. */
+import { socketAddress } from '@canvasridge/addresses';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import test from 'ava';
 import { RevocableClient, type RequestHandler } from '../src/index.js';
@@ -27,7 +28,7 @@
 
   let onEnd: () => void = () => undefined;
   const client = new RevocableClient({
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    address: socketAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`),
     connectTimeoutMs: 60_000,
     client: {},
     allowHalfOpen: true,
--- a/packages/gateway/test/scarce-backends-simulation.ts
+++ b/packages/gateway/test/scarce-backends-simulation.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import { Random, VirtualClock } from '@canvasridge/clock';
 import { FleetState, type BackendDescription, type ServingConfiguration } from '@canvasridge/serving';
 import type { UseOutcome } from '@canvasridge/slots';
@@ -284,7 +285,15 @@
 }
 
 function describeBackend(id: string): BackendDescription {
-  return { id, service: SERVICE, address: `${id}:1`, zone: 'a', state: 'ready', slots: SLOTS, models: [] };
+  return {
+    id,
+    service: SERVICE,
+    address: socketAddress('10.0.0.1:1'),
+    zone: 'a',
+    state: 'ready',
+    slots: SLOTS,
+    models: [],
+  };
 }
 
 export function newContext(id: string, changes: Partial<PickContext> = {}): PickContext {
--- a/packages/gateway/test/scarce-backends.test.ts
+++ b/packages/gateway/test/scarce-backends.test.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import type { BackendDescription, BackendService, EngineProfile } from '@canvasridge/serving';
 import test from 'ava';
 import { isScarce } from '../src/cluster/scarce-backends.js';
@@ -5,7 +6,15 @@
 const PLAIN: BackendService = { name: 'ledger', maxConnections: 10, engine: undefined };
 
 function backend(id: string, state: 'ready' | 'draining' = 'ready'): BackendDescription {
-  return { id, service: 'ledger', address: `${id}:1`, zone: 'a', state, slots: 6, models: [] };
+  return {
+    id,
+    service: 'ledger',
+    address: socketAddress('10.0.0.1:1'),
+    zone: 'a',
+    state,
+    slots: 6,
+    models: [],
+  };
 }
 
 test('Backends are granted only while their ready slots are fewer than the nodes', (t) => {
--- a/packages/gateway/test/search-after-defect.test.ts
+++ b/packages/gateway/test/search-after-defect.test.ts
@@ -2,6 +2,7 @@
  * Guards against a search for a replacement that goes on for as long as the process runs, because it was ended only where
  * its attempt ended without a defect.
  */
+import { socketAddress } from '@canvasridge/addresses';
 import test from 'ava';
 import { BackendConnection } from '../src/backends/backend-connection.js';
 import { Harness } from './harness.js';
@@ -43,7 +44,7 @@
       setImmediate(() => connection?.continue());
       return Promise.resolve(undefined);
     }
-    connection = new SlowConnection(`127.0.0.1:${peer.port}`, TIMING, () => undefined);
+    connection = new SlowConnection(socketAddress(`127.0.0.1:${peer.port}`), TIMING, () => undefined);
     return Promise.resolve({
       connection,
       relay: 'peer',
--- a/packages/gateway/test/silent-leader.test.ts
+++ b/packages/gateway/test/silent-leader.test.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import { VirtualClock } from '@canvasridge/clock';
 import type { PoolRequest, SlotDecision } from '@canvasridge/slots';
 import test from 'ava';
@@ -97,7 +98,7 @@
   ask();
   await clock.runUntil(1000);
   t.deepEqual(decisions, []);
-  slots.onDecided({ kind: 'granted', requestId: 'r1', backendId: 'a', address: 'a:1' });
+  slots.onDecided({ kind: 'granted', requestId: 'r1', backendId: 'a', address: socketAddress('10.0.0.1:1') });
   await clock.runUntil(1001);
   t.like(decisions[0], { kind: 'granted' });
   t.false(leader.sent.includes('slots.cancel'));
@@ -130,7 +131,12 @@
   await clock.runUntil(10);
   leader.whileAsked = () => {
     slots.onDecided({ kind: 'refused', requestId: 'r1', reason: 'no-slot-in-time', retryAfterMs: 70 });
-    const decision: SlotDecision = { kind: 'granted', requestId: 'r1', backendId: 'a', address: 'a:1' };
+    const decision: SlotDecision = {
+      kind: 'granted',
+      requestId: 'r1',
+      backendId: 'a',
+      address: socketAddress('10.0.0.1:1'),
+    };
     leader.reply = { kind: 'decided', decision };
   };
   await clock.runUntil(ANSWER_WITHIN_MS * 3);
--- a/packages/gateway/test/slot-picker-setup.ts
+++ b/packages/gateway/test/slot-picker-setup.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import type { VirtualClock } from '@canvasridge/clock';
 import { VersionGrace, type BackendDescription, type FleetState } from '@canvasridge/serving';
 import type { SlotDecision, SlotRequest, UseOutcome } from '@canvasridge/slots';
@@ -12,7 +13,7 @@
 export const VERSION_BOUND_MS = 5000;
 
 export function engine(id: string, state: 'ready' | 'draining' = 'ready'): BackendDescription {
-  return { id, service: 'llm', address: `${id}:1`, zone: 'a', state, slots: 8, models: [] };
+  return { id, service: 'llm', address: socketAddress('10.0.0.1:1'), zone: 'a', state, slots: 8, models: [] };
 }
 
 /**
@@ -48,7 +49,7 @@
       kind: 'granted',
       requestId: request.id,
       backendId,
-      address: `${backendId}:1`,
+      address: socketAddress('10.0.0.1:1'),
       ...entryPosition,
       ...rate,
     };
--- a/packages/gateway/test/state-follower.test.ts
+++ b/packages/gateway/test/state-follower.test.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import { VirtualClock } from '@canvasridge/clock';
 import { FleetState, type BackendDescription } from '@canvasridge/serving';
 import test from 'ava';
@@ -11,7 +12,7 @@
   return {
     id,
     service: 'llm',
-    address: '127.0.0.1:1',
+    address: socketAddress('127.0.0.1:1'),
     zone: 'z',
     state,
     slots: 4,
--- a/packages/gateway/test/stream-binding.test.ts
+++ b/packages/gateway/test/stream-binding.test.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import { VirtualClock } from '@canvasridge/clock';
 import type { BackendDescription, BackendService, HttpRoute } from '@canvasridge/serving';
 import { Telemetry } from '@canvasridge/telemetry';
@@ -35,7 +36,14 @@
 const RESUMED = { lastEventId: 4, resumedAttemptId: 'first' };
 
 function backend(softwareVersion: string | undefined): BackendDescription {
-  const described = { id: 'i', service: 'llm', address: 'i:1', zone: 'a', state: 'ready', slots: 1 } as const;
+  const described = {
+    id: 'i',
+    service: 'llm',
+    address: socketAddress('10.0.0.1:1'),
+    zone: 'a',
+    state: 'ready',
+    slots: 1,
+  } as const;
   return { ...described, models: [], ...(softwareVersion === undefined ? {} : { softwareVersion }) };
 }
 
--- a/packages/gateway/test/stream-versions.test.ts
+++ b/packages/gateway/test/stream-versions.test.ts
@@ -1,3 +1,4 @@
+import { socketAddress, type SocketAddress } from '@canvasridge/addresses';
 import { VirtualClock } from '@canvasridge/clock';
 import { FleetState } from '@canvasridge/serving';
 import test from 'ava';
@@ -108,7 +109,7 @@
         cluster: {
           selfId: id,
           serving: () => this.#members as never,
-          peerAddress: (peer) => peer,
+          peerAddress: (peer) => peer as SocketAddress,
           processOf: (peer) => ({ token: this.node(peer).token, state: 'alive' }),
         },
         network: { to: (peer) => ({ call: (method, params) => this.#call(peer, method, params) }) },
@@ -125,7 +126,14 @@
     const entries = [...this.#versions].map(([id, softwareVersion]) => ({
       revision: this.#revision,
       value: {
-        ...{ id, service: SERVICE, address: `${id}:1`, zone: 'a', state: 'ready' as const, slots: 1 },
+        ...{
+          id,
+          service: SERVICE,
+          address: socketAddress('10.0.0.1:1'),
+          zone: 'a',
+          state: 'ready' as const,
+          slots: 1,
+        },
         ...{ models: [], softwareVersion },
       },
     }));
@@ -196,7 +204,15 @@
 test('a node that has listed several versions outweighs those that have listed one', async (t) => {
   const fleet = await settledFleet(5, ['v1']);
   fleet.node('n3').fleet.applyBackend(1000, {
-    ...{ id: 'b9', service: SERVICE, address: 'b9:1', zone: 'a', state: 'ready', slots: 1, models: [] },
+    ...{
+      id: 'b9',
+      service: SERVICE,
+      address: socketAddress('10.0.0.1:1'),
+      zone: 'a',
+      state: 'ready',
+      slots: 1,
+      models: [],
+    },
     softwareVersion: 'v2',
   });
   t.is(await fleet.find('n1'), undefined);
@@ -326,7 +342,7 @@
     ...{
       id: 'b',
       service: SERVICE,
-      address: 'b:1',
+      address: socketAddress('10.0.0.1:1'),
       zone: 'a',
       state: 'ready' as const,
       slots: 1,
--- a/packages/gateway/test/takeover-through-relay.test.ts
+++ b/packages/gateway/test/takeover-through-relay.test.ts
@@ -2,6 +2,7 @@
  * Guards against a request that is taken from a silent but sound backend and sent through another node to a backend that
  * is silent, too: a node's answer that it reaches the service was relied upon for two seconds.
  */
+import { socketAddress } from '@canvasridge/addresses';
 import { createServer, type AddressInfo } from 'node:net';
 import { Random, VirtualClock } from '@canvasridge/clock';
 import type { BackendDescription, BackendService } from '@canvasridge/serving';
@@ -16,7 +17,7 @@
 const BACKEND: BackendDescription = {
   id: 'i1',
   service: SERVICE.name,
-  address: '127.0.0.1:1',
+  address: socketAddress('127.0.0.1:1'),
   zone: 'a',
   state: 'ready',
   slots: 4,
@@ -49,7 +50,7 @@
       selfId: 'n1',
       serving: () => [peer] as never,
       busy: () => NONE,
-      peerAddress: () => address,
+      peerAddress: () => socketAddress(address),
     },
     paths: { hasLost: () => false },
     network: {
--- a/packages/gateway/test/takeover.test.ts
+++ b/packages/gateway/test/takeover.test.ts
@@ -2,6 +2,7 @@
  * Guards against streams that end although a sound backend is there for them, and against charges for runs that did not
  * happen, when a backend takes over from a silent one: see silent-backends for the takeover itself.
  */
+import { socketAddress } from '@canvasridge/addresses';
 import test from 'ava';
 import { BackendConnection } from '../src/backends/backend-connection.js';
 import { BackendConnections } from '../src/backends/backend-connections.js';
@@ -190,7 +191,7 @@
   harness.openRelay = (backend, excluded, onReceived) => {
     const connection = excluded.has('peer')
       ? undefined
-      : connections.acquire({ id: 'peer', address: `127.0.0.1:${peer.port}` }, 10, 1);
+      : connections.acquire({ id: 'peer', address: socketAddress(`127.0.0.1:${peer.port}`) }, 10, 1);
     if (connection === undefined) return Promise.resolve(undefined);
     const options = { peerId: 'peer', backendId: backend.id, onReceived, onEnded: () => undefined };
     return Promise.resolve(new RelayHop({ ...options, connection }));
@@ -295,7 +296,7 @@
   harness.openRelay = (backend, _, onReceived) => {
     opened += 1;
     const Connection = opened === 1 ? SlowConnection : BackendConnection;
-    const connection = new Connection(`127.0.0.1:${peer.port}`, timing, () => undefined);
+    const connection = new Connection(socketAddress(`127.0.0.1:${peer.port}`), timing, () => undefined);
     const peerId = `peer-${opened}`;
     const onEnded = (): void => connection.close();
     return Promise.resolve(new RelayHop({ connection, peerId, backendId: backend.id, onReceived, onEnded }));
--- a/packages/gateway/test/unread-answers.test.ts
+++ b/packages/gateway/test/unread-answers.test.ts
@@ -6,6 +6,7 @@
  *
  * The backend of this test is a worker thread, so that it answers while the main thread, with the gateway, is held up.
  */
+import { socketAddress } from '@canvasridge/addresses';
 import test from 'ava';
 import { Harness, SERVICE } from './harness.js';
 import { HeldUpLoop } from './held-up-loop.js';
@@ -42,7 +43,10 @@
   if (second === undefined) throw new Error('no backend');
   // Only the worker's backend is there until it has got the request.
   harness.fleet.applyBackend(2, { ...second.description('i1', SERVICE), state: 'draining' });
-  harness.fleet.applyBackend(3, { ...second.description('i2', SERVICE), address: `127.0.0.1:${port}` });
+  harness.fleet.applyBackend(3, {
+    ...second.description('i2', SERVICE),
+    address: socketAddress(`127.0.0.1:${port}`),
+  });
   const response = harness.call('a1');
   await loop.reached(ASKED);
   harness.fleet.applyBackend(4, second.description('i1', SERVICE));
--- a/packages/gateway/test/unread-leader.test.ts
+++ b/packages/gateway/test/unread-leader.test.ts
@@ -6,6 +6,7 @@
  *
  * The leader of this test is a worker thread, so that it answers while the main thread is held up.
  */
+import { socketAddress } from '@canvasridge/addresses';
 import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
 import { SystemClock } from '@canvasridge/clock';
@@ -94,7 +95,12 @@
     await new Promise((resolve) => setTimeout(resolve, 1));
     t.deepEqual(dropped, []);
     t.deepEqual(decisions, []);
-    slots.onDecided({ kind: 'granted', requestId: 'r1', backendId: 'e1', address: '10.0.1.1:1' });
+    slots.onDecided({
+      kind: 'granted',
+      requestId: 'r1',
+      backendId: 'e1',
+      address: socketAddress('10.0.1.1:1'),
+    });
     await decided;
     t.like(decisions[0], { kind: 'granted' });
   },
--- a/packages/gateway/test/unread-quarantine-answer.test.ts
+++ b/packages/gateway/test/unread-quarantine-answer.test.ts
@@ -5,6 +5,7 @@
  *
  * The home of this test is a worker thread, so that it answers while the main thread, with the node, is held up.
  */
+import { socketAddress } from '@canvasridge/addresses';
 import { Random, SystemClock } from '@canvasridge/clock';
 import { Telemetry } from '@canvasridge/telemetry';
 import test from 'ava';
@@ -64,7 +65,7 @@
       selfId: 'n1',
       candidates: () => ['home'],
       serving: () => [],
-      peerAddress: () => address,
+      peerAddress: () => socketAddress(address),
       processOf: () => ({ token: 'p1', state: 'alive' }),
       publishQuarantine: () => undefined,
       quarantines: () => [],
--- a/packages/gateway/test/virtual-clusters.ts
+++ b/packages/gateway/test/virtual-clusters.ts
@@ -2,6 +2,7 @@
 import type { DatagramTransport } from '@canvasridge/membership';
 import { Telemetry } from '@canvasridge/telemetry';
 import { Cluster } from '../src/cluster/cluster.js';
+import { addressOf, idAt } from './peer-addresses.js';
 
 /** A node of {@link VirtualClusters}. */
 export interface VirtualNode {
@@ -55,15 +56,15 @@
       nodeId: id,
       zone: 'z',
       region: 'r',
-      peerAddress: id,
-      frontAddress: id,
+      peerAddress: addressOf(id),
+      frontAddress: addressOf(id),
       processToken,
       capacity,
       transport: this.#transport(id),
       clock,
       random: Random.derive(this.#link.seed, id),
       telemetry: new Telemetry({ processName: id, clock }),
-      seeds: () => seeds,
+      seeds: () => seeds.map(addressOf),
       configurationVersion: () => 0,
       onPeerVersion: () => undefined,
       onQuarantine: () => this.onQuarantine(id),
@@ -72,18 +73,19 @@
     return cluster;
   }
 
-  #transport(address: string): DatagramTransport {
+  #transport(from: string): DatagramTransport {
     const { oneWayMs, lossShare } = this.#link;
     return {
-      localAddress: address,
-      send: (to, bytes) => {
-        if (this.#random.next() < lossShare || this.cuts.has(`${address}>${to}`)) return;
+      localAddress: addressOf(from),
+      send: (address, bytes) => {
+        const to = idAt(address);
+        if (this.#random.next() < lossShare || this.cuts.has(`${from}>${to}`)) return;
         this.clock.setTimer(oneWayMs, () => {
-          if (this.clocks.get(to)?.isSuspended !== true) this.#receivers.get(to)?.(address, bytes);
+          if (this.clocks.get(to)?.isSuspended !== true) this.#receivers.get(to)?.(addressOf(from), bytes);
         });
       },
-      onMessage: (receiver) => this.#receivers.set(address, receiver),
-      close: () => this.#receivers.delete(address),
+      onMessage: (receiver) => this.#receivers.set(from, receiver),
+      close: () => this.#receivers.delete(from),
     };
   }
 }
--- a/packages/gateway/test/virtual-paths.ts
+++ b/packages/gateway/test/virtual-paths.ts
@@ -23,6 +23,7 @@
 import { BackendAccess } from '../src/paths/backend-access.js';
 import { noRateLimits } from './no-rate-limits.js';
 import { VirtualClusters } from './virtual-clusters.js';
+import { idAt } from './peer-addresses.js';
 
 export const SERVICE = 'llm';
 export const SERVICE_LIMITS: BackendService = { name: SERVICE, maxConnections: 10, engine: PROFILE };
@@ -200,7 +201,7 @@
         call: async (_, params, timeoutMs) => {
           this.sent.questions += 1;
           onAsk();
-          const node = this.nodes.find(({ id }) => id === address);
+          const node = this.nodes.find(({ id }) => id === idAt(address));
           await this.clock.sleep(ONE_WAY_MS);
           const answer = await Promise.race([
             node?.access.answerReaches(params),
--- a/packages/gateway/test/write-check.test.ts
+++ b/packages/gateway/test/write-check.test.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import { VirtualClock } from '@canvasridge/clock';
 import { FleetState, VersionGrace, type BackendDescription, type HttpRoute } from '@canvasridge/serving';
 import { EventLogger, Telemetry } from '@canvasridge/telemetry';
@@ -11,7 +12,7 @@
 const ENGINE: BackendDescription = {
   id: 'e1',
   service: 'llm',
-  address: '127.0.0.1:1',
+  address: socketAddress('127.0.0.1:1'),
   zone: 'z',
   state: 'ready',
   slots: 4,
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -11,7 +11,7 @@
   HttpServiceClient,
   newHttpAgent,
 } from '@canvasridge/http-bindings';
-import type { HostPort } from '@canvasridge/settings';
+import type { ListenAddress } from '@canvasridge/settings';
 import { EventLogger, NullMetrics, StatsdMetrics, Telemetry, type Metrics } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import { callerListener } from './http/caller-server.js';
@@ -141,7 +141,7 @@
 }
 
 /** Starts listening and returns the URL of the bound address. */
-function listen(server: Server, address: HostPort, field: string): Promise<Result<string, StartError>> {
+function listen(server: Server, address: ListenAddress, field: string): Promise<Result<string, StartError>> {
   return new Promise((resolve) => {
     server.once('error', (cause) => {
       const text = `${address.host}:${address.port}`;
--- a/packages/serving/src/backend.ts
+++ b/packages/serving/src/backend.ts
@@ -1,3 +1,5 @@
+import type { SocketAddress } from '@canvasridge/addresses';
+
 /** An adapter of a base model, in one version. */
 export interface HeldAdapter {
   readonly name: string;
@@ -15,8 +17,7 @@
   /** Changes with each start of the backend's process. */
   readonly id: string;
   readonly service: string;
-  /** In the form `IP:port`. */
-  readonly address: string;
+  readonly address: SocketAddress;
   readonly zone: string;
   readonly state: 'ready' | 'draining';
   /** Maximum number of concurrent requests. */
--- a/packages/serving/test/backend-list-updater.test.ts
+++ b/packages/serving/test/backend-list-updater.test.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import { VirtualClock } from '@canvasridge/clock';
 import test from 'ava';
 import { BackendListUpdater, FleetState, type BackendDescription } from '../src/index.js';
@@ -10,7 +11,7 @@
 const HEARTBEAT_MS = 1200;
 
 function backend(id: string, state: 'ready' | 'draining' = 'ready'): BackendDescription {
-  return { id, service: 's', address: '127.0.0.1:1', zone: 'z', state, slots: 1, models: [] };
+  return { id, service: 's', address: socketAddress('127.0.0.1:1'), zone: 'z', state, slots: 1, models: [] };
 }
 
 /**
--- a/packages/serving/test/fleet-state.test.ts
+++ b/packages/serving/test/fleet-state.test.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import test from 'ava';
 import { FleetState, type BackendDescription, type ServingConfiguration } from '../src/index.js';
 
@@ -7,7 +8,7 @@
 }
 
 function backend(id: string, state: 'ready' | 'draining' = 'ready'): BackendDescription {
-  return { id, service: 'llm', address: `${id}:1`, zone: 'a', state, slots: 1, models: [] };
+  return { id, service: 'llm', address: socketAddress('10.0.0.1:1'), zone: 'a', state, slots: 1, models: [] };
 }
 
 test('an older configuration is not applied', (t) => {
--- a/packages/serving/test/new-era.test.ts
+++ b/packages/serving/test/new-era.test.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import { VirtualClock } from '@canvasridge/clock';
 import test from 'ava';
 import { BackendListUpdater, FleetState, type BackendDescription, type NewEra } from '../src/index.js';
@@ -8,7 +9,7 @@
 const RESTORE_PERIOD_MS = 3 * HEARTBEAT_MS + RETURN_MS;
 
 function backend(id: string, state: 'ready' | 'draining' = 'ready'): BackendDescription {
-  return { id, service: 's', address: '127.0.0.1:1', zone: 'z', state, slots: 1, models: [] };
+  return { id, service: 's', address: socketAddress('127.0.0.1:1'), zone: 'z', state, slots: 1, models: [] };
 }
 
 /** A node that has read the list up to revision 10 in era 1, and a removal at revision 11. */
--- a/packages/settings/src/document.ts
+++ b/packages/settings/src/document.ts
@@ -61,12 +61,14 @@
     case 'not-json':
       return `${error.file}: is not JSON (${error.reason})`;
     case 'invalid':
-      return error.issues
-        .map((issue) => `${error.file}: ${issue.path}: found ${issue.found}; ${issue.problem}`)
-        .join('\n');
+      return error.issues.map((issue) => `${error.file}: ${formatIssue(issue)}`).join('\n');
   }
 }
 
+export function formatIssue({ path, found, problem }: DocumentIssue): string {
+  return `${path}: found ${found}; ${problem}`;
+}
+
 function formatPath(path: readonly PropertyKey[]): string {
   const text = path
     .map((part) => (typeof part === 'number' ? `[${part}]` : `.${String(part)}`))
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -3,6 +3,8 @@
   readJsonFile,
   parseDocument,
   describeIssues,
+  formatIssue,
+  type DocumentIssue,
   type SettingsError,
   formatSettingsError,
 } from './document.js';
@@ -15,5 +17,5 @@
   type ExitCodePromise,
   type OptionDefinition,
 } from './command-line.js';
-export { listenAddress, type ListenAddress, parseHostPort, type HostPort } from './addresses.js';
+export { listenAddress, remoteAddress, type ListenAddress } from './addresses.js';
 export { settingsCommand, stopSignal, type SettingsCommand } from './settings-command.js';
--- a/packages/settings/test/document.test.ts
+++ b/packages/settings/test/document.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import * as z from 'zod';
-import { formatSettingsError, parseDocument, parseHostPort } from '../src/index.js';
+import { formatSettingsError, parseDocument } from '../src/index.js';
 
 const schema = z.strictObject({ list: z.array(z.strictObject({ size: z.int().min(1) })) });
 
@@ -21,17 +21,3 @@
     for (const part of expected) t.true(message.includes(part), `${message} should contain ${part}`);
   });
 }
-
-const addresses: readonly [string, ReturnType<typeof parseHostPort>][] = [
-  ['127.0.0.1:80', { host: '127.0.0.1', port: 80 }],
-  ['[::1]:9', { host: '::1', port: 9 }],
-  ['localhost:80', undefined],
-  ['127.0.0.1', undefined],
-  ['127.0.0.1:70000', undefined],
-];
-
-for (const [text, expected] of addresses) {
-  test(`the address ${text} is parsed as ${JSON.stringify(expected) ?? 'invalid'}`, (t) => {
-    t.deepEqual(parseHostPort(text), expected);
-  });
-}
--- a/packages/slots/src/slot-request.ts
+++ b/packages/slots/src/slot-request.ts
@@ -1,3 +1,4 @@
+import type { SocketAddress } from '@canvasridge/addresses';
 import { softwareVersionOf, type BackendDescription } from '@canvasridge/serving';
 
 /** What the leader of any pool needs to know of a request for a slot. Times are in milliseconds. */
@@ -70,7 +71,7 @@
       readonly kind: 'granted';
       readonly requestId: string;
       readonly backendId: string;
-      readonly address: string;
+      readonly address: SocketAddress;
       /**
        * The engine's limit in requests per second, within which the grant was made. Null if a former limit has ended,
        * absent if the granting node knows of no limit.
--- a/packages/slots/test/engine-pace.test.ts
+++ b/packages/slots/test/engine-pace.test.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import test from 'ava';
 import { EnginePace } from '../src/engine-pace.js';
 import { newPoolSpeed } from '../src/prefill-speed.js';
@@ -46,7 +47,7 @@
 test('an engine with a new id starts from the pace of the pool', (t) => {
   const description = {
     service: 'llm',
-    address: 'e:1',
+    address: socketAddress('10.0.0.1:1'),
     zone: '',
     state: 'ready',
     slots: 16,
@@ -62,7 +63,15 @@
 test('streams are compared within their kind', (t) => {
   const learner = new PaceLearner(new StreamKinds());
   const slots = new EngineSlots(
-    { id: 'e1', service: 'llm', address: 'e:1', zone: '', state: 'ready', slots: 16, models: [] },
+    {
+      id: 'e1',
+      service: 'llm',
+      address: socketAddress('10.0.0.1:1'),
+      zone: '',
+      state: 'ready',
+      slots: 16,
+      models: [],
+    },
     PROFILE,
     newPoolSpeed(),
   );
--- a/packages/slots/test/new-backend-pool.ts
+++ b/packages/slots/test/new-backend-pool.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import { VirtualClock } from '@canvasridge/clock';
 import type { BackendDescription } from '@canvasridge/serving';
 import { Telemetry } from '@canvasridge/telemetry';
@@ -6,7 +7,15 @@
 export const SERVICE = 'ledger';
 
 export function backend(id: string, slots = 2, zone = 'a'): BackendDescription {
-  return { id, service: SERVICE, address: `${id}:1`, zone, state: 'ready', slots, models: [] };
+  return {
+    id,
+    service: SERVICE,
+    address: socketAddress('10.0.0.1:1'),
+    zone,
+    state: 'ready',
+    slots,
+    models: [],
+  };
 }
 
 let nextId = 0;
--- a/packages/slots/test/simulated-engines.ts
+++ b/packages/slots/test/simulated-engines.ts
@@ -1,3 +1,4 @@
+import { socketAddress } from '@canvasridge/addresses';
 import type { Clock } from '@canvasridge/clock';
 import type { BackendDescription, EngineProfile } from '@canvasridge/serving';
 import type { EngineControl, EngineOrder, EngineReport, OrderReply } from '../src/index.js';
@@ -67,7 +68,7 @@
     this.description = {
       id,
       service: 'llm',
-      address: `${id}:1`,
+      address: socketAddress('10.0.0.1:1'),
       zone: 'a',
       state: 'ready',
       slots: PROFILE.batchSlots,
--- a/packages/standin/src/process.ts
+++ b/packages/standin/src/process.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import { getRequestListener } from '@hono/node-server';
 import { SystemClock } from '@canvasridge/clock';
-import type { HostPort } from '@canvasridge/settings';
+import type { ListenAddress } from '@canvasridge/settings';
 import { engineListener } from './engine/engine-http.js';
 import { platformApplication } from './platform/platform-http.js';
 import { serviceListener } from './service/service-http.js';
@@ -24,7 +24,7 @@
 export async function startStandinProcess(settings: StandinSettings): Promise<StandinProcess> {
   const standin = new Standin(settings, new SystemClock());
   const servers: Server[] = [];
-  const startServer = async (listener: Listener, address: HostPort): Promise<string> => {
+  const startServer = async (listener: Listener, address: ListenAddress): Promise<string> => {
     const server = createServer({ keepAliveTimeout: 30_000 }, listener);
     servers.push(server);
     return listen(server, address);
@@ -58,7 +58,7 @@
   return { standin, platformUrl, engineUrls, serviceUrls, stop };
 }
 
-function listen(server: Server, address: HostPort): Promise<string> {
+function listen(server: Server, address: ListenAddress): Promise<string> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(address.port, address.host, () => {
