A request that a defect keeps from being written is tried at another backend

What callers saw: 503 without Retry-After (request.defect) when opening the way to one backend, refreshing the list or making the headers threw, although other backends were sound. The slot granted for the attempt stayed taken.

Cause: the exception left Exchange.#serve, so that neither the loop went on nor picked.finish was called.

Change: such an exception is the outcome not-run with the reason 'defect': logged with backend and address, the backend is excluded for this request, no retry budget is spent, the loop goes on up to MAX_SENDS. It says nothing against the backend for other requests ('cancelled'), as the cause may lie in the request. Where each thing that an attempt holds is taken, a finally gives it back. What is recorded after the attempt takes nothing from an outcome that is certain; after a broken one the exception ends the request as before.

Evidence: 5 tests of defects-before-writing failed before (503 for 200; the sixth doesn't compile there), and pass. 167 tests of requests, takeovers, relays, quarantine and the slot picker pass.

--- a/packages/gateway/src/request/attempt-outcomes.ts
+++ b/packages/gateway/src/request/attempt-outcomes.ts
@@ -1,7 +1,9 @@
 import type { UseOutcome } from '@canvasridge/slots';
 import type { AttemptOutcome, NotWrittenReason, NotRunReason } from './backend-attempt.js';
 
-const NOT_WRITTEN_REASONS: ReadonlySet<NotRunReason> = new Set<NotWrittenReason | 'no-relay' | 'no-path'>([
+const NOT_WRITTEN_REASONS: ReadonlySet<NotRunReason> = new Set<
+  NotWrittenReason | 'no-relay' | 'no-path' | 'defect'
+>([
   'leaving',
   'backing-off',
   'old-list',
@@ -10,6 +12,7 @@
   'old-adapter',
   'no-relay',
   'no-path',
+  'defect',
 ]);
 /** Reasons that say nothing against the backend itself, so that the same backend may be chosen again. */
 const BACKEND_REUSABLE_REASONS: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
@@ -20,6 +23,13 @@
   'no-relay',
   'no-path',
 ]);
+/** Reasons that don't count against the backend where backends are chosen for other requests. */
+const NOT_OF_BACKEND_REASONS: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
+  ...BACKEND_REUSABLE_REASONS,
+  'other-version',
+  'old-adapter',
+  'defect',
+]);
 
 /** Whether any part of the request may have been written to the backend. */
 export function wasWritten(outcome: AttemptOutcome): boolean {
@@ -66,8 +76,7 @@
       return outcome.how === 'relay-lost' ? 'cancelled' : 'failed';
     case 'not-run':
       if (outcome.reason === 'not-present') return 'not-present';
-      if (outcome.reason === 'other-version' || outcome.reason === 'old-adapter') return 'cancelled';
-      return BACKEND_REUSABLE_REASONS.has(outcome.reason) ? 'cancelled' : 'refused';
+      return NOT_OF_BACKEND_REASONS.has(outcome.reason) ? 'cancelled' : 'refused';
   }
 }
 
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -58,10 +58,17 @@
  * the request; `not-present`: the same, because it does not have the model or adapter; `no-connection`: this
  * node already uses all connections to the backend that it may open; `no-relay`: the node that was to relay
  * the request could not, or could not be reached; `no-path`: this node can't reach the backend, and no other node
- * relays the request.
+ * relays the request; `defect`: an internal error kept it from being written.
  */
 export type NotRunReason =
-  NotWrittenReason | 'unreachable' | 'refused' | 'not-present' | 'no-connection' | 'no-relay' | 'no-path';
+  | NotWrittenReason
+  | 'unreachable'
+  | 'refused'
+  | 'not-present'
+  | 'no-connection'
+  | 'no-relay'
+  | 'no-path'
+  | 'defect';
 
 export interface AttemptOptions {
   readonly hop: BackendHop;
@@ -99,6 +106,8 @@
   readonly onInactive: () => void;
   /** Called when the attempt has received something after that. */
   readonly onActive: () => void;
+  /** Called with each internal error of the attempt. */
+  readonly onDefect: (cause: unknown) => void;
 }
 
 /**
@@ -212,17 +221,17 @@
     return this.#tracker.lastEventId;
   }
 
-  /** Rejects if the request can't be made, which is a defect; nothing was sent then. */
+  /** Never rejects: if the request can't be made, which is a defect, it was not run. */
   run(): Promise<AttemptOutcome> {
-    return new Promise((resolve, reject) => {
+    return new Promise((resolve) => {
       this.#resolve = resolve;
       this.#restartInactivityTimer();
       const prepare = (): Dispatcher.DispatchOptions | undefined => {
         try {
           return this.#prepare();
         } catch (cause) {
-          this.#inactivityTimer?.cancel();
-          reject(cause instanceof Error ? cause : new Error(String(cause)));
+          this.#options.onDefect(cause);
+          this.#finish({ kind: 'not-run', reason: 'defect' });
           return undefined;
         }
       };
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -5,7 +5,7 @@
   type BackendService,
   type HttpRoute,
 } from '@canvasridge/serving';
-import type { StreamProgress } from '@canvasridge/slots';
+import type { StreamProgress, UseOutcome } from '@canvasridge/slots';
 import { errorFields } from '@canvasridge/telemetry';
 import { RETRY_ELSEWHERE_MS } from '../backends/backend-availability.js';
 import type { PickResult, PickedBackend } from '../backends/picker.js';
@@ -49,6 +49,13 @@
 
 /** Maximum number of attempts to send one request, including those that were refused. */
 const MAX_SENDS = 5;
+
+/** How a request was sent once; without an attempt if it was not given to a connection. */
+interface EndedSend {
+  readonly attempt?: BackendAttempt;
+  readonly outcome: AttemptOutcome;
+}
+
 /** Handles one client request from its headers to the end of its response. */
 export class Exchange {
   readonly #context: ExchangeContext;
@@ -72,6 +79,8 @@
   #route: HttpRoute | undefined;
   #body: Buffer = EMPTY_BODY;
   #attempt: BackendAttempt | undefined;
+  /** Looks for what may take over from the attempt; undefined unless that has been silent. */
+  #search: ReplacementSearch | undefined;
   /** A backend's error response, kept while a retry is prepared: it is forwarded if there is none. */
   #keptFailure: (AttemptOutcome & { readonly kind: 'failure' }) | undefined;
   #ended = false;
@@ -201,8 +210,7 @@
     while (!this.#ended) {
       const picked = replacement?.picked ?? (await this.#pickOrEnd(route, service, lastRun));
       if (picked === undefined) return;
-      const outcome = await this.#send(route, service, picked, replacement?.hop);
-      picked.finish(this.#isOwnFailure ? 'cancelled' : useOutcomeOf(outcome), this.#progress);
+      const outcome = await this.#sendOnce(route, service, picked, replacement?.hop);
       replacement = this.#takeReplacement();
       if (this.#ended || this.#endIfFinal(outcome, route)) return;
       if (replacement === undefined && !this.#mayRetryOrEnd(route, service, outcome)) return;
@@ -233,7 +241,6 @@
       picked.finish('cancelled');
       return undefined;
     }
-    await this.#context.refreshIfOld();
     return picked;
   }
 
@@ -364,30 +371,88 @@
     return picker.pick(context, cancelled);
   }
 
-  async #send(
+  /** One attempt at a picked backend, which is given back whatever happens. */
+  async #sendOnce(
     route: HttpRoute,
     service: BackendService,
     picked: PickedBackend,
     openHop: BackendHop | undefined,
   ): Promise<AttemptOutcome> {
-    const { backend } = picked;
-    const target = { backendId: backend.id, service: service.name };
-    const { dialect, clock } = this.#context;
-    this.#backendId = backend.id;
+    let use: UseOutcome = 'cancelled';
+    this.#beginSend(picked);
+    try {
+      const { attempt, outcome } = await this.#send(route, service, picked, openHop);
+      use = useOutcomeOf(outcome);
+      if (attempt !== undefined) await this.#recordEnd(route, service, picked, attempt, outcome);
+      if (this.#isOwnFailure) use = 'cancelled';
+      return outcome;
+    } finally {
+      this.#guard(() => picked.finish(use, this.#progress));
+    }
+  }
+
+  #beginSend(picked: PickedBackend): void {
+    this.#backendId = picked.backend.id;
     this.#pickMethod = picked.how;
     this.#pickedMs = this.#ageMs();
     this.#sends += 1;
+    this.#relay = undefined;
     this.#progress = undefined;
     this.#isOwnFailure = false;
-    const hop = openHop ?? (await this.#openHop(service, backend));
-    if (typeof hop === 'string') return { kind: 'not-run', reason: hop };
-    this.#relay = hop.relay;
-    if (this.#ended) {
-      hop.release(NOT_SENT);
-      return { kind: 'cancelled' };
+  }
+
+  /** Rejects only if the request may have been written: what a defect kept from that may be sent elsewhere. */
+  async #send(
+    route: HttpRoute,
+    service: BackendService,
+    picked: PickedBackend,
+    openHop: BackendHop | undefined,
+  ): Promise<EndedSend> {
+    try {
+      const hop = openHop ?? (await this.#openHop(service, picked.backend));
+      if (typeof hop === 'string') return { outcome: { kind: 'not-run', reason: hop } };
+      this.#relay = hop.relay;
+      return await this.#runOver(hop, route, service, picked);
+    } catch (cause) {
+      if (this.#attempt?.sent === true) throw cause;
+      this.#recordDefect(cause);
+      return { outcome: { kind: 'not-run', reason: 'defect' } };
+    }
+  }
+
+  /** Runs an attempt over an open way, which is given back when the attempt has ended. */
+  async #runOver(
+    hop: BackendHop,
+    route: HttpRoute,
+    service: BackendService,
+    picked: PickedBackend,
+  ): Promise<EndedSend> {
+    let released: AttemptOutcome = NOT_SENT;
+    try {
+      if (this.#ended) return { outcome: { kind: 'cancelled' } };
+      const attempt = this.#newAttempt(hop, route, service, picked);
+      this.#attempt = attempt;
+      const outcome = await attempt.run();
+      this.#attempt = undefined;
+      const isUntouched = outcome.kind === 'cancelled' && !attempt.isHandedOver;
+      if (!isUntouched) released = outcome;
+      return { attempt, outcome };
+    } finally {
+      this.#guard(() => this.#search?.cancel());
+      this.#search = undefined;
+      this.#guard(() => hop.release(released));
     }
+  }
+
+  #newAttempt(
+    hop: BackendHop,
+    route: HttpRoute,
+    service: BackendService,
+    picked: PickedBackend,
+  ): BackendAttempt {
+    const { backend } = picked;
+    const { dialect, clock } = this.#context;
     const lastEventId = this.#lastEventId >= 0 ? this.#lastEventId : undefined;
-    let search: ReplacementSearch | undefined;
     const attempt = new BackendAttempt(
       {
         hop,
@@ -411,10 +476,10 @@
         inactivityLimit: this.#inactivityLimit(route, backend.id),
         onInactive: () => {
           if (attempt.sent) this.#binding.bindToRunAt(route, backend);
-          search ??= this.#replacementSearch(route, service, backend);
-          search.start();
+          this.#search ??= this.#replacementSearch(route, service, backend);
+          this.#search.start();
         },
-        onActive: () => search?.cancel(),
+        onActive: () => this.#search?.cancel(),
         reasonNotToWrite: () => this.#writeCheck.reasonNotToWrite(route, picked),
         onWritten: () => {
           this.#sentMs = this.#ageMs();
@@ -428,44 +493,56 @@
         },
         onGoesOn: {
           afterMs: PART_START_PHASE_MS,
-          call: () => this.#quarantine.ran(target, attempt.begunForMs ?? 0),
+          call: () =>
+            this.#quarantine.ran({ backendId: backend.id, service: service.name }, attempt.begunForMs ?? 0),
         },
+        onDefect: (cause) => this.#recordDefect(cause),
       },
       this.#sink,
     );
-    this.#attempt = attempt;
-    const outcome = await attempt
-      .run()
-      .catch((cause: unknown) => {
-        hop.release(NOT_SENT);
-        throw cause;
-      })
-      .finally(() => search?.cancel());
-    this.#attempt = undefined;
-    const isUntouched = outcome.kind === 'cancelled' && !attempt.isHandedOver;
-    hop.release(isUntouched ? NOT_SENT : outcome);
-    if (hop.relay !== undefined && isRelayFailure(outcome)) this.#excludedRelays.add(hop.relay);
-    if (attempt.sent && mayStillRun(outcome)) this.#binding.bindToRunAt(route, backend);
+    return attempt;
+  }
+
+  /** Records what an attempt shows. A defect here takes nothing from an outcome that is certain. */
+  async #recordEnd(
+    route: HttpRoute,
+    service: BackendService,
+    picked: PickedBackend,
+    attempt: BackendAttempt,
+    outcome: AttemptOutcome,
+  ): Promise<void> {
     this.#lastEventId = attempt.lastEventId;
-    this.#progress = attempt.progress;
     this.#silentMs = attempt.silentMs;
     if (outcome.kind !== 'not-run') {
       this.#mayHaveRun ||= attempt.sent;
       this.#runs += 1;
       if (attempt.sent) this.#admission.recordRun();
     }
+    try {
+      this.#progress = attempt.progress;
+      if (this.#relay !== undefined && isRelayFailure(outcome)) this.#excludedRelays.add(this.#relay);
+      if (attempt.sent && mayStillRun(outcome)) this.#binding.bindToRunAt(route, picked.backend);
+      await this.#recordPath(picked.backend, outcome);
+      const target = { backendId: picked.backend.id, service: service.name };
+      await this.#quarantine.attemptEnded(target, attempt, outcome, this.#isOwnFailure);
+    } catch (cause) {
+      if (outcome.kind === 'broken') throw cause;
+      this.#recordDefect(cause);
+    }
+  }
+
+  async #recordPath(backend: BackendDescription, outcome: AttemptOutcome): Promise<void> {
     // A backend that takes over directly has just answered, so this node has a path.
     const isReached = this.#replacement !== undefined && this.#replacement.hop.relay === undefined;
-    if (hop.relay === undefined && isPathFailure(outcome) && !isReached)
+    if (this.#relay === undefined && isPathFailure(outcome) && !isReached)
       this.#isOwnFailure = await this.#context.paths.isOwnFailure(backend.id);
     this.#hasOwnFailure ||= this.#isOwnFailure;
-    await this.#quarantine.attemptEnded(target, attempt, outcome, this.#isOwnFailure);
-    return outcome;
   }
 
   /** Opens the way to a picked backend; returns the reason if the request can't be sent there. */
   async #openHop(service: BackendService, backend: BackendDescription): Promise<BackendHop | NotRunReason> {
-    const { hops, fleet, availability } = this.#context;
+    const { hops, fleet, availability, refreshIfOld } = this.#context;
+    await refreshIfOld();
     // A trial is requested when a backend is at hand, as the homes allow only a few.
     const isAllowed = !this.#quarantine.isQuarantined || (await this.#quarantine.requestTrial());
     if (!isAllowed || this.#ended) return 'not-allowed';
@@ -642,6 +719,15 @@
     });
   }
 
+  /** Does what no failure may keep others from; a defect in it is logged. */
+  #guard(work: () => void): void {
+    try {
+      work();
+    } catch (cause) {
+      this.#recordDefect(cause);
+    }
+  }
+
   /** Ends the request after an internal error, with a response if none has started. */
   #failOnDefect(cause: unknown): void {
     this.#recordDefect(cause);
