A deeply nested field of a document does not end the nodes that log it

What callers saw: the end of every stream and request of each node that read such a document: the processes ended (process.failed origin=unhandledRejection, RangeError at JSON.stringify < formatFound), and again after each start.

Cause: JSON.parse takes a text of any depth, JSON.stringify only as many levels as the stack holds. store.unreadable shows the value of the refused field, so the reader of the store threw in a task that nobody awaits.

Change: four levels of a value are shown, and no more of it is copied than a line can hold.

Evidence: 'a document that is nested more deeply than JSON can be written ends no node' (300,000 levels in a runner's address, the configuration's version, an adapter version) fails before with the end of the process, and passes.

--- a/packages/settings/src/document.ts
+++ b/packages/settings/src/document.ts
@@ -16,7 +16,10 @@
   | { readonly kind: 'not-json'; readonly file: string; readonly reason: string }
   | { readonly kind: 'invalid'; readonly file: string; readonly issues: readonly DocumentIssue[] };
 
+/** Characters of a value that are shown. */
 const MAX_FOUND_LENGTH = 60;
+/** Levels of a value that are shown. JSON texts may be nested more deeply than `JSON.stringify` can follow. */
+const MAX_FOUND_DEPTH = 4;
 
 /** Reads a JSON file and validates it against `schema`. */
 export async function readJsonFile<T>(file: string, schema: z.ZodType<T>): Promise<Result<T, SettingsError>> {
@@ -88,6 +91,16 @@
 
 function formatFound(value: unknown): string {
   if (value === undefined) return 'nothing';
-  const text = JSON.stringify(value);
+  const text = JSON.stringify(cut(value, MAX_FOUND_DEPTH));
   return text.length > MAX_FOUND_LENGTH ? `${text.slice(0, MAX_FOUND_LENGTH)}…` : text;
 }
+
+/** The beginning of a parsed JSON value; deeper levels are replaced by `…`. */
+function cut(value: unknown, depth: number): unknown {
+  if (typeof value === 'string') return value.slice(0, MAX_FOUND_LENGTH);
+  if (typeof value !== 'object' || value === null) return value;
+  if (depth === 0) return '…';
+  if (Array.isArray(value)) return value.slice(0, MAX_FOUND_LENGTH).map((item) => cut(item, depth - 1));
+  const fields = Object.entries(value).slice(0, MAX_FOUND_LENGTH);
+  return Object.fromEntries(fields.map(([name, field]) => [name, cut(field, depth - 1)]));
+}
