Timers with delays beyond 2^31 - 1 ms run when they are due, not at once

What callers would see: a request without a deadline on a route whose timeoutMs is above 2,147,483,647 (24.8 days) is given up at once, as Node.js sets the delay of such a timer to 1 ms.

Change: SystemClock.setTimer holds any delay, by several timers one after the other.

--- a/packages/clock/src/system-clock.ts
+++ b/packages/clock/src/system-clock.ts
@@ -8,6 +8,9 @@
  */
 const LATE_MS = 50;
 
+/** Longest delay of a timer of Node.js, which runs one with a longer delay at once. */
+const MAX_DELAY_MS = 2 ** 31 - 1;
+
 /**
  * Clock of the operating system. `now` is CLOCK_MONOTONIC, which continues while the process is stopped, but
  * not while the machine is suspended; see `ContinuousClock`.
@@ -31,10 +34,18 @@
     const runUnlessCancelled = (): void => {
       if (!isCancelled) callback();
     };
-    const handle = setTimeout(() => {
+    const run = (): void => {
       if (this.now() - dueMs < LATE_MS) callback();
       else void pendingInputHandled().then(runUnlessCancelled);
-    }, delayMs);
+    };
+    let handle: NodeJS.Timeout;
+    const schedule = (leftMs: number): void => {
+      handle =
+        leftMs > MAX_DELAY_MS
+          ? setTimeout(() => schedule(leftMs - MAX_DELAY_MS), MAX_DELAY_MS)
+          : setTimeout(run, leftMs);
+    };
+    schedule(delayMs);
     return {
       cancel: () => {
         isCancelled = true;
--- a/packages/clock/test/system-clock.test.ts
+++ b/packages/clock/test/system-clock.test.ts
@@ -61,3 +61,15 @@
   });
   t.false(hasRun);
 });
+
+// Node.js runs timers with longer delays than 2^31 - 1 ms at once, so that a long time-out ended what it should have let run.
+test('a timer with a delay that timers of Node.js cannot hold does not run at once', async (t) => {
+  const clock = new SystemClock();
+  const seen: string[] = [];
+  const timers = [2 ** 31, 1e308, Infinity].map((delayMs) =>
+    clock.setTimer(delayMs, () => seen.push(String(delayMs))),
+  );
+  await clock.sleep(TIMER_MS);
+  for (const timer of timers) timer.cancel();
+  t.deepEqual(seen, []);
+});
