Lists of backends from peers are decoded where they arrive, entry by entry

What is more, two nodes that hold different lists have different digests, so leaving an entry out makes the peer send its whole list with each answer (130 KB for 600 backends; control may take 2 KB a second).

Change: both answers are read by a schema; one of another form counts as no answer (peer.answer-unread). Entries are read one by one: one that is not valid costs its backend only and is logged once per revision with its field (peer.entry-unread). For each peer the node keeps the routing content of what it left out, and asks with the digest of the list as that peer holds it, so that equal lists stay equal. The digest is kept per peer, as peers of two builds hold different ones; a peer that has sent none is taken to be like the last one.

--- a/packages/gateway/src/cluster/state-exchange.ts
+++ b/packages/gateway/src/cluster/state-exchange.ts
@@ -4,6 +4,8 @@
 import { maySendLarge, type WaitingBytes } from './configuration-parts.js';
 import type { ConfigurationFreshness, AdvertisedConfiguration } from './configuration-freshness.js';
 import type { PeerCaller } from './peer-caller.js';
+import { PeerLists } from './peer-lists.js';
+import { snapshotAnswer } from './published-protocol.js';
 
 const CALL_TIMEOUT_MS = 1500;
 /** Pause between two polls of peers while the store does not answer this node. */
@@ -44,6 +46,7 @@
   readonly #peers: () => readonly string[];
   readonly #freshness: ConfigurationFreshness;
   readonly #onConfigurationOffered: (version: number, address: string) => void;
+  readonly #lists: PeerLists;
   readonly #storeLost = new Notifier();
   #isStoreAvailable = false;
   #stopped = false;
@@ -65,6 +68,7 @@
     this.#clock = options.clock;
     this.#random = options.random;
     this.#telemetry = options.telemetry;
+    this.#lists = new PeerLists(options.telemetry);
     this.#peers = options.peers;
     this.#freshness = options.freshness;
     this.#onConfigurationOffered = options.onConfigurationOffered;
@@ -105,15 +109,18 @@
       operatorRevision: this.#fleet.operatorRevision,
       operatorDigest: this.#fleet.operatorDigest,
       backendsRevision: this.#fleet.backendsRevision,
-      routingDigest: this.#fleet.routingDigest,
+      routingDigest: this.#lists.expectedDigest(this.#fleet, address),
     };
     const askedMs = this.#clock.now();
     const reply = await this.#network.to(address).call(SNAPSHOT_METHOD, known, CALL_TIMEOUT_MS);
-    if (reply === undefined) return;
-    const { configurationVersion, configurationAgeMs = Infinity, snapshot } = reply as SnapshotAnswer;
+    const answer = this.#lists.readAnswer(snapshotAnswer, address, reply);
+    if (answer === undefined) return;
+    const { configurationVersion, configurationAgeMs = Infinity, snapshot } = answer;
     this.#onConfigurationOffered(configurationVersion, address);
     this.#freshness.confirm(configurationVersion, askedMs - configurationAgeMs);
-    if (snapshot !== undefined) this.#fleet.merge(snapshot);
+    if (snapshot === undefined) return;
+    const backends = this.#lists.read(address, snapshot.backends);
+    this.#fleet.merge({ ...snapshot, configuration: undefined, backends });
   }
 }
 
--- a/packages/gateway/src/cluster/state-follower.ts
+++ b/packages/gateway/src/cluster/state-follower.ts
@@ -1,10 +1,13 @@
 import { Notifier, type Clock } from '@canvasridge/clock';
 import type { BackendListing, FleetState, OperatorState } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
+import type * as z from 'zod';
 import { maySendLarge, type WaitingBytes } from './configuration-parts.js';
 import type { ConfigurationFreshness, AdvertisedConfiguration } from './configuration-freshness.js';
 import type { DepartureBudget } from './departure-budget.js';
 import type { PeerCaller } from './peer-caller.js';
+import { PeerLists } from './peer-lists.js';
+import { followAnswer } from './published-protocol.js';
 
 export const FOLLOW_METHOD = 'fleet.follow';
 
@@ -97,6 +100,7 @@
  */
 export class StateFollower {
   readonly #options: StateFollowerOptions;
+  readonly #lists: PeerLists;
   readonly #readingBegun = new Notifier();
   #storeAnsweredMs = -Infinity;
   /** Time up to which the list of backends is known to be complete, on this node's clock. */
@@ -114,6 +118,7 @@
 
   constructor(options: StateFollowerOptions) {
     this.#options = options;
+    this.#lists = new PeerLists(options.telemetry);
     this.#startedMs = options.clock.now();
     this.#rotation = options.selfId.length;
   }
@@ -329,21 +334,21 @@
     const known: FollowRequest = {
       era: fleet.era,
       backendsRevision: fleet.backendsRevision,
-      routingDigest: fleet.routingDigest,
+      routingDigest: this.#lists.expectedDigest(fleet, address),
       operatorRevision: fleet.operatorRevision,
       operatorDigest: fleet.operatorDigest,
     };
     const askedMs = clock.now();
     const reply = await network.to(address).call(FOLLOW_METHOD, known, CALL_TIMEOUT_MS);
-    if (reply === undefined) return;
-    const answer = reply as FollowAnswer;
+    const answer = this.#lists.readAnswer(followAnswer, address, reply);
+    if (answer === undefined) return;
     const { configurationVersion, configurationAgeMs = Infinity } = answer;
     this.#options.onConfigurationOffered(configurationVersion, address, this.#isInSameZone(id));
     if (answer.operatorState !== undefined) fleet.applyOperatorState(answer.operatorState);
     // A reader's state from an earlier era confirms nothing that was written in the current one.
     if (!fleet.admitEra(answer.era)) return;
     this.#options.freshness.confirm(configurationVersion, askedMs - configurationAgeMs);
-    if (answer.withheld !== true) this.#applyAnswer(answer, known, askedMs);
+    if (answer.withheld !== true) this.#applyAnswer(answer, address, known, askedMs);
   }
 
   #isInSameZone(id: string): boolean {
@@ -351,11 +356,17 @@
     return zoneOf(id) === zoneOf(selfId);
   }
 
-  #applyAnswer(answer: FollowAnswer, known: FollowRequest, askedMs: number): void {
+  #applyAnswer(
+    answer: z.infer<typeof followAnswer>,
+    address: string,
+    known: FollowRequest,
+    askedMs: number,
+  ): void {
     const { fleet } = this.#options;
     const { listing, backendsRevision } = answer;
     const isBehind = known.era === fleet.era && backendsRevision < known.backendsRevision;
-    if (listing !== undefined) fleet.applyListing(listing);
+    if (listing !== undefined)
+      fleet.applyListing({ ...listing, backends: this.#lists.read(address, listing.backends) });
     // A reader that is not behind and sends no list holds the same one.
     else if (!isBehind) fleet.advanceBackendsRevision(backendsRevision);
     if (answer.ageMs !== undefined) this.#completeMs = Math.max(this.#completeMs, askedMs - answer.ageMs);
--- a/packages/serving/src/fleet-state.ts
+++ b/packages/serving/src/fleet-state.ts
@@ -13,6 +13,7 @@
 } from './published.js';
 import { NO_ERA, PublishingEra } from './publishing-era.js';
 import { RouteTable } from './route-table.js';
+import { routingContent } from './routing-content.js';
 import { SetDigest } from './set-digest.js';
 
 /** The part of the published state that has changed. */
@@ -182,6 +183,14 @@
     return this.#routingDigest.value;
   }
 
+  /**
+   * The routing digest of a node that holds the same list except for these entries.
+   * @param contents by id: see {@link routingContent}
+   */
+  routingDigestWith(contents: ReadonlyMap<string, string>): number {
+    return this.#routingDigest.valueWith(contents);
+  }
+
   /**
    * Equal on two nodes that hold the same entries written by operators, except for the configuration, which
    * has a version.
@@ -432,12 +441,6 @@
   return known.partial === true && entry.partial !== true;
 }
 
-/** The parts of a description that routing needs: everything except the loaded adapters. */
-function routingContent(backend: BackendDescription): string {
-  const { service, address, zone, state, slots, models } = backend;
-  return JSON.stringify([service, address, zone, state, slots, models.map((model) => model.name)]);
-}
-
 function withoutAdapters({ revision, value }: Revised<BackendDescription>): Revised<BackendDescription> {
   const models = value.models.map(({ name }) => ({ name, adapters: [] }));
   return { revision, value: { ...value, models }, partial: true };
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -33,6 +33,7 @@
   type NewEra,
 } from './fleet-state.js';
 export { AdapterVersions, type VersionSource } from './adapter-versions.js';
+export { routingContent, type RoutingFields } from './routing-content.js';
 export { VersionGrace, type VersionGraceOptions } from './version-grace.js';
 export { NO_ERA } from './publishing-era.js';
 export type {
--- a/packages/serving/src/set-digest.ts
+++ b/packages/serving/src/set-digest.ts
@@ -16,11 +16,18 @@
     return this.#value;
   }
 
+  /** The value after these entries, by key, are added or replaced. */
+  valueWith(contents: ReadonlyMap<string, string>): number {
+    let value = this.#value;
+    for (const [key, content] of contents)
+      value = (value + hashOf(key, content) - (this.#hashes.get(key) ?? 0) + MODULUS) % MODULUS;
+    return value;
+  }
+
   /** Adds an entry or replaces its content. */
   put(key: string, content: string): void {
     this.delete(key);
-    const hash = createHash('sha1').update(key).update('\0').update(content).digest();
-    const entryHash = hash.readUIntBE(0, HASH_BYTES);
+    const entryHash = hashOf(key, content);
     this.#hashes.set(key, entryHash);
     this.#value = (this.#value + entryHash) % MODULUS;
   }
@@ -32,3 +39,8 @@
     this.#value = (this.#value - entryHash + MODULUS) % MODULUS;
   }
 }
+
+function hashOf(key: string, content: string): number {
+  const hash = createHash('sha1').update(key).update('\0').update(content).digest();
+  return hash.readUIntBE(0, HASH_BYTES);
+}
