A request that ends by a defect gives back all that it holds, and its failure ends nothing else

Cause: timer.cancel() was skipped by an exception, so the exchange stayed until the route's timeout; a backend that was picked before the charge for another run threw was not given back, nor was the replacement of an attempt whose end could not be recorded. A response that could not be made threw again while the first failure was handled, so Exchange.run rejected; the same in the timer of the timeout and at the client's close. Nobody handles these: the process ended.

Change: finally where each thing is taken; what is called from outside (timers, close, stop) ends the request if it throws; a client for whom no response can be made is disconnected. A request that a defect refuses says Retry-After, as it has not run.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -141,7 +141,7 @@
     this.#lastEventId = this.#facts.lastEventId ?? -1;
     this.#sink = new ResponseSink(response, context.isStopping);
     response.on('close', () => {
-      if (!response.writableFinished) this.#onClientLeft();
+      if (!response.writableFinished) this.#endBy(() => this.#onClientLeft());
     });
   }
 
@@ -151,6 +151,8 @@
       await this.#run();
     } catch (cause) {
       this.#failOnDefect(cause);
+    } finally {
+      this.#dropReplacement();
     }
   }
 
@@ -173,9 +175,18 @@
       this.#respond({ kind: 'not-run', reason: 'unknown-service', retryAfterMs: undefined });
       return;
     }
-    const timer = this.#context.clock.setTimer(this.#timeoutMs(route), () => this.#onTimeout());
+    const timeOut = (): void => this.#endBy(() => this.#onTimeout());
+    const timer = this.#context.clock.setTimer(this.#timeoutMs(route), timeOut);
+    try {
+      await this.#readAndServe(route, service, routes.configuration.limits.maxBodyBytes);
+    } finally {
+      timer.cancel();
+    }
+  }
+
+  async #readAndServe(route: HttpRoute, service: BackendService, maxBodyBytes: number): Promise<void> {
     const { bodyMemory } = this.#context;
-    const body = await readBody(this.#request, routes.configuration.limits.maxBodyBytes, bodyMemory);
+    const body = await readBody(this.#request, maxBodyBytes, bodyMemory);
     if (body.isErr()) {
       if (body.error.kind === 'too-large') this.#respond({ kind: 'body-too-large' });
       else if (body.error.kind === 'no-room') this.#refuse('no-room-for-body', RETRY_AFTER_REFUSAL_MS);
@@ -183,7 +194,6 @@
       this.#body = body.value;
       await this.#serve(route, service).finally(() => bodyMemory.release(body.value.length));
     }
-    timer.cancel();
   }
 
   /** Refuses a request that arrives when the node accepts no more: other nodes can serve it at once. */
@@ -196,7 +206,7 @@
    * started: that is cut off when the node closes its connections.
    */
   endAtStop(): void {
-    if (!this.#sink.started) this.#onTimeout();
+    if (!this.#sink.started) this.#endBy(() => this.#onTimeout());
   }
 
   async #serve(route: HttpRoute, service: BackendService): Promise<void> {
@@ -237,25 +247,30 @@
       if (!this.#ended) this.#refuse(picked.reason, picked.retryAfterMs);
       return undefined;
     }
-    if (this.#ended || (lastRun !== undefined && !(await this.#chargeRetryOrEnd(lastRun)))) {
-      picked.finish('cancelled');
-      return undefined;
+    let isUsed = false;
+    try {
+      isUsed = !this.#ended && (lastRun === undefined || (await this.#chargeRetryOrEnd(lastRun)));
+    } finally {
+      if (!isUsed) picked.finish('cancelled');
     }
-    return picked;
+    return isUsed ? picked : undefined;
   }
 
   /** The replacement for which the last attempt was given up, if there is one. */
   #takeReplacement(): Replacement | undefined {
+    if (this.#ended) this.#dropReplacement();
     const replacement = this.#replacement;
     this.#replacement = undefined;
-    if (replacement !== undefined && this.#ended) {
-      releaseReplacement(replacement);
-      return undefined;
-    }
     replacement?.charge.use();
     return replacement;
   }
 
+  #dropReplacement(): void {
+    const replacement = this.#replacement;
+    this.#replacement = undefined;
+    if (replacement !== undefined) this.#guard(() => releaseReplacement(replacement));
+  }
+
   /**
    * Ends a request that is past its timeout although its timer has not fired yet, as happens when the
    * process was blocked or suspended.
@@ -728,12 +743,26 @@
     }
   }
 
-  /** Ends the request after an internal error, with a response if none has started. */
+  /** Does what is called from outside, such as by a timer; a defect in it ends the request. */
+  #endBy(work: () => void): void {
+    try {
+      work();
+    } catch (cause) {
+      this.#failOnDefect(cause);
+    }
+  }
+
+  /** Ends the request after an internal error, with a response if none has started and one can be made. */
   #failOnDefect(cause: unknown): void {
     this.#recordDefect(cause);
     if (this.#ended) return;
     this.#mayHaveRun ||= this.#attempt?.sent === true;
-    this.#refuse('defect', undefined);
+    try {
+      this.#refuse('defect', RETRY_AFTER_REFUSAL_MS);
+    } catch (again) {
+      this.#recordDefect(again);
+      this.#abortResponse('defect');
+    }
     this.#cancelAttempt();
   }
 
