--- a/packages/serving/src/fleet-state.ts
+++ b/packages/serving/src/fleet-state.ts
@@ -53,6 +53,13 @@
 
 type EraListener = (era: NewEra) => void;
 
+/** Called with what a listener has thrown, and with what it was told of. */
+export type ListenerFailure = (error: unknown, subject: string) => void;
+
+const rethrow: ListenerFailure = (error) => {
+  throw error;
+};
+
 /**
  * This node's view of the published state. It never goes back: of two configurations, adapter versions or
  * entries of a backend, the newer one is kept, whatever their source and order of arrival. All revisions
@@ -71,10 +78,18 @@
   readonly #announced = new AnnouncedDepartures();
   readonly #routingDigest = new SetDigest();
   readonly #era = new PublishingEra();
+  readonly #onListenerFailure: ListenerFailure;
   #isListKnown = false;
   #backendsRevision = 0;
   #operatorRevision = 0;
 
+  /**
+   * @param onListenerFailure logs the error; the other listeners are called, and the change itself is applied
+   */
+  constructor(onListenerFailure: ListenerFailure = rethrow) {
+    this.#onListenerFailure = onListenerFailure;
+  }
+
   onChange(listener: ChangeListener): void {
     this.#listeners.push(listener);
   }
@@ -116,7 +131,7 @@
       this.#backends.set(id, { ...entry, revision: 0 });
     }
     this.#departed.beginEra();
-    for (const listener of this.#eraListeners) listener({ from, to });
+    this.#call(this.#eraListeners, { from, to }, 'era');
   }
 
   /**
@@ -428,11 +443,21 @@
   }
 
   #notifyDeparture(departure: Departure): void {
-    for (const listener of this.#departureListeners) listener(departure);
+    this.#call(this.#departureListeners, departure, departure.id);
   }
 
   #notify(change: FleetChange): void {
-    for (const listener of this.#listeners) listener(change);
+    this.#call(this.#listeners, change, change);
+  }
+
+  #call<T>(listeners: readonly ((told: T) => void)[], told: T, subject: string): void {
+    for (const listener of listeners) {
+      try {
+        listener(told);
+      } catch (error) {
+        this.#onListenerFailure(error, subject);
+      }
+    }
   }
 }
 
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -27,6 +27,7 @@
 } from './backend-list-updater.js';
 export {
   FleetState,
+  type ListenerFailure,
   type Departure,
   type DepartureSource,
   type FleetChange,
