Configurations from peers are checked before they are applied

What callers would see: a configuration that a node of another build let through (a service without a name, a text for a limit) is applied by all nodes that fetch it there, and requests, or the listener that applies its limits, fail on it.

Cause: the unpacked JSON and the answers of fleet.configuration-part were cast. A configuration that could not be unpacked was fetched again with each announcement, some every second.

Change: a schema for the configuration and for the answers. A configuration that is not valid is refused as a whole, as with a tenant left out its keys would be refused or its quota lifted; its version is not fetched from that peer again (configuration.unreadable names the field), and other peers are asked. What is valid is used and passed on as it was sent, also entries of lists: fields of later builds would otherwise be lost on their way through a node of this build.

Evidence: configuration-fetcher.test. On the code before, the 3 tests of refused configurations fail (applied); two passed before: an answer that is no part (each counts as none) and fields of later builds are passed on.

--- a/packages/gateway/src/cluster/configuration-fetcher.ts
+++ b/packages/gateway/src/cluster/configuration-fetcher.ts
@@ -1,7 +1,9 @@
 import type { Clock } from '@canvasridge/clock';
 import type { FleetState } from '@canvasridge/serving';
 import type { Telemetry } from '@canvasridge/telemetry';
+import { UnreadLog } from '../peers/unread-log.js';
 import { PART_METHOD, unpack, type PartReply, type PartRequest } from './configuration-parts.js';
+import { partReply } from './configuration-protocol.js';
 import type { PeerCaller } from './peer-caller.js';
 
 export interface ConfigurationFetcherOptions {
@@ -27,6 +29,9 @@
  */
 const OTHER_ZONE_AFTER_MS = 400;
 
+/** Peers of which it is remembered that their configuration could not be read. */
+const MAX_REFUSED = 512;
+
 /** A peer that announced a newer configuration. */
 interface Source {
   readonly address: string;
@@ -49,7 +54,10 @@
  */
 export class ConfigurationFetcher {
   readonly #options: ConfigurationFetcherOptions;
+  readonly #log: UnreadLog;
   #sources: Source[] = [];
+  /** By address: the version that was fetched from this peer and could not be read. It is announced again and again. */
+  readonly #refused = new Map<string, number>();
   #wanted = 0;
   #partial: PartialConfiguration | undefined;
   #running = false;
@@ -59,6 +67,7 @@
 
   constructor(options: ConfigurationFetcherOptions) {
     this.#options = options;
+    this.#log = new UnreadLog(options.telemetry);
   }
 
   stop(): void {
@@ -72,6 +81,7 @@
   offered(version: number, address: string, isSameZone: boolean): void {
     const { clock, fleet } = this.#options;
     if (version <= fleet.configurationVersion || this.#stopped) return;
+    if (this.#refused.get(address) === version) return;
     this.#wanted = Math.max(this.#wanted, version);
     const others = this.#sources.filter((source) => source.address !== address);
     this.#sources = [...others, { address, isSameZone }];
@@ -128,7 +138,11 @@
     };
     const askedMs = clock.now();
     const call = network.to(source.address).call(PART_METHOD, request, this.#timeoutMs);
-    const reply = (await call) as PartReply | undefined;
+    const answer = await call;
+    const reply =
+      answer === undefined
+        ? undefined
+        : this.#log.read(partReply, 'peer.answer-unread', source.address, answer);
     if (reply === undefined) {
       this.#timeoutMs = Math.min(this.#timeoutMs * 2, MAX_TIMEOUT_MS);
       this.#removeSource(source);
@@ -172,10 +186,17 @@
       }
       this.#reject(source, version, 'digest differs');
     } catch (cause) {
+      this.#refuse(source, version);
       this.#reject(source, version, String(cause));
     }
   }
 
+  #refuse({ address }: Source, version: number): void {
+    const [oldest] = this.#refused.keys();
+    if (this.#refused.size >= MAX_REFUSED && oldest !== undefined) this.#refused.delete(oldest);
+    this.#refused.set(address, version);
+  }
+
   #reject(source: Source, version: number, problem: string): void {
     this.#options.telemetry.event('error', 'configuration.unreadable', source.address, { version, problem });
     this.#removeSource(source);
--- a/packages/gateway/src/cluster/configuration-parts.ts
+++ b/packages/gateway/src/cluster/configuration-parts.ts
@@ -1,6 +1,7 @@
 import { createHash } from 'node:crypto';
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import type { FleetState, ServingConfiguration } from '@canvasridge/serving';
+import { configurationProblem } from './configuration-protocol.js';
 
 /** Requests one part of the configuration that a peer holds. */
 export const PART_METHOD = 'fleet.configuration-part';
@@ -100,11 +101,17 @@
   return { version: configuration.version, digest: digestOf(bytes), bytes };
 }
 
-/** Undefined if the bytes do not match the digest. */
+/**
+ * Undefined if the bytes do not match the digest.
+ * @throws if they are no configuration
+ */
 export function unpack({ digest, bytes }: PackedConfiguration): ServingConfiguration | undefined {
   if (digestOf(bytes) !== digest) return undefined;
   const text = inflateRawSync(bytes, { maxOutputLength: MAX_UNPACKED_BYTES }).toString('utf8');
-  return JSON.parse(text) as ServingConfiguration;
+  const configuration: unknown = JSON.parse(text);
+  const refused = configurationProblem(configuration);
+  if (refused !== undefined) throw new TypeError(`${refused.field}: ${refused.problem}`);
+  return configuration as ServingConfiguration;
 }
 
 function digestOf(bytes: Buffer): string {
--- a/packages/gateway/src/cluster/peer-lists.ts
+++ b/packages/gateway/src/cluster/peer-lists.ts
@@ -43,8 +43,9 @@
     const unread = new Map<string, string>();
     const valid: Revised<BackendDescription>[] = [];
     for (const entry of entries) {
-      const { data, error } = revisedBackend.safeParse(entry);
-      if (data !== undefined) valid.push(withoutAbsent(data));
+      const { error } = revisedBackend.safeParse(entry);
+      // Kept as it was sent: fields of later builds are passed on to nodes that may know them.
+      if (error === undefined) valid.push(entry as Revised<BackendDescription>);
       else this.#leaveOut(entry, error, unread);
     }
     this.#remember(address, unread);
@@ -72,15 +73,6 @@
   }
 }
 
-/** Absent fields are left out, rather than passed on as undefined. */
-function withoutAbsent({
-  revision,
-  value,
-  partial,
-}: z.infer<typeof revisedBackend>): Revised<BackendDescription> {
-  return { revision, value, ...(partial === undefined ? {} : { partial }) };
-}
-
 function isSame(a: UnreadContents, b: UnreadContents): boolean {
   return a.size === b.size && [...a].every(([id, content]) => b.get(id) === content);
 }
--- a/packages/gateway/src/cluster/published-protocol.ts
+++ b/packages/gateway/src/cluster/published-protocol.ts
@@ -20,11 +20,8 @@
   routingDigest: digest,
 });
 
-const adapterVersion: z.ZodType<AdapterVersion> = z.object({
-  model: z.string(),
-  adapter: z.string(),
-  version: z.number(),
-});
+/** By hand, as there are tens of thousands, and kept as sent: fields of later builds are passed on. */
+const adapterVersion = z.custom<AdapterVersion>(isAdapterVersion, 'expected model, adapter and version');
 
 /** Entries of a list of backends are read one by one, so that one that is not valid leaves the others usable. */
 const entries = z.array(z.unknown());
@@ -92,3 +89,9 @@
     })
     .optional(),
 });
+
+function isAdapterVersion(value: unknown): boolean {
+  if (typeof value !== 'object' || value === null) return false;
+  const { model, adapter, version } = value as Readonly<Record<string, unknown>>;
+  return typeof model === 'string' && typeof adapter === 'string' && typeof version === 'number';
+}
--- a/packages/gateway/src/peers/unread-log.ts
+++ b/packages/gateway/src/peers/unread-log.ts
@@ -33,8 +33,10 @@
   }
 }
 
-/** Path and problem of the first field that a schema refused. */
-export function firstProblem({ issues: [issue] }: z.ZodError): { field: string; problem: string } {
+/** Why a value is not valid: path and problem of the first field. */
+export type FieldProblem = Readonly<Record<'field' | 'problem', string>>;
+
+export function firstProblem({ issues: [issue] }: z.ZodError): FieldProblem {
   return { field: issue?.path.map(String).join('.') ?? '', problem: issue?.message ?? '' };
 }
 
--- a/packages/gateway/test/configuration-fetcher.test.ts
+++ b/packages/gateway/test/configuration-fetcher.test.ts
@@ -1,3 +1,5 @@
+import { createHash } from 'node:crypto';
+import { deflateRawSync } from 'node:zlib';
 import { VirtualClock } from '@canvasridge/clock';
 import { FleetState, type ServingConfiguration } from '@canvasridge/serving';
 import { Telemetry } from '@canvasridge/telemetry';
@@ -140,3 +142,66 @@
   t.is(parts.answer(request, { forPeer: 0, forAll: 100_000_000 }).kind, 'busy');
   t.is(parts.answer({ above: 2, offset: 0 }, NO_WAITING).kind, 'none');
 });
+
+/** A peer whose configuration has a service that an earlier build let through. */
+const SPOILED_PEERS = {
+  'a text for a limit': { ...configuration({}, undefined, 2), limits: { maxHeaderBytes: '8192' } },
+  'a service without a name': { ...configuration({}, undefined, 2), services: [{ maxConnections: 4 }] },
+  'a list for the whole': [],
+};
+
+for (const [what, spoiled] of Object.entries(SPOILED_PEERS)) {
+  // Guards against routes that are cast from a peer's message and end requests, and against a fetch with each announcement.
+  test(`a configuration with ${what} is refused, and not fetched again from that peer`, async (t) => {
+    const node = new FetchingNode();
+    node.peers.set('near', packedPeer(spoiled));
+    for (let second = 1; second <= 60; second += 1) {
+      node.fetcher.offered(2, 'near', true);
+      await node.clock.runUntil(second * 1000);
+    }
+    t.is(node.own.configurationVersion, 0);
+    t.is(node.asked.length, 1);
+    node.peers.set('far', holderOf(configuration({}, undefined, 2)));
+    node.fetcher.offered(2, 'far', true);
+    await node.clock.runUntil(70_000);
+    t.is(node.own.configurationVersion, 2);
+  });
+}
+
+function packedPeer(value: unknown): Peer {
+  const bytes = deflateRawSync(JSON.stringify(value));
+  const digest = createHash('sha1').update(bytes).digest('base64');
+  return () => ({
+    kind: 'part',
+    version: 2,
+    digest,
+    totalBytes: bytes.length,
+    offset: 0,
+    data: bytes.toString('base64'),
+  });
+}
+
+// Guards against an answer of another form that ends the fetch for good, so that no later version arrives.
+test('an answer that is no part counts as none', async (t) => {
+  const node = new FetchingNode();
+  const spoiled = [null, 7, {}, { kind: 'part' }, { kind: 'part', version: 2, digest: 1, offset: 'x' }];
+  for (const reply of spoiled) {
+    node.peers.set('near', () => reply as unknown as PartReply);
+    node.fetcher.offered(2, 'near', true);
+    await node.clock.runUntil(node.clock.now() + 1000);
+  }
+  node.peers.set('near', holderOf(configuration({}, undefined, 2)));
+  node.fetcher.offered(2, 'near', true);
+  await node.clock.runUntil(node.clock.now() + 1000);
+  t.is(node.own.configurationVersion, 2);
+});
+
+// Guards against fields of a later build that are lost on their way through a node of this one.
+test('fields of later builds are passed on', async (t) => {
+  const node = new FetchingNode();
+  const later = { ...configuration({}, undefined, 2), later: 1 };
+  node.peers.set('near', holderOf(later));
+  node.fetcher.offered(2, 'near', true);
+  await node.clock.runUntil(1000);
+  t.like(node.own.routes?.configuration, { version: 2, later: 1 });
+});
