Grants, and calls for slots and published state, are checked where they arrive

A spoiled call (a request without an id, a time that is a text) sets the leader's pool to work with undefined and NaN.

Cause: params of slots.*, fleet.* and the replies of leaders were cast.

Change: schemas beside the types in slot-protocol; PeerParams checks the params of a method before it is called and answers others with InvalidParams, which callers take for no answer (peer.params-unread, once for each method and field). A reply or decision of another form counts as none (peer.answer-unread), and the leader is told that the request needs no slot, as it may have granted one. What may differ between builds must not keep a slot: a release with an unknown outcome counts as cancelled, a refusal for an unknown reason as one for want of a slot. Numbers are bounded by what timers accept. No message that is sent changes.

Evidence: remote-slots.test, 3 new tests that fail on the code before (the spoiled grant is used). recorded-messages and 13 test files of slots, leaders and grants pass.

Test changes: two tests of fields of other builds in releases called the handler with what the schema now refuses before it; they pass the same values through the schema. What is asserted is the same. A fake leader's `call` is a field, so that a test can replace it.

--- a/packages/gateway/src/cluster/published-state.ts
+++ b/packages/gateway/src/cluster/published-state.ts
@@ -4,6 +4,7 @@
 import type { GatewayMetrics } from '../gateway-metrics.js';
 import type { PeerConnection, PeerMethods } from '../peers/peer-connection.js';
 import type { PeerNetwork } from '../peers/peer-network.js';
+import type { PeerParams } from '../peers/peer-params.js';
 import type { ConfigurationLease } from '../request/caller-identity.js';
 import type { Cluster } from './cluster.js';
 import { ConfigurationFetcher } from './configuration-fetcher.js';
@@ -15,6 +16,7 @@
   type PartRequest,
   type WaitingBytes,
 } from './configuration-parts.js';
+import { partRequest } from './configuration-protocol.js';
 import { departureBudget, type DepartureBudget } from './departure-budget.js';
 import { expectedAgeMs, type KeyLease } from './key-lease.js';
 import {
@@ -24,6 +26,7 @@
   type ConfigurationBounds,
   type OperatorPace,
 } from './operator-pace.js';
+import { knownState } from './published-protocol.js';
 import {
   SNAPSHOT_METHOD,
   StateExchange,
@@ -53,11 +56,15 @@
 }
 
 /** Methods by which other nodes read this node's published state. */
-export function publishedMethods(state: () => PublishedState): PeerMethods {
+export function publishedMethods(state: () => PublishedState, read: PeerParams): PeerMethods {
   return {
-    [SNAPSHOT_METHOD]: (params, peer) => state().answerSnapshot(params as SnapshotRequest, peer),
-    [FOLLOW_METHOD]: (params, peer) => state().answerFollower(params as FollowRequest, peer),
-    [PART_METHOD]: (params, peer) => state().answerPart(params as PartRequest, peer),
+    [SNAPSHOT_METHOD]: read.checked(SNAPSHOT_METHOD, knownState, (params, peer) =>
+      state().answerSnapshot(params, peer),
+    ),
+    [FOLLOW_METHOD]: read.checked(FOLLOW_METHOD, knownState, (params, peer) =>
+      state().answerFollower(params, peer),
+    ),
+    [PART_METHOD]: read.checked(PART_METHOD, partRequest, (params, peer) => state().answerPart(params, peer)),
   };
 }
 
--- a/packages/gateway/src/cluster/remote-slots.ts
+++ b/packages/gateway/src/cluster/remote-slots.ts
@@ -1,9 +1,13 @@
 import type { Clock, Timer } from '@canvasridge/clock';
 import type { PoolRequest, SlotDecision } from '@canvasridge/slots';
+import type * as z from 'zod';
+import type { UnreadLog } from '../peers/unread-log.js';
 import {
   ACQUIRE_METHOD,
   CANCEL_METHOD,
+  acquireReply,
   cancelledDecision,
+  slotDecision,
   type AcquireParams,
   type AcquireReply,
 } from './slot-protocol.js';
@@ -43,6 +47,8 @@
   readonly pool: string;
   readonly address: string;
   readonly cancel: () => void;
+  /** Tells the leader that the request needs no slot any more, though its client waits. */
+  readonly withdraw: () => void;
   readonly finish: (decision: SlotDecision | undefined) => void;
 }
 
@@ -59,8 +65,11 @@
   /** By address of a leader of plain backends: until when it is not asked, as it did not answer. */
   readonly #silentUntilMs = new Map<string, number>();
 
+  readonly #log: UnreadLog | undefined;
+
   /** @param onSilent called with the address of a leader that sent nothing after a request */
-  constructor(clock: Clock, network: LeaderNetwork, onSilent: (address: string) => void) {
+  constructor(clock: Clock, network: LeaderNetwork, onSilent: (address: string) => void, log?: UnreadLog) {
+    this.#log = log;
     this.#onSilent = onSilent;
     this.#clock = clock;
     this.#network = network;
@@ -79,9 +88,10 @@
     const decided = this.#awaitDecision(address, peer, pool, request, cancelled);
     const params: AcquireParams = { pool, request };
     const watch = this.#watchSilence(address, peer);
-    const reply = (await peer.call(ACQUIRE_METHOD, params, ACKNOWLEDGE_TIMEOUT_MS)) as
-      AcquireReply | undefined;
+    const answer = await peer.call(ACQUIRE_METHOD, params, ACKNOWLEDGE_TIMEOUT_MS);
     watch.cancel();
+    const reply = this.#read(acquireReply, address, answer);
+    if (answer !== undefined && reply === undefined) withdraw(peer, pool, request.id);
     if (reply?.kind === 'queued') return decided;
     const decision = reply?.kind === 'not-leader' ? cancelledDecision(request.id) : reply?.decision;
     this.#queued.get(request.id)?.finish(decision);
@@ -109,7 +119,8 @@
     for (;;) {
       const aged = { ...request, ageMs: request.ageMs + this.#clock.now() - askedMs };
       const params: AcquireParams = { pool, request: aged };
-      const reply = (await peer.call(ACQUIRE_METHOD, params, answerWithinMs)) as AcquireReply | undefined;
+      const answer = await peer.call(ACQUIRE_METHOD, params, answerWithinMs);
+      const reply = this.#read(acquireReply, address, answer);
       if (reply === undefined) this.#silentUntilMs.set(address, this.#clock.now() + ASK_AGAIN_AFTER_MS);
       else this.#silentUntilMs.delete(address);
       const queued = this.#queued.get(request.id);
@@ -133,9 +144,25 @@
     }
   }
 
-  /** Handles a decision of the leader about a request that was queued there. */
-  onDecided(decision: SlotDecision): void {
-    this.#queued.get(decision.requestId)?.finish(decision);
+  /**
+   * Handles a decision of the leader about a request that was queued there. One that is not valid counts as none, and the
+   * leader is told, as it may have granted a slot.
+   */
+  onDecided(params: unknown): void {
+    const requestId = (params as { readonly requestId?: unknown } | null | undefined)?.requestId;
+    const queued = typeof requestId === 'string' ? this.#queued.get(requestId) : undefined;
+    if (queued === undefined) return;
+    const decision = this.#read(slotDecision, queued.address, params);
+    if (decision === undefined) queued.withdraw();
+    queued.finish(decision);
+  }
+
+  /** Undefined without an answer, and for one that is not valid, which is logged. */
+  #read<T>(schema: z.ZodType<T>, address: string, answer: unknown): T | undefined {
+    if (answer === undefined) return undefined;
+    return this.#log === undefined
+      ? schema.safeParse(answer).data
+      : this.#log.read(schema, 'peer.answer-unread', address, answer);
   }
 
   /**
@@ -186,11 +213,15 @@
       const timer = this.#clock.setTimer(limitMs, () => finish(undefined));
       const removeCloseListener = peer.onClosed(() => finish(cancelledDecision(id)));
       cancelled.addEventListener('abort', cancel, { once: true });
-      this.#queued.set(id, { pool, address, cancel, finish });
+      this.#queued.set(id, { pool, address, cancel, finish, withdraw: () => withdraw(peer, pool, id) });
     });
   }
 }
 
+function withdraw(peer: LeaderConnection, pool: string, requestId: string): void {
+  peer.notify(CANCEL_METHOD, { pool, requestId, outcome: 'cancelled', isWithdrawn: true });
+}
+
 /** Whether a leader that gave this answer may still grant the request, or has granted it. */
 function mayHold(reply: AcquireReply | undefined): boolean {
   if (reply?.kind === 'decided') return reply.decision.kind === 'granted';
--- a/packages/gateway/src/cluster/slot-answers.ts
+++ b/packages/gateway/src/cluster/slot-answers.ts
@@ -7,10 +7,9 @@
 import type { PoolEntry } from './pool-entry.js';
 import {
   DECIDED_METHOD,
-  rateLimitParams,
-  streamProgress,
   type AcquireParams,
   type AcquireReply,
+  type RateLimitParams,
   type ReleaseParams,
   type StartedParams,
   type UsesParams,
@@ -97,21 +96,16 @@
     if (others.length > 0 && others.every(({ id }) => reportedMembers.has(id))) pool?.handleAllUsesReported();
   }
 
-  onRateLimit(params: unknown): void {
-    const { data } = rateLimitParams.safeParse(params);
-    const entry = data === undefined ? undefined : this.#pools.get(data.pool);
-    if (data === undefined || entry?.leading !== true) return;
-    const { backendId, perSecond } = data;
+  onRateLimit({ pool, backendId, perSecond }: RateLimitParams): void {
+    const entry = this.#pools.get(pool);
+    if (entry?.leading !== true) return;
     entry.engines?.setRateLimit(backendId, perSecond === null ? undefined : rateLimitRule(perSecond));
   }
 
   onRelease(params: ReleaseParams, peer: PeerConnection): void {
-    if (typeof params.leaving === 'string')
-      this.#options.fleet.recordAnnouncedShutdown(params.leaving, 'peer');
+    if (params.leaving !== undefined) this.#options.fleet.recordAnnouncedShutdown(params.leaving, 'peer');
     this.#peerUses.forget(peer, params.requestId);
-    this.#pools
-      .get(params.pool)
-      ?.pool?.release(params.requestId, params.outcome, streamProgress.safeParse(params.progress).data);
+    this.#pools.get(params.pool)?.pool?.release(params.requestId, params.outcome, params.progress);
   }
 
   /**
--- a/packages/gateway/src/cluster/slot-requester.ts
+++ b/packages/gateway/src/cluster/slot-requester.ts
@@ -1,5 +1,6 @@
 import { Notifier, type Clock } from '@canvasridge/clock';
 import type { FleetState } from '@canvasridge/serving';
+import type { Telemetry } from '@canvasridge/telemetry';
 import type {
   DisabledMechanisms,
   GrantingPool,
@@ -14,6 +15,7 @@
 import type { RejectionLimits } from '../backends/rejection-limits.js';
 import type { PlainSlotSource } from '../backends/granted-backend-picker.js';
 import type { SlotSource } from '../backends/slot-picker.js';
+import { UnreadLog } from '../peers/unread-log.js';
 import type { Cluster } from './cluster.js';
 import { OwnUses } from './own-uses.js';
 import type { PoolEntry } from './pool-entry.js';
@@ -54,6 +56,7 @@
   readonly network: LeaderNetwork;
   readonly rateLimits: Pick<BackendRateLimits, 'perSecond' | 'all'>;
   readonly rejectionLimits: Pick<RejectionLimits, 'perSecond'>;
+  readonly telemetry?: Telemetry;
   /** Mechanisms of the scheduling policy that are disabled. */
   readonly switchedOff: DisabledMechanisms;
   /** By the pool's name. */
@@ -74,8 +77,11 @@
 
   constructor(options: SlotRequesterOptions) {
     this.#options = options;
-    this.#remoteSlots = new RemoteSlots(options.clock, options.network, (address) =>
-      options.cluster.checkPeer(address),
+    this.#remoteSlots = new RemoteSlots(
+      options.clock,
+      options.network,
+      (address) => options.cluster.checkPeer(address),
+      options.telemetry === undefined ? undefined : new UnreadLog(options.telemetry),
     );
     this.#uses = new OwnUses(options.clock);
     this.#rateLimitReporter = new RateLimitReporter({
@@ -305,8 +311,8 @@
   }
 
   /** Handles the decision of another leader about a request that was queued there. */
-  onDecided(decision: SlotDecision): void {
-    this.#remoteSlots.onDecided(decision);
+  onDecided(params: unknown): void {
+    this.#remoteSlots.onDecided(params);
   }
 }
 
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -33,10 +33,11 @@
   RELEASE_METHOD,
   STARTED_METHOD,
   USES_METHOD,
-  type AcquireParams,
-  type ReleaseParams,
-  type StartedParams,
-  type UsesParams,
+  acquireParams,
+  rateLimitParams,
+  releaseParams,
+  startedParams,
+  usesParams,
 } from './cluster/slot-protocol.js';
 import { SlotService } from './cluster/slot-service.js';
 import { holderNumber } from './cluster/holder-number.js';
@@ -69,6 +70,7 @@
 import { GatewayMetrics } from './gateway-metrics.js';
 import { PeerNetwork } from './peers/peer-network.js';
 import type { PeerMethods } from './peers/peer-connection.js';
+import { PeerParams } from './peers/peer-params.js';
 import { BodyMemoryBudget } from './request/body-memory-budget.js';
 import { Exchange } from './request/exchange.js';
 import type { ExchangeContext } from './request/exchange-context.js';
@@ -82,7 +84,6 @@
 import { ServiceVersions } from './streams/service-versions.js';
 import { BEGAN_METHOD, FIND_METHOD } from './streams/stream-version-protocol.js';
 import { StreamVersions } from './streams/stream-versions.js';
-import type { SlotDecision } from '@canvasridge/slots';
 
 /**
  * Share of the stop grace period in which new requests are still accepted, as callers learn of the stop
@@ -154,7 +155,7 @@
     const processToken = prefix + randomBytes(PROCESS_TOKEN_BYTES).toString('hex');
     const random = new Random(hashSeed(processToken));
     this.#network = new PeerNetwork(
-      this.#peerMethods(),
+      this.#peerMethods(new PeerParams(telemetry)),
       (peer) => this.#slots.answers.onPeerClosed(peer),
       (address) => this.#cluster.peerRefused(address),
       (socket) => this.#relayServer.accept(socket),
@@ -438,9 +439,9 @@
     void exchange.run().finally(() => this.#exchanges.delete(exchange));
   }
 
-  #peerMethods(): PeerMethods {
+  #peerMethods(read: PeerParams): PeerMethods {
     return {
-      ...publishedMethods(() => this.published),
+      ...publishedMethods(() => this.published, read),
       [INTERRUPTED_METHOD]: (params) => this.#quarantine.answer(params as InterruptedParams),
       [COMPLETED_METHOD]: (params) => this.#quarantine.answerEndedWell(params as EndedWellParams),
       [ENDED_WELL_METHOD]: (params) => this.#quarantine.answerEndedWell(params as EndedWellParams),
@@ -454,14 +455,26 @@
         const read = readRateBorrow(params);
         return read === undefined ? null : this.#backendRates.answer(read);
       },
-      [ACQUIRE_METHOD]: (params, peer) => this.#slots.answers.onAcquire(params as AcquireParams, peer),
-      [CANCEL_METHOD]: (params, peer) => this.#slots.answers.onCancel(params as ReleaseParams, peer),
-      [STARTED_METHOD]: (params) => this.#slots.answers.onStarted(params as StartedParams),
-      [USES_METHOD]: (params, peer) => this.#slots.answers.onUses(params as UsesParams, peer),
-      [RELEASE_METHOD]: (params, peer) => this.#slots.answers.onRelease(params as ReleaseParams, peer),
-      [RATE_LIMIT_METHOD]: (params) => this.#slots.answers.onRateLimit(params),
+      [ACQUIRE_METHOD]: read.checked(ACQUIRE_METHOD, acquireParams, (params, peer) =>
+        this.#slots.answers.onAcquire(params, peer),
+      ),
+      [CANCEL_METHOD]: read.checked(CANCEL_METHOD, releaseParams, (params, peer) =>
+        this.#slots.answers.onCancel(params, peer),
+      ),
+      [STARTED_METHOD]: read.checked(STARTED_METHOD, startedParams, (params) =>
+        this.#slots.answers.onStarted(params),
+      ),
+      [USES_METHOD]: read.checked(USES_METHOD, usesParams, (params, peer) =>
+        this.#slots.answers.onUses(params, peer),
+      ),
+      [RELEASE_METHOD]: read.checked(RELEASE_METHOD, releaseParams, (params, peer) =>
+        this.#slots.answers.onRelease(params, peer),
+      ),
+      [RATE_LIMIT_METHOD]: read.checked(RATE_LIMIT_METHOD, rateLimitParams, (params) =>
+        this.#slots.answers.onRateLimit(params),
+      ),
       [REACHES_METHOD]: (params) => this.#access.answerReaches(params),
-      [DECIDED_METHOD]: (params) => this.#slots.requester.onDecided(params as SlotDecision),
+      [DECIDED_METHOD]: (params) => this.#slots.requester.onDecided(params),
     };
   }
 
--- a/packages/gateway/test/leaving-in-release.test.ts
+++ b/packages/gateway/test/leaving-in-release.test.ts
@@ -3,7 +3,7 @@
 import { FleetState } from '@canvasridge/serving';
 import test from 'ava';
 import { SlotAnswers } from '../src/cluster/slot-answers.js';
-import type { ReleaseParams } from '../src/cluster/slot-protocol.js';
+import { releaseParams } from '../src/cluster/slot-protocol.js';
 import type { Cluster } from '../src/cluster/cluster.js';
 import type { PeerConnection } from '../src/peers/peer-connection.js';
 
@@ -22,7 +22,7 @@
     models: [],
   });
   const answers = new SlotAnswers({ fleet, cluster: {} as Cluster, pools: new Map() });
-  answers.onRelease({ ...RELEASE, ...extra } as ReleaseParams, PEER);
+  answers.onRelease(releaseParams.parse({ ...RELEASE, ...extra }), PEER);
   return fleet;
 }
 
--- a/packages/gateway/test/progress-in-release.test.ts
+++ b/packages/gateway/test/progress-in-release.test.ts
@@ -5,7 +5,7 @@
 import type { Cluster } from '../src/cluster/cluster.js';
 import type { PoolEntry } from '../src/cluster/pool-entry.js';
 import { SlotAnswers } from '../src/cluster/slot-answers.js';
-import type { ReleaseParams } from '../src/cluster/slot-protocol.js';
+import { releaseParams } from '../src/cluster/slot-protocol.js';
 import type { PeerConnection } from '../src/peers/peer-connection.js';
 
 const RELEASE = { pool: 'llm', requestId: 'r1', outcome: 'served' };
@@ -18,7 +18,7 @@
   } as unknown as SlotPool;
   const pools = new Map([['llm', { pool, leading: true } as unknown as PoolEntry]]);
   const answers = new SlotAnswers({ fleet: new FleetState(), cluster: {} as Cluster, pools });
-  answers.onRelease({ ...RELEASE, ...extra } as ReleaseParams, {} as PeerConnection);
+  answers.onRelease(releaseParams.parse({ ...RELEASE, ...extra }), {} as PeerConnection);
   return calls;
 }
 
--- a/packages/gateway/test/remote-slots.test.ts
+++ b/packages/gateway/test/remote-slots.test.ts
@@ -1,8 +1,11 @@
 import { socketAddress } from '@canvasridge/addresses';
 import { VirtualClock } from '@canvasridge/clock';
 import type { SlotDecision, SlotRequest } from '@canvasridge/slots';
+import { EventLogger, Telemetry } from '@canvasridge/telemetry';
 import test from 'ava';
+import { CANCEL_METHOD } from '../src/cluster/slot-protocol.js';
 import { RemoteSlots, type LeaderConnection } from '../src/index.js';
+import { UnreadLog } from '../src/peers/unread-log.js';
 
 const LEADER = '10.0.0.1:1';
 
@@ -13,9 +16,8 @@
   answers = true;
   readonly #listeners = new Set<() => void>();
 
-  call(): Promise<unknown> {
-    return this.answers ? Promise.resolve({ kind: 'queued' }) : new Promise(() => undefined);
-  }
+  call = (): Promise<unknown> =>
+    this.answers ? Promise.resolve({ kind: 'queued' }) : new Promise(() => undefined);
 
   notify(method: string): void {
     this.notified.push(method);
@@ -118,3 +120,51 @@
     t.is(dropped.length, drops);
   });
 }
+
+/** Grants and answers of another form, as a node of another build may send them. */
+const SPOILED_GRANT = { kind: 'granted', requestId: 'r1', backendId: 'e1', address: '127.0.0.1:70000' };
+const SPOILED_ANSWERS: readonly unknown[] = [
+  { kind: 'decided', decision: SPOILED_GRANT },
+  { kind: 'decided', decision: { ...SPOILED_GRANT, address: '10.0.0.1:1', ratePerSecond: 'x' } },
+  { kind: 'decided' },
+  { kind: 'later' },
+  null,
+  7,
+];
+
+for (const way of ['acquire', 'acquireUnlessSilent'] as const) {
+  // Guards against an address of an earlier build that ends the request, and against a slot that nobody gives back.
+  test(`an answer of another form to ${way} counts as none, and its slot is given back`, async (t) => {
+    for (const answer of SPOILED_ANSWERS) {
+      const clock = new VirtualClock();
+      const leader = new QueueingLeader();
+      leader.call = () => Promise.resolve(answer);
+      const lines: string[] = [];
+      const logger = new EventLogger('test', 'info', (line) => lines.push(line));
+      const log = new UnreadLog(new Telemetry({ processName: 'test', clock, logger }));
+      const network = { to: () => leader, drop: () => undefined };
+      const slots = new RemoteSlots(clock, network, () => undefined, log);
+      const { signal } = new AbortController();
+      const asked =
+        way === 'acquire'
+          ? slots.acquire(LEADER, 'llm', REQUEST, signal)
+          : slots.acquireUnlessSilent(LEADER, 'llm', REQUEST, signal, 100);
+      await clock.runUntil(10);
+      t.is(await asked, undefined);
+      t.deepEqual(leader.notified, [CANCEL_METHOD], JSON.stringify(answer));
+      t.is(lines.filter((line) => line.includes('peer.answer-unread')).length, 1);
+    }
+  });
+}
+
+// Guards against the same in the decision on a queued request.
+test('a decision of another form counts as none, and its slot is given back', async (t) => {
+  for (const spoiled of [SPOILED_GRANT, { requestId: 'r1' }]) {
+    const { leader, slots, decisions, settle } = await ask();
+    slots.onDecided(spoiled);
+    await settle();
+    t.deepEqual([decisions, leader.notified], [[undefined], [CANCEL_METHOD]]);
+    for (const nobodys of [null, 7, [], {}, { requestId: {} }, { requestId: 'r2' }])
+      t.notThrows(() => slots.onDecided(nobodys));
+  }
+});
