Loads, leases and questions to engines go on after an error in one of them

Callers would have lost all streams of the node that leads a pool, had one report or order to an engine failed by an error.

Cause: these tasks were started with `void`. A question to an engine that failed was also never followed by another, and a model load that failed left its engine busy for ever.

Change: keepRunning for leases, runInBackground for the others. After an error in a load the lease settles, as the engine may have got the order. AnswerCheck and ModelLoader leave nothing marked as under way.

--- a/packages/slots/src/adapter-loader.ts
+++ b/packages/slots/src/adapter-loader.ts
@@ -96,6 +96,16 @@
 
   /** Loads an adapter, after evicting another one if necessary. Its slot is reserved before the first order is sent. */
   async load(entry: EngineEntry, placement: LoadPlacement, model: string, adapter: string): Promise<void> {
+    try {
+      await this.#load(entry, placement, model, adapter);
+    } catch (cause) {
+      // Whether the engine got the order is not known; its next report shows what it holds.
+      entry.lease.settle();
+      throw cause;
+    }
+  }
+
+  async #load(entry: EngineEntry, placement: LoadPlacement, model: string, adapter: string): Promise<void> {
     const { slots, lease } = entry;
     const { victim, warm } = placement;
     const { clock, memory, adapterVersion } = this.#options;
--- a/packages/slots/src/answer-check.ts
+++ b/packages/slots/src/answer-check.ts
@@ -1,11 +1,12 @@
 import type { Clock } from '@canvasridge/clock';
+import { runInBackground, type Telemetry } from '@canvasridge/telemetry';
 
 export interface AnswerCheckOptions {
   readonly clock: Clock;
   /** Calls back after a delay, unless the pool is closed by then. */
   readonly after: (delayMs: number, action: () => void) => void;
   /**
-   * Asks the engine for a report, and another engine if it does not answer; never rejects. Resolves to whether it
+   * Asks the engine for a report, and another engine if it does not answer. Resolves to whether it
    * answered, or to undefined if neither did: then this node may be the one that is cut off.
    */
   readonly ask: () => Promise<boolean | undefined>;
@@ -13,6 +14,7 @@
   readonly isListed: () => boolean;
   /** Called when `isAnswering` has changed. */
   readonly onChange: (isAnswering: boolean) => void;
+  readonly telemetry: Pick<Telemetry, 'event'>;
 }
 
 /** Pause between two questions while the engine does not answer. */
@@ -58,7 +60,7 @@
     this.#failedMs = nowMs;
     if (this.#isAsking || nowMs - this.#answeredQuestionMs < ANSWER_VALID_MS) return;
     this.#isAsking = true;
-    void this.#ask();
+    this.#startAsking();
   }
 
   /** Call it when the engine has answered a request. */
@@ -67,19 +69,32 @@
     this.#set(true);
   }
 
-  async #ask(): Promise<void> {
-    const { clock, after, ask, isListed } = this.#options;
+  #startAsking(): void {
+    runInBackground(this.#options.telemetry, 'answer-check', async () => {
+      let mustAskAgain = false;
+      try {
+        mustAskAgain = await this.#ask();
+      } finally {
+        if (!mustAskAgain) this.#end();
+      }
+      if (mustAskAgain) this.#options.after(POLL_MS, () => this.#startAsking());
+    });
+  }
+
+  /** Resolves to whether the engine has to be asked again. */
+  async #ask(): Promise<boolean> {
+    const { clock, ask, isListed } = this.#options;
     const askedMs = clock.now();
     const isAnswered = await ask();
     if (isAnswered === true) this.#answeredQuestionMs = askedMs;
     this.#set(isAnswered !== false || this.#answeredRequestMs >= askedMs);
     const isOverdue = clock.now() - this.#failedMs >= MAX_WITHHELD_MS;
-    if (this.#isAnswering || isOverdue || !isListed()) {
-      this.#isAsking = false;
-      this.#set(true);
-      return;
-    }
-    after(POLL_MS, () => void this.#ask());
+    return !this.#isAnswering && !isOverdue && isListed();
+  }
+
+  #end(): void {
+    this.#isAsking = false;
+    this.#set(true);
   }
 
   #set(isAnswering: boolean): void {
--- a/packages/slots/src/engine-registry.ts
+++ b/packages/slots/src/engine-registry.ts
@@ -171,6 +171,7 @@
       clock,
       after,
       isListed,
+      telemetry: lease.telemetry,
       ask: () => this.#askForAnswer(slots.backend),
       onChange: (isAnswering) => {
         const event = isAnswering ? 'engine.answers' : 'engine.unanswering';
--- a/packages/slots/src/load-starter.ts
+++ b/packages/slots/src/load-starter.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@canvasridge/clock';
 import { adapterKey } from '@canvasridge/serving';
+import { runInBackground, type Telemetry } from '@canvasridge/telemetry';
 import type { AdapterPopularity } from './adapter-popularity.js';
 import type { AdapterLoader } from './adapter-loader.js';
 import type { EngineCosts } from './engine-costs.js';
@@ -35,6 +36,7 @@
   readonly isBackingOff: (backendId: string) => boolean;
   readonly costs: EngineCosts;
   readonly disabled: DisabledMechanisms;
+  readonly telemetry: Pick<Telemetry, 'event'>;
 }
 
 /** Orders loads of adapters for waiting requests if an engine can load one and the load is worthwhile. */
@@ -50,7 +52,7 @@
    * @param maxCostMs cost of the best engine that has the adapter; a load must cost less than that
    */
   start(waiting: WaitingRequest, index: PoolIndex, maxCostMs: number, purpose: LoadPurpose): WaitObstacle {
-    const { engines, adapters, memory, adapterPopularity: popularity, costs } = this.#options;
+    const { engines, adapters, memory, adapterPopularity: popularity, costs, telemetry } = this.#options;
     const { model, adapter } = waiting.request;
     if (adapter === undefined || index.loadTargets.length === 0) return 'no-room';
     const candidates = preferUnlimited(
@@ -71,7 +73,7 @@
       return loadRequest.mayFetch ? 'too-late' : 'fetch-limit';
     entry.slots.lastChosenMs = loadRequest.nowMs;
     index.loadStarted(loadRequest.key, entry, !placement.warm);
-    void adapters.load(entry, placement, model, adapter);
+    runInBackground(telemetry, 'adapter-load', () => adapters.load(entry, placement, model, adapter));
     return 'loading';
   }
 
--- a/packages/slots/src/model-loader.ts
+++ b/packages/slots/src/model-loader.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@canvasridge/clock';
 import type { EngineProfile } from '@canvasridge/serving';
+import { runInBackground, type Telemetry } from '@canvasridge/telemetry';
 import type { EngineEntry } from './engine-entry.js';
 import type { EngineSlots } from './engine-slots.js';
 import type { OrderLease } from './order-lease.js';
@@ -14,6 +15,7 @@
   readonly after: (delayMs: number, action: () => void) => void;
   /** Called when an engine's state changed, so that waiting requests may be served now. */
   readonly onChange: () => void;
+  readonly telemetry: Pick<Telemetry, 'event'>;
 }
 
 /** Loads base models on engines that hold none, for example after a restart. */
@@ -39,9 +41,11 @@
       const model = this.#scarcestModel(slots.profile);
       if (model === undefined || !this.#budget.take()) continue;
       slots.busy = true;
-      void lease
-        .order({ action: 'load', model, adapter: undefined })
-        .then(() => this.pollUntilIdle(slots, lease));
+      runInBackground(this.#options.telemetry, 'model-load', () =>
+        lease
+          .order({ action: 'load', model, adapter: undefined })
+          .finally(() => this.pollUntilIdle(slots, lease)),
+      );
     }
   }
 
--- a/packages/slots/src/order-lease.ts
+++ b/packages/slots/src/order-lease.ts
@@ -1,6 +1,6 @@
 import { Notifier, type Clock } from '@canvasridge/clock';
 import type { BackendDescription } from '@canvasridge/serving';
-import type { Telemetry } from '@canvasridge/telemetry';
+import { keepRunning, type Telemetry } from '@canvasridge/telemetry';
 import {
   ORDER_TIMEOUT_MS,
   type EngineControl,
@@ -119,7 +119,7 @@
   constructor(options: OrderLeaseOptions) {
     this.#options = options;
     this.#fence = new OrderFence(options.holder.number, options.term);
-    void this.#run();
+    keepRunning(options, 'order-lease', () => this.#run());
   }
 
   get held(): boolean {
--- a/packages/slots/src/slot-pool.ts
+++ b/packages/slots/src/slot-pool.ts
@@ -115,7 +115,7 @@
       disabled,
     };
     this.#adapters = new AdapterLoader({ ...shared, ...loading });
-    this.#models = new ModelLoader({ ...shared, engines, pollMs: timing.observePeriodMs });
+    this.#models = new ModelLoader({ ...shared, telemetry, engines, pollMs: timing.observePeriodMs });
     this.#refused = new RefusedRequests(clock);
     this.#uses = new EngineUses(clock, memory, this.#turnover);
     const onAdopted = (slots: EngineSlots): void => {
@@ -160,6 +160,7 @@
       isBackingOff: options.isBackingOff,
       costs,
       disabled: options.disabled,
+      telemetry,
     });
     this.#placement = new RequestPlacement({
       selector: this.#selector,
