Requests are admitted locally when a request for their quota fails

Callers of a tenant with a quota would have waited until their deadline after one answer of a home that can't be read, and the node would have ended.

Cause: the batch that was sent was dropped with the error, and nobody awaited the task.

Change: an error counts as no answer, so the batch is decided locally; it is logged as `task.failed`.

The simulated borrowers of the other tests rethrow, so that an error there still fails them.

--- a/packages/admission/src/quota/quota-borrower.ts
+++ b/packages/admission/src/quota/quota-borrower.ts
@@ -26,6 +26,8 @@
   readonly needsHome?: boolean;
   /** Called for each decision made locally because the home is unreachable. */
   readonly onLocalDecision?: (subject: string, decision: QuotaDecision) => void;
+  /** Called with an error within a request to the home; its subjects are decided locally then. */
+  readonly onFailure: (cause: unknown) => void;
 }
 
 /** Requests that arrive within this time are sent to the home together. */
@@ -119,7 +121,7 @@
     this.#isBatchScheduled = true;
     this.#options.clock.setTimer(BATCH_MS, () => {
       this.#isBatchScheduled = false;
-      void this.#borrow();
+      this.#borrow().catch(this.#options.onFailure);
     });
   }
 
@@ -130,20 +132,29 @@
       while (this.#hasWaiting() || this.#needsAdvance()) {
         const batch = this.#takePending();
         const isHomeSkipped = this.#options.clock.now() < this.#skipHomeUntilMs;
-        const loans = isHomeSkipped
-          ? undefined
-          : await this.#options.borrow(batch.map(({ request }) => request));
-        if (loans === undefined) {
+        if (isHomeSkipped || !(await this.#isDecidedByHome(batch))) {
           if (!isHomeSkipped) this.#skipHomeUntilMs = this.#options.clock.now() + HOME_RETRY_MS;
           for (const { account, waiting, request } of batch) this.#decideLocally(account, waiting, request);
           if (!this.#hasWaiting()) return;
-        } else this.#applyLoans(batch, loans);
+        }
       }
     } finally {
       this.#isBorrowing = false;
     }
   }
 
+  /** Resolves to whether the home has answered, so that all requests of the batch are decided. */
+  async #isDecidedByHome(batch: readonly PendingLoan[]): Promise<boolean> {
+    try {
+      const loans = await this.#options.borrow(batch.map(({ request }) => request));
+      if (loans !== undefined) this.#applyLoans(batch, loans);
+      return loans !== undefined;
+    } catch (cause) {
+      this.#options.onFailure(cause);
+      return false;
+    }
+  }
+
   #hasWaiting(): boolean {
     for (const { waiting } of this.#accounts.values()) if (waiting.length > 0) return true;
     return false;
--- a/packages/admission/test/quota-simulation.ts
+++ b/packages/admission/test/quota-simulation.ts
@@ -161,6 +161,7 @@
       clock: this.#clock,
       rules: () => RULE,
       defaultShare: () => 1 / this.#options.nodes,
+      onFailure: rethrow,
       borrow: async (requests) => {
         const home = this.#homeAsSeenBy(node);
         this.#count(2, ENTRY_BYTES * requests.length);
@@ -262,3 +263,7 @@
     return admissible === 0 ? 0 : refused / admissible;
   }
 }
+
+function rethrow(cause: unknown): never {
+  throw cause;
+}
--- a/packages/admission/test/silent-home.test.ts
+++ b/packages/admission/test/silent-home.test.ts
@@ -28,6 +28,9 @@
   const lender = new QuotaLender({ clock, rules, unreachableNodes: () => new Set() });
   const held: (() => void)[] = [];
   let isSilent = false;
+  const onFailure = (cause: unknown): never => {
+    throw cause;
+  };
   const borrow = (requests: readonly LoanRequest[]): Promise<readonly Loan[] | undefined> =>
     new Promise((resolve) => {
       clock.setTimer(ANSWER_WITHIN_MS, () => resolve(undefined));
@@ -37,7 +40,7 @@
       };
       clock.setTimer(HOP_MS, () => (isSilent ? held.push(handle) : handle()));
     });
-  const borrower = new QuotaBorrower({ clock, rules, borrow, defaultShare: () => 0.1 });
+  const borrower = new QuotaBorrower({ clock, rules, borrow, defaultShare: () => 0.1, onFailure });
   let admitted = 0;
   let asked = 0;
   while (clock.now() < DURATION_MS) {
--- a/packages/gateway/src/cluster/fleet-quotas.ts
+++ b/packages/gateway/src/cluster/fleet-quotas.ts
@@ -8,7 +8,7 @@
 import type { QuotaRule, QuotaRules } from '@canvasridge/admission';
 import { hashSeed, type Clock } from '@canvasridge/clock';
 import * as z from 'zod';
-import type { Telemetry } from '@canvasridge/telemetry';
+import { errorFields, type Telemetry } from '@canvasridge/telemetry';
 import type { Cluster } from './cluster.js';
 import type { PeerCaller } from './peer-caller.js';
 
@@ -197,7 +197,7 @@
     const group = hashSeed(subject) % this.#groups();
     let borrower = this.#borrowers.get(group);
     if (borrower === undefined) {
-      const { clock, rules, fleetShare, kind } = this.#options;
+      const { clock, rules, fleetShare, kind, telemetry } = this.#options;
       borrower = new QuotaBorrower({
         clock,
         rules,
@@ -205,6 +205,7 @@
         needsHome: kind.needsHome,
         borrow: (requests) => this.#borrow(group, requests),
         defaultShare: fleetShare,
+        onFailure: (cause) => telemetry.event('error', 'task.failed', 'quota-loan', errorFields(cause)),
         onLocalDecision: () => {
           this.#decisionsWithoutHome += 1;
         },
