Membership, followers of the store and the product's node keep running after an error in one turn

An error in one turn of these loops ended the process, and with it the streams of all callers.

Cause: they were started with `void`. A follower of the configuration would also not have fetched a revision again whose fetch failed, and an adapter load that failed by an error would have kept its grant and its place.

Change: keepRunning for loops, which can all be entered again; runInBackground for the rest. What is marked as under way is cleared in finally. An error in the product's HTTP handlers is answered with a problem and logged as `endpoint.failed`.

Evidence: all tests of these packages pass. There is no test that fails before for these: the owner of tasks is tested by itself.

--- a/packages/configuration/src/configuration-follower.ts
+++ b/packages/configuration/src/configuration-follower.ts
@@ -5,7 +5,7 @@
   ConfigurationSourceError,
   SourceValue,
 } from '@canvasridge/domain';
-import type { Telemetry } from '@canvasridge/telemetry';
+import { keepRunning, type Telemetry } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import { HEAD_KEY, chunkKey, headSchema, type RevisionHead } from './revision.js';
 import { RevisionStore, revisionOfStamp } from './revision-store.js';
@@ -62,7 +62,7 @@
   }
 
   start(): void {
-    void this.#watchTask();
+    keepRunning(this.#options, 'configuration-watch', () => this.#watchTask());
   }
 
   stop(): void {
@@ -82,13 +82,19 @@
     if (stamp === currentStamp || revisionOfStamp(stamp) < this.store.revision || stamp === 0) return;
     if (this.#fetchingStamps.has(stamp)) return;
     this.#fetchingStamps.add(stamp);
-    const answer = await this.#options.peers.head(peerId);
-    if (answer !== undefined) {
-      await this.#adopt(answer.head, answer.sourceVersion, `peer ${peerId}`, (sha256) =>
-        this.#options.peers.chunk(peerId, sha256),
-      );
+    try {
+      await this.#fetchFromPeer(peerId);
+    } finally {
+      this.#fetchingStamps.delete(stamp);
     }
-    this.#fetchingStamps.delete(stamp);
+  }
+
+  async #fetchFromPeer(peerId: string): Promise<void> {
+    const { peers } = this.#options;
+    const answer = await peers.head(peerId);
+    if (answer === undefined) return;
+    const { head, sourceVersion } = answer;
+    await this.#adopt(head, sourceVersion, `peer ${peerId}`, (sha256) => peers.chunk(peerId, sha256));
   }
 
   async #watchTask(): Promise<void> {
--- a/packages/http-bindings/src/stream-exchange.ts
+++ b/packages/http-bindings/src/stream-exchange.ts
@@ -129,7 +129,10 @@
     const bytes = this.#tracker === undefined ? chunk : this.#tracker.push(chunk);
     if (bytes.length === 0 || this.#sink.write(bytes)) return;
     controller.pause();
-    void this.#sink.waitForDrain().then(() => controller.resume());
+    this.#sink
+      .waitForDrain()
+      .then(() => controller.resume())
+      .catch((cause: unknown) => controller.abort(new Error(`caller's sink failed: ${String(cause)}`)));
   }
 
   onResponseEnd(): void {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,5 +1,5 @@
 import { jittered, Notifier, type Clock, type Random, type Timer } from '@canvasridge/clock';
-import type { Telemetry } from '@canvasridge/telemetry';
+import { keepRunning, runInBackground, type Telemetry } from '@canvasridge/telemetry';
 import { BroadcastQueue } from './broadcast-queue.js';
 import {
   encodeMemberQuery,
@@ -119,9 +119,9 @@
 
   start(): void {
     this.#announceSelf();
-    void this.#probeTask();
-    void this.#gossipTask();
-    void this.#synchronisationTask();
+    keepRunning(this.#options, 'membership-probe', () => this.#probeTask());
+    keepRunning(this.#options, 'membership-gossip', () => this.#gossipTask());
+    keepRunning(this.#options, 'membership-synchronisation', () => this.#synchronisationTask());
   }
 
   /** Stops all tasks without announcing it, as a crash would. */
@@ -205,7 +205,7 @@
    */
   probeNow(peerUrl: string): void {
     const target = this.#presentByPeerUrl(peerUrl);
-    if (target !== undefined) void this.#probe(target);
+    if (target !== undefined) this.#startProbe(target);
   }
 
   /**
@@ -266,7 +266,7 @@
       this.#detectPause(startedAtMs);
       this.#contactSeeds();
       const target = this.#nextProbeTarget();
-      if (target !== undefined) void this.#probe(target);
+      if (target !== undefined) this.#startProbe(target);
       for (const removedId of this.#table.removeExpired()) this.#records.removeOwner(removedId);
       this.#lastProbeAtMs = startedAtMs;
       await this.#clock.sleep(this.#timing.probePeriodMs, this.#stop.signal);
@@ -326,6 +326,10 @@
     return first === undefined ? undefined : this.#table.get(first);
   }
 
+  #startProbe(target: Member): void {
+    runInBackground(this.#options.telemetry, 'member-probe', () => this.#probe(target));
+  }
+
   async #probe(target: Member): Promise<void> {
     const startedAtMs = this.#clock.now();
     if (await this.#ping(target.gossip, this.#timing.probeTimeoutMs)) return;
@@ -412,8 +416,9 @@
         this.#awaitedAcks.get(message.sequence)?.();
         return;
       case 'ping-request':
-        void this.#ping(message.target, this.#timing.probeTimeoutMs).then((alive) => {
-          if (alive) this.#send(from, 'ack', message.sequence);
+        runInBackground(this.#options.telemetry, 'ping-request', async () => {
+          const isAlive = await this.#ping(message.target, this.#timing.probeTimeoutMs);
+          if (isAlive) this.#send(from, 'ack', message.sequence);
         });
         return;
       case 'join':
--- a/packages/node/src/control/machine-watch.ts
+++ b/packages/node/src/control/machine-watch.ts
@@ -1,6 +1,6 @@
 import { jittered, type Clock, type Random } from '@canvasridge/clock';
 import type { Machine, MachineList } from '@canvasridge/domain';
-import type { Telemetry } from '@canvasridge/telemetry';
+import { keepRunning, type Telemetry } from '@canvasridge/telemetry';
 
 const POLL_MS = 3000;
 
@@ -31,7 +31,7 @@
   }
 
   start(): void {
-    void this.#poll();
+    keepRunning({ telemetry: this.#telemetry, clock: this.#clock }, 'machine-watch', () => this.#poll());
   }
 
   stop(): void {
--- a/packages/node/src/http/caller-server.ts
+++ b/packages/node/src/http/caller-server.ts
@@ -1,16 +1,18 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { getRequestListener } from '@hono/node-server';
 import { problem, type Problem } from '@canvasridge/domain';
+import type { Telemetry } from '@canvasridge/telemetry';
 import { Hono } from 'hono';
 import type { Directory } from '../requests/directory.js';
 import type { RequestService } from '../requests/request-service.js';
-import { handleExchange, type Handler } from './exchange.js';
+import { handleExchange, startExchange, type Handler } from './exchange.js';
 import { writeProblem } from './response-sink.js';
 
 export interface CallerServerOptions {
   readonly requests: RequestService;
   readonly directory: Directory;
   readonly bodyLimit: () => number;
+  readonly telemetry: Pick<Telemetry, 'event'>;
   /** Requests are refused in state `closed`; the readiness check succeeds only in state `ready`. */
   readonly state: () => 'starting' | 'ready' | 'draining' | 'closed';
 }
@@ -24,10 +26,11 @@
 export function callerListener(options: CallerServerOptions): Listener {
   const app = callerApplication(options);
   const applicationListener = getRequestListener(app.fetch);
+  const { telemetry } = options;
   return (request, response) => {
     const handler = directHandler(request, options.requests);
     if (handler === undefined) {
-      void applicationListener(request, response);
+      startExchange(telemetry, response, () => applicationListener(request, response));
       return;
     }
     if (options.state() === 'closed') {
@@ -35,7 +38,7 @@
       writeProblem(response, problem('stopping', 'no', { retryAfterSeconds: 1 }));
       return;
     }
-    void handleExchange(request, response, options.bodyLimit(), handler);
+    startExchange(telemetry, response, () => handleExchange(request, response, options.bodyLimit(), handler));
   };
 }
 
--- a/packages/node/src/http/exchange.ts
+++ b/packages/node/src/http/exchange.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { StreamSink } from '@canvasridge/domain';
+import { problem, type StreamSink } from '@canvasridge/domain';
+import { errorFields, runInBackground, type Telemetry } from '@canvasridge/telemetry';
 import type { InboundRequest, RequestEnd } from '../requests/inbound.js';
 import { readBody } from './body.js';
 import { ResponseSink, writeProblem, type BreakStyle } from './response-sink.js';
@@ -7,6 +8,25 @@
 /** Handles one request and writes the response to `sink`. */
 export type Handler = (inbound: InboundRequest, sink: StreamSink, signal: AbortSignal) => Promise<RequestEnd>;
 
+/**
+ * Starts the work of a listener for one request. An error ends this exchange and is logged as `endpoint.failed`.
+ */
+export function startExchange(
+  telemetry: Pick<Telemetry, 'event'>,
+  response: ServerResponse,
+  work: () => Promise<unknown>,
+): void {
+  runInBackground(telemetry, 'exchange', async () => {
+    try {
+      await work();
+    } catch (cause) {
+      telemetry.event('error', 'endpoint.failed', response.req.url ?? '', errorFields(cause));
+      if (response.headersSent) response.destroy();
+      else writeProblem(response, problem('outcome-unknown', 'unknown'));
+    }
+  });
+}
+
 /**
  * Handles one HTTP exchange, from reading the request body to the end of the response. It uses `node:http`
  * directly because a response through web streams costs more than all other processing of a request
--- a/packages/node/src/http/peer-server.ts
+++ b/packages/node/src/http/peer-server.ts
@@ -3,11 +3,12 @@
 import { getRequestListener } from '@hono/node-server';
 import { Header, problem } from '@canvasridge/domain';
 import type { PeerRpcServer } from '@canvasridge/membership';
+import type { Telemetry } from '@canvasridge/telemetry';
 import { Hono } from 'hono';
 import type { AdminService } from '../control/admin-service.js';
 import type { ForwardHandler } from '../requests/forward-handler.js';
 import { problemResponse } from './caller-server.js';
-import { handleExchange, type Handler } from './exchange.js';
+import { handleExchange, startExchange, type Handler } from './exchange.js';
 import { writeProblem } from './response-sink.js';
 
 export interface PeerServerOptions {
@@ -15,6 +16,7 @@
   readonly forward: ForwardHandler;
   readonly admin: AdminService;
   readonly bodyLimit: () => number;
+  readonly telemetry: Pick<Telemetry, 'event'>;
   readonly peerKey: string;
   readonly adminKey: string;
 }
@@ -25,9 +27,10 @@
 export function peerListener(options: PeerServerOptions): Listener {
   const app = peerApplication(options);
   const applicationListener = getRequestListener(app.fetch);
+  const { telemetry } = options;
   return (request, response) => {
     if (request.url?.startsWith('/forward/') !== true) {
-      void applicationListener(request, response);
+      startExchange(telemetry, response, () => applicationListener(request, response));
       return;
     }
     if (!sameSecret(String(request.headers[Header.peerKey] ?? ''), options.peerKey)) {
@@ -36,7 +39,9 @@
     }
     const { forward } = options;
     const handler: Handler = (inbound, sink, signal) => forward.handle(inbound, sink, signal);
-    void handleExchange(request, response, options.bodyLimit(), handler, 'cut');
+    startExchange(telemetry, response, () =>
+      handleExchange(request, response, options.bodyLimit(), handler, 'cut'),
+    );
   };
 }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -21,7 +21,7 @@
 import { OwnershipManager, DEFAULT_OWNERSHIP_TIMING, type OwnershipTiming } from '@canvasridge/ownership';
 import { rankByRendezvous } from '@canvasridge/placement';
 import type { ForwardClient } from '@canvasridge/http-bindings';
-import type { Telemetry } from '@canvasridge/telemetry';
+import { runInBackground, type Telemetry } from '@canvasridge/telemetry';
 import * as z from 'zod';
 import { AdminService } from './control/admin-service.js';
 import { EngineFleet } from './control/engine-fleet.js';
@@ -255,7 +255,10 @@
       ...(membershipTiming === undefined ? {} : { timing: membershipTiming }),
       events: {
         onMember: (member) => this.#memberChanged(member),
-        onRevision: (member, stamp) => void this.follower.handlePeerStamp(member.id, stamp),
+        onRevision: (member, stamp) =>
+          runInBackground(telemetry, 'peer-configuration', () =>
+            this.follower.handlePeerStamp(member.id, stamp),
+          ),
         onRecord: (record) => this.fleet.remoteEngines.update(record),
       },
     });
@@ -329,9 +332,10 @@
   }
 
   #newGrants(): LoadGrants {
-    const { clock, ports } = this.#options;
+    const { clock, ports, telemetry } = this.#options;
     return new LoadGrants({
       clock,
+      telemetry,
       caller: ports.peers,
       self: () => this.membership.self(),
       present: () => this.membership.present(),
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -94,6 +94,7 @@
       requests: node.requests,
       directory: node.directory,
       bodyLimit: () => node.bodyLimit,
+      telemetry,
       state: () => node.state,
     }),
   );
@@ -104,6 +105,7 @@
       forward: node.forwardHandler,
       admin: node.admin,
       bodyLimit: () => node.bodyLimit,
+      telemetry,
       peerKey: settings.peerKey,
       adminKey: settings.adminKey,
     }),
--- a/packages/node/src/scheduling/adapter-loader.ts
+++ b/packages/node/src/scheduling/adapter-loader.ts
@@ -7,7 +7,7 @@
   type LoadGrant,
   type LoadGrantRequest,
 } from '@canvasridge/placement';
-import type { Telemetry } from '@canvasridge/telemetry';
+import { runInBackground, type Telemetry } from '@canvasridge/telemetry';
 import { isIdle, newSlot, type Slot } from './slot.js';
 import type { SlotSet } from './slot-set.js';
 
@@ -66,7 +66,7 @@
   start(key: string): void {
     const abort = new AbortController();
     this.#tasks.set(key, abort);
-    void this.#load(key, abort);
+    runInBackground(this.#options.telemetry, 'adapter-load', () => this.#load(key, abort));
   }
 
   /** Cancels a load because no request waits for the adapter any more. */
@@ -92,22 +92,28 @@
     // No request is sent to a slot in this state, so it stays idle until the engine has unloaded the adapter.
     slot.state = 'unloading';
     const order = { kind: 'unload', adapter: slot.adapter, version: slot.version } as const;
-    const answer = await client.order(ownership.fence, order);
-    telemetry.metrics.count('adapter.unloads');
-    if (answer.isOk() && answer.value.kind === 'done') {
-      slots.remove(slot, this.#clock.now());
-      return;
+    let isDone = false;
+    try {
+      const answer = await client.order(ownership.fence, order);
+      isDone = answer.isOk() && answer.value.kind === 'done';
+    } finally {
+      telemetry.metrics.count('adapter.unloads');
+      if (isDone) slots.remove(slot, this.#clock.now());
+      // The order may still reach the engine; only a claim under a higher fence rules out that it takes effect.
+      else ownership.abandon('unload order was not confirmed by the engine');
     }
-    // The order may still reach the engine; only a claim under a higher fence rules out that it takes effect.
-    ownership.abandon('unload order was not confirmed by the engine');
   }
 
   async #load(key: string, abort: AbortController): Promise<void> {
     const startedAtMs = this.#clock.now();
-    const loaded = await this.#loadWithRetries(key, abort.signal);
-    if (this.#tasks.get(key) === abort) this.#tasks.delete(key);
-    const failure = abort.signal.aborted ? 'abandoned' : 'failed';
-    this.#options.onLoadEnd(key, loaded ? 'loaded' : failure, this.#clock.now() - startedAtMs);
+    let loaded = false;
+    try {
+      loaded = await this.#loadWithRetries(key, abort.signal);
+    } finally {
+      if (this.#tasks.get(key) === abort) this.#tasks.delete(key);
+      const failure = abort.signal.aborted ? 'abandoned' : 'failed';
+      this.#options.onLoadEnd(key, loaded ? 'loaded' : failure, this.#clock.now() - startedAtMs);
+    }
   }
 
   async #loadWithRetries(key: string, signal: AbortSignal): Promise<boolean> {
@@ -119,9 +125,11 @@
         signal,
       );
       if (grant === undefined) return false;
-      const done = (await this.#freeSlot(signal)) && (await this.#orderLoad(key));
-      grant.finish();
-      if (done) return true;
+      try {
+        if ((await this.#freeSlot(signal)) && (await this.#orderLoad(key))) return true;
+      } finally {
+        grant.finish();
+      }
     }
     return false;
   }
--- a/packages/node/src/scheduling/engine-scheduler.ts
+++ b/packages/node/src/scheduling/engine-scheduler.ts
@@ -8,6 +8,7 @@
 } from '@canvasridge/domain';
 import type { TakeoverState } from '@canvasridge/ownership';
 import { DemandTracker, type EvictionCandidate } from '@canvasridge/placement';
+import { keepRunning, runInBackground } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import { AdapterLoader, type LoadOutcome } from './adapter-loader.js';
 import type { EngineSchedulerOptions, EngineWork, SchedulerError } from './engine-work.js';
@@ -232,10 +233,15 @@
       if (!served) slot.draining = true;
       else if (this.#loader.active === 0) slot.draining = false;
       if (slot.draining) this.#drainingCheckNeeded = true;
-      if (!served && isIdle(slot)) void this.#loader.unload(slot).then(() => this.#options.onChange());
+      if (!served && isIdle(slot)) this.#startUnload(slot);
     }
   }
 
+  #startUnload(slot: Slot): void {
+    const { telemetry, onChange } = this.#options;
+    runInBackground(telemetry, 'adapter-unload', () => this.#loader.unload(slot).then(onChange));
+  }
+
   // --- running -----------------------------------------------------------------------------------
 
   /** The common case, without queueing: no request waits, the adapter is loaded and the batch has room. */
@@ -387,7 +393,7 @@
   #startReportPolling(): void {
     if (this.#pollingReports || !this.#slots.needsReport) return;
     this.#pollingReports = true;
-    void this.#pollReports();
+    keepRunning(this.#options, 'report-poll', () => this.#pollReports());
   }
 
   async #pollReports(): Promise<void> {
--- a/packages/node/src/scheduling/load-grants.ts
+++ b/packages/node/src/scheduling/load-grants.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@canvasridge/clock';
 import type { Member, PeerCaller } from '@canvasridge/membership';
 import { LoadQueue, highestRendezvous, type LoadGrant, type LoadGrantRequest } from '@canvasridge/placement';
+import { runInBackground, type Telemetry } from '@canvasridge/telemetry';
 import * as z from 'zod';
 
 /** Parameters of the methods that peers call on this node. */
@@ -30,6 +31,7 @@
    * Fraction of all engines that this node owns; scales its own budget while the coordinator is unreachable.
    */
   readonly ownShare: () => number;
+  readonly telemetry: Pick<Telemetry, 'event'>;
 }
 
 /**
@@ -120,11 +122,13 @@
     request: LoadGrantRequest,
     signal: AbortSignal,
   ): Promise<LoadGrant | undefined> {
-    const { caller, clock, self } = this.#options;
+    const { caller, clock, self, telemetry } = this.#options;
     this.#lastRequestNumber += 1;
     const wishId = `${self().id}~${self().processToken}~${this.#lastRequestNumber}`;
     const finish = (): void => {
-      void caller.call(coordinator.peerUrl, 'weights.finish', { wishId }, finishAnswer, CALL_MARGIN_MS);
+      runInBackground(telemetry, 'grant-return', () =>
+        caller.call(coordinator.peerUrl, 'weights.finish', { wishId }, finishAnswer, CALL_MARGIN_MS),
+      );
     };
     signal.addEventListener('abort', finish, { once: true });
     const params = { wishId, engineId: request.engineId, key: request.key, weight: request.weight };
--- a/packages/ownership/src/engine-ownership.ts
+++ b/packages/ownership/src/engine-ownership.ts
@@ -1,6 +1,6 @@
 import { Notifier, jittered, type Clock, type Random } from '@canvasridge/clock';
 import type { EngineClient, EngineDefinition, EngineReport } from '@canvasridge/domain';
-import type { Telemetry } from '@canvasridge/telemetry';
+import { keepRunning, type Telemetry } from '@canvasridge/telemetry';
 import type { OwnershipTiming } from './timing.js';
 
 /** What a node knows about an engine when it becomes its owner. */
@@ -68,7 +68,7 @@
   }
 
   start(): void {
-    void this.#run();
+    keepRunning(this.#options, 'engine-ownership', () => this.#run());
   }
 
   /** Releases the engine and ends the task. */
--- a/packages/ownership/src/ownership-manager.ts
+++ b/packages/ownership/src/ownership-manager.ts
@@ -2,7 +2,7 @@
 import { type Clock } from '@canvasridge/clock';
 import type { EngineClient, EngineDefinition } from '@canvasridge/domain';
 import type { Member, PeerCaller } from '@canvasridge/membership';
-import type { Telemetry } from '@canvasridge/telemetry';
+import { runInBackground, type Telemetry } from '@canvasridge/telemetry';
 import * as z from 'zod';
 import { assignOwners } from './desired-owner.js';
 import { EngineOwnership, type TakeoverState } from './engine-ownership.js';
@@ -227,7 +227,9 @@
     for (const id of chooseWitnesses(engineId, this.#options.listedNodes())) {
       const member = this.#options.member(id);
       if (member === undefined || id === this.#options.self().id) continue;
-      void this.#call(member, 'ownership.ungrant', params, GRANT_TIMEOUT_MS);
+      runInBackground(this.#options.telemetry, 'witness-release', () =>
+        this.#call(member, 'ownership.ungrant', params, GRANT_TIMEOUT_MS),
+      );
     }
   }
 
