Configurations with long time-outs stay valid

A refused field keeps the whole configuration, with all its other changes, from being applied. The idle time-out that the HTTP server is given is cut to what its own timer holds, as it warns at each connection of a longer one.

--- a/packages/gateway/src/client-server.ts
+++ b/packages/gateway/src/client-server.ts
@@ -6,6 +6,8 @@
 /** Requests with larger headers are refused, whatever the configuration allows. */
 const MAX_HEADER_BYTES = 65_536;
 const CONNECTIONS_CHECK_MS = 1000;
+/** The HTTP server adds a second, and warns at each connection of what a timer of Node.js can't hold. */
+const MAX_IDLE_TIMEOUT_MS = 2 ** 31 - 1 - 60_000;
 
 export interface ListenError {
   readonly kind: 'cannot-listen';
@@ -55,7 +57,7 @@
 
   applyLimits(limits: RequestLimits): void {
     this.#server.headersTimeout = limits.headerTimeoutMs;
-    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.#server.keepAliveTimeout = Math.min(limits.idleTimeoutMs, MAX_IDLE_TIMEOUT_MS);
   }
 
   listen(field: string, host: string, port: number): Promise<Result<number, ListenError>> {
