A request whose relaying fails by an error is refused

What callers saw: a node ended with all its streams when the request of another node failed in it by an error.

Cause: nobody awaited #serve. The count of running requests would have stayed raised, too, so that a stop waits for its whole grace.

Change: a defect is logged as `relay.defect` and ends the response: `no-room` if the request was not sent yet, `broken` otherwise.

Evidence: the new test gets no answer on the code before (ava times out), and passes.

--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { FleetState } from '@canvasridge/serving';
-import type { Telemetry } from '@canvasridge/telemetry';
+import { errorFields, runInBackground, type Telemetry } from '@canvasridge/telemetry';
 import type { BackendAvailability } from '../backends/backend-availability.js';
 import type { BackendNotices } from '../backends/backend-notices.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
@@ -33,6 +33,11 @@
 const STATUS_FAILURE = 503;
 const MAX_HEADER_BYTES = 65_536;
 
+/** How far a relayed request has got. */
+interface RelayProgress {
+  mayHaveRun: boolean;
+}
+
 /**
  * Sends requests of other nodes on to backends that those can't reach, and passes the responses back as they
  * come. Whether to send a request, and how often, is decided by the node that has the client; this one only
@@ -47,7 +52,8 @@
     this.#options = options;
     this.#server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, requestTimeout: 0 },
-      (request, response) => void this.#serve(request, response),
+      (request, response) =>
+        runInBackground(options.telemetry, 'relay', () => this.#serve(request, response)),
     );
   }
 
@@ -64,7 +70,7 @@
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.#running += 1;
     const backendId = String(request.headers[RELAY_HEADER.backend] ?? '');
-    const outcome = await this.#relay(request, response, backendId);
+    const outcome = await this.#relayOrFail(request, response, backendId);
     this.#running -= 1;
     if (typeof outcome === 'string') refuse(response, outcome);
     const { metrics, telemetry } = this.#options;
@@ -78,10 +84,27 @@
     });
   }
 
+  /** As `#relay`, and a defect ends the response: it never rejects. */
+  async #relayOrFail(
+    request: IncomingMessage,
+    response: ServerResponse,
+    backendId: string,
+  ): Promise<RelayOutcome | RelayFailure> {
+    const progress: RelayProgress = { mayHaveRun: false };
+    try {
+      return await this.#relay(request, response, backendId, progress);
+    } catch (cause) {
+      this.#options.telemetry.event('error', 'relay.defect', backendId, errorFields(cause));
+      if (response.headersSent) response.destroy();
+      return progress.mayHaveRun ? 'broken' : 'no-room';
+    }
+  }
+
   async #relay(
     request: IncomingMessage,
     response: ServerResponse,
     backendId: string,
+    progress: RelayProgress,
   ): Promise<RelayOutcome | RelayFailure> {
     const { fleet, hops, bodyMemory, isStopping } = this.#options;
     const backend = fleet.backend(backendId);
@@ -104,6 +127,7 @@
         reasonNotToWrite: () => this.#reasonNotToWrite(backendId),
         onHead: (status, headers) => this.#handleNotice(backendId, status, headers),
       });
+      progress.mayHaveRun = true;
       return await attempt.run();
     } finally {
       bodyMemory.release(body.value.length);
--- a/packages/gateway/src/relay/relayed-attempt.ts
+++ b/packages/gateway/src/relay/relayed-attempt.ts
@@ -38,6 +38,7 @@
 export class RelayedAttempt implements RequestHandler {
   readonly #options: RelayedAttemptOptions;
   #resolve: (outcome: RelayOutcome | RelayFailure) => void = () => undefined;
+  #reject: (cause: unknown) => void = () => undefined;
   #isSent = false;
   #isSettled = false;
   #isFramed = false;
@@ -49,10 +50,11 @@
     });
   }
 
-  /** Resolves when the attempt has ended; with a failure if no response has been started. */
+  /** Resolves when the attempt has ended; with a failure if no response has been started. Rejects on a defect. */
   run(): Promise<RelayOutcome | RelayFailure> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       this.#resolve = resolve;
+      this.#reject = reject;
       this.#options.hop.connection.send(() => this.#prepare(), this);
     });
   }
@@ -113,7 +115,11 @@
   onResponseEnd(): void {
     const { connection } = this.#options.hop;
     if (this.#isFramed) this.#endResponse(connection.hasEnded);
-    else void connection.wasResetAtEnd().then((wasReset) => this.#endResponse(wasReset));
+    else
+      connection
+        .wasResetAtEnd()
+        .then((wasReset) => this.#endResponse(wasReset))
+        .catch(this.#reject);
   }
 
   onNotConnected(): void {
--- a/packages/gateway/test/relay-server.test.ts
+++ b/packages/gateway/test/relay-server.test.ts
@@ -70,6 +70,16 @@
   t.is(relay.backend.requestHeads.length, 0);
 });
 
+// The exception ended the process; a node that survived it would have counted the request as running for ever.
+test('a request whose relaying fails by an error is refused, and is not counted as running', async (t) => {
+  const relay = await startRelay(t, (socket, id) => socket.write(success(id, 'answer')));
+  relay.defect = new Error('x');
+  t.is((await send(relay.port)).failure, 'no-room');
+  t.is(relay.server.running, 0);
+  relay.defect = undefined;
+  t.is((await send(relay.port)).body, 'answer');
+});
+
 test('a backend that can not be reached is named as such', async (t) => {
   const { port, fleet } = await startRelay(t, () => undefined);
   fleet.applyBackend(2, {
--- a/packages/gateway/test/running-relay.ts
+++ b/packages/gateway/test/running-relay.ts
@@ -17,6 +17,9 @@
   readonly fleet: FleetState;
   readonly port: number;
   isListTooOld: boolean;
+  /** What each request fails with before it is sent; undefined for nothing. */
+  defect: Error | undefined;
+  readonly server: RelayServer;
 }
 
 export async function startRelay(t: ExecutionContext, respond: RawResponder): Promise<RunningRelay> {
@@ -41,7 +44,10 @@
     dialect,
     bodyMemory: new BodyMemoryBudget(1_000_000),
     isListTooOld: () => running.isListTooOld,
-    isStopping: () => false,
+    isStopping: () => {
+      if (running.defect !== undefined) throw running.defect;
+      return false;
+    },
     telemetry: new Telemetry({ processName: 'test', clock }),
     metrics: new GatewayMetrics(),
   });
@@ -52,6 +58,7 @@
     connections.close();
     backend.stop();
   });
-  const running = { backend, fleet, port: (listener.address() as AddressInfo).port, isListTooOld: false };
+  const { port } = listener.address() as AddressInfo;
+  const running: RunningRelay = { backend, fleet, port, server, isListTooOld: false, defect: undefined };
   return running;
 }
