What a late timer's callback throws is an uncaught exception, as in time

A late timer ran its callback in a promise, so the same exception was an unhandled rejection there and an uncaught exception otherwise: the line at the end of a process named another origin. Callers saw no difference: both ended the process.

Change: late callbacks run in a turn of the loop, outside of any promise. The clock knows no log, so nothing is logged there.

Evidence: the new test got `unhandledRejection` on the code before.

--- a/packages/clock/src/pending-input.ts
+++ b/packages/clock/src/pending-input.ts
@@ -8,5 +8,10 @@
  * second one.
  */
 export function pendingInputHandled(): Promise<void> {
-  return new Promise((resolve) => setImmediate(() => setImmediate(resolve)));
+  return new Promise((resolve) => afterPendingInput(resolve));
+}
+
+/** Calls back at the time of {@link pendingInputHandled}. What the callback throws is an uncaught exception. */
+export function afterPendingInput(callback: () => void): void {
+  setImmediate(() => setImmediate(callback));
 }
--- a/packages/clock/src/system-clock.ts
+++ b/packages/clock/src/system-clock.ts
@@ -1,6 +1,6 @@
 import { uptime } from 'node:os';
 import { sleepOn, type Clock, type Timer } from './clock.js';
-import { pendingInputHandled } from './pending-input.js';
+import { afterPendingInput } from './pending-input.js';
 
 /**
  * A timer that runs this late, in milliseconds, waits for the input that has arrived meanwhile: after the process was held
@@ -28,6 +28,7 @@
     return uptime() * 1000;
   }
 
+  /** What the callback throws is an uncaught exception, whether the timer runs late or not. */
   setTimer(delayMs: number, callback: () => void): Timer {
     const dueMs = this.now() + Math.max(0, delayMs);
     let isCancelled = false;
@@ -36,7 +37,7 @@
     };
     const run = (): void => {
       if (this.now() - dueMs < LATE_MS) callback();
-      else void pendingInputHandled().then(runUnlessCancelled);
+      else afterPendingInput(runUnlessCancelled);
     };
     let handle: NodeJS.Timeout;
     const schedule = (leftMs: number): void => {
--- a/packages/clock/test/system-clock.test.ts
+++ b/packages/clock/test/system-clock.test.ts
@@ -1,4 +1,5 @@
 /** Timers of the system's clock when the event loop was held up. */
+import { spawnSync } from 'node:child_process';
 import { createServer, connect, type AddressInfo, type Socket } from 'node:net';
 import test, { type ExecutionContext } from 'ava';
 import { SystemClock } from '../src/index.js';
@@ -73,3 +74,26 @@
   for (const timer of timers) timer.cancel();
   t.deepEqual(seen, []);
 });
+
+// Thrown in a late timer it was an unhandled rejection, which listeners for uncaught exceptions tell apart.
+test('what a timer throws is an uncaught exception, whether it is late or not', (t) => {
+  for (const heldUpMs of [0, HELD_UP_MS]) {
+    const child = spawnSync(process.execPath, ['--input-type=module', '-e', throwingTimer(heldUpMs)], {
+      encoding: 'utf8',
+    });
+    t.is(child.stdout, 'uncaughtException thrown', child.stderr);
+  }
+});
+
+/** A program that prints how the exception of a timer arrives. */
+function throwingTimer(heldUpMs: number): string {
+  return `
+    import { SystemClock } from ${JSON.stringify(new URL('../src/index.js', import.meta.url).href)};
+    process.on('uncaughtException', (cause, origin) => process.stdout.write(origin + ' ' + cause.message));
+    setImmediate(() => {
+      new SystemClock().setTimer(${TIMER_MS}, () => {
+        throw new Error('thrown');
+      });
+      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ${heldUpMs});
+    });`;
+}
