Calls about quotas and quarantines, and their answers, are checked where they arrive

What callers would see: a home of another build that answers in another form leaves the requests of a tenant without an answer (its loans are no list, and the task that waits for them fails), or fills a node's quota with NaN or 1e300 units. A home that answered a report of crashes so was taken to know of them.

Cause: params of quota.borrow, quarantine.interrupted, .completed, .ended-well and .trial were cast, and so were all answers.

Change: schemas beside the types; params of another form are answered with InvalidParams, also those of rate-limit.borrow, which were answered null: callers take both for no home. An answer of another form counts as none and is logged (peer.answer-unread); a report whose answer can't be read is sent again. Units are bounded, and numbers of groups, as a home keeps an account for each. No message that is sent changes.

Test changes: readRateBorrow is now the schema itself, rateBorrowParams; what is asserted is the same.

--- a/packages/gateway/src/cluster/fleet-quarantine.ts
+++ b/packages/gateway/src/cluster/fleet-quarantine.ts
@@ -21,6 +21,7 @@
   formatQuarantined,
   parseQuarantined,
   TRIAL_METHOD,
+  trialReply,
   type CompletedRun,
   type EndedWellParams,
   type InterruptedParams,
@@ -28,6 +29,7 @@
   type TrialParams,
   type TrialReply,
 } from './quarantine-protocol.js';
+import { UnreadLog } from '../peers/unread-log.js';
 import { TrialRequests } from './trial-requests.js';
 
 export {
@@ -107,6 +109,7 @@
   /** Finds the parts of prompts that crash backends. They are listed, tried and released here as requests are. */
   readonly parts: PartCrashes;
   readonly #options: FleetQuarantineOptions;
+  readonly #log: UnreadLog;
   readonly #reporter: HomeReporter<KnownInterruption>;
   readonly #completedReporter: CompletedRunReporter;
   readonly #completedRuns = new CompletedRuns();
@@ -144,8 +147,10 @@
       ...shared,
       suspectSinceMs: (fingerprint) => this.#suspects.get(fingerprint),
     });
+    this.#log = new UnreadLog(options.telemetry);
     this.#reporter = interruptionReporter({
       ...shared,
+      log: this.#log,
       completedRuns: this.#completedRuns,
       onQuarantined: (quarantined) => {
         for (const text of quarantined) this.#add({ ...parseQuarantined(text), ageMs: 0 }, 'peer');
@@ -412,8 +417,9 @@
     if (id === cluster.selfId) return this.answerTrial(params);
     const address = cluster.peerAddress(id);
     if (address === undefined) return undefined;
-    return (await network.to(address).call(TRIAL_METHOD, params, REPORT_TIMEOUT_MS)) as
-      TrialReply | undefined;
+    const reply = await network.to(address).call(TRIAL_METHOD, params, REPORT_TIMEOUT_MS);
+    if (reply === undefined) return undefined;
+    return this.#log.read(trialReply, 'peer.answer-unread', address, reply);
   }
 
   /** @param sentAgoMs age of the completed run that shows another cause of the interruptions */
--- a/packages/gateway/src/cluster/fleet-quotas.ts
+++ b/packages/gateway/src/cluster/fleet-quotas.ts
@@ -9,6 +9,7 @@
 import { hashSeed, type Clock } from '@canvasridge/clock';
 import * as z from 'zod';
 import { errorFields, type Telemetry } from '@canvasridge/telemetry';
+import { UnreadLog } from '../peers/unread-log.js';
 import type { Cluster } from './cluster.js';
 import type { PeerCaller } from './peer-caller.js';
 
@@ -54,40 +55,67 @@
   readonly requests: readonly LoanRequest[];
 }
 
+/** Far above the groups of the largest fleet; each one that is asked for takes memory. */
+const MAX_GROUPS = 65_536;
+const MAX_NAME_LENGTH = 1024;
+const MAX_REQUESTS = 65_536;
+const MAX_UNITS = 1_000_000_000_000;
+
+const name = z.string().max(MAX_NAME_LENGTH);
+const units = z.number().min(0).max(MAX_UNITS);
+const difference = z.number().min(-MAX_UNITS).max(MAX_UNITS);
+
+const loanRequest = z.object({
+  subject: name,
+  needed: z.array(units).max(MAX_REQUESTS),
+  ahead: difference,
+  returned: difference,
+  demand: units,
+  share: z.number().exactOptional(),
+});
+
+const borrower = { node: name, group: z.int().min(0).max(MAX_GROUPS) };
+
+/** Schema of the params of {@link BORROW_METHOD}. */
+export const borrowParams: z.ZodType<BorrowParams> = z.object({
+  ...borrower,
+  requests: z.array(loanRequest).max(MAX_REQUESTS),
+});
+
 /**
  * Schema of the params of {@link RATE_BORROW_METHOD}: each request carries the rule that the sending node
  * applies.
  */
-const rateBorrowParams = z.object({
-  node: z.string(),
-  group: z.number(),
-  requests: z.array(
-    z.object({
-      subject: z.string(),
-      needed: z.array(z.number().positive()),
-      ahead: z.number().nonnegative(),
-      returned: z.number().nonnegative(),
-      demand: z.number().nonnegative(),
-      share: z.number().optional(),
-      rule: z.object({ ratePerSecond: z.number().positive(), burst: z.number().nonnegative() }),
-    }),
-  ),
+export const rateBorrowParams: z.ZodType<BorrowParams> = z.object({
+  ...borrower,
+  requests: z
+    .array(
+      loanRequest.extend({
+        needed: z.array(units.positive()).max(MAX_REQUESTS),
+        ahead: units,
+        returned: units,
+        rule: z.object({ ratePerSecond: z.number().positive(), burst: units }),
+      }),
+    )
+    .max(MAX_REQUESTS),
 });
 
-/** Undefined if the params are not a valid borrow request. */
-export function readRateBorrow(params: unknown): BorrowParams | undefined {
-  const { data } = rateBorrowParams.safeParse(params);
-  if (data === undefined) return undefined;
-  // Leaves an absent share out, rather than passing it on as undefined.
-  const requests = data.requests.map(({ share, ...rest }) =>
-    share === undefined ? rest : { ...rest, share },
-  );
-  return { ...data, requests };
-}
-
 /** Null from a node that does not consider itself the home. */
 export type BorrowReply = readonly Loan[] | null;
 
+/** Schema of a {@link BorrowReply}. */
+const borrowReply = z
+  .array(
+    z.object({
+      subject: name,
+      granted: z.int().min(0),
+      ahead: units,
+      retryAfterMs: z.number().min(0),
+      share: z.number().min(0),
+    } satisfies Record<keyof Loan, z.ZodType>),
+  )
+  .nullable();
+
 /** The part of the cluster that homes and borrowers use. */
 export type QuotaCluster = Pick<Cluster, 'selfId' | 'candidates' | 'peerAddress' | 'lostMembers'>;
 
@@ -152,10 +180,12 @@
   readonly #borrowers = new Map<number, QuotaBorrower>();
   /** By group, for the groups whose home this node is. */
   readonly #lenders = new Map<number, QuotaLender>();
+  readonly #log: UnreadLog;
   #decisionsWithoutHome = 0;
 
   constructor(options: FleetQuotasOptions) {
     this.#options = options;
+    this.#log = new UnreadLog(options.telemetry);
   }
 
   /** Call it about once a second: starts and ends being the home of groups according to the ranking. */
@@ -223,7 +253,8 @@
     if (address === undefined) return undefined;
     const params: BorrowParams = { node: cluster.selfId, group, requests };
     const reply = await network.to(address).call(kind.borrowMethod, params, BORROW_TIMEOUT_MS);
-    return (reply as BorrowReply | undefined) ?? undefined;
+    if (reply === undefined) return undefined;
+    return this.#log.read(borrowReply, 'peer.answer-unread', address, reply) ?? undefined;
   }
 
   #lender(group: number): QuotaLender {
--- a/packages/gateway/src/cluster/home-reporter.ts
+++ b/packages/gateway/src/cluster/home-reporter.ts
@@ -35,8 +35,8 @@
   readonly isSame: (a: T, b: T) => boolean;
   /** Observations that are kept of this node, and as many of the others. */
   readonly maxReports: number;
-  /** Called with what a home answers. */
-  readonly onReply: (reply: NonNullable<unknown>) => void;
+  /** Called with what a home answers, other than null; returns whether that was valid. */
+  readonly onReply: (reply: NonNullable<unknown>) => boolean;
 }
 
 /** All observations of one crash of an engine are reported in one message. */
@@ -123,9 +123,8 @@
     if (unconfirmed.length === 0) return true;
     const reply = await network.to(address).call(method, params(unconfirmed), REPORT_TIMEOUT_MS);
     // Null: it does not consider itself a home.
-    if (reply === undefined || reply === null) return false;
+    if (reply === undefined || reply === null || !onReply(reply)) return false;
     for (const { knownTo } of unconfirmed) knownTo.add(home);
-    onReply(reply);
     return true;
   }
 }
--- a/packages/gateway/src/cluster/interruption-reporter.ts
+++ b/packages/gateway/src/cluster/interruption-reporter.ts
@@ -1,6 +1,7 @@
 import type { CompletedRuns } from '@canvasridge/admission';
+import type { UnreadLog } from '../peers/unread-log.js';
 import { HomeReporter, type HomeReporterOptions, type Observation, type Reported } from './home-reporter.js';
-import { INTERRUPTED_METHOD, type InterruptedParams, type InterruptedReply } from './quarantine-protocol.js';
+import { INTERRUPTED_METHOD, quarantinedReply, type InterruptedParams } from './quarantine-protocol.js';
 
 /** An interruption that this node observed or, as a home, was told of. */
 export interface KnownInterruption extends Observation {
@@ -14,6 +15,7 @@
   HomeReporterOptions<KnownInterruption>,
   'clock' | 'cluster' | 'network' | 'telemetry' | 'otherHomes'
 > {
+  readonly log: UnreadLog;
   readonly completedRuns: CompletedRuns;
   /** Called with what a home answers: those of the reported requests that are quarantined. */
   readonly onQuarantined: (quarantined: readonly string[]) => void;
@@ -33,7 +35,12 @@
     maxReports: MAX_LOCAL_INTERRUPTIONS,
     params: (reports) => interruptedParams(options, reports),
     isSame: (a, b) => a.fingerprint === b.fingerprint && a.backend === b.backend,
-    onReply: (reply) => options.onQuarantined(reply as NonNullable<InterruptedReply>),
+    onReply: (reply) => {
+      const quarantined = options.log.read(quarantinedReply, 'peer.answer-unread', INTERRUPTED_METHOD, reply);
+      if (quarantined === undefined) return false;
+      options.onQuarantined(quarantined);
+      return true;
+    },
   });
 }
 
--- a/packages/gateway/src/cluster/part-crashes.ts
+++ b/packages/gateway/src/cluster/part-crashes.ts
@@ -103,7 +103,7 @@
       maxReports: MAX_LOCAL_CRASHES,
       params: (reports) => this.#params(reports),
       isSame: (a, b) => a.part === b.part && a.backendId === b.backendId,
-      onReply: () => undefined,
+      onReply: () => true,
     });
   }
 
--- a/packages/gateway/src/cluster/quarantine-protocol.ts
+++ b/packages/gateway/src/cluster/quarantine-protocol.ts
@@ -3,6 +3,7 @@
  * optional fields or not know a method, and then answers with an error.
  */
 import type { TrialVote } from '@canvasridge/admission';
+import * as z from 'zod';
 
 /** Reports to a home node (one of the few that count crashes) the requests during which backends crashed. */
 export const INTERRUPTED_METHOD = 'quarantine.interrupted';
@@ -61,6 +62,47 @@
  */
 export type InterruptedReply = readonly string[] | null;
 
+const MAX_NAME_LENGTH = 1024;
+/** Far above what nodes keep and report. */
+const MAX_REPORTS = 4096;
+
+const name = z.string().max(MAX_NAME_LENGTH);
+const completedRun = z.object({ fingerprint: name, sentAgoMs: z.number() });
+
+/** Checks {@link InterruptedParams}. */
+export const interruptedParams: z.ZodType<InterruptedParams> = z.object({
+  interruptions: z
+    .array(
+      z.object({
+        fingerprint: name,
+        backend: name,
+        sentAgoMs: z.number().exactOptional(),
+        agoMs: z.number().exactOptional(),
+      }),
+    )
+    .max(MAX_REPORTS),
+  completed: z.array(completedRun).max(MAX_REPORTS).exactOptional(),
+});
+
+/** Checks what a home answers to {@link INTERRUPTED_METHOD}, other than null. */
+export const quarantinedReply: z.ZodType<NonNullable<InterruptedReply>> = z.array(
+  name.refine((text) => Number.isInteger(parseQuarantined(text).episode), 'expected a number as episode'),
+);
+
+/** Checks {@link EndedWellParams}. */
+export const endedWellParams: z.ZodType<EndedWellParams> = z.object({
+  fingerprint: name,
+  sentAgoMs: z.number().exactOptional(),
+});
+
+/** Checks {@link TrialParams}. */
+export const trialParams: z.ZodType<TrialParams> = z.object({ fingerprint: name, episode: z.number() });
+
+/** Checks a {@link TrialReply}. */
+export const trialReply: z.ZodType<TrialReply> = z
+  .object({ isGranted: z.boolean(), homes: z.number().min(0), waitMs: z.number().optional() })
+  .nullable();
+
 const EPISODE_SEPARATOR = ':';
 
 /** The fingerprint alone for the first quarantine of a request, with the number appended for later ones. */
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -48,9 +48,9 @@
   FleetQuotas,
   RATE_BORROW_METHOD,
   TENANT_QUOTAS,
-  readRateBorrow,
+  borrowParams,
+  rateBorrowParams,
   widenRule,
-  type BorrowParams,
 } from './cluster/fleet-quotas.js';
 import { PublishedState, publishedMethods } from './cluster/published-state.js';
 import {
@@ -59,10 +59,8 @@
   FleetQuarantine,
   INTERRUPTED_METHOD,
   TRIAL_METHOD,
-  type EndedWellParams,
-  type InterruptedParams,
-  type TrialParams,
 } from './cluster/fleet-quarantine.js';
+import { endedWellParams, interruptedParams, trialParams } from './cluster/quarantine-protocol.js';
 import { PART_CRASHES_METHOD, PART_RUNS_METHOD } from './cluster/part-crash-protocol.js';
 import { FleetShare } from './cluster/fleet-share.js';
 import { LoopLag } from './cluster/loop-lag.js';
@@ -446,19 +444,26 @@
   #peerMethods(read: PeerParams): PeerMethods {
     return {
       ...publishedMethods(() => this.published, read),
-      [INTERRUPTED_METHOD]: (params) => this.#quarantine.answer(params as InterruptedParams),
-      [COMPLETED_METHOD]: (params) => this.#quarantine.answerEndedWell(params as EndedWellParams),
-      [ENDED_WELL_METHOD]: (params) => this.#quarantine.answerEndedWell(params as EndedWellParams),
+      [INTERRUPTED_METHOD]: read.checked(INTERRUPTED_METHOD, interruptedParams, (params) =>
+        this.#quarantine.answer(params),
+      ),
+      [COMPLETED_METHOD]: read.checked(COMPLETED_METHOD, endedWellParams, (params) =>
+        this.#quarantine.answerEndedWell(params),
+      ),
+      [ENDED_WELL_METHOD]: read.checked(ENDED_WELL_METHOD, endedWellParams, (params) =>
+        this.#quarantine.answerEndedWell(params),
+      ),
       [PART_CRASHES_METHOD]: (params) => this.#quarantine.parts.answerCrashes(params),
       [PART_RUNS_METHOD]: (params) => this.#quarantine.parts.answerRuns(params),
-      [TRIAL_METHOD]: (params) => this.#quarantine.answerTrial(params as TrialParams),
+      [TRIAL_METHOD]: read.checked(TRIAL_METHOD, trialParams, (params) =>
+        this.#quarantine.answerTrial(params),
+      ),
       [BEGAN_METHOD]: (params) => this.#streamVersions.answerBegan(params),
       [FIND_METHOD]: (params) => this.#streamVersions.answerFind(params),
-      [BORROW_METHOD]: (params) => this.#quotas.answer(params as BorrowParams),
-      [RATE_BORROW_METHOD]: (params) => {
-        const read = readRateBorrow(params);
-        return read === undefined ? null : this.#backendRates.answer(read);
-      },
+      [BORROW_METHOD]: read.checked(BORROW_METHOD, borrowParams, (params) => this.#quotas.answer(params)),
+      [RATE_BORROW_METHOD]: read.checked(RATE_BORROW_METHOD, rateBorrowParams, (params) =>
+        this.#backendRates.answer(params),
+      ),
       [ACQUIRE_METHOD]: read.checked(ACQUIRE_METHOD, acquireParams, (params, peer) =>
         this.#slots.answers.onAcquire(params, peer),
       ),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -32,7 +32,7 @@
   FleetQuotas,
   RATE_BORROW_METHOD,
   TENANT_QUOTAS,
-  readRateBorrow,
+  rateBorrowParams,
   widenRule,
   type BorrowParams,
   type QuotaCluster,
--- a/packages/gateway/test/limited-fleet.ts
+++ b/packages/gateway/test/limited-fleet.ts
@@ -8,7 +8,7 @@
   BACKEND_RATES,
   FleetQuotas,
   RATE_BORROW_METHOD,
-  readRateBorrow,
+  rateBorrowParams,
   type QuotaCluster,
 } from '../src/index.js';
 
@@ -114,7 +114,7 @@
     await this.clock.sleep(isLost ? timeoutMs : 3);
     if (isLost) return undefined;
     // Encoded as on the wire, which omits undefined values.
-    const read = readRateBorrow(JSON.parse(JSON.stringify(params)));
+    const read = rateBorrowParams.safeParse(JSON.parse(JSON.stringify(params))).data;
     return read === undefined ? null : this.nodes.get(peer)?.rates.answer(read);
   }
 }
--- a/packages/gateway/test/rate-limit-homes.test.ts
+++ b/packages/gateway/test/rate-limit-homes.test.ts
@@ -5,7 +5,7 @@
 import { VirtualClock } from '@canvasridge/clock';
 import test from 'ava';
 import { BackendRateLimits } from '../src/backends/backend-rate-limits.js';
-import { readRateBorrow } from '../src/index.js';
+import { rateBorrowParams } from '../src/index.js';
 import { BACKEND, LimitedFleet, allowed } from './limited-fleet.js';
 
 const SEEDS = [1, 2, 3, 4, 5];
@@ -92,7 +92,7 @@
     rule: { ratePerSecond: 1, burst: 2 },
   };
   const question = { node: 'n1', group: 0, requests: [request], later: 1 };
-  t.deepEqual(readRateBorrow(question)?.requests, [request]);
+  t.deepEqual(rateBorrowParams.safeParse(question).data?.requests, [request]);
   const wrong: unknown[] = [
     undefined,
     null,
@@ -103,5 +103,6 @@
     { ...question, requests: [{ ...request, needed: [-5] }] },
     { ...question, requests: [{ ...request, returned: 'all' }] },
   ];
-  for (const params of wrong) t.is(readRateBorrow(params), undefined, JSON.stringify(params));
+  for (const params of wrong)
+    t.is(rateBorrowParams.safeParse(params).data, undefined, JSON.stringify(params));
 });
