What a peer sends that is no message ends its connection, and no node

What callers saw: all streams of a node ended when a peer sent it the line `null`; a method that failed left no line at all.

Cause: the fields of a message were read in the socket's handler before it was known to be an object. Errors of methods were dropped. A peer that announced an address with a port that does not exist made `connect` throw in the task that called it.

Change: a line that is no JSON object, or no JSON-RPC message, ends its connection (`peer.unreadable`); an error of a method is logged with its name (`peer.method-failed`); a connection to an address that is none ends at once (`peer.no-address`). Others can cause these at will, so LimitedEvents logs one line a second for each name and subject, with the number of those left out.

Tests that make a PeerNetwork give it a log.

--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -158,6 +158,7 @@
       (peer) => this.#slots.answers.onPeerClosed(peer),
       (address) => this.#cluster.peerRefused(address),
       (socket) => this.#relayServer.accept(socket),
+      telemetry,
     );
     this.#cluster = new Cluster({
       nodeId: settings.nodeId,
--- a/packages/gateway/src/peers/line-framing.ts
+++ b/packages/gateway/src/peers/line-framing.ts
@@ -4,19 +4,28 @@
 const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
 /**
- * Splits the data that a socket receives into JSON values, one per line. Anything else destroys the socket.
+ * Splits the data that a socket receives into JSON objects, one per line. Anything else destroys the socket.
+ * @param onUnreadable called then, with the reason
  */
-export function readFrames(socket: Socket, receive: (value: unknown) => void): void {
+export function readFrames(
+  socket: Socket,
+  receive: (value: object) => void,
+  onUnreadable: (reason: string) => void,
+): void {
+  const refuse = (reason: string): void => {
+    onUnreadable(reason);
+    socket.destroy();
+  };
   let rest = '';
   socket.setEncoding('utf8');
   socket.on('data', (text: string) => {
     const lines = (rest + text).split('\n');
     rest = lines.pop() ?? '';
-    if (rest.length > MAX_FRAME_BYTES) socket.destroy();
+    if (rest.length > MAX_FRAME_BYTES) refuse('too long');
     for (const line of lines) {
       const value = parseFrame(line);
       if (value === undefined) {
-        socket.destroy();
+        refuse('no JSON object');
         return;
       }
       receive(value);
@@ -32,9 +41,10 @@
   return frame.length;
 }
 
-function parseFrame(line: string): unknown {
+function parseFrame(line: string): object | undefined {
   try {
-    return JSON.parse(line) as unknown;
+    const value = JSON.parse(line) as unknown;
+    return typeof value === 'object' && value !== null && !Array.isArray(value) ? value : undefined;
   } catch {
     return undefined;
   }
--- a/packages/gateway/src/peers/peer-connection.ts
+++ b/packages/gateway/src/peers/peer-connection.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net';
 import { JSONRPCClient, JSONRPCServer, JSONRPCServerAndClient } from 'json-rpc-2.0';
+import { errorFields, type LimitedEvents } from '@canvasridge/telemetry';
 import { readFrames, writeFrame } from './line-framing.js';
 import type { PeerTraffic } from './peer-traffic.js';
 
@@ -29,22 +30,45 @@
   #received = 0;
   #receivedAtMs = -Infinity;
 
-  constructor(socket: Socket, methods: PeerMethods, traffic: PeerTraffic, onClose: () => void) {
+  constructor(
+    socket: Socket,
+    methods: PeerMethods,
+    traffic: PeerTraffic,
+    events: LimitedEvents,
+    onClose: () => void,
+  ) {
     this.#socket = socket;
     this.#traffic = traffic;
+    // Errors of methods are logged where they are called.
     const server = new JSONRPCServer({ errorListener: () => undefined });
     for (const [name, method] of Object.entries(methods)) {
-      server.addMethod(name, (params: unknown) => method(params, this));
+      server.addMethod(name, async (params: unknown) => {
+        try {
+          return await method(params, this);
+        } catch (cause) {
+          const from = socket.remoteAddress;
+          events.event('error', 'peer.method-failed', name, { from, ...errorFields(cause) });
+          throw cause;
+        }
+      });
     }
     const client = new JSONRPCClient((payload: unknown) => this.#send(payload as RpcMessage));
     this.#rpc = new JSONRPCServerAndClient(server, client, { errorListener: () => undefined });
     socket.setNoDelay(true);
-    readFrames(socket, (value) => {
+    const onUnreadable = (reason: string, cause?: unknown): void => {
+      const fields = cause === undefined ? {} : errorFields(cause);
+      events.event('warn', 'peer.unreadable', socket.remoteAddress ?? '', { reason, ...fields });
+    };
+    const receive = (value: object): void => {
       this.#received += 1;
       this.#receivedAtMs = performance.now();
-      this.#trackRequest(value as RpcMessage);
-      this.#rpc.receiveAndSend(value as never).catch(() => undefined);
-    });
+      this.#trackRequest(value);
+      this.#rpc.receiveAndSend(value as never).catch((cause: unknown) => {
+        onUnreadable('handling failed', cause);
+        socket.destroy();
+      });
+    };
+    readFrames(socket, receive, onUnreadable);
     socket.on('drain', () => this.#updateWaiting());
     socket.on('error', () => undefined);
     socket.on('close', () => {
--- a/packages/gateway/src/peers/peer-network.ts
+++ b/packages/gateway/src/peers/peer-network.ts
@@ -1,10 +1,13 @@
-import { connect, createServer, type Server, type Socket } from 'node:net';
+import { connect, createServer, Socket, type Server } from 'node:net';
+import { parseSocketAddress, splitSocketAddress } from '@canvasridge/addresses';
 import { SystemClock } from '@canvasridge/clock';
+import { LimitedEvents, type Telemetry } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import { PeerConnection, type PeerMethods } from './peer-connection.js';
 import { PeerTraffic } from './peer-traffic.js';
 
 const CONNECT_TIMEOUT_MS = 400;
+const KEEP_ALIVE_PROBE_MS = 1000;
 /** Its late timers run after it is known whether the connection was accepted meanwhile. */
 const CLOCK = new SystemClock();
 
@@ -27,19 +30,23 @@
   readonly #onClose: (peer: PeerConnection) => void;
   readonly #onRefused: (address: string) => void;
   readonly #onHttp: (socket: Socket) => void;
+  readonly #events: LimitedEvents;
   #server: Server | undefined;
 
   /**
    * @param onClose called when a connection that a peer opened has ended
    * @param onRefused called with the address of a peer where nothing listens
    * @param onHttp called with a connection on which a peer speaks HTTP
+   * @param telemetry for errors of methods, and messages that can't be read
    */
   constructor(
     methods: PeerMethods,
     onClose: (peer: PeerConnection) => void,
     onRefused: (address: string) => void,
     onHttp: (socket: Socket) => void,
+    telemetry: Pick<Telemetry, 'event'>,
   ) {
+    this.#events = new LimitedEvents(telemetry, CLOCK);
     this.#onHttp = onHttp;
     this.#onRefused = onRefused;
     this.#methods = methods;
@@ -64,26 +71,33 @@
   to(address: string): PeerConnection {
     const known = this.#outgoing.get(address);
     if (known !== undefined && !known.closed) return known;
-    const separator = address.lastIndexOf(':');
-    const socket = connect({
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
-      keepAlive: true,
-      keepAliveInitialDelay: 1000,
-    });
+    const socket = this.#connect(address);
     const timer = CLOCK.setTimer(CONNECT_TIMEOUT_MS, () => socket.destroy());
     socket.once('connect', () => timer.cancel());
     socket.once('close', () => timer.cancel());
     socket.once('error', (cause: NodeJS.ErrnoException) => {
       if (cause.code === 'ECONNREFUSED') this.#onRefused(address);
     });
-    const connection = new PeerConnection(socket, this.#methods, this.traffic, () => {
+    const connection = new PeerConnection(socket, this.#methods, this.traffic, this.#events, () => {
       if (this.#outgoing.get(address) === connection) this.#outgoing.delete(address);
     });
     this.#outgoing.set(address, connection);
     return connection;
   }
 
+  /** A member may announce any text as its address: a connection to one that is none ends at once. */
+  #connect(text: string): Socket {
+    const address = parseSocketAddress(text);
+    if (address !== undefined)
+      return connect({
+        ...splitSocketAddress(address),
+        keepAlive: true,
+        keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
+      });
+    this.#events.event('warn', 'peer.no-address', text, {});
+    return new Socket().destroy();
+  }
+
   /** Whether the outgoing connection to a peer is open and received something within this time. */
   receivedWithin(address: string, spanMs: number): boolean {
     const connection = this.#outgoing.get(address);
@@ -115,7 +129,7 @@
   }
 
   #acceptRpc(socket: Socket): void {
-    const connection = new PeerConnection(socket, this.#methods, this.traffic, () =>
+    const connection = new PeerConnection(socket, this.#methods, this.traffic, this.#events, () =>
       this.#onClose(connection),
     );
   }
--- a/packages/gateway/test/unread-input-worker.ts
+++ b/packages/gateway/test/unread-input-worker.ts
@@ -2,6 +2,7 @@
 import { connect, type Socket } from 'node:net';
 import { parentPort, workerData } from 'node:worker_threads';
 import { SystemClock } from '@canvasridge/clock';
+import { Telemetry } from '@canvasridge/telemetry';
 import { FleetState } from '@canvasridge/serving';
 import { PeerNetwork } from '../src/peers/peer-network.js';
 import { FOLLOW_METHOD, StateFollower, type FollowRequest } from '../src/cluster/state-follower.js';
@@ -107,6 +108,7 @@
       () => undefined,
       () => undefined,
       () => undefined,
+      new Telemetry({ processName: 'test', clock: new SystemClock() }),
     );
   }
 
--- a/packages/gateway/test/unread-leaving.test.ts
+++ b/packages/gateway/test/unread-leaving.test.ts
@@ -9,6 +9,7 @@
  * blocked until both the request and the news are in its sockets.
  */
 import { SystemClock } from '@canvasridge/clock';
+import { Telemetry } from '@canvasridge/telemetry';
 import test, { type ExecutionContext } from 'ava';
 import { StateFollower } from '../src/index.js';
 import { PeerNetwork } from '../src/peers/peer-network.js';
@@ -38,6 +39,7 @@
     () => undefined,
     () => undefined,
     () => undefined,
+    new Telemetry({ processName: 'test', clock: new SystemClock() }),
   );
   t.teardown(() => network.close());
   const ids = Array.from({ length: NODES }, (_, index) => `node-${index}`);
--- a/packages/gateway/test/unread-quarantine-answer.test.ts
+++ b/packages/gateway/test/unread-quarantine-answer.test.ts
@@ -45,6 +45,7 @@
     () => undefined,
     () => undefined,
     () => undefined,
+    new Telemetry({ processName: 'test', clock: new SystemClock() }),
   );
   t.teardown(() => network.close());
   await network.to(address).call('open', {}, 10_000);
