A datagram that can't be handled or sent is lost, and nothing else

Callers would have lost all streams of a node that got one datagram at which an update, or the answer to it, fails.

Cause: what the receiver threw was an uncaught exception of the socket. A member may announce any text as its address, and a port that does not exist threw wherever something was sent to it.

Change: the receiver logs `membership.datagram-failed` and goes on; UdpTransport drops what is no address (`membership.no-address`).

--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -10,7 +10,7 @@
   type HttpRoute,
   type NewEra,
 } from '@canvasridge/serving';
-import { keepRunning, runInBackground } from '@canvasridge/telemetry';
+import { LimitedEvents, keepRunning, runInBackground } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import { AdapterVersionCheck } from './backends/adapter-version-check.js';
 import { BackendAvailability } from './backends/backend-availability.js';
@@ -350,7 +350,7 @@
       metrics: this.metrics,
     };
     this.#relayServer = new RelayServer({ ...this.#context, hops });
-    this.#clients = new ClientServer((request, response) => this.#serve(request, response));
+    this.#clients = new ClientServer((request, response) => this.#serve(request, response), telemetry);
     this.#readDelay = new ReadDelay(clock, READ_DELAY_TIMING);
     this.#loopLag = new LoopLag(clock, (busy) => this.#onBusyChanged(busy));
     fleet.onChange((change) => this.#onFleetChanged(change));
@@ -360,8 +360,9 @@
 
   /** Binds the sockets and starts all tasks. */
   static async start(options: GatewayOptions): Promise<Result<GatewayNode, ListenError>> {
-    const { settings } = options;
-    const transport = await UdpTransport.bind(settings.ip, settings.peerPort, settings.peerKey);
+    const { settings, telemetry, clock } = options;
+    const events = new LimitedEvents(telemetry, clock);
+    const transport = await UdpTransport.bind(settings.ip, settings.peerPort, settings.peerKey, events);
     if (transport.isErr()) {
       const { address, reason } = transport.error;
       return err({ kind: 'cannot-listen', field: 'listen.control', address, reason });
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,5 +1,11 @@
 import { jittered, Notifier, type Clock, type Random, type Timer } from '@canvasridge/clock';
-import { keepRunning, runInBackground, type Telemetry } from '@canvasridge/telemetry';
+import {
+  LimitedEvents,
+  errorFields,
+  keepRunning,
+  runInBackground,
+  type Telemetry,
+} from '@canvasridge/telemetry';
 import { BroadcastQueue } from './broadcast-queue.js';
 import {
   encodeMemberQuery,
@@ -73,6 +79,8 @@
   readonly identity: MemberIdentity;
   /** When the last log line about unrecognised data was written, by sender. */
   readonly #lastUnrecognisedLogMs = new Map<string, number>();
+  /** Errors that datagrams cause. */
+  readonly #failures: LimitedEvents;
   readonly #options: MembershipOptions;
   readonly #timing: MembershipTiming;
   readonly #clock: Clock;
@@ -114,7 +122,8 @@
       onChange: (member, before) => this.#handleMemberChange(member, before),
     });
     this.#comparison = new StateComparison(this.#table, this.#records, () => this.self());
-    options.transport.onMessage((from, bytes) => this.#receive(from, bytes));
+    this.#failures = new LimitedEvents(options.telemetry, options.clock);
+    options.transport.onMessage((from, bytes) => this.#receiveLogged(from, bytes));
   }
 
   start(): void {
@@ -375,6 +384,14 @@
 
   // --- receiving ---------------------------------------------------------------------------------
 
+  #receiveLogged(from: string, bytes: Uint8Array): void {
+    try {
+      this.#receive(from, bytes);
+    } catch (cause) {
+      this.#failures.event('error', 'membership.datagram-failed', from, errorFields(cause));
+    }
+  }
+
   #receive(from: string, bytes: Uint8Array): void {
     if (this.#stop.signal.aborted) return;
     const decoded = decodeMessage(bytes);
--- a/packages/membership/src/udp-transport.ts
+++ b/packages/membership/src/udp-transport.ts
@@ -1,6 +1,8 @@
 import { createHmac, timingSafeEqual } from 'node:crypto';
 import { createSocket, type Socket, type SocketOptions } from 'node:dgram';
 import { isIPv6, type AddressInfo } from 'node:net';
+import { parseSocketAddress, splitSocketAddress } from '@canvasridge/addresses';
+import type { LimitedEvents } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import type { DatagramTransport } from './datagram-transport.js';
 
@@ -21,17 +23,24 @@
   readonly localAddress: string;
   readonly #socket: Socket;
   readonly #key: string;
+  readonly #events: LimitedEvents;
   #closed = false;
 
-  private constructor(socket: Socket, key: string) {
+  private constructor(socket: Socket, key: string, events: LimitedEvents) {
     this.#socket = socket;
     this.#key = key;
+    this.#events = events;
     const boundAddress = socket.address();
     this.localAddress = formatAddress(boundAddress);
   }
 
   /** Binds to `host:port`; with port 0, the operating system chooses a port. */
-  static bind(host: string, port: number, key: string): Promise<Result<UdpTransport, UdpTransportError>> {
+  static bind(
+    host: string,
+    port: number,
+    key: string,
+    events: LimitedEvents,
+  ): Promise<Result<UdpTransport, UdpTransportError>> {
     const family = isIPv6(host) ? 6 : 4;
     const lookup: SocketOptions['lookup'] = (address, _options, callback) => callback(null, address, family);
     const socket = createSocket({ type: `udp${family}`, lookup });
@@ -42,17 +51,21 @@
       socket.bind(port, host, () => {
         socket.removeAllListeners('error');
         socket.on('error', () => undefined); // a failed send is a lost datagram, which the protocol tolerates
-        resolve(ok(new UdpTransport(socket, key)));
+        resolve(ok(new UdpTransport(socket, key, events)));
       });
     });
   }
 
-  send(address: string, bytes: Uint8Array): void {
+  /** A member may announce any text as its address: datagrams to one that is none are dropped. */
+  send(text: string, bytes: Uint8Array): void {
     // Tasks that were running when the node stopped may still try to send.
     if (this.#closed) return;
-    const separator = address.lastIndexOf(':');
-    const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
-    const port = Number(address.slice(separator + 1));
+    const address = parseSocketAddress(text);
+    if (address === undefined) {
+      this.#events.event('warn', 'membership.no-address', text, {});
+      return;
+    }
+    const { host, port } = splitSocketAddress(address);
     this.#socket.send([bytes, this.#computeMac(bytes)], port, host, () => undefined);
   }
 
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -12,7 +12,14 @@
   newHttpAgent,
 } from '@canvasridge/http-bindings';
 import type { ListenAddress } from '@canvasridge/settings';
-import { EventLogger, NullMetrics, StatsdMetrics, Telemetry, type Metrics } from '@canvasridge/telemetry';
+import {
+  EventLogger,
+  LimitedEvents,
+  NullMetrics,
+  StatsdMetrics,
+  Telemetry,
+  type Metrics,
+} from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import { callerListener } from './http/caller-server.js';
 import { peerListener } from './http/peer-server.js';
@@ -43,7 +50,15 @@
 /** Binds the sockets, then starts the node. */
 export async function startNodeProcess(settings: NodeSettings): Promise<Result<NodeProcess, StartError>> {
   const { callers, peers, gossip } = settings.listen;
-  const transport = await UdpTransport.bind(gossip.host, gossip.port, settings.peerKey);
+  const clock = new SystemClock();
+  const telemetry = new Telemetry({
+    processName: settings.node.id,
+    clock,
+    logger: new EventLogger(settings.node.id, settings.log.level),
+    metrics: newMetrics(settings),
+  });
+  const events = new LimitedEvents(telemetry, clock);
+  const transport = await UdpTransport.bind(gossip.host, gossip.port, settings.peerKey, events);
   if (transport.isErr()) {
     const { address, reason } = transport.error;
     return err({ kind: 'cannot-listen', field: 'listen.gossip', address, reason });
@@ -62,13 +77,6 @@
     capacity: 0,
     processToken: randomBytes(PROCESS_TOKEN_BYTES).toString('hex'),
   };
-  const clock = new SystemClock();
-  const telemetry = new Telemetry({
-    processName: identity.id,
-    clock,
-    logger: new EventLogger(identity.id, settings.log.level),
-    metrics: newMetrics(settings),
-  });
   const agent = newHttpAgent();
   const peerCaller = new HttpPeerCaller(clock, settings.peerKey);
   const node = new EntryNode({
