A request whose exchange can't be made is answered with 503

Callers would have lost all streams of a node, had the headers of one request made the constructor of its exchange throw.

Cause: the listener of the HTTP server is called in the handler of the socket: what it throws is an uncaught exception.

Change: ClientServer answers such a request with 503, as nothing was run, logs `request.defect` and goes on.

No request is known that makes the constructor throw.

--- a/packages/gateway/src/client-server.ts
+++ b/packages/gateway/src/client-server.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
 import type { RequestLimits } from '@canvasridge/serving';
+import { errorFields, type Telemetry } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 
 /** Requests with larger headers are refused, whatever the configuration allows. */
@@ -8,6 +9,7 @@
 const CONNECTIONS_CHECK_MS = 1000;
 /** The HTTP server adds a second, and warns at each connection of what a timer of Node.js can't hold. */
 const MAX_IDLE_TIMEOUT_MS = 2 ** 31 - 1 - 60_000;
+const SERVICE_UNAVAILABLE = 503;
 
 export interface ListenError {
   readonly kind: 'cannot-listen';
@@ -39,7 +41,8 @@
   readonly #connections = new Map<Socket, ConnectionState>();
   #closing = false;
 
-  constructor(listener: Listener) {
+  /** @param telemetry for `request.defect`: what the listener throws, which is answered with 503 */
+  constructor(listener: Listener, telemetry: Pick<Telemetry, 'event'>) {
     this.#server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -49,7 +52,12 @@
       },
       (request, response) => {
         this.#countResponse(request.socket, response);
-        listener(request, response);
+        try {
+          listener(request, response);
+        } catch (cause) {
+          telemetry.event('error', 'request.defect', request.url ?? '', errorFields(cause));
+          refuse(response);
+        }
       },
     );
     this.#server.on('connection', (socket: Socket) => this.#track(socket));
@@ -112,6 +120,12 @@
   }
 }
 
+/** The request was not run, so it may be sent again. */
+function refuse(response: ServerResponse): void {
+  if (response.headersSent) response.destroy();
+  else response.writeHead(SERVICE_UNAVAILABLE, { 'content-length': 0 }).end();
+}
+
 /** Binds an HTTP server; `field` is the name of the setting, for error messages. */
 export function listen(
   server: Server,
