--- a/packages/serving/src/fleet-state.ts
+++ b/packages/serving/src/fleet-state.ts
@@ -229,6 +229,11 @@
     return entry === undefined ? undefined : this.#effective(entry.value);
   }
 
+  /** A backend as the list describes it, whatever else this node knows of it. */
+  listedBackend(id: string): BackendDescription | undefined {
+    return this.#backends.get(id)?.value;
+  }
+
   /** Revision of a listed backend's entry. */
   entryRevision(id: string): number | undefined {
     return this.#backends.get(id)?.revision;
