A process in which something failed that nothing caught ends its requests first

What callers saw: when an error reached the process, all its streams ended at once, also those that it did not concern.

Cause: `process.failed` was logged and the process exited.

Change: ProcessFailure decides what such an error does, for both programs of nodes: it logs `process.failed`, and the node stops as on SIGTERM and exits with 1, at the end of its grace time at the latest.

--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -19,11 +19,12 @@
     );
     return ExitCode.failure;
   }
-  const { callersUrl, peersUrl, gossip } = started.value;
+  const { callersUrl, peersUrl, gossip, failure } = started.value;
+  failure.watch();
   process.stdout.write(`${JSON.stringify({ ready: true, callersUrl, peersUrl, gossip })}\n`);
-  await stopSignal();
+  await Promise.race([stopSignal(), failure.untilFailed()]);
   await started.value.stop();
-  return ExitCode.success;
+  return failure.hasOccurred ? ExitCode.failure : ExitCode.success;
 }
 
 /** Entry point of `canvasridge-node`. Returns the exit code. */
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -11,12 +11,13 @@
   HttpServiceClient,
   newHttpAgent,
 } from '@canvasridge/http-bindings';
-import type { ListenAddress } from '@canvasridge/settings';
+import { ExitCode, type ListenAddress } from '@canvasridge/settings';
 import {
   EventLogger,
   LimitedEvents,
   NullMetrics,
   StatsdMetrics,
+  ProcessFailure,
   Telemetry,
   type Metrics,
 } from '@canvasridge/telemetry';
@@ -43,6 +44,8 @@
   readonly callersUrl: string;
   readonly peersUrl: string;
   readonly gossip: string;
+  /** What the process does about errors that nothing catches; it watches for none yet. */
+  readonly failure: ProcessFailure;
   /** Stops gracefully: drains, then resolves when all requests have ended or the time limit has passed. */
   stop(): Promise<void>;
 }
@@ -57,6 +60,13 @@
     logger: new EventLogger(settings.node.id, settings.log.level),
     metrics: newMetrics(settings),
   });
+  const failure = new ProcessFailure({
+    name: settings.node.id,
+    telemetry,
+    // Standard error is written at once.
+    flush: () => undefined,
+    exit: () => process.exit(ExitCode.failure),
+  });
   const events = new LimitedEvents(telemetry, clock);
   const transport = await UdpTransport.bind(gossip.host, gossip.port, settings.peerKey, events);
   if (transport.isErr()) {
@@ -139,6 +149,7 @@
     callersUrl: callersBound.value,
     peersUrl: peersBound.value,
     gossip: transport.value.localAddress,
+    failure,
     stop,
   });
 }
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -9,6 +9,7 @@
 export { StatsdMetrics, NullMetrics, type Metrics, type MetricName, METRICS } from './metrics.js';
 export { keepRunning, runInBackground, runLogged } from './background.js';
 export { LimitedEvents } from './limited-events.js';
+export { ProcessFailure } from './process-failure.js';
 export { errorFields } from './error-fields.js';
 export { EventRing, type TimelineEvent, type TimelineDump } from './event-ring.js';
 export { Telemetry } from './telemetry.js';
