Metric: canvasridge_errors_total counts error lines by event

What on-call saw: a fault inside a node showed in log lines alone, or not at all.

Change: Telemetry counts events of level error by name; the gateway exposes them every second.

--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -134,6 +134,12 @@
     help: 'Most bytes that waited to be sent to other nodes in the last second',
     registers: [this.registry],
   });
+  readonly errors = new Counter({
+    name: 'canvasridge_errors_total',
+    help: 'Log lines of level error, by event',
+    labelNames: ['event'],
+    registers: [this.registry],
+  });
   readonly droppedLogLines = new Gauge({
     name: 'canvasridge_log_lines_dropped',
     help: 'Log lines left out since the start',
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -572,7 +572,9 @@
   }
 
   #updateMetrics(): void {
-    this.metrics.droppedLogLines.set(this.#options.droppedLogLines());
+    const { telemetry, droppedLogLines } = this.#options;
+    for (const [event, count] of telemetry.takeErrorCounts()) this.metrics.errors.inc({ event }, count);
+    this.metrics.droppedLogLines.set(droppedLogLines());
     this.metrics.members.set(this.#cluster.serving().length);
     this.metrics.loopLag.set(this.#loopLag.meanMs / 1000);
     this.metrics.quarantined.set(this.#quarantine.size);
--- a/packages/telemetry/src/telemetry.ts
+++ b/packages/telemetry/src/telemetry.ts
@@ -12,6 +12,7 @@
   readonly metrics: Metrics;
   readonly #clock: Clock;
   readonly #logger: EventLogger | undefined;
+  #errorCounts = new Map<string, number>();
 
   constructor(options: {
     readonly processName: string;
@@ -28,6 +29,7 @@
 
   /** Logs an event and adds it to the timeline. */
   event(level: LogLevel, name: string, subject: string, fields: LogFields = {}): void {
+    if (level === 'error') this.#errorCounts.set(name, (this.#errorCounts.get(name) ?? 0) + 1);
     this.#logger?.log(level, name, { subject, ...fields });
     const detail = Object.entries(fields)
       .filter(([, value]) => value !== undefined)
@@ -36,6 +38,13 @@
     this.ring.record({ atMs: this.#clock.wallTime(), name, subject, detail });
   }
 
+  /** Events of level `error` since the last call, by name. */
+  takeErrorCounts(): ReadonlyMap<string, number> {
+    const counts = this.#errorCounts;
+    this.#errorCounts = new Map();
+    return counts;
+  }
+
   /**
    * Adds a step of a request to the timeline without logging it. `startedAtMs` is its start in wall time, for
    * the duration; a step without it is an event of this moment.
