A failure in one order or report to an engine is an unknown order or no report, and is logged

Cause: EngineControl promises not to reject, but an exception in a notice's listener, in the record of paths or runs, or while a connection was made rejected the order, which nobody handles where adapters and models are loaded. In a report it was swallowed without a line, and its response was not read: the one connection for reports to that runner was never free again. A report could show the count 1e308, which no order can follow, or such versions; a pending text without a slash named a model that nobody has.

Change: GuardedControl around what pools use (order.defect, report.defect).

--- a/packages/gateway/src/paths/backend-access.ts
+++ b/packages/gateway/src/paths/backend-access.ts
@@ -12,6 +12,7 @@
 import { BackendPaths } from './backend-paths.js';
 import { BackendResponsiveness } from './backend-responsiveness.js';
 import { FleetPaths } from './fleet-paths.js';
+import { GuardedControl } from './guarded-control.js';
 import type { PathProbe } from './http-probe.js';
 import { OwnLoss } from './own-loss.js';
 import { PathRecordingControl } from './path-recording-control.js';
@@ -76,7 +77,8 @@
     });
     this.#ownLoss = new OwnLoss({ clock: fleetClock, paths: this.paths, relays: this.#relays });
     this.hops = new BackendHops({ ...options, paths: this.paths, relays: this.#relays });
-    this.control = new PathRecordingControl(options.control, this.paths, telemetry);
+    const recording = new PathRecordingControl(options.control, this.paths, telemetry);
+    this.control = new GuardedControl(recording, telemetry);
   }
 
   start(): void {
