Times and log record of a request are modules of their own

RequestTimes: age, timeout and what is left; RequestRecord: what request.finished, request.defect and the metrics say. No change in behaviour; the 216 tests of requests, takeovers, relays, quarantine, slot picker and planned stops that ran pass.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -6,9 +6,10 @@
   type HttpRoute,
 } from '@canvasridge/serving';
 import type { StreamProgress, UseOutcome } from '@canvasridge/slots';
-import { errorFields } from '@canvasridge/telemetry';
 import { RETRY_ELSEWHERE_MS } from '../backends/backend-availability.js';
 import type { PickResult, PickedBackend } from '../backends/picker.js';
+import { RequestRecord } from './request-record.js';
+import { RequestTimes } from './request-times.js';
 import { ResponseSink } from './response-sink.js';
 import {
   describeOutcome,
@@ -66,17 +67,9 @@
   readonly #quarantine: RequestQuarantine;
   readonly #binding: StreamBinding;
   readonly #writeCheck: WriteCheck;
-  /** When the request was read. */
-  readonly #arrivedMs: number;
-  /** How long it may have lain unread before, in milliseconds. */
-  readonly #unreadMs: number;
-  /**
-   * Time until the node's stop deadline when the request arrived, in milliseconds; Infinity unless the node
-   * is stopping.
-   */
-  readonly #stopsInMs: number;
+  readonly #times: RequestTimes;
+  readonly #record: RequestRecord;
   readonly #cancel = new AbortController();
-  #route: HttpRoute | undefined;
   #body: Buffer = EMPTY_BODY;
   #attempt: BackendAttempt | undefined;
   /** Looks for what may take over from the attempt; undefined unless that has been silent. */
@@ -85,8 +78,6 @@
   #keptFailure: (AttemptOutcome & { readonly kind: 'failure' }) | undefined;
   #ended = false;
   #mayHaveRun = false;
-  /** Attempts so far, including those whose request was not sent or not run. */
-  #sends = 0;
   /** Attempts so far in which a backend ran the request, or may have run it. */
   #runs = 0;
   #excluded: string[] = [];
@@ -94,38 +85,24 @@
   readonly #silent: string[] = [];
   /** Nodes that could not relay this request. */
   readonly #excludedRelays = new Set<string>();
-  /** Node through which the last attempt was sent; undefined if it was sent directly. */
-  #relay: string | undefined;
   /** Whether the last attempt failed because this node has lost its path to all backends of the service. */
   #isOwnFailure = false;
   /** Whether that was so for any attempt. */
   #hasOwnFailure = false;
   #lastEventId = -1;
-  #backendId = '';
-  #pickMethod = '';
   /** How fast the events of the last attempt came. */
   #progress: StreamProgress | undefined;
   /** What takes over from the last attempt, which was given up for it. */
   #replacement: Replacement | undefined;
-  /** Age of the request when the last backend was picked, in milliseconds. */
-  #pickedMs: number | undefined;
-  /** Age of the backend list when the last attempt was written, in milliseconds. */
-  #listAgeMs: number | undefined;
-  /** Age of the request when its last attempt was written, in milliseconds. */
-  #sentMs: number | undefined;
   /** How long the last attempt had received nothing when it ended, in milliseconds. */
   #silentMs: number | undefined;
 
-  /** Retry-After of the response, in milliseconds, if it has one. */
-  #retryAfterMs: number | undefined;
-
   constructor(context: ExchangeContext, request: IncomingMessage, response: ServerResponse) {
     this.#context = context;
     this.#request = request;
-    this.#arrivedMs = context.clock.now();
-    this.#unreadMs = context.unreadMs();
-    this.#stopsInMs = context.stopsInMs();
     this.#facts = context.dialect.readRequest(request.headers);
+    this.#times = new RequestTimes(context, this.#facts.deadlineMs);
+    this.#record = new RequestRecord(context, this.#facts, this.#times);
     this.#admission = new RequestAdmission(context, this.#facts);
     const { attemptId = 'none', sharedParts } = this.#facts;
     this.#quarantine = new RequestQuarantine(context, attemptId, sharedParts, () => ({
@@ -168,7 +145,7 @@
       this.#respond({ kind: 'no-route' });
       return;
     }
-    this.#route = route;
+    this.#record.route = route;
     if (!this.#identifyOrRefuse(route)) return;
     const service = routes.service(pickService(route.services, this.#context.random()) ?? '');
     if (service === undefined) {
@@ -176,7 +153,7 @@
       return;
     }
     const timeOut = (): void => this.#endBy(() => this.#onTimeout());
-    const timer = this.#context.clock.setTimer(this.#timeoutMs(route), timeOut);
+    const timer = this.#context.clock.setTimer(this.#times.timeoutMs(route), timeOut);
     try {
       await this.#readAndServe(route, service, routes.configuration.limits.maxBodyBytes);
     } finally {
@@ -236,7 +213,7 @@
     lastRun: AttemptOutcome | undefined,
   ): Promise<PickedBackend | undefined> {
     if (this.#mayHaveRun && this.#keptFailure === undefined) {
-      const leftMs = this.#startWithinMs(route) - this.#ageMs();
+      const leftMs = this.#startWithinMs(route) - this.#times.ageMs;
       await this.#admission.waitWhileStale(route, leftMs, this.#cancel.signal);
       if (this.#ended) return undefined;
     }
@@ -276,7 +253,7 @@
    * process was blocked or suspended.
    */
   #timeOutIfOverdue(route: HttpRoute): boolean {
-    if (this.#remainingMs(route) > 0) return false;
+    if (this.#times.remainingMs(route) > 0) return false;
     this.#onTimeout();
     return true;
   }
@@ -318,7 +295,7 @@
   }
 
   #outageRetryMs(cause: UnableCause): number {
-    const callerLeftMs = (this.#facts.deadlineMs ?? Infinity) - this.#ageMs();
+    const callerLeftMs = (this.#facts.deadlineMs ?? Infinity) - this.#times.ageMs;
     return this.#context.outageRetryMs(cause, callerLeftMs);
   }
 
@@ -375,8 +352,8 @@
       tenant: this.#admission.tenant,
       priority: this.#admission.priority(route),
       generation: this.#facts.generation,
-      ageMs: this.#ageMs(),
-      timeoutMs: this.#timeoutMs(route),
+      ageMs: this.#times.ageMs,
+      timeoutMs: this.#times.timeoutMs(route),
       startWithinMs: this.#startWithinMs(route),
       isContinued: this.#sink.started,
       excluded: [...this.#excluded, ...avoided],
@@ -407,11 +384,11 @@
   }
 
   #beginSend(picked: PickedBackend): void {
-    this.#backendId = picked.backend.id;
-    this.#pickMethod = picked.how;
-    this.#pickedMs = this.#ageMs();
-    this.#sends += 1;
-    this.#relay = undefined;
+    this.#record.backendId = picked.backend.id;
+    this.#record.pickMethod = picked.how;
+    this.#record.pickedMs = this.#times.ageMs;
+    this.#record.sends += 1;
+    this.#record.relay = undefined;
     this.#progress = undefined;
     this.#isOwnFailure = false;
   }
@@ -426,7 +403,7 @@
     try {
       const hop = openHop ?? (await this.#openHop(service, picked.backend));
       if (typeof hop === 'string') return { outcome: { kind: 'not-run', reason: hop } };
-      this.#relay = hop.relay;
+      this.#record.relay = hop.relay;
       return await this.#runOver(hop, route, service, picked);
     } catch (cause) {
       if (this.#attempt?.sent === true) throw cause;
@@ -477,7 +454,7 @@
         path: this.#request.url ?? '/',
         headers: () =>
           dialect.forwardHeaders(this.#request.rawHeaders, {
-            deadlineMs: backendDeadlineMs(this.#remainingMs(route), this.#unreadMs),
+            deadlineMs: backendDeadlineMs(this.#times.remainingMs(route), this.#times.unreadMs),
             backendId: backend.id,
             adapterVersion: this.#writeCheck.expectedVersion(picked),
             lastEventId,
@@ -497,8 +474,8 @@
         onActive: () => this.#search?.cancel(),
         reasonNotToWrite: () => this.#writeCheck.reasonNotToWrite(route, picked),
         onWritten: () => {
-          this.#sentMs = this.#ageMs();
-          this.#listAgeMs = this.#context.listAgeMs();
+          this.#record.sentMs = this.#times.ageMs;
+          this.#record.listAgeMs = this.#context.listAgeMs();
         },
         onNotice: (notice) =>
           this.#context.notices.handleNotice(backend.id, notice, picked.isChargedToRateLimit),
@@ -535,7 +512,8 @@
     }
     try {
       this.#progress = attempt.progress;
-      if (this.#relay !== undefined && isRelayFailure(outcome)) this.#excludedRelays.add(this.#relay);
+      if (this.#record.relay !== undefined && isRelayFailure(outcome))
+        this.#excludedRelays.add(this.#record.relay);
       if (attempt.sent && mayStillRun(outcome)) this.#binding.bindToRunAt(route, picked.backend);
       await this.#recordPath(picked.backend, outcome);
       const target = { backendId: picked.backend.id, service: service.name };
@@ -549,7 +527,7 @@
   async #recordPath(backend: BackendDescription, outcome: AttemptOutcome): Promise<void> {
     // A backend that takes over directly has just answered, so this node has a path.
     const isReached = this.#replacement !== undefined && this.#replacement.hop.relay === undefined;
-    if (this.#relay === undefined && isPathFailure(outcome) && !isReached)
+    if (this.#record.relay === undefined && isPathFailure(outcome) && !isReached)
       this.#isOwnFailure = await this.#context.paths.isOwnFailure(backend.id);
     this.#hasOwnFailure ||= this.#isOwnFailure;
   }
@@ -611,9 +589,9 @@
   /** Why the request may not be sent again while its attempt runs; undefined if it may. */
   #obstacleToRetry(route: HttpRoute, service: BackendService): string | undefined {
     if (this.#attempt === undefined || this.#attempt.isSettled) return 'ended';
-    if (this.#sends >= MAX_SENDS) return 'too-many-sends';
+    if (this.#record.sends >= MAX_SENDS) return 'too-many-sends';
     if (this.#quarantine.isQuarantined) return 'quarantined';
-    if (this.#remainingMs(route) <= 0) return 'overdue';
+    if (this.#times.remainingMs(route) <= 0) return 'overdue';
     if (this.#context.budget(service.name).isUsedUp) return 'no-retry-budget';
     return this.#admission.isStillIdentified(route) ? undefined : 'no-access';
   }
@@ -625,7 +603,7 @@
       return false;
     }
     return (
-      this.#remainingMs(route) > 0 &&
+      this.#times.remainingMs(route) > 0 &&
       this.#admission.isStillIdentified(route) &&
       !this.#quarantine.isQuarantined
     );
@@ -674,7 +652,7 @@
     const hasNoWay = outcome.kind === 'not-run' && outcome.reason === 'no-path';
     if (
       hasNoWay ||
-      this.#sends >= MAX_SENDS ||
+      this.#record.sends >= MAX_SENDS ||
       (costsRetry && !this.#context.budget(service.name).tryTake())
     ) {
       this.#endWithoutRetry(outcome);
@@ -686,16 +664,16 @@
   #recordRetry(service: BackendService, outcome: AttemptOutcome): void {
     // A backend that asked for a backoff is not excluded: it is avoided until that ends, and may be tried
     // again afterwards.
-    const isBackingOff = this.#context.availability.isBackingOff(this.#backendId);
-    if (outcome.kind === 'broken' && outcome.how === 'silent') this.#silent.push(this.#backendId);
+    const isBackingOff = this.#context.availability.isBackingOff(this.#record.backendId);
+    if (outcome.kind === 'broken' && outcome.how === 'silent') this.#silent.push(this.#record.backendId);
     else if (!mayReuseBackend(outcome) && !isBackingOff && !this.#isOwnFailure)
-      this.#excluded = [...this.#excluded, this.#backendId];
+      this.#excluded = [...this.#excluded, this.#record.backendId];
     this.#context.metrics.retries.inc({ service: service.name });
     this.#context.telemetry.event('info', 'request.retried', this.#facts.attemptId ?? '', {
       after: outcome.kind,
       detail: describeOutcome(outcome),
-      backend: this.#backendId,
-      ageMs: Math.round(this.#ageMs()),
+      backend: this.#record.backendId,
+      ageMs: Math.round(this.#times.ageMs),
     });
   }
 
@@ -722,16 +700,7 @@
   }
 
   #recordDefect(cause: unknown): void {
-    const backend = this.#context.fleet.backend(this.#backendId);
-    this.#context.telemetry.event('error', 'request.defect', this.#facts.attemptId ?? 'none', {
-      ...errorFields(cause),
-      route: this.#route?.name,
-      backend: this.#backendId === '' ? undefined : this.#backendId,
-      address: backend?.address,
-      relay: this.#relay,
-      sent: this.#attempt?.sent ?? false,
-      ageMs: Math.round(this.#ageMs()),
-    });
+    this.#record.defect(cause, this.#attempt?.sent === true);
   }
 
   /** Does what no failure may keep others from; a defect in it is logged. */
@@ -794,8 +763,8 @@
   #respond(response: GatewayResponse): void {
     if (this.#ended) return;
     const status = statusOf(response);
-    this.#retryAfterMs = retryAfterOf(response);
-    const headers = this.#context.dialect.refusalHeaders(this.#retryAfterMs);
+    this.#record.retryAfterMs = retryAfterOf(response);
+    const headers = this.#context.dialect.refusalHeaders(this.#record.retryAfterMs);
     this.#sink.sendText(status, headers, `${response.kind}\n`);
     const detail = 'reason' in response ? response.reason : 'detail' in response ? response.detail : '';
     this.#finish(detail === '' ? response.kind : `${response.kind}: ${detail}`, status);
@@ -805,35 +774,12 @@
     if (this.#ended) return;
     this.#ended = true;
     this.#refundUnlessRun();
-    const { telemetry, metrics, fleet } = this.#context;
-    const ageMs = this.#ageMs();
-    const firstByteMs = this.#sink.firstByteMs;
-    const silentMs = this.#attempt?.silentMs ?? this.#silentMs;
-    metrics.requests.inc({ route_kind: this.#route?.kind ?? 'none', status: String(status) });
-    metrics.countTenant(this.#admission.tenant, status);
-    if (firstByteMs !== undefined) metrics.firstByte.observe((firstByteMs - this.#arrivedMs) / 1000);
-    telemetry.event('info', 'request.finished', this.#facts.attemptId ?? 'none', {
+    this.#record.finished({
       outcome,
       status,
-      retryAfterMs: round(this.#retryAfterMs),
-      route: this.#route?.name,
       tenant: this.#admission.tenant,
-      adapter: this.#facts.generation?.adapter,
-      backend: this.#backendId === '' ? undefined : this.#backendId,
-      version: fleet.backend(this.#backendId)?.softwareVersion,
-      resumes: this.#facts.resumedAttemptId,
-      relay: this.#relay,
-      how: this.#pickMethod === '' ? undefined : this.#pickMethod,
-      sends: this.#sends,
-      pickedMs: round(this.#pickedMs),
-      sentMs: round(this.#sentMs),
-      listAgeMs: round(this.#listAgeMs),
-      silentMs: round(silentMs),
-      lagMs: Math.round(this.#context.lagMs()),
-      unreadMs: Math.round(this.#unreadMs),
-      ageMs: Math.round(ageMs),
-      firstByteMs: firstByteMs === undefined ? undefined : Math.round(firstByteMs - this.#arrivedMs),
-      configuration: fleet.configurationVersion,
+      firstByteMs: this.#sink.firstByteMs,
+      silentMs: this.#attempt?.silentMs ?? this.#silentMs,
     });
   }
 
@@ -846,10 +792,10 @@
       traceId: this.#facts.attemptId ?? 'none',
       backendId,
       service,
-      relay: this.#relay,
+      relay: this.#record.relay,
       silentMs: this.#attempt?.silentMs,
       begunForMs: this.#attempt?.begunForMs,
-      ageMs: this.#ageMs(),
+      ageMs: this.#times.ageMs,
       result,
     });
   }
@@ -860,30 +806,14 @@
     return inactivityLimit(route, () => this.#context.connections.lastReceivedMs(backendId));
   }
 
-  #timeoutMs(route: HttpRoute): number {
-    return Math.min(route.timeoutMs, this.#facts.deadlineMs ?? Infinity, this.#stopsInMs);
-  }
-
   /**
    * Age of the request at which its client gives up unless it has received more data by then: clients
    * abandon a stream that shows no event for some time, whatever their deadline.
    */
   #startWithinMs(route: HttpRoute): number {
-    const sinceMs = this.#sink.started ? this.#ageMs() - (this.#attempt?.silentMs ?? 0) : 0;
-    return Math.min(this.#timeoutMs(route), sinceMs + (route.patienceMs ?? Infinity));
+    const sinceMs = this.#sink.started ? this.#times.ageMs - (this.#attempt?.silentMs ?? 0) : 0;
+    return Math.min(this.#times.timeoutMs(route), sinceMs + (route.patienceMs ?? Infinity));
   }
-
-  #remainingMs(route: HttpRoute): number {
-    return this.#timeoutMs(route) - this.#ageMs();
-  }
-
-  #ageMs(): number {
-    return this.#context.clock.now() - this.#arrivedMs;
-  }
-}
-
-function round(milliseconds: number | undefined): number | undefined {
-  return milliseconds === undefined ? undefined : Math.round(milliseconds);
 }
 
 const NOT_SENT: AttemptOutcome = { kind: 'not-run', reason: 'not-allowed' };
