--- a/packages/gateway/test/running-node.ts
+++ b/packages/gateway/test/running-node.ts
@@ -27,6 +27,8 @@
 export interface RunningNode {
   readonly node: GatewayNode;
   readonly port: number;
+  /** For connections and datagrams of other nodes. */
+  readonly peerPort: number;
   /** Attempt ids of the requests that reached the backend. */
   readonly attempts: readonly string[];
   /** Log lines of the node. */
@@ -203,5 +205,5 @@
     droppedLogLines: () => 0,
   });
   if (node.isErr()) throw new Error(node.error.reason);
-  return { node: node.value, port, lines };
+  return { node: node.value, port, peerPort: nodeSettings.peerPort, lines };
 }
