--- a/packages/gateway/src/cluster/slot-protocol.ts
+++ b/packages/gateway/src/cluster/slot-protocol.ts
@@ -87,8 +87,8 @@
 
 /** Longest id or name; clients choose ids of requests, within the limits of their headers. */
 const MAX_TEXT_LENGTH = 65_536;
-/** Longest time that timers of Node.js accept. */
-const MAX_TIME_MS = 2_147_483_647;
+/** Sums of times up to here stay exact to the millisecond; configurations hold no longer ones. */
+const MAX_TIME_MS = 1e15;
 const MAX_TOKENS = 1_000_000_000;
 
 const text = z.string().max(MAX_TEXT_LENGTH);
--- a/packages/gateway/test/spoiling-peer.ts
+++ b/packages/gateway/test/spoiling-peer.ts
@@ -1,6 +1,8 @@
 /** A running node and a peer that sends it spoiled input. */
 import { once } from 'node:events';
 import { connect } from 'node:net';
+import { SystemClock } from '@canvasridge/clock';
+import { LimitedEvents } from '@canvasridge/telemetry';
 import type { ExecutionContext } from 'ava';
 import fc from 'fast-check';
 import type { GatewayNode } from '../src/index.js';
@@ -50,6 +52,8 @@
   readonly connection: PeerConnection;
 }
 
+const UNLOGGED = new LimitedEvents({ event: () => undefined }, new SystemClock());
+
 /** A running node with a connection to its port for peers. */
 export async function connectTo(t: ExecutionContext): Promise<Peer> {
   const { node, lines, peerPort } = await startNode(t, { graceMs: GRACE_MS }, () => undefined);
@@ -57,6 +61,6 @@
   const socket = connect(peerPort, '127.0.0.1');
   await once(socket, 'connect');
   t.teardown(() => socket.destroy());
-  const connection = new PeerConnection(socket, {}, new PeerTraffic(), () => undefined);
+  const connection = new PeerConnection(socket, {}, new PeerTraffic(), UNLOGGED, () => undefined);
   return { node, lines, peerPort, connection };
 }
