Updates of members that can't be encoded or refuted are passed over

A record nested 2,000 levels deep can be read by unpack and not be written by pack: it was kept, and each join at that node failed from then on, logged once a second. An update about a node with incarnation 2^53-1 was refuted with a number that no other node accepts. Records have 16 levels at most now, and incarnations end at 2^52.

Open: records of owners who are no members are kept without a bound; an incarnation at the bound itself can't be refuted.

--- a/packages/membership/src/codec.ts
+++ b/packages/membership/src/codec.ts
@@ -13,35 +13,30 @@
  * not know.
  */
 const text = z.string().max(256);
+const MAX_INCARNATION = 2 ** 52;
+/** Levels of a record's value. A value that can be read but not encoded again would spoil each message with it. */
+const MAX_VALUE_DEPTH = 16;
 const stateCode = z.int().min(0).max(4);
+/** A node refutes what is said about it with the next incarnation, which must be one that others accept. */
+const incarnation = z.int().min(0).max(MAX_INCARNATION);
 /** Each state is sent as its index in this list. */
 const STATES: readonly MemberState[] = ['alive', 'suspect', 'draining', 'dead', 'left'];
 
 /** [0, id, incarnation, state, suspicionAgeMs] */
 const memberStateUpdate = z
-  .tuple([z.literal(0), text, z.int().min(0), stateCode, z.int().min(0)])
+  .tuple([z.literal(0), text, incarnation, stateCode, z.int().min(0)])
   .rest(z.unknown());
 /** [1, id, incarnation, state, zone, region, gossip, peerUrl, callerUrl, processToken, capacity] */
 const memberUpdate = z
-  .tuple([
-    z.literal(1),
-    text,
-    z.int().min(0),
-    stateCode,
-    text,
-    text,
-    text,
-    text,
-    text,
-    text,
-    z.number().min(0),
-  ])
+  .tuple([z.literal(1), text, incarnation, stateCode, text, text, text, text, text, text, z.number().min(0)])
   .rest(z.unknown());
 /** [2, owner, key, version, value] */
-const recordUpdate = z.tuple([z.literal(2), text, text, z.number().min(0), z.unknown()]).rest(z.unknown());
+const recordUpdate = z
+  .tuple([z.literal(2), text, text, z.number().min(0), z.unknown().refine((value) => isShallow(value))])
+  .rest(z.unknown());
 /** [3, id, incarnation, state, recordVersion, recordDigest] */
 const versionUpdate = z
-  .tuple([z.literal(3), text, z.int().min(0), stateCode, z.number().min(0)])
+  .tuple([z.literal(3), text, incarnation, stateCode, z.number().min(0)])
   .rest(z.unknown());
 type ValidatedUpdate =
   | z.infer<typeof memberStateUpdate>
@@ -202,6 +197,11 @@
   ]);
 }
 
+function isShallow(value: unknown, levels: number = MAX_VALUE_DEPTH): boolean {
+  if (typeof value !== 'object' || value === null) return true;
+  return levels > 0 && Object.values(value).every((inner) => isShallow(inner, levels - 1));
+}
+
 /** Decodes a datagram; undefined if the bytes are not a valid message. Never throws. */
 export function decodeMessage(bytes: Uint8Array): DecodedMessage | undefined {
   let value: unknown;
