Log lines and timeline keep the beginning of long texts

The timeline keeps 4,096 events; ids of requests, which clients choose up to 64 KB, were kept whole. Values are cut at 2,048 characters, texts of the timeline at 512, as copies.

--- a/packages/telemetry/src/telemetry.ts
+++ b/packages/telemetry/src/telemetry.ts
@@ -5,6 +5,9 @@
 import { NullMetrics, type Metrics } from './metrics.js';
 
 const DEFAULT_RING_CAPACITY = 4096;
+/** Longest subject or value of a log line, and longest text of a timeline entry, in characters. */
+const MAX_TEXT_LENGTH = 2048;
+const MAX_RING_TEXT_LENGTH = 512;
 
 /** Logger, metrics and timeline of one process, shared by all its components. */
 export class Telemetry {
@@ -30,12 +33,18 @@
   /** Logs an event and adds it to the timeline. */
   event(level: LogLevel, name: string, subject: string, fields: LogFields = {}): void {
     if (level === 'error') this.#errorCounts.set(name, (this.#errorCounts.get(name) ?? 0) + 1);
-    this.#logger?.log(level, name, { subject, ...fields });
-    const detail = Object.entries(fields)
-      .filter(([, value]) => value !== undefined)
+    const shortFields = clipFields({ subject, ...fields });
+    this.#logger?.log(level, name, shortFields);
+    const detail = Object.entries(shortFields)
+      .filter(([key, value]) => key !== 'subject' && value !== undefined)
       .map(([key, value]) => `${key}=${String(value)}`)
       .join(' ');
-    this.ring.record({ atMs: this.#clock.wallTime(), name, subject, detail });
+    this.ring.record({
+      atMs: this.#clock.wallTime(),
+      name,
+      subject: clip(subject, MAX_RING_TEXT_LENGTH),
+      detail: clip(detail, MAX_RING_TEXT_LENGTH),
+    });
   }
 
   /** Events of level `error` since the last call, by name. */
@@ -58,3 +67,18 @@
     this.ring.record(event);
   }
 }
+
+/** Fields may hold what clients chose, up to the length of a header. */
+function clipFields(fields: LogFields): LogFields {
+  const isLong = (value: LogFields[string]): value is string =>
+    typeof value === 'string' && value.length > MAX_TEXT_LENGTH;
+  if (!Object.values(fields).some(isLong)) return fields;
+  return Object.fromEntries(
+    Object.entries(fields).map(([key, value]) => [key, isLong(value) ? clip(value, MAX_TEXT_LENGTH) : value]),
+  );
+}
+
+/** A copy of the beginning: a slice would keep the whole text in memory. */
+function clip(text: string, maxLength: number): string {
+  return text.length <= maxLength ? text : `${Buffer.from(text.slice(0, maxLength)).toString()}...`;
+}
