A failed node of the product exits when its planned stop does not end

The time that settings give running requests, and a second more, is the bound; then the process exits with 1. No test: the program was not run to that end.

--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -1,8 +1,11 @@
+import { setTimeout } from 'node:timers/promises';
 import { ExitCode, runCommand, settingsCommand, stopSignal } from '@canvasridge/settings';
 import { startNodeProcess } from './process.js';
 import { nodeSettingsSchema, type NodeSettings } from './settings.js';
 
 const VERSION = '0.1.0';
+/** For the end of a planned stop that follows a failure, beyond the time for running requests. */
+const STOP_MARGIN_MS = 1000;
 
 const serve = settingsCommand({
   summary: 'Runs an entry node. SIGTERM or SIGINT stops it gracefully: running requests are answered first.',
@@ -23,8 +26,15 @@
   failure.watch();
   process.stdout.write(`${JSON.stringify({ ready: true, callersUrl, peersUrl, gossip })}\n`);
   await Promise.race([stopSignal(), failure.untilFailed()]);
-  await started.value.stop();
-  return failure.hasOccurred ? ExitCode.failure : ExitCode.success;
+  const stopped = started.value.stop();
+  if (!failure.hasOccurred) {
+    await stopped;
+    return ExitCode.success;
+  }
+  const { lingerSeconds, limitSeconds } = settings.drain;
+  await Promise.race([stopped, setTimeout((lingerSeconds + limitSeconds) * 1000 + STOP_MARGIN_MS)]);
+  // Nobody sends a signal to end a process that failed, and a connection that stays open would keep it.
+  process.exit(ExitCode.failure);
 }
 
 /** Entry point of `canvasridge-node`. Returns the exit code. */
