A list from outside is refused at its first element that is not valid, and before it is read if it is too long

Limits below 0 from a peer are refused as from the store (the HTTP server threw at the end of each response). Token counts that peers tell are not bounded from above.

--- a/packages/gateway/src/cluster/configuration-protocol.ts
+++ b/packages/gateway/src/cluster/configuration-protocol.ts
@@ -14,6 +14,7 @@
 } from '@canvasridge/serving';
 import * as z from 'zod';
 import { firstProblem, type FieldProblem } from '../peers/unread-log.js';
+import { listOf } from '../peers/list-of.js';
 
 const MAX_DIGEST_LENGTH = 64;
 /** With compression, no configuration that the publishing store accepts is larger. */
@@ -41,7 +42,7 @@
   host: z.string(),
   pathPrefix: z.string(),
   kind: z.enum(['idempotent', 'at-most-once', 'stream']),
-  services: z.array(z.object({ service: z.string(), weight: z.number() })),
+  services: listOf(z.object({ service: z.string(), weight: z.number() })),
   timeoutMs: z.number(),
   patienceMs: z.number().optional(),
   objectiveMs: z.number(),
@@ -59,7 +60,7 @@
 } satisfies FieldsOf<ModelProfile>);
 
 const engine = z.object({
-  models: z.array(model),
+  models: listOf(model),
   adapterSlots: z.number(),
   memoryMb: z.number(),
   batchSlots: z.number(),
@@ -73,10 +74,10 @@
 } satisfies FieldsOf<BackendService>);
 
 const limits = z.object({
-  maxHeaderBytes: z.number(),
-  maxBodyBytes: z.number(),
-  headerTimeoutMs: z.number(),
-  idleTimeoutMs: z.number(),
+  maxHeaderBytes: z.number().min(0),
+  maxBodyBytes: z.number().min(0),
+  headerTimeoutMs: z.number().min(0),
+  idleTimeoutMs: z.number().min(0),
 } satisfies FieldsOf<RequestLimits>);
 
 const quota = z.object({
@@ -88,7 +89,7 @@
 
 const tenant = z.object({
   name: z.string(),
-  keys: z.array(z.string()),
+  keys: listOf(z.string()),
   priority: z.number().optional(),
   quota: quota.optional(),
   problem: z.string().optional(),
@@ -96,11 +97,11 @@
 
 const configuration = z.object({
   version,
-  routes: z.array(route),
-  services: z.array(service),
+  routes: listOf(route),
+  services: listOf(service),
   limits,
   // With one tenant left out its keys would be refused and its quota lifted.
-  tenants: z.array(tenant).optional(),
+  tenants: listOf(tenant).optional(),
 } satisfies FieldsOf<ServingConfiguration>);
 
 /**
--- a/packages/gateway/src/cluster/fleet-quotas.ts
+++ b/packages/gateway/src/cluster/fleet-quotas.ts
@@ -12,6 +12,7 @@
 import { UnreadLog } from '../peers/unread-log.js';
 import type { Cluster } from './cluster.js';
 import type { PeerCaller } from './peer-caller.js';
+import { listOf } from '../peers/list-of.js';
 
 /** Asks the home node of some tenants for units of their quotas. */
 export const BORROW_METHOD = 'quota.borrow';
@@ -67,7 +68,7 @@
 
 const loanRequest = z.object({
   subject: name,
-  needed: z.array(units).max(MAX_REQUESTS),
+  needed: listOf(units, MAX_REQUESTS),
   ahead: difference,
   returned: difference,
   demand: units,
@@ -79,7 +80,7 @@
 /** Schema of the params of {@link BORROW_METHOD}. */
 export const borrowParams: z.ZodType<BorrowParams> = z.object({
   ...borrower,
-  requests: z.array(loanRequest).max(MAX_REQUESTS),
+  requests: listOf(loanRequest, MAX_REQUESTS),
 });
 
 /**
@@ -88,33 +89,30 @@
  */
 export const rateBorrowParams: z.ZodType<BorrowParams> = z.object({
   ...borrower,
-  requests: z
-    .array(
-      loanRequest.extend({
-        needed: z.array(units.positive()).max(MAX_REQUESTS),
-        ahead: units,
-        returned: units,
-        rule: z.object({ ratePerSecond: z.number().positive(), burst: units }),
-      }),
-    )
-    .max(MAX_REQUESTS),
+  requests: listOf(
+    loanRequest.extend({
+      needed: listOf(units.positive(), MAX_REQUESTS),
+      ahead: units,
+      returned: units,
+      rule: z.object({ ratePerSecond: z.number().positive(), burst: units }),
+    }),
+    MAX_REQUESTS,
+  ),
 });
 
 /** Null from a node that does not consider itself the home. */
 export type BorrowReply = readonly Loan[] | null;
 
 /** Schema of a {@link BorrowReply}. */
-const borrowReply = z
-  .array(
-    z.object({
-      subject: name,
-      granted: z.int().min(0),
-      ahead: units,
-      retryAfterMs: z.number().min(0),
-      share: z.number().min(0),
-    } satisfies Record<keyof Loan, z.ZodType>),
-  )
-  .nullable();
+const borrowReply = listOf(
+  z.object({
+    subject: name,
+    granted: z.int().min(0),
+    ahead: units,
+    retryAfterMs: z.number().min(0),
+    share: z.number().min(0),
+  } satisfies Record<keyof Loan, z.ZodType>),
+).nullable();
 
 /** The part of the cluster that homes and borrowers use. */
 export type QuotaCluster = Pick<Cluster, 'selfId' | 'candidates' | 'peerAddress' | 'lostMembers'>;
--- a/packages/gateway/src/cluster/part-crash-protocol.ts
+++ b/packages/gateway/src/cluster/part-crash-protocol.ts
@@ -4,6 +4,7 @@
  */
 import type { RunsKnown } from '@canvasridge/admission';
 import * as z from 'zod';
+import { listOf } from '../peers/list-of.js';
 
 /** Reports to a home node the parts of runs that crashes interrupted, and the runs of these parts that went well. */
 export const PART_CRASHES_METHOD = 'quarantine.part-crashes';
@@ -21,20 +22,20 @@
 
 const runs = z.object({
   /** [part, time since the last run that went well began its response]. */
-  parts: z.array(z.tuple([name, age])).max(MAX_PARTS),
+  parts: listOf(z.tuple([name, age]), MAX_PARTS),
   /** [service, times since runs that went well began their responses]. */
-  services: z.array(z.tuple([name, z.array(age).max(MAX_SAMPLES)])).max(MAX_SERVICES),
+  services: listOf(z.tuple([name, listOf(age, MAX_SAMPLES)]), MAX_SERVICES),
 });
 
 const partCrashes = z.object({
   /** [part, backend, service, time since the crash]. */
-  crashes: z.array(z.tuple([name, name, name, age])).max(MAX_CRASHES),
+  crashes: listOf(z.tuple([name, name, name, age]), MAX_CRASHES),
   runs,
   /** Parts that the sender, a home, has quarantined just now. */
-  quarantined: z.array(name).max(MAX_PARTS).optional(),
+  quarantined: listOf(name, MAX_PARTS).optional(),
 });
 
-const partRuns = z.object({ parts: z.array(name).max(MAX_PARTS) });
+const partRuns = z.object({ parts: listOf(name, MAX_PARTS) });
 
 /** All ages are in milliseconds. */
 export type PartCrashesParams = z.infer<typeof partCrashes>;
--- a/packages/gateway/src/cluster/peer-records.ts
+++ b/packages/gateway/src/cluster/peer-records.ts
@@ -1,5 +1,6 @@
 import type { Telemetry } from '@canvasridge/telemetry';
 import * as z from 'zod';
+import { listOf } from '../peers/list-of.js';
 
 /**
  * Schemas of the records that nodes publish to one another, as transmitted. A node of another build may
@@ -18,20 +19,20 @@
  */
 const quarantine = z.object({
   /** [fingerprint, age in seconds, episode]; without the episode for the first one. */
-  quarantined: z.array(z.tuple([text, z.number()]).rest(z.unknown())),
-  suspects: z.array(text),
+  quarantined: listOf(z.tuple([text, z.number()]).rest(z.unknown())),
+  suspects: listOf(text),
 });
 
 /** Early ends of quarantines, by [fingerprint, episode]; a record of its own, to fit into one datagram. */
-const liftedQuarantines = z.object({ lifted: z.array(z.tuple([text, z.number()]).rest(z.unknown())) });
+const liftedQuarantines = z.object({ lifted: listOf(z.tuple([text, z.number()]).rest(z.unknown())) });
 
 /** Services whose backends a node can't reach. */
-const paths = z.object({ token: text, lost: z.array(text) });
+const paths = z.object({ token: text, lost: listOf(text) });
 
 /** By service: requests that one of its backends can turn away in a second before it fails. */
 const rejectionLimits = z.object({
   token: text,
-  limits: z.array(z.tuple([text, z.number()]).rest(z.unknown())),
+  limits: listOf(z.tuple([text, z.number()]).rest(z.unknown())),
 });
 
 export const peerRecords = {
--- a/packages/gateway/src/cluster/published-protocol.ts
+++ b/packages/gateway/src/cluster/published-protocol.ts
@@ -5,6 +5,7 @@
 import type { AdapterVersion, BackendDescription } from '@canvasridge/serving';
 import * as z from 'zod';
 import { socketAddressField } from '../peers/socket-address-field.js';
+import { listOf } from '../peers/list-of.js';
 
 const revision = z.int().min(0);
 const digest = z.number();
@@ -23,8 +24,9 @@
 /** By hand, as there are tens of thousands, and kept as sent: fields of later builds are passed on. */
 const adapterVersion = z.custom<AdapterVersion>(isAdapterVersion, 'expected model, adapter and version');
 
+const MAX_ENTRIES = 65_536;
 /** Entries of a list of backends are read one by one, so that one that is not valid leaves the others usable. */
-const entries = z.array(z.unknown());
+const entries = z.array(z.unknown()).max(MAX_ENTRIES);
 
 /** An entry of a list of backends. */
 export const revisedBackend = z.object({
@@ -36,10 +38,10 @@
     zone: z.string(),
     state: z.enum(['ready', 'draining']),
     slots: z.number(),
-    models: z.array(
+    models: listOf(
       z.object({
         name: z.string(),
-        adapters: z.array(z.object({ name: z.string(), version: z.number() })),
+        adapters: listOf(z.object({ name: z.string(), version: z.number() })),
       }),
     ),
     softwareVersion: z.string().optional(),
@@ -56,7 +58,7 @@
     zone: z.unknown(),
     state: z.unknown(),
     slots: z.unknown(),
-    models: z.array(z.object({ name: z.unknown() })),
+    models: listOf(z.object({ name: z.unknown() })),
   }),
 });
 
@@ -72,7 +74,7 @@
   ageMs: ageMs.optional(),
   backendsRevision: revision,
   listing: z.object({ era, revision, backends: entries }).optional(),
-  operatorState: z.object({ era, revision, adapterVersions: z.array(adapterVersion) }).optional(),
+  operatorState: z.object({ era, revision, adapterVersions: listOf(adapterVersion) }).optional(),
   withheld: z.literal(true).optional(),
 });
 
@@ -83,7 +85,7 @@
     .object({
       era,
       operatorRevision: revision,
-      adapterVersions: z.array(adapterVersion),
+      adapterVersions: listOf(adapterVersion),
       backendsRevision: revision,
       backends: entries,
     })
--- a/packages/gateway/src/cluster/quarantine-protocol.ts
+++ b/packages/gateway/src/cluster/quarantine-protocol.ts
@@ -4,6 +4,7 @@
  */
 import type { TrialVote } from '@canvasridge/admission';
 import * as z from 'zod';
+import { listOf } from '../peers/list-of.js';
 
 /** Reports to a home node (one of the few that count crashes) the requests during which backends crashed. */
 export const INTERRUPTED_METHOD = 'quarantine.interrupted';
@@ -71,21 +72,20 @@
 
 /** Checks {@link InterruptedParams}. */
 export const interruptedParams: z.ZodType<InterruptedParams> = z.object({
-  interruptions: z
-    .array(
-      z.object({
-        fingerprint: name,
-        backend: name,
-        sentAgoMs: z.number().exactOptional(),
-        agoMs: z.number().exactOptional(),
-      }),
-    )
-    .max(MAX_REPORTS),
-  completed: z.array(completedRun).max(MAX_REPORTS).exactOptional(),
+  interruptions: listOf(
+    z.object({
+      fingerprint: name,
+      backend: name,
+      sentAgoMs: z.number().exactOptional(),
+      agoMs: z.number().exactOptional(),
+    }),
+    MAX_REPORTS,
+  ),
+  completed: listOf(completedRun, MAX_REPORTS).exactOptional(),
 });
 
 /** Checks what a home answers to {@link INTERRUPTED_METHOD}, other than null. */
-export const quarantinedReply: z.ZodType<NonNullable<InterruptedReply>> = z.array(
+export const quarantinedReply: z.ZodType<NonNullable<InterruptedReply>> = listOf(
   name.refine((text) => Number.isInteger(parseQuarantined(text).episode), 'expected a number as episode'),
 );
 
--- a/packages/gateway/src/cluster/slot-protocol.ts
+++ b/packages/gateway/src/cluster/slot-protocol.ts
@@ -8,6 +8,7 @@
   UseOutcome,
 } from '@canvasridge/slots';
 import { socketAddressField } from '../peers/socket-address-field.js';
+import { listOf } from '../peers/list-of.js';
 
 /** JSON-RPC methods by which nodes request slots from the leader of a pool. */
 export const ACQUIRE_METHOD = 'slots.acquire';
@@ -89,11 +90,10 @@
 const MAX_TEXT_LENGTH = 65_536;
 /** Sums of times up to here stay exact to the millisecond; configurations hold no longer ones. */
 const MAX_TIME_MS = 1e15;
-const MAX_TOKENS = 1_000_000_000;
 
 const text = z.string().max(MAX_TEXT_LENGTH);
 const timeMs = z.number().min(-MAX_TIME_MS).max(MAX_TIME_MS);
-const tokens = z.number().min(0).max(MAX_TOKENS);
+const tokens = z.number().min(0);
 
 const poolRequest = z.object({
   id: text,
@@ -107,7 +107,7 @@
   timeoutMs: timeMs,
   startWithinMs: timeMs,
   isContinued: z.boolean().optional(),
-  excluded: z.array(text),
+  excluded: listOf(text),
   softwareVersion: text.optional(),
   isTakeover: z.boolean().exactOptional(),
 } satisfies Record<keyof PoolRequest, z.ZodType>);
@@ -134,13 +134,13 @@
 });
 
 /** Checks {@link StartedParams}. */
-export const startedParams = z.object({ pool: text, requestIds: z.array(text) });
+export const startedParams = z.object({ pool: text, requestIds: listOf(text) });
 
 /** Checks {@link UsesParams}. */
 export const usesParams = z.object({
   pool: text,
   member: text,
-  uses: z.array(
+  uses: listOf(
     z
       .object({
         requestId: text,
--- a/packages/gateway/src/streams/stream-version-protocol.ts
+++ b/packages/gateway/src/streams/stream-version-protocol.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod';
+import { listOf } from '../peers/list-of.js';
 
 /**
  * Messages between nodes about the software versions that began streams. A node of an earlier build answers them with an
@@ -25,11 +26,11 @@
   version: name,
   /** Time for which they may still be resumed, in milliseconds. */
   leftMs: lifeMs,
-  attemptIds: z.array(name).max(MAX_STREAMS),
+  attemptIds: listOf(name, MAX_STREAMS),
 });
 
 /** Params of {@link BEGAN_METHOD}. */
-export const beganParams = z.object({ streams: z.array(begunStreams).max(MAX_STREAMS) });
+export const beganParams = z.object({ streams: listOf(begunStreams, MAX_STREAMS) });
 export type BeganParams = z.infer<typeof beganParams>;
 export type BegunStreams = z.infer<typeof begunStreams>;
 
--- a/packages/settings/src/document.ts
+++ b/packages/settings/src/document.ts
@@ -16,6 +16,8 @@
   | { readonly kind: 'not-json'; readonly file: string; readonly reason: string }
   | { readonly kind: 'invalid'; readonly file: string; readonly issues: readonly DocumentIssue[] };
 
+/** Issues that are described. */
+const MAX_ISSUES = 20;
 /** Characters of a value that are shown. */
 const MAX_FOUND_LENGTH = 60;
 /** Levels of a value that are shown. JSON texts may be nested more deeply than `JSON.stringify` can follow. */
@@ -45,9 +47,9 @@
   return err({ kind: 'invalid', file, issues: describeIssues(value, checked.error) });
 }
 
-/** Converts schema errors to issues with the path, the problem and the value found. */
+/** Converts schema errors to issues with the path, the problem and the value found; of many, the first ones. */
 export function describeIssues(value: unknown, error: z.ZodError): DocumentIssue[] {
-  return error.issues.map((issue) => ({
+  return error.issues.slice(0, MAX_ISSUES).map((issue) => ({
     path: formatPath(issue.path),
     problem: issue.message,
     found: formatFound(valueAt(value, issue.path)),
