--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -134,6 +134,21 @@
     help: 'Most bytes that waited to be sent to other nodes in the last second',
     registers: [this.registry],
   });
+  readonly residentMemory = new Gauge({
+    name: 'canvasridge_resident_memory_bytes',
+    help: 'Resident memory of the process, buffers included',
+    registers: [this.registry],
+  });
+  readonly heap = new Gauge({
+    name: 'canvasridge_heap_bytes',
+    help: 'Objects in the heap of the process',
+    registers: [this.registry],
+  });
+  readonly heapLimit = new Gauge({
+    name: 'canvasridge_heap_limit_bytes',
+    help: 'Size of the heap at which the process ends',
+    registers: [this.registry],
+  });
   readonly errors = new Counter({
     name: 'canvasridge_errors_total',
     help: 'Log lines of level error, by event',
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -10,7 +10,7 @@
   type HttpRoute,
   type NewEra,
 } from '@canvasridge/serving';
-import { LimitedEvents, keepRunning, runInBackground } from '@canvasridge/telemetry';
+import { LimitedEvents, MemoryWatch, keepRunning, runInBackground } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import { AdapterVersionCheck } from './backends/adapter-version-check.js';
 import { BackendAvailability } from './backends/backend-availability.js';
@@ -126,6 +126,7 @@
   readonly #clients: ClientServer;
   readonly #loopLag: LoopLag;
   readonly #readDelay: ReadDelay;
+  readonly #memory: MemoryWatch;
   /** Routes of the configuration that was applied last. */
   #loggedRoutes: readonly HttpRoute[] = [];
   readonly #fleetShare: FleetShare;
@@ -351,6 +352,8 @@
     };
     this.#relayServer = new RelayServer({ ...this.#context, hops });
     this.#clients = new ClientServer((request, response) => this.#serve(request, response), telemetry);
+    const { nodeId: name, memoryBytes: limitBytes } = settings;
+    this.#memory = new MemoryWatch({ name, limitBytes, clock, telemetry });
     this.#readDelay = new ReadDelay(clock, READ_DELAY_TIMING);
     this.#loopLag = new LoopLag(clock, (busy) => this.#onBusyChanged(busy));
     fleet.onChange((change) => this.#onFleetChanged(change));
@@ -578,6 +581,10 @@
     this.metrics.members.set(this.#cluster.serving().length);
     this.metrics.loopLag.set(this.#loopLag.meanMs / 1000);
     this.metrics.quarantined.set(this.#quarantine.size);
+    const memory = this.#memory.check();
+    this.metrics.residentMemory.set(memory.residentBytes);
+    this.metrics.heap.set(memory.heapBytes);
+    this.metrics.heapLimit.set(memory.heapLimitBytes);
   }
 
   #reportPools(): void {
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -1,13 +1,16 @@
 import { setTimeout } from 'node:timers/promises';
 import { ExitCode, runCommand, settingsCommand, stopSignal } from '@canvasridge/settings';
+import { EventLogger, logStartFailure } from '@canvasridge/telemetry';
 import { startNodeProcess } from './process.js';
 import { nodeSettingsSchema, type NodeSettings } from './settings.js';
 
+const NAME = 'canvasridge-node';
 const VERSION = '0.1.0';
 /** For the end of a planned stop that follows a failure, beyond the time for running requests. */
 const STOP_MARGIN_MS = 1000;
 
 const serve = settingsCommand({
+  name: NAME,
   summary: 'Runs an entry node. SIGTERM or SIGINT stops it gracefully: running requests are answered first.',
   schema: nodeSettingsSchema,
   run: runNode,
@@ -20,6 +23,13 @@
     process.stderr.write(
       `${file}: ${field}: cannot listen on ${address}: ${reason}; choose a free address\n`,
     );
+    logStartFailure(new EventLogger(settings.node.id, 'info'), {
+      reason: 'address',
+      subject: field,
+      address,
+      problem: reason,
+      exitCode: ExitCode.failure,
+    });
     return ExitCode.failure;
   }
   const { callersUrl, peersUrl, gossip, failure } = started.value;
@@ -39,5 +49,5 @@
 
 /** Entry point of `canvasridge-node`. Returns the exit code. */
 export function main(argv: readonly string[]): Promise<number> {
-  return runCommand('canvasridge-node', VERSION, [serve], argv);
+  return runCommand(NAME, VERSION, [serve], argv);
 }
--- a/packages/settings/src/settings-command.ts
+++ b/packages/settings/src/settings-command.ts
@@ -1,9 +1,12 @@
+import { EventLogger, logStartFailure } from '@canvasridge/telemetry';
 import type { z } from 'zod';
 import { ExitCode, UsageError, type CommandDefinition, type CommandInput } from './command-line.js';
 import { formatSettingsError, readJsonFile } from './document.js';
 
 /** An executable that runs with one settings file until it is stopped. */
 export interface SettingsCommand<T> {
+  /** Name of the executable, for log lines. */
+  readonly name: string;
   readonly summary: string;
   readonly schema: z.ZodType<T>;
   /**
@@ -30,7 +33,14 @@
   if (file === undefined) throw new UsageError('--settings is missing: give the path of the settings file');
   const settings = await readJsonFile(file, command.schema);
   if (settings.isErr()) {
-    process.stderr.write(`${formatSettingsError(settings.error)}\n`);
+    const problem = formatSettingsError(settings.error);
+    process.stderr.write(`${problem}\n`);
+    logStartFailure(new EventLogger(command.name, 'info'), {
+      reason: 'settings',
+      subject: file,
+      problem,
+      exitCode: ExitCode.usage,
+    });
     return ExitCode.usage;
   }
   if (!input.flag('check')) return command.run(settings.value, file);
@@ -38,12 +48,12 @@
   return ExitCode.success;
 }
 
-/** Resolves on SIGTERM or SIGINT. */
-export function stopSignal(): Promise<void> {
+/** Resolves with the signal on SIGTERM or SIGINT. */
+export function stopSignal(): Promise<NodeJS.Signals> {
   return new Promise((resolve) => {
     // Not `once`: without a listener, a second SIGTERM would kill the process in the middle of its graceful
     // stop.
-    process.on('SIGTERM', () => resolve());
-    process.once('SIGINT', () => resolve());
+    process.on('SIGTERM', resolve);
+    process.once('SIGINT', resolve);
   });
 }
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -5,6 +5,7 @@
 const VERSION = '0.1.0';
 
 const serve = settingsCommand({
+  name: 'canvasridge-standin',
   summary: 'Emulates the platform: engines, services, weight store, configuration service, machine list.',
   schema: standinSettingsSchema,
   run: runStandin,
