An address that is in use at the start is waited for

An address that the predecessor or another process still had for a moment ended the process at once with code 1: a passing condition taken for a final one.

Change: AddressBinder, one for both programs, tries EADDRINUSE and EADDRNOTAVAIL again each 100 ms for startTimeoutSeconds (30 by default, longer than a planned stop), with one line when it begins to wait and one when it is bound. Four copies of listen() become one. SIGTERM ends the waiting with code 0. Sockets of the endpoints are bound first and UDP last, so that other nodes see a member only when it can serve; a connection that comes before is closed or refused as not run.

Excluded: SO_REUSEPORT, with which two processes would share the connections of an address.

--- a/packages/addresses/src/index.ts
+++ b/packages/addresses/src/index.ts
@@ -1,4 +1,8 @@
-/** Addresses of sockets, checked where they are decoded. */
+/** Addresses of sockets, checked where they are decoded, and the binding of sockets to them. */
+export { bindError, type BindError } from './bind-error.js';
+export { AddressBinder, type AddressBinderOptions, type ListenError } from './address-binder.js';
+export { bindWhenFree, type BindRetryOptions } from './bind-retry.js';
+export { listen } from './listen.js';
 export {
   formatSocketAddress,
   parseHostPort,
--- a/packages/gateway/src/client-server.ts
+++ b/packages/gateway/src/client-server.ts
@@ -1,8 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
+import { listen, type BindError, type HostPort } from '@canvasridge/addresses';
 import type { RequestLimits } from '@canvasridge/serving';
 import { errorFields, type Telemetry } from '@canvasridge/telemetry';
-import { err, ok, type Result } from 'neverthrow';
+import type { Result } from 'neverthrow';
 
 /** Requests with larger headers are refused, whatever the configuration allows. */
 const MAX_HEADER_BYTES = 65_536;
@@ -11,13 +12,6 @@
 const MAX_IDLE_TIMEOUT_MS = 2 ** 31 - 1 - 60_000;
 const SERVICE_UNAVAILABLE = 503;
 
-export interface ListenError {
-  readonly kind: 'cannot-listen';
-  readonly field: string;
-  readonly address: string;
-  readonly reason: string;
-}
-
 type Listener = (request: IncomingMessage, response: ServerResponse) => void;
 
 /** State of one client connection. */
@@ -68,8 +62,10 @@
     this.#server.keepAliveTimeout = Math.min(limits.idleTimeoutMs, MAX_IDLE_TIMEOUT_MS);
   }
 
-  listen(field: string, host: string, port: number): Promise<Result<number, ListenError>> {
-    return listen(this.#server, field, host, port);
+  /** Resolves to the port. It may be called again after an error. */
+  async listen(address: HostPort): Promise<Result<number, BindError>> {
+    const bound = await listen(this.#server, address);
+    return bound.map(({ port }) => port);
   }
 
   /** Whether the server has stopped accepting: requests that still arrive are to be refused. */
@@ -121,25 +117,7 @@
 }
 
 /** The request was not run, so it may be sent again. */
-function refuse(response: ServerResponse): void {
+export function refuse(response: ServerResponse): void {
   if (response.headersSent) response.destroy();
   else response.writeHead(SERVICE_UNAVAILABLE, { 'content-length': 0 }).end();
 }
-
-/** Binds an HTTP server; `field` is the name of the setting, for error messages. */
-export function listen(
-  server: Server,
-  field: string,
-  host: string,
-  port: number,
-): Promise<Result<number, ListenError>> {
-  return new Promise((resolve) => {
-    server.once('error', (cause) => {
-      resolve(err({ kind: 'cannot-listen', field, address: `${host}:${port}`, reason: cause.message }));
-    });
-    server.listen(port, host, 511, () => {
-      const bound = server.address();
-      resolve(ok(typeof bound === 'object' && bound !== null ? bound.port : port));
-    });
-  });
-}
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -1,5 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createServer, type Server } from 'node:net';
+import type { ListenError } from '@canvasridge/addresses';
 import type { QuotaRule } from '@canvasridge/admission';
 import { ContinuousClock, Random, ReadDelay, hashSeed, type ReadDelayTiming } from '@canvasridge/clock';
 import { UdpTransport } from '@canvasridge/membership';
@@ -23,7 +25,7 @@
 import { LeastLoadedPicker } from './backends/least-loaded-picker.js';
 import { RetryBudget } from './backends/retry-budget.js';
 import { SlotPicker } from './backends/slot-picker.js';
-import { ClientServer, type ListenError } from './client-server.js';
+import { ClientServer, refuse } from './client-server.js';
 import { Cluster, RESTARTED_PREFIX } from './cluster/cluster.js';
 import { Directory } from './cluster/directory.js';
 import {
@@ -102,6 +104,13 @@
  */
 const READ_DELAY_TIMING: ReadDelayTiming = { periodMs: 100, minStallMs: 400, settleMs: 500 };
 
+/** What a node listens with. */
+interface GatewaySockets {
+  readonly transport: UdpTransport;
+  readonly peers: Server;
+  readonly clients: ClientServer;
+}
+
 /** A gateway node, which accepts requests from clients and forwards them to backends unchanged. */
 export class GatewayNode {
   readonly fleet: FleetState;
@@ -145,8 +154,9 @@
   #stopping = false;
   #nextId = 0;
 
-  private constructor(options: GatewayOptions, transport: UdpTransport) {
+  private constructor(options: GatewayOptions, { transport, peers, clients }: GatewaySockets) {
     this.#options = options;
+    this.#clients = clients;
     this.fleet = options.fleet;
     const { settings, clock, telemetry } = options;
     const fleetClock = new ContinuousClock(clock);
@@ -160,6 +170,7 @@
       (address) => this.#cluster.peerRefused(address),
       (socket) => this.#relayServer.accept(socket),
       telemetry,
+      peers,
     );
     this.#cluster = new Cluster({
       nodeId: settings.nodeId,
@@ -351,7 +362,6 @@
       metrics: this.metrics,
     };
     this.#relayServer = new RelayServer({ ...this.#context, hops });
-    this.#clients = new ClientServer((request, response) => this.#serve(request, response), telemetry);
     const { nodeId: name, memoryBytes: limitBytes } = settings;
     this.#memory = new MemoryWatch({ name, limitBytes, clock, telemetry });
     this.#readDelay = new ReadDelay(clock, READ_DELAY_TIMING);
@@ -363,18 +373,18 @@
 
   /** Binds the sockets and starts all tasks. */
   static async start(options: GatewayOptions): Promise<Result<GatewayNode, ListenError>> {
-    const { settings, telemetry, clock } = options;
-    const events = new LimitedEvents(telemetry, clock);
-    const transport = await UdpTransport.bind(settings.ip, settings.peerPort, settings.peerKey, events);
-    if (transport.isErr()) {
-      const { address, reason } = transport.error;
-      return err({ kind: 'cannot-listen', field: 'listen.control', address, reason });
-    }
-    const node = new GatewayNode(options, transport.value);
-    const peers = await node.#network.listen(settings.ip, settings.peerPort);
-    if (peers.isErr()) return err({ ...peers.error, field: 'listen.control' });
-    const front = await node.#clients.listen('listen.front', settings.ip, settings.frontPort);
-    if (front.isErr()) return err(front.error);
+    const started: { node?: GatewayNode } = {};
+    const clients = new ClientServer((request, response) => {
+      if (started.node === undefined) refuse(response);
+      else started.node.#serve(request, response);
+    }, options.telemetry);
+    const peers = createServer((socket) => {
+      if (started.node === undefined) socket.destroy();
+    });
+    const transport = await bindSockets(options, peers, clients);
+    if (transport.isErr()) return err(transport.error);
+    const node = new GatewayNode(options, { transport: transport.value, peers, clients });
+    started.node = node;
     node.#cluster.start();
     node.published.start();
     node.#slots.start();
@@ -624,6 +634,21 @@
   }
 }
 
+/** Binds the addresses of a node. The membership protocol's comes last, since other nodes see a member by it. */
+async function bindSockets(
+  { settings, telemetry, clock, binder }: GatewayOptions,
+  peers: Server,
+  clients: ClientServer,
+): Promise<Result<UdpTransport, ListenError>> {
+  const { ip: host, peerPort, frontPort, peerKey } = settings;
+  const frontBound = await binder.bind('listen.callers', () => clients.listen({ host, port: frontPort }));
+  if (frontBound.isErr()) return err(frontBound.error);
+  const peersBound = await binder.listen('listen.peers', peers, { host, port: peerPort });
+  if (peersBound.isErr()) return err(peersBound.error);
+  const events = new LimitedEvents(telemetry, clock);
+  return binder.bind('listen.peers', () => UdpTransport.bind({ host, port: peerPort }, peerKey, events));
+}
+
 /**
  * Traffic to other nodes of at least this many bytes per second is logged: a fourth of the smallest link, 7
  * Mbit/s.
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -1,3 +1,4 @@
+import type { AddressBinder } from '@canvasridge/addresses';
 import type { Clock } from '@canvasridge/clock';
 import type { FleetState } from '@canvasridge/serving';
 import type { EngineControl, SlotTiming, DisabledMechanisms } from '@canvasridge/slots';
@@ -56,6 +57,8 @@
   /** Addresses of peers to contact first; the list may change. */
   readonly seeds: () => readonly string[];
   readonly clock: Clock;
+  /** Binds the sockets. */
+  readonly binder: AddressBinder;
   readonly telemetry: Telemetry;
   readonly dialect: RequestDialect;
   readonly control: EngineControl;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,7 +4,6 @@
  */
 export { GatewayNode } from './gateway-node.js';
 export type { GatewayOptions, GatewaySettings } from './gateway-settings.js';
-export { listen, type ListenError } from './client-server.js';
 export { listOf } from './peers/list-of.js';
 export {
   FOLLOW_METHOD,
--- a/packages/gateway/src/peers/peer-network.ts
+++ b/packages/gateway/src/peers/peer-network.ts
@@ -1,8 +1,14 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
-import { splitSocketAddress, type SocketAddress } from '@canvasridge/addresses';
+import {
+  listen,
+  splitSocketAddress,
+  type BindError,
+  type HostPort,
+  type SocketAddress,
+} from '@canvasridge/addresses';
 import { SystemClock } from '@canvasridge/clock';
 import { LimitedEvents, type Telemetry } from '@canvasridge/telemetry';
-import { err, ok, type Result } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import { PeerConnection, type PeerMethods } from './peer-connection.js';
 import { PeerTraffic } from './peer-traffic.js';
 
@@ -11,12 +17,6 @@
 /** Its late timers run after it is known whether the connection was accepted meanwhile. */
 const CLOCK = new SystemClock();
 
-export interface PeerListenError {
-  readonly kind: 'cannot-listen';
-  readonly address: string;
-  readonly reason: string;
-}
-
 /** First byte of a JSON-RPC message; a request to relay starts with the name of an HTTP method. */
 const JSON_START = '{'.charCodeAt(0);
 
@@ -31,13 +31,14 @@
   readonly #onRefused: (address: string) => void;
   readonly #onHttp: (socket: Socket) => void;
   readonly #events: LimitedEvents;
-  #server: Server | undefined;
+  readonly #server: Server;
 
   /**
    * @param onClose called when a connection that a peer opened has ended
    * @param onRefused called with the address of a peer where nothing listens
    * @param onHttp called with a connection on which a peer speaks HTTP
    * @param telemetry for errors of methods, and messages that can't be read
+   * @param server that accepts the connections of peers; it may listen already
    */
   constructor(
     methods: PeerMethods,
@@ -45,7 +46,9 @@
     onRefused: (address: string) => void,
     onHttp: (socket: Socket) => void,
     telemetry: Pick<Telemetry, 'event'>,
+    server: Server = createServer(),
   ) {
+    this.#server = server.on('connection', (socket: Socket) => this.#accept(socket));
     this.#events = new LimitedEvents(telemetry, CLOCK);
     this.#onHttp = onHttp;
     this.#onRefused = onRefused;
@@ -53,18 +56,10 @@
     this.#onClose = onClose;
   }
 
-  listen(host: string, port: number): Promise<Result<number, PeerListenError>> {
-    const server = createServer((socket) => this.#accept(socket));
-    this.#server = server;
-    return new Promise((resolve) => {
-      server.once('error', (cause) => {
-        resolve(err({ kind: 'cannot-listen', address: `${host}:${port}`, reason: cause.message }));
-      });
-      server.listen(port, host, () => {
-        const bound = server.address();
-        resolve(ok(typeof bound === 'object' && bound !== null ? bound.port : port));
-      });
-    });
+  /** Resolves to the port. It may be called again after an error. */
+  async listen(address: HostPort): Promise<Result<number, BindError>> {
+    const bound = await listen(this.#server, address);
+    return bound.map(({ port }) => port);
   }
 
   /** The connection to a peer, opened if there is none. */
@@ -101,7 +96,7 @@
   }
 
   close(): void {
-    this.#server?.close();
+    this.#server.close();
     for (const connection of this.#outgoing.values()) connection.close();
     for (const socket of this.#incoming) socket.destroy();
   }
--- a/packages/gateway/test/client-server.test.ts
+++ b/packages/gateway/test/client-server.test.ts
@@ -16,7 +16,7 @@
     response.writeHead(200, { 'content-length': BODY_BYTES });
     response.end(Buffer.alloc(BODY_BYTES));
   }, TELEMETRY);
-  const bound = await server.listen('test', HOST, 0);
+  const bound = await server.listen({ host: HOST, port: 0 });
   if (bound.isErr()) throw new Error(bound.error.reason);
   const socket = connect({ host: HOST, port: bound.value });
   socket.write('GET / HTTP/1.1\r\nhost: x\r\n\r\n');
@@ -37,7 +37,7 @@
 
 test('an idle connection is closed when the server stops accepting', async (t) => {
   const server = new ClientServer((_request, response) => response.end('x'), TELEMETRY);
-  const bound = await server.listen('test', HOST, 0);
+  const bound = await server.listen({ host: HOST, port: 0 });
   if (bound.isErr()) throw new Error(bound.error.reason);
   const socket = connect({ host: HOST, port: bound.value });
   const ended = new Promise((resolve) => socket.once('end', resolve));
@@ -61,7 +61,7 @@
     },
     { event },
   );
-  const bound = await server.listen('test', HOST, 0);
+  const bound = await server.listen({ host: HOST, port: 0 });
   const port = bound._unsafeUnwrap();
   const statusOf = (path: string): Promise<number | undefined> =>
     new Promise((resolve, reject) => {
--- a/packages/gateway/test/running-node.ts
+++ b/packages/gateway/test/running-node.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:net';
+import { AddressBinder } from '@canvasridge/addresses';
 import { SystemClock, type Clock } from '@canvasridge/clock';
 import { FleetState, type Tenant } from '@canvasridge/serving';
 import { DEFAULT_SLOT_TIMING } from '@canvasridge/slots';
@@ -167,6 +168,11 @@
 ): Promise<Omit<RunningNode, 'attempts'>> {
   const lines: string[] = [];
   const port = await freePort();
+  const telemetry = new Telemetry({
+    processName: nodeSettings.nodeId,
+    clock,
+    logger: new EventLogger(nodeSettings.nodeId, 'info', (line) => lines.push(line)),
+  });
   const node = await GatewayNode.start({
     settings: {
       nodeId: nodeSettings.nodeId,
@@ -190,11 +196,8 @@
     },
     seeds: () => nodeSettings.seeds,
     clock,
-    telemetry: new Telemetry({
-      processName: nodeSettings.nodeId,
-      clock,
-      logger: new EventLogger(nodeSettings.nodeId, 'info', (line) => lines.push(line)),
-    }),
+    telemetry,
+    binder: new AddressBinder({ clock: new SystemClock(), telemetry, timeoutMs: 0 }),
     dialect,
     control: {
       onNotice: () => undefined,
--- a/packages/gateway/test/unread-input-worker.ts
+++ b/packages/gateway/test/unread-input-worker.ts
@@ -121,7 +121,7 @@
     const description = backend.description(BACKEND_ID, SERVICE);
     this.#fleet.applyConfiguration(configuration({}));
     this.#fleet.applyBackend(1, description);
-    const port = (await this.#network.listen(LOOPBACK, 0)).unwrapOr(0);
+    const port = (await this.#network.listen({ host: LOOPBACK, port: 0 })).unwrapOr(0);
     return { backend: description, readerAddress: `${LOOPBACK}:${port}` };
   }
 
--- a/packages/gateway/test/unreadable-peer-messages.test.ts
+++ b/packages/gateway/test/unreadable-peer-messages.test.ts
@@ -32,7 +32,7 @@
     { event },
   );
   t.teardown(() => network.close());
-  const port = await network.listen(LOOPBACK, 0);
+  const port = await network.listen({ host: LOOPBACK, port: 0 });
   return { network, address: socketAddress(`${LOOPBACK}:${port._unsafeUnwrap()}`), lines };
 }
 
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -3,7 +3,7 @@
 export { DEFAULT_MEMBERSHIP_TIMING, type MembershipTiming } from './timing.js';
 export type { Member, MemberIdentity, MemberState } from './member.js';
 export type { DatagramTransport } from './datagram-transport.js';
-export { UdpTransport, type UdpTransportError } from './udp-transport.js';
+export { UdpTransport } from './udp-transport.js';
 export { PeerRpcServer } from './peer-rpc-server.js';
 export { HttpPeerCaller, type PeerCaller, type PeerCallError, parseRpcResponse } from './peer-caller.js';
 export { type PublishedRecord } from './record-table.js';
--- a/packages/membership/src/udp-transport.ts
+++ b/packages/membership/src/udp-transport.ts
@@ -1,7 +1,13 @@
 import { createHmac, timingSafeEqual } from 'node:crypto';
 import { createSocket, type Socket, type SocketOptions } from 'node:dgram';
 import { isIPv6, type AddressInfo } from 'node:net';
-import { parseSocketAddress, splitSocketAddress } from '@canvasridge/addresses';
+import {
+  bindError,
+  parseSocketAddress,
+  splitSocketAddress,
+  type BindError,
+  type HostPort,
+} from '@canvasridge/addresses';
 import type { LimitedEvents } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import type { DatagramTransport } from './datagram-transport.js';
@@ -9,12 +15,6 @@
 /** Length of the truncated HMAC at the end of each datagram. */
 const MAC_BYTES = 8;
 
-export interface UdpTransportError {
-  readonly kind: 'cannot-bind';
-  readonly address: string;
-  readonly reason: string;
-}
-
 /**
  * Sends and receives datagrams over UDP. Each datagram ends with the first 8 bytes of its HMAC-SHA256 under
  * the key shared by the nodes, so stray or forged datagrams are dropped before they are decoded.
@@ -36,17 +36,17 @@
 
   /** Binds to `host:port`; with port 0, the operating system chooses a port. */
   static bind(
-    host: string,
-    port: number,
+    { host, port }: HostPort,
     key: string,
     events: LimitedEvents,
-  ): Promise<Result<UdpTransport, UdpTransportError>> {
+  ): Promise<Result<UdpTransport, BindError>> {
     const family = isIPv6(host) ? 6 : 4;
     const lookup: SocketOptions['lookup'] = (address, _options, callback) => callback(null, address, family);
     const socket = createSocket({ type: `udp${family}`, lookup });
     return new Promise((resolve) => {
       socket.once('error', (cause) => {
-        resolve(err({ kind: 'cannot-bind', address: `${host}:${port}`, reason: cause.message }));
+        socket.close();
+        resolve(err(bindError({ host, port }, cause)));
       });
       socket.bind(port, host, () => {
         socket.removeAllListeners('error');
--- a/packages/membership/test/failed-datagrams.test.ts
+++ b/packages/membership/test/failed-datagrams.test.ts
@@ -50,7 +50,7 @@
 test('a datagram to an address that is none is dropped and logged', async (t) => {
   const log = new Log();
   const events = new LimitedEvents(log, new VirtualClock());
-  const transport = (await UdpTransport.bind('127.0.0.1', 0, 'key', events))._unsafeUnwrap();
+  const transport = (await UdpTransport.bind({ host: '127.0.0.1', port: 0 }, 'key', events))._unsafeUnwrap();
   t.teardown(() => transport.close());
   for (const address of ['127.0.0.1:70000', '300.0.0.1:1', 'x', ''])
     t.notThrows(() => transport.send(address, new Uint8Array([1])), address);
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,6 +1,6 @@
 /** The entry node, for its executable and for experiments that run it on a simulated network. */
 export { EntryNode, type NodeOptions, type NodePorts, type NodeState } from './node.js';
-export { startNodeProcess, type NodeProcess, type StartError } from './process.js';
+export { startNodeProcess, type NodeProcess } from './process.js';
 export { nodeSettingsSchema, type NodeSettings } from './settings.js';
 export { type InboundRequest, type RequestEnd } from './requests/inbound.js';
 export { EngineScheduler } from './scheduling/engine-scheduler.js';
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -17,8 +17,11 @@
 });
 
 async function runNode(settings: NodeSettings, file: string): Promise<number> {
-  const started = await startNodeProcess(settings);
+  const stopping = new AbortController();
+  const stopped = stopSignal().then(() => stopping.abort());
+  const started = await startNodeProcess(settings, stopping.signal);
   if (started.isErr()) {
+    if (stopping.signal.aborted) return ExitCode.success;
     const { field, address, reason } = started.error;
     process.stderr.write(
       `${file}: ${field}: cannot listen on ${address}: ${reason}; choose a free address\n`,
@@ -35,14 +38,14 @@
   const { callersUrl, peersUrl, gossip, failure } = started.value;
   failure.watch();
   process.stdout.write(`${JSON.stringify({ ready: true, callersUrl, peersUrl, gossip })}\n`);
-  await Promise.race([stopSignal(), failure.untilFailed()]);
-  const stopped = started.value.stop();
+  await Promise.race([stopped, failure.untilFailed()]);
+  const ended = started.value.stop();
   if (!failure.hasOccurred) {
-    await stopped;
+    await ended;
     return ExitCode.success;
   }
   const { lingerSeconds, limitSeconds } = settings.drain;
-  await Promise.race([stopped, setTimeout((lingerSeconds + limitSeconds) * 1000 + STOP_MARGIN_MS)]);
+  await Promise.race([ended, setTimeout((lingerSeconds + limitSeconds) * 1000 + STOP_MARGIN_MS)]);
   // Nobody sends a signal to end a process that failed, and a connection that stays open would keep it.
   process.exit(ExitCode.failure);
 }
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -1,8 +1,8 @@
 import { randomBytes } from 'node:crypto';
-import { createServer, type Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { Server } from 'node:http';
+import { AddressBinder, type ListenError } from '@canvasridge/addresses';
 import { Random, SystemClock, hashSeed } from '@canvasridge/clock';
-import { HttpPeerCaller, UdpTransport, type MemberIdentity } from '@canvasridge/membership';
+import { HttpPeerCaller, type MemberIdentity } from '@canvasridge/membership';
 import {
   HttpConfigurationSource,
   HttpEngineClient,
@@ -11,7 +11,7 @@
   HttpServiceClient,
   newHttpAgent,
 } from '@canvasridge/http-bindings';
-import { ExitCode, type ListenAddress } from '@canvasridge/settings';
+import { ExitCode } from '@canvasridge/settings';
 import {
   EventLogger,
   LimitedEvents,
@@ -26,15 +26,9 @@
 import { peerListener } from './http/peer-server.js';
 import { EntryNode } from './node.js';
 import type { NodeSettings } from './settings.js';
+import { bindNodeSockets } from './sockets.js';
 
-/** Why a node process could not start; `field` is the setting with the address. */
-export interface StartError {
-  readonly kind: 'cannot-listen';
-  readonly field: string;
-  readonly address: string;
-  readonly reason: string;
-}
-
+const MS_PER_SECOND = 1000;
 /** Length of the random token that distinguishes a node's process from earlier ones with the same node id. */
 const PROCESS_TOKEN_BYTES = 6;
 
@@ -50,9 +44,14 @@
   stop(): Promise<void>;
 }
 
-/** Binds the sockets, then starts the node. */
-export async function startNodeProcess(settings: NodeSettings): Promise<Result<NodeProcess, StartError>> {
-  const { callers, peers, gossip } = settings.listen;
+/**
+ * Binds the sockets, then starts the node.
+ * @param stopping ends the wait for an address that is in use
+ */
+export async function startNodeProcess(
+  settings: NodeSettings,
+  stopping?: AbortSignal,
+): Promise<Result<NodeProcess, ListenError>> {
   const clock = new SystemClock();
   const telemetry = new Telemetry({
     processName: settings.node.id,
@@ -68,22 +67,20 @@
     exit: () => process.exit(ExitCode.failure),
   });
   const events = new LimitedEvents(telemetry, clock);
-  const transport = await UdpTransport.bind(gossip.host, gossip.port, settings.peerKey, events);
-  if (transport.isErr()) {
-    const { address, reason } = transport.error;
-    return err({ kind: 'cannot-listen', field: 'listen.gossip', address, reason });
-  }
-  const callerServer = createServer({ keepAliveTimeout: 30_000 });
-  const peerServer = createServer({ keepAliveTimeout: 30_000 });
-  const callersBound = await listen(callerServer, callers, 'listen.callers');
-  if (callersBound.isErr()) return err(callersBound.error);
-  const peersBound = await listen(peerServer, peers, 'listen.peers');
-  if (peersBound.isErr()) return err(peersBound.error);
+  const binder = new AddressBinder({
+    clock,
+    telemetry,
+    timeoutMs: settings.startTimeoutSeconds * MS_PER_SECOND,
+    ...(stopping === undefined ? {} : { signal: stopping }),
+  });
+  const bound = await bindNodeSockets(settings, binder, events);
+  if (bound.isErr()) return err(bound.error);
+  const { transport, callerServer, peerServer, callersUrl, peersUrl } = bound.value;
   const identity: MemberIdentity = {
     ...settings.node,
-    gossip: settings.advertise.gossip ?? transport.value.localAddress,
-    peerUrl: settings.advertise.peersUrl ?? peersBound.value,
-    callerUrl: settings.advertise.callersUrl ?? callersBound.value,
+    gossip: settings.advertise.gossip ?? transport.localAddress,
+    peerUrl: settings.advertise.peersUrl ?? peersUrl,
+    callerUrl: settings.advertise.callersUrl ?? callersUrl,
     capacity: 0,
     processToken: randomBytes(PROCESS_TOKEN_BYTES).toString('hex'),
   };
@@ -97,7 +94,7 @@
     random: new Random(hashSeed(identity.processToken)),
     telemetry,
     ports: {
-      transport: transport.value,
+      transport,
       peers: peerCaller,
       forward: new HttpForwardClient(agent, identity.id, settings.peerKey),
       configuration: new HttpConfigurationSource(settings.platform.configurationUrl, agent),
@@ -130,13 +127,13 @@
   );
   node.start();
   telemetry.event('info', 'node.started', identity.id, {
-    callers: callersBound.value,
-    peers: peersBound.value,
-    gossip: transport.value.localAddress,
+    callers: callersUrl,
+    peers: peersUrl,
+    gossip: transport.localAddress,
   });
   const stop = async (): Promise<void> => {
     const { lingerSeconds, limitSeconds } = settings.drain;
-    await node.stop(lingerSeconds * 1000, limitSeconds * 1000);
+    await node.stop(lingerSeconds * MS_PER_SECOND, limitSeconds * MS_PER_SECOND);
     await closeServer(callerServer);
     await closeServer(peerServer);
     await peerCaller.close();
@@ -146,9 +143,9 @@
   };
   return ok({
     node,
-    callersUrl: callersBound.value,
-    peersUrl: peersBound.value,
-    gossip: transport.value.localAddress,
+    callersUrl,
+    peersUrl,
+    gossip: transport.localAddress,
     failure,
     stop,
   });
@@ -161,21 +158,6 @@
     : new StatsdMetrics(statsd.host, statsd.port, settings.node.id);
 }
 
-/** Starts listening and returns the URL of the bound address. */
-function listen(server: Server, address: ListenAddress, field: string): Promise<Result<string, StartError>> {
-  return new Promise((resolve) => {
-    server.once('error', (cause) => {
-      const text = `${address.host}:${address.port}`;
-      resolve(err({ kind: 'cannot-listen', field, address: text, reason: cause.message }));
-    });
-    server.listen(address.port, address.host, () => {
-      const bound = server.address() as AddressInfo;
-      const host = bound.family === 'IPv6' ? `[${bound.address}]` : bound.address;
-      resolve(ok(`http://${host}:${bound.port}`));
-    });
-  });
-}
-
 function closeServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => resolve());
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -1,4 +1,4 @@
-import { listenAddress } from '@canvasridge/settings';
+import { DEFAULT_START_TIMEOUT_SECONDS, listenAddress } from '@canvasridge/settings';
 import * as z from 'zod';
 
 const name = z.string().regex(/^[\w.-]{1,64}$/, 'expected 1 to 64 letters, digits, ".", "_" or "-"');
@@ -29,6 +29,8 @@
   adminKey: secret,
   log: z.strictObject({ level: z.enum(['error', 'warn', 'info', 'debug']).default('info') }).prefault({}),
   statsd: z.strictObject({ host: z.string(), port: z.int().min(1).max(65_535) }).optional(),
+  /** Time within which the addresses have to become free if others use them at the start, in seconds. */
+  startTimeoutSeconds: z.number().positive().default(DEFAULT_START_TIMEOUT_SECONDS),
   drain: z
     .strictObject({
       /** How long a stopping node still accepts requests, in seconds. */
--- a/packages/settings/src/addresses.ts
+++ b/packages/settings/src/addresses.ts
@@ -1,6 +1,9 @@
 import { parseHostPort, parseSocketAddress, type HostPort, type SocketAddress } from '@canvasridge/addresses';
 import * as z from 'zod';
 
+/** Time for which a process that starts waits for addresses that others use; longer than a planned stop of a node. */
+export const DEFAULT_START_TIMEOUT_SECONDS = 30;
+
 /** Schema of `"IP:port"`; port 0 lets the operating system choose a port. */
 export const listenAddress = z.string().transform((text, context): HostPort => {
   const parsed = parseHostPort(text);
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -17,5 +17,10 @@
   type ExitCodePromise,
   type OptionDefinition,
 } from './command-line.js';
-export { listenAddress, remoteAddress, type ListenAddress } from './addresses.js';
+export {
+  DEFAULT_START_TIMEOUT_SECONDS,
+  listenAddress,
+  remoteAddress,
+  type ListenAddress,
+} from './addresses.js';
 export { settingsCommand, stopSignal, type SettingsCommand } from './settings-command.js';
--- a/packages/standin/src/process.ts
+++ b/packages/standin/src/process.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { formatSocketAddress, listen } from '@canvasridge/addresses';
 import { getRequestListener } from '@hono/node-server';
 import { SystemClock } from '@canvasridge/clock';
 import type { ListenAddress } from '@canvasridge/settings';
@@ -27,7 +27,7 @@
   const startServer = async (listener: Listener, address: ListenAddress): Promise<string> => {
     const server = createServer({ keepAliveTimeout: 30_000 }, listener);
     servers.push(server);
-    return listen(server, address);
+    return listenOrThrow(server, address);
   };
   const engineUrls: Record<string, string> = {};
   for (const definition of settings.engines) {
@@ -58,12 +58,9 @@
   return { standin, platformUrl, engineUrls, serviceUrls, stop };
 }
 
-function listen(server: Server, address: ListenAddress): Promise<string> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(address.port, address.host, () => {
-      const { address: host, port } = server.address() as AddressInfo;
-      resolve(`http://${host}:${port}`);
-    });
-  });
+/** @throws Error if the address can't be bound */
+async function listenOrThrow(server: Server, address: ListenAddress): Promise<string> {
+  const bound = await listen(server, address);
+  if (bound.isErr()) throw new Error(bound.error.reason);
+  return `http://${formatSocketAddress(bound.value)}`;
 }
--- a/packages/telemetry/test/memory-watch.test.ts
+++ b/packages/telemetry/test/memory-watch.test.ts
@@ -5,7 +5,11 @@
 const LIMIT_MB = 250;
 const HEAP_LIMIT_MB = 128;
 
-function setup(): { lines: string[]; passMs: (ms: number) => void; check: (residentMb: number, heapMb: number) => void } {
+function setup(): {
+  lines: string[];
+  passMs: (ms: number) => void;
+  check: (residentMb: number, heapMb: number) => void;
+} {
   const lines: string[] = [];
   let nowMs = 0;
   let use: MemoryUse = { residentBytes: 0, heapBytes: 0, heapLimitBytes: HEAP_LIMIT_MB * MB };
