A node of the product whose start failed exits

On with the callers' port in use it was still running after 6 s.

Cause: startNodeProcess returned the error and closed nothing. Now what was bound is closed.

--- a/packages/node/src/sockets.ts
+++ b/packages/node/src/sockets.ts
@@ -17,7 +17,7 @@
   readonly peersUrl: string;
 }
 
-/** Binds all sockets of a node. Connections that arrive before all are bound are closed. */
+/** Binds all sockets of a node, or none. Connections that arrive before all are bound are closed. */
 export async function bindNodeSockets(
   { listen: { callers, peers, gossip }, peerKey }: NodeSettings,
   binder: AddressBinder,
@@ -27,12 +27,16 @@
   const peerServer = createServer({ keepAliveTimeout: KEEP_ALIVE_MS });
   const servers = [callerServer, peerServer];
   for (const server of servers) server.on('connection', closeConnection);
+  const fail = (error: ListenError): Result<never, ListenError> => {
+    for (const server of servers) server.close();
+    return err(error);
+  };
   const callersBound = await binder.listen('listen.callers', callerServer, callers);
-  if (callersBound.isErr()) return err(callersBound.error);
+  if (callersBound.isErr()) return fail(callersBound.error);
   const peersBound = await binder.listen('listen.peers', peerServer, peers);
-  if (peersBound.isErr()) return err(peersBound.error);
+  if (peersBound.isErr()) return fail(peersBound.error);
   const transport = await binder.bind('listen.gossip', () => UdpTransport.bind(gossip, peerKey, events));
-  if (transport.isErr()) return err(transport.error);
+  if (transport.isErr()) return fail(transport.error);
   for (const server of servers) server.off('connection', closeConnection);
   return ok({
     transport: transport.value,
