A settings file that is not complete yet is read again for a while

A settings file that was missing, empty or half written at the moment of the start ended the process at once with code 2; after a SIGHUP the earlier settings stayed in force for good, as nobody announces the rest of a file. A SIGHUP that came while the start read the file was lost as well.

A file is written in steps, and nothing says when it is whole. Now SettingsFile, for both programs, reads a file that is no whole document again each 50 ms for 5 s, with one line settings.waiting, and once more if a change was announced meanwhile.

Before, unfinished-settings.test.js: 5 tests fail (empty, half written, missing, at a reload, and one since replaced by the unit test of a change during a read), all with exit code 2 or settings.refused. After: 5 of 5, settings-file 4 of 4, and the tests of settings, held-addresses and start pass. Beside other load: a missing file of canvasridge-node and -standin takes 5 s longer to be refused.

--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -23,4 +23,5 @@
   remoteAddress,
   type ListenAddress,
 } from './addresses.js';
+export { SettingsFile, type SettingsFileOptions } from './settings-file.js';
 export { settingsCommand, stopSignal, type SettingsCommand } from './settings-command.js';
--- a/packages/settings/src/settings-command.ts
+++ b/packages/settings/src/settings-command.ts
@@ -1,7 +1,10 @@
+import { SystemClock } from '@canvasridge/clock';
 import { EventLogger, logStartFailure } from '@canvasridge/telemetry';
+import type { Result } from 'neverthrow';
 import type { z } from 'zod';
 import { ExitCode, UsageError, type CommandDefinition, type CommandInput } from './command-line.js';
-import { formatSettingsError, readJsonFile } from './document.js';
+import { formatSettingsError, readJsonFile, type SettingsError } from './document.js';
+import { SettingsFile } from './settings-file.js';
 
 /** An executable that runs with one settings file until it is stopped. */
 export interface SettingsCommand<T> {
@@ -31,11 +34,12 @@
 async function runWithSettings<T>(command: SettingsCommand<T>, input: CommandInput): Promise<number> {
   const file = input.text('settings');
   if (file === undefined) throw new UsageError('--settings is missing: give the path of the settings file');
-  const settings = await readJsonFile(file, command.schema);
+  const logger = new EventLogger(command.name, 'info');
+  const settings = await readSettings(command, file, logger, input.flag('check'));
   if (settings.isErr()) {
     const problem = formatSettingsError(settings.error);
     process.stderr.write(`${problem}\n`);
-    logStartFailure(new EventLogger(command.name, 'info'), {
+    logStartFailure(logger, {
       reason: 'settings',
       subject: file,
       problem,
@@ -48,6 +52,19 @@
   return ExitCode.success;
 }
 
+/** @param isCheck whether only the file is checked: it is then not waited for */
+function readSettings<T>(
+  { schema }: SettingsCommand<T>,
+  file: string,
+  logger: EventLogger,
+  isCheck: boolean,
+): Promise<Result<T, SettingsError>> {
+  if (isCheck) return readJsonFile(file, schema);
+  const onWaiting = (error: SettingsError): void =>
+    logger.log('warn', 'settings.waiting', { subject: file, problem: formatSettingsError(error) });
+  return new SettingsFile({ file, schema, clock: new SystemClock(), onWaiting }).read();
+}
+
 /** Resolves with the signal on SIGTERM or SIGINT. */
 export function stopSignal(): Promise<NodeJS.Signals> {
   return new Promise((resolve) => {
