A folder of dependencies from another kind of machine is installed anew

A folder that was carried over from a machine of another architecture is newer, and has no binary of esbuild that runs: the bundle failed and target/ was missing.

--- /dev/null
+++ b/scripts/has-dependencies.mjs
@@ -0,0 +1,29 @@
+/**
+ * Exits with 0 if the dependencies in `node_modules` of the working directory are those of the lock file and run on
+ * this machine, and with 1 otherwise: a folder that was carried over may hold the binaries of another kind of machine.
+ */
+import { statSync } from 'node:fs';
+import { createRequire } from 'node:module';
+import { join } from 'node:path';
+
+const root = process.cwd();
+
+function isNewerThanLock() {
+  return statSync(join(root, 'node_modules')).mtimeMs > statSync(join(root, 'package-lock.json')).mtimeMs;
+}
+
+/** esbuild is the only dependency with a binary of its own. */
+function runsHere() {
+  createRequire(join(root, 'package.json'))('esbuild').transformSync('');
+  return true;
+}
+
+function hasDependencies() {
+  try {
+    return isNewerThanLock() && runsHere();
+  } catch {
+    return false;
+  }
+}
+
+process.exit(hasDependencies() ? 0 : 1);
