SIGHUP does not end a node of the product

The program had no listener of the signal, so that a supervisor or a terminal that sends it ended the process at once, with all its requests (FAULT, LOST).

After: settings.not-reloaded is logged, the node answers and stops with code 0. The product reads its settings at the start only.

--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -17,6 +17,9 @@
 });
 
 async function runNode(settings: NodeSettings, file: string): Promise<number> {
+  const logger = new EventLogger(settings.node.id, 'info');
+  // Without a listener, the signal ends the process.
+  process.on('SIGHUP', () => logger.log('warn', 'settings.not-reloaded', { subject: file }));
   const stopping = new AbortController();
   const stopped = stopSignal().then(() => stopping.abort());
   const started = await startNodeProcess(settings, stopping.signal);
@@ -26,7 +29,7 @@
     process.stderr.write(
       `${file}: ${field}: cannot listen on ${address}: ${reason}; choose a free address\n`,
     );
-    logStartFailure(new EventLogger(settings.node.id, 'info'), {
+    logStartFailure(logger, {
       reason: 'address',
       subject: field,
       address,
--- /dev/null
+++ b/packages/node/test/executable.test.ts
@@ -0,0 +1,26 @@
+/** What the executable of a node does about the streams, signals and connections that it has from outside. */
+import { request } from 'node:http';
+import { once } from 'node:events';
+import test from 'ava';
+import { NodeExecutable } from './node-executable.js';
+
+const SUCCESS = 0;
+
+/** The status that the readiness check answers; the process is alive if there is one. */
+async function readyStatus(address: { host: string; port: number }): Promise<number> {
+  const outgoing = request({ ...address, path: '/readyz', agent: false }).end();
+  const [incoming] = (await once(outgoing, 'response')) as [{ statusCode: number; resume: () => void }];
+  incoming.resume();
+  return incoming.statusCode;
+}
+
+// The signal ended the process, with all its requests.
+test('a node goes on when it gets SIGHUP', async (t) => {
+  const node = await NodeExecutable.start(t);
+  const address = await node.ready();
+  node.child.kill('SIGHUP');
+  await node.wrote('event=settings.not-reloaded');
+  t.true((await readyStatus(address)) > 0);
+  node.child.kill('SIGTERM');
+  t.is(await node.ended(), SUCCESS);
+});
