A process goes on when nobody reads its standard output or standard error any more

When the reader of a node's log ended, the next line was a write that failed, which nothing caught: a node of the product ended with code 1, all nodes with the same log collector together (FAULT, LOST). On the platform a code cache that can't be used writes a line at the start, and with standard error closed each start ended with code 1.

Class: a passing condition, here of a collector, is taken for final.

--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -1,6 +1,6 @@
 import { setTimeout } from 'node:timers/promises';
 import { ExitCode, runCommand, settingsCommand, stopSignal } from '@canvasridge/settings';
-import { EventLogger, logStartFailure } from '@canvasridge/telemetry';
+import { EventLogger, logStartFailure, surviveClosedStreams } from '@canvasridge/telemetry';
 import { startNodeProcess } from './process.js';
 import { nodeSettingsSchema, type NodeSettings } from './settings.js';
 
@@ -55,5 +55,6 @@
 
 /** Entry point of `canvasridge-node`. Returns the exit code. */
 export function main(argv: readonly string[]): Promise<number> {
+  surviveClosedStreams();
   return runCommand(NAME, VERSION, [serve], argv);
 }
--- a/packages/node/test/executable.test.ts
+++ b/packages/node/test/executable.test.ts
@@ -24,3 +24,15 @@
   node.child.kill('SIGTERM');
   t.is(await node.ended(), SUCCESS);
 });
+// The next line was a write that failed, which nothing caught: all nodes with the same log collector ended with it.
+for (const stream of ['stdout', 'stderr'] as const) {
+  test(`a node goes on when the reader of its ${stream} ends`, async (t) => {
+    const node = await NodeExecutable.start(t, { log: { level: 'debug' } });
+    const address = await node.ready();
+    node.child[stream]?.destroy();
+    node.child.kill('SIGHUP');
+    for (let count = 0; count < 20; count += 1) await readyStatus(address);
+    node.child.kill('SIGTERM');
+    t.is(await node.ended(), SUCCESS);
+  });
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -9,6 +9,7 @@
 export { StatsdMetrics, NullMetrics, type Metrics, type MetricName, METRICS } from './metrics.js';
 export { keepRunning, runInBackground, runLogged } from './background.js';
 export { MemoryWatch, measureMemory, type MemoryUse } from './memory-watch.js';
+export { surviveClosedStreams } from './standard-streams.js';
 export { logStartFailure, type StartFailure } from './start-failure.js';
 export { LimitedEvents } from './limited-events.js';
 export { ProcessFailure } from './process-failure.js';
--- a/packages/telemetry/src/line-sink.ts
+++ b/packages/telemetry/src/line-sink.ts
@@ -67,10 +67,11 @@
     this.#timer = undefined;
     if (this.#writing || this.#pending.length === 0) return;
     this.#reportDropped();
+    const lines = this.#pending.length;
     const bytes = Buffer.from(`${this.#pending.join('\n')}\n`);
     this.#pending = [];
     this.#pendingBytes = 0;
-    this.#writeAll(bytes);
+    this.#writeAll(bytes, lines);
   }
 
   /**
@@ -91,11 +92,13 @@
     }
   }
 
-  #writeAll(bytes: Buffer): void {
+  /** @param lines that are lost if the descriptor can't be written to */
+  #writeAll(bytes: Buffer, lines: number): void {
     this.#writing = true;
     write(this.#descriptor, bytes, 0, bytes.length, null, (error, written) => {
       const retryable = error?.code === 'EAGAIN';
       if (error !== null && !retryable) {
+        this.#dropped += lines;
         this.#writing = false;
         return;
       }
@@ -103,8 +106,8 @@
       if (rest.length === 0) {
         this.#writing = false;
         if (this.#pending.length > 0) this.flush();
-      } else if (retryable) setTimeout(() => this.#writeAll(rest), FLUSH_AFTER_MS);
-      else this.#writeAll(rest);
+      } else if (retryable) setTimeout(() => this.#writeAll(rest, lines), FLUSH_AFTER_MS);
+      else this.#writeAll(rest, lines);
     });
   }
 
