A planned stop of the product's node ends while clients hold connections

Cause: closeServer waited for all connections, and closed only those that had served a request. Now the others are closed after a second.

--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -29,6 +29,8 @@
 import { bindNodeSockets } from './sockets.js';
 
 const MS_PER_SECOND = 1000;
+/** For the ends of the last responses, once all requests have ended. */
+const CLOSE_TIMEOUT_MS = 1000;
 /** Length of the random token that distinguishes a node's process from earlier ones with the same node id. */
 const PROCESS_TOKEN_BYTES = 6;
 
@@ -158,9 +160,14 @@
     : new StatsdMetrics(statsd.host, statsd.port, settings.node.id);
 }
 
+/** Closes idle connections now, and the others, such as those that never sent a request, after a while. */
 function closeServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
-    server.close(() => resolve());
+    const timer = setTimeout(() => server.closeAllConnections(), CLOSE_TIMEOUT_MS);
+    server.close(() => {
+      clearTimeout(timer);
+      resolve();
+    });
     server.closeIdleConnections();
   });
 }
--- a/packages/node/test/executable.test.ts
+++ b/packages/node/test/executable.test.ts
@@ -1,6 +1,7 @@
 /** What the executable of a node does about the streams, signals and connections that it has from outside. */
 import { request } from 'node:http';
 import { once } from 'node:events';
+import { connect } from 'node:net';
 import test from 'ava';
 import { NodeExecutable } from './node-executable.js';
 
@@ -36,3 +37,14 @@
     t.is(await node.ended(), SUCCESS);
   });
 }
+
+// The stop waited for the client to close its connection, without an end.
+test('a planned stop ends while a client has a connection that says nothing', async (t) => {
+  const node = await NodeExecutable.start(t);
+  const socket = connect(await node.ready());
+  t.teardown(() => socket.destroy());
+  socket.on('error', () => undefined);
+  await once(socket, 'connect');
+  node.child.kill('SIGTERM');
+  t.is(await node.ended(), SUCCESS);
+});
