The product's node exits at the end of its planned stop, and a second SIGINT does not end it before

A second SIGINT within the graceful stop, of both programs, ended the process with its running requests.

--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -6,7 +6,7 @@
 
 const NAME = 'canvasridge-node';
 const VERSION = '0.1.0';
-/** For the end of a planned stop that follows a failure, beyond the time for running requests. */
+/** For the end of a planned stop, beyond the time for running requests. */
 const STOP_MARGIN_MS = 1000;
 
 const serve = settingsCommand({
@@ -42,15 +42,13 @@
   failure.watch();
   process.stdout.write(`${JSON.stringify({ ready: true, callersUrl, peersUrl, gossip })}\n`);
   await Promise.race([stopped, failure.untilFailed()]);
-  const ended = started.value.stop();
-  if (!failure.hasOccurred) {
-    await ended;
-    return ExitCode.success;
-  }
   const { lingerSeconds, limitSeconds } = settings.drain;
-  await Promise.race([ended, setTimeout((lingerSeconds + limitSeconds) * 1000 + STOP_MARGIN_MS)]);
-  // Nobody sends a signal to end a process that failed, and a connection that stays open would keep it.
-  process.exit(ExitCode.failure);
+  await Promise.race([
+    started.value.stop(),
+    setTimeout((lingerSeconds + limitSeconds) * 1000 + STOP_MARGIN_MS),
+  ]);
+  // Connections that stay open, and lines that nobody reads, would keep the process.
+  process.exit(failure.hasOccurred ? ExitCode.failure : ExitCode.success);
 }
 
 /** Entry point of `canvasridge-node`. Returns the exit code. */
--- a/packages/settings/src/settings-command.ts
+++ b/packages/settings/src/settings-command.ts
@@ -68,9 +68,8 @@
 /** Resolves with the signal on SIGTERM or SIGINT. */
 export function stopSignal(): Promise<NodeJS.Signals> {
   return new Promise((resolve) => {
-    // Not `once`: without a listener, a second SIGTERM would kill the process in the middle of its graceful
-    // stop.
+    // Not `once`: without a listener, a second signal would kill the process in the middle of its graceful stop.
     process.on('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
+    process.on('SIGINT', resolve);
   });
 }
--- a/packages/settings/test/stop-signal.test.ts
+++ b/packages/settings/test/stop-signal.test.ts
@@ -16,6 +16,14 @@
   return hadListener;
 }
 
+// The second signal ended the process within its graceful stop.
+test.serial('a second SIGINT during a graceful stop does not end the process', async (t) => {
+  const stopped = stopSignal();
+  t.true(await signalSelf('SIGINT'));
+  await stopped;
+  t.true(await signalSelf('SIGINT'));
+});
+
 test.serial('a second SIGTERM during a graceful stop does not end the process', async (t) => {
   const stopped = stopSignal();
   t.true(await signalSelf('SIGTERM'));
