A node that waits for an address accepts no callers, and waits for all addresses together within the time-out

Callers were bound before others and accepted while the node waited: reset by the product, 503 without Retry-After on the platform. The time-out held for each address in turn, so that a start could take five times as long.

--- a/packages/addresses/src/address-binder.ts
+++ b/packages/addresses/src/address-binder.ts
@@ -16,12 +16,17 @@
   readonly telemetry: Pick<Telemetry, 'event'>;
 };
 
-/** Binds the sockets of a process at its start. Each one waits while something else uses its address. */
+/**
+ * Binds the sockets of a process at its start. Each one waits while something else uses its address, all of them
+ * together for no longer than the time-out.
+ */
 export class AddressBinder {
   readonly #options: AddressBinderOptions;
+  readonly #deadlineMs: number;
 
   constructor(options: AddressBinderOptions) {
     this.#options = options;
+    this.#deadlineMs = options.clock.now() + options.timeoutMs;
   }
 
   /** A binder that waits until the address is free, however long that takes. */
@@ -35,10 +40,12 @@
    */
   async bind<T>(field: string, bind: () => Promise<Result<T, BindError>>): Promise<Result<T, ListenError>> {
     const { telemetry, ...options } = this.#options;
+    const timeoutMs = Math.max(0, this.#deadlineMs - options.clock.now());
     const bound = await bindWhenFree(bind, {
       ...options,
+      timeoutMs,
       onWaiting: ({ address, reason }) =>
-        telemetry.event('warn', 'listen.waiting', field, { address, reason, timeoutMs: options.timeoutMs }),
+        telemetry.event('warn', 'listen.waiting', field, { address, reason, timeoutMs }),
       onBound: ({ address }, waitedMs) =>
         telemetry.event('info', 'listen.bound', field, { address, waitedMs: Math.round(waitedMs) }),
     });
--- a/packages/addresses/test/address-binder.test.ts
+++ b/packages/addresses/test/address-binder.test.ts
@@ -47,6 +47,19 @@
   t.deepEqual(lines, ['warn listen.waiting listen.x']);
 });
 
+// The time-out held for each address: a start could take many times as long.
+test('all addresses of a binder together wait no longer than the time-out', async (t) => {
+  const clock = new VirtualClock();
+  const binder = new AddressBinder({ clock, telemetry: { event: () => undefined }, timeoutMs: TIMEOUT_MS });
+  const task = (async () => {
+    for (let address = 0; address < 3; address += 1)
+      await binder.bind('listen.x', async () => failure('EADDRINUSE'));
+    return clock.now();
+  })();
+  await clock.runUntil(10 * TIMEOUT_MS);
+  t.true((await task) <= TIMEOUT_MS);
+});
+
 test('other errors are final', async (t) => {
   const { result, tries, lines } = await bindWith([failure('EACCES')]);
   t.is(result?._unsafeUnwrapErr().code, 'EACCES');
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -634,19 +634,22 @@
   }
 }
 
-/** Binds the addresses of a node. The membership protocol's comes last, since other nodes see a member by it. */
+/** Binds the addresses of a node; that of the callers last, as those whose connections are accepted wait for answers. */
 async function bindSockets(
   { settings, telemetry, clock, binder }: GatewayOptions,
   peers: Server,
   clients: ClientServer,
 ): Promise<Result<UdpTransport, ListenError>> {
   const { ip: host, peerPort, frontPort, peerKey } = settings;
-  const frontBound = await binder.bind('listen.callers', () => clients.listen({ host, port: frontPort }));
-  if (frontBound.isErr()) return err(frontBound.error);
   const peersBound = await binder.listen('listen.peers', peers, { host, port: peerPort });
   if (peersBound.isErr()) return err(peersBound.error);
   const events = new LimitedEvents(telemetry, clock);
-  return binder.bind('listen.peers', () => UdpTransport.bind({ host, port: peerPort }, peerKey, events));
+  const transport = await binder.bind('listen.peers', () =>
+    UdpTransport.bind({ host, port: peerPort }, peerKey, events),
+  );
+  if (transport.isErr()) return err(transport.error);
+  const callers = await binder.bind('listen.callers', () => clients.listen({ host, port: frontPort }));
+  return callers.map(() => transport.value);
 }
 
 /**
--- a/packages/node/src/sockets.ts
+++ b/packages/node/src/sockets.ts
@@ -31,12 +31,16 @@
     for (const server of servers) server.close();
     return err(error);
   };
-  const callersBound = await binder.listen('listen.callers', callerServer, callers);
-  if (callersBound.isErr()) return fail(callersBound.error);
   const peersBound = await binder.listen('listen.peers', peerServer, peers);
   if (peersBound.isErr()) return fail(peersBound.error);
   const transport = await binder.bind('listen.gossip', () => UdpTransport.bind(gossip, peerKey, events));
   if (transport.isErr()) return fail(transport.error);
+  // Last, as callers whose connections are accepted wait for answers.
+  const callersBound = await binder.listen('listen.callers', callerServer, callers);
+  if (callersBound.isErr()) {
+    transport.value.close();
+    return fail(callersBound.error);
+  }
   for (const server of servers) server.off('connection', closeConnection);
   return ok({
     transport: transport.value,
