An error in one step of a planned stop does not end the stop

Each step is now run by itself and its error logged (process.stop-step-failed). No real error that throws there is known.

--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -12,7 +12,13 @@
   type HttpRoute,
   type NewEra,
 } from '@canvasridge/serving';
-import { LimitedEvents, MemoryWatch, keepRunning, runInBackground } from '@canvasridge/telemetry';
+import {
+  LimitedEvents,
+  MemoryWatch,
+  errorFields,
+  keepRunning,
+  runInBackground,
+} from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import { AdapterVersionCheck } from './backends/adapter-version-check.js';
 import { BackendAvailability } from './backends/backend-availability.js';
@@ -409,15 +415,15 @@
     this.#stopping = true;
     this.#stopDeadlineMs = clock.now() + settings.stopGraceMs - STOP_MARGIN_MS;
     telemetry.event('info', 'process.stopping', settings.nodeId, { running: this.#exchanges.size });
-    this.#slots.resign();
-    this.#cluster.drain();
-    this.#streamVersions.handOver();
+    this.#runStopStep('resign', () => this.#slots.resign());
+    this.#runStopStep('drain', () => this.#cluster.drain());
+    this.#runStopStep('hand-over', () => this.#streamVersions.handOver());
     await clock.sleep(settings.stopGraceMs * ACCEPTING_SHARE);
     this.#clients.stopAccepting();
     while (this.#openResponses > 0 && clock.now() < this.#stopDeadlineMs) await clock.sleep(STOP_POLL_MS);
     const unfinished = [...this.#exchanges];
-    for (const exchange of unfinished) exchange.endAtStop();
-    this.#cluster.leave();
+    for (const exchange of unfinished) this.#runStopStep('end-request', () => exchange.endAtStop());
+    this.#runStopStep('leave', () => this.#cluster.leave());
     await clock.sleep(STOP_POLL_MS);
     telemetry.event('info', 'process.stopped', settings.nodeId, {
       givenUp: unfinished.length,
@@ -426,6 +432,15 @@
     this.close();
   }
 
+  /** Runs one step of a planned stop. An error in it keeps none of the others from running, nor requests from ending. */
+  #runStopStep(name: string, step: () => void): void {
+    try {
+      step();
+    } catch (cause) {
+      this.#options.telemetry.event('error', 'process.stop-step-failed', name, errorFields(cause));
+    }
+  }
+
   /** Responses to clients, and to nodes for which this one relays, that have not been written completely. */
   get #openResponses(): number {
     return this.#clients.openResponses + this.#relayServer.running;
