A relayed response counts as running until it is written

A planned stop of a node that relays for another one waited for responses until they were handed to the connection. If the other node read slowly, the end of the response was cut with the process.

--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -62,16 +62,18 @@
     this.#server.emit('connection', socket);
   }
 
-  /** Requests that are being relayed now. */
+  /** Relayed requests whose responses have not been written completely. */
   get running(): number {
     return this.#running;
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (response.destroyed) return;
     this.#running += 1;
+    // Not before the response has been written: a planned stop waits for it.
+    response.once('close', () => (this.#running -= 1));
     const backendId = String(request.headers[RELAY_HEADER.backend] ?? '');
     const outcome = await this.#relayOrFail(request, response, backendId);
-    this.#running -= 1;
     if (typeof outcome === 'string') refuse(response, outcome);
     const { metrics, telemetry } = this.#options;
     const result = typeof outcome === 'string' ? outcome : outcome.kind;
--- a/packages/gateway/test/stop-with-error.test.ts
+++ b/packages/gateway/test/stop-with-error.test.ts
@@ -24,10 +24,8 @@
     outgoing.end('question');
   });
   await arrived;
-  const { handOver } = StreamVersions.prototype;
-  t.teardown(() => {
-    StreamVersions.prototype.handOver = handOver;
-  });
+  const handOver = Object.getOwnPropertyDescriptor(StreamVersions.prototype, 'handOver');
+  t.teardown(() => Object.defineProperty(StreamVersions.prototype, 'handOver', handOver ?? {}));
   StreamVersions.prototype.handOver = () => {
     throw new Error('injected');
   };
