Request bodies are counted by the memory that they take

Callers saw: a node that ended ("Reached heap limit") while one client sent a body inside the limit in chunks of one byte, or many clients sent some thousand such chunks each; all requests that the node served were lost with it.

Cause: readBody kept each chunk as a buffer of its own and charged the budget by its length. A buffer of one byte takes some 200 bytes of memory, most of it on the heap, so a budget of 37 MB stood for gigabytes: counted in other units than used.

--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -123,7 +123,7 @@
         method: request.method ?? 'GET',
         path: request.url ?? '/',
         headers: forwardedHeaders(request.rawHeaders),
-        body: body.value,
+        body: body.value.bytes,
         reasonNotToWrite: () => this.#reasonNotToWrite(backendId),
         onHead: (status, headers) => this.#handleNotice(backendId, status, headers),
         onDefect: (cause) =>
@@ -135,7 +135,7 @@
       progress.mayHaveRun = true;
       return await attempt.run();
     } finally {
-      bodyMemory.release(body.value.length);
+      body.value.release();
     }
   }
 
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -168,8 +168,8 @@
       if (body.error.kind === 'too-large') this.#respond({ kind: 'body-too-large' });
       else if (body.error.kind === 'no-room') this.#refuse('no-room-for-body', RETRY_AFTER_REFUSAL_MS);
     } else {
-      this.#body = body.value;
-      await this.#serve(route, service).finally(() => bodyMemory.release(body.value.length));
+      this.#body = body.value.bytes;
+      await this.#serve(route, service).finally(body.value.release);
     }
   }
 
