The memory for a body is given back when its request has ended

Callers saw: 503 to requests with bodies, as long as clients stayed whose own bodies had stopped short of their end, although the requests of these had been answered (timed out) long ago.

Cause: an exchange that ended while its body was still being read left readBody waiting for the rest, with all that it had reserved, until the client closed its connection; a client that doesn't close held it without a bound.

Change: the end of the exchange ends the reading and gives its memory back. What still arrives is dropped.

--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -111,8 +111,8 @@
     const service = backend === undefined ? undefined : fleet.routes?.service(backend.service);
     if (backend === undefined || service === undefined || isStopping()) return 'no-room';
     if (this.#running > MAX_RUNNING) return 'no-room';
-    const maxBytes = fleet.routes?.configuration.limits.maxBodyBytes ?? 0;
-    const body = await readBody(request, maxBytes, bodyMemory);
+    const limitBytes = fleet.routes?.configuration.limits.maxBodyBytes ?? 0;
+    const body = await readBody(request, { limitBytes, memory: bodyMemory });
     if (body.isErr()) return 'no-room';
     try {
       const hop = hops.openDirect(backend, service);
--- a/packages/gateway/src/request/body.ts
+++ b/packages/gateway/src/request/body.ts
@@ -14,16 +14,23 @@
   readonly release: () => void;
 }
 
-/** Reads a whole request body of at most `limit` bytes. On failure its memory is released here. */
+export interface BodyReading {
+  /** Size of the largest body. */
+  readonly limitBytes: number;
+  readonly memory: BodyMemoryBudget;
+  /** Ends the reading; what arrives afterwards is dropped. */
+  readonly signal?: AbortSignal;
+}
+
+/** Reads a whole request body. On failure its memory is released here. */
 export function readBody(
   request: IncomingMessage,
-  limit: number,
-  memory: BodyMemoryBudget,
+  { limitBytes, memory, signal }: BodyReading,
 ): Promise<Result<HeldBody, BodyError>> {
   const announcedBytes = Number(request.headers['content-length'] ?? 0);
-  if (announcedBytes > limit) return Promise.resolve(err({ kind: 'too-large' }));
+  if (announcedBytes > limitBytes) return Promise.resolve(err({ kind: 'too-large' }));
   return new Promise((resolve) => {
-    let body = new BodyBuffer(announcedBytes, limit);
+    let body = new BodyBuffer(announcedBytes, limitBytes);
     let settled = false;
     const fail = (kind: BodyError['kind']): void => {
       if (settled) return;
@@ -35,7 +42,7 @@
     request.on('data', (chunk: Buffer) => {
       if (settled) return;
       const size = body.size + chunk.length;
-      if (size > limit) return fail('too-large');
+      if (size > limitBytes) return fail('too-large');
       const moreBytes = body.capacityWith(chunk.length) - body.capacity;
       if (moreBytes > 0 && !memory.reserve(moreBytes, Math.max(announcedBytes, size))) return fail('no-room');
       body.append(chunk);
@@ -48,5 +55,7 @@
     });
     request.on('error', () => fail('aborted'));
     request.on('close', () => fail('aborted'));
+    if (signal?.aborted === true) fail('aborted');
+    else signal?.addEventListener('abort', () => fail('aborted'));
   });
 }
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -162,8 +162,9 @@
   }
 
   async #readAndServe(route: HttpRoute, service: BackendService, maxBodyBytes: number): Promise<void> {
-    const { bodyMemory } = this.#context;
-    const body = await readBody(this.#request, maxBodyBytes, bodyMemory);
+    const { bodyMemory: memory } = this.#context;
+    const { signal } = this.#cancel;
+    const body = await readBody(this.#request, { limitBytes: maxBodyBytes, memory, signal });
     if (body.isErr()) {
       if (body.error.kind === 'too-large') this.#respond({ kind: 'body-too-large' });
       else if (body.error.kind === 'no-room') this.#refuse('no-room-for-body', RETRY_AFTER_REFUSAL_MS);
