Stalled request bodies give way when the memory for bodies is used up

Callers saw: 503 (no-room-for-body) to each request with a body, for as long as clients held on whose own bodies had stopped just short of their end; on routes with long timeouts for minutes.

Cause: memory for bodies went to whoever came first, and a body that was still arriving kept its share without a bound on how long it might stand still.

Change: PendingBodies decides who gets the memory. If a body needs more than is left, those that have made no progress for longest give way, if they have stalled for a second and hold enough together; otherwise the new one is refused, as before. Progress is a thirty-second of what the body holds, so one byte now and then keeps nothing; the second grows by the time in which the process itself read nothing. Whole bodies don't give way, and nobody does while there is room. A refusal of either kind is a 503, as the request was never passed on. One line for each decision, at most one of each kind a second.

The harness and running-relay of the tests make the new object; what they check is the same.

Open: a crowd that comes back at once each time, so that none has stalled for a second, competes with ordinary callers on equal terms.

--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -75,6 +75,7 @@
 import { BodyMemoryBudget } from './request/body-memory-budget.js';
 import { Exchange } from './request/exchange.js';
 import type { ExchangeContext } from './request/exchange-context.js';
+import { PendingBodies } from './request/pending-bodies.js';
 import { ServingOutage } from './request/serving-outage.js';
 import { BackendAccess } from './paths/backend-access.js';
 import { httpProbe } from './paths/http-probe.js';
@@ -357,7 +358,12 @@
       quarantine: this.#quarantine,
       partCrashes: this.#quarantine.parts,
       streamVersions: this.#streamVersions,
-      bodyMemory: new BodyMemoryBudget(settings.memoryBytes * BODY_MEMORY_SHARE),
+      bodies: new PendingBodies({
+        memory: new BodyMemoryBudget(settings.memoryBytes * BODY_MEMORY_SHARE),
+        clock,
+        unreadMs: () => this.#readDelay.maxMs,
+        events: new LimitedEvents(telemetry, clock),
+      }),
       telemetry,
       metrics: this.metrics,
     };
--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -6,10 +6,10 @@
 import type { BackendNotices } from '../backends/backend-notices.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
 import type { BackendHops } from '../request/backend-hops.js';
-import type { BodyMemoryBudget } from '../request/body-memory-budget.js';
 import { readBody } from '../request/body.js';
 import type { RequestDialect } from '../request/dialect.js';
 import { connectionHeaderNames, isEndToEndHeader } from '../request/hop-headers.js';
+import type { PendingBodies } from '../request/pending-bodies.js';
 import { RELAY_HEADER, type RelayFailure } from './relay-protocol.js';
 import { RelayedAttempt, type RelayOutcome } from './relayed-attempt.js';
 
@@ -19,7 +19,7 @@
   readonly availability: Pick<BackendAvailability, 'isBackingOff'>;
   readonly notices: Pick<BackendNotices, 'handleNotice'>;
   readonly dialect: RequestDialect;
-  readonly bodyMemory: BodyMemoryBudget;
+  readonly bodies: PendingBodies;
   /** Whether the backend list is too old for a request to be written now. */
   readonly isListTooOld: () => boolean;
   readonly isStopping: () => boolean;
@@ -106,13 +106,13 @@
     backendId: string,
     progress: RelayProgress,
   ): Promise<RelayOutcome | RelayFailure> {
-    const { fleet, hops, bodyMemory, isStopping } = this.#options;
+    const { fleet, hops, bodies, isStopping } = this.#options;
     const backend = fleet.backend(backendId);
     const service = backend === undefined ? undefined : fleet.routes?.service(backend.service);
     if (backend === undefined || service === undefined || isStopping()) return 'no-room';
     if (this.#running > MAX_RUNNING) return 'no-room';
     const limitBytes = fleet.routes?.configuration.limits.maxBodyBytes ?? 0;
-    const body = await readBody(request, { limitBytes, memory: bodyMemory });
+    const body = await readBody(request, { limitBytes, bodies, id: `relay/${backendId}` });
     if (body.isErr()) return 'no-room';
     try {
       const hop = hops.openDirect(backend, service);
--- a/packages/gateway/src/request/body-memory-budget.ts
+++ b/packages/gateway/src/request/body-memory-budget.ts
@@ -24,12 +24,17 @@
   }
 
   /**
-   * Reserves memory for a part of a body; returns false if there is not enough.
+   * Bytes that have to be released before this many can be reserved; 0 if there is enough.
    * @param bodyBytes size of the whole body, as far as it is known
    */
-  reserve(bytes: number, bodyBytes: number): boolean {
+  lackingBytes(bytes: number, bodyBytes: number): number {
     const allowedBytes = bodyBytes > SMALL_BODY_BYTES ? this.#maxBytes * LARGE_BODIES_SHARE : this.#maxBytes;
-    if (this.#reservedBytes + bytes > allowedBytes) return false;
+    return Math.max(0, this.#reservedBytes + bytes - allowedBytes);
+  }
+
+  /** Reserves memory for a part of a body; returns false if there is not enough. */
+  reserve(bytes: number, bodyBytes: number): boolean {
+    if (this.lackingBytes(bytes, bodyBytes) > 0) return false;
     this.#reservedBytes += bytes;
     return true;
   }
--- a/packages/gateway/src/request/exchange-context.ts
+++ b/packages/gateway/src/request/exchange-context.ts
@@ -9,8 +9,8 @@
 import type { RetryBudget } from '../backends/retry-budget.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
 import type { BackendHops } from './backend-hops.js';
-import type { BodyMemoryBudget } from './body-memory-budget.js';
 import type { RequestDialect } from './dialect.js';
+import type { PendingBodies } from './pending-bodies.js';
 import type { AdmissionContext } from './request-admission.js';
 import type { UnableCause } from './serving-outage.js';
 import type { QuarantineContext } from './request-quarantine.js';
@@ -51,7 +51,7 @@
   readonly lagMs: () => number;
   /** How long input that is handled now may have lain unread because the process was held up, in milliseconds. */
   readonly unreadMs: () => number;
-  readonly bodyMemory: BodyMemoryBudget;
+  readonly bodies: PendingBodies;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
 }
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -162,12 +162,14 @@
   }
 
   async #readAndServe(route: HttpRoute, service: BackendService, maxBodyBytes: number): Promise<void> {
-    const { bodyMemory: memory } = this.#context;
+    const { bodies } = this.#context;
     const { signal } = this.#cancel;
-    const body = await readBody(this.#request, { limitBytes: maxBodyBytes, memory, signal });
+    const id = this.#facts.attemptId ?? 'none';
+    const body = await readBody(this.#request, { limitBytes: maxBodyBytes, bodies, id, signal });
     if (body.isErr()) {
       if (body.error.kind === 'too-large') this.#respond({ kind: 'body-too-large' });
       else if (body.error.kind === 'no-room') this.#refuse('no-room-for-body', RETRY_AFTER_REFUSAL_MS);
+      else if (body.error.kind === 'stalled') this.#refuse('body-stalled', RETRY_AFTER_REFUSAL_MS);
     } else {
       this.#body = body.value.bytes;
       await this.#serve(route, service).finally(body.value.release);
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -10,7 +10,7 @@
   type ServingConfiguration,
   type Tenant,
 } from '@canvasridge/serving';
-import { EventLogger, Telemetry } from '@canvasridge/telemetry';
+import { EventLogger, LimitedEvents, Telemetry } from '@canvasridge/telemetry';
 import { AdapterVersionCheck } from '../src/backends/adapter-version-check.js';
 import { BackendAvailability } from '../src/backends/backend-availability.js';
 import { BackendBackoffs } from '../src/backends/backend-backoffs.js';
@@ -28,6 +28,7 @@
 import { BackendHops } from '../src/request/backend-hops.js';
 import { BodyMemoryBudget } from '../src/request/body-memory-budget.js';
 import type { RequestDialect } from '../src/request/dialect.js';
+import { PendingBodies } from '../src/request/pending-bodies.js';
 import { Exchange } from '../src/request/exchange.js';
 import type { ExchangeContext } from '../src/request/exchange-context.js';
 import { PROBE_PATH, RawBackend, type RawResponder } from './raw-backend.js';
@@ -357,7 +358,12 @@
       isListTooOld: () => this.isListTooOld(),
       refreshIfOld: () => this.beforeSend(),
       configurationLease: () => ({ ageMs: this.configurationAgeMs, leaseMs: LEASE_MS }),
-      bodyMemory: this.bodyMemory,
+      bodies: new PendingBodies({
+        memory: this.bodyMemory,
+        clock,
+        unreadMs: () => this.unreadMs,
+        events: new LimitedEvents(telemetry, clock),
+      }),
       streamVersions: { began: () => undefined, find: () => Promise.resolve(undefined) },
       quarantine: {
         isEmpty: false,
--- a/packages/gateway/test/running-relay.ts
+++ b/packages/gateway/test/running-relay.ts
@@ -1,13 +1,14 @@
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { SystemClock } from '@canvasridge/clock';
 import { FleetState } from '@canvasridge/serving';
-import { Telemetry } from '@canvasridge/telemetry';
+import { LimitedEvents, Telemetry } from '@canvasridge/telemetry';
 import type { ExecutionContext } from 'ava';
 import { BackendConnections } from '../src/backends/backend-connections.js';
 import { GatewayMetrics } from '../src/gateway-metrics.js';
 import { RelayServer } from '../src/relay/relay-server.js';
 import { BackendHops } from '../src/request/backend-hops.js';
 import { BodyMemoryBudget } from '../src/request/body-memory-budget.js';
+import { PendingBodies } from '../src/request/pending-bodies.js';
 import { SERVICE, configuration, dialect } from './harness.js';
 import { RawBackend, type RawResponder } from './raw-backend.js';
 
@@ -24,6 +25,7 @@
 
 export async function startRelay(t: ExecutionContext, respond: RawResponder): Promise<RunningRelay> {
   const clock = new SystemClock();
+  const telemetry = new Telemetry({ processName: 'test', clock });
   const fleet = new FleetState();
   fleet.applyConfiguration(configuration({}));
   const backend = await RawBackend.start(respond);
@@ -42,13 +44,18 @@
     availability: { isBackingOff: () => false },
     notices: { handleNotice: () => undefined },
     dialect,
-    bodyMemory: new BodyMemoryBudget(1_000_000),
+    bodies: new PendingBodies({
+      memory: new BodyMemoryBudget(1_000_000),
+      clock,
+      unreadMs: () => 0,
+      events: new LimitedEvents(telemetry, clock),
+    }),
     isListTooOld: () => running.isListTooOld,
     isStopping: () => {
       if (running.defect !== undefined) throw running.defect;
       return false;
     },
-    telemetry: new Telemetry({ processName: 'test', clock }),
+    telemetry,
     metrics: new GatewayMetrics(),
   });
   const listener = createServer((socket: Socket) => server.accept(socket));
