What a client sends of a body after its answer is bounded

A client whose request was refused (413, 404, 401, 503) could send the body of it without an end: the node read and dropped it, and kept the connection for as long as the client did; one that stopped short of the end kept its connection likewise.

Cause: Node.js reads the rest of a body so that the connection can be used again, and nothing bounded how much or how long.

Change: after the end of an exchange at most maxBodyBytes more are dropped (64 KiB if that is less), for at most 10 s; then the connection is closed, with a line request.body-cut (at most one a second). A client that sends the rest in that bound uses its connection again, so no refused client inside the limits is cut unless it takes 10 s for the rest of its body.

Excluded: Connection: close with each refusal, and closing at once: the client might be reset before it has read the answer, and a refusal that is a promise would become a closed connection, which promises nothing.

--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -314,6 +314,7 @@
       random: () => random.next(),
       switchedOff: settings.switchedOff,
     });
+    const bodyEvents = new LimitedEvents(telemetry, clock);
     this.#context = {
       clock,
       dialect: options.dialect,
@@ -362,8 +363,9 @@
         memory: new BodyMemoryBudget(settings.memoryBytes * BODY_MEMORY_SHARE),
         clock,
         unreadMs: () => this.#readDelay.maxMs,
-        events: new LimitedEvents(telemetry, clock),
+        events: bodyEvents,
       }),
+      bodyEvents,
       telemetry,
       metrics: this.metrics,
     };
--- a/packages/gateway/src/request/exchange-context.ts
+++ b/packages/gateway/src/request/exchange-context.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@canvasridge/clock';
-import type { Telemetry } from '@canvasridge/telemetry';
+import type { LimitedEvents, Telemetry } from '@canvasridge/telemetry';
 import type { BackendAvailability } from '../backends/backend-availability.js';
 import type { BackendPaths } from '../paths/backend-paths.js';
 import type { BackendResponsiveness } from '../paths/backend-responsiveness.js';
@@ -52,6 +52,8 @@
   /** How long input that is handled now may have lain unread because the process was held up, in milliseconds. */
   readonly unreadMs: () => number;
   readonly bodies: PendingBodies;
+  /** For what clients can cause by bodies that they don't end. */
+  readonly bodyEvents: Pick<LimitedEvents, 'event'>;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
 }
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -10,6 +10,7 @@
 import type { PickResult, PickedBackend } from '../backends/picker.js';
 import { RequestRecord } from './request-record.js';
 import { RequestTimes } from './request-times.js';
+import { limitRest } from './rest-limit.js';
 import { ResponseSink } from './response-sink.js';
 import {
   describeOutcome,
@@ -776,6 +777,7 @@
   #finish(outcome: string, status: number): void {
     if (this.#ended) return;
     this.#ended = true;
+    this.#limitRest();
     this.#refundUnlessRun();
     this.#record.finished({
       outcome,
@@ -786,6 +788,17 @@
     });
   }
 
+  #limitRest(): void {
+    const { fleet, clock, bodyEvents: events } = this.#context;
+    const maxBodyBytes = fleet.routes?.configuration.limits.maxBodyBytes ?? 0;
+    limitRest(this.#request, {
+      clock,
+      events,
+      id: this.#facts.attemptId ?? 'none',
+      maxBytes: Math.max(MIN_REST_BYTES, maxBodyBytes),
+    });
+  }
+
   #isRepeatable(route: HttpRoute): boolean {
     return route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
   }
@@ -822,3 +835,5 @@
 const NOT_SENT: AttemptOutcome = { kind: 'not-run', reason: 'not-allowed' };
 const EMPTY_BODY: Buffer = Buffer.alloc(0);
 const RETRY_AFTER_REFUSAL_MS = 300;
+/** What a client may send of a body after the answer, however small bodies have to be. */
+const MIN_REST_BYTES = 65_536;
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -310,6 +310,7 @@
     });
     const metrics = new GatewayMetrics();
     let nextId = 0;
+    const bodyEvents = new LimitedEvents(telemetry, clock);
     return {
       clock,
       dialect,
@@ -362,8 +363,9 @@
         memory: this.bodyMemory,
         clock,
         unreadMs: () => this.unreadMs,
-        events: new LimitedEvents(telemetry, clock),
+        events: bodyEvents,
       }),
+      bodyEvents,
       streamVersions: { began: () => undefined, find: () => Promise.resolve(undefined) },
       quarantine: {
         isEmpty: false,
--- a/packages/gateway/test/unfinished-body.ts
+++ b/packages/gateway/test/unfinished-body.ts
@@ -11,12 +11,18 @@
   readonly isClosed: () => boolean;
 }
 
+export interface UnfinishedBodyOptions {
+  readonly path?: string;
+  readonly announcedBytes: number;
+  readonly sentBytes: number;
+}
+
 /** Sends a request with the beginning of its body; the connection is closed when the test ends. */
 export async function sendUnfinishedBody(
   t: ExecutionContext,
   port: number,
   attemptId: string,
-  { announcedBytes, sentBytes }: { readonly announcedBytes: number; readonly sentBytes: number },
+  { path = '/x/', announcedBytes, sentBytes }: UnfinishedBodyOptions,
 ): Promise<UnfinishedBody> {
   const socket = connect(port, '127.0.0.1');
   t.teardown(() => socket.destroy());
@@ -26,7 +32,7 @@
   socket.on('error', () => undefined);
   await once(socket, 'connect');
   socket.write(
-    `POST /x/ HTTP/1.1\r\nHost: ${HOST}\r\nAttempt-Id: ${attemptId}\r\n` +
+    `POST ${path} HTTP/1.1\r\nHost: ${HOST}\r\nAttempt-Id: ${attemptId}\r\n` +
       `Content-Length: ${announcedBytes}\r\n\r\n${'x'.repeat(sentBytes)}`,
   );
   return { socket, answer: () => answer, isClosed: () => socket.destroyed };
