Connections with many chunks take turns

Cause: a chunk costs some 2 microseconds however short it is (20 million in 39 s), and Node.js reads up to 32 times 64 KiB of a connection before it turns to the next, so one connection with chunks of one byte holds the event loop for 0.7 s, and each further one as long again.

Change: after 256 chunks a connection waits until those that had their share before it have been read, one in each turn of the event loop, so that at most one stretch of 64 KiB lies between two turns. No body is refused for its chunks.

The dialect of the test harness drops Transfer-Encoding as that of the platform does: chunked requests could not be passed on in these tests.

--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -76,6 +76,7 @@
 import { Exchange } from './request/exchange.js';
 import type { ExchangeContext } from './request/exchange-context.js';
 import { PendingBodies } from './request/pending-bodies.js';
+import { ReadTurns } from './request/read-turns.js';
 import { ServingOutage } from './request/serving-outage.js';
 import { BackendAccess } from './paths/backend-access.js';
 import { httpProbe } from './paths/http-probe.js';
@@ -365,6 +366,7 @@
         unreadMs: () => this.#readDelay.maxMs,
         events: bodyEvents,
       }),
+      readTurns: new ReadTurns(),
       bodyEvents,
       telemetry,
       metrics: this.metrics,
--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -10,6 +10,7 @@
 import type { RequestDialect } from '../request/dialect.js';
 import { connectionHeaderNames, isEndToEndHeader } from '../request/hop-headers.js';
 import type { PendingBodies } from '../request/pending-bodies.js';
+import type { ReadTurns } from '../request/read-turns.js';
 import { RELAY_HEADER, type RelayFailure } from './relay-protocol.js';
 import { RelayedAttempt, type RelayOutcome } from './relayed-attempt.js';
 
@@ -20,6 +21,7 @@
   readonly notices: Pick<BackendNotices, 'handleNotice'>;
   readonly dialect: RequestDialect;
   readonly bodies: PendingBodies;
+  readonly readTurns: ReadTurns;
   /** Whether the backend list is too old for a request to be written now. */
   readonly isListTooOld: () => boolean;
   readonly isStopping: () => boolean;
@@ -106,13 +108,13 @@
     backendId: string,
     progress: RelayProgress,
   ): Promise<RelayOutcome | RelayFailure> {
-    const { fleet, hops, bodies, isStopping } = this.#options;
+    const { fleet, hops, bodies, readTurns, isStopping } = this.#options;
     const backend = fleet.backend(backendId);
     const service = backend === undefined ? undefined : fleet.routes?.service(backend.service);
     if (backend === undefined || service === undefined || isStopping()) return 'no-room';
     if (this.#running > MAX_RUNNING) return 'no-room';
     const limitBytes = fleet.routes?.configuration.limits.maxBodyBytes ?? 0;
-    const body = await readBody(request, { limitBytes, bodies, id: `relay/${backendId}` });
+    const body = await readBody(request, { limitBytes, bodies, readTurns, id: `relay/${backendId}` });
     if (body.isErr()) return 'no-room';
     try {
       const hop = hops.openDirect(backend, service);
--- a/packages/gateway/src/request/body.ts
+++ b/packages/gateway/src/request/body.ts
@@ -2,6 +2,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { BodyBuffer } from './body-buffer.js';
 import type { PendingBodies } from './pending-bodies.js';
+import type { ReadTurns } from './read-turns.js';
 
 /**
  * - `no-room`: the memory that this node may use for request bodies is used up
@@ -24,6 +25,7 @@
   /** Size of the largest body. */
   readonly limitBytes: number;
   readonly bodies: PendingBodies;
+  readonly readTurns: ReadTurns;
   /** Of the request, for log lines. */
   readonly id: string;
   /** Ends the reading; what arrives afterwards is dropped. */
@@ -33,7 +35,7 @@
 /** Reads a whole request body. On failure its memory is released here. */
 export function readBody(
   request: IncomingMessage,
-  { limitBytes, bodies, id, signal }: BodyReading,
+  { limitBytes, bodies, readTurns, id, signal }: BodyReading,
 ): Promise<Result<HeldBody, BodyError>> {
   const announcedBytes = Number(request.headers['content-length'] ?? 0);
   if (announcedBytes > limitBytes) return Promise.resolve(err({ kind: 'too-large' }));
@@ -48,7 +50,9 @@
       body = new BodyBuffer(0, 0);
       resolve(err({ kind }));
     };
+    const countChunk = readTurns.counter(request.socket);
     request.on('data', (chunk: Buffer) => {
+      countChunk();
       if (settled) return;
       const size = body.size + chunk.length;
       if (size > limitBytes) return fail('too-large');
--- a/packages/gateway/src/request/exchange-context.ts
+++ b/packages/gateway/src/request/exchange-context.ts
@@ -11,6 +11,7 @@
 import type { BackendHops } from './backend-hops.js';
 import type { RequestDialect } from './dialect.js';
 import type { PendingBodies } from './pending-bodies.js';
+import type { ReadTurns } from './read-turns.js';
 import type { AdmissionContext } from './request-admission.js';
 import type { UnableCause } from './serving-outage.js';
 import type { QuarantineContext } from './request-quarantine.js';
@@ -52,6 +53,7 @@
   /** How long input that is handled now may have lain unread because the process was held up, in milliseconds. */
   readonly unreadMs: () => number;
   readonly bodies: PendingBodies;
+  readonly readTurns: ReadTurns;
   /** For what clients can cause by bodies that they don't end. */
   readonly bodyEvents: Pick<LimitedEvents, 'event'>;
   readonly telemetry: Telemetry;
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -163,10 +163,10 @@
   }
 
   async #readAndServe(route: HttpRoute, service: BackendService, maxBodyBytes: number): Promise<void> {
-    const { bodies } = this.#context;
+    const { bodies, readTurns } = this.#context;
     const { signal } = this.#cancel;
     const id = this.#facts.attemptId ?? 'none';
-    const body = await readBody(this.#request, { limitBytes: maxBodyBytes, bodies, id, signal });
+    const body = await readBody(this.#request, { limitBytes: maxBodyBytes, bodies, readTurns, id, signal });
     if (body.isErr()) {
       if (body.error.kind === 'too-large') this.#respond({ kind: 'body-too-large' });
       else if (body.error.kind === 'no-room') this.#refuse('no-room-for-body', RETRY_AFTER_REFUSAL_MS);
@@ -789,9 +789,10 @@
   }
 
   #limitRest(): void {
-    const { fleet, clock, bodyEvents: events } = this.#context;
+    const { fleet, clock, readTurns, bodyEvents: events } = this.#context;
     const maxBodyBytes = fleet.routes?.configuration.limits.maxBodyBytes ?? 0;
     limitRest(this.#request, {
+      readTurns,
       clock,
       events,
       id: this.#facts.attemptId ?? 'none',
--- a/packages/gateway/src/request/rest-limit.ts
+++ b/packages/gateway/src/request/rest-limit.ts
@@ -1,12 +1,14 @@
 import type { IncomingMessage } from 'node:http';
 import type { Clock } from '@canvasridge/clock';
 import type { LimitedEvents } from '@canvasridge/telemetry';
+import type { ReadTurns } from './read-turns.js';
 
 /** How long the rest of a body may take after its request was answered, in milliseconds. */
 export const MAX_REST_MS = 10_000;
 const MAX_LOGGED_ID = 64;
 
 export interface RestLimitOptions {
+  readonly readTurns: ReadTurns;
   readonly clock: Pick<Clock, 'setTimer'>;
   /** For `request.body-cut`. */
   readonly events: Pick<LimitedEvents, 'event'>;
@@ -20,7 +22,10 @@
  * Drops the rest of a body whose request was answered before its end, and closes the connection if there is too much of it
  * or if it takes too long. A client that sends it may use its connection again.
  */
-export function limitRest(request: IncomingMessage, { clock, events, id, maxBytes }: RestLimitOptions): void {
+export function limitRest(
+  request: IncomingMessage,
+  { readTurns, clock, events, id, maxBytes }: RestLimitOptions,
+): void {
   const { socket } = request;
   if (request.complete || socket.destroyed) return;
   let restBytes = 0;
@@ -36,7 +41,9 @@
     socket.destroy();
   };
   const timer = clock.setTimer(MAX_REST_MS, () => cut('too-late'));
+  const countChunk = readTurns.counter(socket);
   request.on('data', (chunk: Buffer) => {
+    countChunk();
     restBytes += chunk.length;
     if (restBytes > maxBytes) cut('too-long');
   });
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -29,6 +29,7 @@
 import { BodyMemoryBudget } from '../src/request/body-memory-budget.js';
 import type { RequestDialect } from '../src/request/dialect.js';
 import { PendingBodies } from '../src/request/pending-bodies.js';
+import { ReadTurns } from '../src/request/read-turns.js';
 import { Exchange } from '../src/request/exchange.js';
 import type { ExchangeContext } from '../src/request/exchange-context.js';
 import { PROBE_PATH, RawBackend, type RawResponder } from './raw-backend.js';
@@ -48,7 +49,8 @@
   }),
   forwardHeaders: (rawHeaders, facts) => [
     ...rawHeaders.filter(
-      (_, index) => !/^(connection|content-length)$/i.test(rawHeaders[index - (index % 2)] ?? ''),
+      (_, index) =>
+        !/^(connection|content-length|transfer-encoding)$/i.test(rawHeaders[index - (index % 2)] ?? ''),
     ),
     'backend',
     facts.backendId,
@@ -365,6 +367,7 @@
         unreadMs: () => this.unreadMs,
         events: bodyEvents,
       }),
+      readTurns: new ReadTurns(),
       bodyEvents,
       streamVersions: { began: () => undefined, find: () => Promise.resolve(undefined) },
       quarantine: {
--- a/packages/gateway/test/running-relay.ts
+++ b/packages/gateway/test/running-relay.ts
@@ -9,6 +9,7 @@
 import { BackendHops } from '../src/request/backend-hops.js';
 import { BodyMemoryBudget } from '../src/request/body-memory-budget.js';
 import { PendingBodies } from '../src/request/pending-bodies.js';
+import { ReadTurns } from '../src/request/read-turns.js';
 import { SERVICE, configuration, dialect } from './harness.js';
 import { RawBackend, type RawResponder } from './raw-backend.js';
 
@@ -44,6 +45,7 @@
     availability: { isBackingOff: () => false },
     notices: { handleNotice: () => undefined },
     dialect,
+    readTurns: new ReadTurns(),
     bodies: new PendingBodies({
       memory: new BodyMemoryBudget(1_000_000),
       clock,
