--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -81,6 +81,8 @@
 import { BodyMemoryBudget } from './request/body-memory-budget.js';
 import { Exchange } from './request/exchange.js';
 import type { ExchangeContext } from './request/exchange-context.js';
+import { PendingBodies } from './request/pending-bodies.js';
+import { ReadTurns } from './request/read-turns.js';
 import { ServingOutage } from './request/serving-outage.js';
 import { BackendAccess } from './paths/backend-access.js';
 import { httpProbe } from './paths/http-probe.js';
@@ -319,6 +321,7 @@
       random: () => random.next(),
       switchedOff: settings.switchedOff,
     });
+    const bodyEvents = new LimitedEvents(telemetry, clock);
     this.#context = {
       clock,
       dialect: options.dialect,
@@ -363,7 +366,14 @@
       quarantine: this.#quarantine,
       partCrashes: this.#quarantine.parts,
       streamVersions: this.#streamVersions,
-      bodyMemory: new BodyMemoryBudget(settings.memoryBytes * BODY_MEMORY_SHARE),
+      bodies: new PendingBodies({
+        memory: new BodyMemoryBudget(settings.memoryBytes * BODY_MEMORY_SHARE),
+        clock,
+        unreadMs: () => this.#readDelay.maxMs,
+        events: bodyEvents,
+      }),
+      readTurns: new ReadTurns(),
+      bodyEvents,
       telemetry,
       metrics: this.metrics,
     };
--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -6,10 +6,11 @@
 import type { BackendNotices } from '../backends/backend-notices.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
 import type { BackendHops } from '../request/backend-hops.js';
-import type { BodyMemoryBudget } from '../request/body-memory-budget.js';
 import { readBody } from '../request/body.js';
 import type { RequestDialect } from '../request/dialect.js';
 import { connectionHeaderNames, isEndToEndHeader } from '../request/hop-headers.js';
+import type { PendingBodies } from '../request/pending-bodies.js';
+import type { ReadTurns } from '../request/read-turns.js';
 import { RELAY_HEADER, type RelayFailure } from './relay-protocol.js';
 import { RelayedAttempt, type RelayOutcome } from './relayed-attempt.js';
 
@@ -19,7 +20,8 @@
   readonly availability: Pick<BackendAvailability, 'isBackingOff'>;
   readonly notices: Pick<BackendNotices, 'handleNotice'>;
   readonly dialect: RequestDialect;
-  readonly bodyMemory: BodyMemoryBudget;
+  readonly bodies: PendingBodies;
+  readonly readTurns: ReadTurns;
   /** Whether the backend list is too old for a request to be written now. */
   readonly isListTooOld: () => boolean;
   readonly isStopping: () => boolean;
@@ -108,13 +110,13 @@
     backendId: string,
     progress: RelayProgress,
   ): Promise<RelayOutcome | RelayFailure> {
-    const { fleet, hops, bodyMemory, isStopping } = this.#options;
+    const { fleet, hops, bodies, readTurns, isStopping } = this.#options;
     const backend = fleet.backend(backendId);
     const service = backend === undefined ? undefined : fleet.routes?.service(backend.service);
     if (backend === undefined || service === undefined || isStopping()) return 'no-room';
     if (this.#running > MAX_RUNNING) return 'no-room';
-    const maxBytes = fleet.routes?.configuration.limits.maxBodyBytes ?? 0;
-    const body = await readBody(request, maxBytes, bodyMemory);
+    const limitBytes = fleet.routes?.configuration.limits.maxBodyBytes ?? 0;
+    const body = await readBody(request, { limitBytes, bodies, readTurns, id: `relay/${backendId}` });
     if (body.isErr()) return 'no-room';
     try {
       const hop = hops.openDirect(backend, service);
@@ -125,7 +127,7 @@
         method: request.method ?? 'GET',
         path: request.url ?? '/',
         headers: forwardedHeaders(request.rawHeaders),
-        body: body.value,
+        body: body.value.bytes,
         reasonNotToWrite: () => this.#reasonNotToWrite(backendId),
         onHead: (status, headers) => this.#handleNotice(backendId, status, headers),
         onDefect: (cause) =>
@@ -137,7 +139,7 @@
       progress.mayHaveRun = true;
       return await attempt.run();
     } finally {
-      bodyMemory.release(body.value.length);
+      body.value.release();
     }
   }
 
--- a/packages/gateway/src/request/exchange-context.ts
+++ b/packages/gateway/src/request/exchange-context.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@canvasridge/clock';
-import type { Telemetry } from '@canvasridge/telemetry';
+import type { LimitedEvents, Telemetry } from '@canvasridge/telemetry';
 import type { BackendAvailability } from '../backends/backend-availability.js';
 import type { BackendPaths } from '../paths/backend-paths.js';
 import type { BackendResponsiveness } from '../paths/backend-responsiveness.js';
@@ -9,8 +9,9 @@
 import type { RetryBudget } from '../backends/retry-budget.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
 import type { BackendHops } from './backend-hops.js';
-import type { BodyMemoryBudget } from './body-memory-budget.js';
 import type { RequestDialect } from './dialect.js';
+import type { PendingBodies } from './pending-bodies.js';
+import type { ReadTurns } from './read-turns.js';
 import type { AdmissionContext } from './request-admission.js';
 import type { UnableCause } from './serving-outage.js';
 import type { QuarantineContext } from './request-quarantine.js';
@@ -51,7 +52,10 @@
   readonly lagMs: () => number;
   /** How long input that is handled now may have lain unread because the process was held up, in milliseconds. */
   readonly unreadMs: () => number;
-  readonly bodyMemory: BodyMemoryBudget;
+  readonly bodies: PendingBodies;
+  readonly readTurns: ReadTurns;
+  /** For what clients can cause by bodies that they don't end. */
+  readonly bodyEvents: Pick<LimitedEvents, 'event'>;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
 }
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -10,6 +10,7 @@
 import type { PickResult, PickedBackend } from '../backends/picker.js';
 import { RequestRecord } from './request-record.js';
 import { RequestTimes } from './request-times.js';
+import { limitRest } from './rest-limit.js';
 import { ResponseSink } from './response-sink.js';
 import {
   describeOutcome,
@@ -162,14 +163,17 @@
   }
 
   async #readAndServe(route: HttpRoute, service: BackendService, maxBodyBytes: number): Promise<void> {
-    const { bodyMemory } = this.#context;
-    const body = await readBody(this.#request, maxBodyBytes, bodyMemory);
+    const { bodies, readTurns } = this.#context;
+    const { signal } = this.#cancel;
+    const id = this.#facts.attemptId ?? 'none';
+    const body = await readBody(this.#request, { limitBytes: maxBodyBytes, bodies, readTurns, id, signal });
     if (body.isErr()) {
       if (body.error.kind === 'too-large') this.#respond({ kind: 'body-too-large' });
       else if (body.error.kind === 'no-room') this.#refuse('no-room-for-body', RETRY_AFTER_REFUSAL_MS);
+      else if (body.error.kind === 'stalled') this.#refuse('body-stalled', RETRY_AFTER_REFUSAL_MS);
     } else {
-      this.#body = body.value;
-      await this.#serve(route, service).finally(() => bodyMemory.release(body.value.length));
+      this.#body = body.value.bytes;
+      await this.#serve(route, service).finally(body.value.release);
     }
   }
 
@@ -773,6 +777,7 @@
   #finish(outcome: string, status: number): void {
     if (this.#ended) return;
     this.#ended = true;
+    this.#limitRest();
     this.#refundUnlessRun();
     this.#record.finished({
       outcome,
@@ -783,6 +788,18 @@
     });
   }
 
+  #limitRest(): void {
+    const { fleet, clock, readTurns, bodyEvents: events } = this.#context;
+    const maxBodyBytes = fleet.routes?.configuration.limits.maxBodyBytes ?? 0;
+    limitRest(this.#request, {
+      readTurns,
+      clock,
+      events,
+      id: this.#facts.attemptId ?? 'none',
+      maxBytes: Math.max(MIN_REST_BYTES, maxBodyBytes),
+    });
+  }
+
   #isRepeatable(route: HttpRoute): boolean {
     return route.kind === 'idempotent' || (route.kind === 'stream' && route.resumable);
   }
@@ -819,3 +836,5 @@
 const NOT_SENT: AttemptOutcome = { kind: 'not-run', reason: 'not-allowed' };
 const EMPTY_BODY: Buffer = Buffer.alloc(0);
 const RETRY_AFTER_REFUSAL_MS = 300;
+/** What a client may send of a body after the answer, however small bodies have to be. */
+const MIN_REST_BYTES = 65_536;
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -10,7 +10,7 @@
   type ServingConfiguration,
   type Tenant,
 } from '@canvasridge/serving';
-import { EventLogger, Telemetry } from '@canvasridge/telemetry';
+import { EventLogger, LimitedEvents, Telemetry } from '@canvasridge/telemetry';
 import { AdapterVersionCheck } from '../src/backends/adapter-version-check.js';
 import { BackendAvailability } from '../src/backends/backend-availability.js';
 import { BackendBackoffs } from '../src/backends/backend-backoffs.js';
@@ -28,6 +28,8 @@
 import { BackendHops } from '../src/request/backend-hops.js';
 import { BodyMemoryBudget } from '../src/request/body-memory-budget.js';
 import type { RequestDialect } from '../src/request/dialect.js';
+import { PendingBodies } from '../src/request/pending-bodies.js';
+import { ReadTurns } from '../src/request/read-turns.js';
 import { Exchange } from '../src/request/exchange.js';
 import type { ExchangeContext } from '../src/request/exchange-context.js';
 import { PROBE_PATH, RawBackend, type RawResponder } from './raw-backend.js';
@@ -47,7 +49,8 @@
   }),
   forwardHeaders: (rawHeaders, facts) => [
     ...rawHeaders.filter(
-      (_, index) => !/^(connection|content-length)$/i.test(rawHeaders[index - (index % 2)] ?? ''),
+      (_, index) =>
+        !/^(connection|content-length|transfer-encoding)$/i.test(rawHeaders[index - (index % 2)] ?? ''),
     ),
     'backend',
     facts.backendId,
@@ -309,6 +312,7 @@
     });
     const metrics = new GatewayMetrics();
     let nextId = 0;
+    const bodyEvents = new LimitedEvents(telemetry, clock);
     return {
       clock,
       dialect,
@@ -357,7 +361,14 @@
       isListTooOld: () => this.isListTooOld(),
       refreshIfOld: () => this.beforeSend(),
       configurationLease: () => ({ ageMs: this.configurationAgeMs, leaseMs: LEASE_MS }),
-      bodyMemory: this.bodyMemory,
+      bodies: new PendingBodies({
+        memory: this.bodyMemory,
+        clock,
+        unreadMs: () => this.unreadMs,
+        events: bodyEvents,
+      }),
+      readTurns: new ReadTurns(),
+      bodyEvents,
       streamVersions: { began: () => undefined, find: () => Promise.resolve(undefined) },
       quarantine: {
         isEmpty: false,
