An unfinished event is joined once, and small chunks are kept in few pieces

Callers saw: 100 streams whose only event of 3.9 MB has no end, as far as it came, kept a node so busy that other requests waited for seconds. Each chunk was joined to all that had arrived of the event, so that the time went up with the square of the event's size, and a chunk of one byte was kept as an object of its own.

ChunkBuffer keeps what arrives in few pieces; the event is joined when its end has arrived.

--- a/packages/http-bindings/src/event-stream-tracker.ts
+++ b/packages/http-bindings/src/event-stream-tracker.ts
@@ -1,3 +1,5 @@
+import { ChunkBuffer } from './chunk-buffer.js';
+
 const LINE_FEED = 0x0a;
 const ID_FIELD = Buffer.from('\nid: ');
 const FIRST_ID_FIELD = Buffer.from('id: ');
@@ -10,7 +12,7 @@
  * bytes. Format: WHATWG HTML standard, section "Server-sent events", with LF as the only line ending.
  */
 export class EventStreamTracker {
-  #partialEvent: Buffer = EMPTY;
+  readonly #partialEvent = new ChunkBuffer();
   /** Id of the last complete event that was passed on; -1 before the first. */
   lastEventId: number;
   /** Number of complete events that were passed on. */
@@ -32,16 +34,24 @@
 
   /** Adds a chunk and returns all complete events; the bytes after the last event end stay buffered. */
   push(chunk: Buffer): Buffer {
-    if (this.#partialEvent.length === 0 && endsEvent(chunk)) return this.#recordLastEventId(chunk);
-    const joined = this.#partialEvent.length === 0 ? chunk : Buffer.concat([this.#partialEvent, chunk]);
-    const end = joined.lastIndexOf(EVENT_END);
-    if (end === -1) {
-      this.#partialEvent = joined;
+    const end = this.#endOfEvents(chunk);
+    if (end === 0) {
+      this.#partialEvent.push(chunk);
       return EMPTY;
     }
-    const complete = joined.subarray(0, end + EVENT_END.length);
-    this.#partialEvent = joined.subarray(complete.length);
-    return this.#recordLastEventId(complete);
+    const last = chunk.subarray(0, end);
+    const events =
+      this.#partialEvent.length === 0 ? last : Buffer.concat([...this.#partialEvent.take(), last]);
+    this.#partialEvent.push(chunk.subarray(end));
+    return this.#recordLastEventId(events);
+  }
+
+  /** Number of bytes of the chunk up to the end of its last complete event; 0 if no event ends in it. */
+  #endOfEvents(chunk: Buffer): number {
+    if (endsEvent(chunk)) return chunk.length;
+    const end = chunk.lastIndexOf(EVENT_END);
+    if (end !== -1) return end + EVENT_END.length;
+    return this.#partialEvent.lastByte === LINE_FEED && chunk[0] === LINE_FEED ? 1 : 0;
   }
 
   #recordLastEventId(events: Buffer): Buffer {
--- a/packages/http-bindings/src/index.ts
+++ b/packages/http-bindings/src/index.ts
@@ -12,6 +12,7 @@
   type ForwardedRequest,
   type ForwardError,
 } from './http-forward-client.js';
+export { ChunkBuffer } from './chunk-buffer.js';
 export { EventStreamTracker } from './event-stream-tracker.js';
 export { streamExchange, type ExchangeEnd, type ExchangeFailure } from './stream-exchange.js';
 export { newHttpAgent } from './http-agent.js';
