A connection to a backend may end while its response waits for a client

Callers saw: a node that ended (process.failed, assert(!this.paused)) when clients that read slowly left, timed out or lost their backend within a response that ends with its connection, or that carries 'Connection: close' as those of leaving runners do.

Cause: while a client does not read, the response is paused.

Now the socket of a paused response is destroyed with an error of its own, with which undici fails the request, as it is; and an orderly end resumes the response first, of which nothing is left to read then. A chunked or sized response on a kept connection was not affected.

paused-connection-end.test.js (3 framings, 4 ends; aarch64): before, uncaught AssertionError, the test's process ends; after, 12 of 12 passed in 2 of 2 runs.

--- a/packages/gateway/src/backends/revocable-client.ts
+++ b/packages/gateway/src/backends/revocable-client.ts
@@ -36,6 +36,13 @@
   }
 }
 
+/** Why a connection ended whose response was paused. */
+class EndedWhilePaused extends Error {
+  constructor(cause: Error | null | undefined) {
+    super('the connection ended while its response was paused', { cause });
+  }
+}
+
 /**
  * An HTTP/1.1 client with one connection, for one request at a time, that neither sends what was decided on outdated
  * input nor leaves behind what was given up:
@@ -53,6 +60,8 @@
   #socket: Socket | undefined;
   /** The connection that the HTTP client has taken over, until it tells that it has ended. */
   #takenOver: Socket | undefined;
+  /** Of the response that is being received. */
+  #controller: Dispatcher.DispatchController | undefined;
   /** Requests that wait for the connection. */
   #waiting = 0;
 
@@ -146,7 +155,10 @@
   ): Dispatcher.DispatchHandler {
     return {
       onRequestStart: (...parameters) => handler.onRequestStart?.(...parameters),
-      onResponseStart: (...parameters) => handler.onResponseStart?.(...parameters),
+      onResponseStart: (...parameters) => {
+        [this.#controller] = parameters;
+        handler.onResponseStart?.(...parameters);
+      },
       onResponseData: (...parameters) => handler.onResponseData?.(...parameters),
       onResponseEnd: (...parameters) => handler.onResponseEnd?.(...parameters),
       onResponseError: (controller, error) => {
@@ -187,6 +199,8 @@
 
   #track(socket: Socket): Socket {
     this.#socket = socket;
+    this.#controller = undefined;
+    this.#endWhilePaused(socket);
     socket.once('close', () => {
       if (this.#socket === socket && !this.#isTakenOver) this.#handleEnd();
     });
@@ -194,6 +208,20 @@
     return socket;
   }
 
+  /**
+   * Lets a connection end while its response is paused. The HTTP client looks for the end of a response that may end with
+   * its connection, and throws where nothing catches it (`assert(!this.paused)` in `Parser.finish` of undici) unless the
+   * response goes on before or the connection ends with an error of another kind than a reset.
+   */
+  #endWhilePaused(socket: Socket): void {
+    const isPaused = (): boolean => this.#controller?.paused === true;
+    socket.once('end', () => {
+      if (isPaused()) this.#controller?.resume();
+    });
+    const destroy = socket.destroy.bind(socket);
+    socket.destroy = (cause) => destroy(isPaused() ? new EndedWhilePaused(cause) : cause);
+  }
+
   #handleEnd(): void {
     this.#socket = undefined;
     this.#options.onDisconnected();
