Responses that wait for backends or clients share a tenth of the process's memory

Cause: nothing bounded what all responses hold together. Each slow reader cost up to 256 KiB that were kept until the response was whole, and what its backend's connection had read ahead; error responses (up to 4 MiB each) were kept, joined and then held for their clients for good, as were unfinished events; a response that was complete for the node waited without any end.

ResponseMemoryBudget counts what is kept before it can be written and what waits for clients. From two thirds of it on, the response whose client has taken nothing for the longest time is closed, if that is at least 1 s (0.1 s when all is held): a client that reads, however slowly, outlasts those that don't, and in calm nobody is cut. Half of it is for what can't be written yet: without room, a successful response is forwarded at once rather than kept until it is whole, and an error response or an event of more than 16 KiB is given up. ResponseWriter writes one chunk after another, so that each is freed when it has been read and a client's progress is seen. The same on the relaying side. A closed response ends early, within its length or chunks. One line response.gave-way a second at most.

--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -73,6 +73,7 @@
 import type { PeerMethods } from './peers/peer-connection.js';
 import { PeerParams } from './peers/peer-params.js';
 import { BodyMemoryBudget } from './request/body-memory-budget.js';
+import { ResponseMemoryBudget } from './request/response-memory-budget.js';
 import { Exchange } from './request/exchange.js';
 import type { ExchangeContext } from './request/exchange-context.js';
 import { ServingOutage } from './request/serving-outage.js';
@@ -97,6 +98,8 @@
 const PROCESS_TOKEN_BYTES = 6;
 /** Share of the process's memory for request bodies: 37 MB of 250, beside a heap of at most 128 MB. */
 const BODY_MEMORY_SHARE = 0.15;
+/** Share of it for responses that wait for their backends or clients: 25 MB of 250. */
+const RESPONSE_MEMORY_SHARE = 0.1;
 const SECOND_MS = 1000;
 /**
  * How long requests may have lain unread: shorter stalls do not matter, as backends may work that much longer; after a
@@ -358,6 +361,11 @@
       partCrashes: this.#quarantine.parts,
       streamVersions: this.#streamVersions,
       bodyMemory: new BodyMemoryBudget(settings.memoryBytes * BODY_MEMORY_SHARE),
+      responseMemory: new ResponseMemoryBudget(
+        settings.memoryBytes * RESPONSE_MEMORY_SHARE,
+        clock,
+        telemetry,
+      ),
       telemetry,
       metrics: this.metrics,
     };
--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -7,6 +7,7 @@
 import type { GatewayMetrics } from '../gateway-metrics.js';
 import type { BackendHops } from '../request/backend-hops.js';
 import type { BodyMemoryBudget } from '../request/body-memory-budget.js';
+import type { ResponseMemoryBudget } from '../request/response-memory-budget.js';
 import { readBody } from '../request/body.js';
 import type { RequestDialect } from '../request/dialect.js';
 import { connectionHeaderNames, isEndToEndHeader } from '../request/hop-headers.js';
@@ -20,6 +21,7 @@
   readonly notices: Pick<BackendNotices, 'handleNotice'>;
   readonly dialect: RequestDialect;
   readonly bodyMemory: BodyMemoryBudget;
+  readonly responseMemory: ResponseMemoryBudget;
   /** Whether the backend list is too old for a request to be written now. */
   readonly isListTooOld: () => boolean;
   readonly isStopping: () => boolean;
@@ -120,6 +122,7 @@
       const attempt = new RelayedAttempt({
         hop,
         response,
+        memory: this.#options.responseMemory.open(backendId, () => response.destroy()),
         method: request.method ?? 'GET',
         path: request.url ?? '/',
         headers: forwardedHeaders(request.rawHeaders),
--- a/packages/gateway/src/relay/relayed-attempt.ts
+++ b/packages/gateway/src/relay/relayed-attempt.ts
@@ -7,6 +7,8 @@
 import type { ResponseHeaders } from '../request/dialect.js';
 import { isBadAnswer, isRefusedRequest } from '../request/client-errors.js';
 import { InterimResponses } from '../request/interim-responses.js';
+import type { ResponseMemory } from '../request/response-memory-budget.js';
+import { ResponseWriter } from '../request/response-writer.js';
 import { hasClientLeft } from '../request/client-presence.js';
 import { connectionHeaderNames, isEndToEndHeader } from '../request/hop-headers.js';
 import { RELAY_HEADER, type RelayFailure } from './relay-protocol.js';
@@ -22,6 +24,8 @@
 export interface RelayedAttemptOptions {
   readonly hop: BackendHop;
   readonly response: ServerResponse;
+  /** Of the response; released when that is closed. */
+  readonly memory: ResponseMemory;
   readonly method: string;
   readonly path: string;
   readonly headers: string[];
@@ -42,6 +46,7 @@
  */
 export class RelayedAttempt implements RequestHandler {
   readonly #options: RelayedAttemptOptions;
+  readonly #writer: ResponseWriter;
   #resolve: (outcome: RelayOutcome | RelayFailure) => void = () => undefined;
   readonly #interim = new InterimResponses();
   #isSent = false;
@@ -50,6 +55,7 @@
 
   constructor(options: RelayedAttemptOptions) {
     this.#options = options;
+    this.#writer = new ResponseWriter(options.response, options.memory);
     options.response.once('close', () => {
       if (!options.response.writableFinished) this.#cancel();
     });
@@ -131,11 +137,10 @@
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#isSettled) return;
-    const { hop, response } = this.#options;
-    hop.received();
-    if (response.write(chunk)) return;
+    this.#options.hop.received();
+    if (this.#writer.write(chunk)) return;
     controller.pause();
-    response.once('drain', () => controller.resume());
+    this.#writer.onDrain(() => controller.resume());
   }
 
   onResponseEnd(): void {
@@ -173,7 +178,7 @@
       response.destroy();
       return;
     }
-    response.end();
+    this.#writer.end();
     this.#finish({ kind: 'complete' }, { kind: 'complete', status: response.statusCode });
   }
 
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -1,5 +1,5 @@
 import type { Clock, Timer } from '@canvasridge/clock';
-import { EventStreamTracker } from '@canvasridge/http-bindings';
+import { ChunkBuffer, EventStreamTracker } from '@canvasridge/http-bindings';
 import type { BackendNotice } from '@canvasridge/serving';
 import type { StreamProgress } from '@canvasridge/slots';
 import type { Dispatcher } from 'undici';
@@ -25,7 +25,8 @@
       readonly kind: 'failure';
       readonly status: number;
       readonly headers: ResponseHeaders;
-      readonly body: Buffer;
+      /** In pieces, which are freed one by one as the client reads. */
+      readonly body: readonly Buffer[];
     }
   | { readonly kind: 'not-run'; readonly reason: NotRunReason }
   | { readonly kind: 'broken'; readonly detail: string; readonly how: BrokenCause }
@@ -129,6 +130,10 @@
 const MAX_BUFFERED_BYTES = 262_144;
 /** Larger error responses, and events of a stream, are not valid: a backend in trouble may send bytes without end. */
 const MAX_UNFORWARDED_BYTES = 4_194_304;
+/** Kept of an error response or an event, however little memory is left. */
+const MIN_KEPT_BYTES = 16_384;
+/** What the connection of a backend that has to wait for the client may have read ahead. */
+const PAUSED_CONNECTION_BYTES = 65_536;
 const STATUS_SUCCESS_END = 300;
 const STATUS_END = 600;
 const NO_CONTENT = 204;
@@ -163,13 +168,13 @@
   #isInactive = false;
   /** Whether the client read so slowly that the backend had to wait. */
   #wasPaused = false;
+  #isPaused = false;
   readonly #interim = new InterimResponses();
   #status = 0;
   #headers: ResponseHeaders = {};
   #isSuccess = false;
   #isNotRun = false;
-  #chunks: Buffer[] = [];
-  #size = 0;
+  readonly #chunks = new ChunkBuffer();
   #forwarding = false;
   #inactivityTimer: Timer | undefined;
 
@@ -343,7 +348,11 @@
       this.#reject('response without end');
       return;
     }
-    if (bytes.length === 0) return;
+    if (bytes.length > 0) this.#receive(controller, bytes);
+    if (!this.#settled) this.#keepUnforwarded(controller);
+  }
+
+  #receive(controller: Dispatcher.DispatchController, bytes: Buffer): void {
     if (this.#isSuccess && this.#startedMs === undefined) this.#markStarted();
     this.#markGoingOn();
     if (this.#isStream) {
@@ -355,15 +364,23 @@
       return;
     }
     this.#chunks.push(bytes);
-    this.#size += bytes.length;
-    if (this.#isStream || (this.#isSuccess && this.#size > MAX_BUFFERED_BYTES))
+    if (this.#isStream || (this.#isSuccess && this.#chunks.length > MAX_BUFFERED_BYTES))
       this.#startForwarding(controller);
   }
 
+  /** If there is no memory left, a response is forwarded at once where that is possible, and given up otherwise. */
+  #keepUnforwarded(controller: Dispatcher.DispatchController): void {
+    const keptBytes = this.#tracker.partialEventBytes + this.#chunks.length;
+    const hasRoom = this.#sink.keep(keptBytes + (this.#isPaused ? PAUSED_CONNECTION_BYTES : 0));
+    if (hasRoom || this.#settled || keptBytes <= MIN_KEPT_BYTES) return;
+    if (this.#isSuccess && !this.#isStream) this.#startForwarding(controller);
+    else this.#reject('no memory left for the response');
+  }
+
   /** What is kept in memory of an error response or of a stream, with these bytes. */
   #unforwardedBytes(bytes: Buffer): number {
     if (this.#isStream) return this.#tracker.partialEventBytes;
-    return this.#isSuccess ? 0 : this.#size + bytes.length;
+    return this.#isSuccess ? 0 : this.#chunks.length + bytes.length;
   }
 
   #recordReceived(): void {
@@ -456,7 +473,7 @@
       kind: 'failure',
       status: this.#status,
       headers: this.#headers,
-      body: Buffer.concat(this.#chunks),
+      body: this.#chunks.take(),
     };
   }
 
@@ -466,8 +483,8 @@
       if (!this.#sink.started) this.#sink.start(this.#status, this.#headers, undefined);
       this.#sink.end();
     } else {
-      this.#sink.start(this.#status, this.#headers, this.#size);
-      this.#sink.end(Buffer.concat(this.#chunks));
+      this.#sink.start(this.#status, this.#headers, this.#chunks.length);
+      this.#sink.end(this.#chunks.take());
     }
     this.#finish({ kind: 'complete', status: this.#status });
   }
@@ -475,17 +492,20 @@
   #startForwarding(controller: Dispatcher.DispatchController): void {
     this.#forwarding = true;
     if (!this.#sink.started) this.#sink.start(this.#status, this.#headers, undefined);
-    for (const chunk of this.#chunks) this.#forward(controller, chunk);
-    this.#chunks = [];
+    for (const chunk of this.#chunks.take()) this.#forward(controller, chunk);
   }
 
   #forward(controller: Dispatcher.DispatchController, bytes: Buffer): void {
-    if (this.#sink.write(bytes)) return;
+    if (this.#settled || this.#sink.write(bytes)) return;
+    if (this.#settled) return;
     this.#wasPaused = true;
+    this.#isPaused = true;
     controller.pause();
     this.#inactivityTimer?.cancel();
     this.#sink.onDrain(() => {
       if (this.#settled) return;
+      this.#isPaused = false;
+      this.#sink.keep(this.#tracker.partialEventBytes);
       this.#restartInactivityTimer();
       controller.resume();
     });
@@ -525,6 +545,8 @@
     if (this.#settled) return;
     this.#settled = true;
     this.#inactivityTimer?.cancel();
+    // The body of a failure is kept for the client.
+    if (outcome.kind !== 'failure') this.#sink.keep(0);
     this.#resolve(outcome);
   }
 }
--- a/packages/gateway/src/request/exchange-context.ts
+++ b/packages/gateway/src/request/exchange-context.ts
@@ -12,6 +12,7 @@
 import type { BodyMemoryBudget } from './body-memory-budget.js';
 import type { RequestDialect } from './dialect.js';
 import type { AdmissionContext } from './request-admission.js';
+import type { ResponseMemoryBudget } from './response-memory-budget.js';
 import type { UnableCause } from './serving-outage.js';
 import type { QuarantineContext } from './request-quarantine.js';
 import type { StreamBindingContext } from './stream-binding.js';
@@ -52,6 +53,7 @@
   /** How long input that is handled now may have lain unread because the process was held up, in milliseconds. */
   readonly unreadMs: () => number;
   readonly bodyMemory: BodyMemoryBudget;
+  readonly responseMemory: ResponseMemoryBudget;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
 }
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -116,7 +116,8 @@
       isAllowed: (route) => this.#isAllowed(route),
     });
     this.#lastEventId = this.#facts.lastEventId ?? -1;
-    this.#sink = new ResponseSink(response, context.isStopping);
+    const memory = context.responseMemory.open(attemptId, () => this.#endBy(() => this.#giveWay()));
+    this.#sink = new ResponseSink(response, memory, context.isStopping);
     response.on('close', () => {
       if (!response.writableFinished) this.#endBy(() => this.#onClientLeft());
     });
@@ -623,6 +624,7 @@
           return true;
         }
         this.#keptFailure = outcome;
+        this.#sink.keepFailure(bytesOf(outcome.body));
         return false;
       case 'not-run':
       case 'broken':
@@ -636,7 +638,8 @@
       this.#abortResponse('backend failed after part of the stream was sent');
       return;
     }
-    this.#sink.start(outcome.status, outcome.headers, outcome.body.length);
+    this.#sink.keepFailure(0);
+    this.#sink.start(outcome.status, outcome.headers, bytesOf(outcome.body));
     this.#sink.end(outcome.body);
     this.#finish('backend-failure', outcome.status);
   }
@@ -750,6 +753,16 @@
     this.#cancelAttempt();
   }
 
+  /** Closes a response that its client does not read, as others need the memory. */
+  #giveWay(): void {
+    if (this.#ended) {
+      this.#sink.abort();
+      return;
+    }
+    this.#abortResponse('client does not read');
+    this.#cancelAttempt();
+  }
+
   #cancelAttempt(): void {
     this.#cancel.abort();
     this.#attempt?.cancel();
@@ -816,6 +829,10 @@
   }
 }
 
+function bytesOf(pieces: readonly Buffer[]): number {
+  return pieces.reduce((sum, { length }) => sum + length, 0);
+}
+
 const NOT_SENT: AttemptOutcome = { kind: 'not-run', reason: 'not-allowed' };
 const EMPTY_BODY: Buffer = Buffer.alloc(0);
 const RETRY_AFTER_REFUSAL_MS = 300;
--- a/packages/gateway/src/request/response-sink.ts
+++ b/packages/gateway/src/request/response-sink.ts
@@ -1,18 +1,28 @@
 import type { ServerResponse } from 'node:http';
 import type { ResponseHeaders } from './dialect.js';
 import { connectionHeaderNames, isEndToEndHeader } from './hop-headers.js';
+import type { ResponseMemory } from './response-memory-budget.js';
+import { ResponseWriter } from './response-writer.js';
 
 /**
  * Writes the response to the client of one request: it is started once and then either completed or aborted.
  */
 export class ResponseSink {
   readonly #response: ServerResponse;
+  readonly #memory: ResponseMemory;
+  readonly #writer: ResponseWriter;
   readonly #shouldClose: () => boolean;
   #firstByteMs: number | undefined;
+  #failureBytes = 0;
 
-  /** @param shouldClose whether the response asks the client to close its connection */
-  constructor(response: ServerResponse, shouldClose: () => boolean) {
+  /**
+   * @param memory of this response, released when the response is closed
+   * @param shouldClose whether the response asks the client to close its connection
+   */
+  constructor(response: ServerResponse, memory: ResponseMemory, shouldClose: () => boolean) {
     this.#response = response;
+    this.#memory = memory;
+    this.#writer = new ResponseWriter(response, memory);
     this.#shouldClose = shouldClose;
   }
 
@@ -56,11 +66,13 @@
 
   /** Returns false if the caller should wait for `onDrain` before it writes more. */
   write(chunk: Buffer): boolean {
-    return this.#response.write(chunk);
+    return this.#writer.write(chunk);
   }
 
-  end(chunk?: Buffer): void {
-    this.#response.end(chunk);
+  /** Ends the response with the rest of its body. */
+  end(pieces: readonly Buffer[] = []): void {
+    for (const piece of pieces.slice(0, -1)) this.#writer.write(piece);
+    this.#writer.end(pieces.at(-1));
   }
 
   /** Closes the connection within the response, so that the client can't take it for a complete one. */
@@ -69,7 +81,21 @@
   }
 
   onDrain(callback: () => void): void {
-    this.#response.once('drain', callback);
+    this.#writer.onDrain(callback);
+  }
+
+  /**
+   * Sets what is kept of the response before it is written, in bytes; returns whether all responses together stay
+   * within their memory.
+   */
+  keep(bytes: number): boolean {
+    return this.#memory.keep(this.#failureBytes + bytes);
+  }
+
+  /** Sets the size of an error response that is kept beside an attempt, in bytes. */
+  keepFailure(bytes: number): void {
+    this.#failureBytes = bytes;
+    this.#memory.keep(bytes);
   }
 
   #writeHead(status: number): void {
--- a/packages/gateway/test/bad-answers.test.ts
+++ b/packages/gateway/test/bad-answers.test.ts
@@ -124,6 +124,7 @@
     reset: () => undefined,
   };
   const sink = {
+    keep: () => true,
     start: () => {
       throw new Error('defect');
     },
--- a/packages/gateway/test/harness.ts
+++ b/packages/gateway/test/harness.ts
@@ -27,6 +27,7 @@
 import type { Relays } from '../src/relay/relays.js';
 import { BackendHops } from '../src/request/backend-hops.js';
 import { BodyMemoryBudget } from '../src/request/body-memory-budget.js';
+import { ResponseMemoryBudget } from '../src/request/response-memory-budget.js';
 import type { RequestDialect } from '../src/request/dialect.js';
 import { Exchange } from '../src/request/exchange.js';
 import type { ExchangeContext } from '../src/request/exchange-context.js';
@@ -162,6 +163,10 @@
   unreadMs = 0;
   /** Memory for two bodies of the largest size at a time, and a little more. */
   readonly bodyMemory = new BodyMemoryBudget(200_000);
+  /** Memory for two error responses of the largest size at a time, and a little more. */
+  readonly responseMemory = new ResponseMemoryBudget(10_000_000, new SystemClock(), {
+    event: (...parameters) => this.lines.push(JSON.stringify(parameters)),
+  });
   /** Decides on charges to tenants' quotas. */
   admit: (subject: string, units: number) => Promise<QuotaDecision> = () =>
     Promise.resolve({ kind: 'admitted' });
@@ -358,6 +363,7 @@
       refreshIfOld: () => this.beforeSend(),
       configurationLease: () => ({ ageMs: this.configurationAgeMs, leaseMs: LEASE_MS }),
       bodyMemory: this.bodyMemory,
+      responseMemory: this.responseMemory,
       streamVersions: { began: () => undefined, find: () => Promise.resolve(undefined) },
       quarantine: {
         isEmpty: false,
--- a/packages/gateway/test/request-quarantine.test.ts
+++ b/packages/gateway/test/request-quarantine.test.ts
@@ -64,7 +64,7 @@
 
 test('only a complete success clears a request that is suspected of crashing backends', async (t) => {
   t.true(await clearedBy({ kind: 'complete', status: 200 }));
-  t.false(await clearedBy({ kind: 'failure', status: 500, headers: {}, body: Buffer.alloc(0) }));
+  t.false(await clearedBy({ kind: 'failure', status: 500, headers: {}, body: [] }));
   t.false(await clearedBy({ kind: 'not-run', reason: 'refused' }));
   t.false(await clearedBy({ kind: 'cancelled' }));
 });
--- a/packages/gateway/test/running-relay.ts
+++ b/packages/gateway/test/running-relay.ts
@@ -8,6 +8,7 @@
 import { RelayServer } from '../src/relay/relay-server.js';
 import { BackendHops } from '../src/request/backend-hops.js';
 import { BodyMemoryBudget } from '../src/request/body-memory-budget.js';
+import { ResponseMemoryBudget } from '../src/request/response-memory-budget.js';
 import { SERVICE, configuration, dialect } from './harness.js';
 import { RawBackend, type RawResponder } from './raw-backend.js';
 
@@ -43,6 +44,7 @@
     notices: { handleNotice: () => undefined },
     dialect,
     bodyMemory: new BodyMemoryBudget(1_000_000),
+    responseMemory: new ResponseMemoryBudget(1_000_000, clock, { event: () => undefined }),
     isListTooOld: () => running.isListTooOld,
     isStopping: () => {
       if (running.defect !== undefined) throw running.defect;
