What a relay's backend connection has read ahead is counted as well

A relayed response whose asking node does not read was counted without what the connection of its backend holds meanwhile, as it is in an attempt of the node itself: 256 of them, as many as a node relays, hold about 16 MB more than was counted (64 KiB each; reckoned, not measured).

--- a/packages/gateway/src/relay/relayed-attempt.ts
+++ b/packages/gateway/src/relay/relayed-attempt.ts
@@ -7,7 +7,7 @@
 import type { ResponseHeaders } from '../request/dialect.js';
 import { isBadAnswer, isRefusedRequest } from '../request/client-errors.js';
 import { InterimResponses } from '../request/interim-responses.js';
-import type { ResponseMemory } from '../request/response-memory-budget.js';
+import { PAUSED_CONNECTION_BYTES, type ResponseMemory } from '../request/response-memory-budget.js';
 import { ResponseWriter } from '../request/response-writer.js';
 import { hasClientLeft } from '../request/client-presence.js';
 import { connectionHeaderNames, isEndToEndHeader } from '../request/hop-headers.js';
@@ -139,8 +139,13 @@
     if (this.#isSettled) return;
     this.#options.hop.received();
     if (this.#writer.write(chunk)) return;
+    const { memory } = this.#options;
+    memory.keep(PAUSED_CONNECTION_BYTES);
     controller.pause();
-    this.#writer.onDrain(() => controller.resume());
+    this.#writer.onDrain(() => {
+      memory.keep(0);
+      controller.resume();
+    });
   }
 
   onResponseEnd(): void {
@@ -190,6 +195,7 @@
   #finish(result: RelayOutcome | RelayFailure, outcome: AttemptOutcome): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
+    this.#options.memory.keep(0);
     this.#options.hop.release(outcome);
     this.#resolve(result);
   }
--- a/packages/gateway/src/request/backend-attempt.ts
+++ b/packages/gateway/src/request/backend-attempt.ts
@@ -8,6 +8,7 @@
 import type { BackendHop } from './backend-hop.js';
 import { isBadAnswer, isRefusedRequest } from './client-errors.js';
 import { InterimResponses } from './interim-responses.js';
+import { PAUSED_CONNECTION_BYTES } from './response-memory-budget.js';
 import type { ResponseSink } from './response-sink.js';
 import type { ResponseHeaders, RequestDialect } from './dialect.js';
 
@@ -132,8 +133,6 @@
 const MAX_UNFORWARDED_BYTES = 4_194_304;
 /** Kept of an error response or an event, however little memory is left. */
 const MIN_KEPT_BYTES = 16_384;
-/** What the connection of a backend that has to wait for the client may have read ahead. */
-const PAUSED_CONNECTION_BYTES = 65_536;
 const STATUS_SUCCESS_END = 300;
 const STATUS_END = 600;
 const NO_CONTENT = 204;
--- a/packages/gateway/src/request/response-memory-budget.ts
+++ b/packages/gateway/src/request/response-memory-budget.ts
@@ -1,6 +1,8 @@
 import type { Clock } from '@canvasridge/clock';
 import { LimitedEvents, type Telemetry } from '@canvasridge/telemetry';
 
+/** What the connection of a backend that has to wait for the client may have read ahead. */
+export const PAUSED_CONNECTION_BYTES = 65_536;
 /** A response gives way only if its client has taken nothing for this long, in milliseconds. */
 const MIN_STALL_MS = 1000;
 /** The same while all of the memory is used. */
--- a/packages/gateway/test/running-relay.ts
+++ b/packages/gateway/test/running-relay.ts
@@ -12,6 +12,9 @@
 import { SERVICE, configuration, dialect } from './harness.js';
 import { RawBackend, type RawResponder } from './raw-backend.js';
 
+/** Memory of a relay for responses. */
+export const RESPONSE_MEMORY_BYTES = 1_000_000;
+
 /** What relays requests of other nodes to one backend. */
 export interface RunningRelay {
   readonly backend: RawBackend;
@@ -21,6 +24,7 @@
   /** What each request fails with before it is sent; undefined for nothing. */
   defect: Error | undefined;
   readonly server: RelayServer;
+  readonly responseMemory: ResponseMemoryBudget;
 }
 
 export async function startRelay(t: ExecutionContext, respond: RawResponder): Promise<RunningRelay> {
@@ -37,6 +41,7 @@
     received: () => undefined,
   };
   const relays = { open: () => Promise.resolve(undefined) };
+  const responseMemory = new ResponseMemoryBudget(RESPONSE_MEMORY_BYTES, clock, { event: () => undefined });
   const server = new RelayServer({
     fleet,
     hops: new BackendHops({ clock, connections, paths, relays, fleetShare: () => 1 }),
@@ -44,7 +49,7 @@
     notices: { handleNotice: () => undefined },
     dialect,
     bodyMemory: new BodyMemoryBudget(1_000_000),
-    responseMemory: new ResponseMemoryBudget(1_000_000, clock, { event: () => undefined }),
+    responseMemory,
     isListTooOld: () => running.isListTooOld,
     isStopping: () => {
       if (running.defect !== undefined) throw running.defect;
@@ -61,6 +66,14 @@
     backend.stop();
   });
   const { port } = listener.address() as AddressInfo;
-  const running: RunningRelay = { backend, fleet, port, server, isListTooOld: false, defect: undefined };
+  const running: RunningRelay = {
+    backend,
+    fleet,
+    port,
+    server,
+    isListTooOld: false,
+    defect: undefined,
+    responseMemory,
+  };
   return running;
 }
