--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -79,6 +79,7 @@
 import type { PeerMethods } from './peers/peer-connection.js';
 import { PeerParams } from './peers/peer-params.js';
 import { BodyMemoryBudget } from './request/body-memory-budget.js';
+import { ResponseMemoryBudget } from './request/response-memory-budget.js';
 import { Exchange } from './request/exchange.js';
 import type { ExchangeContext } from './request/exchange-context.js';
 import { PendingBodies } from './request/pending-bodies.js';
@@ -105,6 +106,8 @@
 const PROCESS_TOKEN_BYTES = 6;
 /** Share of the process's memory for request bodies: 37 MB of 250, beside a heap of at most 128 MB. */
 const BODY_MEMORY_SHARE = 0.15;
+/** Share of it for responses that wait for their backends or clients: 25 MB of 250. */
+const RESPONSE_MEMORY_SHARE = 0.1;
 const SECOND_MS = 1000;
 /**
  * How long requests may have lain unread: shorter stalls do not matter, as backends may work that much longer; after a
@@ -374,6 +377,7 @@
       }),
       readTurns: new ReadTurns(),
       bodyEvents,
+      responseMemory: new ResponseMemoryBudget(settings.memoryBytes * RESPONSE_MEMORY_SHARE, telemetry),
       telemetry,
       metrics: this.metrics,
     };
--- a/packages/gateway/src/relay/relay-server.ts
+++ b/packages/gateway/src/relay/relay-server.ts
@@ -6,6 +6,7 @@
 import type { BackendNotices } from '../backends/backend-notices.js';
 import type { GatewayMetrics } from '../gateway-metrics.js';
 import type { BackendHops } from '../request/backend-hops.js';
+import type { ResponseMemoryBudget } from '../request/response-memory-budget.js';
 import { readBody } from '../request/body.js';
 import type { RequestDialect } from '../request/dialect.js';
 import { connectionHeaderNames, isEndToEndHeader } from '../request/hop-headers.js';
@@ -22,6 +23,7 @@
   readonly dialect: RequestDialect;
   readonly bodies: PendingBodies;
   readonly readTurns: ReadTurns;
+  readonly responseMemory: ResponseMemoryBudget;
   /** Whether the backend list is too old for a request to be written now. */
   readonly isListTooOld: () => boolean;
   readonly isStopping: () => boolean;
@@ -124,6 +126,7 @@
       const attempt = new RelayedAttempt({
         hop,
         response,
+        memory: this.#options.responseMemory.open(backendId, () => response.destroy()),
         method: request.method ?? 'GET',
         path: request.url ?? '/',
         headers: forwardedHeaders(request.rawHeaders),
--- a/packages/gateway/src/request/exchange-context.ts
+++ b/packages/gateway/src/request/exchange-context.ts
@@ -13,6 +13,7 @@
 import type { PendingBodies } from './pending-bodies.js';
 import type { ReadTurns } from './read-turns.js';
 import type { AdmissionContext } from './request-admission.js';
+import type { ResponseMemoryBudget } from './response-memory-budget.js';
 import type { UnableCause } from './serving-outage.js';
 import type { QuarantineContext } from './request-quarantine.js';
 import type { StreamBindingContext } from './stream-binding.js';
@@ -56,6 +57,7 @@
   readonly readTurns: ReadTurns;
   /** For what clients can cause by bodies that they don't end. */
   readonly bodyEvents: Pick<LimitedEvents, 'event'>;
+  readonly responseMemory: ResponseMemoryBudget;
   readonly telemetry: Telemetry;
   readonly metrics: GatewayMetrics;
 }
--- a/packages/gateway/test/running-relay.ts
+++ b/packages/gateway/test/running-relay.ts
@@ -10,9 +10,13 @@
 import { BodyMemoryBudget } from '../src/request/body-memory-budget.js';
 import { PendingBodies } from '../src/request/pending-bodies.js';
 import { ReadTurns } from '../src/request/read-turns.js';
+import { ResponseMemoryBudget } from '../src/request/response-memory-budget.js';
 import { SERVICE, configuration, dialect } from './harness.js';
 import { RawBackend, type RawResponder } from './raw-backend.js';
 
+/** Memory of a relay for responses. */
+export const RESPONSE_MEMORY_BYTES = 1_000_000;
+
 /** What relays requests of other nodes to one backend. */
 export interface RunningRelay {
   readonly backend: RawBackend;
@@ -22,6 +26,7 @@
   /** What each request fails with before it is sent; undefined for nothing. */
   defect: Error | undefined;
   readonly server: RelayServer;
+  readonly responseMemory: ResponseMemoryBudget;
 }
 
 export async function startRelay(t: ExecutionContext, respond: RawResponder): Promise<RunningRelay> {
@@ -39,6 +44,7 @@
     received: () => undefined,
   };
   const relays = { open: () => Promise.resolve(undefined) };
+  const responseMemory = new ResponseMemoryBudget(RESPONSE_MEMORY_BYTES, clock, { event: () => undefined });
   const server = new RelayServer({
     fleet,
     hops: new BackendHops({ clock, connections, paths, relays, fleetShare: () => 1 }),
@@ -52,6 +58,7 @@
       unreadMs: () => 0,
       events: new LimitedEvents(telemetry, clock),
     }),
+    responseMemory,
     isListTooOld: () => running.isListTooOld,
     isStopping: () => {
       if (running.defect !== undefined) throw running.defect;
@@ -68,6 +75,14 @@
     backend.stop();
   });
   const { port } = listener.address() as AddressInfo;
-  const running: RunningRelay = { backend, fleet, port, server, isListTooOld: false, defect: undefined };
+  const running: RunningRelay = {
+    backend,
+    fleet,
+    port,
+    server,
+    isListTooOld: false,
+    defect: undefined,
+    responseMemory,
+  };
   return running;
 }
