Serve pipelined requests of a connection one after another

Node.js reads pipelined requests ahead. The responses of those behind the first one have no socket yet: no 'close' event tells them that their client left (it reaches the request only), and what is written to them waits in memory, up to some 64 KB each and as much again in their backends' connections. The node served them all at once.

Now each connection has one request in service; those behind it wait, unserved, and get their turn when the response before them has been written. The end of the connection ends the one in service and drops the others, which have not run. What waits is bounded: a connection on which more than 64 KB wait is not read further (a request counts with its headers, 4 KB for its objects and, if it has a body, one read of the socket), and when all connections together exceed 0.03 of node.memoryMb the one with the most is closed. While a connection is not read, the end of its client is noticed only when its answer is written: at most one request for each such connection.

To tell the end of the socket to all its requests was weighed instead: it would leave the memory that the answers take, and one connection could still occupy all slots of the backends.

A request that waited is as old as its wait: its backend is told the time that its client has left, and the route's timeout counts from when it was read.

--- a/packages/gateway/src/client-server.ts
+++ b/packages/gateway/src/client-server.ts
@@ -1,9 +1,11 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createServer, type Server, type ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
 import { listen, type BindError, type HostPort } from '@canvasridge/addresses';
+import { SystemClock } from '@canvasridge/clock';
 import type { RequestLimits } from '@canvasridge/serving';
-import { errorFields, type Telemetry } from '@canvasridge/telemetry';
+import { LimitedEvents, errorFields, type Telemetry } from '@canvasridge/telemetry';
 import type { Result } from 'neverthrow';
+import { RequestTurns, type TurnListener } from './connections/request-turns.js';
 
 /** Requests with larger headers are refused, whatever the configuration allows. */
 const MAX_HEADER_BYTES = 65_536;
@@ -12,7 +14,14 @@
 const MAX_IDLE_TIMEOUT_MS = 2 ** 31 - 1 - 60_000;
 const SERVICE_UNAVAILABLE = 503;
 
-type Listener = (request: IncomingMessage, response: ServerResponse) => void;
+/** Memory of pipelined requests that wait. */
+const DEFAULT_WAITING_BYTES = 8 * 2 ** 20;
+const NAME = 'listen.callers';
+
+export interface ClientServerOptions {
+  /** Memory of pipelined requests that wait for the responses before them. */
+  readonly maxWaitingBytes?: number;
+}
 
 /** State of one client connection. */
 interface ConnectionState {
@@ -35,8 +44,28 @@
   readonly #connections = new Map<Socket, ConnectionState>();
   #closing = false;
 
-  /** @param telemetry for `request.defect`: what the listener throws, which is answered with 503 */
-  constructor(listener: Listener, telemetry: Pick<Telemetry, 'event'>) {
+  /**
+   * @param listener called with one request of a connection at a time
+   * @param telemetry for `request.defect`: what the listener throws, which is answered with 503
+   */
+  constructor(
+    listener: TurnListener,
+    telemetry: Pick<Telemetry, 'event'>,
+    { maxWaitingBytes = DEFAULT_WAITING_BYTES }: ClientServerOptions = {},
+  ) {
+    const events = new LimitedEvents(telemetry, new SystemClock());
+    const turns = new RequestTurns({
+      serve: (request, response, waitedMs) => {
+        try {
+          listener(request, response, waitedMs);
+        } catch (cause) {
+          telemetry.event('error', 'request.defect', request.url ?? '', errorFields(cause));
+          refuse(response);
+        }
+      },
+      maxWaitingBytes,
+      onNoRoom: (fields) => events.event('warn', 'clients.no-room-for-pipelined', NAME, { ...fields }),
+    });
     this.#server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -46,12 +75,7 @@
       },
       (request, response) => {
         this.#countResponse(request.socket, response);
-        try {
-          listener(request, response);
-        } catch (cause) {
-          telemetry.event('error', 'request.defect', request.url ?? '', errorFields(cause));
-          refuse(response);
-        }
+        turns.add(request, response);
       },
     );
     this.#server.on('connection', (socket: Socket) => this.#track(socket));
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -97,6 +97,8 @@
 const PROCESS_TOKEN_BYTES = 6;
 /** Share of the process's memory for request bodies: 37 MB of 250, beside a heap of at most 128 MB. */
 const BODY_MEMORY_SHARE = 0.15;
+/** Share of the process's memory for pipelined requests that wait for the responses before them. */
+const WAITING_MEMORY_SHARE = 0.03;
 const SECOND_MS = 1000;
 /**
  * How long requests may have lain unread: shorter stalls do not matter, as backends may work that much longer; after a
@@ -374,10 +376,14 @@
   /** Binds the sockets and starts all tasks. */
   static async start(options: GatewayOptions): Promise<Result<GatewayNode, ListenError>> {
     const started: { node?: GatewayNode } = {};
-    const clients = new ClientServer((request, response) => {
-      if (started.node === undefined) refuse(response);
-      else started.node.#serve(request, response);
-    }, options.telemetry);
+    const clients = new ClientServer(
+      (request, response, waitedMs) => {
+        if (started.node === undefined) refuse(response);
+        else started.node.#serve(request, response, waitedMs);
+      },
+      options.telemetry,
+      { maxWaitingBytes: options.settings.memoryBytes * WAITING_MEMORY_SHARE },
+    );
     const peers = createServer((socket) => {
       if (started.node === undefined) socket.destroy();
     });
@@ -444,8 +450,8 @@
     this.#connections.close();
   }
 
-  #serve(request: IncomingMessage, response: ServerResponse): void {
-    const exchange = new Exchange(this.#context, request, response);
+  #serve(request: IncomingMessage, response: ServerResponse, waitedMs: number): void {
+    const exchange = new Exchange(this.#context, request, response, waitedMs);
     if (this.#clients.closing) {
       exchange.refuseStopping();
       return;
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -97,11 +97,12 @@
   /** How long the last attempt had received nothing when it ended, in milliseconds. */
   #silentMs: number | undefined;
 
-  constructor(context: ExchangeContext, request: IncomingMessage, response: ServerResponse) {
+  /** @param waitedMs how long the request waited for the responses before it on its connection */
+  constructor(context: ExchangeContext, request: IncomingMessage, response: ServerResponse, waitedMs = 0) {
     this.#context = context;
     this.#request = request;
     this.#facts = context.dialect.readRequest(request.headers);
-    this.#times = new RequestTimes(context, this.#facts.deadlineMs);
+    this.#times = new RequestTimes(context, this.#facts.deadlineMs, waitedMs);
     this.#record = new RequestRecord(context, this.#facts, this.#times);
     this.#admission = new RequestAdmission(context, this.#facts);
     const { attemptId = 'none', sharedParts } = this.#facts;
@@ -153,7 +154,7 @@
       return;
     }
     const timeOut = (): void => this.#endBy(() => this.#onTimeout());
-    const timer = this.#context.clock.setTimer(this.#times.timeoutMs(route), timeOut);
+    const timer = this.#context.clock.setTimer(Math.max(0, this.#times.remainingMs(route)), timeOut);
     try {
       await this.#readAndServe(route, service, routes.configuration.limits.maxBodyBytes);
     } finally {
--- a/packages/gateway/src/request/request-times.ts
+++ b/packages/gateway/src/request/request-times.ts
@@ -12,13 +12,17 @@
   readonly #clock: ExchangeContext['clock'];
   readonly #deadlineMs: number;
 
-  /** @param deadlineMs age at which the client gives up; undefined if it did not say */
+  /**
+   * @param deadlineMs age at which the client gives up; undefined if it did not say
+   * @param waitedMs how long ago the request was read
+   */
   constructor(
     { clock, unreadMs, stopsInMs }: Pick<ExchangeContext, 'clock' | 'unreadMs' | 'stopsInMs'>,
     deadlineMs: number | undefined,
+    waitedMs = 0,
   ) {
     this.#clock = clock;
-    this.arrivedMs = clock.now();
+    this.arrivedMs = clock.now() - waitedMs;
     this.unreadMs = unreadMs();
     this.#stopsInMs = stopsInMs();
     this.#deadlineMs = deadlineMs ?? Infinity;
