Bound the connections of clients

When many clients opened connections and sent nothing, ordinary callers got no response: 300 idle connections to a process with 160 descriptors, and an ordinary request was not answered. The client port accepted connections until no descriptor was left, neither for others nor for connections to backends.

When all places are taken, the connection that has sent no request for longest is closed for the new one, then the one whose request has been arriving longest; one that waits for a response never is, and the new one is closed if all do. The requests on those that give way have not been passed on.

The policy is code of its own; the server that applies it and serves pipelined requests in turn is a module of its own too, for the endpoints of the node to use.

--- a/packages/gateway/src/client-server.ts
+++ b/packages/gateway/src/client-server.ts
@@ -1,11 +1,11 @@
-import { createServer, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
 import { listen, type BindError, type HostPort } from '@canvasridge/addresses';
-import { SystemClock } from '@canvasridge/clock';
 import type { RequestLimits } from '@canvasridge/serving';
-import { LimitedEvents, errorFields, type Telemetry } from '@canvasridge/telemetry';
+import { errorFields, type Telemetry } from '@canvasridge/telemetry';
 import type { Result } from 'neverthrow';
-import { RequestTurns, type TurnListener } from './connections/request-turns.js';
+import { createBoundedServer } from './connections/bounded-server.js';
+import type { TurnListener } from './connections/request-turns.js';
 
 /** Requests with larger headers are refused, whatever the configuration allows. */
 const MAX_HEADER_BYTES = 65_536;
@@ -16,9 +16,10 @@
 
 /** Memory of pipelined requests that wait. */
 const DEFAULT_WAITING_BYTES = 8 * 2 ** 20;
-const NAME = 'listen.callers';
 
 export interface ClientServerOptions {
+  /** Connections at a time. Absent: no limit. */
+  readonly maxConnections?: number | undefined;
   /** Memory of pipelined requests that wait for the responses before them. */
   readonly maxWaitingBytes?: number;
 }
@@ -51,11 +52,10 @@
   constructor(
     listener: TurnListener,
     telemetry: Pick<Telemetry, 'event'>,
-    { maxWaitingBytes = DEFAULT_WAITING_BYTES }: ClientServerOptions = {},
+    { maxConnections = Infinity, maxWaitingBytes = DEFAULT_WAITING_BYTES }: ClientServerOptions = {},
   ) {
-    const events = new LimitedEvents(telemetry, new SystemClock());
-    const turns = new RequestTurns({
-      serve: (request, response, waitedMs) => {
+    this.#server = createBoundedServer(
+      (request, response, waitedMs) => {
         try {
           listener(request, response, waitedMs);
         } catch (cause) {
@@ -63,21 +63,22 @@
           refuse(response);
         }
       },
-      maxWaitingBytes,
-      onNoRoom: (fields) => events.event('warn', 'clients.no-room-for-pipelined', NAME, { ...fields }),
-    });
-    this.#server = createServer(
       {
-        maxHeaderSize: MAX_HEADER_BYTES,
-        noDelay: true,
-        connectionsCheckingInterval: CONNECTIONS_CHECK_MS,
-        requestTimeout: 0,
-      },
-      (request, response) => {
-        this.#countResponse(request.socket, response);
-        turns.add(request, response);
+        field: 'listen.callers',
+        telemetry,
+        server: {
+          maxHeaderSize: MAX_HEADER_BYTES,
+          noDelay: true,
+          connectionsCheckingInterval: CONNECTIONS_CHECK_MS,
+          requestTimeout: 0,
+        },
+        maxConnections,
+        maxWaitingBytes,
       },
     );
+    this.#server.prependListener('request', (request: IncomingMessage, response: ServerResponse) =>
+      this.#countResponse(request.socket, response),
+    );
     this.#server.on('connection', (socket: Socket) => this.#track(socket));
   }
 
--- a/packages/gateway/src/connections/request-turns.ts
+++ b/packages/gateway/src/connections/request-turns.ts
@@ -16,6 +16,8 @@
 
 export interface RequestTurnsOptions {
   readonly serve: TurnListener;
+  /** Called when the last response of a connection has been written. */
+  readonly onIdle: (socket: Socket) => void;
   /** For requests that wait, on all connections. */
   readonly maxWaitingBytes: number;
   /** Called when a connection is closed as there is no room for what waits. */
@@ -92,7 +94,10 @@
     // The response before may have been the last one of its connection.
     if (!socket.writable) return;
     const next = connection.waiting.shift();
-    if (next === undefined) return;
+    if (next === undefined) {
+      this.#options.onIdle(socket);
+      return;
+    }
     this.#memory.release(socket, next.bytes);
     this.#pauseOrResume(connection, socket);
     this.#serve(connection, next.request, next.response, performance.now() - next.sinceMs);
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -382,7 +382,10 @@
         else started.node.#serve(request, response, waitedMs);
       },
       options.telemetry,
-      { maxWaitingBytes: options.settings.memoryBytes * WAITING_MEMORY_SHARE },
+      {
+        maxConnections: options.settings.maxClientConnections,
+        maxWaitingBytes: options.settings.memoryBytes * WAITING_MEMORY_SHARE,
+      },
     );
     const peers = createServer((socket) => {
       if (started.node === undefined) socket.destroy();
--- a/packages/gateway/test/pipelined-requests.test.ts
+++ b/packages/gateway/test/pipelined-requests.test.ts
@@ -131,5 +131,5 @@
   await once(client, 'close');
   t.is(served.length, 1);
   await until(() => server.openResponses === 0);
-  t.deepEqual(events, ['clients.no-room-for-pipelined']);
+  t.deepEqual(events, ['connections.no-room-for-pipelined']);
 });
