--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
  * The gateway node, which forwards requests to backends unchanged, and the policies by which it chooses
  * backends.
  */
+export { createBoundedServer, type BoundedServerOptions } from './connections/bounded-server.js';
 export { GatewayNode } from './gateway-node.js';
 export type { GatewayOptions, GatewaySettings } from './gateway-settings.js';
 export { listOf } from './peers/list-of.js';
