Refuse requests whose headers are over the configured limit

Clients could send headers of up to 64 KiB whatever maxHeaderBytes of the configuration said (16 KiB): the limit was read and applied nowhere, as the HTTP server takes its limit only when it is made.

The signs between them are not counted, so that no request is refused that is within the limit by any way to count. 64 KiB stay the hard limit of the parser.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -29,6 +29,7 @@
 import { backendDeadlineMs } from './backend-deadline.js';
 import type { BackendHop } from './backend-hop.js';
 import { readBody } from './body.js';
+import { areHeadersTooLarge } from './header-size.js';
 import { hasClientLeft } from './client-presence.js';
 import type { RequestFacts } from './dialect.js';
 import { retryAfterOf, statusOf, type GatewayResponse } from './gateway-response.js';
@@ -140,6 +141,10 @@
       this.#respond({ kind: 'not-ready', retryAfterMs: this.#outageRetryMs('not-ready') });
       return;
     }
+    if (areHeadersTooLarge(this.#request, routes.configuration.limits.maxHeaderBytes)) {
+      this.#respond({ kind: 'headers-too-large' });
+      return;
+    }
     const target = this.#request.url ?? '';
     const route = routes.find(this.#request.headers.host ?? '', target);
     if (route === undefined) {
--- a/packages/gateway/src/request/gateway-response.ts
+++ b/packages/gateway/src/request/gateway-response.ts
@@ -5,6 +5,7 @@
   /** The caller's tenant has used up its quota, which counts across all nodes; the request has not run. */
   | { readonly kind: 'over-quota'; readonly retryAfterMs: number }
   | { readonly kind: 'bad-request'; readonly detail: string }
+  | { readonly kind: 'headers-too-large' }
   | { readonly kind: 'body-too-large' }
   /** The node knows no configuration yet. */
   | { readonly kind: 'not-ready'; readonly retryAfterMs: number }
@@ -25,6 +26,8 @@
       return 400;
     case 'body-too-large':
       return 413;
+    case 'headers-too-large':
+      return 431;
     case 'not-ready':
     case 'not-run':
       return 503;
