Handle errors of servers that listen

The handler for errors of binding stayed on the server after it listened: it swallowed the first later error of the server without a line, and the second one was an uncaught exception, which stops the process.

It is removed when the server listens. From then on each error is logged as listen.server-failed, at most once a second, at every port that the binder or the client server binds; nothing ends.

--- a/packages/addresses/src/address-binder.ts
+++ b/packages/addresses/src/address-binder.ts
@@ -1,9 +1,10 @@
 import type { Server } from 'node:net';
-import type { Telemetry } from '@canvasridge/telemetry';
+import { LimitedEvents, type Telemetry } from '@canvasridge/telemetry';
 import type { Result } from 'neverthrow';
 import type { BindError } from './bind-error.js';
 import { bindWhenFree, type BindRetryOptions } from './bind-retry.js';
 import { listen } from './listen.js';
+import { logServerErrors } from './server-errors.js';
 import type { HostPort } from './socket-address.js';
 
 /** Why a process could not listen; `field` is the setting with the address. */
@@ -12,7 +13,10 @@
 }
 
 export type AddressBinderOptions = Pick<BindRetryOptions, 'clock' | 'timeoutMs' | 'signal'> & {
-  /** For `listen.waiting` and `listen.bound`: one line each for an address that was in use. */
+  /**
+   * For `listen.waiting` and `listen.bound`: one line each for an address that was in use; and for
+   * `listen.server-failed`: errors of servers that listen.
+   */
   readonly telemetry: Pick<Telemetry, 'event'>;
 };
 
@@ -45,8 +49,10 @@
     return bound.mapErr((error) => ({ ...error, field }));
   }
 
-  /** Binds a TCP or HTTP server; resolves to what it was bound to. */
+  /** Binds a TCP or HTTP server, whose later errors are logged; resolves to what it was bound to. */
   listen(field: string, server: Server, address: HostPort): Promise<Result<HostPort, ListenError>> {
-    return this.bind(field, () => listen(server, address));
+    const { telemetry, clock } = this.#options;
+    const onError = logServerErrors(new LimitedEvents(telemetry, clock), field);
+    return this.bind(field, () => listen(server, address, onError));
   }
 }
--- a/packages/addresses/src/index.ts
+++ b/packages/addresses/src/index.ts
@@ -3,6 +3,7 @@
 export { AddressBinder, type AddressBinderOptions, type ListenError } from './address-binder.js';
 export { bindWhenFree, type BindRetryOptions } from './bind-retry.js';
 export { listen } from './listen.js';
+export { logServerErrors } from './server-errors.js';
 export {
   formatSocketAddress,
   parseHostPort,
--- a/packages/gateway/src/client-server.ts
+++ b/packages/gateway/src/client-server.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
-import { listen, type BindError, type HostPort } from '@canvasridge/addresses';
+import { listen, logServerErrors, type BindError, type HostPort } from '@canvasridge/addresses';
+import { SystemClock } from '@canvasridge/clock';
 import type { RequestLimits } from '@canvasridge/serving';
-import { errorFields, type Telemetry } from '@canvasridge/telemetry';
+import { LimitedEvents, errorFields, type Telemetry } from '@canvasridge/telemetry';
 import type { Result } from 'neverthrow';
 import { createBoundedServer } from './connections/bounded-server.js';
 import type { TurnListener } from './connections/request-turns.js';
@@ -16,6 +17,8 @@
 
 /** Memory of pipelined requests that wait. */
 const DEFAULT_WAITING_BYTES = 8 * 2 ** 20;
+/** The setting with the server's address. */
+const FIELD = 'listen.callers';
 
 export interface ClientServerOptions {
   /** Connections at a time. Absent: no limit. */
@@ -42,6 +45,7 @@
  */
 export class ClientServer {
   readonly #server: Server;
+  readonly #onServerError: (cause: Error) => void;
   readonly #connections = new Map<Socket, ConnectionState>();
   #closing = false;
 
@@ -54,6 +58,7 @@
     telemetry: Pick<Telemetry, 'event'>,
     { maxConnections = Infinity, maxWaitingBytes = DEFAULT_WAITING_BYTES }: ClientServerOptions = {},
   ) {
+    this.#onServerError = logServerErrors(new LimitedEvents(telemetry, new SystemClock()), FIELD);
     this.#server = createBoundedServer(
       (request, response, waitedMs) => {
         try {
@@ -64,7 +69,7 @@
         }
       },
       {
-        field: 'listen.callers',
+        field: FIELD,
         telemetry,
         server: {
           maxHeaderSize: MAX_HEADER_BYTES,
@@ -89,7 +94,7 @@
 
   /** Resolves to the port. It may be called again after an error. */
   async listen(address: HostPort): Promise<Result<number, BindError>> {
-    const bound = await listen(this.#server, address);
+    const bound = await listen(this.#server, address, this.#onServerError);
     return bound.map(({ port }) => port);
   }
 
--- a/packages/gateway/src/peers/peer-network.ts
+++ b/packages/gateway/src/peers/peer-network.ts
@@ -1,6 +1,7 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import {
   listen,
+  logServerErrors,
   splitSocketAddress,
   type BindError,
   type HostPort,
@@ -58,7 +59,7 @@
 
   /** Resolves to the port. It may be called again after an error. */
   async listen(address: HostPort): Promise<Result<number, BindError>> {
-    const bound = await listen(this.#server, address);
+    const bound = await listen(this.#server, address, logServerErrors(this.#events, 'listen.peers'));
     return bound.map(({ port }) => port);
   }
 
--- a/packages/standin/src/process.ts
+++ b/packages/standin/src/process.ts
@@ -60,7 +60,7 @@
 
 /** @throws Error if the address can't be bound */
 async function listenOrThrow(server: Server, address: ListenAddress): Promise<string> {
-  const bound = await listen(server, address);
+  const bound = await listen(server, address, (cause) => process.emitWarning(cause));
   if (bound.isErr()) throw new Error(bound.error.reason);
   return `http://${formatSocketAddress(bound.value)}`;
 }
