Answer nothing to unreadable bytes behind a request that runs

A client that had sent a whole request, and then the beginning of the next one or bytes that are no request, got a 408 (after headerTimeoutMs), 400 or 431 while its request ran at a backend, and took it for the answer to that one. A 408 promises that the request has not run and never will; after a 400 or 431 clients do not repeat it.

The HTTP server writes such an answer as long as no response has started. The bounded server now handles these errors itself: if a request of the connection has been read whole and waits for its response, the connection is closed without an answer, which promises nothing. Otherwise the answers stay as they were.

The line connections.unreadable tells the code, at most once a second.

--- a/packages/gateway/src/connections/bounded-server.ts
+++ b/packages/gateway/src/connections/bounded-server.ts
@@ -5,6 +5,7 @@
 import { LimitedEvents, type Telemetry } from '@canvasridge/telemetry';
 import { ConnectionLimit } from './connection-limit.js';
 import { RequestTurns, type TurnListener } from './request-turns.js';
+import { isUnreadable, responseToUnreadable } from './unreadable-requests.js';
 
 export interface BoundedServerOptions {
   /** The setting with the server's address, for log lines. */
@@ -18,8 +19,8 @@
 }
 
 /**
- * Creates a server that logs `connections.gave-way` when all connections are taken and `connections.no-room-for-pipelined`
- * when requests that wait take all their memory.
+ * Creates a server that logs `connections.gave-way` when all connections are taken, `connections.no-room-for-pipelined`
+ * when requests that wait take all their memory, and `connections.unreadable` for what is no request or does not end.
  * @param serve called with one request of a connection at a time
  */
 export function createBoundedServer(serve: TurnListener, options: BoundedServerOptions): Server {
@@ -40,6 +41,13 @@
     onNoRoom: (fields) => events.event('warn', 'connections.no-room-for-pipelined', field, { ...fields }),
   });
   const server = createServer(options.server, (request, response) => turns.add(request, response));
+  server.on('clientError', ({ code = '' }: NodeJS.ErrnoException, connection) => {
+    const socket = connection as Socket;
+    if (isUnreadable(code)) events.event('info', 'connections.unreadable', field, { code });
+    const response = responseToUnreadable(code, turns.servedOn(socket));
+    if (response !== undefined && socket.writable) socket.write(response);
+    socket.destroy();
+  });
   server.on('connection', (socket: Socket) => {
     const gaveWay = limit.add(socket);
     if (gaveWay !== undefined) {
--- a/packages/gateway/src/connections/request-turns.ts
+++ b/packages/gateway/src/connections/request-turns.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { ServedRequest } from './unreadable-requests.js';
 import { WaitingMemory } from './waiting-memory.js';
 
 /** Memory of a request and its response beside what the client sent. */
@@ -34,7 +35,7 @@
 
 interface Connection {
   readonly waiting: WaitingRequest[];
-  isServing: boolean;
+  served: ServedRequest | undefined;
   isPaused: boolean;
 }
 
@@ -54,12 +55,17 @@
     // The rest of what was read with a request at which the connection was closed.
     if (socket.destroyed) return;
     const connection = this.#connections.get(socket) ?? this.#track(socket);
-    if (connection.isServing) this.#hold(connection, request, response);
+    if (connection.served !== undefined) this.#hold(connection, request, response);
     else this.#serve(connection, request, response, 0);
   }
 
+  /** The request of a connection that is being served. */
+  servedOn(socket: Socket): ServedRequest | undefined {
+    return this.#connections.get(socket)?.served;
+  }
+
   #track(socket: Socket): Connection {
-    const connection: Connection = { waiting: [], isServing: false, isPaused: false };
+    const connection: Connection = { waiting: [], served: undefined, isPaused: false };
     this.#connections.set(socket, connection);
     // The HTTP server reads on when it needs the body of the request being served.
     socket.on('resume', () => {
@@ -82,9 +88,9 @@
   }
 
   #serve(connection: Connection, request: IncomingMessage, response: ServerResponse, waitedMs: number): void {
-    connection.isServing = true;
+    connection.served = { request, response };
     response.once('close', () => {
-      connection.isServing = false;
+      connection.served = undefined;
       this.#serveNext(connection, request.socket);
     });
     this.#options.serve(request, response, waitedMs);
