Read a connection on while less than 1 MiB of its pipelined requests waits

A connection was no longer read when more than 64 KB of its requests waited, some 15 small ones: the end of a client that left behind them was noticed only when its answer was written, and its request went on at a silent backend until the deadline. Requests with a short body counted with 64 KB each, so that 120 of them on one connection were closed for want of room.

The bound is 1 MiB for a connection now, some 200 small requests; all together stay bounded by their share of the memory. A body counts with its length, at most one read of the socket.

--- a/packages/gateway/src/connections/request-turns.ts
+++ b/packages/gateway/src/connections/request-turns.ts
@@ -9,7 +9,7 @@
 
 /** Memory of a request and its response beside what the client sent. */
 const REQUEST_BYTES = 4096;
-/** Part of a body that may be read with the request: one read of the socket. */
+/** Most of a body that is read before it is asked for: one read of the socket. */
 const READ_BYTES = 65_536;
 
 /** @param waitedMs how long the request waited for the responses before it */
@@ -128,6 +128,7 @@
 function waitingBytes({ rawHeaders, url = '', headers }: IncomingMessage): number {
   let bytes = REQUEST_BYTES + url.length;
   for (const part of rawHeaders) bytes += part.length;
-  const hasBody = headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
-  return hasBody ? bytes + READ_BYTES : bytes;
+  const isChunked = headers['transfer-encoding'] !== undefined;
+  const bodyBytes = isChunked ? READ_BYTES : Number(headers['content-length'] ?? 0);
+  return bytes + Math.min(bodyBytes, READ_BYTES);
 }
--- a/packages/gateway/src/connections/waiting-memory.ts
+++ b/packages/gateway/src/connections/waiting-memory.ts
@@ -3,8 +3,11 @@
  * reading from it, and of all connections together, by closing the one that holds most.
  */
 
-/** A connection is not read further while its requests hold more than this many bytes. */
-const MAX_CONNECTION_BYTES = 65_536;
+/**
+ * A connection is not read further while its requests hold more than this many bytes. Until it is, the end of its client
+ * goes unnoticed.
+ */
+const MAX_CONNECTION_BYTES = 2 ** 20;
 
 /** @typeParam C a connection */
 export class WaitingMemory<C> {
