--- a/packages/gateway/src/client-server.ts
+++ b/packages/gateway/src/client-server.ts
@@ -1,9 +1,12 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer, type Socket } from 'node:net';
-import { listen, type BindError, type HostPort } from '@canvasridge/addresses';
+import { listen, logServerErrors, type BindError, type HostPort } from '@canvasridge/addresses';
+import { SystemClock } from '@canvasridge/clock';
 import type { RequestLimits } from '@canvasridge/serving';
-import { errorFields, type Telemetry } from '@canvasridge/telemetry';
+import { LimitedEvents, errorFields, type Telemetry } from '@canvasridge/telemetry';
 import type { Result } from 'neverthrow';
+import { createBoundedServer } from './connections/bounded-server.js';
+import type { TurnListener } from './connections/request-turns.js';
 
 /** Requests with larger headers are refused, whatever the configuration allows. */
 const MAX_HEADER_BYTES = 65_536;
@@ -12,7 +15,17 @@
 const MAX_IDLE_TIMEOUT_MS = 2 ** 31 - 1 - 60_000;
 const SERVICE_UNAVAILABLE = 503;
 
-type Listener = (request: IncomingMessage, response: ServerResponse) => void;
+/** Memory of pipelined requests that wait. */
+const DEFAULT_WAITING_BYTES = 8 * 2 ** 20;
+/** The setting with the server's address. */
+const FIELD = 'listen.callers';
+
+export interface ClientServerOptions {
+  /** Connections at a time. Absent: no limit. */
+  readonly maxConnections?: number | undefined;
+  /** Memory of pipelined requests that wait for the responses before them. */
+  readonly maxWaitingBytes?: number;
+}
 
 /** State of one client connection. */
 interface ConnectionState {
@@ -32,27 +45,44 @@
  */
 export class ClientServer {
   readonly #server: Server;
+  readonly #onServerError: (cause: Error) => void;
   readonly #connections = new Map<Socket, ConnectionState>();
   #closing = false;
 
-  /** @param telemetry for `request.defect`: what the listener throws, which is answered with 503 */
-  constructor(listener: Listener, telemetry: Pick<Telemetry, 'event'>) {
-    this.#server = createServer(
-      {
-        maxHeaderSize: MAX_HEADER_BYTES,
-        noDelay: true,
-        connectionsCheckingInterval: CONNECTIONS_CHECK_MS,
-        requestTimeout: 0,
-      },
-      (request, response) => {
-        this.#countResponse(request.socket, response);
+  /**
+   * @param listener called with one request of a connection at a time
+   * @param telemetry for `request.defect`: what the listener throws, which is answered with 503
+   */
+  constructor(
+    listener: TurnListener,
+    telemetry: Pick<Telemetry, 'event'>,
+    { maxConnections = Infinity, maxWaitingBytes = DEFAULT_WAITING_BYTES }: ClientServerOptions = {},
+  ) {
+    this.#onServerError = logServerErrors(new LimitedEvents(telemetry, new SystemClock()), FIELD);
+    this.#server = createBoundedServer(
+      (request, response, waitedMs) => {
         try {
-          listener(request, response);
+          listener(request, response, waitedMs);
         } catch (cause) {
           telemetry.event('error', 'request.defect', request.url ?? '', errorFields(cause));
           refuse(response);
         }
       },
+      {
+        field: FIELD,
+        telemetry,
+        server: {
+          maxHeaderSize: MAX_HEADER_BYTES,
+          noDelay: true,
+          connectionsCheckingInterval: CONNECTIONS_CHECK_MS,
+          requestTimeout: 0,
+        },
+        maxConnections,
+        maxWaitingBytes,
+      },
+    );
+    this.#server.prependListener('request', (request: IncomingMessage, response: ServerResponse) =>
+      this.#countResponse(request.socket, response),
     );
     this.#server.on('connection', (socket: Socket) => this.#track(socket));
   }
@@ -64,7 +94,7 @@
 
   /** Resolves to the port. It may be called again after an error. */
   async listen(address: HostPort): Promise<Result<number, BindError>> {
-    const bound = await listen(this.#server, address);
+    const bound = await listen(this.#server, address, this.#onServerError);
     return bound.map(({ port }) => port);
   }
 
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -108,6 +108,8 @@
 const BODY_MEMORY_SHARE = 0.15;
 /** Share of it for responses that wait for their backends or clients: 25 MB of 250. */
 const RESPONSE_MEMORY_SHARE = 0.1;
+/** Share of the process's memory for pipelined requests that wait for the responses before them. */
+const WAITING_MEMORY_SHARE = 0.03;
 const SECOND_MS = 1000;
 /**
  * How long requests may have lain unread: shorter stalls do not matter, as backends may work that much longer; after a
@@ -377,7 +379,11 @@
       }),
       readTurns: new ReadTurns(),
       bodyEvents,
-      responseMemory: new ResponseMemoryBudget(settings.memoryBytes * RESPONSE_MEMORY_SHARE, telemetry),
+      responseMemory: new ResponseMemoryBudget(
+        settings.memoryBytes * RESPONSE_MEMORY_SHARE,
+        clock,
+        telemetry,
+      ),
       telemetry,
       metrics: this.metrics,
     };
@@ -394,10 +400,17 @@
   /** Binds the sockets and starts all tasks. */
   static async start(options: GatewayOptions): Promise<Result<GatewayNode, ListenError>> {
     const started: { node?: GatewayNode } = {};
-    const clients = new ClientServer((request, response) => {
-      if (started.node === undefined) refuse(response);
-      else started.node.#serve(request, response);
-    }, options.telemetry);
+    const clients = new ClientServer(
+      (request, response, waitedMs) => {
+        if (started.node === undefined) refuse(response);
+        else started.node.#serve(request, response, waitedMs);
+      },
+      options.telemetry,
+      {
+        maxConnections: options.settings.maxClientConnections,
+        maxWaitingBytes: options.settings.memoryBytes * WAITING_MEMORY_SHARE,
+      },
+    );
     const peers = createServer((socket) => {
       if (started.node === undefined) socket.destroy();
     });
@@ -473,8 +486,8 @@
     this.#connections.close();
   }
 
-  #serve(request: IncomingMessage, response: ServerResponse): void {
-    const exchange = new Exchange(this.#context, request, response);
+  #serve(request: IncomingMessage, response: ServerResponse, waitedMs: number): void {
+    const exchange = new Exchange(this.#context, request, response, waitedMs);
     if (this.#clients.closing) {
       exchange.refuseStopping();
       return;
--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -30,6 +30,7 @@
 import { backendDeadlineMs } from './backend-deadline.js';
 import type { BackendHop } from './backend-hop.js';
 import { readBody } from './body.js';
+import { areHeadersTooLarge } from './header-size.js';
 import { hasClientLeft } from './client-presence.js';
 import type { RequestFacts } from './dialect.js';
 import { retryAfterOf, statusOf, type GatewayResponse } from './gateway-response.js';
@@ -98,11 +99,12 @@
   /** How long the last attempt had received nothing when it ended, in milliseconds. */
   #silentMs: number | undefined;
 
-  constructor(context: ExchangeContext, request: IncomingMessage, response: ServerResponse) {
+  /** @param waitedMs how long the request waited for the responses before it on its connection */
+  constructor(context: ExchangeContext, request: IncomingMessage, response: ServerResponse, waitedMs = 0) {
     this.#context = context;
     this.#request = request;
     this.#facts = context.dialect.readRequest(request.headers);
-    this.#times = new RequestTimes(context, this.#facts.deadlineMs);
+    this.#times = new RequestTimes(context, this.#facts.deadlineMs, waitedMs);
     this.#record = new RequestRecord(context, this.#facts, this.#times);
     this.#admission = new RequestAdmission(context, this.#facts);
     const { attemptId = 'none', sharedParts } = this.#facts;
@@ -141,6 +143,10 @@
       this.#respond({ kind: 'not-ready', retryAfterMs: this.#outageRetryMs('not-ready') });
       return;
     }
+    if (areHeadersTooLarge(this.#request, routes.configuration.limits.maxHeaderBytes)) {
+      this.#respond({ kind: 'headers-too-large' });
+      return;
+    }
     const target = this.#request.url ?? '';
     const route = routes.find(this.#request.headers.host ?? '', target);
     if (route === undefined) {
@@ -155,7 +161,7 @@
       return;
     }
     const timeOut = (): void => this.#endBy(() => this.#onTimeout());
-    const timer = this.#context.clock.setTimer(this.#times.timeoutMs(route), timeOut);
+    const timer = this.#context.clock.setTimer(Math.max(0, this.#times.remainingMs(route)), timeOut);
     try {
       await this.#readAndServe(route, service, routes.configuration.limits.maxBodyBytes);
     } finally {
