A call of a peer has at most 1 MiB, and an unfinished one is kept once

A line that came in small pieces was also copied as a whole for each piece.

The 8 MiB are for lists of backends, which are answers: they come on connections that this node opened, and keep that limit. Calls are short; the longest report runs and crashes, some thousand with some hundred bytes each. They have 1 MiB now on connections that others opened. Unfinished bytes are copied into one buffer that doubles, so that a piece costs its own length in time and memory (JavaScript strings are made of whole lines only).

Excluded: splitting inside of the JSON parser, which would change what is valid.

--- a/packages/gateway/src/peers/line-framing.ts
+++ b/packages/gateway/src/peers/line-framing.ts
@@ -1,34 +1,35 @@
 import type { Socket } from 'node:net';
+import { LineBuffer } from './line-buffer.js';
 
-/** No message of a peer is longer than this. */
-const MAX_FRAME_BYTES = 8 * 1024 * 1024;
+/** What becomes of the data that a socket receives. */
+export interface FrameReader {
+  readonly maxLineBytes: number;
+  /** @param lineBytes length of the line that held the object */
+  readonly receive: (value: object, lineBytes: number) => void;
+  /** The data is no JSON object, or a line is too long; the socket is destroyed. */
+  readonly onUnreadable: (reason: string) => void;
+}
 
-/**
- * Splits the data that a socket receives into JSON objects, one per line. Anything else destroys the socket.
- * @param onUnreadable called then, with the reason
- */
-export function readFrames(
-  socket: Socket,
-  receive: (value: object) => void,
-  onUnreadable: (reason: string) => void,
-): void {
+/** Splits the data that a socket receives into JSON objects, one per line. Anything else destroys the socket. */
+export function readFrames(socket: Socket, { maxLineBytes, receive, onUnreadable }: FrameReader): void {
   const refuse = (reason: string): void => {
     onUnreadable(reason);
     socket.destroy();
   };
-  let rest = '';
-  socket.setEncoding('utf8');
-  socket.on('data', (text: string) => {
-    const lines = (rest + text).split('\n');
-    rest = lines.pop() ?? '';
-    if (rest.length > MAX_FRAME_BYTES) refuse('too long');
-    for (const line of lines) {
-      const value = parseFrame(line);
+  const buffer = new LineBuffer(maxLineBytes);
+  socket.on('data', (chunk: Buffer) => {
+    const read = buffer.push(chunk);
+    if (read.kind === 'too-long') {
+      refuse('too long');
+      return;
+    }
+    for (const line of read.lines) {
+      const value = parseFrame(line.toString());
       if (value === undefined) {
         refuse('no JSON object');
         return;
       }
-      receive(value);
+      receive(value, line.length);
     }
   });
 }
--- a/packages/gateway/src/peers/peer-connection.ts
+++ b/packages/gateway/src/peers/peer-connection.ts
@@ -16,6 +16,9 @@
 /** Method name counted for answers to requests that were not understood. */
 const UNKNOWN_METHOD = 'unknown';
 
+/** No message of a peer that this node called is longer; the longest are lists of backends. */
+const MAX_LINE_BYTES = 8 * 1024 * 1024;
+
 /** JSON-RPC 2.0 in both directions over one TCP connection between two nodes. */
 export class PeerConnection {
   readonly #socket: Socket;
@@ -36,6 +39,7 @@
     traffic: PeerTraffic,
     events: LimitedEvents,
     onClose: () => void,
+    maxLineBytes: number = MAX_LINE_BYTES,
   ) {
     this.#socket = socket;
     this.#traffic = traffic;
@@ -68,7 +72,7 @@
         socket.destroy();
       });
     };
-    readFrames(socket, receive, onUnreadable);
+    readFrames(socket, { maxLineBytes, receive, onUnreadable });
     socket.on('drain', () => this.#updateWaiting());
     socket.on('error', () => undefined);
     socket.on('close', () => {
--- a/packages/gateway/src/peers/peer-network.ts
+++ b/packages/gateway/src/peers/peer-network.ts
@@ -20,6 +20,12 @@
 /** First byte of a JSON-RPC message; a request to relay starts with the name of an HTTP method. */
 const JSON_START = '{'.charCodeAt(0);
 
+/**
+ * Longest call of a peer, where anybody can connect: a JSON text takes up to 30 times its length once it is parsed. The
+ * longest honest ones report some thousand runs or crashes with some hundred bytes each.
+ */
+const MAX_CALL_LINE_BYTES = 1024 * 1024;
+
 /** Accepts connections of peers, and keeps one outgoing connection to each peer that is called. */
 export class PeerNetwork {
   readonly #methods: PeerMethods;
@@ -115,8 +121,13 @@
   }
 
   #acceptRpc(socket: Socket): void {
-    const connection = new PeerConnection(socket, this.#methods, this.traffic, this.#events, () =>
-      this.#onClose(connection),
+    const connection = new PeerConnection(
+      socket,
+      this.#methods,
+      this.traffic,
+      this.#events,
+      () => this.#onClose(connection),
+      MAX_CALL_LINE_BYTES,
     );
   }
 }
