Unfinished messages of all peers together have a bound

300 connections to the port for other nodes that each stop short of the end of a line of 960 KiB took a process of 200 MB to 337 and 374 MB: the length of a line had a limit, the number of lines none. The same holds for calls that a method answers later (paths.reaches waits for a probe), whose parsed messages take up to 28 times their text.

What incoming connections hold of messages that are unfinished or in progress is counted now, in the bytes of the buffers and of the parsed messages. Calls that are answered at once count nothing, so that a burst of honest ones meets no limit.

--- a/packages/gateway/src/cluster/cluster.ts
+++ b/packages/gateway/src/cluster/cluster.ts
@@ -1,4 +1,4 @@
-import { parseSocketAddress, type SocketAddress } from '@canvasridge/addresses';
+import { parseSocketAddress, splitSocketAddress, type SocketAddress } from '@canvasridge/addresses';
 import type { LiftedQuarantine, QuarantinedRequest } from '@canvasridge/admission';
 import { hashSeed, Notifier, type Clock, type Random } from '@canvasridge/clock';
 import {
@@ -94,6 +94,8 @@
   readonly visible: readonly string[];
   /** Ids of members that announced that they are leaving or have left. */
   readonly departed: readonly string[];
+  /** IP addresses of known members. */
+  readonly hosts: ReadonlySet<string>;
   /** By the pool's name: see {@link Cluster.candidates}. */
   readonly candidates: Map<string, readonly string[]>;
 }
@@ -240,6 +242,11 @@
     return parseSocketAddress(this.#membership.get(id)?.peerUrl ?? '');
   }
 
+  /** Whether a member, possibly one that has left, announces this IP address for its peers. */
+  hasMemberAt(host: string): boolean {
+    return this.#members().hosts.has(host);
+  }
+
   zoneOf(id: string): string | undefined {
     return this.#membership.get(id)?.zone;
   }
@@ -430,7 +437,9 @@
       .filter((member) => member.state === 'left' || member.state === 'draining')
       .map((member) => member.id);
     const serving = present.filter((member) => member.state === 'alive');
-    return { known, present, serving, visible, departed, candidates: new Map() };
+    const addresses = known.flatMap((member) => parseSocketAddress(member.peerUrl) ?? []);
+    const hosts = new Set(addresses.map((address) => splitSocketAddress(address).host));
+    return { known, present, serving, visible, departed, hosts, candidates: new Map() };
   }
 
   /**
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -69,6 +69,7 @@
 import { routeChanges } from './cluster/route-changes.js';
 import type { GatewayOptions } from './gateway-settings.js';
 import { GatewayMetrics } from './gateway-metrics.js';
+import { peerLimits } from './peers/peer-limits.js';
 import { PeerNetwork } from './peers/peer-network.js';
 import type { PeerMethods } from './peers/peer-connection.js';
 import { PeerParams } from './peers/peer-params.js';
@@ -171,6 +172,8 @@
       (socket) => this.#relayServer.accept(socket),
       telemetry,
       peers,
+      peerLimits(settings.memoryBytes),
+      (host) => this.#cluster.hasMemberAt(host),
     );
     this.#cluster = new Cluster({
       nodeId: settings.nodeId,
--- a/packages/gateway/src/peers/line-framing.ts
+++ b/packages/gateway/src/peers/line-framing.ts
@@ -6,18 +6,24 @@
   readonly maxLineBytes: number;
   /** @param lineBytes length of the line that held the object */
   readonly receive: (value: object, lineBytes: number) => void;
+  /** Called when the memory of the unfinished line has changed. */
+  readonly onHeld: (bytes: number) => void;
   /** The data is no JSON object, or a line is too long; the socket is destroyed. */
   readonly onUnreadable: (reason: string) => void;
 }
 
 /** Splits the data that a socket receives into JSON objects, one per line. Anything else destroys the socket. */
-export function readFrames(socket: Socket, { maxLineBytes, receive, onUnreadable }: FrameReader): void {
+export function readFrames(
+  socket: Socket,
+  { maxLineBytes, receive, onHeld, onUnreadable }: FrameReader,
+): void {
   const refuse = (reason: string): void => {
     onUnreadable(reason);
     socket.destroy();
   };
   const buffer = new LineBuffer(maxLineBytes);
   socket.on('data', (chunk: Buffer) => {
+    const { heldBytes } = buffer;
     const read = buffer.push(chunk);
     if (read.kind === 'too-long') {
       refuse('too long');
@@ -31,6 +37,7 @@
       }
       receive(value, line.length);
     }
+    if (buffer.heldBytes !== heldBytes) onHeld(buffer.heldBytes);
   });
 }
 
--- a/packages/gateway/src/peers/peer-connection.ts
+++ b/packages/gateway/src/peers/peer-connection.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import { JSONRPCClient, JSONRPCServer, JSONRPCServerAndClient } from 'json-rpc-2.0';
 import { errorFields, type LimitedEvents } from '@canvasridge/telemetry';
+import { OUTGOING_BUDGET, type ConnectionBudget } from './connection-budget.js';
 import { readFrames, writeFrame } from './line-framing.js';
 import type { PeerTraffic } from './peer-traffic.js';
 
@@ -16,8 +17,8 @@
 /** Method name counted for answers to requests that were not understood. */
 const UNKNOWN_METHOD = 'unknown';
 
-/** No message of a peer that this node called is longer; the longest are lists of backends. */
-const MAX_LINE_BYTES = 8 * 1024 * 1024;
+/** Memory of a parsed message as a multiple of its text: an array takes 56 bytes, and two in the text. */
+const PARSED_FACTOR = 28;
 
 /** JSON-RPC 2.0 in both directions over one TCP connection between two nodes. */
 export class PeerConnection {
@@ -29,6 +30,13 @@
   readonly #pendingRequests = new Map<unknown, string>();
   /** Bytes waiting to be sent, as last reported to {@link PeerTraffic}. */
   #waitingBytes = 0;
+  readonly #budget: ConnectionBudget;
+  #unfinishedBytes = 0;
+  /** Length of the messages that are being handled. */
+  #callBytes = 0;
+  /** That of them which are still handled when those that need no wait are done, as last reported. */
+  #reportedCallBytes = 0;
+  #isReportDue = false;
   #closed = false;
   #received = 0;
   #receivedAtMs = -Infinity;
@@ -39,10 +47,11 @@
     traffic: PeerTraffic,
     events: LimitedEvents,
     onClose: () => void,
-    maxLineBytes: number = MAX_LINE_BYTES,
+    budget: ConnectionBudget = OUTGOING_BUDGET,
   ) {
     this.#socket = socket;
     this.#traffic = traffic;
+    this.#budget = budget;
     // Errors of methods are logged where they are called.
     const server = new JSONRPCServer({ errorListener: () => undefined });
     for (const [name, method] of Object.entries(methods)) {
@@ -63,16 +72,28 @@
       const fields = cause === undefined ? {} : errorFields(cause);
       events.event('warn', 'peer.unreadable', socket.remoteAddress ?? '', { reason, ...fields });
     };
-    const receive = (value: object): void => {
+    const receive = (value: object, lineBytes: number): void => {
       this.#received += 1;
       this.#receivedAtMs = performance.now();
       this.#trackRequest(value);
-      this.#rpc.receiveAndSend(value as never).catch((cause: unknown) => {
-        onUnreadable('handling failed', cause);
-        socket.destroy();
-      });
+      this.#callBytes += lineBytes;
+      this.#reportSoon();
+      this.#rpc
+        .receiveAndSend(value as never)
+        .catch((cause: unknown) => {
+          onUnreadable('handling failed', cause);
+          socket.destroy();
+        })
+        .finally(() => {
+          this.#callBytes -= lineBytes;
+          this.#reportSoon();
+        });
+    };
+    const onHeld = (bytes: number): void => {
+      this.#unfinishedBytes = bytes;
+      this.#reportReceived();
     };
-    readFrames(socket, { maxLineBytes, receive, onUnreadable });
+    readFrames(socket, { maxLineBytes: budget.maxLineBytes, receive, onHeld, onUnreadable });
     socket.on('drain', () => this.#updateWaiting());
     socket.on('error', () => undefined);
     socket.on('close', () => {
@@ -139,6 +160,22 @@
     if (method !== undefined && id !== undefined) this.#pendingRequests.set(id, method);
   }
 
+  /** Reports what is left of the received messages when those that need no wait have been handled. */
+  #reportSoon(): void {
+    if (this.#isReportDue) return;
+    this.#isReportDue = true;
+    setImmediate(() => {
+      this.#isReportDue = false;
+      this.#reportedCallBytes = this.#callBytes;
+      this.#reportReceived();
+    });
+  }
+
+  #reportReceived(): void {
+    if (this.#socket.destroyed) return;
+    this.#budget.onReceivedHeld(this.#unfinishedBytes + PARSED_FACTOR * this.#reportedCallBytes);
+  }
+
   #updateWaiting(): void {
     if (this.#closed) return;
     const waitingBytes = this.#socket.writableLength;
--- a/packages/gateway/src/peers/peer-network.ts
+++ b/packages/gateway/src/peers/peer-network.ts
@@ -9,6 +9,8 @@
 import { SystemClock } from '@canvasridge/clock';
 import { LimitedEvents, type Telemetry } from '@canvasridge/telemetry';
 import type { Result } from 'neverthrow';
+import { HeldBytes } from './held-bytes.js';
+import { DEFAULT_PEER_LIMITS, type PeerLimits } from './peer-limits.js';
 import { PeerConnection, type PeerMethods } from './peer-connection.js';
 import { PeerTraffic } from './peer-traffic.js';
 
@@ -31,6 +33,8 @@
   readonly #methods: PeerMethods;
   readonly #outgoing = new Map<SocketAddress, PeerConnection>();
   readonly #incoming = new Set<Socket>();
+  /** Memory of what was received on incoming connections and is not done with. */
+  readonly #received: HeldBytes<Socket>;
   /** Counts what is sent to all peers together. */
   readonly traffic = new PeerTraffic();
   readonly #onClose: (peer: PeerConnection) => void;
@@ -45,6 +49,8 @@
    * @param onHttp called with a connection on which a peer speaks HTTP
    * @param telemetry for errors of methods, and messages that can't be read
    * @param server that accepts the connections of peers; it may listen already
+   * @param limits of what incoming connections take
+   * @param isMember whether a node of the fleet is at this IP address; others give way before it
    */
   constructor(
     methods: PeerMethods,
@@ -53,7 +59,11 @@
     onHttp: (socket: Socket) => void,
     telemetry: Pick<Telemetry, 'event'>,
     server: Server = createServer(),
+    limits: PeerLimits = DEFAULT_PEER_LIMITS,
+    isMember: (host: string) => boolean = () => false,
   ) {
+    const isTrusted = ({ remoteAddress }: Socket): boolean => isMember(remoteAddress ?? '');
+    this.#received = new HeldBytes(limits.receivedBytes, isTrusted);
     this.#server = server.on('connection', (socket: Socket) => this.#accept(socket));
     this.#events = new LimitedEvents(telemetry, CLOCK);
     this.#onHttp = onHttp;
@@ -109,7 +119,10 @@
 
   #accept(socket: Socket): void {
     this.#incoming.add(socket);
-    socket.once('close', () => this.#incoming.delete(socket));
+    socket.once('close', () => {
+      this.#incoming.delete(socket);
+      this.#received.remove(socket);
+    });
     socket.on('error', () => undefined);
     socket.once('data', (first: Buffer) => {
       socket.pause();
@@ -120,6 +133,15 @@
     });
   }
 
+  /** Closes connections that have to give way to others. */
+  #giveWay(reason: string, sockets: readonly Socket[]): void {
+    for (const socket of sockets) {
+      const from = socket.remoteAddress;
+      this.#events.event('warn', 'peer.gave-way', reason, { from, incoming: this.#incoming.size });
+      socket.destroy();
+    }
+  }
+
   #acceptRpc(socket: Socket): void {
     const connection = new PeerConnection(
       socket,
@@ -127,7 +149,10 @@
       this.traffic,
       this.#events,
       () => this.#onClose(connection),
-      MAX_CALL_LINE_BYTES,
+      {
+        maxLineBytes: MAX_CALL_LINE_BYTES,
+        onReceivedHeld: (bytes) => this.#giveWay('received', this.#received.set(socket, bytes)),
+      },
     );
   }
 }
--- /dev/null
+++ b/packages/gateway/test/peer-crowds.test.ts
@@ -0,0 +1,83 @@
+/** What a stranger leaves unfinished or unread at the port for peers is bounded; other peers are answered. */
+import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
+import { socketAddress, type SocketAddress } from '@canvasridge/addresses';
+import test, { type ExecutionContext } from 'ava';
+import { DEFAULT_PEER_LIMITS, type PeerLimits } from '../src/peers/peer-limits.js';
+import { PeerNetwork } from '../src/peers/peer-network.js';
+
+const LOOPBACK = '127.0.0.1';
+const CALL_TIMEOUT_MS = 10_000;
+
+interface Setup {
+  readonly network: PeerNetwork;
+  readonly address: SocketAddress;
+  /** Level, name and subject of each log line. */
+  readonly lines: readonly string[];
+  readonly open: () => Promise<Socket>;
+}
+
+async function startNetwork(t: ExecutionContext, limits: Partial<PeerLimits>): Promise<Setup> {
+  const lines: string[] = [];
+  const event = (level: string, name: string, subject: string): number =>
+    lines.push(`${level} ${name} ${subject}`);
+  const network = new PeerNetwork(
+    { echo: (params) => params, never: () => new Promise(() => undefined) },
+    () => undefined,
+    () => undefined,
+    () => undefined,
+    { event },
+    undefined,
+    { ...DEFAULT_PEER_LIMITS, ...limits },
+  );
+  t.teardown(() => network.close());
+  const bound = await network.listen({ host: LOOPBACK, port: 0 });
+  const port = bound._unsafeUnwrap();
+  const open = async (): Promise<Socket> => {
+    const socket = connect(port, LOOPBACK);
+    t.teardown(() => socket.destroy());
+    socket.on('error', () => undefined);
+    await once(socket, 'connect');
+    return socket;
+  };
+  return { network, address: socketAddress(`${LOOPBACK}:${port}`), lines, open };
+}
+
+/** Resolves when the connection has ended, also if it was reset. */
+function closing(socket: Socket): Promise<void> {
+  return new Promise((resolve) => socket.once('close', () => resolve()));
+}
+
+// Guards against calls in progress that a stranger piles up, here with a method that does not end.
+test('a connection whose calls in progress take too much gives way', async (t) => {
+  const { network, address, lines, open } = await startNetwork(t, { receivedBytes: 100_000 });
+  const socket = (await open()).resume();
+  const closed = closing(socket);
+  socket.write('{"jsonrpc":"2.0","method":"never","params":[[[[[[[[]]]]]]]]}\n'.repeat(100));
+  await closed;
+  t.deepEqual(lines, ['warn peer.gave-way received']);
+  t.is(await network.to(address).call('echo', 'x', CALL_TIMEOUT_MS), 'x');
+});
+
+test('calls that are answered at once take nothing, however many they are', async (t) => {
+  const { network, address, lines } = await startNetwork(t, { receivedBytes: 100_000 });
+  const connection = network.to(address);
+  const calls = Array.from({ length: 2000 }, (_, index) => connection.call('echo', index, CALL_TIMEOUT_MS));
+  t.deepEqual(
+    await Promise.all(calls),
+    calls.map((_, index) => index),
+  );
+  t.deepEqual(lines, []);
+});
+
+test('of two unfinished lines over the budget the longer one gives way', async (t) => {
+  const { lines, open } = await startNetwork(t, { receivedBytes: 405_000 });
+  const [longer, shorter] = [(await open()).resume(), (await open()).resume()];
+  const closed = closing(longer);
+  longer.write(`{${' '.repeat(270_000)}`);
+  shorter.write(`{${' '.repeat(140_000)}`);
+  await closed;
+  t.deepEqual(lines, ['warn peer.gave-way received']);
+  shorter.write('"jsonrpc":"2.0","id":7,"method":"echo","params":"x"}\n');
+  t.deepEqual(JSON.parse(String((await once(shorter, 'data'))[0])), { jsonrpc: '2.0', id: 7, result: 'x' });
+});
