A message that gets no answer is not remembered

The JSON-RPC library takes them for answers and answers nothing; the connection kept id and method, by which it counts the bytes of an answer, until that answer.

Only requests are remembered now, and each until its handling has ended, whether it was answered or not.

--- a/packages/gateway/src/peers/peer-connection.ts
+++ b/packages/gateway/src/peers/peer-connection.ts
@@ -12,6 +12,8 @@
 interface RpcMessage {
   readonly id?: unknown;
   readonly method?: string;
+  readonly result?: unknown;
+  readonly error?: unknown;
 }
 
 /** Method name counted for answers to requests that were not understood. */
@@ -75,7 +77,7 @@
     const receive = (value: object, lineBytes: number): void => {
       this.#received += 1;
       this.#receivedAtMs = performance.now();
-      this.#trackRequest(value);
+      if (isRequest(value)) this.#pendingRequests.set(value.id, value.method);
       this.#callBytes += lineBytes;
       this.#reportSoon();
       this.#rpc
@@ -85,6 +87,7 @@
           socket.destroy();
         })
         .finally(() => {
+          if (isRequest(value)) this.#pendingRequests.delete(value.id);
           this.#callBytes -= lineBytes;
           this.#reportSoon();
         });
@@ -151,15 +154,10 @@
 
   #send(message: RpcMessage): void {
     const method = message.method ?? this.#pendingRequests.get(message.id) ?? UNKNOWN_METHOD;
-    if (message.method === undefined) this.#pendingRequests.delete(message.id);
     this.#traffic.sent(method, writeFrame(this.#socket, message));
     this.#updateWaiting();
   }
 
-  #trackRequest({ id, method }: RpcMessage): void {
-    if (method !== undefined && id !== undefined) this.#pendingRequests.set(id, method);
-  }
-
   /** Reports what is left of the received messages when those that need no wait have been handled. */
   #reportSoon(): void {
     if (this.#isReportDue) return;
@@ -183,3 +181,9 @@
     this.#waitingBytes = waitingBytes;
   }
 }
+
+/** Whether a message gets an answer. One with a result is an answer itself, whether it has a method or not. */
+function isRequest(message: RpcMessage): message is RpcMessage & { readonly method: string } {
+  const { id, method, result, error } = message;
+  return method !== undefined && id !== undefined && result === undefined && error === undefined;
+}
