--- a/packages/gateway/src/peers/connection-budget.ts
+++ b/packages/gateway/src/peers/connection-budget.ts
@@ -3,6 +3,8 @@
   readonly maxLineBytes: number;
   /** Memory of received messages that are unfinished, or of calls in progress. The socket may be destroyed on return. */
   readonly onReceivedHeld: (bytes: number) => void;
+  /** Memory of written messages that the peer has not read. The socket may be destroyed on return. */
+  readonly onUnreadHeld: (bytes: number) => void;
 }
 
 /** No message of a peer that this node called is longer; the longest are lists of backends. */
@@ -12,4 +14,5 @@
 export const OUTGOING_BUDGET: ConnectionBudget = {
   maxLineBytes: MAX_ANSWER_LINE_BYTES,
   onReceivedHeld: () => undefined,
+  onUnreadHeld: () => undefined,
 };
--- a/packages/gateway/src/peers/line-framing.ts
+++ b/packages/gateway/src/peers/line-framing.ts
@@ -41,11 +41,14 @@
   });
 }
 
-/** Returns the number of bytes written, 0 if the socket is closed. */
-export function writeFrame(socket: Socket, value: unknown): number {
+/**
+ * Returns the number of bytes written, 0 if the socket is closed.
+ * @param onWritten called when the operating system has taken them, or the socket has ended
+ */
+export function writeFrame(socket: Socket, value: unknown, onWritten: () => void): number {
   if (socket.destroyed) return 0;
   const frame = Buffer.from(`${JSON.stringify(value)}\n`);
-  socket.write(frame);
+  socket.write(frame, onWritten);
   return frame.length;
 }
 
--- a/packages/gateway/src/peers/peer-connection.ts
+++ b/packages/gateway/src/peers/peer-connection.ts
@@ -22,6 +22,9 @@
 /** Memory of a parsed message as a multiple of its text: an array takes 56 bytes, and two in the text. */
 const PARSED_FACTOR = 28;
 
+/** Memory that a message takes beside its bytes while it waits to be sent. */
+const FRAME_OVERHEAD_BYTES = 512;
+
 /** JSON-RPC 2.0 in both directions over one TCP connection between two nodes. */
 export class PeerConnection {
   readonly #socket: Socket;
@@ -32,6 +35,12 @@
   readonly #pendingRequests = new Map<unknown, string>();
   /** Bytes waiting to be sent, as last reported to {@link PeerTraffic}. */
   #waitingBytes = 0;
+  /** Messages written that the operating system has not accepted yet, some of those that it just has included. */
+  #waitingFrames = 0;
+  readonly #onWritten = (): void => {
+    this.#waitingFrames -= 1;
+    this.#updateWaiting();
+  };
   readonly #budget: ConnectionBudget;
   #unfinishedBytes = 0;
   /** Length of the messages that are being handled. */
@@ -97,7 +106,6 @@
       this.#reportReceived();
     };
     readFrames(socket, { maxLineBytes: budget.maxLineBytes, receive, onHeld, onUnreadable });
-    socket.on('drain', () => this.#updateWaiting());
     socket.on('error', () => undefined);
     socket.on('close', () => {
       this.#closed = true;
@@ -154,7 +162,9 @@
 
   #send(message: RpcMessage): void {
     const method = message.method ?? this.#pendingRequests.get(message.id) ?? UNKNOWN_METHOD;
-    this.#traffic.sent(method, writeFrame(this.#socket, message));
+    const bytes = writeFrame(this.#socket, message, this.#onWritten);
+    if (bytes > 0) this.#waitingFrames += 1;
+    this.#traffic.sent(method, bytes);
     this.#updateWaiting();
   }
 
@@ -175,10 +185,12 @@
   }
 
   #updateWaiting(): void {
-    if (this.#closed) return;
+    if (this.#closed || this.#socket.destroyed) return;
     const waitingBytes = this.#socket.writableLength;
     this.#traffic.waitingChanged(waitingBytes - this.#waitingBytes);
     this.#waitingBytes = waitingBytes;
+    const overheadBytes = waitingBytes === 0 ? 0 : FRAME_OVERHEAD_BYTES * this.#waitingFrames;
+    this.#budget.onUnreadHeld(waitingBytes + overheadBytes);
   }
 }
 
--- a/packages/gateway/src/peers/peer-network.ts
+++ b/packages/gateway/src/peers/peer-network.ts
@@ -35,6 +35,8 @@
   readonly #incoming = new Set<Socket>();
   /** Memory of what was received on incoming connections and is not done with. */
   readonly #received: HeldBytes<Socket>;
+  /** Memory of what was written to incoming connections and is not read. */
+  readonly #unread: HeldBytes<Socket>;
   /** Counts what is sent to all peers together. */
   readonly traffic = new PeerTraffic();
   readonly #onClose: (peer: PeerConnection) => void;
@@ -64,6 +66,7 @@
   ) {
     const isTrusted = ({ remoteAddress }: Socket): boolean => isMember(remoteAddress ?? '');
     this.#received = new HeldBytes(limits.receivedBytes, isTrusted);
+    this.#unread = new HeldBytes(limits.unreadBytes, isTrusted);
     this.#server = server.on('connection', (socket: Socket) => this.#accept(socket));
     this.#events = new LimitedEvents(telemetry, CLOCK);
     this.#onHttp = onHttp;
@@ -122,6 +125,7 @@
     socket.once('close', () => {
       this.#incoming.delete(socket);
       this.#received.remove(socket);
+      this.#unread.remove(socket);
     });
     socket.on('error', () => undefined);
     socket.once('data', (first: Buffer) => {
@@ -152,6 +156,7 @@
       {
         maxLineBytes: MAX_CALL_LINE_BYTES,
         onReceivedHeld: (bytes) => this.#giveWay('received', this.#received.set(socket, bytes)),
+        onUnreadHeld: (bytes) => this.#giveWay('unread', this.#unread.set(socket, bytes)),
       },
     );
   }
--- a/packages/gateway/test/peer-crowds.test.ts
+++ b/packages/gateway/test/peer-crowds.test.ts
@@ -81,3 +81,22 @@
   shorter.write('"jsonrpc":"2.0","id":7,"method":"echo","params":"x"}\n');
   t.deepEqual(JSON.parse(String((await once(shorter, 'data'))[0])), { jsonrpc: '2.0', id: 7, result: 'x' });
 });
+
+test('a connection that reads none of its answers gives way', async (t) => {
+  const { network, address, lines, open } = await startNetwork(t, { unreadBytes: 4_000_000 });
+  const socket = (await open()).pause();
+  const closed = closing(socket);
+  const params = 'x'.repeat(100_000);
+  socket.write(`{"jsonrpc":"2.0","id":7,"method":"echo","params":"${params}"}\n`.repeat(200));
+  await closed;
+  t.deepEqual(lines, ['warn peer.gave-way unread']);
+  t.is(await network.to(address).call('echo', 'x', CALL_TIMEOUT_MS), 'x');
+});
+
+test('answers that are read take nothing, however many they are', async (t) => {
+  const { network, address, lines } = await startNetwork(t, { unreadBytes: 1_000_000 });
+  const params = 'x'.repeat(100_000);
+  for (let count = 0; count < 50; count += 1)
+    t.is(await network.to(address).call('echo', params, CALL_TIMEOUT_MS), params);
+  t.deepEqual(lines, []);
+});
