Connections that others open for calls between nodes have a bound

At most 1,024 are kept now, or a quarter of the descriptors of the process if that is less: twice the 370 nodes of the largest fleet, and as many requests as are relayed at a time. Of too many, those of no known member give way first, and of these the ones on which nothing has come; of each kind the oldest. A connection on which nothing comes within 10 s is closed; nodes send as soon as they are connected and wait 1.5 s for an answer at most. Keep-alive probes begin after 60 s of silence: a node whose connection ends loses what it holds here.

Unit tests of the policy (incoming-connections) and of a small network (peer-crowds).

Excluded: clients' connections, which have their own port and limits.

--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -69,6 +69,7 @@
 import { routeChanges } from './cluster/route-changes.js';
 import type { GatewayOptions } from './gateway-settings.js';
 import { GatewayMetrics } from './gateway-metrics.js';
+import { descriptorLimit } from './peers/descriptor-limit.js';
 import { peerLimits } from './peers/peer-limits.js';
 import { PeerNetwork } from './peers/peer-network.js';
 import type { PeerMethods } from './peers/peer-connection.js';
@@ -172,7 +173,7 @@
       (socket) => this.#relayServer.accept(socket),
       telemetry,
       peers,
-      peerLimits(settings.memoryBytes),
+      peerLimits(settings.memoryBytes, descriptorLimit()),
       (host) => this.#cluster.hasMemberAt(host),
     );
     this.#cluster = new Cluster({
--- a/packages/gateway/src/peers/peer-limits.ts
+++ b/packages/gateway/src/peers/peer-limits.ts
@@ -4,6 +4,10 @@
   readonly receivedBytes: number;
   /** Memory for answers that the peers of all incoming connections together have not read. */
   readonly unreadBytes: number;
+  /** Connections that others have open to this node. */
+  readonly maxConnections: number;
+  /** Time within which something has to come on a new connection. */
+  readonly firstByteMs: number;
 }
 
 /** Shares of the memory of the process. */
@@ -14,11 +18,23 @@
 /** The longest answer, beside as much as may wait when it is written: see `maySendLarge`. */
 const MIN_UNREAD_BYTES = 12 * 1024 * 1024;
 
-/** @param memoryBytes memory that the process may use */
-export function peerLimits(memoryBytes: number): PeerLimits {
+/** Twice the nodes of the largest fleet of the operators, and as many requests as are relayed at a time. */
+const MAX_CONNECTIONS = 1024;
+/** Share of the descriptors of the process. */
+const DESCRIPTORS_SHARE = 0.25;
+/** A node sends as soon as it is connected, and waits for an answer at most 1.5 s. */
+const FIRST_BYTE_MS = 10_000;
+
+/**
+ * @param memoryBytes memory that the process may use
+ * @param descriptors that the process may have open
+ */
+export function peerLimits(memoryBytes: number, descriptors = Infinity): PeerLimits {
   return {
     receivedBytes: Math.max(memoryBytes * RECEIVED_SHARE, MIN_RECEIVED_BYTES),
     unreadBytes: Math.max(memoryBytes * UNREAD_SHARE, MIN_UNREAD_BYTES),
+    maxConnections: Math.min(MAX_CONNECTIONS, Math.floor(descriptors * DESCRIPTORS_SHARE)),
+    firstByteMs: FIRST_BYTE_MS,
   };
 }
 
--- a/packages/gateway/src/peers/peer-network.ts
+++ b/packages/gateway/src/peers/peer-network.ts
@@ -6,16 +6,20 @@
   type HostPort,
   type SocketAddress,
 } from '@canvasridge/addresses';
-import { SystemClock } from '@canvasridge/clock';
+import { SystemClock, type Timer } from '@canvasridge/clock';
 import { LimitedEvents, type Telemetry } from '@canvasridge/telemetry';
 import type { Result } from 'neverthrow';
 import { HeldBytes } from './held-bytes.js';
+import { IncomingConnections } from './incoming-connections.js';
 import { DEFAULT_PEER_LIMITS, type PeerLimits } from './peer-limits.js';
 import { PeerConnection, type PeerMethods } from './peer-connection.js';
 import { PeerTraffic } from './peer-traffic.js';
 
 const CONNECT_TIMEOUT_MS = 400;
 const KEEP_ALIVE_PROBE_MS = 1000;
+/** A node whose connection ends loses what it holds here, so that its machine may be silent for longer. */
+const INCOMING_KEEP_ALIVE_PROBE_MS = 60_000;
+const OVERDUE_CHECK_MS = 1000;
 /** Its late timers run after it is known whether the connection was accepted meanwhile. */
 const CLOCK = new SystemClock();
 
@@ -32,7 +36,9 @@
 export class PeerNetwork {
   readonly #methods: PeerMethods;
   readonly #outgoing = new Map<SocketAddress, PeerConnection>();
-  readonly #incoming = new Set<Socket>();
+  readonly #incoming: IncomingConnections<Socket>;
+  /** Runs while there are incoming connections. */
+  #overdueCheck: Timer | undefined;
   /** Memory of what was received on incoming connections and is not done with. */
   readonly #received: HeldBytes<Socket>;
   /** Memory of what was written to incoming connections and is not read. */
@@ -65,6 +71,7 @@
     isMember: (host: string) => boolean = () => false,
   ) {
     const isTrusted = ({ remoteAddress }: Socket): boolean => isMember(remoteAddress ?? '');
+    this.#incoming = new IncomingConnections({ ...limits, isMember: isTrusted });
     this.#received = new HeldBytes(limits.receivedBytes, isTrusted);
     this.#unread = new HeldBytes(limits.unreadBytes, isTrusted);
     this.#server = server.on('connection', (socket: Socket) => this.#accept(socket));
@@ -118,23 +125,35 @@
     this.#server.close();
     for (const connection of this.#outgoing.values()) connection.close();
     for (const socket of this.#incoming) socket.destroy();
+    this.#overdueCheck?.cancel();
+    this.#overdueCheck = undefined;
   }
 
   #accept(socket: Socket): void {
-    this.#incoming.add(socket);
+    const tooMany = this.#incoming.add(socket, CLOCK.now());
     socket.once('close', () => {
-      this.#incoming.delete(socket);
+      this.#incoming.remove(socket);
       this.#received.remove(socket);
       this.#unread.remove(socket);
     });
     socket.on('error', () => undefined);
+    socket.setKeepAlive(true, INCOMING_KEEP_ALIVE_PROBE_MS);
     socket.once('data', (first: Buffer) => {
+      this.#incoming.heard(socket);
       socket.pause();
       socket.unshift(first);
       if (first[0] === JSON_START) this.#acceptRpc(socket);
       else this.#onHttp(socket);
       process.nextTick(() => socket.resume());
     });
+    if (tooMany !== undefined) this.#giveWay('connections', [tooMany]);
+    this.#overdueCheck ??= CLOCK.setTimer(OVERDUE_CHECK_MS, () => this.#checkOverdue());
+  }
+
+  #checkOverdue(): void {
+    this.#giveWay('silent', this.#incoming.takeOverdue(CLOCK.now()));
+    this.#overdueCheck =
+      this.#incoming.size === 0 ? undefined : CLOCK.setTimer(OVERDUE_CHECK_MS, () => this.#checkOverdue());
   }
 
   /** Closes connections that have to give way to others. */
--- a/packages/gateway/test/peer-crowds.test.ts
+++ b/packages/gateway/test/peer-crowds.test.ts
@@ -100,3 +100,19 @@
     t.is(await network.to(address).call('echo', params, CALL_TIMEOUT_MS), params);
   t.deepEqual(lines, []);
 });
+
+test('of too many connections the oldest silent one is closed, and a call is answered', async (t) => {
+  const { network, address, lines, open } = await startNetwork(t, { maxConnections: 2 });
+  const oldest = (await open()).resume();
+  const closed = closing(oldest);
+  await open();
+  t.is(await network.to(address).call('echo', 'x', CALL_TIMEOUT_MS), 'x');
+  await closed;
+  t.deepEqual(lines, ['warn peer.gave-way connections']);
+});
+
+test('a connection on which nothing comes is closed', async (t) => {
+  const { lines, open } = await startNetwork(t, { firstByteMs: 0 });
+  await closing((await open()).resume());
+  t.deepEqual(lines, ['warn peer.gave-way silent']);
+});
