A peer that takes nothing of its answers for 30 s loses its connection

Lists are sent to followers only while at most 4 MiB wait to be sent to all peers. A stranger that left so much unread, below the bound on unread answers, would keep lists and configurations from all nodes of a large fleet for as long as it stays connected (by reading; shown by the test with a small network, no fleet was run).

A connection that others opened is closed when the operating system has taken nothing of what waits there for 30 s; the slowest link of the operators takes the longest answer in 10 s. Checked once a second, with the connections on which nothing came.

--- a/packages/gateway/src/peers/peer-connection.ts
+++ b/packages/gateway/src/peers/peer-connection.ts
@@ -3,6 +3,7 @@
 import { errorFields, type LimitedEvents } from '@canvasridge/telemetry';
 import { OUTGOING_BUDGET, type ConnectionBudget } from './connection-budget.js';
 import { readFrames, writeFrame } from './line-framing.js';
+import { ReadProgress } from './read-progress.js';
 import type { PeerTraffic } from './peer-traffic.js';
 
 /** The methods that one side of a connection offers, by name. Each validates its own parameters. */
@@ -35,10 +36,12 @@
   readonly #pendingRequests = new Map<unknown, string>();
   /** Bytes waiting to be sent, as last reported to {@link PeerTraffic}. */
   #waitingBytes = 0;
+  readonly #readProgress = new ReadProgress();
   /** Messages written that the operating system has not accepted yet, some of those that it just has included. */
   #waitingFrames = 0;
   readonly #onWritten = (): void => {
     this.#waitingFrames -= 1;
+    this.#readProgress.took(performance.now(), this.#socket.writableLength === 0);
     this.#updateWaiting();
   };
   readonly #budget: ConnectionBudget;
@@ -155,6 +158,11 @@
     this.#socket.destroy();
   }
 
+  /** How long the peer has taken nothing of what waits to be sent to it, in milliseconds; 0 if nothing waits. */
+  get unreadMs(): number {
+    return this.#readProgress.stalledMs(performance.now());
+  }
+
   /** Bytes written to this peer that the operating system has not accepted yet. */
   get waitingBytes(): number {
     return this.#socket.writableLength;
@@ -163,7 +171,10 @@
   #send(message: RpcMessage): void {
     const method = message.method ?? this.#pendingRequests.get(message.id) ?? UNKNOWN_METHOD;
     const bytes = writeFrame(this.#socket, message, this.#onWritten);
-    if (bytes > 0) this.#waitingFrames += 1;
+    if (bytes > 0) {
+      this.#waitingFrames += 1;
+      this.#readProgress.wrote(performance.now());
+    }
     this.#traffic.sent(method, bytes);
     this.#updateWaiting();
   }
--- a/packages/gateway/src/peers/peer-limits.ts
+++ b/packages/gateway/src/peers/peer-limits.ts
@@ -8,6 +8,8 @@
   readonly maxConnections: number;
   /** Time within which something has to come on a new connection. */
   readonly firstByteMs: number;
+  /** Time within which a peer has to take some of what waits to be sent to it. */
+  readonly readMs: number;
 }
 
 /** Shares of the memory of the process. */
@@ -24,6 +26,8 @@
 const DESCRIPTORS_SHARE = 0.25;
 /** A node sends as soon as it is connected, and waits for an answer at most 1.5 s. */
 const FIRST_BYTE_MS = 10_000;
+/** The slowest link of the operators, 7 Mbit/s, takes the longest answer in 10 s. */
+const READ_MS = 30_000;
 
 /**
  * @param memoryBytes memory that the process may use
@@ -35,6 +39,7 @@
     unreadBytes: Math.max(memoryBytes * UNREAD_SHARE, MIN_UNREAD_BYTES),
     maxConnections: Math.min(MAX_CONNECTIONS, Math.floor(descriptors * DESCRIPTORS_SHARE)),
     firstByteMs: FIRST_BYTE_MS,
+    readMs: READ_MS,
   };
 }
 
--- a/packages/gateway/src/peers/peer-network.ts
+++ b/packages/gateway/src/peers/peer-network.ts
@@ -37,6 +37,9 @@
   readonly #methods: PeerMethods;
   readonly #outgoing = new Map<SocketAddress, PeerConnection>();
   readonly #incoming: IncomingConnections<Socket>;
+  /** Those of them on which peers call methods. */
+  readonly #callers = new Map<Socket, PeerConnection>();
+  readonly #readMs: number;
   /** Runs while there are incoming connections. */
   #overdueCheck: Timer | undefined;
   /** Memory of what was received on incoming connections and is not done with. */
@@ -71,6 +74,7 @@
     isMember: (host: string) => boolean = () => false,
   ) {
     const isTrusted = ({ remoteAddress }: Socket): boolean => isMember(remoteAddress ?? '');
+    this.#readMs = limits.readMs;
     this.#incoming = new IncomingConnections({ ...limits, isMember: isTrusted });
     this.#received = new HeldBytes(limits.receivedBytes, isTrusted);
     this.#unread = new HeldBytes(limits.unreadBytes, isTrusted);
@@ -135,6 +139,7 @@
       this.#incoming.remove(socket);
       this.#received.remove(socket);
       this.#unread.remove(socket);
+      this.#callers.delete(socket);
     });
     socket.on('error', () => undefined);
     socket.setKeepAlive(true, INCOMING_KEEP_ALIVE_PROBE_MS);
@@ -152,6 +157,11 @@
 
   #checkOverdue(): void {
     this.#giveWay('silent', this.#incoming.takeOverdue(CLOCK.now()));
+    const notReading = [...this.#callers].filter(([, { unreadMs }]) => unreadMs > this.#readMs);
+    this.#giveWay(
+      'not-reading',
+      notReading.map(([socket]) => socket),
+    );
     this.#overdueCheck =
       this.#incoming.size === 0 ? undefined : CLOCK.setTimer(OVERDUE_CHECK_MS, () => this.#checkOverdue());
   }
@@ -178,5 +188,6 @@
         onUnreadHeld: (bytes) => this.#giveWay('unread', this.#unread.set(socket, bytes)),
       },
     );
+    this.#callers.set(socket, connection);
   }
 }
--- a/packages/gateway/test/peer-crowds.test.ts
+++ b/packages/gateway/test/peer-crowds.test.ts
@@ -1,6 +1,7 @@
 /** What a stranger leaves unfinished or unread at the port for peers is bounded; other peers are answered. */
 import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
+import { setTimeout } from 'node:timers/promises';
 import { socketAddress, type SocketAddress } from '@canvasridge/addresses';
 import test, { type ExecutionContext } from 'ava';
 import { DEFAULT_PEER_LIMITS, type PeerLimits } from '../src/peers/peer-limits.js';
@@ -8,6 +9,7 @@
 
 const LOOPBACK = '127.0.0.1';
 const CALL_TIMEOUT_MS = 10_000;
+const POLL_MS = 10;
 
 interface Setup {
   readonly network: PeerNetwork;
@@ -87,7 +89,7 @@
   const socket = (await open()).pause();
   const closed = closing(socket);
   const params = 'x'.repeat(100_000);
-  socket.write(`{"jsonrpc":"2.0","id":7,"method":"echo","params":"${params}"}\n`.repeat(200));
+  socket.write(`{"jsonrpc":"2.0","id":7,"method":"echo","params":"${params}"}\n`.repeat(400));
   await closed;
   t.deepEqual(lines, ['warn peer.gave-way unread']);
   t.is(await network.to(address).call('echo', 'x', CALL_TIMEOUT_MS), 'x');
@@ -116,3 +118,18 @@
   await closing((await open()).resume());
   t.deepEqual(lines, ['warn peer.gave-way silent']);
 });
+
+// Guards against a stranger that leaves 4 MiB unread, after which followers would get no lists.
+test('a connection that takes nothing of its answers for some time is closed', async (t) => {
+  const { network, address, lines, open } = await startNetwork(t, { readMs: 100, unreadBytes: 100_000_000 });
+  const socket = (await open()).pause();
+  const closed = closing(socket);
+  const params = 'x'.repeat(100_000);
+  socket.write(`{"jsonrpc":"2.0","id":7,"method":"echo","params":"${params}"}\n`.repeat(400));
+  while (lines.length === 0) await setTimeout(POLL_MS);
+  socket.resume();
+  await closed;
+  t.deepEqual(lines, ['warn peer.gave-way not-reading']);
+  while (network.traffic.waitingBytes > 0) await setTimeout(POLL_MS); // until the node has seen the end, too
+  t.is(await network.to(address).call('echo', 'x', CALL_TIMEOUT_MS), 'x');
+});
