Method names that peers make up are not kept

Each answer is counted by the method of its call, and each name so counted became a label of canvasridge_peer_bytes_total for as long as the process runs: a stranger that calls methods with made-up names fills the memory of the process and the page of its metrics.

Answers to methods that are not offered are counted as 'unknown', as those to messages without a method were. A name that is no text is no longer taken for a name either.

--- a/packages/gateway/src/peers/peer-connection.ts
+++ b/packages/gateway/src/peers/peer-connection.ts
@@ -12,12 +12,13 @@
 /** The fields of a JSON-RPC message that identify its method; an answer has only an id. */
 interface RpcMessage {
   readonly id?: unknown;
-  readonly method?: string;
+  /** A text in valid messages. */
+  readonly method?: unknown;
   readonly result?: unknown;
   readonly error?: unknown;
 }
 
-/** Method name counted for answers to requests that were not understood. */
+/** Method name counted for answers to requests that were not understood, or of methods that are not offered. */
 const UNKNOWN_METHOD = 'unknown';
 
 /** Memory of a parsed message as a multiple of its text: an array takes 56 bytes, and two in the text. */
@@ -89,7 +90,9 @@
     const receive = (value: object, lineBytes: number): void => {
       this.#received += 1;
       this.#receivedAtMs = performance.now();
-      if (isRequest(value)) this.#pendingRequests.set(value.id, value.method);
+      // Peers choose the names of methods, and each name that is counted is kept for good.
+      if (isRequest(value) && Object.hasOwn(methods, value.method))
+        this.#pendingRequests.set(value.id, value.method);
       this.#callBytes += lineBytes;
       this.#reportSoon();
       this.#rpc
@@ -169,7 +172,7 @@
   }
 
   #send(message: RpcMessage): void {
-    const method = message.method ?? this.#pendingRequests.get(message.id) ?? UNKNOWN_METHOD;
+    const method = this.#methodOf(message);
     const bytes = writeFrame(this.#socket, message, this.#onWritten);
     if (bytes > 0) {
       this.#waitingFrames += 1;
@@ -179,6 +182,10 @@
     this.#updateWaiting();
   }
 
+  #methodOf({ id, method }: RpcMessage): string {
+    return typeof method === 'string' ? method : (this.#pendingRequests.get(id) ?? UNKNOWN_METHOD);
+  }
+
   /** Reports what is left of the received messages when those that need no wait have been handled. */
   #reportSoon(): void {
     if (this.#isReportDue) return;
@@ -208,5 +215,5 @@
 /** Whether a message gets an answer. One with a result is an answer itself, whether it has a method or not. */
 function isRequest(message: RpcMessage): message is RpcMessage & { readonly method: string } {
   const { id, method, result, error } = message;
-  return method !== undefined && id !== undefined && result === undefined && error === undefined;
+  return typeof method === 'string' && id !== undefined && result === undefined && error === undefined;
 }
