Names of services that peers ask about are not kept

Any peer may ask whether this node reaches a service (paths.reaches), and a record was kept for each name until the process ended, of up to the length of a call. Nothing is recorded now for a service without backends, of which the answer was and is that nothing shows that it is not reached.

Test (backend-paths): red without the line, with 101 records; after, passed with fleet-paths, relay-break, dead-relay and relay-server.

--- a/packages/gateway/src/paths/backend-paths.ts
+++ b/packages/gateway/src/paths/backend-paths.ts
@@ -66,6 +66,11 @@
     return this.#services.get(service)?.state ?? 'working';
   }
 
+  /** Number of services of which something is recorded. */
+  get recordedServices(): number {
+    return this.#services.size;
+  }
+
   /** Services to which this node can open no connection. */
   impaired(): string[] {
     return [...this.#services].filter(([, { state }]) => state !== 'working').map(([service]) => service);
@@ -106,6 +111,8 @@
   /** Resolves to whether this node can open connections to a service, after a check unless that is known. */
   async reaches(service: string, cause: CheckCause = 'asked'): Promise<boolean> {
     if (this.state(service) !== 'working') return false;
+    // Nothing shows that it is not reached. Peers choose the names: no record is kept for one that nobody serves.
+    if (this.#options.fleet.backendsOf(service).length === 0) return true;
     const freshMs = cause === 'asked' ? FRESH_FOR_PEER_MS : FRESH_MS;
     const isFresh = this.#path(service).receivedWithin(freshMs, this.#options.clock.now());
     if (!isFresh) await this.#check(service, cause);
--- a/packages/gateway/test/backend-paths.test.ts
+++ b/packages/gateway/test/backend-paths.test.ts
@@ -151,3 +151,14 @@
   t.deepEqual(changes, []);
   paths.stop();
 });
+
+// Each name that a peer asked about was kept until the process ended.
+test('names of services that no backend serves are not kept when peers ask whether they are reached', async (t) => {
+  const { clock, paths, probes } = newSetup();
+  const answers = Array.from({ length: 100 }, (_, index) => paths.reaches(`made-up-${index}`));
+  answers.push(paths.reaches(SERVICE));
+  await clock.runUntil(PROBE_MS);
+  t.deepEqual(new Set(await Promise.all(answers)), new Set([true]));
+  t.is(paths.recordedServices, 1);
+  t.true(probes() > 0);
+});
