What a leader keeps for peers that are no members has a bound

A call for a slot keeps its texts (64 KB each) and its place in the queue until the caller releases it or its connection ends, and the caller chooses how long that is: a stranger can make a leader keep as much as it sends. The names of members that have reported what they run were kept without a bound, too, with up to 64 KB each.

Slots that peers wait for or use are counted with their texts, by connection. Connections from addresses of no member give way when they hold more than 0.1 of the process's memory (25 MB of 250), the largest first, which releases what they hold. Those of members are not counted: they queue what their clients send. Names of reporting members have the 256 characters that the membership protocol takes, and of more than 1,024 those of no member are forgotten.

--- a/packages/gateway/src/cluster/slot-answers.ts
+++ b/packages/gateway/src/cluster/slot-answers.ts
@@ -15,11 +15,16 @@
   type UsesParams,
 } from './slot-protocol.js';
 
+/** With more, the names of those that are no members are forgotten. */
+const MAX_REPORTED_MEMBERS = 1024;
+
 export interface SlotAnswersOptions {
   readonly fleet: FleetState;
   readonly cluster: Cluster;
   /** By the pool's name. */
   readonly pools: ReadonlyMap<string, PoolEntry>;
+  /** Called with the memory of all uses of a peer when it has changed. */
+  readonly onUsesHeld?: ((peer: PeerConnection, bytes: number) => void) | undefined;
 }
 
 /**
@@ -29,11 +34,12 @@
 export class SlotAnswers {
   readonly #options: SlotAnswersOptions;
   readonly #pools: ReadonlyMap<string, PoolEntry>;
-  readonly #peerUses = new PeerUses();
+  readonly #peerUses: PeerUses;
 
   constructor(options: SlotAnswersOptions) {
     this.#options = options;
     this.#pools = options.pools;
+    this.#peerUses = new PeerUses(options.onUsesHeld);
   }
 
   onAcquire(params: AcquireParams, peer: PeerConnection): AcquireReply {
@@ -41,7 +47,8 @@
     const pool = entry?.pool;
     if (entry?.leading !== true || pool === undefined) return { kind: 'not-leader' };
     const { id: requestId } = params.request;
-    this.#peerUses.record(peer, params.pool, requestId);
+    const { length } = JSON.stringify(params.request);
+    this.#peerUses.record(peer, { pool: params.pool, requestId }, length);
     let immediate: SlotDecision | undefined;
     let answered = false;
     pool.acquire(params.request, (decision) => {
@@ -80,14 +87,22 @@
     const entry = this.#pools.get(pool);
     const adopting = entry?.pool;
     if (entry === undefined || adopting === undefined) return;
-    entry.reportedMembers.add(member);
+    this.#recordReport(entry, member);
     for (const use of uses) {
-      this.#peerUses.record(peer, pool, use.requestId);
+      this.#peerUses.record(peer, { pool, requestId: use.requestId }, JSON.stringify(use).length);
       adopting.adoptUse(use);
     }
     this.checkUsesKnown(entry);
   }
 
+  /** A member may report before this node knows it. */
+  #recordReport({ reportedMembers }: PoolEntry, member: string): void {
+    const { cluster } = this.#options;
+    if (reportedMembers.size >= MAX_REPORTED_MEMBERS)
+      for (const id of reportedMembers) if (cluster.processOf(id) === undefined) reportedMembers.delete(id);
+    reportedMembers.add(member);
+  }
+
   /** Once all members have reported what they run, adapters may be evicted again. */
   checkUsesKnown({ pool, reportedMembers, leading }: PoolEntry): void {
     if (!leading) return;
--- a/packages/gateway/src/cluster/slot-protocol.ts
+++ b/packages/gateway/src/cluster/slot-protocol.ts
@@ -92,6 +92,8 @@
 const MAX_TIME_MS = 1e15;
 
 const text = z.string().max(MAX_TEXT_LENGTH);
+/** The membership protocol takes no longer ones. */
+const MAX_MEMBER_LENGTH = 256;
 const timeMs = z.number().min(-MAX_TIME_MS).max(MAX_TIME_MS);
 const tokens = z.number().min(0);
 
@@ -139,7 +141,7 @@
 /** Checks {@link UsesParams}. */
 export const usesParams = z.object({
   pool: text,
-  member: text,
+  member: z.string().max(MAX_MEMBER_LENGTH),
   uses: listOf(
     z
       .object({
--- a/packages/gateway/src/cluster/slot-service.ts
+++ b/packages/gateway/src/cluster/slot-service.ts
@@ -19,6 +19,7 @@
 import type { RejectionLimits } from '../backends/rejection-limits.js';
 import type { BackendPaths } from '../paths/backend-paths.js';
 import type { FleetPaths } from '../paths/fleet-paths.js';
+import type { PeerConnection } from '../peers/peer-connection.js';
 import type { Cluster } from './cluster.js';
 import { FormerLeader, type LeaderLiveness } from './former-leader.js';
 import { HANDOVER_MS, OrderPermission, type EngineFences } from './order-permission.js';
@@ -81,8 +82,7 @@
       pools: this.#pools,
       entry: (pool) => this.#entry(pool),
     });
-    const { fleet, cluster } = options;
-    this.answers = new SlotAnswers({ fleet, cluster, pools: this.#pools });
+    this.answers = new SlotAnswers({ ...options, pools: this.#pools });
     this.#permission = new OrderPermission({
       ...options,
       onStateUncertain: (reason) => {
@@ -432,4 +432,6 @@
   /** Mechanisms of the scheduling policy that are disabled, for measurements. */
   readonly switchedOff: DisabledMechanisms;
   readonly telemetry: Telemetry;
+  /** Called with the memory of what this node, as a leader, holds for a peer when it has changed. */
+  readonly onUsesHeld?: ((peer: PeerConnection, bytes: number) => void) | undefined;
 }
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -267,6 +267,7 @@
       switchedOff: settings.switchedOff,
       holder: { name: settings.nodeId, number: holderNumber(settings.ip) },
       telemetry,
+      onUsesHeld: (peer, bytes) => peer.holdUses(bytes),
     });
     this.#backendRates = new FleetQuotas({
       kind: BACKEND_RATES,
--- a/packages/gateway/src/peers/connection-budget.ts
+++ b/packages/gateway/src/peers/connection-budget.ts
@@ -5,6 +5,8 @@
   readonly onReceivedHeld: (bytes: number) => void;
   /** Memory of written messages that the peer has not read. The socket may be destroyed on return. */
   readonly onUnreadHeld: (bytes: number) => void;
+  /** Memory of slots that the peer waits for or uses. The socket may be destroyed on return. */
+  readonly onUsesHeld: (bytes: number) => void;
 }
 
 /** No message of a peer that this node called is longer; the longest are lists of backends. */
@@ -15,4 +17,5 @@
   maxLineBytes: MAX_ANSWER_LINE_BYTES,
   onReceivedHeld: () => undefined,
   onUnreadHeld: () => undefined,
+  onUsesHeld: () => undefined,
 };
--- a/packages/gateway/src/peers/peer-connection.ts
+++ b/packages/gateway/src/peers/peer-connection.ts
@@ -161,6 +161,11 @@
     this.#socket.destroy();
   }
 
+  /** Reports the memory of what this node holds for the peer until the peer releases it, or the connection ends. */
+  holdUses(bytes: number): void {
+    if (!this.#socket.destroyed) this.#budget.onUsesHeld(bytes);
+  }
+
   /** How long the peer has taken nothing of what waits to be sent to it, in milliseconds; 0 if nothing waits. */
   get unreadMs(): number {
     return this.#readProgress.stalledMs(performance.now());
--- a/packages/gateway/src/peers/peer-limits.ts
+++ b/packages/gateway/src/peers/peer-limits.ts
@@ -4,6 +4,8 @@
   readonly receivedBytes: number;
   /** Memory for answers that the peers of all incoming connections together have not read. */
   readonly unreadBytes: number;
+  /** Memory for slots that peers wait for or use that are no members. */
+  readonly usesBytes: number;
   /** Connections that others have open to this node. */
   readonly maxConnections: number;
   /** Time within which something has to come on a new connection. */
@@ -15,6 +17,7 @@
 /** Shares of the memory of the process. */
 const RECEIVED_SHARE = 0.04;
 const UNREAD_SHARE = 0.08;
+const USES_SHARE = 0.1;
 /** Lower bounds, so that one connection never meets a limit alone. */
 const MIN_RECEIVED_BYTES = 2 * 1024 * 1024;
 /** The longest answer, beside as much as may wait when it is written: see `maySendLarge`. */
@@ -37,6 +40,7 @@
   return {
     receivedBytes: Math.max(memoryBytes * RECEIVED_SHARE, MIN_RECEIVED_BYTES),
     unreadBytes: Math.max(memoryBytes * UNREAD_SHARE, MIN_UNREAD_BYTES),
+    usesBytes: memoryBytes * USES_SHARE,
     maxConnections: Math.min(MAX_CONNECTIONS, Math.floor(descriptors * DESCRIPTORS_SHARE)),
     firstByteMs: FIRST_BYTE_MS,
     readMs: READ_MS,
--- a/packages/gateway/src/peers/peer-network.ts
+++ b/packages/gateway/src/peers/peer-network.ts
@@ -46,6 +46,9 @@
   readonly #received: HeldBytes<Socket>;
   /** Memory of what was written to incoming connections and is not read. */
   readonly #unread: HeldBytes<Socket>;
+  /** Memory of slots that peers other than members wait for or use. */
+  readonly #uses: HeldBytes<Socket>;
+  readonly #isTrusted: (socket: Socket) => boolean;
   /** Counts what is sent to all peers together. */
   readonly traffic = new PeerTraffic();
   readonly #onClose: (peer: PeerConnection) => void;
@@ -78,6 +81,8 @@
     this.#incoming = new IncomingConnections({ ...limits, isMember: isTrusted });
     this.#received = new HeldBytes(limits.receivedBytes, isTrusted);
     this.#unread = new HeldBytes(limits.unreadBytes, isTrusted);
+    this.#uses = new HeldBytes(limits.usesBytes, isTrusted);
+    this.#isTrusted = isTrusted;
     this.#server = server.on('connection', (socket: Socket) => this.#accept(socket));
     this.#events = new LimitedEvents(telemetry, CLOCK);
     this.#onHttp = onHttp;
@@ -139,6 +144,7 @@
       this.#incoming.remove(socket);
       this.#received.remove(socket);
       this.#unread.remove(socket);
+      this.#uses.remove(socket);
       this.#callers.delete(socket);
     });
     socket.on('error', () => undefined);
@@ -186,6 +192,9 @@
         maxLineBytes: MAX_CALL_LINE_BYTES,
         onReceivedHeld: (bytes) => this.#giveWay('received', this.#received.set(socket, bytes)),
         onUnreadHeld: (bytes) => this.#giveWay('unread', this.#unread.set(socket, bytes)),
+        // Members queue as much as their clients send: their connections are never closed for it.
+        onUsesHeld: (bytes) =>
+          this.#giveWay('uses', this.#uses.set(socket, this.#isTrusted(socket) ? 0 : bytes)),
       },
     );
     this.#callers.set(socket, connection);
--- a/packages/gateway/test/peer-crowds.test.ts
+++ b/packages/gateway/test/peer-crowds.test.ts
@@ -19,18 +19,27 @@
   readonly open: () => Promise<Socket>;
 }
 
-async function startNetwork(t: ExecutionContext, limits: Partial<PeerLimits>): Promise<Setup> {
+async function startNetwork(
+  t: ExecutionContext,
+  limits: Partial<PeerLimits>,
+  isMember = false,
+): Promise<Setup> {
   const lines: string[] = [];
   const event = (level: string, name: string, subject: string): number =>
     lines.push(`${level} ${name} ${subject}`);
   const network = new PeerNetwork(
-    { echo: (params) => params, never: () => new Promise(() => undefined) },
+    {
+      echo: (params) => params,
+      never: () => new Promise(() => undefined),
+      hold: (bytes, peer) => peer.holdUses(Number(bytes)),
+    },
     () => undefined,
     () => undefined,
     () => undefined,
     { event },
     undefined,
     { ...DEFAULT_PEER_LIMITS, ...limits },
+    () => isMember,
   );
   t.teardown(() => network.close());
   const bound = await network.listen({ host: LOOPBACK, port: 0 });
@@ -133,3 +142,18 @@
   while (network.traffic.waitingBytes > 0) await setTimeout(POLL_MS); // until the node has seen the end, too
   t.is(await network.to(address).call('echo', 'x', CALL_TIMEOUT_MS), 'x');
 });
+
+test('a connection for which too many slots are held is closed, unless it is of a member', async (t) => {
+  const { lines, open } = await startNetwork(t, { usesBytes: 1000 });
+  const [more, less] = [(await open()).resume(), (await open()).resume()];
+  const closed = closing(more);
+  more.write('{"jsonrpc":"2.0","method":"hold","params":600}\n');
+  less.write('{"jsonrpc":"2.0","method":"hold","params":500}\n');
+  await closed;
+  t.deepEqual(lines, ['warn peer.gave-way uses']);
+  const members = await startNetwork(t, { usesBytes: 1000 }, true);
+  const connection = members.network.to(members.address);
+  connection.notify('hold', 2000);
+  t.is(await connection.call('echo', 'x', CALL_TIMEOUT_MS), 'x');
+  t.deepEqual(members.lines, []);
+});
