A home of quotas remembers a bounded number of borrowers

A home kept the name of each node that ever borrowed of a subject, and looked through all names of the last seconds for each loan. The name comes with the call: a stranger that makes up names of up to 1 KB fills the memory, and makes each loan slower.

The 1,024 nodes that asked last are remembered for each subject; the largest fleet has 370.

--- a/packages/admission/src/quota/quota-lender.ts
+++ b/packages/admission/src/quota/quota-lender.ts
@@ -54,6 +54,8 @@
  * dropped first.
  */
 const MAX_SUBJECTS = 1024;
+/** Nodes that are remembered by subject. */
+const MAX_BORROWERS = 1024;
 
 interface Account {
   readonly bucket: UnitBucket;
@@ -113,8 +115,11 @@
     const { subject, needed, ahead, returned, demand, share } = request;
     const account = this.#account(subject, rule);
     const nowMs = this.#options.clock.now();
+    account.demands.delete(borrower); // so that the one that asked last is the last
     account.demands.set(borrower, { perSecond: demand, atMs: nowMs });
     if (!account.previousShares.has(borrower)) account.previousShares.set(borrower, share);
+    dropOldest(account.demands);
+    dropOldest(account.previousShares);
     const reachableShare = this.#reachableShare(account, nowMs);
     account.bucket.add(Math.max(returned, 0));
     let granted = 0;
@@ -191,6 +196,12 @@
   }
 }
 
+/** Callers choose their names. */
+function dropOldest(byBorrower: Map<string, unknown>): void {
+  const oldest = byBorrower.keys().next();
+  if (byBorrower.size > MAX_BORROWERS && oldest.done !== true) byBorrower.delete(oldest.value);
+}
+
 /**
  * Sum of the shares set by the previous home; 1 if no node was given a share, since then nothing was lent
  * before.
