--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -75,6 +75,8 @@
 import { routeChanges } from './cluster/route-changes.js';
 import type { GatewayOptions } from './gateway-settings.js';
 import { GatewayMetrics } from './gateway-metrics.js';
+import { descriptorLimit } from './peers/descriptor-limit.js';
+import { peerLimits } from './peers/peer-limits.js';
 import { PeerNetwork } from './peers/peer-network.js';
 import type { PeerMethods } from './peers/peer-connection.js';
 import { PeerParams } from './peers/peer-params.js';
@@ -184,6 +186,8 @@
       (socket) => this.#relayServer.accept(socket),
       telemetry,
       peers,
+      peerLimits(settings.memoryBytes, descriptorLimit()),
+      (host) => this.#cluster.hasMemberAt(host),
     );
     this.#cluster = new Cluster({
       nodeId: settings.nodeId,
@@ -276,6 +280,7 @@
       switchedOff: settings.switchedOff,
       holder: { name: settings.nodeId, number: holderNumber(settings.ip) },
       telemetry,
+      onUsesHeld: (peer, bytes) => peer.holdUses(bytes),
     });
     this.#backendRates = new FleetQuotas({
       kind: BACKEND_RATES,
