--- a/packages/node/test/crowds/bodies.test.ts
+++ b/packages/node/test/crowds/bodies.test.ts
@@ -25,6 +25,7 @@
   const node = await CrowdedNode.start(t, { nodeFlags: NODE_FLAGS, backEnds: [answerAtOnce] });
   await sendUnfinished(t, node, LARGE);
   t.is(await node.call(), 200);
+  t.log(`${node.residentPeakBytes} bytes at the peak`);
   t.true(node.residentPeakBytes < MACHINE_BYTES, `${node.residentPeakBytes} bytes`);
 });
 
@@ -35,6 +36,7 @@
     const node = await CrowdedNode.start(t, { nodeFlags: NODE_FLAGS, backEnds: [answerAtOnce] });
     await sendUnfinished(t, node, TINY);
     t.is(await node.call(), 200);
+    t.log(`${node.residentPeakBytes} bytes at the peak`);
     t.true(node.residentPeakBytes < MACHINE_BYTES, `${node.residentPeakBytes} bytes`);
   },
 );
--- a/packages/node/test/crowds/connections.test.ts
+++ b/packages/node/test/crowds/connections.test.ts
@@ -18,7 +18,9 @@
     for (let opened = 0; opened < CLIENTS; opened += AT_A_TIME)
       await Promise.all(Array.from({ length: AT_A_TIME }, () => crowd.open(node[door])));
     t.is(await node.call(), 200);
+    t.log(`${node.openDescriptors} descriptors`);
     t.true(node.openDescriptors < MACHINE_DESCRIPTORS, `${node.openDescriptors} descriptors`);
+    t.log(`${node.residentPeakBytes} bytes at the peak`);
     t.true(node.residentPeakBytes < MACHINE_BYTES, `${node.residentPeakBytes} bytes`);
   });
 }
--- a/packages/node/test/crowds/slow-readers.test.ts
+++ b/packages/node/test/crowds/slow-readers.test.ts
@@ -53,6 +53,7 @@
     );
   await settled(() => backEnds.reduce((total, { open }) => total + open, 0));
   t.is(await node.call(), 200);
+  t.log(`${node.residentPeakBytes} bytes at the peak`);
   t.true(node.residentPeakBytes < MACHINE_BYTES, `${node.residentPeakBytes} bytes`);
 });
 
@@ -71,5 +72,6 @@
   crowd.leave();
   await waitUntil(t, 'no request is left at the back end', () => backEnd.open === 0);
   t.is(await node.call(), 200);
+  t.log(`${node.residentPeakBytes} bytes at the peak`);
   t.true(node.residentPeakBytes < MACHINE_BYTES, `${node.residentPeakBytes} bytes`);
 });
