A budget for the bodies of all requests of a node of the product

Cause: each body was bounded, all of them together were not, and an unfinished one was kept for as long as its connection was open. Change: limits.bodiesMb (48) bounds what all bodies hold, counted as the capacity of their segments. If it is used up, the unfinished body that has received no 4 KiB for longest gives way (503 overloaded, not executed, retry-after 1, connection closed); if only bodies of running requests are left, the newcomer is refused in the same way. What a body holds is freed when its handler has ended, however it did. MemoryBudget decides, without a network. One line a second each: body.gave-way, body.refused.

Excluded: to reserve the announced length, as a stranger would take a MiB with one line; a time limit for bodies, which a crowd that comes anew undercuts.

--- a/packages/node/src/http/caller-server.ts
+++ b/packages/node/src/http/caller-server.ts
@@ -5,13 +5,13 @@
 import { Hono } from 'hono';
 import type { Directory } from '../requests/directory.js';
 import type { RequestService } from '../requests/request-service.js';
-import { handleExchange, startExchange, type Handler } from './exchange.js';
+import { handleExchange, startExchange, type ExchangeLimits, type Handler } from './exchange.js';
 import { writeProblem } from './response-sink.js';
 
 export interface CallerServerOptions {
   readonly requests: RequestService;
   readonly directory: Directory;
-  readonly bodyLimit: () => number;
+  readonly limits: ExchangeLimits;
   readonly telemetry: Pick<Telemetry, 'event'>;
   /** Requests are refused in state `closed`; the readiness check succeeds only in state `ready`. */
   readonly state: () => 'starting' | 'ready' | 'draining' | 'closed';
@@ -38,7 +38,7 @@
       writeProblem(response, problem('stopping', 'no', { retryAfterSeconds: 1 }));
       return;
     }
-    startExchange(telemetry, response, () => handleExchange(request, response, options.bodyLimit(), handler));
+    startExchange(telemetry, response, () => handleExchange(request, response, options.limits, handler));
   };
 }
 
--- a/packages/node/src/http/exchange.ts
+++ b/packages/node/src/http/exchange.ts
@@ -3,6 +3,7 @@
 import { errorFields, runInBackground, type Telemetry } from '@canvasridge/telemetry';
 import type { InboundRequest, RequestEnd } from '../requests/inbound.js';
 import { readBody } from './body.js';
+import type { MemoryBudget } from './memory-budget.js';
 import { ResponseSink, writeProblem, type BreakStyle } from './response-sink.js';
 
 /** Handles one request and writes the response to `sink`. */
@@ -27,6 +28,14 @@
   });
 }
 
+/** What bounds the exchanges of all doors of a node. */
+export interface ExchangeLimits {
+  /** Largest body, in bytes. */
+  readonly bodyLimit: () => number;
+  /** Memory for all bodies together. */
+  readonly bodies: MemoryBudget;
+}
+
 /**
  * Handles one HTTP exchange, from reading the request body to the end of the response. It uses `node:http`
  * directly because a response through web streams costs more than all other processing of a request
@@ -35,7 +44,7 @@
 export async function handleExchange(
   request: IncomingMessage,
   response: ServerResponse,
-  bodyLimit: number,
+  limits: ExchangeLimits,
   handler: Handler,
   onBreak: BreakStyle = 'tell',
 ): Promise<void> {
@@ -43,7 +52,7 @@
   response.on('close', () => {
     if (!response.writableFinished) disconnected.abort();
   });
-  const body = await readBody(request, bodyLimit);
+  const body = await readBody(request, limits.bodyLimit(), limits.bodies);
   if (body.isErr()) {
     response.setHeader('connection', 'close');
     writeProblem(response, body.error);
@@ -53,8 +62,12 @@
     method: request.method ?? 'GET',
     path: request.url ?? '/',
     headers: request.headers as Record<string, string | undefined>,
-    body: body.value,
+    body: body.value.bytes,
   };
   const sink = new ResponseSink(response, onBreak);
-  sink.finish(await handler(inbound, sink, disconnected.signal));
+  try {
+    sink.finish(await handler(inbound, sink, disconnected.signal));
+  } finally {
+    body.value.release();
+  }
 }
--- a/packages/node/src/http/peer-server.ts
+++ b/packages/node/src/http/peer-server.ts
@@ -8,14 +8,14 @@
 import type { AdminService } from '../control/admin-service.js';
 import type { ForwardHandler } from '../requests/forward-handler.js';
 import { problemResponse } from './caller-server.js';
-import { handleExchange, startExchange, type Handler } from './exchange.js';
+import { handleExchange, startExchange, type ExchangeLimits, type Handler } from './exchange.js';
 import { writeProblem } from './response-sink.js';
 
 export interface PeerServerOptions {
   readonly rpc: PeerRpcServer;
   readonly forward: ForwardHandler;
   readonly admin: AdminService;
-  readonly bodyLimit: () => number;
+  readonly limits: ExchangeLimits;
   readonly telemetry: Pick<Telemetry, 'event'>;
   readonly peerKey: string;
   readonly adminKey: string;
@@ -40,7 +40,7 @@
     const { forward } = options;
     const handler: Handler = (inbound, sink, signal) => forward.handle(inbound, sink, signal);
     startExchange(telemetry, response, () =>
-      handleExchange(request, response, options.bodyLimit(), handler, 'cut'),
+      handleExchange(request, response, options.limits, handler, 'cut'),
     );
   };
 }
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -23,12 +23,15 @@
 } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import { callerListener } from './http/caller-server.js';
+import type { ExchangeLimits } from './http/exchange.js';
+import { MemoryBudget } from './http/memory-budget.js';
 import { peerListener } from './http/peer-server.js';
 import { EntryNode } from './node.js';
 import type { NodeSettings } from './settings.js';
 import { bindNodeSockets } from './sockets.js';
 
 const MS_PER_SECOND = 1000;
+const BYTES_PER_MB = 1024 * 1024;
 /** Length of the random token that distinguishes a node's process from earlier ones with the same node id. */
 const PROCESS_TOKEN_BYTES = 6;
 
@@ -103,12 +106,16 @@
       newEngineClient: (engine) => new HttpEngineClient(engine.url, agent),
     },
   });
+  const limits: ExchangeLimits = {
+    bodyLimit: () => node.bodyLimit,
+    bodies: newBodyBudget(settings, events),
+  };
   callerServer.on(
     'request',
     callerListener({
       requests: node.requests,
       directory: node.directory,
-      bodyLimit: () => node.bodyLimit,
+      limits,
       telemetry,
       state: () => node.state,
     }),
@@ -119,7 +126,7 @@
       rpc: node.rpc,
       forward: node.forwardHandler,
       admin: node.admin,
-      bodyLimit: () => node.bodyLimit,
+      limits,
       telemetry,
       peerKey: settings.peerKey,
       adminKey: settings.adminKey,
@@ -158,6 +165,16 @@
     : new StatsdMetrics(statsd.host, statsd.port, settings.node.id);
 }
 
+function newBodyBudget({ limits }: NodeSettings, events: LimitedEvents): MemoryBudget {
+  return new MemoryBudget({
+    limitBytes: limits.bodiesMb * BYTES_PER_MB,
+    onGivenWay: (heldBytes, { usedBytes, limitBytes }) =>
+      events.event('warn', 'body.gave-way', 'bodies', { heldBytes, usedBytes, limitBytes }),
+    onRefused: (neededBytes, { usedBytes, limitBytes }) =>
+      events.event('warn', 'body.refused', 'bodies', { neededBytes, usedBytes, limitBytes }),
+  });
+}
+
 function closeServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
     server.close(() => resolve());
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -31,6 +31,13 @@
   statsd: z.strictObject({ host: z.string(), port: z.int().min(1).max(65_535) }).optional(),
   /** Time within which the addresses have to become free if others use them at the start, in seconds. */
   startTimeoutSeconds: z.number().positive().default(DEFAULT_START_TIMEOUT_SECONDS),
+  /** What clients may take of the machine together. */
+  limits: z
+    .strictObject({
+      /** Memory for bodies of requests that are being received or run, in MB. */
+      bodiesMb: z.number().positive().default(48),
+    })
+    .prefault({}),
   drain: z
     .strictObject({
       /** How long a stopping node still accepts requests, in seconds. */
