One request at a time on each connection of a node of the product

Found by reading and by a crowd that pipelines requests and leaves.

Cause: Node.js passes on all requests of a connection as they arrive. The response of each behind the first has no socket: what is written to it is queued, and neither 'drain' nor 'close' comes when the client leaves. The work for it, its body and a connection to its back end stayed for as long as the process.

Change: requests of a connection are passed on one at a time, each when the answer before it has been sent, so each has its socket while it runs. Those that wait (at most 64; more close the connection) count against limits.bodiesMb, and the connection whose requests have waited longest gives way. Requests that waited when a connection ends are dropped and have not run.

Excluded: to pause the connection while requests wait, as its end would then not be seen either. Open: a request that waits with a body of more than the parser's buffer stops the reading, and the end of its connection is seen only when the one before writes or ends.

--- a/packages/node/src/http/caller-server.ts
+++ b/packages/node/src/http/caller-server.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import { getRequestListener } from '@hono/node-server';
 import { problem, type Problem } from '@canvasridge/domain';
 import type { Telemetry } from '@canvasridge/telemetry';
@@ -6,6 +6,7 @@
 import type { Directory } from '../requests/directory.js';
 import type { RequestService } from '../requests/request-service.js';
 import { handleExchange, startExchange, type ExchangeLimits, type Handler } from './exchange.js';
+import type { Listener } from './request-order.js';
 import { writeProblem } from './response-sink.js';
 
 export interface CallerServerOptions {
@@ -17,8 +18,6 @@
   readonly state: () => 'starting' | 'ready' | 'draining' | 'closed';
 }
 
-type Listener = (request: IncomingMessage, response: ServerResponse) => void;
-
 /**
  * HTTP listener for callers. Generation, service and stream requests bypass Hono, because its web streams
  * cost too much (see {@link handleExchange}); Hono handles all others.
--- a/packages/node/src/http/peer-server.ts
+++ b/packages/node/src/http/peer-server.ts
@@ -1,5 +1,4 @@
 import { timingSafeEqual } from 'node:crypto';
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import { getRequestListener } from '@hono/node-server';
 import { Header, problem } from '@canvasridge/domain';
 import type { PeerRpcServer } from '@canvasridge/membership';
@@ -9,6 +8,7 @@
 import type { ForwardHandler } from '../requests/forward-handler.js';
 import { problemResponse } from './caller-server.js';
 import { handleExchange, startExchange, type ExchangeLimits, type Handler } from './exchange.js';
+import type { Listener } from './request-order.js';
 import { writeProblem } from './response-sink.js';
 
 export interface PeerServerOptions {
@@ -21,8 +21,6 @@
   readonly adminKey: string;
 }
 
-type Listener = (request: IncomingMessage, response: ServerResponse) => void;
-
 /** HTTP listener for peers (JSON-RPC and forwarded requests) and operators (`/admin/...`). */
 export function peerListener(options: PeerServerOptions): Listener {
   const app = peerApplication(options);
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -26,6 +26,7 @@
 import type { ExchangeLimits } from './http/exchange.js';
 import { MemoryBudget } from './http/memory-budget.js';
 import { peerListener } from './http/peer-server.js';
+import { oneAtATime, type Listener } from './http/request-order.js';
 import { EntryNode } from './node.js';
 import type { NodeSettings } from './settings.js';
 import { bindNodeSockets } from './sockets.js';
@@ -110,8 +111,13 @@
     bodyLimit: () => node.bodyLimit,
     bodies: newBodyBudget(settings, events),
   };
-  callerServer.on(
-    'request',
+  const serve = (door: string, server: Server, listener: Listener): void => {
+    const onTooMany = (): void => events.event('warn', 'connection.too-many-requests', door, {});
+    server.on('request', oneAtATime(listener, { budget: limits.bodies, onTooMany }));
+  };
+  serve(
+    'callers',
+    callerServer,
     callerListener({
       requests: node.requests,
       directory: node.directory,
@@ -120,8 +126,9 @@
       state: () => node.state,
     }),
   );
-  peerServer.on(
-    'request',
+  serve(
+    'peers',
+    peerServer,
     peerListener({
       rpc: node.rpc,
       forward: node.forwardHandler,
