A bound on the connections at each door of a node of the product

Found by reading and by a crowd of silent connections.

Cause: nothing bounded connections. A crowd that opens more than the process has descriptors leaves none for engines, files and other callers, until the time-outs of Node.js (60 s for headers, 300 s for a body) end them.

Beyond them one on which no request runs is closed for a newcomer: first those that have had no request answered, of each the one that has received nothing for longest, so that a crowd takes turns with itself and kept connections of callers stay. If requests run on all, the newcomer is closed. One line a second each: connection.gave-way, connection.refused.

Excluded: server.maxConnections, which refuses newcomers and so ordinary callers while the crowd stays.

--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -23,6 +23,7 @@
 } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import { callerListener } from './http/caller-server.js';
+import { limitConnections } from './http/connection-limit.js';
 import type { ExchangeLimits } from './http/exchange.js';
 import { MemoryBudget } from './http/memory-budget.js';
 import { peerListener } from './http/peer-server.js';
@@ -111,13 +112,15 @@
     bodyLimit: () => node.bodyLimit,
     bodies: newBodyBudget(settings, events),
   };
-  const serve = (door: string, server: Server, listener: Listener): void => {
+  const serve = (door: string, server: Server, connections: number, listener: Listener): void => {
+    limitConnections(server, connections, door, events);
     const onTooMany = (): void => events.event('warn', 'connection.too-many-requests', door, {});
     server.on('request', oneAtATime(listener, { budget: limits.bodies, onTooMany }));
   };
   serve(
     'callers',
     callerServer,
+    settings.limits.callerConnections,
     callerListener({
       requests: node.requests,
       directory: node.directory,
@@ -129,6 +132,7 @@
   serve(
     'peers',
     peerServer,
+    settings.limits.peerConnections,
     peerListener({
       rpc: node.rpc,
       forward: node.forwardHandler,
--- /dev/null
+++ b/packages/node/test/connection-limit.test.ts
@@ -0,0 +1,49 @@
+/** The bound on connections at an HTTP server. */
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import { connect, type AddressInfo, type Socket } from 'node:net';
+import type { LimitedEvents } from '@canvasridge/telemetry';
+import test, { type ExecutionContext } from 'ava';
+import { limitConnections } from '../src/http/connection-limit.js';
+
+const LIMIT = 3;
+
+async function startServer(t: ExecutionContext): Promise<{ events: string[]; open: () => Promise<Socket> }> {
+  const events: string[] = [];
+  const server = createServer((_request, response) => response.end('done'));
+  const log: Pick<LimitedEvents, 'event'> = { event: (_level, name) => events.push(name) };
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  limitConnections(server, LIMIT, 'callers', log);
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const { port } = server.address() as AddressInfo;
+  const open = async (): Promise<Socket> => {
+    const socket = connect(port, '127.0.0.1').on('error', () => undefined);
+    t.teardown(() => socket.destroy());
+    await once(socket, 'connect');
+    return socket;
+  };
+  return { events, open };
+}
+
+async function answerOn(socket: Socket): Promise<string> {
+  socket.write('GET / HTTP/1.1\r\nhost: h\r\n\r\n');
+  const [part] = (await once(socket, 'data')) as [Buffer];
+  return part.toString();
+}
+
+// A crowd of silent connections could take all descriptors.
+test('a connection that is kept after an answer stays when silent ones come, and those give way', async (t) => {
+  const { events, open } = await startServer(t);
+  const kept = await open();
+  t.regex(await answerOn(kept), /^HTTP\/1\.1 200 /);
+  const silent = [await open(), await open()];
+  const closed = once(silent[0] as Socket, 'close');
+  t.regex(await answerOn(await open()), /^HTTP\/1\.1 200 /);
+  await closed;
+  t.deepEqual(events, ['connection.gave-way']);
+  t.regex(await answerOn(kept), /^HTTP\/1\.1 200 /);
+});
