Errors in accepting connections don't end a node of the product

Found by reading, not seen in a run of the process: Node.js reports an accept that failed (EMFILE, ENFILE, ENOBUFS, ENOMEM) as 'error' of the server. The handler that waits for errors of the start heard the first one and was gone; a second one had no handler and ended the process.

Change: from the start on, the error is logged as connection.accept-failed, at most one line a second.

--- a/packages/node/src/http/connection-limit.ts
+++ b/packages/node/src/http/connection-limit.ts
@@ -1,12 +1,13 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { LimitedEvents } from '@canvasridge/telemetry';
+import { errorFields, type LimitedEvents } from '@canvasridge/telemetry';
 import { ConnectionTable } from './connection-table.js';
 
 const FIRST_ERROR_STATUS = 400;
 
 /**
- * Bounds the connections of a server. One line a second for each kind: `connection.gave-way`, `connection.refused`.
+ * Bounds the connections of a server, and keeps errors in accepting some from ending the process. One line a second for
+ * each kind: `connection.gave-way`, `connection.refused`, `connection.accept-failed`.
  * @param door the setting with the server's address, for log lines
  */
 export function limitConnections(
@@ -36,4 +37,5 @@
       table.responseSent(socket, !response.writableFinished || response.statusCode >= FIRST_ERROR_STATUS),
     );
   });
+  server.on('error', (cause) => events.event('error', 'connection.accept-failed', door, errorFields(cause)));
 }
--- a/packages/node/test/connection-limit.test.ts
+++ b/packages/node/test/connection-limit.test.ts
@@ -1,6 +1,6 @@
 /** The bound on connections at an HTTP server. */
 import { once } from 'node:events';
-import { createServer } from 'node:http';
+import { createServer, type Server } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import type { LimitedEvents } from '@canvasridge/telemetry';
 import test, { type ExecutionContext } from 'ava';
@@ -8,7 +8,9 @@
 
 const LIMIT = 3;
 
-async function startServer(t: ExecutionContext): Promise<{ events: string[]; open: () => Promise<Socket> }> {
+async function startServer(
+  t: ExecutionContext,
+): Promise<{ server: Server; events: string[]; open: () => Promise<Socket> }> {
   const events: string[] = [];
   const server = createServer((_request, response) => response.end('done'));
   const log: Pick<LimitedEvents, 'event'> = { event: (_level, name) => events.push(name) };
@@ -26,7 +28,7 @@
     await once(socket, 'connect');
     return socket;
   };
-  return { events, open };
+  return { server, events, open };
 }
 
 async function answerOn(socket: Socket): Promise<string> {
@@ -47,3 +49,11 @@
   t.deepEqual(events, ['connection.gave-way']);
   t.regex(await answerOn(kept), /^HTTP\/1\.1 200 /);
 });
+
+// An error of the listening socket that nothing hears ends the process.
+test('a server that could not accept a connection goes on', async (t) => {
+  const { server, events, open } = await startServer(t);
+  for (const code of ['EMFILE', 'ENFILE']) server.emit('error', Object.assign(new Error('accept'), { code }));
+  t.deepEqual(events, ['connection.accept-failed', 'connection.accept-failed']);
+  t.regex(await answerOn(await open()), /^HTTP\/1\.1 200 /);
+});
