A budget for what waits for slow readers of a node of the product

Cause: each answer waits for its client, but some 200 KB of it are held meanwhile (the part being written, and what the paused connection to the back end has read ahead), without a bound over all clients.

Change: limits.unsentAnswersMb (48) bounds what waits. Counted are what the response has not sent and 128 KiB for the paused connection. If it is used up, the connection whose client has kept its answer waiting for longest is closed. One line a second: answer.gave-way.

Excluded: a time limit for slow readers, which a crowd undercuts by reading a little. Open: of two that wait, one that reads slowly is not told from one that reads nothing until all that waits for it has been sent.

--- a/packages/node/src/http/exchange.ts
+++ b/packages/node/src/http/exchange.ts
@@ -34,6 +34,8 @@
   readonly bodyLimit: () => number;
   /** Memory for all bodies together. */
   readonly bodies: MemoryBudget;
+  /** Memory for what waits for slow readers of answers. */
+  readonly unsentAnswers: MemoryBudget;
 }
 
 /**
@@ -64,7 +66,7 @@
     headers: request.headers as Record<string, string | undefined>,
     body: body.value.bytes,
   };
-  const sink = new ResponseSink(response, onBreak);
+  const sink = new ResponseSink(response, onBreak, limits.unsentAnswers);
   try {
     sink.finish(await handler(inbound, sink, disconnected.signal));
   } finally {
--- a/packages/node/src/http/response-sink.ts
+++ b/packages/node/src/http/response-sink.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from 'node:http';
 import type { Problem, StreamSink } from '@canvasridge/domain';
 import type { RequestEnd } from '../requests/inbound.js';
+import type { MemoryBudget, MemoryHolder } from './memory-budget.js';
 
 /** Headers that apply to a single connection (RFC 9110, section 7.6.1) or that this server sets itself. */
 const DROPPED_HEADERS: ReadonlySet<string> = new Set([
@@ -13,20 +14,34 @@
   'date',
 ]);
 
+/**
+ * What the connection to the back end holds of an answer while it is paused: the part that was being read and what the
+ * socket has read ahead.
+ */
+const PAUSED_SOURCE_BYTES = 131_072;
+
 /**
  * How a response that fails after its start is ended. `tell`, for callers, sends an `error` event if the
  * response is an event stream. `cut`, for peers, closes the connection, so that the peer resumes the stream.
  */
 export type BreakStyle = 'tell' | 'cut';
 
-/** Writes a response to an HTTP connection. */
+/**
+ * Writes a response to an HTTP connection. What its client has not taken counts against a budget; if that is used up, the
+ * connection that has waited longest for its client is closed.
+ */
 export class ResponseSink implements StreamSink {
   readonly #response: ServerResponse;
   readonly #onBreak: BreakStyle;
+  readonly #unsent: MemoryBudget;
+  #holder: MemoryHolder | undefined;
 
-  constructor(response: ServerResponse, onBreak: BreakStyle) {
+  constructor(response: ServerResponse, onBreak: BreakStyle, unsent: MemoryBudget) {
     this.#response = response;
     this.#onBreak = onBreak;
+    this.#unsent = unsent;
+    response.on('drain', () => this.#freeUnsent());
+    response.on('close', () => this.#freeUnsent());
   }
 
   start(status: number, headers: Readonly<Record<string, string>>): void {
@@ -40,7 +55,12 @@
   }
 
   write(chunk: Uint8Array): boolean {
-    return this.#response.write(chunk);
+    const response = this.#response;
+    if (response.write(chunk)) return true;
+    if (response.destroyed) return false;
+    this.#holder ??= this.#unsent.open(() => response.destroy());
+    if (!this.#holder.resize(response.writableLength + PAUSED_SOURCE_BYTES)) response.destroy();
+    return false;
   }
 
   /** Also resolves when the connection closes, so that no writer waits forever. */
@@ -58,6 +78,11 @@
     });
   }
 
+  #freeUnsent(): void {
+    this.#holder?.release();
+    this.#holder = undefined;
+  }
+
   /** Ends the response according to how the request ended. */
   finish(end: RequestEnd): void {
     const response = this.#response;
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -110,7 +110,8 @@
   });
   const limits: ExchangeLimits = {
     bodyLimit: () => node.bodyLimit,
-    bodies: newBodyBudget(settings, events),
+    bodies: newBudget('body', settings.limits.bodiesMb, events),
+    unsentAnswers: newBudget('answer', settings.limits.unsentAnswersMb, events),
   };
   const serve = (door: string, server: Server, connections: number, listener: Listener): void => {
     limitConnections(server, connections, door, events);
@@ -176,13 +177,14 @@
     : new StatsdMetrics(statsd.host, statsd.port, settings.node.id);
 }
 
-function newBodyBudget({ limits }: NodeSettings, events: LimitedEvents): MemoryBudget {
+/** @param name of what the memory is for, in events */
+function newBudget(name: 'body' | 'answer', limitMb: number, events: LimitedEvents): MemoryBudget {
   return new MemoryBudget({
-    limitBytes: limits.bodiesMb * BYTES_PER_MB,
+    limitBytes: limitMb * BYTES_PER_MB,
     onGivenWay: (heldBytes, { usedBytes, limitBytes }) =>
-      events.event('warn', 'body.gave-way', 'bodies', { heldBytes, usedBytes, limitBytes }),
+      events.event('warn', `${name}.gave-way`, 'http', { heldBytes, usedBytes, limitBytes }),
     onRefused: (neededBytes, { usedBytes, limitBytes }) =>
-      events.event('warn', 'body.refused', 'bodies', { neededBytes, usedBytes, limitBytes }),
+      events.event('warn', `${name}.refused`, 'http', { neededBytes, usedBytes, limitBytes }),
   });
 }
 
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -36,6 +36,8 @@
     .strictObject({
       /** Memory for bodies of requests that are being received or run, in MB. */
       bodiesMb: z.number().positive().default(48),
+      /** Memory for parts of answers that wait for slow readers, in MB. */
+      unsentAnswersMb: z.number().positive().default(48),
       /** Connections of callers. */
       callerConnections: z.int().min(1).default(1800),
       /** Connections of peers and operators. */
--- a/packages/node/test/body-budget.test.ts
+++ b/packages/node/test/body-budget.test.ts
@@ -17,9 +17,10 @@
   handler: Handler,
 ): Promise<{ url: string; port: number; bodies: MemoryBudget }> {
   const bodies = new MemoryBudget({ limitBytes: BUDGET_BYTES });
+  const unsentAnswers = new MemoryBudget({ limitBytes: Infinity });
   const server = createServer((incoming, outgoing) =>
     startExchange({ event: () => undefined }, outgoing, () =>
-      handleExchange(incoming, outgoing, { bodyLimit: () => BUDGET_BYTES, bodies }, handler),
+      handleExchange(incoming, outgoing, { bodyLimit: () => BUDGET_BYTES, bodies, unsentAnswers }, handler),
     ),
   );
   server.listen(0, '127.0.0.1');
