Keys of callers are checked before bodies are read at a node of the product

Found by reading: a caller's key was checked when the whole body had arrived, so strangers without a key could hold memory for bodies and make unfinished bodies of callers give way.

Change: the headers alone decide about the key (401) and a node without a configuration (503), before the body. What is refused so is counted as before. An unread body is discarded by Node.js, so the connection can be kept and the client gets its answer.

--- a/packages/node/src/http/caller-server.ts
+++ b/packages/node/src/http/caller-server.ts
@@ -5,7 +5,7 @@
 import { Hono } from 'hono';
 import type { Directory } from '../requests/directory.js';
 import type { RequestService } from '../requests/request-service.js';
-import { handleExchange, startExchange, type ExchangeLimits, type Handler } from './exchange.js';
+import { handleExchange, headersOf, startExchange, type ExchangeLimits, type Handler } from './exchange.js';
 import type { Listener } from './request-order.js';
 import { writeProblem } from './response-sink.js';
 
@@ -37,6 +37,11 @@
       writeProblem(response, problem('stopping', 'no', { retryAfterSeconds: 1 }));
       return;
     }
+    const refusal = options.requests.refusalOf({ headers: headersOf(request) });
+    if (refusal !== undefined) {
+      writeProblem(response, refusal);
+      return;
+    }
     startExchange(telemetry, response, () => handleExchange(request, response, options.limits, handler));
   };
 }
--- a/packages/node/src/http/exchange.ts
+++ b/packages/node/src/http/exchange.ts
@@ -28,6 +28,10 @@
   });
 }
 
+export function headersOf(request: IncomingMessage): InboundRequest['headers'] {
+  return request.headers as Record<string, string | undefined>;
+}
+
 /** What bounds the exchanges of all doors of a node. */
 export interface ExchangeLimits {
   /** Largest body, in bytes. */
@@ -63,7 +67,7 @@
   const inbound: InboundRequest = {
     method: request.method ?? 'GET',
     path: request.url ?? '/',
-    headers: request.headers as Record<string, string | undefined>,
+    headers: headersOf(request),
     body: body.value.bytes,
   };
   const sink = new ResponseSink(response, onBreak, limits.unsentAnswers);
--- a/packages/node/src/requests/directory.ts
+++ b/packages/node/src/requests/directory.ts
@@ -75,12 +75,7 @@
   }
 
   #authenticated(authorization: string | undefined): ReturnType<RequestService['authenticate']> {
-    return this.#options.requests.authenticate({
-      method: 'GET',
-      path: '',
-      headers: { authorization },
-      body: new Uint8Array(),
-    });
+    return this.#options.requests.authenticate({ headers: { authorization } });
   }
 
   #ownerFor(
--- a/packages/node/src/requests/request-service.ts
+++ b/packages/node/src/requests/request-service.ts
@@ -144,9 +144,17 @@
     return this.#countFailure(relay.started ? { kind: 'broken-off', problem: document } : document);
   }
 
+  /** Why a request with these headers would be refused whatever its body is; undefined if it has a caller's key. */
+  refusalOf(inbound: Pick<InboundRequest, 'headers'>): Problem | undefined {
+    const authenticated = this.authenticate(inbound);
+    if (authenticated.isOk()) return undefined;
+    this.#countFailure(authenticated.error);
+    return authenticated.error;
+  }
+
   /** Identifies the caller by its bearer key, without admission; enough for directory requests. */
   authenticate(
-    inbound: InboundRequest,
+    inbound: Pick<InboundRequest, 'headers'>,
   ): Result<{ index: ConfigurationIndex; caller: CallerDefinition }, Problem> {
     const index = this.#options.index();
     if (index === undefined) return err(problem('not-ready', 'no', { retryAfterSeconds: 1 }));
--- a/packages/node/test/bad-input.test.ts
+++ b/packages/node/test/bad-input.test.ts
@@ -1,5 +1,6 @@
+import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { connect, type AddressInfo } from 'node:net';
 import { createHash } from 'node:crypto';
 import test from 'ava';
 import { buildPublication } from '@canvasridge/configuration';
@@ -264,6 +265,28 @@
   t.is(((await right.body.json()) as { revision: number }).revision, 1);
 });
 
+const strangers = [
+  { door: 'callersUrl', path: '/v1/completions' },
+  { door: 'callersUrl', path: '/services/payouts/x' },
+  { door: 'peersUrl', path: '/forward/v1/completions' },
+  { door: 'peersUrl', path: '/rpc' },
+  { door: 'peersUrl', path: '/admin/plan' },
+] as const;
+
+for (const { door, path } of strangers) {
+  // Callers' bodies were read before their key was, so that strangers could hold memory for bodies.
+  test(`a request with an unknown key is refused before the end of its body (${path})`, async (t) => {
+    const { hostname, port } = new URL(node[door]);
+    const socket = connect(Number(port), hostname);
+    t.teardown(() => socket.destroy());
+    socket.write(
+      `POST ${path} HTTP/1.1\r\nhost: h\r\nauthorization: Bearer wrong\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n`,
+    );
+    const [answer] = (await once(socket, 'data')) as [Buffer];
+    t.regex(answer.toString(), /^HTTP\/1\.1 401 /);
+  });
+}
+
 test('a peer call without the peer key is refused', async (t) => {
   const response = await request(`${node.peersUrl}/rpc`, { method: 'POST', body: '{}' });
   t.is(response.statusCode, 401);
