What ended answers still have to send counts at a node of the product

Found by reading: an answer that is written at once, such as a page of /v1/models (80 KB for 1,000 names of 40 characters), bypasses the sink that counts what waits for slow readers, and so does the last part of any answer. With 1,800 connections that makes some 140 MB of 250.

Change: at each response, what is unsent when it ends counts against limits.unsentAnswersMb until the client has taken it or left, and may give way like the rest.

slow-reader.test.js 3 of 3 (a server that ends 20 MB at once), other tests of packages/node and packages/load end-to-end 69 of 69, tests of crowds passed. Not shown by a crowd of its own: a trial with 1,800 clients that pipeline 60 lists each spent its 120 s on making lists.

--- a/packages/node/src/http/response-sink.ts
+++ b/packages/node/src/http/response-sink.ts
@@ -86,6 +86,7 @@
   /** Ends the response according to how the request ended. */
   finish(end: RequestEnd): void {
     const response = this.#response;
+    this.#freeUnsent();
     if (response.destroyed) return;
     if (end.kind === 'completed') {
       if (!response.headersSent) response.writeHead(204);
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -29,6 +29,7 @@
 import { peerListener } from './http/peer-server.js';
 import { oneAtATime, type Listener } from './http/request-order.js';
 import { EntryNode } from './node.js';
+import { countUnsentEnds } from './http/unsent-end.js';
 import type { NodeSettings } from './settings.js';
 import { bindNodeSockets } from './sockets.js';
 
@@ -116,7 +117,10 @@
   const serve = (door: string, server: Server, connections: number, listener: Listener): void => {
     limitConnections(server, connections, door, events);
     const onTooMany = (): void => events.event('warn', 'connection.too-many-requests', door, {});
-    server.on('request', oneAtATime(listener, { budget: limits.bodies, onTooMany }));
+    server.on(
+      'request',
+      oneAtATime(countUnsentEnds(listener, limits.unsentAnswers), { budget: limits.bodies, onTooMany }),
+    );
   };
   serve(
     'callers',
--- a/packages/node/test/slow-reader.test.ts
+++ b/packages/node/test/slow-reader.test.ts
@@ -1,28 +1,24 @@
 /** Answers that their clients don't read. */
 import { once } from 'node:events';
-import { createServer } from 'node:http';
+import { createServer, type RequestListener } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import test, { type ExecutionContext } from 'ava';
 import { MemoryBudget } from '../src/http/memory-budget.js';
 import { ResponseSink } from '../src/http/response-sink.js';
+import { countUnsentEnds } from '../src/http/unsent-end.js';
 
 /** Enough for two slow readers, not for three. */
 const LIMIT_BYTES = 450_000;
 const PART = Buffer.alloc(65_536);
+/** An answer that is written at once; more than the buffers of the operating system hold. */
+const WHOLE_BYTES = 20_000_000;
 /** More than the buffers of the operating system hold. */
 const PARTS = 500;
 
-async function startServer(t: ExecutionContext): Promise<{
-  unsent: MemoryBudget;
-  /** Asks for a long answer and reads nothing of it. */
-  open: () => Socket;
-  ended: string[];
-}> {
-  const unsent = new MemoryBudget({ limitBytes: LIMIT_BYTES });
-  const ended: string[] = [];
-  const server = createServer(({ url = '' }, response) => {
+/** Writes a long answer in parts. */
+function writeParts(unsent: MemoryBudget): RequestListener {
+  return (_request, response) => {
     const sink = new ResponseSink(response, 'tell', unsent);
-    response.on('close', () => ended.push(url));
     sink.start(200, {});
     const work = async (): Promise<void> => {
       for (let part = 0; part < PARTS && !response.destroyed; part += 1)
@@ -30,6 +26,25 @@
       sink.finish({ kind: 'completed' });
     };
     void work();
+  };
+}
+
+async function startServer(
+  t: ExecutionContext,
+  limitBytes: number,
+  newListener: (unsent: MemoryBudget) => RequestListener,
+): Promise<{
+  unsent: MemoryBudget;
+  /** Asks for a long answer and reads nothing of it. */
+  open: () => Socket;
+  ended: string[];
+}> {
+  const unsent = new MemoryBudget({ limitBytes });
+  const ended: string[] = [];
+  const listener = newListener(unsent);
+  const server = createServer((request, response) => {
+    response.on('close', () => ended.push(request.url ?? ''));
+    listener(request, response);
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
@@ -64,7 +79,7 @@
 
 // Parts of answers that waited for slow readers had no bound over all of them.
 test('the slow reader that has kept its answer waiting for longest gives way to others', async (t) => {
-  const { unsent, open, ended } = await startServer(t);
+  const { unsent, open, ended } = await startServer(t, LIMIT_BYTES, writeParts);
   open();
   await untilWaiting(unsent, 1);
   open();
@@ -77,7 +92,7 @@
 });
 
 test('memory for slow readers is free when they read on and when they leave', async (t) => {
-  const { unsent, open, ended } = await startServer(t);
+  const { unsent, open, ended } = await startServer(t, LIMIT_BYTES, writeParts);
   const client = open();
   await untilWaiting(unsent, 1);
   client.resume();
@@ -89,3 +104,21 @@
   await until(() => ended.length === 2);
   t.is(unsent.usedBytes, 0);
 });
+
+// Answers that were written at once were not counted.
+test('answers that were ended before their clients took them count, and the longest waiting gives way', async (t) => {
+  const whole = Buffer.alloc(WHOLE_BYTES);
+  const { unsent, open, ended } = await startServer(t, 2.5 * WHOLE_BYTES, (budget) =>
+    countUnsentEnds((_request, response) => response.end(whole), budget),
+  );
+  open();
+  await until(() => unsent.usedBytes > 0);
+  const second = open();
+  await until(() => unsent.usedBytes > WHOLE_BYTES);
+  open();
+  await until(() => ended.length === 1);
+  second.resume();
+  await until(() => ended.length === 2);
+  t.deepEqual(ended, ['/0', '/1']);
+  t.true(unsent.usedBytes <= WHOLE_BYTES + PART.length);
+});
