A paused connection to a back end counts with what it holds at a node of the product

A slow reader counted with 128 KiB for the paused connection to its back end. Measured on the code without a budget it took some 240 KB in all (520 MB of 1,800), so the budget was used up later than the memory was.

Change: 192 KiB, three reads: the one that is passed on and two that were read ahead.

--- a/packages/node/src/http/response-sink.ts
+++ b/packages/node/src/http/response-sink.ts
@@ -15,10 +15,10 @@
 ]);
 
 /**
- * What the connection to the back end holds of an answer while it is paused: the part that was being read and what the
- * socket has read ahead.
+ * What the connection to the back end holds of an answer while it is paused, in reads of 64 KiB: the one that is being
+ * passed on, and two that the socket has read ahead.
  */
-const PAUSED_SOURCE_BYTES = 131_072;
+const PAUSED_SOURCE_BYTES = 196_608;
 
 /**
  * How a response that fails after its start is ended. `tell`, for callers, sends an `error` event if the
