--- a/packages/node/src/http/connection-limit.ts
+++ b/packages/node/src/http/connection-limit.ts
@@ -32,7 +32,10 @@
   });
   server.on('request', (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
-    request.once('end', () => table.requestReceived(socket));
+    request.once('end', () => {
+      // A body that nobody read ends after the answer, when Node.js discards it.
+      if (!response.writableEnded) table.requestReceived(socket);
+    });
     response.once('close', () =>
       table.responseSent(socket, !response.writableFinished || response.statusCode >= FIRST_ERROR_STATUS),
     );
--- a/packages/node/test/connection-limit.test.ts
+++ b/packages/node/test/connection-limit.test.ts
@@ -57,3 +57,14 @@
   t.deepEqual(events, ['connection.accept-failed', 'connection.accept-failed']);
   t.regex(await answerOn(await open()), /^HTTP\/1\.1 200 /);
 });
+
+// The end of a body that nobody read came after the answer, and the connection then counted as one with a running request.
+test('connections that are idle after requests whose bodies were not read give way', async (t) => {
+  const { events, open } = await startServer(t);
+  const idle = [await open(), await open(), await open()];
+  for (const socket of idle) t.regex(await answerOn(socket), /^HTTP\/1\.1 200 /);
+  const closed = once(idle[0] as Socket, 'close');
+  t.regex(await answerOn(await open()), /^HTTP\/1\.1 200 /);
+  await closed;
+  t.deepEqual(events, ['connection.gave-way']);
+});
