--- a/packages/node/src/http/caller-server.ts
+++ b/packages/node/src/http/caller-server.ts
@@ -1,24 +1,23 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import { getRequestListener } from '@hono/node-server';
 import { problem, type Problem } from '@canvasridge/domain';
 import type { Telemetry } from '@canvasridge/telemetry';
 import { Hono } from 'hono';
 import type { Directory } from '../requests/directory.js';
 import type { RequestService } from '../requests/request-service.js';
-import { handleExchange, startExchange, type Handler } from './exchange.js';
+import { handleExchange, headersOf, startExchange, type ExchangeLimits, type Handler } from './exchange.js';
+import type { Listener } from './request-order.js';
 import { writeProblem } from './response-sink.js';
 
 export interface CallerServerOptions {
   readonly requests: RequestService;
   readonly directory: Directory;
-  readonly bodyLimit: () => number;
+  readonly limits: ExchangeLimits;
   readonly telemetry: Pick<Telemetry, 'event'>;
   /** Requests are refused in state `closed`; the readiness check succeeds only in state `ready`. */
   readonly state: () => 'starting' | 'ready' | 'draining' | 'closed';
 }
 
-type Listener = (request: IncomingMessage, response: ServerResponse) => void;
-
 /**
  * HTTP listener for callers. Generation, service and stream requests bypass Hono, because its web streams
  * cost too much (see {@link handleExchange}); Hono handles all others.
@@ -38,7 +37,12 @@
       writeProblem(response, problem('stopping', 'no', { retryAfterSeconds: 1 }));
       return;
     }
-    startExchange(telemetry, response, () => handleExchange(request, response, options.bodyLimit(), handler));
+    const refusal = options.requests.refusalOf({ headers: headersOf(request) });
+    if (refusal !== undefined) {
+      writeProblem(response, refusal);
+      return;
+    }
+    startExchange(telemetry, response, () => handleExchange(request, response, options.limits, handler));
   };
 }
 
--- a/packages/node/src/process.ts
+++ b/packages/node/src/process.ts
@@ -23,12 +23,18 @@
 } from '@canvasridge/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import { callerListener } from './http/caller-server.js';
+import { limitConnections } from './http/connection-limit.js';
+import type { ExchangeLimits } from './http/exchange.js';
+import { MemoryBudget } from './http/memory-budget.js';
 import { peerListener } from './http/peer-server.js';
+import { oneAtATime, type Listener } from './http/request-order.js';
 import { EntryNode } from './node.js';
+import { countUnsentEnds } from './http/unsent-end.js';
 import type { NodeSettings } from './settings.js';
 import { bindNodeSockets } from './sockets.js';
 
 const MS_PER_SECOND = 1000;
+const BYTES_PER_MB = 1024 * 1024;
 /** For the ends of the last responses, once all requests have ended. */
 const CLOSE_TIMEOUT_MS = 1000;
 /** Length of the random token that distinguishes a node's process from earlier ones with the same node id. */
@@ -105,23 +111,40 @@
       newEngineClient: (engine) => new HttpEngineClient(engine.url, agent),
     },
   });
-  callerServer.on(
-    'request',
+  const limits: ExchangeLimits = {
+    bodyLimit: () => node.bodyLimit,
+    bodies: newBudget('body', settings.limits.bodiesMb, events),
+    unsentAnswers: newBudget('answer', settings.limits.unsentAnswersMb, events),
+  };
+  const serve = (door: string, server: Server, connections: number, listener: Listener): void => {
+    limitConnections(server, connections, door, events);
+    const onTooMany = (): void => events.event('warn', 'connection.too-many-requests', door, {});
+    server.on(
+      'request',
+      oneAtATime(countUnsentEnds(listener, limits.unsentAnswers), { budget: limits.bodies, onTooMany }),
+    );
+  };
+  serve(
+    'callers',
+    callerServer,
+    settings.limits.callerConnections,
     callerListener({
       requests: node.requests,
       directory: node.directory,
-      bodyLimit: () => node.bodyLimit,
+      limits,
       telemetry,
       state: () => node.state,
     }),
   );
-  peerServer.on(
-    'request',
+  serve(
+    'peers',
+    peerServer,
+    settings.limits.peerConnections,
     peerListener({
       rpc: node.rpc,
       forward: node.forwardHandler,
       admin: node.admin,
-      bodyLimit: () => node.bodyLimit,
+      limits,
       telemetry,
       peerKey: settings.peerKey,
       adminKey: settings.adminKey,
@@ -160,6 +183,17 @@
     : new StatsdMetrics(statsd.host, statsd.port, settings.node.id);
 }
 
+/** @param name of what the memory is for, in events */
+function newBudget(name: 'body' | 'answer', limitMb: number, events: LimitedEvents): MemoryBudget {
+  return new MemoryBudget({
+    limitBytes: limitMb * BYTES_PER_MB,
+    onGivenWay: (heldBytes, { usedBytes, limitBytes }) =>
+      events.event('warn', `${name}.gave-way`, 'http', { heldBytes, usedBytes, limitBytes }),
+    onRefused: (neededBytes, { usedBytes, limitBytes }) =>
+      events.event('warn', `${name}.refused`, 'http', { neededBytes, usedBytes, limitBytes }),
+  });
+}
+
 /** Closes idle connections now, and the others, such as those that never sent a request, after a while. */
 function closeServer(server: Server): Promise<void> {
   return new Promise((resolve) => {
