--- a/packages/addresses/src/index.ts
+++ b/packages/addresses/src/index.ts
@@ -2,6 +2,7 @@
 export { bindError, type BindError } from './bind-error.js';
 export { AddressBinder, type AddressBinderOptions, type ListenError } from './address-binder.js';
 export { bindWhenFree, type BindRetryOptions } from './bind-retry.js';
+export { descriptorLimit } from './descriptor-limit.js';
 export { listen } from './listen.js';
 export { logServerErrors } from './server-errors.js';
 export {
--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer, type Server } from 'node:net';
-import type { ListenError } from '@canvasridge/addresses';
+import { descriptorLimit, type ListenError } from '@canvasridge/addresses';
 import type { QuotaRule } from '@canvasridge/admission';
 import { ContinuousClock, Random, ReadDelay, hashSeed, type ReadDelayTiming } from '@canvasridge/clock';
 import { UdpTransport } from '@canvasridge/membership';
@@ -75,7 +75,6 @@
 import { routeChanges } from './cluster/route-changes.js';
 import type { GatewayOptions } from './gateway-settings.js';
 import { GatewayMetrics } from './gateway-metrics.js';
-import { descriptorLimit } from './peers/descriptor-limit.js';
 import { peerLimits } from './peers/peer-limits.js';
 import { PeerNetwork } from './peers/peer-network.js';
 import type { PeerMethods } from './peers/peer-connection.js';
@@ -186,7 +185,7 @@
       (socket) => this.#relayServer.accept(socket),
       telemetry,
       peers,
-      peerLimits(settings.memoryBytes, descriptorLimit()),
+      peerLimits(settings.memoryBytes, settings.maxDescriptors ?? descriptorLimit()),
       (host) => this.#cluster.hasMemberAt(host),
     );
     this.#cluster = new Cluster({
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -23,6 +23,8 @@
   readonly peerKey: string;
   /** Memory that the process may use, in bytes. */
   readonly memoryBytes: number;
+  /** Descriptors that the process may open. Absent: what the operating system allows. */
+  readonly maxDescriptors?: number | undefined;
   /** Client connections at a time. Absent: no limit. */
   readonly maxClientConnections?: number | undefined;
   /** CPU time that this node may use, in cores of the reference speed. */
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -4,7 +4,7 @@
  *
  * Tests listed in KNOWN-RED.txt (one per line: title | cause | issue; at most three, beside those of crowds) may
  * fail: they are printed as `known red` and not counted. A listed test that passes or does not exist fails a
- * full run, so that the list has only failing tests.
+ * full run, so that the list has only failing tests; those of crowds may be unsteady.
  */
 import { spawn, spawnSync } from 'node:child_process';
 import { existsSync, readFileSync } from 'node:fs';
@@ -81,11 +81,15 @@
 
 /** Prints the listed tests that failed, and counts those that did not as failures. */
 function reportKnownRed() {
-  for (const { title } of knownRed) {
+  for (const { title, issue } of knownRed) {
     if (failedKnownRed.has(title)) {
       console.log(`known red: ${title}`);
       continue;
     }
+    if (issue === CROWDS_ISSUE) {
+      console.log(`known red, passed this time: ${title}`);
+      continue;
+    }
     // Arguments select some test files, so a listed test may not have run.
     if (extraArguments.length > 0) continue;
     console.log(`${KNOWN_RED_FILE} lists a test that did not fail: ${title}`);
