An installation of dependencies that was broken off is made anew

The script compared the folder node_modules, which is newer than the lock file as soon as npm begins. npm writes node_modules/.package-lock.json at the end: that is compared now.

--- a/scripts/has-dependencies.mjs
+++ b/scripts/has-dependencies.mjs
@@ -8,8 +8,10 @@
 
 const root = process.cwd();
 
+/** npm writes its own lock file at the end of an installation. */
 function isNewerThanLock() {
-  return statSync(join(root, 'node_modules')).mtimeMs > statSync(join(root, 'package-lock.json')).mtimeMs;
+  const installed = statSync(join(root, 'node_modules', '.package-lock.json'));
+  return installed.mtimeMs > statSync(join(root, 'package-lock.json')).mtimeMs;
 }
 
 /** esbuild is the only dependency with a binary of its own. */
