--- a/packages/settings/src/settings-file.ts
+++ b/packages/settings/src/settings-file.ts
@@ -3,9 +3,10 @@
 import type { z } from 'zod';
 import { readJsonFile, type SettingsError } from './document.js';
 
-/** Time within which a settings file that can't be read has to become complete. */
+/** Time within which a settings file that can't be read at the start has to become complete. */
 const COMPLETE_WITHIN_MS = 5000;
-const PAUSE_MS = 50;
+const FIRST_PAUSE_MS = 50;
+const LONGEST_PAUSE_MS = 1000;
 
 export interface SettingsFileOptions<T> {
   readonly file: string;
@@ -17,8 +18,8 @@
 
 /**
  * The settings file of a process, which whoever runs the process may write at any time. A file that is missing or no
- * whole document is read again for a while, as it may be in the middle of being written. A whole document with wrong
- * values is an error at once.
+ * whole document is read again, as it may be in the middle of being written: for a while at the start, and after a change
+ * until it is complete. A whole document with wrong values is an error at once.
  */
 export class SettingsFile<T> {
   readonly #options: SettingsFileOptions<T>;
@@ -34,16 +35,20 @@
    */
   async readChange(): Promise<Result<T, SettingsError> | undefined> {
     this.#changes += 1;
-    return this.#isReading ? undefined : this.read();
+    return this.#isReading ? undefined : this.#read(Infinity);
   }
 
   /** Reads the file until no change has been announced meanwhile. */
-  async read(): Promise<Result<T, SettingsError>> {
+  read(): Promise<Result<T, SettingsError>> {
+    return this.#read(COMPLETE_WITHIN_MS);
+  }
+
+  async #read(withinMs: number): Promise<Result<T, SettingsError>> {
     this.#isReading = true;
     try {
       for (;;) {
         const changes = this.#changes;
-        const read = await this.#readWhenComplete();
+        const read = await this.#readWhenComplete(withinMs);
         if (changes === this.#changes) return read;
       }
     } finally {
@@ -51,14 +56,14 @@
     }
   }
 
-  async #readWhenComplete(): Promise<Result<T, SettingsError>> {
+  async #readWhenComplete(withinMs: number): Promise<Result<T, SettingsError>> {
     const { file, schema, clock, onWaiting } = this.#options;
-    const deadlineMs = clock.now() + COMPLETE_WITHIN_MS;
-    for (let isFirst = true; ; isFirst = false) {
+    const deadlineMs = clock.now() + withinMs;
+    for (let pauseMs = FIRST_PAUSE_MS; ; pauseMs = Math.min(pauseMs * 2, LONGEST_PAUSE_MS)) {
       const read = await readJsonFile(file, schema);
-      if (read.isOk() || !mayBeIncomplete(read.error) || clock.now() + PAUSE_MS > deadlineMs) return read;
-      if (isFirst) onWaiting(read.error);
-      await clock.sleep(PAUSE_MS);
+      if (read.isOk() || !mayBeIncomplete(read.error) || clock.now() + pauseMs > deadlineMs) return read;
+      if (pauseMs === FIRST_PAUSE_MS) onWaiting(read.error);
+      await clock.sleep(pauseMs);
     }
   }
 }
--- a/packages/settings/test/settings-file.test.ts
+++ b/packages/settings/test/settings-file.test.ts
@@ -55,6 +55,19 @@
   t.deepEqual(waits, ['unreadable']);
 });
 
+// The earlier settings stayed in force for good.
+test('a changed file that is complete only after a long time is read', async (t) => {
+  let sleeps = 0;
+  const rig = await setup(t, () => {
+    sleeps += 1;
+    if (sleeps === 60) rig.write('{"version":2}');
+  });
+  rig.write('{"vers');
+  const read = await rig.settings.readChange();
+  t.is(read?._unsafeUnwrap().version, 2);
+  t.deepEqual(rig.waits, ['not-json']);
+});
+
 test('a complete file with wrong values is an error at once', async (t) => {
   const { settings, write, waits } = await setup(t);
   write('{}');
