A request's body is dropped when its memory is given back

The exchange drops it at the moment of the release now; nothing reads it later.

Tests of exchange, unfinished-bodies, crashing-part and request-quarantine: passed.

--- a/packages/gateway/src/request/exchange.ts
+++ b/packages/gateway/src/request/exchange.ts
@@ -180,7 +180,11 @@
       else if (body.error.kind === 'stalled') this.#refuse('body-stalled', RETRY_AFTER_REFUSAL_MS);
     } else {
       this.#body = body.value.bytes;
-      await this.#serve(route, service).finally(body.value.release);
+      await this.#serve(route, service).finally(() => {
+        // The response may wait for its client long after this.
+        this.#body = EMPTY_BODY;
+        body.value.release();
+      });
     }
   }
 
