--- a/packages/clock/src/system-clock.ts
+++ b/packages/clock/src/system-clock.ts
@@ -36,7 +36,10 @@
       if (!isCancelled) callback();
     };
     const run = (): void => {
-      if (this.now() - dueMs < LATE_MS) callback();
+      const lateMs = this.now() - dueMs;
+      // Node.js cuts delays to whole milliseconds.
+      if (lateMs < 0) schedule(-lateMs);
+      else if (lateMs < LATE_MS) callback();
       else afterPendingInput(runUnlessCancelled);
     };
     let handle: NodeJS.Timeout;
--- a/packages/clock/test/system-clock.test.ts
+++ b/packages/clock/test/system-clock.test.ts
@@ -97,3 +97,15 @@
       Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ${heldUpMs});
     });`;
 }
+
+// A request was timed out up to a millisecond before its time: its client had not given up yet.
+test('no timer runs early', async (t) => {
+  const clock = new SystemClock();
+  for (let fraction = 0; fraction < 20; fraction += 1) {
+    const delayMs = 2 + fraction / 20;
+    const startMs = clock.now();
+    await clock.sleep(delayMs);
+    const tookMs = clock.now() - startMs;
+    t.true(tookMs >= delayMs, `${tookMs} of ${delayMs}`);
+  }
+});
