--- a/packages/gateway/src/gateway-node.ts
+++ b/packages/gateway/src/gateway-node.ts
@@ -107,7 +107,7 @@
 const PROCESS_TOKEN_BYTES = 6;
 /** Share of the process's memory for request bodies: 37 MB of 250, beside a heap of at most 128 MB. */
 const BODY_MEMORY_SHARE = 0.15;
-/** Share of it for responses that wait for their backends or clients: 25 MB of 250. */
+/** Share of it for responses that wait for their backends or clients. */
 const RESPONSE_MEMORY_SHARE = 0.1;
 /** Share of the process's memory for pipelined requests that wait for the responses before them. */
 const WAITING_MEMORY_SHARE = 0.03;
--- a/packages/gateway/src/peers/peer-limits.ts
+++ b/packages/gateway/src/peers/peer-limits.ts
@@ -23,13 +23,13 @@
 /** The longest answer, beside as much as may wait when it is written: see `maySendLarge`. */
 const MIN_UNREAD_BYTES = 12 * 1024 * 1024;
 
-/** Twice the nodes of the largest fleet of the operators, and as many requests as are relayed at a time. */
+/** Incoming connections, however many descriptors there are. */
 const MAX_CONNECTIONS = 1024;
 /** Share of the descriptors of the process. */
 const DESCRIPTORS_SHARE = 0.25;
-/** A node sends as soon as it is connected, and waits for an answer at most 1.5 s. */
+/** From the accept of a connection to its first byte. */
 const FIRST_BYTE_MS = 10_000;
-/** The slowest link of the operators, 7 Mbit/s, takes the longest answer in 10 s. */
+/** Without progress of a peer that has answers to read. */
 const READ_MS = 30_000;
 
 /**
